--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Entry points for people; CMake and ctest do the work.
+BUILD ?= build
+JOBS ?= 6
+PACKAGES = libsoup-3.0-dev libtirpc-dev rpcsvc-proto libargtable2-dev \
+	libcmocka-dev libjson-glib-dev libtomlplusplus-dev libxxhash-dev \
+	pkg-config
+SOURCES = $(shell git ls-files 'src/*.c' 'src/*.h' 'src/*.cc' 'tests/*.c' \
+	'tests/*.h' | grep -v -E '/peer(_xdr)?\.[ch]$$')
+
+.PHONY: all packages build test demo format format-check lint sanitize
+
+all: build
+
+packages:
+	tools/install-packages $(PACKAGES)
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	cd $(BUILD) && ctest --output-on-failure -j 4
+
+demo: build
+	tools/demo $(BUILD)
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint: build
+	printf '%s\n' $(filter %.c,$(SOURCES)) | \
+		xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
+
+sanitize: packages
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DSANITIZE=ON >/dev/null
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	cd $(BUILD)-sanitize && ctest --output-on-failure -j 4
--- /dev/null
+++ b/src/process/diag.h
@@ -0,0 +1,27 @@
+/* Diagnostics of a checked file: one line an error. */
+#ifndef PROCESS_DIAG_H
+#define PROCESS_DIAG_H
+
+#include <glib.h>
+
+#include "process/str.h"
+
+typedef struct {
+	char *file;
+	unsigned line; /* from 1; 0 when not known */
+	char *key; /* dotted path, may be empty */
+	char *message; /* what was expected */
+} diag_entry_t;
+
+typedef struct {
+	GArray *entries; /* of diag_entry_t */
+} diag_t;
+
+void diag_init(diag_t *diag);
+void diag_finish(diag_t *diag);
+void diag_add(diag_t *diag, const char *file, unsigned line, const char *key,
+	      const char *format, ...) G_GNUC_PRINTF(5, 6);
+bool diag_is_empty(const diag_t *diag);
+void diag_print(const diag_t *diag, GString *out);
+
+#endif
