--- /dev/null
+++ b/tests/test_plain.c
@@ -0,0 +1,273 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "process/clock.h"
+#include "request/plain.h"
+
+#define NOW_US (50 * CLOCK_US_PER_S)
+#define WALK_SEED UINT64_C(412)
+#define WALKS 50000
+#define MAX_STEPS 12
+
+typedef struct {
+	plain_event_kind_t kind;
+	uint32_t attempt;
+	const char *want;
+} script_step_t;
+
+typedef struct {
+	const char *name;
+	bool repeatable;
+	double budget;
+	script_step_t steps[MAX_STEPS];
+} script_t;
+
+static void print_action(GString *out, const plain_action_t *action)
+{
+	static const char *const names[] = {
+		[PLAIN_ACTION_SEND] = "send",
+		[PLAIN_ACTION_FORWARD] = "forward",
+		[PLAIN_ACTION_ABORT] = "abort",
+		[PLAIN_ACTION_COUNT_STALE] = "stale",
+		[PLAIN_ACTION_BACK_OFF] = "back-off",
+		[PLAIN_ACTION_FINISH] = "finish",
+	};
+
+	g_string_append(out, names[action->kind]);
+	if (action->attempt)
+		g_string_append_printf(out, " %u", action->attempt);
+	if (action->kind == PLAIN_ACTION_FINISH)
+		g_string_append_printf(
+			out, " %s %s%s", verdict_run_text(action->verdict.run),
+			verdict_code_text(action->verdict.code),
+			action->verdict.retry_at_us ? " come-back" : "");
+	g_string_append(out, "; ");
+}
+
+static const script_t scripts[] = {
+	{"answered",
+	 false,
+	 1,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_ANSWER, 1, "forward 1; "},
+	  {PLAIN_EVENT_ANSWER, 1, "forward 1; "},
+	  {PLAIN_EVENT_ANSWER_END, 1, "finish ran ok; "},
+	  {PLAIN_EVENT_ANSWER, 1, "stale; "},
+	  {PLAIN_EVENT_CALLER_GONE, 0, ""}}},
+	{"refused",
+	 true,
+	 1,
+	 {{PLAIN_EVENT_REFUSED, 0, "finish not-run overloaded; "},
+	  {PLAIN_EVENT_ADMITTED, 0, ""}}},
+	{"unrepeatable and lost: never sent again",
+	 false,
+	 5,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_LOST, 1,
+	   "finish may-have-run backend_failed come-back; "},
+	  {PLAIN_EVENT_TIMER, 0, ""}}},
+	{"unrepeatable and silent: never sent again",
+	 false,
+	 5,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_SILENT, 1,
+	   "abort 1; finish may-have-run backend_timeout come-back; "}}},
+	{"unrepeatable and not sent: sent again",
+	 false,
+	 5,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_NOT_SENT, 1, "back-off; "},
+	  {PLAIN_EVENT_ANSWER, 1, "stale; "},
+	  {PLAIN_EVENT_TIMER, 0, "send 2; "},
+	  {PLAIN_EVENT_ANSWER, 2, "forward 2; "},
+	  {PLAIN_EVENT_ANSWER_END, 2, "finish ran ok; "}}},
+	{"repeatable and lost: sent again until the budget is empty",
+	 true,
+	 1,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_LOST, 1, "back-off; "},
+	  {PLAIN_EVENT_TIMER, 0, "send 2; "},
+	  {PLAIN_EVENT_ANSWER, 1, "stale; "},
+	  {PLAIN_EVENT_LOST, 2,
+	   "finish may-have-run backend_failed come-back; "}}},
+	{"not run is not said after an earlier send that may have run",
+	 true,
+	 1,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_LOST, 1, "back-off; "},
+	  {PLAIN_EVENT_TIMER, 0, "send 2; "},
+	  {PLAIN_EVENT_NOT_SENT, 2,
+	   "finish may-have-run unavailable come-back; "}}},
+	{"never sent again after part of an answer",
+	 true,
+	 5,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_ANSWER, 1, "forward 1; "},
+	  {PLAIN_EVENT_LOST, 1,
+	   "finish may-have-run backend_failed come-back; "}}},
+	{"not sent, no retry left",
+	 false,
+	 0,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_NOT_SENT, 1, "finish not-run unavailable come-back; "}}},
+	{"caller gone while waiting",
+	 true,
+	 1,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_CALLER_GONE, 0,
+	   "abort 1; finish may-have-run caller_gone; "},
+	  {PLAIN_EVENT_ANSWER, 1, "stale; "}}},
+	{"deadline while waiting",
+	 true,
+	 1,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_DEADLINE, 0,
+	   "abort 1; finish may-have-run backend_timeout come-back; "}}},
+	{"deadline in the queue",
+	 true,
+	 1,
+	 {{PLAIN_EVENT_DEADLINE, 0, "finish not-run overloaded come-back; "}}},
+	{"shutdown during a back-off of a call that did not run",
+	 false,
+	 1,
+	 {{PLAIN_EVENT_ADMITTED, 0, "send 1; "},
+	  {PLAIN_EVENT_NOT_SENT, 1, "back-off; "},
+	  {PLAIN_EVENT_SHUTDOWN, 0,
+	   "finish not-run shutting_down come-back; "}}},
+};
+
+/* Guards against a repeat of a call that may have run, and wrong verdicts. */
+static void test_scripts(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
+		const script_t *script = &scripts[i];
+		retry_budget_t budget = {.tokens = script->budget,
+					 .capacity = 10};
+		const plain_config_t config = {
+			.repeatable = script->repeatable,
+			.deadline_us = NOW_US + CLOCK_US_PER_S,
+			.budget = &budget,
+		};
+		plain_t call;
+
+		plain_init(&call, &config);
+		for (size_t j = 0; j < MAX_STEPS && script->steps[j].want;
+		     j++) {
+			const plain_event_t event = {
+				.kind = script->steps[j].kind,
+				.now_us = NOW_US,
+				.attempt = script->steps[j].attempt,
+				.verdict = {.code = VERDICT_OVERLOADED},
+			};
+			plain_action_t actions[PLAIN_MAX_ACTIONS];
+			GString *got = g_string_new(NULL);
+			size_t n = 0;
+
+			plain_step(&call, &event, actions, &n);
+			for (size_t k = 0; k < n; k++)
+				print_action(got, &actions[k]);
+			if (strcmp(got->str, script->steps[j].want) != 0)
+				fail_msg("%s, step %zu: got \"%s\"",
+					 script->name, j, got->str);
+			g_string_free(got, TRUE);
+		}
+	}
+}
+
+static plain_event_t random_event(uint64_t *seed, int64_t now_us,
+				  uint32_t attempt)
+{
+	plain_event_t event = {
+		.kind = (plain_event_kind_t)(retry_random(seed) %
+					     (PLAIN_EVENT_SHUTDOWN + 1)),
+		.now_us = now_us,
+		.attempt = attempt,
+		.verdict = {.code = VERDICT_OVERLOADED},
+	};
+
+	if (retry_random(seed) % 4 == 0)
+		event.attempt = (uint32_t)(retry_random(seed) % 4);
+	/* Ends are made rarer than other events. */
+	if (event.kind >= PLAIN_EVENT_CALLER_GONE && retry_random(seed) % 4)
+		event.kind = PLAIN_EVENT_TIMER;
+	return event;
+}
+
+/* Guards against a second send of an unrepeatable call that may have run, a
+ * second end, and a wrong "not run", in any order of events.
+ */
+static void test_random_walks(void **state)
+{
+	for (uint64_t walk = 0; walk < WALKS; walk++) {
+		uint64_t seed = WALK_SEED + walk;
+		retry_budget_t budget = {.tokens = 5, .capacity = 5};
+		const plain_config_t config = {
+			.repeatable = walk % 2,
+			.deadline_us = NOW_US + CLOCK_US_PER_S,
+			.budget = &budget,
+		};
+		unsigned finishes = 0;
+		bool maybe_run = false, answered = false, in_flight = false;
+		plain_t call;
+
+		plain_init(&call, &config);
+		for (int i = 0; i < 30; i++) {
+			plain_event_t event =
+				random_event(&seed, NOW_US, call.attempt);
+			plain_action_t actions[PLAIN_MAX_ACTIONS];
+			bool current = in_flight &&
+				       event.attempt == call.attempt;
+			size_t n = 0;
+
+			if (current && event.kind == PLAIN_EVENT_NOT_SENT &&
+			    !answered)
+				in_flight = false;
+			plain_step(&call, &event, actions, &n);
+			for (size_t j = 0; j < n; j++) {
+				const plain_action_t *action = &actions[j];
+
+				switch (action->kind) {
+				case PLAIN_ACTION_SEND:
+					assert_true(config.repeatable ||
+						    !maybe_run);
+					assert_false(answered);
+					assert_int_equal(finishes, 0);
+					in_flight = true;
+					break;
+				case PLAIN_ACTION_FORWARD:
+					assert_true(current);
+					answered = true;
+					break;
+				case PLAIN_ACTION_BACK_OFF:
+					maybe_run = maybe_run || in_flight;
+					in_flight = false;
+					break;
+				case PLAIN_ACTION_FINISH:
+					finishes++;
+					maybe_run = maybe_run || in_flight;
+					assert_int_equal(action->verdict.run ==
+								 RUN_NOT_RUN,
+							 !maybe_run);
+					in_flight = false;
+					break;
+				default:
+					break;
+				}
+			}
+		}
+		assert_true(finishes <= 1);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_scripts),
+		cmocka_unit_test(test_random_walks),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
