Add the thin request path: listeners, client, engine calls, serve

Cause: nothing served a request yet. Change: serve accepts OpenAI-style completions and calls to plain services, picks engines in turn, runs prefill, import and decode, and streams tokens. Answers carry the verdict header; a stream that fails ends with an error event and a cut connection. A caller that leaves is noticed by a watch on its socket. timeline merges logs by hybrid logical clock.

--- /dev/null
+++ b/src/connection/engine.c
@@ -0,0 +1,447 @@
+#include "connection/engine.h"
+
+#include <json-glib/json-glib.h>
+
+#include "request/sse.h"
+
+/* An engine's event holds one token. */
+#define MAX_EVENT_BYTES 65536
+
+struct engine_call {
+	client_call_t *http;
+	engine_result_fn_t on_result;
+	engine_token_fn_t on_token;
+	engine_end_fn_t on_end;
+	engine_load_fn_t on_load;
+	engine_cancel_fn_t on_cancel;
+	void *context;
+	sse_parser_t sse;
+	bool streaming;
+	bool malformed; /* an event did not parse */
+	bool finished; /* the last event of a stream was seen */
+	bool feeding; /* the parser is on the stack */
+	bool aborted;
+};
+
+static const char *const status_names[] = {
+	[ENGINE_OK] = "ok",
+	[ENGINE_REFUSED] = "refused",
+	[ENGINE_GONE] = "gone",
+	[ENGINE_FULL] = "full",
+	[ENGINE_REJECTED] = "rejected",
+	[ENGINE_NOT_SENT] = "not_sent",
+	[ENGINE_LOST] = "lost",
+	[ENGINE_SILENT] = "silent",
+};
+
+/* Name of a status in log lines. */
+const char *engine_status_text(engine_status_t status)
+{
+	return status_names[status];
+}
+
+static engine_status_t status_of(const client_response_t *response)
+{
+	switch (response->outcome) {
+	case CLIENT_NOT_SENT:
+		return ENGINE_NOT_SENT;
+	case CLIENT_LOST:
+		return ENGINE_LOST;
+	case CLIENT_TIMED_OUT:
+		return ENGINE_SILENT;
+	case CLIENT_DONE:
+		break;
+	}
+	switch (response->status) {
+	case 200:
+		return ENGINE_OK;
+	case 410:
+		return ENGINE_GONE;
+	case 503:
+		return ENGINE_REFUSED;
+	case 507:
+		return ENGINE_FULL;
+	default:
+		return ENGINE_REJECTED;
+	}
+}
+
+static void call_free(engine_call_t *call)
+{
+	if (call->streaming)
+		sse_parser_finish(&call->sse);
+	g_free(call);
+}
+
+/* Returns the root object, or NULL if the text is not a JSON object. */
+static JsonObject *parse_object(JsonParser *parser, const char *data,
+				size_t len)
+{
+	JsonNode *root;
+
+	if (!json_parser_load_from_data(parser, data ? data : "", (gssize)len,
+					NULL))
+		return NULL;
+	root = json_parser_get_root(parser);
+	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root)
+						    : NULL;
+}
+
+static JsonObject *parse_body(JsonParser *parser,
+			      const client_response_t *response)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(response->body, &len);
+
+	return parse_object(parser, data, len);
+}
+
+static int64_t get_int(JsonObject *object, const char *key)
+{
+	return json_object_get_int_member_with_default(object, key, 0);
+}
+
+static str_t get_str(JsonObject *object, const char *key)
+{
+	return str_from(
+		json_object_get_string_member_with_default(object, key, ""));
+}
+
+static void on_result_response(void *context, const client_response_t *response)
+{
+	engine_call_t *call = context;
+	engine_result_t result = {.status = status_of(response)};
+	JsonParser *parser = json_parser_new_immutable();
+	JsonObject *object = NULL;
+
+	if (result.status == ENGINE_OK) {
+		object = parse_body(parser, response);
+		if (object) {
+			result.kv = get_str(object, "kv");
+			result.tokens = get_int(object, "tokens");
+			result.cached_tokens = get_int(object, "cached_tokens");
+			result.kept_ms = get_int(object, "kept_ms");
+		}
+		if (!result.kv.len)
+			result.status = ENGINE_REJECTED;
+	}
+	call->on_result(call->context, &result);
+	g_object_unref(parser);
+	call_free(call);
+}
+
+static void on_cancel_response(void *context, const client_response_t *response)
+{
+	engine_call_t *call = context;
+	engine_status_t status = status_of(response);
+	JsonParser *parser = json_parser_new_immutable();
+	JsonObject *object = NULL;
+	int64_t held = -1;
+
+	if (status == ENGINE_OK) {
+		object = parse_body(parser, response);
+		if (object)
+			held = json_object_get_int_member_with_default(
+				object, "held_tokens", -1);
+		if (held < 0)
+			status = ENGINE_REJECTED;
+	}
+	call->on_cancel(call->context, status, held);
+	g_object_unref(parser);
+	call_free(call);
+}
+
+static void on_load_response(void *context, const client_response_t *response)
+{
+	engine_call_t *call = context;
+	engine_load_t load = {.status = status_of(response)};
+	JsonParser *parser = json_parser_new_immutable();
+	JsonObject *object = NULL;
+
+	if (load.status == ENGINE_OK) {
+		object = parse_body(parser, response);
+		if (!object)
+			load.status = ENGINE_REJECTED;
+	}
+	if (object) {
+		load.role = str_equal(get_str(object, "role"), STR("decode"))
+				    ? ROLE_DECODE
+				    : ROLE_PREFILL;
+		load.model = get_str(object, "model");
+		load.version = get_str(object, "version");
+		load.kv_total = get_int(object, "kv_total");
+		load.kv_used = get_int(object, "kv_used");
+		load.running = get_int(object, "running");
+		load.queued = get_int(object, "queued");
+		load.age_ms = get_int(object, "age_ms");
+		load.leaving = json_object_get_boolean_member_with_default(
+			object, "leaving", FALSE);
+	}
+	call->on_load(call->context, &load);
+	g_object_unref(parser);
+	call_free(call);
+}
+
+static void on_stream_event(const sse_event_t *event, void *context)
+{
+	engine_call_t *call = context;
+	JsonParser *parser;
+	JsonObject *object;
+	engine_token_t token = {.offset = -1};
+
+	if (call->aborted || call->finished || call->malformed)
+		return;
+	parser = json_parser_new_immutable();
+	object = parse_object(parser, event->data.data, event->data.len);
+	if (object) {
+		token.offset = json_object_get_int_member_with_default(
+			object, "offset", -1);
+		token.text = get_str(object, "text");
+		token.finish = get_str(object, "finish");
+	}
+	if (token.offset < 0) {
+		call->malformed = true;
+	} else {
+		call->finished = token.finish.len > 0;
+		call->on_token(call->context, &token);
+	}
+	g_object_unref(parser);
+}
+
+static void on_stream_data(void *context, const char *data, size_t len)
+{
+	engine_call_t *call = context;
+
+	call->feeding = true;
+	if (!sse_parser_feed(&call->sse, data, len))
+		call->malformed = true;
+	call->feeding = false;
+	if (call->aborted)
+		call_free(call);
+}
+
+static void on_stream_done(void *context, const client_response_t *response)
+{
+	engine_call_t *call = context;
+	engine_status_t status = status_of(response);
+
+	if (status == ENGINE_OK && !call->finished)
+		status = ENGINE_LOST;
+	if (call->malformed)
+		status = ENGINE_REJECTED;
+	call->on_end(call->context, status);
+	call_free(call);
+}
+
+static JsonBuilder *begin_body(const engine_attempt_t *id)
+{
+	JsonBuilder *builder = json_builder_new();
+	char *request = str_dup(id->request);
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "request");
+	json_builder_add_string_value(builder, request);
+	json_builder_set_member_name(builder, "attempt");
+	json_builder_add_int_value(builder, id->attempt);
+	g_free(request);
+	return builder;
+}
+
+static void add_str(JsonBuilder *builder, const char *key, str_t value)
+{
+	char *text = str_dup(value);
+
+	json_builder_set_member_name(builder, key);
+	json_builder_add_string_value(builder, text);
+	g_free(text);
+}
+
+static void add_int(JsonBuilder *builder, const char *key, int64_t value)
+{
+	json_builder_set_member_name(builder, key);
+	json_builder_add_int_value(builder, value);
+}
+
+static GBytes *end_body(JsonBuilder *builder)
+{
+	JsonGenerator *generator = json_generator_new();
+	JsonNode *root;
+	gsize len;
+	char *text;
+
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	json_generator_set_root(generator, root);
+	text = json_generator_to_data(generator, &len);
+	json_node_unref(root);
+	g_object_unref(generator);
+	g_object_unref(builder);
+	return g_bytes_new_take(text, len);
+}
+
+/*
+ * Sends a call. All engine calls name a request and attempt and may arrive
+ * twice without harm, so they reuse connections.
+ */
+static engine_call_t *send_call(client_t *client, engine_call_t *call,
+				client_request_t *request)
+{
+	GBytes *body = request->body;
+
+	request->reuse_connection = true;
+	request->content_type = "application/json";
+	request->context = call;
+	call->http = client_send(client, request);
+	if (body)
+		g_bytes_unref(body);
+	if (call->http)
+		return call;
+	call_free(call);
+	return NULL;
+}
+
+/*
+ * Starts a prefill. The callback is called once unless the call is aborted.
+ * All strings are copied. NULL is returned if the address is no IP:port.
+ */
+engine_call_t *engine_prefill(client_t *client, str_t address,
+			      const engine_prefill_t *args, int64_t deadline_us,
+			      engine_result_fn_t fn, void *context)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+	JsonBuilder *builder = begin_body(&args->id);
+	client_request_t request = {
+		.method = "POST",
+		.address = address,
+		.path = "/v1/prefill",
+		.deadline_us = deadline_us,
+		.on_done = on_result_response,
+	};
+
+	call->on_result = fn;
+	call->context = context;
+	add_str(builder, "model", args->model);
+	add_str(builder, "adapter", args->adapter);
+	add_str(builder, "prompt", args->prompt);
+	add_int(builder, "prompt_tokens", args->prompt_tokens);
+	add_int(builder, "priority", args->priority);
+	request.body = end_body(builder);
+	return send_call(client, call, &request);
+}
+
+/* Makes a decode engine import a prefill result; as engine_prefill(). */
+engine_call_t *engine_import(client_t *client, str_t address,
+			     const engine_import_t *args, int64_t deadline_us,
+			     engine_result_fn_t fn, void *context)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+	JsonBuilder *builder = begin_body(&args->id);
+	client_request_t request = {
+		.method = "POST",
+		.address = address,
+		.path = "/v1/kv/import",
+		.deadline_us = deadline_us,
+		.on_done = on_result_response,
+	};
+
+	call->on_result = fn;
+	call->context = context;
+	add_str(builder, "source", args->source);
+	add_str(builder, "kv", args->kv);
+	add_int(builder, "tokens", args->tokens);
+	add_int(builder, "reserve_tokens", args->reserve_tokens);
+	request.body = end_body(builder);
+	return send_call(client, call, &request);
+}
+
+/*
+ * Starts a decode from an imported KV cache. on_token is called for each
+ * event in the order of arrival, on_end once at the end: ENGINE_OK only after
+ * the event that ends the answer. A stream that is silent for idle_limit_us
+ * ends with ENGINE_SILENT.
+ */
+engine_call_t *engine_decode(client_t *client, str_t address,
+			     const engine_decode_t *args, int64_t deadline_us,
+			     int64_t idle_limit_us, engine_token_fn_t on_token,
+			     engine_end_fn_t on_end, void *context)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+	JsonBuilder *builder = begin_body(&args->id);
+	client_request_t request = {
+		.method = "POST",
+		.address = address,
+		.path = "/v1/decode",
+		.deadline_us = deadline_us,
+		.idle_limit_us = idle_limit_us,
+		.on_data = on_stream_data,
+		.on_done = on_stream_done,
+	};
+
+	call->on_token = on_token;
+	call->on_end = on_end;
+	call->context = context;
+	call->streaming = true;
+	sse_parser_init(&call->sse, MAX_EVENT_BYTES, on_stream_event, call);
+	add_str(builder, "kv", args->kv);
+	add_int(builder, "offset", args->offset);
+	add_int(builder, "max_tokens", args->max_tokens);
+	add_int(builder, "priority", args->priority);
+	request.body = end_body(builder);
+	return send_call(client, call, &request);
+}
+
+/*
+ * Cancels an attempt and all earlier ones. held_tokens in the callback is
+ * what the engine still holds, or -1 when the call failed.
+ */
+engine_call_t *engine_cancel(client_t *client, str_t address,
+			     const engine_attempt_t *id, int64_t deadline_us,
+			     engine_cancel_fn_t fn, void *context)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+	client_request_t request = {
+		.method = "POST",
+		.address = address,
+		.path = "/v1/cancel",
+		.deadline_us = deadline_us,
+		.on_done = on_cancel_response,
+		.body = end_body(begin_body(id)),
+	};
+
+	call->on_cancel = fn;
+	call->context = context;
+	return send_call(client, call, &request);
+}
+
+/* Asks for an engine's load report. */
+engine_call_t *engine_load(client_t *client, str_t address, int64_t deadline_us,
+			   engine_load_fn_t fn, void *context)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+	client_request_t request = {
+		.method = "GET",
+		.address = address,
+		.path = "/v1/load",
+		.deadline_us = deadline_us,
+		.on_done = on_load_response,
+	};
+
+	call->on_load = fn;
+	call->context = context;
+	return send_call(client, call, &request);
+}
+
+/*
+ * Gives up a call; its callbacks are not called again. It does not free
+ * anything at the engine: that takes engine_cancel().
+ */
+void engine_abort(engine_call_t *call)
+{
+	if (!call)
+		return;
+	client_abort(call->http);
+	call->aborted = true;
+	/* The parser still uses the call when a token callback aborts it. */
+	if (!call->feeding)
+		call_free(call);
+}
--- /dev/null
+++ b/src/connection/listener.h
@@ -0,0 +1,39 @@
+/* HTTP listeners: limits, slow senders, dispatch of whole requests. */
+#ifndef CONNECTION_LISTENER_H
+#define CONNECTION_LISTENER_H
+
+#include <libsoup/soup.h>
+
+#include "process/str.h"
+#include "request/verdict.h"
+
+/* Called with a request whose body is complete. */
+typedef void (*listener_request_fn_t)(void *context, SoupServerMessage *message,
+				      str_t path);
+
+typedef struct {
+	int64_t max_header_bytes;
+	int64_t max_body_bytes;
+	int64_t receive_timeout_us; /* from the first byte to the last */
+} listener_limits_t;
+
+typedef struct {
+	SoupServer *server;
+	listener_limits_t limits;
+	listener_request_fn_t on_request;
+	void *context;
+} listener_t;
+
+bool listener_init(listener_t *listener, const char *address,
+		   const listener_limits_t *limits,
+		   listener_request_fn_t on_request, void *context,
+		   GError **error);
+void listener_finish(listener_t *listener);
+void listener_stop(listener_t *listener);
+char *listener_address(listener_t *listener);
+void listener_respond(SoupServerMessage *message, unsigned status,
+		      const char *content_type, str_t body);
+void listener_refuse(SoupServerMessage *message, const verdict_t *verdict,
+		     int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/process/backends.c
@@ -0,0 +1,218 @@
+#include "process/backends.h"
+
+#include "process/log.h"
+
+#define POLL_INTERVAL_MS 250
+#define POLL_TIMEOUT_US (1 * CLOCK_US_PER_S)
+
+/* After a failure a backend server is left alone for this long, doubled with
+ * each further failure in a row.
+ */
+#define FAILURE_PAUSE_US (100 * CLOCK_US_PER_MS)
+#define FAILURE_PAUSE_DOUBLINGS 5
+
+static void entry_free(gpointer data)
+{
+	backend_entry_t *entry = data;
+
+	engine_abort(entry->poll);
+	g_free(entry->name);
+	g_free(entry->address);
+	g_free(entry->zone);
+	g_free(entry->pool);
+	g_free(entry->service);
+	g_free(entry);
+}
+
+static void on_load(void *context, const engine_load_t *load)
+{
+	backend_entry_t *entry = context;
+
+	entry->poll = NULL;
+	if (load->status != ENGINE_OK) {
+		backends_note_failure(entry);
+		return;
+	}
+	entry->kv_total = load->kv_total;
+	entry->kv_used = load->kv_used;
+	entry->running = load->running;
+	entry->queued = load->queued;
+	if (load->leaving && !entry->leaving) {
+		entry->leaving = true;
+		log_event(LOG_INFO, "backend_leaving",
+			  LOG_CSTR("backend", entry->name),
+			  LOG_CSTR("source", "load_report"));
+	}
+	if (!entry->reported_at_us)
+		log_event(LOG_INFO, "backend_reports",
+			  LOG_CSTR("backend", entry->name),
+			  LOG_INT("kv_total", load->kv_total));
+	entry->reported_at_us = clock_now(&entry->owner->clock) -
+				load->age_ms * CLOCK_US_PER_MS;
+}
+
+static gboolean on_poll(gpointer data)
+{
+	backends_t *backends = data;
+	int64_t now_us = clock_now(&backends->clock);
+
+	for (guint i = 0; i < backends->entries->len; i++) {
+		backend_entry_t *entry =
+			g_ptr_array_index(backends->entries, i);
+
+		if (!entry->present || entry->poll)
+			continue;
+		entry->poll =
+			engine_load(backends->client, str_from(entry->address),
+				    now_us + POLL_TIMEOUT_US, on_load, entry);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+/* Starts to poll load reports; the client must outlive backends_finish(). */
+void backends_init(backends_t *backends, client_t *client, clock_source_t clock)
+{
+	backends->client = client;
+	backends->clock = clock;
+	backends->entries = g_ptr_array_new_with_free_func(entry_free);
+	backends->next = 0;
+	backends->poll_timer =
+		g_timeout_add(POLL_INTERVAL_MS, on_poll, backends);
+}
+
+/* Stops polling and frees all entries. */
+void backends_finish(backends_t *backends)
+{
+	g_source_remove(backends->poll_timer);
+	g_ptr_array_unref(backends->entries);
+}
+
+/* Returns the entry with an address, or NULL. */
+backend_entry_t *backends_find(backends_t *backends, str_t address)
+{
+	for (guint i = 0; i < backends->entries->len; i++) {
+		backend_entry_t *entry =
+			g_ptr_array_index(backends->entries, i);
+
+		if (str_equal(str_from(entry->address), address))
+			return entry;
+	}
+	return NULL;
+}
+
+static void set_text(char **field, str_t value)
+{
+	g_free(*field);
+	*field = str_dup(value);
+}
+
+static void apply_one(backends_t *backends, const backend_t *backend)
+{
+	backend_entry_t *entry = backends_find(backends, backend->address);
+
+	if (!entry) {
+		entry = g_new0(backend_entry_t, 1);
+		entry->owner = backends;
+		entry->address = str_dup(backend->address);
+		g_ptr_array_add(backends->entries, entry);
+	}
+	set_text(&entry->name, backend->name);
+	set_text(&entry->zone, backend->zone);
+	set_text(&entry->pool, backend->pool ? backend->pool->name : STR(""));
+	set_text(&entry->service,
+		 backend->service ? backend->service->name : STR(""));
+	entry->leaving = backend->leaving;
+	entry->present = true;
+	if (backend->pool && !entry->kv_total)
+		entry->kv_total = backend->pool->kv_tokens;
+}
+
+/*
+ * Takes over the backend servers of a state. Entries stay at their address
+ * in memory, since requests in progress point to them; those that the state
+ * no longer names get no new work.
+ */
+void backends_apply(backends_t *backends, const state_t *state)
+{
+	for (guint i = 0; i < backends->entries->len; i++) {
+		backend_entry_t *entry =
+			g_ptr_array_index(backends->entries, i);
+
+		entry->present = false;
+	}
+	for (size_t i = 0; i < state->n_backends; i++)
+		apply_one(backends, &state->backends[i]);
+	on_poll(backends);
+}
+
+/* Marks the backend server of an address as leaving. */
+void backends_set_leaving(backends_t *backends, str_t address)
+{
+	backend_entry_t *entry = backends_find(backends, address);
+
+	if (!entry || entry->leaving)
+		return;
+	entry->leaving = true;
+	log_event(LOG_INFO, "backend_leaving", LOG_CSTR("backend", entry->name),
+		  LOG_CSTR("source", "vm_list"));
+}
+
+/* Tells whether a backend server may get new work. */
+bool backends_usable(const backend_entry_t *entry, int64_t now_us)
+{
+	return entry->present && !entry->leaving &&
+	       now_us >= entry->failed_until_us;
+}
+
+/*
+ * Returns the next usable entry of a pool or a service in turn, other than
+ * `avoid` if there is a choice, or NULL.
+ */
+backend_entry_t *backends_pick(backends_t *backends, str_t pool, str_t service,
+			       const backend_entry_t *avoid)
+{
+	int64_t now_us = clock_now(&backends->clock);
+	backend_entry_t *fallback = NULL;
+	guint n = backends->entries->len;
+
+	for (guint i = 0; i < n; i++) {
+		guint at = (backends->next + i) % n;
+		backend_entry_t *entry =
+			g_ptr_array_index(backends->entries, at);
+
+		if (!backends_usable(entry, now_us) ||
+		    !str_equal(str_from(entry->pool), pool) ||
+		    !str_equal(str_from(entry->service), service))
+			continue;
+		if (entry == avoid) {
+			fallback = entry;
+			continue;
+		}
+		backends->next = at + 1;
+		return entry;
+	}
+	return fallback;
+}
+
+/* Keeps new work away for a while, longer with each failure in a row. */
+void backends_note_failure(backend_entry_t *entry)
+{
+	int doublings = MIN(entry->failures, FAILURE_PAUSE_DOUBLINGS);
+
+	if (entry->failures == 0)
+		log_event(LOG_WARN, "backend_failing",
+			  LOG_CSTR("backend", entry->name));
+	entry->failures++;
+	entry->failed_until_us = clock_now(&entry->owner->clock) +
+				 (FAILURE_PAUSE_US << doublings);
+}
+
+/* Ends the pause after failures. */
+void backends_note_success(backend_entry_t *entry)
+{
+	if (entry->failures)
+		log_event(LOG_INFO, "backend_recovered",
+			  LOG_CSTR("backend", entry->name));
+	entry->failures = 0;
+	entry->failed_until_us = 0;
+}
--- /dev/null
+++ b/src/process/backends.h
@@ -0,0 +1,50 @@
+/* The backend servers that this process knows, with their load reports. */
+#ifndef PROCESS_BACKENDS_H
+#define PROCESS_BACKENDS_H
+
+#include "connection/engine.h"
+#include "version/state.h"
+
+typedef struct backends backends_t;
+
+typedef struct {
+	backends_t *owner;
+	char *name;
+	char *address;
+	char *zone;
+	char *pool; /* name, or empty for a plain service */
+	char *service; /* name, or empty for an engine */
+	bool leaving; /* by the state, its report or the VM list */
+	bool present; /* in the state in effect */
+	int64_t kv_total;
+	int64_t kv_used;
+	int64_t running;
+	int64_t queued;
+	int64_t reported_at_us; /* 0: no report yet */
+	int64_t failed_until_us; /* not chosen before, after failures */
+	int failures; /* in a row */
+	int64_t in_flight; /* calls of this process */
+	engine_call_t *poll;
+} backend_entry_t;
+
+struct backends {
+	client_t *client;
+	clock_source_t clock;
+	GPtrArray *entries; /* of backend_entry_t */
+	guint poll_timer;
+	guint next; /* round-robin position */
+};
+
+void backends_init(backends_t *backends, client_t *client,
+		   clock_source_t clock);
+void backends_finish(backends_t *backends);
+void backends_apply(backends_t *backends, const state_t *state);
+void backends_set_leaving(backends_t *backends, str_t address);
+backend_entry_t *backends_pick(backends_t *backends, str_t pool, str_t service,
+			       const backend_entry_t *avoid);
+backend_entry_t *backends_find(backends_t *backends, str_t address);
+void backends_note_failure(backend_entry_t *entry);
+void backends_note_success(backend_entry_t *entry);
+bool backends_usable(const backend_entry_t *entry, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/process/cmd.h
@@ -0,0 +1,18 @@
+/* Subcommands of the program and their exit codes. */
+#ifndef PROCESS_CMD_H
+#define PROCESS_CMD_H
+
+typedef enum {
+	EXIT_CODE_OK = 0,
+	EXIT_CODE_INTERNAL = 1,
+	EXIT_CODE_BAD_INPUT = 2,
+	EXIT_CODE_REFUSED = 3,
+	EXIT_CODE_UNREACHABLE = 4,
+	EXIT_CODE_UNKNOWN = 5, /* the outcome of a write is not known */
+} exit_code_t;
+
+/* Each takes its own name as argv[0] and returns an exit_code_t. */
+int cmd_serve(int argc, char **argv);
+int cmd_timeline(int argc, char **argv);
+
+#endif
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -1,7 +1,48 @@
+#include <argtable2.h>
 #include <stdio.h>
+#include <string.h>
 
-int main(void)
+#include "process/cmd.h"
+
+typedef struct {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *help;
+} command_t;
+
+static const command_t commands[] = {
+	{"serve", cmd_serve, "run the process of an entry VM"},
+	{"timeline", cmd_timeline, "merge the logs of several processes"},
+};
+
+static void print_help(FILE *out)
+{
+	fputs("Usage: gooseberryspur COMMAND [OPTION...]\n\nCommands:\n", out);
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		fprintf(out, "  %-10s %s\n", commands[i].name,
+			commands[i].help);
+	fputs("\nExit codes: 0 success, 1 internal error, 2 bad input, "
+	      "3 refused, 4 unreachable,\n5 outcome unknown. "
+	      "`gooseberryspur COMMAND --help` shows a command's options.\n",
+	      out);
+}
+
+int main(int argc, char **argv)
 {
-	puts("gooseberryspur " GOOSEBERRYSPUR_VERSION);
-	return 0;
+	if (argc >= 2 && !strcmp(argv[1], "--version")) {
+		puts("gooseberryspur " GOOSEBERRYSPUR_VERSION);
+		return EXIT_CODE_OK;
+	}
+	if (argc >= 2 && !strcmp(argv[1], "--help")) {
+		print_help(stdout);
+		return EXIT_CODE_OK;
+	}
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		if (argc >= 2 && !strcmp(argv[1], commands[i].name))
+			return commands[i].run(argc - 1, argv + 1);
+	if (argc >= 2)
+		fprintf(stderr, "gooseberryspur: unknown command: %s\n",
+			argv[1]);
+	print_help(stderr);
+	return EXIT_CODE_BAD_INPUT;
 }
--- /dev/null
+++ b/src/process/serve.c
@@ -0,0 +1,345 @@
+#include <argtable2.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <xxhash.h>
+
+#include "connection/listener.h"
+#include "process/cmd.h"
+#include "process/counters.h"
+#include "process/log.h"
+#include "process/router.h"
+#include "request/access.h"
+#include "request/plain.h"
+#include "request/request.h"
+
+#define DRAIN_POLL_MS 20
+
+typedef struct {
+	settings_t settings;
+	router_t router;
+	listener_t callers;
+	listener_t operators;
+	FILE *log_file;
+	int64_t notice_until_us; /* still accepting after SIGTERM */
+	int64_t shutdown_until_us; /* requests still open then are aborted */
+	int signals;
+} server_t;
+
+static void respond_text(SoupServerMessage *message, unsigned status,
+			 const char *text)
+{
+	listener_respond(message, status, "text/plain; charset=utf-8",
+			 str_from(text));
+}
+
+static void respond_metrics(SoupServerMessage *message)
+{
+	GString *text = g_string_new(NULL);
+
+	counters_print(text);
+	listener_respond(message, 200, "text/plain; version=0.0.4",
+			 str_from_gstring(text));
+	g_string_free(text, TRUE);
+}
+
+static bool is_ready(const server_t *server)
+{
+	return server->router.state && !server->router.draining;
+}
+
+/* Requests on the operators' listener, which callers cannot reach. */
+static void on_operator_request(void *context, SoupServerMessage *message,
+				str_t path)
+{
+	server_t *server = context;
+
+	if (str_equal(path, STR("/metrics"))) {
+		respond_metrics(message);
+	} else if (str_equal(path, STR("/healthz"))) {
+		respond_text(message, 200, "ok\n");
+	} else if (str_equal(path, STR("/readyz"))) {
+		if (is_ready(server))
+			respond_text(message, 200, "ready\n");
+		else
+			respond_text(message, 503, "not ready\n");
+	} else {
+		respond_text(message, 404, "not found\n");
+	}
+}
+
+static void refuse(server_t *server, SoupServerMessage *message,
+		   verdict_code_t code, const char *detail)
+{
+	verdict_t verdict = verdict_make(RUN_NOT_RUN, code, detail);
+	int64_t now_us = clock_now(&server->router.clock);
+
+	if (code == VERDICT_UNAVAILABLE)
+		verdict.retry_at_us = now_us + CLOCK_US_PER_S;
+	listener_refuse(message, &verdict, now_us);
+}
+
+/* Requests on the callers' listener. */
+static void on_caller_request(void *context, SoupServerMessage *message,
+			      str_t path)
+{
+	server_t *server = context;
+	const char *method = soup_server_message_get_method(message);
+	bool chat = str_equal(path, STR("/v1/chat/completions"));
+	str_t prefix = STR("/svc/");
+
+	counters_add(COUNTER_REQUESTS, 1);
+	if (!server->router.state) {
+		refuse(server, message, VERDICT_UNAVAILABLE,
+		       "no configuration in effect");
+	} else if (chat || str_equal(path, STR("/v1/completions"))) {
+		if (strcmp(method, "POST") != 0)
+			refuse(server, message, VERDICT_METHOD_NOT_ALLOWED,
+			       "expected POST");
+		else
+			request_start(&server->router, message, chat);
+	} else if (str_has_prefix(path, prefix)) {
+		plain_start(&server->router, message,
+			    (str_t){path.data + prefix.len,
+				    path.len - prefix.len});
+	} else {
+		refuse(server, message, VERDICT_NOT_FOUND, "no such path");
+	}
+}
+
+static void set_state(server_t *server, state_t *state)
+{
+	if (server->router.state)
+		state_unref(server->router.state);
+	server->router.state = state;
+	counters_set(GAUGE_STATE_VERSION, (int64_t)state->version);
+	backends_apply(&server->router.backends, state);
+	log_event(LOG_INFO, "state_in_effect",
+		  LOG_UINT("version", state->version),
+		  LOG_UINT("backends", state->n_backends));
+}
+
+static gboolean on_drain(gpointer data)
+{
+	server_t *server = data;
+	int64_t now_us = clock_now(&server->router.clock);
+	bool idle = g_queue_is_empty(&server->router.requests);
+
+	if (now_us < server->notice_until_us && server->signals < 2)
+		return G_SOURCE_CONTINUE;
+	listener_stop(&server->callers);
+	if (!idle && now_us < server->shutdown_until_us && server->signals < 2)
+		return G_SOURCE_CONTINUE;
+	while (!g_queue_is_empty(&server->router.requests))
+		request_abort(g_queue_peek_head(&server->router.requests),
+			      VERDICT_SHUTTING_DOWN);
+	g_main_loop_quit(server->router.loop);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * The first signal starts a graceful shutdown: not ready, still accepting
+ * until the load balancer has noticed, then waiting for requests in progress.
+ * A second one ends those with verdicts at once.
+ */
+static gboolean on_signal(gpointer data)
+{
+	server_t *server = data;
+	int64_t now_us = clock_now(&server->router.clock);
+
+	server->signals++;
+	if (server->signals > 1)
+		return G_SOURCE_CONTINUE;
+	server->router.draining = true;
+	server->notice_until_us =
+		now_us + server->settings.drain_notice_ms * CLOCK_US_PER_MS;
+	server->shutdown_until_us =
+		now_us + server->settings.shutdown_limit_ms * CLOCK_US_PER_MS;
+	log_event(LOG_INFO, "draining",
+		  LOG_UINT("requests",
+			   g_queue_get_length(&server->router.requests)));
+	g_timeout_add(DRAIN_POLL_MS, on_drain, server);
+	return G_SOURCE_CONTINUE;
+}
+
+static bool load_state_file(server_t *server, diag_t *diag)
+{
+	const char *path = server->settings.state_file;
+	char *text;
+	gsize len;
+	state_t *state;
+	bool ok;
+
+	if (!path)
+		return true;
+	if (!g_file_get_contents(path, &text, &len, NULL)) {
+		diag_add(diag, path, 0, "", "cannot be read");
+		return false;
+	}
+	ok = state_parse(text, len, path, &state, diag);
+	g_free(text);
+	if (ok)
+		set_state(server, state);
+	return ok;
+}
+
+static bool start_listeners(server_t *server, GError **error)
+{
+	/* The limits of the state apply once a request is resolved; these
+	 * bound what is read before that.
+	 */
+	listener_limits_t limits = {
+		.max_header_bytes = 16384,
+		.max_body_bytes = 4 << 20,
+		.receive_timeout_us = 10 * CLOCK_US_PER_S,
+	};
+
+	if (server->router.state) {
+		const state_limits_t *from = &server->router.state->limits;
+
+		limits.max_header_bytes = from->max_header_bytes;
+		limits.max_body_bytes = from->max_body_bytes;
+		limits.receive_timeout_us =
+			from->receive_timeout_ms * CLOCK_US_PER_MS;
+	}
+	if (!listener_init(&server->callers, server->settings.callers_address,
+			   &limits, on_caller_request, server, error))
+		return false;
+	if (listener_init(&server->operators,
+			  server->settings.operators_address, &limits,
+			  on_operator_request, server, error))
+		return true;
+	listener_finish(&server->callers);
+	return false;
+}
+
+static void router_init(router_t *router, const settings_t *settings)
+{
+	clock_source_t wall = clock_realtime();
+
+	router->settings = settings;
+	router->clock = clock_boottime();
+	hlc_init(&router->hlc, wall);
+	router->incarnation = (uint64_t)clock_now(&wall);
+	router->id_prefix =
+		XXH64(settings->vm, strlen(settings->vm), router->incarnation);
+	g_queue_init(&router->requests);
+	client_init(&router->client, router->clock);
+	backends_init(&router->backends, &router->client, router->clock);
+	router->loop = g_main_loop_new(NULL, FALSE);
+}
+
+static void router_finish(router_t *router)
+{
+	backends_finish(&router->backends);
+	client_finish(&router->client);
+	if (router->state)
+		state_unref(router->state);
+	g_main_loop_unref(router->loop);
+}
+
+/* Prints the addresses in use, which tests and the demo wait for. */
+static void print_ready(server_t *server)
+{
+	char *callers = listener_address(&server->callers);
+	char *operators = listener_address(&server->operators);
+
+	printf("ready callers=%s operators=%s\n", callers, operators);
+	fflush(stdout);
+	log_event(LOG_INFO, "ready", LOG_CSTR("callers", callers),
+		  LOG_CSTR("operators", operators));
+	g_free(callers);
+	g_free(operators);
+}
+
+static int run(server_t *server)
+{
+	diag_t diag;
+	GError *error = NULL;
+	int code = EXIT_CODE_BAD_INPUT;
+	GString *text = g_string_new(NULL);
+
+	diag_init(&diag);
+	router_init(&server->router, &server->settings);
+	log_init(server->log_file ? server->log_file : stderr,
+		 server->settings.log_level, str_from(server->settings.vm),
+		 str_from(server->settings.zone), &server->router.hlc);
+	if (!load_state_file(server, &diag))
+		goto out;
+	if (!start_listeners(server, &error)) {
+		diag_add(&diag, "listeners", 0, "", "%s", error->message);
+		g_clear_error(&error);
+		goto out;
+	}
+	print_ready(server);
+	g_unix_signal_add(SIGTERM, on_signal, server);
+	g_unix_signal_add(SIGINT, on_signal, server);
+	g_main_loop_run(server->router.loop);
+	log_event(LOG_INFO, "stopped", LOG_INT("signals", server->signals));
+	listener_finish(&server->callers);
+	listener_finish(&server->operators);
+	code = EXIT_CODE_OK;
+out:
+	diag_print(&diag, text);
+	fputs(text->str, stderr);
+	g_string_free(text, TRUE);
+	diag_finish(&diag);
+	router_finish(&server->router);
+	log_finish();
+	return code;
+}
+
+static int serve_with_settings(const char *path)
+{
+	server_t server = {.signals = 0};
+	diag_t diag;
+	GString *text = g_string_new(NULL);
+	int code = EXIT_CODE_BAD_INPUT;
+
+	diag_init(&diag);
+	if (!settings_load(path, &server.settings, &diag)) {
+		diag_print(&diag, text);
+		fputs(text->str, stderr);
+		goto out;
+	}
+	if (server.settings.log_file) {
+		server.log_file = fopen(server.settings.log_file, "ae");
+		if (!server.log_file) {
+			fprintf(stderr, "%s: cannot be opened\n",
+				server.settings.log_file);
+			goto out_settings;
+		}
+	}
+	code = run(&server);
+	if (server.log_file)
+		fclose(server.log_file);
+out_settings:
+	settings_finish(&server.settings);
+out:
+	g_string_free(text, TRUE);
+	diag_finish(&diag);
+	return code;
+}
+
+/* Runs the process of an entry VM until it is told to stop. */
+int cmd_serve(int argc, char **argv)
+{
+	struct arg_file *settings =
+		arg_file1(NULL, "settings", "FILE", "settings of this process");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {settings, help, end};
+	int errors = arg_parse(argc, argv, table);
+	int code;
+
+	if (help->count) {
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		code = EXIT_CODE_OK;
+	} else if (errors) {
+		arg_print_errors(stderr, end, "gooseberryspur serve");
+		code = EXIT_CODE_BAD_INPUT;
+	} else {
+		code = serve_with_settings(settings->filename[0]);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/src/request/access.c
@@ -0,0 +1,105 @@
+#include "request/access.h"
+
+#include "process/clock.h"
+
+#define TIMEOUT_HEADER "X-Request-Timeout-Ms"
+#define TRACEPARENT_LEN 55
+
+static char *hash_bearer(SoupMessageHeaders *headers)
+{
+	const char *value =
+		soup_message_headers_get_one(headers, "Authorization");
+
+	if (!value || g_ascii_strncasecmp(value, "Bearer ", 7) != 0 ||
+	    !value[7])
+		return NULL;
+	return g_compute_checksum_for_string(G_CHECKSUM_SHA256, value + 7, -1);
+}
+
+/* Compares in a time that does not depend on where the bytes differ. */
+static bool equal_constant_time(const char *a, const char *b, size_t len)
+{
+	unsigned char diff = 0;
+
+	for (size_t i = 0; i < len; i++)
+		diff |= (unsigned char)(a[i] ^ b[i]);
+	return diff == 0;
+}
+
+/* Tells whether the bearer token has a SHA-256 given as 64 hex digits. */
+bool access_token_matches(const char *sha256, SoupMessageHeaders *headers)
+{
+	char *hash = hash_bearer(headers);
+	bool ok = hash && sha256 && strlen(sha256) == 64 &&
+		  equal_constant_time(hash, sha256, 64);
+
+	g_free(hash);
+	return ok;
+}
+
+/*
+ * Returns the customer of the bearer token, or NULL with a not-run verdict.
+ * The table is looked up by the token's hash, so that the time of the lookup
+ * tells nothing about the token itself.
+ */
+const customer_t *access_authenticate(const state_t *state,
+				      SoupMessageHeaders *headers,
+				      verdict_t *verdict)
+{
+	char *hash = hash_bearer(headers);
+	const customer_t *customer = hash ? state_find_customer(state, hash)
+					  : NULL;
+
+	if (customer &&
+	    !equal_constant_time(customer->token_sha256.data, hash, 64))
+		customer = NULL;
+	g_free(hash);
+	if (!customer)
+		*verdict = verdict_make(RUN_NOT_RUN, VERDICT_UNAUTHORIZED,
+					"unknown bearer token");
+	return customer;
+}
+
+/*
+ * Returns the deadline of a request in microseconds: the service's limit, or
+ * sooner if the caller asks for it. 0 with a verdict if the header is wrong.
+ */
+int64_t access_deadline(SoupMessageHeaders *headers, int64_t now_us,
+			int64_t limit_ms, verdict_t *verdict)
+{
+	const char *value =
+		soup_message_headers_get_one(headers, TIMEOUT_HEADER);
+	guint64 timeout_ms;
+
+	if (!value)
+		return now_us + limit_ms * CLOCK_US_PER_MS;
+	if (!g_ascii_string_to_unsigned(value, 10, 1, 86400000, &timeout_ms,
+					NULL)) {
+		*verdict = verdict_make(RUN_NOT_RUN, VERDICT_BAD_REQUEST,
+					TIMEOUT_HEADER
+					": expected 1 to 86400000");
+		return 0;
+	}
+	return now_us + MIN((int64_t)timeout_ms, limit_ms) * CLOCK_US_PER_MS;
+}
+
+/* Copies a well-formed W3C traceparent; otherwise the trace is empty. */
+bool access_trace(SoupMessageHeaders *headers, char trace[56])
+{
+	const char *value =
+		soup_message_headers_get_one(headers, "traceparent");
+
+	trace[0] = '\0';
+	if (!value || strlen(value) != TRACEPARENT_LEN)
+		return false;
+	for (size_t i = 0; i < TRACEPARENT_LEN; i++) {
+		bool dash = i == 2 || i == 35 || i == 52;
+
+		if (dash ? value[i] != '-'
+			 : !g_ascii_isxdigit(value[i]) ||
+				    g_ascii_isupper(value[i]))
+			return false;
+	}
+	memcpy(trace, value, TRACEPARENT_LEN + 1);
+	return true;
+}
