--- a/src/connection/reply.c
+++ b/src/connection/reply.c
@@ -2,6 +2,7 @@
 
 #include <gio/gio.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -9,7 +9,7 @@
 #include "process/log.h"
 #include "process/router.h"
 #include "request/access.h"
-#include "request/plain.h"
+#include "request/forward.h"
 #include "request/request.h"
 
 #define DRAIN_POLL_MS 20
@@ -98,7 +98,7 @@
 		else
 			request_start(&server->router, message, chat);
 	} else if (str_has_prefix(path, prefix)) {
-		plain_start(&server->router, message,
+		forward_start(&server->router, message,
 			    (str_t){path.data + prefix.len,
 				    path.len - prefix.len});
 	} else {
--- a/src/request/plain.c
+++ b/src/request/forward.c
@@ -1,4 +1,4 @@
-#include "request/plain.h"
+#include "request/forward.h"
 
 #include "connection/listener.h"
 #include "process/counters.h"
@@ -14,131 +14,130 @@
 	const service_t *service;
 	const route_rule_t *rule;
 	backend_entry_t *backend;
-	client_call_t *call;
+	client_call_t *http;
 	reply_t reply;
 	char id[33];
 	int64_t accepted_at_us;
 	int64_t deadline_us;
-} plain_t;
+} forward_t;
 
-static void plain_free(plain_t *plain)
+static void forward_free(forward_t *call)
 {
-	client_abort(plain->call);
-	reply_finish(&plain->reply);
-	state_unref(plain->state);
-	g_free(plain);
+	client_abort(call->http);
+	reply_finish(&call->reply);
+	state_unref(call->state);
+	g_free(call);
 }
 
-static void log_end(const plain_t *plain, const char *outcome, run_t run)
+static void log_end(const forward_t *call, const char *outcome, run_t run)
 {
-	int64_t now_us = clock_now(&plain->router->clock);
+	int64_t now_us = clock_now(&call->router->clock);
 
-	log_event(LOG_INFO, "call_end", LOG_CSTR("request", plain->id),
-		  LOG_STR("customer", plain->customer->name),
-		  LOG_STR("service", plain->service->name),
+	log_event(LOG_INFO, "call_end", LOG_CSTR("request", call->id),
+		  LOG_STR("customer", call->customer->name),
+		  LOG_STR("service", call->service->name),
 		  LOG_CSTR("outcome", outcome),
 		  LOG_CSTR("verdict", verdict_run_text(run)),
-		  LOG_INT("duration_us", now_us - plain->accepted_at_us));
+		  LOG_INT("duration_us", now_us - call->accepted_at_us));
 }
 
 static void on_caller_gone(void *context)
 {
-	plain_t *plain = context;
+	forward_t *call = context;
 
 	counters_add(COUNTER_CALLER_GONE, 1);
-	log_end(plain, "caller_gone", RUN_MAY_HAVE_RUN);
-	plain_free(plain);
+	log_end(call, "caller_gone", RUN_MAY_HAVE_RUN);
+	forward_free(call);
 }
 
-static void plain_fail(plain_t *plain, run_t run, verdict_code_t code,
-		       const char *detail)
+static void forward_fail(forward_t *call, run_t run, verdict_code_t code,
+			 const char *detail)
 {
 	verdict_t verdict = verdict_retry_at(verdict_make(run, code, detail),
-					     clock_now(&plain->router->clock) +
+					     clock_now(&call->router->clock) +
 						     RETRY_AFTER_US);
 
 	counters_add(run == RUN_NOT_RUN ? COUNTER_REQUESTS_REFUSED
 					: COUNTER_REQUESTS_FAILED,
 		     1);
-	reply_verdict(&plain->reply, &verdict);
-	log_end(plain, verdict_code_text(code), run);
-	plain_free(plain);
+	reply_verdict(&call->reply, &verdict);
+	log_end(call, verdict_code_text(code), run);
+	forward_free(call);
 }
 
-static void answer(plain_t *plain, const client_response_t *response)
+static void answer(forward_t *call, const client_response_t *response)
 {
 	const char *type =
 		soup_message_headers_get_content_type(response->headers, NULL);
 	gsize len;
 	const char *data = g_bytes_get_data(response->body, &len);
 
-	reply_whole(&plain->reply, response->status, RUN_RAN,
+	reply_whole(&call->reply, response->status, RUN_RAN,
 		    type ? type : "application/octet-stream",
 		    (str_t){data, len});
-	log_end(plain, "ok", RUN_RAN);
-	plain_free(plain);
+	log_end(call, "ok", RUN_RAN);
+	forward_free(call);
 }
 
 static void on_response(void *context, const client_response_t *response)
 {
-	plain_t *plain = context;
+	forward_t *call = context;
 
-	plain->call = NULL;
+	call->http = NULL;
 	switch (response->outcome) {
 	case CLIENT_DONE:
-		backends_note_success(plain->backend);
-		answer(plain, response);
+		backends_note_success(call->backend);
+		answer(call, response);
 		return;
 	case CLIENT_NOT_SENT:
-		backends_note_failure(plain->backend);
-		plain_fail(plain, RUN_NOT_RUN, VERDICT_UNAVAILABLE,
-			   "backend server unreachable");
+		backends_note_failure(call->backend);
+		forward_fail(call, RUN_NOT_RUN, VERDICT_UNAVAILABLE,
+			     "backend server unreachable");
 		return;
 	case CLIENT_LOST:
-		backends_note_failure(plain->backend);
-		plain_fail(plain, RUN_MAY_HAVE_RUN, VERDICT_BACKEND_FAILED,
-			   "backend server failed");
+		backends_note_failure(call->backend);
+		forward_fail(call, RUN_MAY_HAVE_RUN, VERDICT_BACKEND_FAILED,
+			     "backend server failed");
 		return;
 	case CLIENT_TIMED_OUT:
-		plain_fail(plain, RUN_MAY_HAVE_RUN, VERDICT_BACKEND_TIMEOUT,
-			   "backend server did not answer in time");
+		forward_fail(call, RUN_MAY_HAVE_RUN, VERDICT_BACKEND_TIMEOUT,
+			     "backend server did not answer in time");
 		return;
 	}
 }
 
-static bool resolve(plain_t *plain, SoupServerMessage *message, str_t name,
+static bool resolve(forward_t *call, SoupServerMessage *message, str_t name,
 		    str_t path, verdict_t *verdict)
 {
 	SoupMessageHeaders *headers =
 		soup_server_message_get_request_headers(message);
 
-	plain->customer = access_authenticate(plain->state, headers, verdict);
-	if (!plain->customer)
+	call->customer = access_authenticate(call->state, headers, verdict);
+	if (!call->customer)
 		return false;
-	plain->service = state_find_service(plain->state, name);
-	if (!plain->service || plain->service->kind != SERVICE_PLAIN) {
+	call->service = state_find_service(call->state, name);
+	if (!call->service || call->service->kind != SERVICE_PLAIN) {
 		*verdict = verdict_make(RUN_NOT_RUN, VERDICT_NOT_FOUND,
 					"no such service");
 		return false;
 	}
-	if (!customer_may_call(plain->customer, plain->service)) {
+	if (!customer_may_call(call->customer, call->service)) {
 		*verdict =
 			verdict_make(RUN_NOT_RUN, VERDICT_FORBIDDEN,
 				     "service not allowed for this customer");
 		return false;
 	}
-	plain->rule = service_find_route(
-		plain->service,
+	call->rule = service_find_route(
+		call->service,
 		str_from(soup_server_message_get_method(message)), path);
-	if (!plain->rule) {
+	if (!call->rule) {
 		*verdict = verdict_make(RUN_NOT_RUN, VERDICT_NOT_FOUND,
 					"no such route");
 		return false;
 	}
-	plain->deadline_us = access_deadline(headers, plain->accepted_at_us,
-					     plain->service->timeout_ms,
-					     verdict);
-	return plain->deadline_us != 0;
+	call->deadline_us = access_deadline(headers, call->accepted_at_us,
+					    call->service->timeout_ms, verdict);
+	return call->deadline_us != 0;
 }
 
 static void copy_header(SoupMessageHeaders *to, SoupMessageHeaders *from,
@@ -163,7 +162,7 @@
 	return whole;
 }
 
-static void forward(plain_t *plain, SoupServerMessage *message, str_t path)
+static void forward(forward_t *call, SoupServerMessage *message, str_t path)
 {
 	SoupMessageHeaders *from =
 		soup_server_message_get_request_headers(message);
@@ -174,54 +173,54 @@
 	char *target = path_with_query(message, path);
 	client_request_t request = {
 		.method = soup_server_message_get_method(message),
-		.address = str_from(plain->backend->address),
+		.address = str_from(call->backend->address),
 		.path = target,
 		.headers = headers,
 		.content_type =
 			soup_message_headers_get_content_type(from, NULL),
 		.body = g_bytes_get_size(body) ? body : NULL,
-		.deadline_us = plain->deadline_us,
+		.deadline_us = call->deadline_us,
 		.on_done = on_response,
-		.context = plain,
+		.context = call,
 	};
 
 	copy_header(headers, from, "Idempotency-Key");
 	copy_header(headers, from, "traceparent");
 	copy_header(headers, from, "Accept");
-	soup_message_headers_replace(headers, "X-Request-Id", plain->id);
-	plain->call = client_send(&plain->router->client, &request);
+	soup_message_headers_replace(headers, "X-Request-Id", call->id);
+	call->http = client_send(&call->router->client, &request);
 	soup_message_headers_unref(headers);
 	g_bytes_unref(body);
 	g_free(target);
 }
 
 /* Takes over a call whose path is /svc/NAME/... */
-void plain_start(router_t *router, SoupServerMessage *message, str_t path)
+void forward_start(router_t *router, SoupServerMessage *message, str_t path)
 {
-	plain_t *plain = g_new0(plain_t, 1);
+	forward_t *call = g_new0(forward_t, 1);
 	const char *slash = memchr(path.data, '/', path.len);
 	str_t name = {path.data,
 		      slash ? (size_t)(slash - path.data) : path.len};
 	str_t rest = slash ? (str_t){slash, path.len - name.len} : STR("/");
 	verdict_t verdict;
 
-	plain->router = router;
-	plain->state = state_ref(router->state);
-	plain->accepted_at_us = clock_now(&router->clock);
-	router_make_id(router, plain->id);
-	if (!resolve(plain, message, name, rest, &verdict)) {
-		listener_refuse(message, &verdict, plain->accepted_at_us);
-		plain_free(plain);
+	call->router = router;
+	call->state = state_ref(router->state);
+	call->accepted_at_us = clock_now(&router->clock);
+	router_make_id(router, call->id);
+	if (!resolve(call, message, name, rest, &verdict)) {
+		listener_refuse(message, &verdict, call->accepted_at_us);
+		forward_free(call);
 		return;
 	}
-	reply_init(&plain->reply, message, str_from(plain->id), router->clock,
-		   on_caller_gone, plain);
-	plain->backend = backends_pick(&router->backends, STR(""),
-				       plain->service->name, NULL);
-	if (!plain->backend) {
-		plain_fail(plain, RUN_NOT_RUN, VERDICT_UNAVAILABLE,
-			   "no usable backend server");
+	reply_init(&call->reply, message, str_from(call->id), router->clock,
+		   on_caller_gone, call);
+	call->backend = backends_pick(&router->backends, STR(""),
+				      call->service->name, NULL);
+	if (!call->backend) {
+		forward_fail(call, RUN_NOT_RUN, VERDICT_UNAVAILABLE,
+			     "no usable backend server");
 		return;
 	}
-	forward(plain, message, rest);
+	forward(call, message, rest);
 }
