--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 6
 PACKAGES = libsoup-3.0-dev libtirpc-dev rpcsvc-proto libargtable2-dev \
 	libcmocka-dev libjson-glib-dev libtomlplusplus-dev libxxhash-dev \
-	pkg-config
+	pkg-config ninja-build curl
 SOURCES = $(shell git ls-files 'src/*.c' 'src/*.h' 'src/*.cc' 'tests/*.c' \
 	'tests/*.h' | grep -v -E '/peer(_xdr)?\.[ch]$$')
 
