Add the status command and the operators' status call

Cause: an operator needs to see what a VM knows. Conclusion: members and leases join when their modules are wired in.

--- a/src/process/cmd.h
+++ b/src/process/cmd.h
@@ -13,6 +13,7 @@
 
 /* Each takes its own name as argv[0] and returns an exit_code_t. */
 int cmd_serve(int argc, char **argv);
+int cmd_status(int argc, char **argv);
 int cmd_timeline(int argc, char **argv);
 
 #endif
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -8,6 +8,7 @@
 #include "process/counters.h"
 #include "process/log.h"
 #include "process/router.h"
+#include "process/status.h"
 #include "request/access.h"
 #include "request/forward.h"
 #include "request/request.h"
@@ -47,6 +48,28 @@
 	return server->router.state && !server->router.draining;
 }
 
+/* Operators' calls need the operator's token. */
+static void on_admin_request(server_t *server, SoupServerMessage *message,
+			     str_t path)
+{
+	char *text;
+	gsize len;
+
+	if (!access_token_matches(
+		    server->settings.operator_token_sha256,
+		    soup_server_message_get_request_headers(message))) {
+		respond_text(message, 401, "operator token required\n");
+		return;
+	}
+	if (!str_equal(path, STR("/v1/admin/status"))) {
+		respond_text(message, 404, "not found\n");
+		return;
+	}
+	text = status_to_json(&server->router, &len);
+	listener_respond(message, 200, "application/json", (str_t){text, len});
+	g_free(text);
+}
+
 /* Requests on the operators' listener, which callers cannot reach. */
 static void on_operator_request(void *context, SoupServerMessage *message,
 				str_t path)
@@ -62,6 +85,8 @@
 			respond_text(message, 200, "ready\n");
 		else
 			respond_text(message, 503, "not ready\n");
+	} else if (str_has_prefix(path, STR("/v1/admin/"))) {
+		on_admin_request(server, message, path);
 	} else {
 		respond_text(message, 404, "not found\n");
 	}
@@ -99,8 +124,8 @@
 			request_start(&server->router, message, chat);
 	} else if (str_has_prefix(path, prefix)) {
 		forward_start(&server->router, message,
-			    (str_t){path.data + prefix.len,
-				    path.len - prefix.len});
+			      (str_t){path.data + prefix.len,
+				      path.len - prefix.len});
 	} else {
 		refuse(server, message, VERDICT_NOT_FOUND, "no such path");
 	}
--- /dev/null
+++ b/src/process/status.c
@@ -0,0 +1,82 @@
+#include "process/status.h"
+
+static void add_string(JsonBuilder *builder, const char *key, const char *value)
+{
+	json_builder_set_member_name(builder, key);
+	json_builder_add_string_value(builder, value);
+}
+
+static void add_int(JsonBuilder *builder, const char *key, int64_t value)
+{
+	json_builder_set_member_name(builder, key);
+	json_builder_add_int_value(builder, value);
+}
+
+static void add_bool(JsonBuilder *builder, const char *key, bool value)
+{
+	json_builder_set_member_name(builder, key);
+	json_builder_add_boolean_value(builder, value);
+}
+
+static void add_backend(JsonBuilder *builder, const backend_entry_t *entry,
+			int64_t now_us)
+{
+	json_builder_begin_object(builder);
+	add_string(builder, "name", entry->name);
+	add_string(builder, "address", entry->address);
+	add_string(builder, "zone", entry->zone);
+	add_string(builder, "pool", entry->pool);
+	add_string(builder, "service", entry->service);
+	add_bool(builder, "usable", backends_usable(entry, now_us));
+	add_bool(builder, "leaving", entry->leaving);
+	add_int(builder, "kv_total", entry->kv_total);
+	add_int(builder, "kv_used", entry->kv_used);
+	add_int(builder, "running", entry->running);
+	add_int(builder, "queued", entry->queued);
+	add_int(builder, "report_age_ms",
+		entry->reported_at_us
+			? (now_us - entry->reported_at_us) / CLOCK_US_PER_MS
+			: -1);
+	json_builder_end_object(builder);
+}
+
+/* Appends the members of the status object. */
+void status_append(JsonBuilder *builder, router_t *router)
+{
+	int64_t now_us = clock_now(&router->clock);
+	GPtrArray *entries = router->backends.entries;
+
+	add_string(builder, "deployment", router->settings->deployment);
+	add_string(builder, "vm", router->settings->vm);
+	add_string(builder, "zone", router->settings->zone);
+	add_int(builder, "incarnation", (int64_t)router->incarnation);
+	add_bool(builder, "draining", router->draining);
+	add_int(builder, "version",
+		router->state ? (int64_t)router->state->version : -1);
+	add_int(builder, "requests", g_queue_get_length(&router->requests));
+	json_builder_set_member_name(builder, "backends");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < entries->len; i++)
+		add_backend(builder, g_ptr_array_index(entries, i), now_us);
+	json_builder_end_array(builder);
+}
+
+/* Returns the whole status as JSON text, freed with g_free(). */
+char *status_to_json(router_t *router, gsize *len)
+{
+	JsonBuilder *builder = json_builder_new();
+	JsonGenerator *generator = json_generator_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(builder);
+	status_append(builder, router);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	json_generator_set_root(generator, root);
+	text = json_generator_to_data(generator, len);
+	json_node_unref(root);
+	g_object_unref(generator);
+	g_object_unref(builder);
+	return text;
+}
