Put placement behind the scheduler interface

Cause: queue, ledger and routing modules are being built; the request code should not change when they are wired in. The thin path uses it. Conclusion: the interface is the seam for the admission work.

--- a/src/process/router.h
+++ b/src/process/router.h
@@ -4,6 +4,7 @@
 
 #include "connection/client.h"
 #include "process/backends.h"
+#include "process/scheduler.h"
 #include "process/settings.h"
 #include "version/state.h"
 
@@ -13,6 +14,7 @@
 	hlc_t hlc;
 	client_t client;
 	backends_t backends;
+	scheduler_t scheduler;
 	state_t *state; /* version in effect; NULL until one is known */
 	uint64_t incarnation; /* microseconds of wall time at start */
 	uint64_t id_prefix; /* from VM and incarnation */
--- /dev/null
+++ b/src/process/scheduler.h
@@ -0,0 +1,67 @@
+/* Admission and placement of model requests on one VM: the queue, the choice
+ * of engines and the reservation of decode memory. Callbacks are never called
+ * before the function that takes them has returned.
+ */
+#ifndef PROCESS_SCHEDULER_H
+#define PROCESS_SCHEDULER_H
+
+#include "process/backends.h"
+#include "request/verdict.h"
+#include "version/state.h"
+
+typedef struct scheduler scheduler_t;
+typedef struct scheduler_ticket scheduler_ticket_t;
+
+typedef void (*scheduler_admitted_fn_t)(void *context);
+typedef void (*scheduler_refused_fn_t)(void *context, const verdict_t *verdict);
+
+/* engine is NULL when no decode memory could be reserved. */
+typedef void (*scheduler_reserved_fn_t)(void *context, uint32_t attempt,
+					backend_entry_t *engine,
+					int64_t retry_at_us);
+
+/* What the scheduler needs to know of a request. */
+typedef struct {
+	const customer_t *customer; /* borrowed until scheduler_leave() */
+	const service_t *service; /* borrowed until scheduler_leave() */
+	char id[33]; /* request ID, 32 hex digits */
+	int64_t prompt_tokens;
+	int64_t max_tokens; /* of the output */
+	uint64_t prefix; /* prefix ID of the prompt; 0: none */
+	int64_t start_by_us; /* latest start that meets the first-token target */
+	int64_t deadline_us;
+	scheduler_admitted_fn_t on_admitted;
+	scheduler_refused_fn_t on_refused; /* not run; leave() follows */
+	scheduler_reserved_fn_t on_reserved;
+	void *context;
+} scheduler_request_t;
+
+scheduler_ticket_t *scheduler_submit(scheduler_t *scheduler,
+				     const scheduler_request_t *request);
+void scheduler_leave(scheduler_ticket_t *ticket);
+void scheduler_reserve(scheduler_ticket_t *ticket, uint32_t attempt,
+		       const backend_entry_t *avoid);
+void scheduler_release(scheduler_ticket_t *ticket, uint32_t attempt,
+		       backend_entry_t *engine, bool after_cancel);
+backend_entry_t *scheduler_pick_prefill(scheduler_ticket_t *ticket,
+					const backend_entry_t *avoid);
+void scheduler_prefill_ended(scheduler_ticket_t *ticket,
+			     backend_entry_t *engine, bool ok,
+			     int64_t computed_tokens);
+bool scheduler_import_begin(scheduler_ticket_t *ticket,
+			    backend_entry_t *engine);
+void scheduler_import_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
+			    bool ok);
+void scheduler_decode_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
+			    bool ok, int64_t tokens, int64_t elapsed_us);
+
+struct scheduler {
+	backends_t *backends;
+	clock_source_t clock;
+};
+
+void scheduler_init(scheduler_t *scheduler, backends_t *backends,
+		    clock_source_t clock);
+void scheduler_finish(scheduler_t *scheduler);
+
+#endif
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -250,11 +250,13 @@
 	g_queue_init(&router->requests);
 	client_init(&router->client, router->clock);
 	backends_init(&router->backends, &router->client, router->clock);
+	scheduler_init(&router->scheduler, &router->backends, router->clock);
 	router->loop = g_main_loop_new(NULL, FALSE);
 }
 
 static void router_finish(router_t *router)
 {
+	scheduler_finish(&router->scheduler);
 	backends_finish(&router->backends);
 	client_finish(&router->client);
 	if (router->state)
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -20,6 +20,7 @@
 	counters_set(GAUGE_REQUESTS_ACTIVE,
 		     g_queue_get_length(&request->router->requests));
 	engine_abort(request->call);
+	scheduler_leave(request->ticket);
 	reply_finish(&request->reply);
 	completion_finish(&request->completion);
 	state_unref(request->state);
@@ -166,13 +167,17 @@
 	request_t *request = context;
 
 	request->call = NULL;
+	scheduler_decode_ended(request->ticket, request->decode,
+			       status == ENGINE_OK, request->next_offset,
+			       clock_now(&request->router->clock) -
+				       request->decode_started_at_us);
 	if (status != ENGINE_OK) {
-		backends_note_failure(request->decode);
 		request_fail(request, VERDICT_BACKEND_FAILED,
 			     "decode engine failed");
 		return;
 	}
-	backends_note_success(request->decode);
+	scheduler_release(request->ticket, (uint32_t)request->attempt,
+			  request->decode, false);
 	if (request->completion.stream)
 		reply_stream_end(&request->reply);
 	else
@@ -193,6 +198,7 @@
 	router_t *router = request->router;
 
 	counters_add(COUNTER_DECODES, 1);
+	request->decode_started_at_us = clock_now(&router->clock);
 	request->call = engine_decode(&router->client,
 				      str_from(request->decode->address), &args,
 				      request->deadline_us, DECODE_IDLE_US,
@@ -204,6 +210,8 @@
 	request_t *request = context;
 
 	request->call = NULL;
+	scheduler_import_ended(request->ticket, request->decode,
+			       result->status == ENGINE_OK);
 	if (result->status != ENGINE_OK) {
 		counters_add(COUNTER_IMPORTS_FAILED, 1);
 		request_fail(request, VERDICT_BACKEND_FAILED,
@@ -240,8 +248,10 @@
 	if (result->status == ENGINE_NOT_SENT ||
 	    result->status == ENGINE_REFUSED)
 		request->may_have_run = false;
+	scheduler_prefill_ended(request->ticket, request->prefill,
+				result->status == ENGINE_OK,
+				result->tokens - result->cached_tokens);
 	if (result->status != ENGINE_OK) {
-		backends_note_failure(request->prefill);
 		request_fail(request, VERDICT_BACKEND_FAILED,
 			     "prefill engine failed");
 		return;
@@ -282,6 +292,51 @@
 				       request);
 }
 
+static void on_reserved(void *context, uint32_t attempt,
+			backend_entry_t *engine, int64_t retry_at_us)
+{
+	request_t *request = context;
+
+	request->decode = engine;
+	if (engine)
+		start_prefill(request);
+	else
+		request_fail(request, VERDICT_UNAVAILABLE, "no usable engine");
+}
+
+static void on_admitted(void *context)
+{
+	request_t *request = context;
+
+	scheduler_reserve(request->ticket, (uint32_t)request->attempt, NULL);
+}
+
+static void on_refused(void *context, const verdict_t *verdict)
+{
+	request_fail(context, verdict->code, verdict->detail);
+}
+
+static void submit(request_t *request)
+{
+	scheduler_request_t want = {
+		.customer = request->customer,
+		.service = request->service,
+		.prompt_tokens = request->completion.prompt_tokens,
+		.max_tokens = request->max_tokens,
+		.start_by_us =
+			request->accepted_at_us +
+			request->service->first_token_ms * CLOCK_US_PER_MS,
+		.deadline_us = request->deadline_us,
+		.on_admitted = on_admitted,
+		.on_refused = on_refused,
+		.on_reserved = on_reserved,
+		.context = request,
+	};
+
+	memcpy(want.id, request->id, sizeof(want.id));
+	request->ticket = scheduler_submit(&request->router->scheduler, &want);
+}
+
 /* Checks that need the body; false with a verdict if the request is bad. */
 static bool resolve(request_t *request, str_t body, bool chat,
 		    SoupMessageHeaders *headers, verdict_t *verdict)
@@ -345,5 +400,5 @@
 	g_queue_push_tail(&router->requests, request);
 	counters_set(GAUGE_REQUESTS_ACTIVE,
 		     g_queue_get_length(&router->requests));
-	start_prefill(request);
+	submit(request);
 }
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -22,6 +22,8 @@
 	int64_t last_token_at_us;
 	int64_t deadline_us;
 	int64_t max_tokens;
+	scheduler_ticket_t *ticket;
+	int64_t decode_started_at_us;
 	backend_entry_t *prefill;
 	backend_entry_t *decode;
 	engine_call_t *call; /* in progress */
