--- a/src/process/diag.c
+++ b/src/process/diag.c
@@ -23,6 +23,17 @@
 	diag->entries = NULL;
 }
 
+/* Replaces control characters, so that an error stays one line whatever the
+ * checked file contains.
+ */
+static void clean_line(char *text)
+{
+	for (; *text; text++) {
+		if (g_ascii_iscntrl(*text))
+			*text = '?';
+	}
+}
+
 /* Adds an error. The strings are copied. */
 void diag_add(diag_t *diag, const char *file, unsigned line, const char *key,
 	      const char *format, ...)
@@ -37,6 +48,8 @@
 	va_start(args, format);
 	entry.message = g_strdup_vprintf(format, args);
 	va_end(args);
+	clean_line(entry.key);
+	clean_line(entry.message);
 	g_array_append_val(diag->entries, entry);
 }
 
--- a/src/process/diag.h
+++ b/src/process/diag.h
@@ -17,6 +17,8 @@
 	GArray *entries; /* of diag_entry_t */
 } diag_t;
 
+G_BEGIN_DECLS
+
 void diag_init(diag_t *diag);
 void diag_finish(diag_t *diag);
 void diag_add(diag_t *diag, const char *file, unsigned line, const char *key,
@@ -24,4 +26,6 @@
 bool diag_is_empty(const diag_t *diag);
 void diag_print(const diag_t *diag, GString *out);
 
+G_END_DECLS
+
 #endif
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -27,7 +27,7 @@
 	char *callers_address; /* IP:port of the callers' listener */
 	char *operators_address; /* IP:port of the operators' listener */
 	char *rpc_address; /* IP:port, UDP */
-	char *platform_address; /* IP:port */
+	char *platform_address; /* IP:port, or NULL when state_file is set */
 	char *operator_token_sha256;
 	char *state_file; /* start state for use without a platform, or NULL */
 	char *log_file; /* NULL: standard error */
@@ -39,7 +39,10 @@
 	char *routing_policy; /* see docs/routing.md */
 } settings_t;
 
+bool settings_parse(const char *text, size_t len, const char *name,
+		    settings_t *settings, diag_t *diag);
 bool settings_load(const char *path, settings_t *settings, diag_t *diag);
 void settings_finish(settings_t *settings);
+bool settings_has_key(str_t key);
 
 #endif
