--- a/tests/engine_decode.c
+++ b/tests/engine_decode.c
@@ -101,7 +101,7 @@
 	if (work->offset >= end_offset(work))
 		finish_stream(work);
 	if (crash > 0 && crash <= 1)
-		_Exit(1);
+		fake_crash(fake);
 	if (crash > 1)
 		fake_fault_set(fake, "crash_after_tokens", crash - 1);
 }
--- a/tests/engine_work.c
+++ b/tests/engine_work.c
@@ -270,7 +270,7 @@
 
 	g_free(crash);
 	if (crashes)
-		_Exit(1);
+		fake_crash(&engine->fake);
 	if (fake_fault_take(&engine->fake, "refuse"))
 		reject(engine, kind, body, message, 503, "refused");
 	else if (strcmp(engine->role, role_of(kind)) != 0)
--- a/tests/engine_work.h
+++ b/tests/engine_work.h
@@ -18,6 +18,7 @@
 	char *listen;
 	char *role;
 	char *model; /* NULL: any */
+	char *record_file; /* NULL: none */
 	int64_t kv_tokens;
 	int64_t cache_tokens;
 	int64_t max_prefills;
--- a/tests/fake_engine.c
+++ b/tests/fake_engine.c
@@ -39,6 +39,8 @@
 	 "prefill or decode", "ROLE"},
 	{"model", 0, 0, G_OPTION_ARG_STRING, &engine.options.model,
 	 "the only model it serves (any)", "NAME"},
+	{"record-file", 0, 0, G_OPTION_ARG_FILENAME,
+	 &engine.options.record_file, "appends executions to a file", "PATH"},
 	INT64_OPTION("kv-tokens", kv_tokens, "memory"),
 	INT64_OPTION("cache-tokens", cache_tokens, "prefix cache"),
 	INT64_OPTION("max-prefills", max_prefills, "prefills at a time"),
@@ -171,7 +173,7 @@
 
 static gboolean on_crash(gpointer user_data)
 {
-	_Exit(1);
+	fake_crash(&engine.fake);
 }
 
 static void on_fault(const char *name, double value, void *context)
@@ -274,6 +276,9 @@
 			  options->event_lag_ms * CLOCK_US_PER_MS,
 			  options->event_loss, (uint32_t)options->seed);
 	fake_init(&engine.fake);
+	if (options->record_file &&
+	    !fake_open_record_file(&engine.fake, options->record_file))
+		return 1;
 	engine_start_load(&engine);
 	return fake_serve(&engine.fake, options->listen, handle, NULL) ? 0 : 1;
 }
--- a/tests/shared_fake.c
+++ b/tests/shared_fake.c
@@ -1,9 +1,12 @@
 #include "shared_fake.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "process/clock.h"
 
@@ -253,6 +256,55 @@
 	json_object_unref(body);
 }
 
+/* Adds the members of `from` to `to`. */
+static void merge_members(JsonObject *to, JsonObject *from)
+{
+	GList *names = json_object_get_members(from);
+
+	for (GList *item = names; item; item = item->next)
+		json_object_set_member(to, item->data,
+				       json_node_copy(json_object_get_member(
+					       from, item->data)));
+	g_list_free(names);
+}
+
+/* Appends the JSON line of one execution. */
+static void append_execution(const fake_execution_t *e, GString *out)
+{
+	char *id = g_strdup_printf("%d.%" G_GINT64_FORMAT, (int)getpid(),
+				   e->number);
+	JsonObject *line;
+	char *text;
+
+	line = fake_json("id", "s", id, "kind", "s", e->kind, "request", "s",
+			 e->request, "attempt", "i", e->attempt, "start_us",
+			 "i", e->start_us, "end_us", "i", e->end_us, "tokens",
+			 "i", e->tokens, "outcome", "s", e->outcome, "ran", "b",
+			 (int)e->ran, NULL);
+	if (e->details)
+		merge_members(line, e->details);
+	text = fake_json_text(line);
+	g_string_append(out, text);
+	g_string_append_c(out, '\n');
+	g_free(text);
+	g_free(id);
+	json_object_unref(line);
+}
+
+/* Writes an execution to the record file, if there is one. */
+static void save_execution(const fake_execution_t *execution)
+{
+	GString *line;
+
+	if (execution->record_fd < 0)
+		return;
+	line = g_string_new(NULL);
+	append_execution(execution, line);
+	if (write(execution->record_fd, line->str, line->len) < 0)
+		g_warning("record file: %s", g_strerror(errno));
+	g_string_free(line, TRUE);
+}
+
 /* Starts a record; it lives as long as the process. */
 fake_execution_t *fake_execution_start(fake_t *fake, const char *kind,
 				       const char *request, int64_t attempt)
@@ -265,7 +317,10 @@
 	execution->start_us = fake_now_us();
 	execution->outcome = "running";
 	execution->ran = true;
+	execution->record_fd = fake->record_fd;
 	g_ptr_array_add(fake->executions, execution);
+	execution->number = fake->executions->len;
+	save_execution(execution);
 	return execution;
 }
 
@@ -276,43 +331,36 @@
 		return;
 	execution->end_us = fake_now_us();
 	execution->outcome = outcome;
+	save_execution(execution);
 }
 
-/* Adds the members of `from` to `to`. */
-static void merge_members(JsonObject *to, JsonObject *from)
+/* Appends one JSON line for each execution, in order of start. */
+void fake_append_record(const fake_t *fake, GString *out)
 {
-	GList *names = json_object_get_members(from);
+	for (unsigned i = 0; i < fake->executions->len; i++)
+		append_execution(g_ptr_array_index(fake->executions, i), out);
+}
 
-	for (GList *item = names; item; item = item->next)
-		json_object_set_member(to, item->data,
-				       json_node_copy(json_object_get_member(
-					       from, item->data)));
-	g_list_free(names);
+/*
+ * Appends executions to a file too, so that they outlive a crash. Each one is
+ * written when it starts and when it ends; the last line of an ID counts.
+ */
+bool fake_open_record_file(fake_t *fake, const char *path)
+{
+	fake->record_fd =
+		open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+	if (fake->record_fd < 0)
+		fprintf(stderr, "%s: %s\n", path, g_strerror(errno));
+	return fake->record_fd >= 0;
 }
 
-/* Appends one JSON line for each execution, in order of start. */
-void fake_append_record(const fake_t *fake, GString *out)
+/* Ends the process at once, after saving what was running. */
+void fake_crash(fake_t *fake)
 {
-	for (unsigned i = 0; i < fake->executions->len; i++) {
-		const fake_execution_t *e =
-			g_ptr_array_index(fake->executions, i);
-		JsonObject *line;
-		char *text;
-
-		line = fake_json("kind", "s", e->kind, "request", "s",
-				 e->request, "attempt", "i", e->attempt,
-				 "start_us", "i", e->start_us, "end_us", "i",
-				 e->end_us, "tokens", "i", e->tokens, "outcome",
-				 "s", e->outcome, "ran", "b", (int)e->ran,
-				 NULL);
-		if (e->details)
-			merge_members(line, e->details);
-		text = fake_json_text(line);
-		g_string_append(out, text);
-		g_string_append_c(out, '\n');
-		g_free(text);
-		json_object_unref(line);
-	}
+	for (unsigned i = 0; i < fake->executions->len; i++)
+		fake_execution_end(g_ptr_array_index(fake->executions, i),
+				   "crashed");
+	_Exit(1);
 }
 
 void fake_init(fake_t *fake)
@@ -322,6 +370,7 @@
 	fake->executions = g_ptr_array_new();
 	fake->faults =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fake->record_fd = -1;
 }
 
 typedef struct {
--- a/tests/shared_fake.h
+++ b/tests/shared_fake.h
@@ -18,6 +18,8 @@
 	const char *outcome; /* static text; "running" until it ends */
 	bool ran; /* false when it was rejected before any work */
 	JsonObject *details; /* fields of this fake only, or NULL */
+	int64_t number; /* from 1 within the process */
+	int record_fd; /* -1: none */
 } fake_execution_t;
 
 typedef struct {
@@ -25,6 +27,7 @@
 	GMainLoop *loop;
 	GPtrArray *executions; /* of fake_execution_t */
 	GHashTable *faults; /* name to double, see fake_fault_set() */
+	int record_fd; /* see fake_open_record_file(), -1: none */
 } fake_t;
 
 /* Handles one request; `path` is decoded and starts with '/'. */
@@ -36,6 +39,7 @@
 				     void *context);
 
 void fake_init(fake_t *fake);
+bool fake_open_record_file(fake_t *fake, const char *path);
 bool fake_serve(fake_t *fake, const char *address, fake_handler_t handler,
 		void *context);
 
@@ -67,6 +71,7 @@
 fake_execution_t *fake_execution_start(fake_t *fake, const char *kind,
 				       const char *request, int64_t attempt);
 void fake_execution_end(fake_execution_t *execution, const char *outcome);
+G_NORETURN void fake_crash(fake_t *fake);
 void fake_append_record(const fake_t *fake, GString *out);
 
 #endif
