--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -31,11 +31,12 @@
 } call_t;
 
 static platform_t platform = {
-	.options = {
-		.vm_lag_ms = 2000,
-		.reads_s = 2000,
-		.writes_s = 400,
-	},
+	.options =
+		{
+			.vm_lag_ms = 2000,
+			.reads_s = 2000,
+			.writes_s = 400,
+		},
 };
 
 static const GOptionEntry option_entries[] = {
@@ -109,8 +110,8 @@
 static gboolean on_execute(gpointer user_data)
 {
 	call_t *call = user_data;
-	const char *fault = call->is_write ? "lose_write_answer" :
-					     "lose_read_answer";
+	const char *fault = call->is_write ? "lose_write_answer"
+					   : "lose_read_answer";
 	double delay_ms = fake_fault_get(&platform.fake, "answer_delay_ms");
 
 	run(call);
@@ -172,8 +173,8 @@
 			GHashTable *query)
 {
 	double delay_ms = fake_fault_get(&platform.fake, "delay_ms");
-	const char *prefix =
-		query ? g_hash_table_lookup(query, "prefix") : NULL;
+	const char *prefix = query ? g_hash_table_lookup(query, "prefix")
+				   : NULL;
 	bool is_write = !fake_is_get(message);
 	call_t *call;
 
@@ -246,6 +247,6 @@
 	platform_rates_init(&platform.rates, options->reads_s,
 			    options->writes_s);
 	platform_vms_init(&platform.vms, options->vm_lag_ms * CLOCK_US_PER_MS);
-	return fake_serve(&platform.fake, options->listen, handle, NULL) ? 0 :
-									   1;
+	return fake_serve(&platform.fake, options->listen, handle, NULL) ? 0
+									 : 1;
 }
--- a/tests/platform_rates.c
+++ b/tests/platform_rates.c
@@ -32,8 +32,8 @@
 /* Tells whether the call counted last is within its rate. */
 bool platform_rates_allow(platform_rates_t *rates, bool is_write)
 {
-	bool allowed = is_write ? rates->now.writes <= rates->writes_s :
-				  rates->now.reads <= rates->reads_s;
+	bool allowed = is_write ? rates->now.writes <= rates->writes_s
+				: rates->now.reads <= rates->reads_s;
 
 	if (!allowed)
 		rates->now.throttled++;
@@ -56,9 +56,9 @@
 void platform_rates_append(const platform_rates_t *rates, GString *out)
 {
 	for (unsigned i = 0; i < rates->seconds->len; i++)
-		append_second(
-			&g_array_index(rates->seconds, platform_second_t, i),
-			out);
+		append_second(&g_array_index(rates->seconds, platform_second_t,
+					     i),
+			      out);
 	if (rates->now.second)
 		append_second(&rates->now, out);
 }
--- a/tests/platform_store.c
+++ b/tests/platform_store.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* Largest value of a row, section 6.3. */
-#define ROW_BYTES_MAX (64 * 1024)
+#define ROW_BYTES_MAX ((size_t)65536)
 
 typedef struct {
 	int64_t version;
@@ -26,11 +26,9 @@
 
 void platform_store_init(platform_store_t *store)
 {
-	store->rows =
-		g_tree_new_full(compare_keys, NULL, g_free, free_row);
-	store->objects =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_bytes_unref);
+	store->rows = g_tree_new_full(compare_keys, NULL, g_free, free_row);
+	store->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       (GDestroyNotify)g_bytes_unref);
 	store->last_version = 0;
 }
 
@@ -107,8 +105,7 @@
 static void record_write(fake_t *fake, const char *kind, const char *key,
 			 int64_t version, unsigned status)
 {
-	fake_execution_t *execution =
-		fake_execution_start(fake, kind, key, 0);
+	fake_execution_t *execution = fake_execution_start(fake, kind, key, 0);
 
 	execution->tokens = version;
 	execution->ran = status == 200;
--- a/tests/platform_vms.c
+++ b/tests/platform_vms.c
@@ -60,7 +60,7 @@
 		drop_oldest(vms);
 	}
 	fake_reply(message, 200,
-		   json_object_ref(((const vm_list_t *)g_queue_peek_head(
-					    &vms->lists))
-					   ->body));
+		   json_object_ref(
+			   ((const vm_list_t *)g_queue_peek_head(&vms->lists))
+				   ->body));
 }
