--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -60,7 +60,10 @@
 		backend_entry_t *entry =
 			g_ptr_array_index(backends->entries, i);
 
-		if (!entry->present || entry->poll)
+		/* Plain services have no agreed load call; asking one would
+		 * execute a call of its own.
+		 */
+		if (!entry->present || entry->poll || !*entry->pool)
 			continue;
 		entry->poll =
 			engine_load(backends->client, str_from(entry->address),
