--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -13,6 +13,8 @@
 extern "C" {
 #endif
 
+/* Generated names do not follow the project's rules for names. */
+#pragma GCC system_header
 #define PEER_DATAGRAM_MAX 1200
 #define PEER_BODY_MAX 952
 #define PEER_NAME_MAX 64
--- a/src/connection/peer.x
+++ b/src/connection/peer.x
@@ -6,6 +6,11 @@
  * Clocks of different VMs are not comparable, so the messages carry the
  * remaining time in milliseconds where a deadline is meant.
  */
+#ifdef RPC_HDR
+%/* Generated names do not follow the project's rules for names. */
+%#pragma GCC system_header
+#endif
+
 const PEER_DATAGRAM_MAX = 1200;
 const PEER_BODY_MAX = 952;
 const PEER_NAME_MAX = 64;
--- a/src/connection/rpc.h
+++ b/src/connection/rpc.h
@@ -76,7 +76,8 @@
 bool rpc_init(rpc_t *rpc, const settings_t *settings, clock_source_t clock,
 	      hlc_t *hlc, GError **error);
 void rpc_finish(rpc_t *rpc);
-uint32_t rpc_call(rpc_t *rpc, const char *address, uint32_t procedure,
+/* Not named rpc_call, which is a function of libtirpc. */
+uint32_t rpc_send(rpc_t *rpc, const char *address, uint32_t procedure,
 		  str_t body, int64_t deadline_us, rpc_reply_fn_t callback,
 		  void *context);
 void rpc_cancel(rpc_t *rpc, uint32_t call);
