--- /dev/null
+++ b/src/process/limit.h
@@ -0,0 +1,79 @@
+/* Fleet-wide limits on request rate and concurrency. Pure.
+ *
+ * Each router enforces a share. Shares are recomputed in rounds: a router
+ * starts round r + 1 only after it has every member's report of round r, so
+ * two routers are never more than one round apart. A router applies the lower
+ * of its last two shares, which makes the sum of all shares at most the limit
+ * although the routers switch at different times.
+ *
+ * Error bound, for a limit L, N routers, a rate burst of B seconds:
+ * - rounds complete: the sum of the shares is at most L;
+ * - some routers cut off: those use L / N, the others still use their last
+ *   shares until the round times out, so the sum is below 2 L for at most
+ *   LIMIT_ROUND_TIMEOUT_US, and at most L afterwards;
+ * - rate: in addition at most B * L requests at once from saved-up tokens;
+ * - concurrency: in addition the requests that were in progress when a share
+ *   was lowered, until they end.
+ */
+#ifndef PROCESS_LIMIT_H
+#define PROCESS_LIMIT_H
+
+#include <stdint.h>
+
+#include "process/str.h"
+
+#define LIMIT_ROUTERS_MAX 64
+#define LIMIT_ROUND_US INT64_C(500000)
+#define LIMIT_ROUND_TIMEOUT_US INT64_C(2000000)
+
+typedef struct {
+	double requests_s; /* over the fleet; 0: none */
+	int64_t concurrency; /* over the fleet; 0: none */
+} limit_values_t;
+
+/* One customer's use of one limit at one router. */
+typedef struct {
+	uint64_t id; /* hash of customer and service, same on all routers */
+	double demand_s; /* requests per second, admitted or not */
+	int64_t running;
+} limit_usage_t;
+
+typedef enum {
+	LIMIT_ADMITTED,
+	LIMIT_RATE, /* too many requests per second */
+	LIMIT_CONCURRENCY, /* too many in progress */
+} limit_result_t;
+
+typedef struct {
+	unsigned routers; /* in the deployment, at most LIMIT_ROUTERS_MAX */
+	unsigned self; /* own index, the same numbering on all routers */
+	uint64_t members; /* bit for each router that takes part in rounds */
+	uint64_t round; /* of the own report */
+	uint64_t reported; /* bit for each router whose report is present */
+	int64_t round_started_us;
+	bool cut_off; /* fixed shares apply */
+	GHashTable *entries; /* by id */
+} limit_t;
+
+typedef void (*limit_usage_fn_t)(const limit_usage_t *usage, void *context);
+
+void limit_init(limit_t *limit, unsigned routers, unsigned self,
+		int64_t now_us);
+void limit_finish(limit_t *limit);
+uint64_t limit_id(str_t customer, str_t service);
+void limit_set(limit_t *limit, uint64_t id, limit_values_t values,
+	       int64_t now_us);
+void limit_remove(limit_t *limit, uint64_t id);
+void limit_set_members(limit_t *limit, uint64_t members);
+limit_result_t limit_begin(limit_t *limit, uint64_t id, int64_t now_us,
+			   int64_t *retry_at_us);
+void limit_end(limit_t *limit, uint64_t id);
+bool limit_tick(limit_t *limit, int64_t now_us);
+size_t limit_report(const limit_t *limit, limit_usage_fn_t visit,
+		    void *context);
+bool limit_receive(limit_t *limit, unsigned router, uint64_t round,
+		   const limit_usage_t *usage, size_t n_usage);
+double limit_share_rate(const limit_t *limit, uint64_t id);
+int64_t limit_share_concurrency(const limit_t *limit, uint64_t id);
+
+#endif
--- /dev/null
+++ b/src/process/prefix.h
@@ -0,0 +1,35 @@
+/* Which engines probably hold which prompt prefix. Hints only: events are late
+ * and have gaps, so nothing may depend on a hint for correctness. Pure.
+ */
+#ifndef PROCESS_PREFIX_H
+#define PROCESS_PREFIX_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define PREFIX_HOLDERS 4
+
+typedef struct {
+	uint32_t engine;
+	double confidence; /* above 0, at most 1 */
+} prefix_hit_t;
+
+typedef struct {
+	size_t max_prefixes;
+	GHashTable *entries; /* by prefix */
+	GQueue recent; /* most recently used first */
+	GHashTable *engines; /* engine to its event position */
+} prefix_t;
+
+void prefix_init(prefix_t *prefix, size_t max_prefixes);
+void prefix_finish(prefix_t *prefix);
+void prefix_event(prefix_t *prefix, uint32_t engine, uint64_t seq, bool store,
+		  uint64_t id);
+void prefix_used(prefix_t *prefix, uint32_t engine, uint64_t id, bool hit);
+void prefix_forget_engine(prefix_t *prefix, uint32_t engine);
+size_t prefix_find(prefix_t *prefix, uint64_t id,
+		   prefix_hit_t hits[static PREFIX_HOLDERS]);
+size_t prefix_count(const prefix_t *prefix);
+
+#endif
--- /dev/null
+++ b/src/process/queue.h
@@ -0,0 +1,80 @@
+/* Bounded admission queue, fair among customers. Pure: no clock, no I/O.
+ * One queue serves one decode pool, so that a full pool does not block others.
+ */
+#ifndef PROCESS_QUEUE_H
+#define PROCESS_QUEUE_H
+
+#include <stdint.h>
+
+#include "process/str.h"
+
+#define QUEUE_PRIORITIES 10
+#define QUEUE_WORTH_LEVELS 16
+#define QUEUE_RATE_SLOTS 10
+
+/* Handle of a queued request, valid until it leaves the queue. */
+typedef struct queue_entry queue_entry_t;
+
+typedef struct {
+	str_t customer; /* copied */
+	double weight; /* the customer's share under contention, > 0 */
+	int priority; /* 0 (first) to 9 */
+	double worth; /* value of the answer in time */
+	int64_t cost_tokens; /* what the customer is charged, > 0 */
+	int64_t start_by_us; /* later starts miss the first-token target */
+	bool returning; /* was popped before but could not be started */
+	void *context;
+} queue_request_t;
+
+typedef enum {
+	QUEUE_ACCEPTED,
+	QUEUE_LATE, /* could not be started in time */
+	QUEUE_FULL, /* no place, and no entry with a weaker claim */
+} queue_result_t;
+
+typedef struct {
+	queue_result_t result;
+	queue_entry_t *entry; /* when accepted */
+	int64_t retry_at_us; /* when refused, or for the evicted request */
+	void *evicted; /* context of the request that lost its place, or NULL */
+} queue_outcome_t;
+
+typedef struct {
+	GHashTable *flows; /* customer to flow */
+	GSequence *by_start; /* flows with entries, next to be served first */
+	GSequence *by_backlog; /* the same flows, largest backlog first */
+	double virtual_time; /* tokens per unit of weight */
+	double last_finish; /* greatest finish tag given out */
+	double weights; /* sum over flows with entries */
+	int64_t cost_tokens; /* queued */
+} queue_class_t;
+
+typedef struct {
+	size_t max_entries;
+	size_t n_entries;
+	queue_class_t classes[QUEUE_PRIORITIES];
+	GSequence *by_expiry; /* all entries, earliest start_by_us first */
+	uint64_t next_number;
+	int64_t slots[QUEUE_RATE_SLOTS]; /* tokens popped in each slot */
+	int64_t slot_start_us; /* of the current slot */
+	int64_t busy_since_us; /* when the queue last became non-empty */
+	unsigned slot;
+	double rate; /* tokens per second while not empty; 0: not known */
+} queue_t;
+
+typedef void (*queue_expired_fn_t)(void *entry_context, void *context);
+
+void queue_init(queue_t *queue, size_t max_entries, int64_t now_us);
+void queue_finish(queue_t *queue);
+queue_outcome_t queue_push(queue_t *queue, const queue_request_t *request,
+			   int64_t now_us);
+void *queue_peek(const queue_t *queue);
+void *queue_pop(queue_t *queue, int64_t now_us);
+void queue_remove(queue_t *queue, queue_entry_t *entry);
+size_t queue_expire(queue_t *queue, int64_t now_us, queue_expired_fn_t expired,
+		    void *context);
+int64_t queue_next_expiry(const queue_t *queue);
+int64_t queue_wait_us(const queue_t *queue, const queue_request_t *request);
+double queue_rate(const queue_t *queue);
+
+#endif
