--- a/src/process/queue.h
+++ b/src/process/queue.h
@@ -10,7 +10,6 @@
 
 #define QUEUE_PRIORITIES 10
 #define QUEUE_WORTH_LEVELS 16
-#define QUEUE_RATE_SLOTS 10
 
 /* Handle of a queued request, valid until it leaves the queue. */
 typedef struct queue_entry queue_entry_t;
@@ -41,11 +40,12 @@
 
 typedef struct {
 	GHashTable *flows; /* customer to flow */
-	GSequence *by_start; /* flows with entries, next to be served first */
+	GSequence *by_tag; /* flows with entries, next to be served first */
 	GSequence *by_backlog; /* the same flows, largest backlog first */
 	double virtual_time; /* tokens per unit of weight */
-	double last_finish; /* greatest finish tag given out */
+	double last_tag; /* greatest tag given out */
 	double weights; /* sum over flows with entries */
+	size_t sweep_at; /* flows at which idle ones are freed */
 	int64_t cost_tokens; /* queued */
 } queue_class_t;
 
@@ -55,16 +55,15 @@
 	queue_class_t classes[QUEUE_PRIORITIES];
 	GSequence *by_expiry; /* all entries, earliest start_by_us first */
 	uint64_t next_number;
-	int64_t slots[QUEUE_RATE_SLOTS]; /* tokens popped in each slot */
-	int64_t slot_start_us; /* of the current slot */
-	int64_t busy_since_us; /* when the queue last became non-empty */
-	unsigned slot;
-	double rate; /* tokens per second while not empty; 0: not known */
+	int64_t slot_start_us; /* of the current slot of the drain rate */
+	int64_t slot_tokens; /* popped in the current slot */
+	unsigned slots; /* whole slots measured */
+	double rate; /* tokens per second while not empty */
 } queue_t;
 
 typedef void (*queue_expired_fn_t)(void *entry_context, void *context);
 
-void queue_init(queue_t *queue, size_t max_entries, int64_t now_us);
+void queue_init(queue_t *queue, size_t max_entries);
 void queue_finish(queue_t *queue);
 queue_outcome_t queue_push(queue_t *queue, const queue_request_t *request,
 			   int64_t now_us);
