--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -29,10 +29,18 @@
 	LEDGER_TOO_LARGE, /* more than the engine's whole memory */
 	LEDGER_RECOVERING, /* new owner, still collecting grants */
 	LEDGER_BUSY, /* all transfer slots of the engine are taken */
-	LEDGER_STALE, /* dead VM, earlier incarnation or earlier attempt */
+	LEDGER_STALE, /* dead VM, earlier incarnation or cancelled attempt */
 	LEDGER_UNKNOWN, /* no such grant */
 } ledger_result_t;
 
+/* An orphan is removed after this time even if its cancellation was never
+ * confirmed; engines drop an attempt without a reader long before.
+ */
+#define LEDGER_ORPHAN_US INT64_C(30000000)
+
+/* The incarnation of a VM without grants is remembered for this time. */
+#define LEDGER_VM_KEPT_US INT64_C(600000000)
+
 /* A router as seen by the ledger. */
 typedef struct {
 	str_t name;
@@ -44,8 +52,8 @@
 	int64_t tokens;
 	int64_t deadline_us; /* lapses unless renewed */
 	ledger_phase_t phase;
-	ledger_vm_t vm;
-	uint64_t owner_incarnation; /* of the owner that recorded it */
+	ledger_vm_t vm; /* the name is borrowed */
+	uint64_t owner_incarnation; /* of the owner that recorded it, 0: none */
 } ledger_grant_t;
 
 typedef struct {
@@ -89,13 +97,15 @@
 
 size_t ledger_expire(ledger_t *ledger, int64_t now_us,
 		     ledger_grant_fn_t expired, void *context);
-size_t ledger_vm_dead(ledger_t *ledger, ledger_vm_t vm, ledger_grant_fn_t found,
-		      void *context);
+size_t ledger_vm_dead(ledger_t *ledger, ledger_vm_t vm, int64_t now_us,
+		      ledger_grant_fn_t found, void *context);
 void ledger_confirm_cancelled(ledger_t *ledger, const ledger_key_t *key);
 void ledger_observe(ledger_t *ledger, int64_t kv_used);
 void ledger_set_capacity(ledger_t *ledger, int64_t capacity);
 int64_t ledger_free(const ledger_t *ledger);
 int64_t ledger_overcommitted(const ledger_t *ledger);
+guint ledger_key_hash(const void *key);
+gboolean ledger_key_equal(const void *a, const void *b);
 const char *ledger_result_text(ledger_result_t result);
 
 #endif
