--- a/src/process/prefix.h
+++ b/src/process/prefix.h
@@ -24,7 +24,7 @@
 
 void prefix_init(prefix_t *prefix, size_t max_prefixes);
 void prefix_finish(prefix_t *prefix);
-void prefix_event(prefix_t *prefix, uint32_t engine, uint64_t seq, bool store,
+void prefix_event(prefix_t *prefix, uint32_t engine, uint64_t seq, bool stored,
 		  uint64_t id);
 void prefix_used(prefix_t *prefix, uint32_t engine, uint64_t id, bool hit);
 void prefix_forget_engine(prefix_t *prefix, uint32_t engine);
