Add the decisions of at-most-once calls

Cause: a call that must not run twice has to survive lost answers of the table, callers that race with one key, and processes that end in the middle. Change: src/request/once.c decides each step from the results of conditional writes and reads; once_row.c reads and writes the rows. A row that another send has started is never taken over; only one that cannot have run is. Conclusion: ready for an executor; nothing uses it yet.

--- a/src/request/once.h
+++ b/src/request/once.h
@@ -26,9 +26,14 @@
 	char *call_hash; /* SHA-256 of service, method, path and body, hex */
 	char *attempt; /* ID of the send that owns the row */
 	once_state_t state;
+	int64_t written_ms; /* wall time, for deletion after retention */
 	once_outcome_t outcome; /* ONCE_DONE */
 } once_row_t;
 
+#define ONCE_MAX_KEY_BYTES 255
+/* In Base64 with the other fields, below the table's 64 KiB for a value. */
+#define ONCE_MAX_BODY_BYTES 45000
+
 /* Result of a conditional write. */
 typedef enum {
 	ONCE_WRITE_OK,
@@ -41,6 +46,7 @@
 	ONCE_READ_FOUND,
 	ONCE_READ_ABSENT,
 	ONCE_READ_FAILED,
+	ONCE_READ_MALFORMED,
 } once_read_t;
 
 /* How the call to the backend server ended. */
@@ -71,6 +77,7 @@
 	char *attempt;
 	int64_t give_up_us; /* no table call is started after it */
 	unsigned table_calls;
+	bool row_exists; /* some send has used the key */
 	bool dispatched;
 } once_t;
 
@@ -87,7 +94,7 @@
 			    const once_row_t *row, int64_t now_us);
 once_state_t once_state_after(once_call_t result);
 char *once_row_text(const once_t *call, once_state_t state,
-		    const once_outcome_t *outcome);
+		    const once_outcome_t *outcome, int64_t now_ms);
 bool once_row_parse(const char *text, size_t len, once_row_t *row);
 void once_row_finish(once_row_t *row);
 
