Add the selection of prefill and decode engines

A pool keeps its engines ordered by expected backlog (prefill) or believed spare memory (decode), so a decision looks at a few engines and costs a logarithm of their number. A prefill goes to the earliest expected end among likely holders of the prefix and samples of the least loaded engines, and is not started where it would end too late. The five policies for decode memory are selected by name.

Tests cover leaving engines under every policy, prefix against load, spill-over between zones, transfers per engine and slow engines.

--- a/src/process/route.h
+++ b/src/process/route.h
@@ -57,8 +57,11 @@
 	int64_t own_transfers;
 	int64_t credit; /* tokens lent to this router */
 	int64_t free_tokens; /* as last told by the ledger owner or a report */
+	int64_t learned_us; /* when the ledger owner told it */
+	int64_t own_before; /* own_requests when the last report came */
+	int64_t others; /* requests of other routers, from the reports */
 	size_t at; /* position in the pool's array */
-	double key; /* load (prefill) or spare tokens (decode) in the index */
+	double key; /* order in the index, least first */
 	GSequenceIter *in_index; /* NULL while it gets no new work */
 	GSequenceIter *in_credits; /* NULL while it has no credit */
 } route_engine_t;
@@ -79,6 +82,8 @@
 	prefix_t *prefix; /* borrowed; NULL: no hints */
 	estimate_engine_t typical; /* over all engines of the pool */
 	size_t next; /* round robin */
+	double mean_tokens; /* of own requests */
+	int64_t now_us; /* last time passed in */
 } route_t;
 
 typedef struct {
@@ -86,6 +91,7 @@
 	int64_t prefix_tokens; /* saved by a cached prefix */
 	uint64_t prefix; /* ID; 0: none */
 	int64_t finish_by_us; /* an engine that is slower is not chosen */
+	str_t decode_zone; /* where the result goes; empty: not known */
 	const route_engine_t *except; /* failed before, or NULL */
 } route_prefill_t;
 
@@ -107,9 +113,14 @@
 void route_set_state(route_t *route, route_engine_t *engine, bool healthy,
 		     bool leaving);
 void route_report(route_t *route, route_engine_t *engine,
-		  const route_load_t *load);
+		  const route_load_t *load, int64_t now_us);
 void route_learn_free(route_t *route, route_engine_t *engine,
-		      int64_t free_tokens);
+		      int64_t free_tokens, int64_t now_us);
+bool route_is_near(const route_t *route, const route_engine_t *engine);
+bool route_is_available(const route_engine_t *engine);
+int64_t route_requests(const route_engine_t *engine);
+int64_t route_backlog_us(const route_t *route, const route_engine_t *engine);
+int64_t route_spare(const route_t *route, const route_engine_t *engine);
 void route_set_credit(route_t *route, route_engine_t *engine, int64_t tokens);
 
 route_engine_t *route_pick_prefill(route_t *route, const route_prefill_t *want,
--- /dev/null
+++ b/src/process/route_pick.c
@@ -0,0 +1,242 @@
+/* Selection of an engine; route.c keeps the pool it selects from. */
+#include "process/route.h"
+
+#include "process/clock.h"
+
+/* Choosing at random among the best few keeps routers that have the same late
+ * reports from all choosing the same engine; one place for each router of a
+ * deployment of eight.
+ */
+#define BEST 8
+
+/* How far an index is searched for engines that are not excluded. */
+#define SEARCH 32
+
+/* An engine in another zone has to finish this much earlier to be chosen: two
+ * round trips of a prefill and of the start of its transfer at 1 ms one-way.
+ */
+#define ZONE_PENALTY_US (4 * CLOCK_US_PER_MS)
+
+static uint32_t random_below(const route_t *route, uint32_t n)
+{
+	return route->config.random(route->config.random_context) % n;
+}
+
+static route_engine_t *random_engine(const route_t *route)
+{
+	uint32_t n = route->engines->len;
+
+	return n ? route->engines->pdata[random_below(route, n)] : NULL;
+}
+
+/* Returns the next engine in turn that is available, NULL if none is. */
+static route_engine_t *next_in_turn(route_t *route,
+				    const route_engine_t *except)
+{
+	for (guint i = 0; i < route->engines->len; i++) {
+		route_engine_t *engine =
+			route->engines
+				->pdata[route->next++ % route->engines->len];
+
+		if (route_is_available(engine) && engine != except)
+			return engine;
+	}
+	return NULL;
+}
+
+/* Expected end of a prefill. An engine with the prefix computes less. */
+static int64_t finish_us(const route_t *route, const route_engine_t *engine,
+			 const route_prefill_t *want, double confidence)
+{
+	double saved = confidence * (double)want->prefix_tokens;
+	int64_t tokens = MAX(want->prompt_tokens - (int64_t)saved, 1);
+	int64_t end = route->now_us + route_backlog_us(route, engine) +
+		      route_prefill_us(route, engine, tokens, route->now_us);
+
+	if (!route_is_near(route, engine))
+		end += ZONE_PENALTY_US;
+	if (want->decode_zone.len > 0 &&
+	    !str_equal(engine->config.zone, want->decode_zone))
+		end += ZONE_PENALTY_US;
+	return end;
+}
+
+/* The best engine found so far. */
+typedef struct {
+	route_engine_t *engine;
+	int64_t finish_us;
+} best_t;
+
+static void consider_prefill(const route_t *route, route_engine_t *engine,
+			     const route_prefill_t *want, double confidence,
+			     best_t *best)
+{
+	int64_t end;
+
+	if (!engine || !route_is_available(engine) || engine == want->except)
+		return;
+	if (engine->config.max_prefills > 0 &&
+	    route_requests(engine) >= engine->config.max_prefills)
+		return;
+	end = finish_us(route, engine, want, confidence);
+	if (end > want->finish_by_us)
+		return;
+	if (best->engine && end >= best->finish_us)
+		return;
+	best->engine = engine;
+	best->finish_us = end;
+}
+
+/* Considers two random engines of the best few in an index. */
+static void consider_index(const route_t *route, GSequence *index,
+			   const route_prefill_t *want, best_t *best)
+{
+	int n = MIN(g_sequence_get_length(index), BEST);
+
+	for (int i = 0; i < 2 && n > 0; i++) {
+		int at = (int)random_below(route, (uint32_t)n);
+		GSequenceIter *iter = g_sequence_get_iter_at_pos(index, at);
+
+		consider_prefill(route, g_sequence_get(iter), want, 0, best);
+	}
+	/* Random engines may be full while the first one is not. */
+	if (!best->engine && n > 0)
+		consider_prefill(
+			route, g_sequence_get(g_sequence_get_begin_iter(index)),
+			want, 0, best);
+}
+
+static void consider_holders(const route_t *route, const route_prefill_t *want,
+			     best_t *best)
+{
+	prefix_hit_t hits[PREFIX_HOLDERS];
+	size_t n = 0;
+
+	if (route->prefix && want->prefix)
+		n = prefix_find(route->prefix, want->prefix, hits);
+	for (size_t i = 0; i < n; i++)
+		consider_prefill(route, route_find(route, hits[i].engine), want,
+				 hits[i].confidence, best);
+}
+
+/*
+ * Chooses the engine with the earliest expected end among the likely holders
+ * of the prefix and samples of the least loaded engines here and in other
+ * zones. Returns NULL if none has a free place and would end by finish_by_us:
+ * the request then stays in the queue.
+ */
+route_engine_t *route_pick_prefill(route_t *route, const route_prefill_t *want,
+				   int64_t now_us)
+{
+	best_t best = {NULL, 0};
+
+	route->now_us = MAX(route->now_us, now_us);
+	if (route->config.policy == ROUTE_ROUND_ROBIN)
+		return next_in_turn(route, want->except);
+	if (route->config.policy == ROUTE_TWO_CHOICES) {
+		for (int i = 0; i < 2; i++)
+			consider_prefill(route, random_engine(route), want, 0,
+					 &best);
+		return best.engine;
+	}
+	consider_holders(route, want, &best);
+	consider_index(route, route->near, want, &best);
+	consider_index(route, route->far, want, &best);
+	return best.engine;
+}
+
+static bool is_excepted(const route_decode_t *want,
+			const route_engine_t *engine)
+{
+	for (size_t i = 0; i < want->n_except; i++) {
+		if (want->except[i] == engine)
+			return true;
+	}
+	return false;
+}
+
+static bool can_decode(const route_t *route, const route_decode_t *want,
+		       const route_engine_t *engine, int64_t tokens)
+{
+	if (!route_is_available(engine) || tokens < want->tokens)
+		return false;
+	if (route->config.max_transfers > 0 &&
+	    engine->own_transfers >= route->config.max_transfers)
+		return false;
+	return !is_excepted(want, engine);
+}
+
+/* Chooses the better of two random engines of the first few that fit. */
+static route_engine_t *pick_from(const route_t *route, GSequence *index,
+				 const route_decode_t *want)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(index);
+	route_engine_t *found[BEST];
+	uint32_t n = 0, a, b;
+
+	for (int i = 0; i < SEARCH && n < BEST; i++) {
+		route_engine_t *engine;
+
+		if (g_sequence_iter_is_end(iter))
+			break;
+		engine = g_sequence_get(iter);
+		if (can_decode(route, want, engine,
+			       index == route->credits
+				       ? engine->credit
+				       : route_spare(route, engine)))
+			found[n++] = engine;
+		iter = g_sequence_iter_next(iter);
+	}
+	if (n == 0)
+		return NULL;
+	a = random_below(route, n);
+	b = random_below(route, n);
+	return found[MIN(a, b)];
+}
+
+static route_engine_t *pick_of_two(const route_t *route,
+				   const route_decode_t *want)
+{
+	route_engine_t *best = NULL;
+
+	for (int i = 0; i < 2; i++) {
+		route_engine_t *engine = random_engine(route);
+
+		if (!engine || !can_decode(route, want, engine, INT64_MAX))
+			continue;
+		if (!best ||
+		    route_spare(route, engine) > route_spare(route, best))
+			best = engine;
+	}
+	return best;
+}
+
+/*
+ * Chooses the decode engine to reserve memory on; the own zone is preferred as
+ * long as it has memory. Returns NULL if no engine is believed to have enough.
+ * The policies without reservation return an engine whether or not it has.
+ */
+route_engine_t *route_pick_decode(route_t *route, const route_decode_t *want,
+				  int64_t now_us)
+{
+	route_engine_t *engine = NULL;
+
+	route->now_us = MAX(route->now_us, now_us);
+	switch (route->config.policy) {
+	case ROUTE_ROUND_ROBIN:
+		return next_in_turn(route,
+				    want->n_except ? want->except[0] : NULL);
+	case ROUTE_TWO_CHOICES:
+		return pick_of_two(route, want);
+	case ROUTE_CREDITS:
+		engine = pick_from(route, route->credits, want);
+		break;
+	default:
+		break;
+	}
+	if (!engine)
+		engine = pick_from(route, route->near, want);
+	if (!engine)
+		engine = pick_from(route, route->far, want);
+	return engine;
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,292 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "process/clock.h"
+#include "process/route.h"
+
+#define SEED 20261203u
+#define FAR_US (1000 * CLOCK_US_PER_S)
+
+static uint32_t draw(void *context)
+{
+	return g_rand_int(context);
+}
+
+typedef struct {
+	GRand *rand;
+	prefix_t prefix;
+	route_t route;
+	route_engine_t *engines[10];
+} fixture_t;
+
+static void setup(fixture_t *f, route_kind_t kind, route_policy_t policy,
+		  int n_near, int n_far)
+{
+	route_config_t config = {
+		.policy = policy,
+		.zone = STR("near"),
+		.routers = 4,
+		.max_transfers = 2,
+		.random = draw,
+	};
+
+	f->rand = g_rand_new_with_seed(SEED);
+	config.random_context = f->rand;
+	prefix_init(&f->prefix, 100);
+	route_init(&f->route, kind, &config, &f->prefix);
+	for (int i = 0; i < n_near + n_far; i++) {
+		route_engine_config_t engine = {
+			.id = (uint32_t)i + 1,
+			.zone = i < n_near ? STR("near") : STR("far"),
+			.kv_tokens = 1000,
+			.max_prefills = 4,
+		};
+
+		f->engines[i] = route_add(&f->route, &engine);
+	}
+}
+
+static void teardown(fixture_t *f)
+{
+	route_finish(&f->route);
+	prefix_finish(&f->prefix);
+	g_rand_free(f->rand);
+}
+
+static route_engine_t *prefill(fixture_t *f, int64_t prompt, uint64_t prefix)
+{
+	route_prefill_t want = {
+		.prompt_tokens = prompt,
+		.prefix_tokens = 64,
+		.prefix = prefix,
+		.finish_by_us = FAR_US,
+	};
+
+	return route_pick_prefill(&f->route, &want, 0);
+}
+
+static route_engine_t *decode(fixture_t *f, int64_t tokens)
+{
+	route_decode_t want = {.tokens = tokens};
+
+	return route_pick_decode(&f->route, &want, 0);
+}
+
+/* Guards against a name in the settings that selects another policy. */
+static void test_policy_names(void **state)
+{
+	route_policy_t policy;
+
+	for (int i = 0; i < ROUTE_POLICIES_N; i++) {
+		const char *name = route_policy_name((route_policy_t)i);
+
+		assert_true(route_policy_parse(str_from(name), &policy));
+		assert_int_equal(policy, i);
+	}
+	assert_false(route_policy_parse(STR("led"), &policy));
+}
+
+/* Guards against new work for an engine that is leaving or down, under every
+ * policy, whoever says that it is leaving.
+ */
+static void test_no_work_for_leaving_engines(void **state)
+{
+	for (int p = 0; p < ROUTE_POLICIES_N; p++) {
+		for (int kind = 0; kind < 2; kind++) {
+			fixture_t f;
+			route_load_t load = {.leaving = true};
+
+			setup(&f, (route_kind_t)kind, (route_policy_t)p, 4, 0);
+			for (int i = 0; i < 4; i++)
+				route_set_credit(&f.route, f.engines[i], 500);
+			route_set_state(&f.route, f.engines[0], false, false);
+			route_set_state(&f.route, f.engines[1], true, true);
+			route_report(&f.route, f.engines[2], &load, 0);
+			for (int i = 0; i < 50; i++) {
+				route_engine_t *e = kind ? decode(&f, 10)
+							 : prefill(&f, 10, 0);
+
+				/* Two random choices may both be leaving. */
+				assert_true(e == f.engines[3] ||
+					    (p == ROUTE_TWO_CHOICES && !e));
+			}
+			teardown(&f);
+		}
+	}
+}
+
+/* Guards against ignoring a cached prefix, and against preferring one at an
+ * engine whose backlog costs more than the prefix saves.
+ */
+static void test_cached_prefix_bounded_by_load(void **state)
+{
+	fixture_t f;
+
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 5, 0);
+	prefix_used(&f.prefix, 3, 99, true);
+	assert_ptr_equal(prefill(&f, 100, 99), f.engines[2]);
+	route_begin(&f.route, f.engines[2], 60);
+	assert_ptr_equal(prefill(&f, 100, 99), f.engines[2]);
+	route_begin(&f.route, f.engines[2], 60);
+	assert_ptr_not_equal(prefill(&f, 100, 99), f.engines[2]);
+	route_end(&f.route, f.engines[2], 60);
+	assert_ptr_equal(prefill(&f, 100, 99), f.engines[2]);
+	teardown(&f);
+}
+
+/* Guards against a prefill that is started although it would end too late or
+ * the engines have no free place.
+ */
+static void test_prefill_not_started_in_vain(void **state)
+{
+	fixture_t f;
+	route_prefill_t want = {.prompt_tokens = 1000,
+				.finish_by_us = 10 * CLOCK_US_PER_MS};
+
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 2, 0);
+	for (int i = 0; i < 2; i++)
+		route_prefilled(&f.route, f.engines[i], 1000,
+				20 * CLOCK_US_PER_MS, 0);
+	assert_null(route_pick_prefill(&f.route, &want, 0));
+	want.finish_by_us = 21 * CLOCK_US_PER_MS;
+	assert_non_null(route_pick_prefill(&f.route, &want, 0));
+	want.finish_by_us = FAR_US;
+	for (int i = 0; i < 8; i++)
+		route_begin(&f.route, f.engines[i % 2], 1);
+	assert_null(route_pick_prefill(&f.route, &want, 0));
+	route_end(&f.route, f.engines[1], 1);
+	assert_ptr_equal(route_pick_prefill(&f.route, &want, 0), f.engines[1]);
+	teardown(&f);
+}
+
+/* Guards against leaving the own zone without need, and against staying in it
+ * while it has no room.
+ */
+static void test_zone_preference_spills_over(void **state)
+{
+	fixture_t f;
+
+	setup(&f, ROUTE_DECODE_POOL, ROUTE_LEDGER, 2, 2);
+	for (int i = 0; i < 20; i++)
+		assert_true(route_is_near(&f.route, decode(&f, 500)));
+	route_learn_free(&f.route, f.engines[0], 400, 0);
+	route_learn_free(&f.route, f.engines[1], 400, 0);
+	assert_false(route_is_near(&f.route, decode(&f, 500)));
+	assert_true(route_is_near(&f.route, decode(&f, 400)));
+	assert_null(decode(&f, 1001));
+	teardown(&f);
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 2, 2);
+	assert_true(route_is_near(&f.route, prefill(&f, 100, 0)));
+	route_begin(&f.route, f.engines[0], 1000);
+	route_begin(&f.route, f.engines[1], 1000);
+	assert_false(route_is_near(&f.route, prefill(&f, 100, 0)));
+	teardown(&f);
+}
+
+/* Guards against a fixed share that is exceeded, credits that are passed over,
+ * and a choice of an engine that has refused.
+ */
+static void test_decode_policies(void **state)
+{
+	fixture_t f;
+	const route_engine_t *except[1];
+	route_decode_t want = {.tokens = 100, .except = except, .n_except = 1};
+
+	setup(&f, ROUTE_DECODE_POOL, ROUTE_SHARE, 1, 0);
+	assert_non_null(decode(&f, 250));
+	assert_null(decode(&f, 251));
+	route_begin(&f.route, f.engines[0], 100);
+	assert_null(decode(&f, 151));
+	teardown(&f);
+	setup(&f, ROUTE_DECODE_POOL, ROUTE_CREDITS, 4, 0);
+	route_set_credit(&f.route, f.engines[2], 100);
+	assert_ptr_equal(decode(&f, 100), f.engines[2]);
+	except[0] = f.engines[2];
+	for (int i = 0; i < 20; i++)
+		assert_ptr_not_equal(route_pick_decode(&f.route, &want, 0),
+				     f.engines[2]);
+	route_set_credit(&f.route, f.engines[2], 0);
+	assert_non_null(decode(&f, 100));
+	teardown(&f);
+}
+
+/* Guards against more transfers to one engine than are allowed. */
+static void test_transfers_are_bounded(void **state)
+{
+	fixture_t f;
+
+	setup(&f, ROUTE_DECODE_POOL, ROUTE_LEDGER, 1, 0);
+	assert_true(route_transfer_begin(&f.route, f.engines[0]));
+	assert_true(route_transfer_begin(&f.route, f.engines[0]));
+	assert_false(route_transfer_begin(&f.route, f.engines[0]));
+	assert_null(decode(&f, 10));
+	route_transfer_end(&f.route, f.engines[0]);
+	assert_non_null(decode(&f, 10));
+	teardown(&f);
+}
+
+/* Guards against an engine that keeps all its work although it is slow. */
+static void test_slow_engine_gets_less(void **state)
+{
+	fixture_t f;
+	int slow = 0;
+
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 4, 0);
+	for (int step = 0; step < 400; step++) {
+		route_engine_t *e = prefill(&f, 1000, 0);
+		int64_t us = e == f.engines[0] ? 200000 : 20000;
+
+		slow += step >= 100 && e == f.engines[0];
+		route_prefilled(&f.route, e, 1000, us, step);
+	}
+	/* A quarter would be 75. */
+	assert_in_range(slow, 0, 30);
+	teardown(&f);
+}
+
+/* Guards against a free list or index that goes wrong when engines come and
+ * go, and against reports that count own requests twice.
+ */
+static void test_engines_come_and_go(void **state)
+{
+	fixture_t f;
+	route_load_t load = {.running = 3, .kv_used = 300};
+
+	setup(&f, ROUTE_DECODE_POOL, ROUTE_LEDGER, 5, 5);
+	route_begin(&f.route, f.engines[4], 100);
+	route_report(&f.route, f.engines[4], &load, 0);
+	route_report(&f.route, f.engines[4], &load, 0);
+	assert_int_equal(route_requests(f.engines[4]), 3);
+	assert_int_equal(route_spare(&f.route, f.engines[4]), 700);
+	for (int i = 0; i < 10; i++) {
+		if (i != 4)
+			route_remove(&f.route, f.engines[i]);
+	}
+	assert_ptr_equal(decode(&f, 700), f.engines[4]);
+	assert_ptr_equal(route_find(&f.route, 5), f.engines[4]);
+	assert_null(route_find(&f.route, 1));
+	assert_null(decode(&f, 701));
+	route_remove(&f.route, f.engines[4]);
+	assert_null(decode(&f, 1));
+	teardown(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_policy_names),
+		cmocka_unit_test(test_no_work_for_leaving_engines),
+		cmocka_unit_test(test_cached_prefix_bounded_by_load),
+		cmocka_unit_test(test_prefill_not_started_in_vain),
+		cmocka_unit_test(test_zone_preference_spills_over),
+		cmocka_unit_test(test_decode_policies),
+		cmocka_unit_test(test_transfers_are_bounded),
+		cmocka_unit_test(test_slow_engine_gets_less),
+		cmocka_unit_test(test_engines_come_and_go),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
