--- a/src/version/read.c
+++ b/src/version/read.c
@@ -1,39 +1,4 @@
-#include "version/read.h"
-
-#include "process/fields.h"
-
-#define DAY_MS 86400000
-#define MAX_COUNT 1000000000.0
-
-/* Names and addresses seen so far; the strings belong to the state. */
-typedef struct {
-	fields_reader_t reader;
-	state_t *state;
-	GHashTable *zones; /* name to itself */
-	GHashTable *models; /* name to model_t */
-	GHashTable *pools; /* name to pool_t */
-	GHashTable *services; /* name to service_t */
-	GHashTable *backends; /* name to backend_t */
-	GHashTable *addresses; /* of backends, address to backend_t */
-	GHashTable *customers; /* name to customer_t */
-} context_t;
-
-/* One table that is being read. */
-typedef struct {
-	context_t *context;
-	const toml_node_t *table;
-	const char *path;
-} entry_t;
-
-#define FIELD(type, name, k, ...)                                          \
-	{                                                                  \
-		.key = #name, .kind = (k), .offset = offsetof(type, name), \
-		__VA_ARGS__                                                \
-	}
-#define UNSTORED(name, k, ...)                         \
-	{                                              \
-		.key = #name, .kind = (k), __VA_ARGS__ \
-	}
+#include "version/read_entry.h"
 
 static const field_t root_fields[] = {
 	FIELD(state_t, deployment, FIELD_NAME, .required = true),
@@ -77,50 +42,21 @@
 	UNSTORED(adapters, FIELD_NAMES, .required = false),
 };
 
-static const char *const role_names[] = {"prefill", "decode", NULL};
+/* In the order of role_t. */
+const char *const read_role_names[] = {"prefill", "decode", NULL};
 
 static const field_t pool_fields[] = {
 	FIELD(pool_t, name, FIELD_NAME, .required = true),
 	UNSTORED(model, FIELD_REFERENCE, .required = true),
-	FIELD(pool_t, role, FIELD_CHOICE, .choices = role_names,
+	FIELD(pool_t, role, FIELD_CHOICE, .choices = read_role_names,
 	      .required = true),
 	FIELD(pool_t, kv_tokens, FIELD_INTEGER, .required = true, .min = 1,
-	      .max = MAX_COUNT),
+	      .max = READ_MAX_COUNT),
 	FIELD(pool_t, checks_fencing, FIELD_BOOL, .initial = 0),
 	FIELD(pool_t, max_prefills, FIELD_INTEGER, .min = 1, .max = 10000,
 	      .initial = 4),
 };
 
-static const char *const kind_names[] = {"model", "plain", NULL};
-
-static const field_t service_fields[] = {
-	FIELD(service_t, name, FIELD_NAME, .required = true),
-	FIELD(service_t, kind, FIELD_CHOICE, .choices = kind_names,
-	      .required = true),
-	UNSTORED(prefill, FIELD_REFERENCE, .required = false),
-	UNSTORED(decode, FIELD_REFERENCE, .required = false),
-	FIELD(service_t, adapter, FIELD_NAME, .required = false),
-	FIELD(service_t, worth, FIELD_REAL, .max = MAX_COUNT, .initial = 1),
-	FIELD(service_t, first_token_ms, FIELD_INTEGER, .min = 1, .max = DAY_MS,
-	      .initial = 580),
-	FIELD(service_t, inter_token_ms, FIELD_INTEGER, .min = 1, .max = DAY_MS,
-	      .initial = 46),
-	FIELD(service_t, timeout_ms, FIELD_INTEGER, .min = 1, .max = DAY_MS,
-	      .initial = 60000),
-	FIELD(service_t, max_output_tokens, FIELD_INTEGER, .min = 1,
-	      .max = MAX_COUNT, .initial = 1024),
-	UNSTORED(routes, FIELD_TABLES, .required = false),
-	FIELD(service_t, priority, FIELD_INT, .max = 9, .initial = 5),
-};
-
-static const field_t route_fields[] = {
-	FIELD(route_rule_t, method, FIELD_TEXT, .min = 1, .max = 16,
-	      .required = true),
-	FIELD(route_rule_t, path, FIELD_TEXT, .min = 1, .max = 256,
-	      .required = true),
-	FIELD(route_rule_t, repeatable, FIELD_BOOL, .required = true),
-};
-
 static const field_t backend_fields[] = {
 	FIELD(backend_t, name, FIELD_NAME, .required = true),
 	FIELD(backend_t, address, FIELD_ADDRESS, .required = true),
@@ -136,27 +72,21 @@
 	UNSTORED(services, FIELD_NAMES, .required = true),
 	FIELD(customer_t, weight, FIELD_REAL, .min = 0.001, .max = 1000,
 	      .initial = 1),
-	FIELD(customer_t, requests_s, FIELD_REAL, .max = MAX_COUNT,
+	FIELD(customer_t, requests_s, FIELD_REAL, .max = READ_MAX_COUNT,
 	      .initial = 0),
-	FIELD(customer_t, concurrency, FIELD_INTEGER, .max = MAX_COUNT,
+	FIELD(customer_t, concurrency, FIELD_INTEGER, .max = READ_MAX_COUNT,
 	      .initial = 0),
 };
 
-#define READ(entry, fields, target)                                           \
-	fields_read(&(entry)->context->reader, (entry)->table, (entry)->path, \
-		    (fields), G_N_ELEMENTS(fields), (target))
-#define ERROR(entry, key, ...)                                                 \
-	fields_error(&(entry)->context->reader, (entry)->table, (entry)->path, \
-		     (key), __VA_ARGS__)
-
-static bool has_key(const entry_t *entry, const char *key)
+/* Tells whether the table has the key, valid or not. */
+bool read_has(const entry_t *entry, const char *key)
 {
 	return toml_get(entry->table, key) != NULL;
 }
 
 /* Enters a name, address or token hash that must be unique in its table. */
-static void enter_unique(const entry_t *entry, GHashTable *seen,
-			 const char *key, str_t value, void *target)
+void read_unique(const entry_t *entry, GHashTable *seen, const char *key,
+		 str_t value, void *target)
 {
 	if (value.len == 0)
 		return;
@@ -174,7 +104,7 @@
  * key is absent or not a valid name (already reported) or names no entry,
  * which is reported here.
  */
-static void *resolve(const entry_t *entry, const char *key, GHashTable *known,
+void *read_reference(const entry_t *entry, const char *key, GHashTable *known,
 		     const char *table)
 {
 	const toml_node_t *value = toml_get(entry->table, key);
@@ -200,7 +130,7 @@
 	str_t *zone = &entry->context->state->zones[i];
 
 	READ(entry, zone_fields, zone);
-	enter_unique(entry, entry->context->zones, "name", *zone, zone);
+	read_unique(entry, entry->context->zones, "name", *zone, zone);
 }
 
 static void read_adapters(const entry_t *entry, model_t *model)
@@ -232,7 +162,7 @@
 
 	READ(entry, model_fields, model);
 	read_adapters(entry, model);
-	enter_unique(entry, entry->context->models, "name", model->name, model);
+	read_unique(entry, entry->context->models, "name", model->name, model);
 }
 
 static void read_pool(const entry_t *entry, size_t i)
@@ -240,154 +170,17 @@
 	pool_t *pool = &entry->context->state->pools[i];
 
 	READ(entry, pool_fields, pool);
-	pool->model = resolve(entry, "model", entry->context->models, "models");
-	enter_unique(entry, entry->context->pools, "name", pool->name, pool);
-}
-
-static void check_role(const entry_t *entry, const char *key,
-		       const pool_t *pool, role_t role)
-{
-	if (pool && pool->role != role)
-		ERROR(entry, key,
-		      "expected a pool with the role \"%s\", "
-		      "\"%.*s\" has \"%s\"",
-		      role_names[role], STR_ARG(pool->name),
-		      role_names[pool->role]);
-}
-
-static void check_adapter(const entry_t *entry, const service_t *service)
-{
-	const model_t *model = service->decode ? service->decode->model : NULL;
-
-	if (!model || service->adapter.len == 0)
-		return;
-	for (size_t i = 0; i < model->n_adapters; i++) {
-		if (str_equal(model->adapters[i], service->adapter))
-			return;
-	}
-	ERROR(entry, "adapter", "expected an adapter of the model \"%.*s\"",
-	      STR_ARG(model->name));
-}
-
-static void check_model_service(const entry_t *entry, const service_t *service)
-{
-	const pool_t *prefill = service->prefill;
-	const pool_t *decode = service->decode;
-
-	if (!has_key(entry, "prefill"))
-		ERROR(entry, "prefill", "missing key, expected a pool");
-	if (!has_key(entry, "decode"))
-		ERROR(entry, "decode", "missing key, expected a pool");
-	if (has_key(entry, "routes"))
-		ERROR(entry, "routes", "expected only in plain services");
-	check_role(entry, "prefill", prefill, ROLE_PREFILL);
-	check_role(entry, "decode", decode, ROLE_DECODE);
-	if (prefill && decode && prefill->model && decode->model &&
-	    prefill->model != decode->model)
-		ERROR(entry, "decode",
-		      "expected a pool with the model of the "
-		      "prefill pool");
-	/* A request reserves memory for its prompt and its whole output. */
-	if (decode && decode->kv_tokens > 0 &&
-	    service->max_output_tokens >= decode->kv_tokens)
-		ERROR(entry, "max_output_tokens",
-		      "expected less than kv_tokens of the decode pool, %ld",
-		      (long)decode->kv_tokens);
-	check_adapter(entry, service);
-}
-
-static void check_plain_service(const entry_t *entry)
-{
-	static const char *const model_only[] = {"prefill", "decode", "adapter",
-						 "inter_token_ms",
-						 "max_output_tokens"};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(model_only); i++) {
-		if (has_key(entry, model_only[i]))
-			ERROR(entry, model_only[i],
-			      "expected only in model services");
-	}
-	if (fields_count(entry->table, "routes") == 0)
-		ERROR(entry, "routes", "expected at least one route");
-}
-
-static bool is_method(str_t text)
-{
-	if (str_equal(text, STR("*")))
-		return true;
-	for (size_t i = 0; i < text.len; i++) {
-		if (!g_ascii_isupper(text.data[i]))
-			return false;
-	}
-	return true;
-}
-
-static void check_route(const entry_t *entry, const service_t *service,
-			size_t i)
-{
-	const route_rule_t *route = &service->routes[i];
-
-	if (!is_method(route->method))
-		ERROR(entry, "method",
-		      "expected an upper-case method or "
-		      "\"*\"");
-	if (route->path.len && route->path.data[0] != '/')
-		ERROR(entry, "path", "expected a path that starts with '/'");
-	for (size_t j = 0; j < i; j++) {
-		if (route->path.len &&
-		    str_equal(route->path, service->routes[j].path) &&
-		    str_equal(route->method, service->routes[j].method))
-			ERROR(entry, "path",
-			      "expected a unique method and "
-			      "path, routes[%zu] has the same",
-			      j);
-	}
-}
-
-static void read_routes(const entry_t *entry, service_t *service)
-{
-	size_t n = fields_count(entry->table, "routes");
-
-	service->routes = g_new0(route_rule_t, n);
-	service->n_routes = n;
-	for (size_t i = 0; i < n; i++) {
-		char *path = g_strdup_printf("%s.routes[%zu]", entry->path, i);
-		entry_t route = {entry->context,
-				 fields_element(entry->table, "routes", i),
-				 path};
-
-		if (route.table->kind == TOML_TABLE) {
-			READ(&route, route_fields, &service->routes[i]);
-			check_route(&route, service, i);
-		}
-		g_free(path);
-	}
-}
-
-static void read_service(const entry_t *entry, size_t i)
-{
-	context_t *context = entry->context;
-	service_t *service = &context->state->services[i];
-	const toml_node_t *kind = toml_get(entry->table, "kind");
-
-	READ(entry, service_fields, service);
-	service->prefill = resolve(entry, "prefill", context->pools, "pools");
-	service->decode = resolve(entry, "decode", context->pools, "pools");
-	read_routes(entry, service);
-	if (kind && kind->kind == TOML_STRING &&
-	    str_equal(kind->string, STR("plain")))
-		check_plain_service(entry);
-	else if (kind)
-		check_model_service(entry, service);
-	enter_unique(entry, context->services, "name", service->name, service);
+	pool->model = read_reference(entry, "model", entry->context->models,
+				     "models");
+	read_unique(entry, entry->context->pools, "name", pool->name, pool);
 }
 
 static void check_backend(const entry_t *entry, const backend_t *backend)
 {
 	GHashTable *zones = entry->context->zones;
 
-	if (has_key(entry, "pool") == has_key(entry, "service"))
-		ERROR(entry, has_key(entry, "pool") ? "service" : "pool",
+	if (read_has(entry, "pool") == read_has(entry, "service"))
+		ERROR(entry, read_has(entry, "pool") ? "service" : "pool",
 		      "expected either a pool or a service");
 	if (backend->service && backend->service->kind != SERVICE_PLAIN)
 		ERROR(entry, "service", "expected a plain service");
@@ -405,13 +198,13 @@
 	backend_t *backend = &context->state->backends[i];
 
 	READ(entry, backend_fields, backend);
-	backend->pool = resolve(entry, "pool", context->pools, "pools");
+	backend->pool = read_reference(entry, "pool", context->pools, "pools");
 	backend->service =
-		resolve(entry, "service", context->services, "services");
+		read_reference(entry, "service", context->services, "services");
 	check_backend(entry, backend);
-	enter_unique(entry, context->backends, "name", backend->name, backend);
-	enter_unique(entry, context->addresses, "address", backend->address,
-		     backend);
+	read_unique(entry, context->backends, "name", backend->name, backend);
+	read_unique(entry, context->addresses, "address", backend->address,
+		    backend);
 }
 
 static void add_service(const entry_t *entry, customer_t *customer, str_t name)
@@ -450,10 +243,10 @@
 		if (name->kind == TOML_STRING && fields_is_name(name->string))
 			add_service(entry, customer, name->string);
 	}
-	enter_unique(entry, context->customers, "name", customer->name,
-		     customer);
-	enter_unique(entry, context->state->by_token, "token_sha256",
-		     customer->token_sha256, customer);
+	read_unique(entry, context->customers, "name", customer->name,
+		    customer);
+	read_unique(entry, context->state->by_token, "token_sha256",
+		    customer->token_sha256, customer);
 }
 
 static void read_limits(context_t *context, const toml_node_t *root)
