--- a/src/process/main.c
+++ b/src/process/main.c
@@ -11,6 +11,7 @@
 } command_t;
 
 static const command_t commands[] = {
+	{"check", cmd_check, "check a settings file or a desired state"},
 	{"serve", cmd_serve, "run the process of an entry VM"},
 	{"timeline", cmd_timeline, "merge the logs of several processes"},
 };
