Place requests with the queue and the routing modules

Cause: the first scheduler admitted everything and took engines in turn. Change: one queue for each decode pool, admission while decode memory and a prefill engine are in sight, reservations through reserve.h (fixed share until the ledger owner can be asked), load reports and results fed to the estimates, customers' limits.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -24,6 +24,14 @@
 	g_free(entry);
 }
 
+static void changed(backend_entry_t *entry, bool reported)
+{
+	backends_t *backends = entry->owner;
+
+	if (backends->on_changed)
+		backends->on_changed(backends->context, entry, reported);
+}
+
 static void on_load(void *context, const engine_load_t *load)
 {
 	backend_entry_t *entry = context;
@@ -31,6 +39,7 @@
 	entry->poll = NULL;
 	if (load->status != ENGINE_OK) {
 		backends_note_failure(entry);
+		changed(entry, false);
 		return;
 	}
 	entry->kv_total = load->kv_total;
@@ -49,6 +58,7 @@
 			  LOG_INT("kv_total", load->kv_total));
 	entry->reported_at_us = clock_now(&entry->owner->clock) -
 				load->age_ms * CLOCK_US_PER_MS;
+	changed(entry, true);
 }
 
 static gboolean on_poll(gpointer data)
@@ -79,6 +89,7 @@
 	backends->clock = clock;
 	backends->entries = g_ptr_array_new_with_free_func(entry_free);
 	backends->next = 0;
+	backends->on_changed = NULL;
 	backends->poll_timer =
 		g_timeout_add(POLL_INTERVAL_MS, on_poll, backends);
 }
@@ -128,6 +139,7 @@
 	entry->present = true;
 	if (backend->pool && !entry->kv_total)
 		entry->kv_total = backend->pool->kv_tokens;
+	entry->max_prefills = backend->pool ? backend->pool->max_prefills : 0;
 }
 
 /*
@@ -158,6 +170,7 @@
 	entry->leaving = true;
 	log_event(LOG_INFO, "backend_leaving", LOG_CSTR("backend", entry->name),
 		  LOG_CSTR("source", "vm_list"));
+	changed(entry, false);
 }
 
 /* Tells whether a backend server may get new work. */
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -3,6 +3,7 @@
 #define PROCESS_BACKENDS_H
 
 #include "connection/engine.h"
+#include "process/route.h"
 #include "version/state.h"
 
 typedef struct backends backends_t;
@@ -24,15 +25,26 @@
 	int64_t failed_until_us; /* not chosen before, after failures */
 	int failures; /* in a row */
 	int64_t in_flight; /* calls of this process */
+	int64_t max_prefills; /* at once */
 	engine_call_t *poll;
+	route_t *route; /* pool that the scheduler put it in, or NULL */
+	route_engine_t *engine; /* its place there */
 } backend_entry_t;
 
+/* Called when an entry's health or place in the state changed, or with
+ * `reported` when a load report came.
+ */
+typedef void (*backends_changed_fn_t)(void *context, backend_entry_t *entry,
+				      bool reported);
+
 struct backends {
 	client_t *client;
 	clock_source_t clock;
 	GPtrArray *entries; /* of backend_entry_t */
 	guint poll_timer;
 	guint next; /* round-robin position */
+	backends_changed_fn_t on_changed; /* may be NULL */
+	void *context;
 };
 
 void backends_init(backends_t *backends, client_t *client,
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -13,6 +13,7 @@
 static const command_t commands[] = {
 	{"check", cmd_check, "check a settings file or a desired state"},
 	{"serve", cmd_serve, "run the process of an entry VM"},
+	{"status", cmd_status, "show what a VM knows"},
 	{"timeline", cmd_timeline, "merge the logs of several processes"},
 };
 
--- /dev/null
+++ b/src/process/reserve.h
@@ -0,0 +1,58 @@
+/* The router's side of reservations of decode memory: asks the ledger owner
+ * of an engine, and falls back to this router's fixed share while the owner
+ * cannot be reached. Callbacks are never called before the function that
+ * takes them has returned.
+ */
+#ifndef PROCESS_RESERVE_H
+#define PROCESS_RESERVE_H
+
+#include "process/clock.h"
+#include "process/ledger.h"
+#include "process/route.h"
+#include "process/share.h"
+
+typedef enum {
+	RESERVE_GRANTED,
+	RESERVE_FULL, /* not now; another engine may have room */
+	RESERVE_REFUSED, /* never: larger than the engine, or a late attempt */
+} reserve_code_t;
+
+typedef struct {
+	reserve_code_t code;
+	int64_t free_tokens; /* of the engine; negative: not known */
+} reserve_result_t;
+
+typedef void (*reserve_fn_t)(void *context, const reserve_result_t *result);
+
+typedef struct {
+	str_t engine; /* IP:port */
+	str_t zone; /* of the engine */
+	int64_t capacity; /* of the engine, tokens */
+	ledger_key_t key;
+	int64_t tokens;
+	int priority;
+	int64_t answer_by_us; /* without an answer then, the fallback applies */
+	int64_t deadline_us; /* of the request */
+} reserve_want_t;
+
+typedef struct {
+	route_policy_t policy;
+	unsigned routers; /* in the deployment, dead or alive */
+	clock_source_t clock;
+	GHashTable *engines; /* address to reserve_engine_t */
+	GHashTable *asks; /* id to reserve_ask_t */
+	uint32_t next_ask;
+} reserve_t;
+
+void reserve_init(reserve_t *reserve, route_policy_t policy, unsigned routers,
+		  clock_source_t clock);
+void reserve_finish(reserve_t *reserve);
+uint32_t reserve_ask(reserve_t *reserve, const reserve_want_t *want,
+		     reserve_fn_t fn, void *context);
+void reserve_cancel(reserve_t *reserve, uint32_t ask);
+void reserve_release(reserve_t *reserve, str_t engine, const ledger_key_t *key,
+		     bool after_cancel);
+void reserve_set_phase(reserve_t *reserve, str_t engine,
+		       const ledger_key_t *key, ledger_phase_t phase);
+
+#endif
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -14,6 +14,7 @@
 	hlc_t hlc;
 	client_t client;
 	backends_t backends;
+	reserve_t reserve;
 	scheduler_t scheduler;
 	state_t *state; /* version in effect; NULL until one is known */
 	uint64_t incarnation; /* microseconds of wall time at start */
--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -1,144 +1,256 @@
 #include "process/scheduler.h"
 
-/* When to come back if no engine is usable. */
-#define RETRY_AFTER_US (1 * CLOCK_US_PER_S)
-
-struct scheduler_ticket {
-	scheduler_t *scheduler;
-	scheduler_request_t request;
-	uint32_t reserving; /* attempt that waits for on_reserved, or 0 */
-	const backend_entry_t *avoid;
-	guint admit_source;
-	guint reserve_source;
-};
+#include "process/log.h"
+
+/* Prefixes remembered as hints: about 8 MB. */
+#define MAX_PREFIXES 65536
+
+#define MAX_ROUTERS 64
+
+static uint32_t random_number(void *context)
+{
+	scheduler_t *scheduler = context;
+
+	/* xorshift64*: placement needs spread, not secrecy. */
+	scheduler->random_state ^= scheduler->random_state >> 12;
+	scheduler->random_state ^= scheduler->random_state << 25;
+	scheduler->random_state ^= scheduler->random_state >> 27;
+	return (uint32_t)((scheduler->random_state *
+			   UINT64_C(0x2545F4914F6CDD1D)) >>
+			  32);
+}
+
+static int64_t now_of(const scheduler_t *scheduler)
+{
+	return clock_now(&scheduler->clock);
+}
+
+static void pool_free(gpointer data)
+{
+	scheduler_pool_t *pool = data;
+
+	if (pool->timer)
+		g_source_remove(pool->timer);
+	g_queue_clear(&pool->waiting);
+	queue_finish(&pool->queue);
+	route_finish(&pool->route);
+	g_free(pool->name);
+	g_free(pool);
+}
+
+/* This router's index among all routers, in the order of their names. */
+static unsigned own_index(const settings_t *settings)
+{
+	unsigned index = 0;
+
+	for (guint i = 0; i < settings->peers->len; i++) {
+		const settings_peer_t *peer =
+			&g_array_index(settings->peers, settings_peer_t, i);
+
+		index += strcmp(peer->vm, settings->vm) < 0;
+	}
+	return index;
+}
 
 /* Sets up the scheduler; what it is given must outlive it. */
 void scheduler_init(scheduler_t *scheduler, backends_t *backends,
-		    clock_source_t clock)
+		    reserve_t *reserve, clock_source_t clock,
+		    const settings_t *settings, uint64_t seed)
 {
+	unsigned routers = MIN(settings->peers->len + 1, MAX_ROUTERS);
+
+	memset(scheduler, 0, sizeof(*scheduler));
 	scheduler->backends = backends;
+	scheduler->reserve = reserve;
 	scheduler->clock = clock;
+	scheduler->random_state = seed | 1;
+	scheduler->zone = g_strdup(settings->zone);
+	scheduler->config = (route_config_t){
+		.policy = reserve->policy,
+		.zone = str_from(scheduler->zone),
+		.routers = routers,
+		.random = random_number,
+		.random_context = scheduler,
+	};
+	prefix_init(&scheduler->prefix, MAX_PREFIXES);
+	limit_init(&scheduler->limit, routers,
+		   MIN(own_index(settings), MAX_ROUTERS - 1),
+		   now_of(scheduler));
+	scheduler->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 }
 
 /* All tickets must have left. */
 void scheduler_finish(scheduler_t *scheduler)
 {
-	scheduler->backends = NULL;
+	g_hash_table_unref(scheduler->pools);
+	limit_finish(&scheduler->limit);
+	prefix_finish(&scheduler->prefix);
+	g_free(scheduler->zone);
 }
 
-static gboolean on_admit(gpointer data)
+/* Returns the pool with a name, or NULL. */
+scheduler_pool_t *scheduler_find_pool(scheduler_t *scheduler, str_t name)
 {
-	scheduler_ticket_t *ticket = data;
+	char *key = str_dup(name);
+	scheduler_pool_t *pool = g_hash_table_lookup(scheduler->pools, key);
 
-	ticket->admit_source = 0;
-	ticket->request.on_admitted(ticket->request.context);
-	return G_SOURCE_REMOVE;
+	g_free(key);
+	return pool;
 }
 
-/*
- * Queues a request. Exactly one of on_admitted and on_refused follows, unless
- * the ticket leaves first.
- */
-scheduler_ticket_t *scheduler_submit(scheduler_t *scheduler,
-				     const scheduler_request_t *request)
+static void add_pool(scheduler_t *scheduler, const state_t *state,
+		     const pool_t *from)
 {
-	scheduler_ticket_t *ticket = g_new0(scheduler_ticket_t, 1);
+	scheduler_pool_t *pool = scheduler_find_pool(scheduler, from->name);
+	bool prefill = from->role == ROLE_PREFILL;
 
-	ticket->scheduler = scheduler;
-	ticket->request = *request;
-	ticket->admit_source = g_idle_add(on_admit, ticket);
-	return ticket;
+	if (pool)
+		return;
+	pool = g_new0(scheduler_pool_t, 1);
+	pool->scheduler = scheduler;
+	pool->name = str_dup(from->name);
+	g_queue_init(&pool->waiting);
+	scheduler->config.max_transfers = state->limits.transfers_per_link;
+	route_init(&pool->route,
+		   prefill ? ROUTE_PREFILL_POOL : ROUTE_DECODE_POOL,
+		   &scheduler->config, prefill ? &scheduler->prefix : NULL);
+	queue_init(&pool->queue, (size_t)state->limits.max_queue);
+	g_hash_table_insert(scheduler->pools, pool->name, pool);
 }
 
-/* Ends a ticket in any state; its callbacks are not called again. */
-void scheduler_leave(scheduler_ticket_t *ticket)
+static uint64_t customer_limit_id(const customer_t *customer)
 {
-	if (!ticket)
-		return;
-	if (ticket->admit_source)
-		g_source_remove(ticket->admit_source);
-	if (ticket->reserve_source)
-		g_source_remove(ticket->reserve_source);
-	g_free(ticket);
+	return limit_id(customer->name, STR(""));
 }
 
-static gboolean on_reserve(gpointer data)
+static void apply_limits(scheduler_t *scheduler, const state_t *state)
 {
-	scheduler_ticket_t *ticket = data;
-	backend_entry_t *engine = backends_pick(
-		ticket->scheduler->backends,
-		ticket->request.service->decode->name, STR(""), ticket->avoid);
-	int64_t now_us = clock_now(&ticket->scheduler->clock);
+	for (size_t i = 0; i < state->n_customers; i++) {
+		const customer_t *customer = &state->customers[i];
+		limit_values_t values = {
+			.requests_s = customer->requests_s,
+			.concurrency = customer->concurrency,
+		};
 
-	ticket->reserve_source = 0;
-	ticket->request.on_reserved(ticket->request.context, ticket->reserving,
-				    engine,
-				    engine ? 0 : now_us + RETRY_AFTER_US);
-	return G_SOURCE_REMOVE;
+		limit_set(&scheduler->limit, customer_limit_id(customer),
+			  values, now_of(scheduler));
+	}
 }
 
-/*
- * Reserves decode memory for an attempt at an engine other than `avoid` if
- * there is a choice. on_reserved follows once.
- */
-void scheduler_reserve(scheduler_ticket_t *ticket, uint32_t attempt,
-		       const backend_entry_t *avoid)
+/* Takes over the pools and limits of a state, after backends_apply(). */
+void scheduler_apply(scheduler_t *scheduler, const state_t *state)
 {
-	ticket->reserving = attempt;
-	ticket->avoid = avoid;
-	ticket->reserve_source = g_idle_add(on_reserve, ticket);
+	for (size_t i = 0; i < state->n_pools; i++)
+		add_pool(scheduler, state, &state->pools[i]);
+	apply_limits(scheduler, state);
+	for (guint i = 0; i < scheduler->backends->entries->len; i++)
+		scheduler_backend_changed(
+			scheduler,
+			g_ptr_array_index(scheduler->backends->entries, i),
+			false);
 }
 
-/*
- * Gives a reservation back. after_cancel tells that the engine may hold the
- * memory until its cancellation is confirmed.
- */
-void scheduler_release(scheduler_ticket_t *ticket, uint32_t attempt,
-		       backend_entry_t *engine, bool after_cancel)
+/* Moves an engine between pools once no request uses it. */
+static void place_entry(scheduler_t *scheduler, backend_entry_t *entry)
 {
-}
+	scheduler_pool_t *pool =
+		*entry->pool && entry->present
+			? g_hash_table_lookup(scheduler->pools, entry->pool)
+			: NULL;
+	route_engine_config_t config = {
+		.zone = str_from(entry->zone),
+		.kv_tokens = entry->kv_total,
+		.max_prefills = entry->max_prefills,
+		.context = entry,
+	};
 
-/* Returns a prefill engine, not `avoid` if there is a choice, or NULL. */
-backend_entry_t *scheduler_pick_prefill(scheduler_ticket_t *ticket,
-					const backend_entry_t *avoid)
-{
-	return backends_pick(ticket->scheduler->backends,
-			     ticket->request.service->prefill->name, STR(""),
-			     avoid);
+	if (entry->engine && entry->route != (pool ? &pool->route : NULL)) {
+		if (entry->engine->own_requests ||
+		    entry->engine->own_transfers) {
+			route_set_state(entry->route, entry->engine, false,
+					true);
+			return;
+		}
+		prefix_forget_engine(&scheduler->prefix,
+				     entry->engine->config.id);
+		route_remove(entry->route, entry->engine);
+		entry->engine = NULL;
+		entry->route = NULL;
+	}
+	if (!pool || entry->engine)
+		return;
+	config.id = ++scheduler->next_engine;
+	entry->route = &pool->route;
+	entry->engine = route_add(&pool->route, &config);
 }
 
-static void note_result(backend_entry_t *engine, bool ok)
+/*
+ * Takes over a change of a backend server: health, leaving, its place in the
+ * state or, if `reported`, a new load report.
+ */
+void scheduler_backend_changed(scheduler_t *scheduler, backend_entry_t *entry,
+			       bool reported)
 {
-	if (ok)
-		backends_note_success(engine);
-	else
-		backends_note_failure(engine);
-}
+	int64_t now_us = now_of(scheduler);
+	bool healthy = entry->present && now_us >= entry->failed_until_us;
 
-/* Reports the end of a prefill; computed_tokens excludes cached ones. */
-void scheduler_prefill_ended(scheduler_ticket_t *ticket,
-			     backend_entry_t *engine, bool ok,
-			     int64_t computed_tokens)
-{
-	note_result(engine, ok);
+	place_entry(scheduler, entry);
+	if (!entry->engine)
+		return;
+	route_set_state(entry->route, entry->engine, healthy, entry->leaving);
+	if (reported) {
+		route_load_t load = {
+			.kv_used = entry->kv_used,
+			.running = entry->running,
+			.queued = entry->queued,
+			.age_us = now_us - entry->reported_at_us,
+			.leaving = entry->leaving,
+		};
+
+		route_report(entry->route, entry->engine, &load, now_us);
+	}
 }
 
-/* Takes one of the engine's transfers; false if all are in use. */
-bool scheduler_import_begin(scheduler_ticket_t *ticket, backend_entry_t *engine)
+/* Requests queued over all pools. */
+size_t scheduler_queued(const scheduler_t *scheduler)
 {
-	return true;
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&iter, scheduler->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((scheduler_pool_t *)value)->queue.n_entries;
+	return n;
 }
 
-/* Gives the transfer back. */
-void scheduler_import_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
-			    bool ok)
+/*
+ * Counts a request against its customer's limits. False with a not-run verdict
+ * if it exceeds them; otherwise scheduler_customer_end() follows.
+ */
+bool scheduler_customer_begin(scheduler_t *scheduler,
+			      const customer_t *customer, verdict_t *verdict)
 {
-	note_result(engine, ok);
+	int64_t now_us = now_of(scheduler);
+	int64_t retry_at_us = now_us + CLOCK_US_PER_S;
+	limit_result_t result = limit_begin(&scheduler->limit,
+					    customer_limit_id(customer), now_us,
+					    &retry_at_us);
+
+	if (result == LIMIT_ADMITTED)
+		return true;
+	*verdict = verdict_retry_at(
+		verdict_make(RUN_NOT_RUN, VERDICT_RATE_LIMITED,
+			     result == LIMIT_RATE
+				     ? "customer's request rate exceeded"
+				     : "customer's concurrency exceeded"),
+		retry_at_us);
+	return false;
 }
 
-/* Reports the end of a decode with the tokens that it gave. */
-void scheduler_decode_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
-			    bool ok, int64_t tokens, int64_t elapsed_us)
+/* Ends what scheduler_customer_begin() began. */
+void scheduler_customer_end(scheduler_t *scheduler, const customer_t *customer)
 {
-	note_result(engine, ok);
+	limit_end(&scheduler->limit, customer_limit_id(customer));
 }
--- a/src/process/scheduler.h
+++ b/src/process/scheduler.h
@@ -6,6 +6,11 @@
 #define PROCESS_SCHEDULER_H
 
 #include "process/backends.h"
+#include "process/limit.h"
+#include "process/queue.h"
+#include "process/reserve.h"
+#include "process/route.h"
+#include "process/settings.h"
 #include "request/verdict.h"
 #include "version/state.h"
 
@@ -28,7 +33,7 @@
 	int64_t prompt_tokens;
 	int64_t max_tokens; /* of the output */
 	uint64_t prefix; /* prefix ID of the prompt; 0: none */
-	int64_t start_by_us; /* latest start that meets the first-token target */
+	int64_t start_by_us; /* when the first token is due */
 	int64_t deadline_us;
 	scheduler_admitted_fn_t on_admitted;
 	scheduler_refused_fn_t on_refused; /* not run; leave() follows */
@@ -36,6 +41,45 @@
 	void *context;
 } scheduler_request_t;
 
+/* One pool of the state: its engines and, for decode, its queue. */
+typedef struct {
+	scheduler_t *scheduler;
+	char *name;
+	route_t route;
+	queue_t queue;
+	unsigned reserving; /* admitted, without a reservation so far */
+	GQueue waiting; /* tickets that wait for decode memory */
+	guint timer;
+} scheduler_pool_t;
+
+struct scheduler {
+	backends_t *backends;
+	reserve_t *reserve;
+	clock_source_t clock;
+	route_config_t config;
+	char *zone;
+	size_t max_queue;
+	prefix_t prefix;
+	limit_t limit;
+	GHashTable *pools; /* name to scheduler_pool_t */
+	uint32_t next_engine;
+	uint64_t random_state;
+};
+
+void scheduler_init(scheduler_t *scheduler, backends_t *backends,
+		    reserve_t *reserve, clock_source_t clock,
+		    const settings_t *settings, uint64_t seed);
+void scheduler_finish(scheduler_t *scheduler);
+void scheduler_apply(scheduler_t *scheduler, const state_t *state);
+void scheduler_backend_changed(scheduler_t *scheduler, backend_entry_t *entry,
+			       bool reported);
+scheduler_pool_t *scheduler_find_pool(scheduler_t *scheduler, str_t name);
+size_t scheduler_queued(const scheduler_t *scheduler);
+
+bool scheduler_customer_begin(scheduler_t *scheduler,
+			      const customer_t *customer, verdict_t *verdict);
+void scheduler_customer_end(scheduler_t *scheduler, const customer_t *customer);
+
 scheduler_ticket_t *scheduler_submit(scheduler_t *scheduler,
 				     const scheduler_request_t *request);
 void scheduler_leave(scheduler_ticket_t *ticket);
@@ -55,13 +99,4 @@
 void scheduler_decode_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
 			    bool ok, int64_t tokens, int64_t elapsed_us);
 
-struct scheduler {
-	backends_t *backends;
-	clock_source_t clock;
-};
-
-void scheduler_init(scheduler_t *scheduler, backends_t *backends,
-		    clock_source_t clock);
-void scheduler_finish(scheduler_t *scheduler);
-
 #endif
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -138,6 +138,7 @@
 	server->router.state = state;
 	counters_set(GAUGE_STATE_VERSION, (int64_t)state->version);
 	backends_apply(&server->router.backends, state);
+	scheduler_apply(&server->router.scheduler, state);
 	log_event(LOG_INFO, "state_in_effect",
 		  LOG_UINT("version", state->version),
 		  LOG_UINT("backends", state->n_backends));
@@ -237,8 +238,17 @@
 	return false;
 }
 
+static void on_backend_changed(void *context, backend_entry_t *entry,
+			       bool reported)
+{
+	router_t *router = context;
+
+	scheduler_backend_changed(&router->scheduler, entry, reported);
+}
+
 static void router_init(router_t *router, const settings_t *settings)
 {
+	route_policy_t policy;
 	clock_source_t wall = clock_realtime();
 
 	router->settings = settings;
@@ -250,14 +260,22 @@
 	g_queue_init(&router->requests);
 	client_init(&router->client, router->clock);
 	backends_init(&router->backends, &router->client, router->clock);
-	scheduler_init(&router->scheduler, &router->backends, router->clock);
+	if (!route_policy_parse(str_from(settings->routing_policy), &policy))
+		policy = ROUTE_LEDGER;
+	reserve_init(&router->reserve, policy, settings->peers->len + 1,
+		     router->clock);
+	scheduler_init(&router->scheduler, &router->backends, &router->reserve,
+		       router->clock, settings, router->id_prefix);
+	router->backends.on_changed = on_backend_changed;
+	router->backends.context = router;
 	router->loop = g_main_loop_new(NULL, FALSE);
 }
 
 static void router_finish(router_t *router)
 {
-	scheduler_finish(&router->scheduler);
 	backends_finish(&router->backends);
+	scheduler_finish(&router->scheduler);
+	reserve_finish(&router->reserve);
 	client_finish(&router->client);
 	if (router->state)
 		state_unref(router->state);
--- /dev/null
+++ b/src/process/ticket.c
@@ -0,0 +1,551 @@
+#include "process/counters.h"
+#include "process/scheduler.h"
+
+/* While the queue is not empty it is looked at again after this time, since
+ * load reports of others may have freed memory.
+ */
+#define PUMP_INTERVAL_MS 5
+
+/* Requests of one pool that may ask for decode memory at once. More would
+ * leave the queue's order before they can be started.
+ */
+#define MAX_RESERVING 4
+
+/* The ledger owner answers within a round trip; later the share applies. */
+#define RESERVE_ANSWER_US (50 * CLOCK_US_PER_MS)
+
+/* Allowance for import and the first output token. */
+#define FIRST_TOKEN_ALLOWANCE_US (60 * CLOCK_US_PER_MS)
+
+#define NO_ENGINE_RETRY_US (1 * CLOCK_US_PER_S)
+#define MAX_EXCEPT 8
+
+typedef struct {
+	uint32_t attempt;
+	backend_entry_t *entry;
+} holding_t;
+
+struct scheduler_ticket {
+	scheduler_t *scheduler;
+	scheduler_pool_t *decode_pool;
+	scheduler_pool_t *prefill_pool;
+	scheduler_request_t request;
+	queue_entry_t *queued; /* NULL once admitted or refused */
+	verdict_t verdict; /* for on_refused */
+	guint source; /* admission or refusal to be reported */
+	bool counted; /* in the pool's `reserving` */
+	bool limited; /* counts against the customer's limits */
+
+	uint32_t attempt; /* reservation in progress, or 0 */
+	uint32_t ask;
+	backend_entry_t *asked;
+	const route_engine_t *except[MAX_EXCEPT];
+	size_t n_except;
+	bool waiting; /* in the pool's list */
+	GArray *holdings;
+
+	backend_entry_t *prefill; /* in progress, or NULL */
+	int64_t prefill_started_us;
+	backend_entry_t *import; /* in progress, or NULL */
+};
+
+static int64_t now_of(const scheduler_t *scheduler)
+{
+	return clock_now(&scheduler->clock);
+}
+
+static gboolean report_refusal(gpointer data)
+{
+	scheduler_ticket_t *ticket = data;
+
+	ticket->source = 0;
+	ticket->request.on_refused(ticket->request.context, &ticket->verdict);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean report_admission(gpointer data)
+{
+	scheduler_ticket_t *ticket = data;
+
+	ticket->source = 0;
+	ticket->request.on_admitted(ticket->request.context);
+	return G_SOURCE_REMOVE;
+}
+
+static void refuse(scheduler_ticket_t *ticket, verdict_t verdict)
+{
+	ticket->queued = NULL;
+	ticket->verdict = verdict;
+	ticket->source = g_idle_add_full(G_PRIORITY_DEFAULT, report_refusal,
+					 ticket, NULL);
+}
+
+static verdict_t overloaded(const char *detail, int64_t retry_at_us)
+{
+	return verdict_retry_at(verdict_make(RUN_NOT_RUN, VERDICT_OVERLOADED,
+					     detail),
+				retry_at_us);
+}
+
+static int64_t decode_tokens(const scheduler_ticket_t *ticket)
+{
+	return ticket->request.prompt_tokens + ticket->request.max_tokens;
+}
+
+static void uncount(scheduler_ticket_t *ticket)
+{
+	if (!ticket->counted)
+		return;
+	ticket->counted = false;
+	ticket->decode_pool->reserving--;
+}
+
+static void admit(scheduler_ticket_t *ticket)
+{
+	ticket->queued = NULL;
+	ticket->counted = true;
+	ticket->decode_pool->reserving++;
+	ticket->source = g_idle_add_full(G_PRIORITY_DEFAULT, report_admission,
+					 ticket, NULL);
+}
+
+static queue_request_t queue_request_of(const scheduler_ticket_t *ticket)
+{
+	const scheduler_request_t *request = &ticket->request;
+
+	return (queue_request_t){
+		.customer = request->customer->name,
+		.weight = request->customer->weight,
+		.priority = request->service->priority,
+		.worth = request->service->worth,
+		.cost_tokens = decode_tokens(ticket),
+		.start_by_us = request->start_by_us,
+		.context = (void *)ticket,
+	};
+}
+
+static void on_expired(void *entry_context, void *context)
+{
+	scheduler_ticket_t *ticket = entry_context;
+	scheduler_pool_t *pool = context;
+	queue_request_t request = queue_request_of(ticket);
+
+	refuse(ticket,
+	       overloaded("first-token target cannot be met",
+			  now_of(pool->scheduler) +
+				  MAX(queue_wait_us(&pool->queue, &request),
+				      CLOCK_US_PER_S)));
+}
+
+/* Tells whether a request at the head of the queue could be placed now. */
+static bool can_place(const scheduler_ticket_t *ticket)
+{
+	route_decode_t decode = {.tokens = decode_tokens(ticket)};
+	route_prefill_t prefill = {
+		.prompt_tokens = ticket->request.prompt_tokens,
+		.finish_by_us = ticket->request.deadline_us,
+	};
+	int64_t now_us = now_of(ticket->scheduler);
+
+	return route_pick_decode(&ticket->decode_pool->route, &decode,
+				 now_us) &&
+	       route_pick_prefill(&ticket->prefill_pool->route, &prefill,
+				  now_us);
+}
+
+static void start_reserve(scheduler_ticket_t *ticket);
+static void pool_pump(scheduler_pool_t *pool);
+
+/* Gives the tickets that wait for memory another try. */
+static void retry_waiting(scheduler_pool_t *pool)
+{
+	guint n = g_queue_get_length(&pool->waiting);
+
+	while (n--) {
+		scheduler_ticket_t *ticket = g_queue_pop_head(&pool->waiting);
+
+		ticket->waiting = false;
+		start_reserve(ticket);
+	}
+}
+
+static gboolean on_pump(gpointer data)
+{
+	scheduler_pool_t *pool = data;
+
+	pool->timer = 0;
+	retry_waiting(pool);
+	pool_pump(pool);
+	return G_SOURCE_REMOVE;
+}
+
+static void arm_pump(scheduler_pool_t *pool)
+{
+	bool idle = pool->queue.n_entries == 0 &&
+		    g_queue_is_empty(&pool->waiting);
+
+	if (!idle && !pool->timer)
+		pool->timer = g_timeout_add(PUMP_INTERVAL_MS, on_pump, pool);
+}
+
+/* Admits from the queue while there is room. */
+static void pool_pump(scheduler_pool_t *pool)
+{
+	int64_t now_us = now_of(pool->scheduler);
+	scheduler_ticket_t *ticket;
+
+	queue_expire(&pool->queue, now_us, on_expired, pool);
+	while (pool->reserving < MAX_RESERVING &&
+	       (ticket = queue_peek(&pool->queue)) && can_place(ticket)) {
+		queue_pop(&pool->queue, now_us);
+		admit(ticket);
+	}
+	counters_set(GAUGE_QUEUE_LENGTH,
+		     (int64_t)scheduler_queued(pool->scheduler));
+	arm_pump(pool);
+}
+
+/* Time by which the prefill has to start for the first token to be in time. */
+static int64_t latest_start(const scheduler_ticket_t *ticket)
+{
+	route_prefill_t want = {
+		.prompt_tokens = ticket->request.prompt_tokens,
+		.finish_by_us = INT64_MAX,
+	};
+	int64_t now_us = now_of(ticket->scheduler);
+	route_t *route = &ticket->prefill_pool->route;
+	route_engine_t *engine = route_pick_prefill(route, &want, now_us);
+	int64_t prefill_us =
+		engine ? route_prefill_us(route, engine,
+					  ticket->request.prompt_tokens, now_us)
+		       : 0;
+
+	return ticket->request.start_by_us - prefill_us -
+	       FIRST_TOKEN_ALLOWANCE_US;
+}
+
+static void enqueue(scheduler_ticket_t *ticket)
+{
+	queue_t *queue = &ticket->decode_pool->queue;
+	queue_request_t request;
+	queue_outcome_t outcome;
+
+	ticket->request.start_by_us = latest_start(ticket);
+	request = queue_request_of(ticket);
+	outcome = queue_push(queue, &request, now_of(ticket->scheduler));
+	if (outcome.evicted)
+		refuse(outcome.evicted,
+		       overloaded("queue full", outcome.retry_at_us));
+	switch (outcome.result) {
+	case QUEUE_ACCEPTED:
+		ticket->queued = outcome.entry;
+		pool_pump(ticket->decode_pool);
+		break;
+	case QUEUE_LATE:
+		refuse(ticket, overloaded("first-token target cannot be met",
+					  outcome.retry_at_us));
+		break;
+	case QUEUE_FULL:
+		refuse(ticket, overloaded("queue full", outcome.retry_at_us));
+		break;
+	}
+}
+
+/*
+ * Queues a request. Exactly one of on_admitted and on_refused follows, unless
+ * the ticket leaves first.
+ */
+scheduler_ticket_t *scheduler_submit(scheduler_t *scheduler,
+				     const scheduler_request_t *request)
+{
+	scheduler_ticket_t *ticket = g_new0(scheduler_ticket_t, 1);
+	verdict_t verdict;
+
+	ticket->scheduler = scheduler;
+	ticket->request = *request;
+	ticket->holdings = g_array_new(FALSE, FALSE, sizeof(holding_t));
+	ticket->decode_pool =
+		scheduler_find_pool(scheduler, request->service->decode->name);
+	ticket->prefill_pool =
+		scheduler_find_pool(scheduler, request->service->prefill->name);
+	if (!scheduler_customer_begin(scheduler, request->customer, &verdict)) {
+		refuse(ticket, verdict);
+		return ticket;
+	}
+	ticket->limited = true;
+	enqueue(ticket);
+	return ticket;
+}
+
+static ledger_key_t key_of(const scheduler_ticket_t *ticket, uint32_t attempt)
+{
+	ledger_key_t key = {.attempt = attempt};
+
+	for (size_t i = 0; i < LEDGER_ID_BYTES; i++)
+		key.request[i] =
+			(uint8_t)(g_ascii_xdigit_value(
+					  ticket->request.id[2 * i]) *
+					  16 +
+				  g_ascii_xdigit_value(
+					  ticket->request.id[2 * i + 1]));
+	return key;
+}
+
+static void drop_holding(scheduler_ticket_t *ticket, guint index,
+			 bool after_cancel)
+{
+	holding_t held = g_array_index(ticket->holdings, holding_t, index);
+	ledger_key_t key = key_of(ticket, held.attempt);
+
+	g_array_remove_index_fast(ticket->holdings, index);
+	reserve_release(ticket->scheduler->reserve,
+			str_from(held.entry->address), &key, after_cancel);
+	route_end(held.entry->route, held.entry->engine, decode_tokens(ticket));
+}
+
+/* Ends a ticket in any state; its callbacks are not called again. */
+void scheduler_leave(scheduler_ticket_t *ticket)
+{
+	scheduler_pool_t *pool;
+
+	if (!ticket)
+		return;
+	pool = ticket->decode_pool;
+	if (ticket->queued)
+		queue_remove(&pool->queue, ticket->queued);
+	if (ticket->source)
+		g_source_remove(ticket->source);
+	if (ticket->ask)
+		reserve_cancel(ticket->scheduler->reserve, ticket->ask);
+	if (ticket->waiting)
+		g_queue_remove(&pool->waiting, ticket);
+	if (ticket->prefill)
+		route_end(ticket->prefill->route, ticket->prefill->engine,
+			  ticket->request.prompt_tokens);
+	if (ticket->import)
+		route_transfer_end(ticket->import->route,
+				   ticket->import->engine);
+	while (ticket->holdings->len)
+		drop_holding(ticket, 0, true);
+	uncount(ticket);
+	if (ticket->limited)
+		scheduler_customer_end(ticket->scheduler,
+				       ticket->request.customer);
+	g_array_unref(ticket->holdings);
+	g_free(ticket);
+	pool_pump(pool);
+}
+
+static void report_reserved(scheduler_ticket_t *ticket, backend_entry_t *entry,
+			    int64_t retry_at_us)
+{
+	uint32_t attempt = ticket->attempt;
+
+	ticket->attempt = 0;
+	uncount(ticket);
+	pool_pump(ticket->decode_pool);
+	ticket->request.on_reserved(ticket->request.context, attempt, entry,
+				    retry_at_us);
+}
+
+static void wait_for_memory(scheduler_ticket_t *ticket)
+{
+	int64_t now_us = now_of(ticket->scheduler);
+
+	if (now_us >= ticket->request.start_by_us) {
+		report_reserved(ticket, NULL, now_us + NO_ENGINE_RETRY_US);
+		return;
+	}
+	ticket->n_except = 0;
+	ticket->waiting = true;
+	g_queue_push_tail(&ticket->decode_pool->waiting, ticket);
+	arm_pump(ticket->decode_pool);
+}
+
+static void add_except(scheduler_ticket_t *ticket, const route_engine_t *engine)
+{
+	if (engine && ticket->n_except < MAX_EXCEPT)
+		ticket->except[ticket->n_except++] = engine;
+}
+
+static void on_reserve_answer(void *context, const reserve_result_t *result)
+{
+	scheduler_ticket_t *ticket = context;
+	backend_entry_t *entry = ticket->asked;
+	holding_t held = {ticket->attempt, entry};
+
+	ticket->ask = 0;
+	ticket->asked = NULL;
+	if (result->free_tokens >= 0)
+		route_learn_free(entry->route, entry->engine,
+				 result->free_tokens,
+				 now_of(ticket->scheduler));
+	if (result->code == RESERVE_GRANTED) {
+		counters_add(COUNTER_LEDGER_GRANTS, 1);
+		route_begin(entry->route, entry->engine, decode_tokens(ticket));
+		g_array_append_val(ticket->holdings, held);
+		report_reserved(ticket, entry, 0);
+		return;
+	}
+	counters_add(COUNTER_LEDGER_REFUSALS, 1);
+	add_except(ticket, entry->engine);
+	start_reserve(ticket);
+}
+
+/* Asks for memory at the best engine that has not refused yet. */
+static void start_reserve(scheduler_ticket_t *ticket)
+{
+	route_decode_t want = {
+		.tokens = decode_tokens(ticket),
+		.except = ticket->except,
+		.n_except = ticket->n_except,
+	};
+	int64_t now_us = now_of(ticket->scheduler);
+	route_engine_t *engine =
+		route_pick_decode(&ticket->decode_pool->route, &want, now_us);
+	reserve_want_t reserve = {
+		.tokens = want.tokens,
+		.priority = ticket->request.service->priority,
+		.answer_by_us = now_us + RESERVE_ANSWER_US,
+		.deadline_us = ticket->request.deadline_us,
+	};
+
+	if (!engine || ticket->n_except == MAX_EXCEPT) {
+		wait_for_memory(ticket);
+		return;
+	}
+	ticket->asked = engine->config.context;
+	reserve.engine = str_from(ticket->asked->address);
+	reserve.zone = str_from(ticket->asked->zone);
+	reserve.capacity = ticket->asked->kv_total;
+	reserve.key = key_of(ticket, ticket->attempt);
+	ticket->ask = reserve_ask(ticket->scheduler->reserve, &reserve,
+				  on_reserve_answer, ticket);
+}
+
+static gboolean on_reserve_begin(gpointer data)
+{
+	scheduler_ticket_t *ticket = data;
+
+	ticket->source = 0;
+	start_reserve(ticket);
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * Reserves decode memory for an attempt at an engine other than `avoid`.
+ * on_reserved follows once: with an engine, or with none when the first-token
+ * target can no longer be met.
+ */
+void scheduler_reserve(scheduler_ticket_t *ticket, uint32_t attempt,
+		       const backend_entry_t *avoid)
+{
+	ticket->attempt = attempt;
+	ticket->n_except = 0;
+	if (avoid)
+		add_except(ticket, avoid->engine);
+	ticket->source = g_idle_add_full(G_PRIORITY_DEFAULT, on_reserve_begin,
+					 ticket, NULL);
+}
+
+/*
+ * Gives a reservation back. after_cancel tells that the engine may hold the
+ * memory until its cancellation is confirmed.
+ */
+void scheduler_release(scheduler_ticket_t *ticket, uint32_t attempt,
+		       backend_entry_t *engine, bool after_cancel)
+{
+	for (guint i = 0; i < ticket->holdings->len; i++) {
+		holding_t *held =
+			&g_array_index(ticket->holdings, holding_t, i);
+
+		if (held->attempt == attempt && held->entry == engine) {
+			drop_holding(ticket, i, after_cancel);
+			pool_pump(ticket->decode_pool);
+			return;
+		}
+	}
+}
+
+/* Returns a prefill engine, not `avoid` if there is a choice, or NULL. */
+backend_entry_t *scheduler_pick_prefill(scheduler_ticket_t *ticket,
+					const backend_entry_t *avoid)
+{
+	route_prefill_t want = {
+		.prompt_tokens = ticket->request.prompt_tokens,
+		.prefix = ticket->request.prefix,
+		.finish_by_us = ticket->request.deadline_us,
+		.except = avoid ? avoid->engine : NULL,
+	};
+	int64_t now_us = now_of(ticket->scheduler);
+	route_t *route = &ticket->prefill_pool->route;
+	route_engine_t *engine = route_pick_prefill(route, &want, now_us);
+
+	if (!engine)
+		return NULL;
+	ticket->prefill = engine->config.context;
+	ticket->prefill_started_us = now_us;
+	route_begin(route, engine, want.prompt_tokens);
+	return ticket->prefill;
+}
+
+static void note_result(scheduler_t *scheduler, backend_entry_t *entry, bool ok)
+{
+	if (ok)
+		backends_note_success(entry);
+	else
+		backends_note_failure(entry);
+	scheduler_backend_changed(scheduler, entry, false);
+}
+
+/* Reports the end of a prefill; computed_tokens excludes cached ones. */
+void scheduler_prefill_ended(scheduler_ticket_t *ticket,
+			     backend_entry_t *engine, bool ok,
+			     int64_t computed_tokens)
+{
+	int64_t now_us = now_of(ticket->scheduler);
+	scheduler_request_t *request = &ticket->request;
+
+	if (ticket->prefill != engine || !engine)
+		return;
+	ticket->prefill = NULL;
+	route_end(engine->route, engine->engine, request->prompt_tokens);
+	if (ok && computed_tokens > 0)
+		route_prefilled(engine->route, engine->engine, computed_tokens,
+				now_us - ticket->prefill_started_us, now_us);
+	if (ok && request->prefix)
+		prefix_used(&ticket->scheduler->prefix,
+			    engine->engine->config.id, request->prefix,
+			    computed_tokens < request->prompt_tokens);
+	note_result(ticket->scheduler, engine, ok);
+}
+
+/* Takes one of the engine's transfers; false if all are in use. */
+bool scheduler_import_begin(scheduler_ticket_t *ticket, backend_entry_t *engine)
+{
+	if (!route_transfer_begin(engine->route, engine->engine))
+		return false;
+	ticket->import = engine;
+	return true;
+}
+
+/* Gives the transfer back. */
+void scheduler_import_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
+			    bool ok)
+{
+	if (ticket->import == engine) {
+		ticket->import = NULL;
+		route_transfer_end(engine->route, engine->engine);
+	}
+	note_result(ticket->scheduler, engine, ok);
+}
+
+/* Reports the end of a decode with the tokens that it gave. */
+void scheduler_decode_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
+			    bool ok, int64_t tokens, int64_t elapsed_us)
+{
+	if (ok && tokens > 0 && engine->engine)
+		route_decoded(engine->route, engine->engine, tokens, elapsed_us,
+			      now_of(ticket->scheduler));
+	note_result(ticket->scheduler, engine, ok);
+}
