--- a/src/process/limit.h
+++ b/src/process/limit.h
@@ -4,16 +4,19 @@
  * starts round r + 1 only after it has every member's report of round r, so
  * two routers are never more than one round apart. A router applies the lower
  * of its last two shares, which makes the sum of all shares at most the limit
- * although the routers switch at different times.
+ * although the routers switch at different times. Members that are cut off
+ * from others share only their part of the limit, members / routers.
  *
- * Error bound, for a limit L, N routers, a rate burst of B seconds:
+ * Error bound, for a limit L and N routers:
  * - rounds complete: the sum of the shares is at most L;
- * - some routers cut off: those use L / N, the others still use their last
- *   shares until the round times out, so the sum is below 2 L for at most
- *   LIMIT_ROUND_TIMEOUT_US, and at most L afterwards;
- * - rate: in addition at most B * L requests at once from saved-up tokens;
- * - concurrency: in addition the requests that were in progress when a share
- *   was lowered, until they end.
+ * - some routers are cut off: they use L / N, and the others their last shares
+ *   until their round times out, so the sum is below 2 L for at most
+ *   LIMIT_ROUND_TIMEOUT_US after the last of them was cut off, and at most L
+ *   afterwards;
+ * - rate: in addition saved-up tokens, at most LIMIT_BURST_US of a share or one
+ *   request for each router;
+ * - concurrency: in addition the requests in progress when a share was
+ *   lowered, until they end.
  */
 #ifndef PROCESS_LIMIT_H
 #define PROCESS_LIMIT_H
@@ -25,6 +28,7 @@
 #define LIMIT_ROUTERS_MAX 64
 #define LIMIT_ROUND_US INT64_C(500000)
 #define LIMIT_ROUND_TIMEOUT_US INT64_C(2000000)
+#define LIMIT_BURST_US INT64_C(500000)
 
 typedef struct {
 	double requests_s; /* over the fleet; 0: none */
@@ -34,7 +38,8 @@
 /* One customer's use of one limit at one router. */
 typedef struct {
 	uint64_t id; /* hash of customer and service, same on all routers */
-	double demand_s; /* requests per second, admitted or not */
+	double demand_s; /* requests per second, admitted or not, in thousandths
+			  */
 	int64_t running;
 } limit_usage_t;
 
@@ -46,12 +51,15 @@
 
 typedef struct {
 	unsigned routers; /* in the deployment, at most LIMIT_ROUTERS_MAX */
-	unsigned self; /* own index, the same numbering on all routers */
+	unsigned self; /* own number, the same numbering on all routers */
 	uint64_t members; /* bit for each router that takes part in rounds */
-	uint64_t round; /* of the own report */
-	uint64_t reported; /* bit for each router whose report is present */
+	uint64_t round; /* of the own last report */
+	uint64_t reported[2]; /* routers whose report of an even, odd round
+			       * is present
+			       */
 	int64_t round_started_us;
-	bool cut_off; /* fixed shares apply */
+	int64_t sent_us; /* when reports were last due */
+	unsigned complete; /* rounds in sequence, up to 2 */
 	GHashTable *entries; /* by id */
 } limit_t;
 
@@ -64,15 +72,16 @@
 void limit_set(limit_t *limit, uint64_t id, limit_values_t values,
 	       int64_t now_us);
 void limit_remove(limit_t *limit, uint64_t id);
-void limit_set_members(limit_t *limit, uint64_t members);
+void limit_set_members(limit_t *limit, uint64_t members, unsigned routers);
 limit_result_t limit_begin(limit_t *limit, uint64_t id, int64_t now_us,
 			   int64_t *retry_at_us);
 void limit_end(limit_t *limit, uint64_t id);
-bool limit_tick(limit_t *limit, int64_t now_us);
-size_t limit_report(const limit_t *limit, limit_usage_fn_t visit,
-		    void *context);
-bool limit_receive(limit_t *limit, unsigned router, uint64_t round,
-		   const limit_usage_t *usage, size_t n_usage);
+unsigned limit_tick(limit_t *limit, int64_t now_us);
+size_t limit_report(const limit_t *limit, uint64_t round,
+		    limit_usage_fn_t visit, void *context);
+void limit_receive(limit_t *limit, unsigned router, uint64_t round,
+		   const limit_usage_t *usage, size_t n_usage, int64_t now_us);
+bool limit_is_fixed(const limit_t *limit);
 double limit_share_rate(const limit_t *limit, uint64_t id);
 int64_t limit_share_concurrency(const limit_t *limit, uint64_t id);
 
