Execute requests by their state machines

Cause: the thin path ended a request at the first failure of an engine, sent one unconfirmed cancel, and let a process that was told to stop end before its last responses were written. Change: src/request/execute.c carries out the actions of the request state machine, canceller.c repeats cancels until confirmed, forward.c follows the state machine of plain calls. The retry budget is one for the process. A graceful shutdown also waits for plain calls, for responses that are still being written and, up to 3 s, for cancels. Plain calls count against the customer's limits.

--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -163,11 +163,21 @@
 				 receive);
 }
 
+static void on_finished(SoupServerMessage *message, gpointer data)
+{
+	listener_t *listener = data;
+
+	listener->open_requests--;
+}
+
 static void on_whole(SoupServer *server, SoupServerMessage *message,
 		     const char *path, GHashTable *query, gpointer data)
 {
 	listener_t *listener = data;
 
+	listener->open_requests++;
+	g_signal_connect(message, "finished", G_CALLBACK(on_finished),
+			 listener);
 	listener->on_request(listener->context, message, str_from(path));
 }
 
@@ -186,6 +196,7 @@
 	bool ok;
 
 	listener->server = NULL;
+	listener->open_requests = 0;
 	if (!parsed)
 		return false;
 	inet = g_inet_socket_address_new_from_string(
@@ -238,6 +249,12 @@
 	g_slist_free(sockets);
 }
 
+/* Requests whose responses have not been written whole, nor cut. */
+unsigned listener_open_requests(const listener_t *listener)
+{
+	return listener->open_requests;
+}
+
 /* Closes everything. */
 void listener_finish(listener_t *listener)
 {
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -22,6 +22,7 @@
 	listener_limits_t limits;
 	listener_request_fn_t on_request;
 	void *context;
+	unsigned open_requests; /* received whole, not yet answered whole */
 } listener_t;
 
 bool listener_init(listener_t *listener, const char *address,
@@ -30,6 +31,7 @@
 		   GError **error);
 void listener_finish(listener_t *listener);
 void listener_stop(listener_t *listener);
+unsigned listener_open_requests(const listener_t *listener);
 char *listener_address(listener_t *listener);
 void listener_respond(SoupServerMessage *message, unsigned status,
 		      const char *content_type, str_t body);
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -42,6 +42,7 @@
 		changed(entry, false);
 		return;
 	}
+	entry->heard_at_us = clock_now(&entry->owner->clock);
 	entry->kv_total = load->kv_total;
 	entry->kv_used = load->kv_used;
 	entry->running = load->running;
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -22,6 +22,7 @@
 	int64_t running;
 	int64_t queued;
 	int64_t reported_at_us; /* 0: no report yet */
+	int64_t heard_at_us; /* last answer to a load poll */
 	int64_t failed_until_us; /* not chosen before, after failures */
 	int failures; /* in a row */
 	int64_t in_flight; /* calls of this process */
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -6,6 +6,8 @@
 #include "process/backends.h"
 #include "process/scheduler.h"
 #include "process/settings.h"
+#include "request/canceller.h"
+#include "request/retry.h"
 #include "version/state.h"
 
 typedef struct {
@@ -16,11 +18,14 @@
 	backends_t backends;
 	reserve_t reserve;
 	scheduler_t scheduler;
+	canceller_t canceller;
+	retry_budget_t retry_budget;
 	state_t *state; /* version in effect; NULL until one is known */
 	uint64_t incarnation; /* microseconds of wall time at start */
 	uint64_t id_prefix; /* from VM and incarnation */
 	uint64_t id_counter;
 	GQueue requests; /* of request_t, in progress */
+	GQueue forwards; /* of forward_t, in progress */
 	bool draining; /* no longer ready, finishing what is in progress */
 	GMainLoop *loop;
 } router_t;
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -15,6 +15,14 @@
 
 #define DRAIN_POLL_MS 20
 
+/* Time for the last responses and cancels after all requests have ended. */
+#define FLUSH_LIMIT_US (3 * CLOCK_US_PER_S)
+
+/* Retries at once after a quiet time: one process's part of the requests that
+ * the loss of one decode engine (about 20 requests) interrupts.
+ */
+#define RETRY_BURST 20
+
 typedef struct {
 	settings_t settings;
 	router_t router;
@@ -23,6 +31,7 @@
 	FILE *log_file;
 	int64_t notice_until_us; /* still accepting after SIGTERM */
 	int64_t shutdown_until_us; /* requests still open then are aborted */
+	int64_t flush_until_us; /* for responses and cancels; 0: not begun */
 	int signals;
 } server_t;
 
@@ -137,6 +146,8 @@
 		state_unref(server->router.state);
 	server->router.state = state;
 	counters_set(GAUGE_STATE_VERSION, (int64_t)state->version);
+	retry_budget_set_share(&server->router.retry_budget,
+			       state->limits.retry_share);
 	backends_apply(&server->router.backends, state);
 	scheduler_apply(&server->router.scheduler, state);
 	log_event(LOG_INFO, "state_in_effect",
@@ -148,7 +159,8 @@
 {
 	server_t *server = data;
 	int64_t now_us = clock_now(&server->router.clock);
-	bool idle = g_queue_is_empty(&server->router.requests);
+	bool idle = g_queue_is_empty(&server->router.requests) &&
+		    g_queue_is_empty(&server->router.forwards);
 
 	if (now_us < server->notice_until_us && server->signals < 2)
 		return G_SOURCE_CONTINUE;
@@ -156,8 +168,18 @@
 	if (!idle && now_us < server->shutdown_until_us && server->signals < 2)
 		return G_SOURCE_CONTINUE;
 	while (!g_queue_is_empty(&server->router.requests))
-		request_abort(g_queue_peek_head(&server->router.requests),
-			      VERDICT_SHUTTING_DOWN);
+		request_abort(g_queue_peek_head(&server->router.requests));
+	while (!g_queue_is_empty(&server->router.forwards))
+		forward_abort(g_queue_peek_head(&server->router.forwards));
+	/* Last responses are still being written, and engines may still hold
+	 * memory of the requests that were ended.
+	 */
+	if (!server->flush_until_us)
+		server->flush_until_us = now_us + FLUSH_LIMIT_US;
+	if (now_us < server->flush_until_us &&
+	    (listener_open_requests(&server->callers) > 0 ||
+	     !canceller_is_idle(&server->router.canceller)))
+		return G_SOURCE_CONTINUE;
 	g_main_loop_quit(server->router.loop);
 	return G_SOURCE_REMOVE;
 }
@@ -258,7 +280,11 @@
 	router->id_prefix =
 		XXH64(settings->vm, strlen(settings->vm), router->incarnation);
 	g_queue_init(&router->requests);
+	g_queue_init(&router->forwards);
 	client_init(&router->client, router->clock);
+	canceller_init(&router->canceller, &router->client, router->clock,
+		       router->id_prefix);
+	retry_budget_init(&router->retry_budget, 0, RETRY_BURST);
 	backends_init(&router->backends, &router->client, router->clock);
 	if (!route_policy_parse(str_from(settings->routing_policy), &policy))
 		policy = ROUTE_LEDGER;
@@ -276,6 +302,7 @@
 	backends_finish(&router->backends);
 	scheduler_finish(&router->scheduler);
 	reserve_finish(&router->reserve);
+	canceller_finish(&router->canceller);
 	client_finish(&router->client);
 	if (router->state)
 		state_unref(router->state);
--- /dev/null
+++ b/src/request/canceller.h
@@ -0,0 +1,24 @@
+/* Sends unconfirmed cancellations to engines until they are confirmed. */
+#ifndef REQUEST_CANCELLER_H
+#define REQUEST_CANCELLER_H
+
+#include "connection/engine.h"
+#include "request/cancel.h"
+
+typedef struct {
+	cancel_queue_t queue;
+	client_t *client;
+	clock_source_t clock;
+	GQueue calls; /* of sends in progress */
+	guint timer;
+	int64_t timer_us; /* when it is due */
+} canceller_t;
+
+void canceller_init(canceller_t *canceller, client_t *client,
+		    clock_source_t clock, uint64_t seed);
+void canceller_finish(canceller_t *canceller);
+void canceller_add(canceller_t *canceller, str_t engine, str_t request,
+		   uint32_t attempt);
+bool canceller_is_idle(const canceller_t *canceller);
+
+#endif
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -5,68 +5,160 @@
 #include "process/log.h"
 #include "request/access.h"
 
-#define RETRY_AFTER_US (1 * CLOCK_US_PER_S)
-
-typedef struct {
-	router_t *router;
-	state_t *state;
-	const customer_t *customer;
-	const service_t *service;
-	const route_rule_t *rule;
-	backend_entry_t *backend;
-	client_call_t *http;
-	reply_t reply;
-	char id[33];
-	int64_t accepted_at_us;
-	int64_t deadline_us;
-} forward_t;
+static int64_t now_of(const forward_t *call)
+{
+	return clock_now(&call->router->clock);
+}
 
-static void forward_free(forward_t *call)
+static void stop_call(forward_t *call)
 {
 	client_abort(call->http);
+	call->http = NULL;
+}
+
+static void stop_timer(guint *timer)
+{
+	if (*timer)
+		g_source_remove(*timer);
+	*timer = 0;
+}
+
+static void forward_free(forward_t *call)
+{
+	stop_timer(&call->timer);
+	stop_timer(&call->deadline_timer);
+	stop_call(call);
+	g_queue_remove(&call->router->forwards, call);
+	if (call->limited)
+		scheduler_customer_end(&call->router->scheduler,
+				       call->customer);
 	reply_finish(&call->reply);
 	state_unref(call->state);
+	g_free(call->method);
+	g_free(call->target);
+	g_free(call->content_type);
+	if (call->headers)
+		soup_message_headers_unref(call->headers);
+	if (call->body)
+		g_bytes_unref(call->body);
 	g_free(call);
 }
 
-static void log_end(const forward_t *call, const char *outcome, run_t run)
+static void log_end(const forward_t *call)
 {
-	int64_t now_us = clock_now(&call->router->clock);
+	const verdict_t *verdict = &call->plain.verdict;
 
 	log_event(LOG_INFO, "call_end", LOG_CSTR("request", call->id),
 		  LOG_STR("customer", call->customer->name),
 		  LOG_STR("service", call->service->name),
-		  LOG_CSTR("outcome", outcome),
-		  LOG_CSTR("verdict", verdict_run_text(run)),
-		  LOG_INT("duration_us", now_us - call->accepted_at_us));
+		  LOG_CSTR("outcome", verdict_code_text(verdict->code)),
+		  LOG_CSTR("verdict", verdict_run_text(verdict->run)),
+		  LOG_CSTR("detail", verdict->detail),
+		  LOG_UINT("sends", call->plain.attempt),
+		  LOG_INT("duration_us", now_of(call) - call->accepted_at_us));
 }
 
-static void on_caller_gone(void *context)
+static void count_end(const forward_t *call)
+{
+	const verdict_t *verdict = &call->plain.verdict;
+
+	if (verdict->code == VERDICT_OK)
+		return;
+	if (verdict->code == VERDICT_CALLER_GONE)
+		counters_add(COUNTER_CALLER_GONE, 1);
+	else if (verdict->run == RUN_NOT_RUN)
+		counters_add(COUNTER_REQUESTS_REFUSED, 1);
+	else
+		counters_add(COUNTER_REQUESTS_FAILED, 1);
+}
+
+static void feed(forward_t *call, plain_event_kind_t kind,
+		 const verdict_t *verdict);
+
+static plain_event_kind_t event_of(const client_response_t *response)
+{
+	switch (response->outcome) {
+	case CLIENT_DONE:
+		return PLAIN_EVENT_ANSWER;
+	case CLIENT_NOT_SENT:
+		return PLAIN_EVENT_NOT_SENT;
+	case CLIENT_TIMED_OUT:
+		return PLAIN_EVENT_SILENT;
+	case CLIENT_LOST:
+		break;
+	}
+	return PLAIN_EVENT_LOST;
+}
+
+static void on_response(void *context, const client_response_t *response)
 {
 	forward_t *call = context;
 
-	counters_add(COUNTER_CALLER_GONE, 1);
-	log_end(call, "caller_gone", RUN_MAY_HAVE_RUN);
-	forward_free(call);
+	call->http = NULL;
+	if (response->outcome == CLIENT_DONE)
+		backends_note_success(call->backend);
+	else
+		backends_note_failure(call->backend);
+	call->response = response;
+	feed(call, event_of(response), NULL);
 }
 
-static void forward_fail(forward_t *call, run_t run, verdict_code_t code,
-			 const char *detail)
+static gboolean on_not_sent(gpointer data)
 {
-	verdict_t verdict = verdict_retry_at(verdict_make(run, code, detail),
-					     clock_now(&call->router->clock) +
-						     RETRY_AFTER_US);
+	forward_t *call = data;
 
-	counters_add(run == RUN_NOT_RUN ? COUNTER_REQUESTS_REFUSED
-					: COUNTER_REQUESTS_FAILED,
-		     1);
-	reply_verdict(&call->reply, &verdict);
-	log_end(call, verdict_code_text(code), run);
-	forward_free(call);
+	call->timer = 0;
+	feed(call, PLAIN_EVENT_NOT_SENT, NULL);
+	return G_SOURCE_REMOVE;
+}
+
+/* Sends the call to a backend server, preferably not the one before. */
+static void send_call(forward_t *call)
+{
+	client_request_t request = {
+		.method = call->method,
+		.path = call->target,
+		.headers = call->headers,
+		.content_type = call->content_type,
+		.body = g_bytes_get_size(call->body) ? call->body : NULL,
+		.deadline_us = call->plain.config.deadline_us,
+		.on_done = on_response,
+		.context = call,
+	};
+
+	if (call->plain.attempt > 1)
+		counters_add(COUNTER_RETRIES, 1);
+	call->backend = backends_pick(&call->router->backends, STR(""),
+				      call->service->name, call->backend);
+	if (call->backend) {
+		request.address = str_from(call->backend->address);
+		call->http = client_send(&call->router->client, &request);
+	}
+	if (!call->http)
+		call->timer = g_idle_add(on_not_sent, call);
+}
+
+static gboolean on_back_off_end(gpointer data)
+{
+	forward_t *call = data;
+
+	call->timer = 0;
+	feed(call, PLAIN_EVENT_TIMER, NULL);
+	return G_SOURCE_REMOVE;
+}
+
+static void back_off(forward_t *call, int64_t until_us)
+{
+	int64_t wait_us = MAX(until_us - now_of(call), 0);
+
+	call->timer = g_timeout_add(
+		(guint)((wait_us + CLOCK_US_PER_MS - 1) / CLOCK_US_PER_MS),
+		on_back_off_end, call);
 }
 
-static void answer(forward_t *call, const client_response_t *response)
+static void answer(forward_t *call)
 {
+	const client_response_t *response = call->response;
 	const char *type =
 		soup_message_headers_get_content_type(response->headers, NULL);
 	gsize len;
@@ -75,35 +167,93 @@
 	reply_whole(&call->reply, response->status, RUN_RAN,
 		    type ? type : "application/octet-stream",
 		    (str_t){data, len});
-	log_end(call, "ok", RUN_RAN);
+}
+
+static void execute(forward_t *call, const plain_action_t *action)
+{
+	switch (action->kind) {
+	case PLAIN_ACTION_SEND:
+		send_call(call);
+		break;
+	case PLAIN_ACTION_FORWARD:
+		answer(call);
+		break;
+	case PLAIN_ACTION_ABORT:
+		stop_call(call);
+		break;
+	case PLAIN_ACTION_COUNT_STALE:
+		counters_add(COUNTER_STALE_ANSWERS, 1);
+		break;
+	case PLAIN_ACTION_BACK_OFF:
+		back_off(call, action->until_us);
+		break;
+	case PLAIN_ACTION_FINISH:
+		break;
+	}
+}
+
+static void end(forward_t *call)
+{
+	const verdict_t *verdict = &call->plain.verdict;
+
+	if (verdict->code != VERDICT_OK && verdict->code != VERDICT_CALLER_GONE)
+		reply_verdict(&call->reply, verdict);
+	count_end(call);
+	log_end(call);
 	forward_free(call);
 }
 
-static void on_response(void *context, const client_response_t *response)
+static void step(forward_t *call, plain_event_kind_t kind,
+		 const verdict_t *verdict)
 {
-	forward_t *call = context;
+	plain_event_t event = {
+		.kind = kind,
+		.now_us = now_of(call),
+		.attempt = call->plain.attempt,
+	};
+	plain_action_t actions[PLAIN_MAX_ACTIONS];
+	size_t n = 0;
 
-	call->http = NULL;
-	switch (response->outcome) {
-	case CLIENT_DONE:
-		backends_note_success(call->backend);
-		answer(call, response);
-		return;
-	case CLIENT_NOT_SENT:
-		backends_note_failure(call->backend);
-		forward_fail(call, RUN_NOT_RUN, VERDICT_UNAVAILABLE,
-			     "backend server unreachable");
-		return;
-	case CLIENT_LOST:
-		backends_note_failure(call->backend);
-		forward_fail(call, RUN_MAY_HAVE_RUN, VERDICT_BACKEND_FAILED,
-			     "backend server failed");
-		return;
-	case CLIENT_TIMED_OUT:
-		forward_fail(call, RUN_MAY_HAVE_RUN, VERDICT_BACKEND_TIMEOUT,
-			     "backend server did not answer in time");
-		return;
-	}
+	if (verdict)
+		event.verdict = *verdict;
+	plain_step(&call->plain, &event, actions, &n);
+	for (size_t i = 0; i < n; i++)
+		execute(call, &actions[i]);
+}
+
+/*
+ * Feeds an event to the state machine and executes its actions. The call may
+ * have been freed on return. A response arrives whole, so that its begin and
+ * its end are one.
+ */
+static void feed(forward_t *call, plain_event_kind_t kind,
+		 const verdict_t *verdict)
+{
+	step(call, kind, verdict);
+	if (kind == PLAIN_EVENT_ANSWER)
+		step(call, PLAIN_EVENT_ANSWER_END, NULL);
+	if (call->plain.state == PLAIN_FINISHED)
+		end(call);
+}
+
+static void on_caller_gone(void *context)
+{
+	feed(context, PLAIN_EVENT_CALLER_GONE, NULL);
+}
+
+static gboolean on_deadline(gpointer data)
+{
+	forward_t *call = data;
+
+	call->deadline_timer = 0;
+	feed(call, PLAIN_EVENT_DEADLINE, NULL);
+	return G_SOURCE_REMOVE;
+}
+
+/* Ends a call at the shutdown deadline, with a verdict. */
+void forward_abort(forward_t *call)
+{
+	feed(call, PLAIN_EVENT_SHUTDOWN, NULL);
 }
 
 static bool resolve(forward_t *call, SoupServerMessage *message, str_t name,
@@ -135,9 +285,10 @@
 					"no such route");
 		return false;
 	}
-	call->deadline_us = access_deadline(headers, call->accepted_at_us,
-					    call->service->timeout_ms, verdict);
-	return call->deadline_us != 0;
+	call->plain.config.deadline_us =
+		access_deadline(headers, call->accepted_at_us,
+				call->service->timeout_ms, verdict);
+	return call->plain.config.deadline_us != 0;
 }
 
 static void copy_header(SoupMessageHeaders *to, SoupMessageHeaders *from,
@@ -162,36 +313,40 @@
 	return whole;
 }
 
-static void forward(forward_t *call, SoupServerMessage *message, str_t path)
+/* Keeps what is sent to a backend server, for this send and for retries. */
+static void take_message(forward_t *call, SoupServerMessage *message,
+			 str_t path)
 {
 	SoupMessageHeaders *from =
 		soup_server_message_get_request_headers(message);
-	SoupMessageHeaders *headers =
-		soup_message_headers_new(SOUP_MESSAGE_HEADERS_REQUEST);
-	GBytes *body = soup_message_body_flatten(
+
+	call->method = g_strdup(soup_server_message_get_method(message));
+	call->target = path_with_query(message, path);
+	call->content_type =
+		g_strdup(soup_message_headers_get_content_type(from, NULL));
+	call->headers = soup_message_headers_new(SOUP_MESSAGE_HEADERS_REQUEST);
+	call->body = soup_message_body_flatten(
 		soup_server_message_get_request_body(message));
-	char *target = path_with_query(message, path);
-	client_request_t request = {
-		.method = soup_server_message_get_method(message),
-		.address = str_from(call->backend->address),
-		.path = target,
-		.headers = headers,
-		.content_type =
-			soup_message_headers_get_content_type(from, NULL),
-		.body = g_bytes_get_size(body) ? body : NULL,
-		.deadline_us = call->deadline_us,
-		.on_done = on_response,
-		.context = call,
+	copy_header(call->headers, from, "Idempotency-Key");
+	copy_header(call->headers, from, "traceparent");
+	copy_header(call->headers, from, "Accept");
+	soup_message_headers_replace(call->headers, "X-Request-Id", call->id);
+}
+
+static void init_plain(forward_t *call)
+{
+	const plain_config_t config = {
+		.repeatable = call->rule->repeatable,
+		.deadline_us = call->plain.config.deadline_us,
+		.budget = &call->router->retry_budget,
+		.seed = call->router->id_prefix + call->router->id_counter,
 	};
+	int64_t left_us = config.deadline_us - call->accepted_at_us;
 
-	copy_header(headers, from, "Idempotency-Key");
-	copy_header(headers, from, "traceparent");
-	copy_header(headers, from, "Accept");
-	soup_message_headers_replace(headers, "X-Request-Id", call->id);
-	call->http = client_send(&call->router->client, &request);
-	soup_message_headers_unref(headers);
-	g_bytes_unref(body);
-	g_free(target);
+	plain_init(&call->plain, &config);
+	call->deadline_timer = g_timeout_add(
+		(guint)((left_us + CLOCK_US_PER_MS - 1) / CLOCK_US_PER_MS),
+		on_deadline, call);
 }
 
 /* Takes over a call whose path is /svc/NAME/... */
@@ -213,14 +368,15 @@
 		forward_free(call);
 		return;
 	}
+	take_message(call, message, rest);
+	init_plain(call);
+	g_queue_push_tail(&router->forwards, call);
 	reply_init(&call->reply, message, str_from(call->id), router->clock,
 		   on_caller_gone, call);
-	call->backend = backends_pick(&router->backends, STR(""),
-				      call->service->name, NULL);
-	if (!call->backend) {
-		forward_fail(call, RUN_NOT_RUN, VERDICT_UNAVAILABLE,
-			     "no usable backend server");
-		return;
-	}
-	forward(call, message, rest);
+	call->limited = scheduler_customer_begin(&router->scheduler,
+						 call->customer, &verdict);
+	if (call->limited)
+		feed(call, PLAIN_EVENT_ADMITTED, NULL);
+	else
+		feed(call, PLAIN_EVENT_REFUSED, &verdict);
 }
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -4,7 +4,35 @@
 
 #include "connection/reply.h"
 #include "process/router.h"
+#include "request/plain.h"
+
+typedef struct {
+	router_t *router;
+	state_t *state;
+	const customer_t *customer;
+	const service_t *service;
+	const route_rule_t *rule;
+	char id[33];
+	int64_t accepted_at_us;
+	reply_t reply;
+	bool limited; /* counts against the customer's limits */
+
+	/* The call as it is sent to a backend server. */
+	char *method;
+	char *target; /* path and query */
+	char *content_type; /* may be NULL */
+	SoupMessageHeaders *headers;
+	GBytes *body;
+
+	plain_t plain;
+	backend_entry_t *backend; /* of the current send */
+	client_call_t *http; /* in progress */
+	const client_response_t *response; /* of the event being fed */
+	guint timer; /* back-off */
+	guint deadline_timer;
+} forward_t;
 
 void forward_start(router_t *router, SoupServerMessage *message, str_t path);
+void forward_abort(forward_t *call);
 
 #endif
--- a/src/request/lifecycle.c
+++ b/src/request/lifecycle.c
@@ -3,6 +3,7 @@
 /* Refusals cost an engine next to nothing; the budget limits them too. */
 #define MAX_REFUSED_PREFILLS 4
 #define MAX_RESERVE_TRIES 6
+#define MAX_FAILED_IMPORTS 2
 
 static void on_reserved(step_t *step)
 {
@@ -98,6 +99,7 @@
 
 	request->prefill_attempt = request->attempt;
 	request->kept_until_us = step->event->kept_until_us;
+	request->imports_failed = 0;
 	for (size_t i = 0; i < request->n_holders; i++) {
 		if (request->holders[i].attempt == request->attempt)
 			request->holders[i].held_until_us =
@@ -106,6 +108,18 @@
 	act_start_import(step);
 }
 
+static void on_import_stalled(step_t *step)
+{
+	lifecycle_t *request = step->request;
+
+	/* Two decode engines could not fetch the result, so the fault is more
+	 * likely at the engine that has it.
+	 */
+	if (++request->imports_failed >= MAX_FAILED_IMPORTS)
+		request->prefill_attempt = 0;
+	act_move(step, VERDICT_BACKEND_TIMEOUT, "import stalled");
+}
+
 static void on_import_gone(step_t *step)
 {
 	act_forget(step->request, step->event->attempt);
@@ -275,7 +289,7 @@
 		act_move(step, VERDICT_OVERLOADED, "no decode memory");
 		break;
 	case EVENT_IMPORT_STALLED:
-		act_move(step, VERDICT_BACKEND_TIMEOUT, "import stalled");
+		on_import_stalled(step);
 		break;
 	default:
 		on_stale_answer(step);
--- a/src/request/lifecycle.h
+++ b/src/request/lifecycle.h
@@ -131,6 +131,7 @@
 
 	uint32_t prefill_attempt; /* whose result is retained, or 0 */
 	int64_t kept_until_us;
+	unsigned imports_failed; /* of that result */
 	unsigned prefills_repeated;
 	unsigned prefills_refused;
 	lifecycle_engine_t prefill_engine; /* latest that was sent to, or 0 */
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -6,105 +6,59 @@
 #include "process/log.h"
 #include "request/access.h"
 
-/* Silence on a decode stream after which its connection counts as dead. */
-#define DECODE_IDLE_US (1 * CLOCK_US_PER_S)
-
-/* When to come back after an engine refused or failed. */
-#define RETRY_AFTER_US (1 * CLOCK_US_PER_S)
-
-#define CANCEL_TIMEOUT_US (1 * CLOCK_US_PER_S)
-
 static void request_free(request_t *request)
 {
+	if (request->deadline_timer)
+		g_source_remove(request->deadline_timer);
+	execute_stop(request);
 	g_queue_remove(&request->router->requests, request);
 	counters_set(GAUGE_REQUESTS_ACTIVE,
 		     g_queue_get_length(&request->router->requests));
-	engine_abort(request->call);
 	scheduler_leave(request->ticket);
 	reply_finish(&request->reply);
 	completion_finish(&request->completion);
 	state_unref(request->state);
 	g_free(request->kv);
 	g_free(request->imported_kv);
+	g_free(request->finish);
+	g_array_unref(request->events);
+	g_ptr_array_unref(request->engines);
 	g_string_free(request->text, TRUE);
 	g_free(request);
 }
 
-static engine_attempt_t attempt_of(const request_t *request)
-{
-	return (engine_attempt_t){str_from(request->id), request->attempt};
-}
-
-static void on_cancelled(void *context, engine_status_t status,
-			 int64_t held_tokens)
-{
-	if (status == ENGINE_OK && held_tokens == 0)
-		counters_add(COUNTER_CANCELS_CONFIRMED, 1);
-}
-
-static void cancel_at(request_t *request, const backend_entry_t *backend)
-{
-	engine_attempt_t id = attempt_of(request);
-	router_t *router = request->router;
-
-	if (!backend)
-		return;
-	counters_add(COUNTER_CANCELS_SENT, 1);
-	engine_cancel(&router->client, str_from(backend->address), &id,
-		      clock_now(&router->clock) + CANCEL_TIMEOUT_US,
-		      on_cancelled, NULL);
-}
-
-static void log_end(const request_t *request, const char *outcome, run_t run)
+static void log_end(const request_t *request)
 {
+	const verdict_t *verdict = &request->lifecycle.verdict;
 	int64_t now_us = clock_now(&request->router->clock);
 
 	log_event(LOG_INFO, "request_end", LOG_CSTR("request", request->id),
 		  LOG_CSTR("trace", request->trace),
 		  LOG_STR("customer", request->customer->name),
 		  LOG_STR("service", request->service->name),
-		  LOG_CSTR("outcome", outcome),
-		  LOG_CSTR("verdict", verdict_run_text(run)),
-		  LOG_INT("tokens", request->next_offset),
+		  LOG_CSTR("outcome", verdict_code_text(verdict->code)),
+		  LOG_CSTR("verdict", verdict_run_text(verdict->run)),
+		  LOG_CSTR("detail", verdict->detail),
+		  LOG_UINT("calls", request->lifecycle.calls),
+		  LOG_INT("tokens", request->sent_tokens),
 		  LOG_INT("duration_us", now_us - request->accepted_at_us));
 }
 
-/* Ends a request with a verdict for its caller. */
-static void request_fail(request_t *request, verdict_code_t code,
-			 const char *detail)
-{
-	run_t run = request->may_have_run ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN;
-	verdict_t verdict = verdict_retry_at(
-		verdict_make(run, code, detail),
-		clock_now(&request->router->clock) + RETRY_AFTER_US);
-
-	counters_add(run == RUN_NOT_RUN ? COUNTER_REQUESTS_REFUSED
-					: COUNTER_REQUESTS_FAILED,
-		     1);
-	if (request->may_have_run) {
-		cancel_at(request, request->prefill);
-		cancel_at(request, request->decode);
-	}
-	reply_verdict(&request->reply, &verdict);
-	log_end(request, verdict_code_text(code), run);
-	request_free(request);
-}
-
-static void on_caller_gone(void *context)
+static void count_end(request_t *request)
 {
-	request_t *request = context;
+	const verdict_t *verdict = &request->lifecycle.verdict;
+	retry_budget_t *budget = &request->router->retry_budget;
 
-	counters_add(COUNTER_CALLER_GONE, 1);
-	cancel_at(request, request->prefill);
-	cancel_at(request, request->decode);
-	log_end(request, "caller_gone", RUN_MAY_HAVE_RUN);
-	request_free(request);
-}
-
-/* Ends a request before its end, as at the shutdown deadline. */
-void request_abort(request_t *request, verdict_code_t code)
-{
-	request_fail(request, code, "request ended before its end");
+	counters_add(COUNTER_RETRIES_DENIED, (int64_t)budget->denied);
+	budget->denied = 0;
+	if (verdict->code == VERDICT_OK)
+		return;
+	if (verdict->code == VERDICT_CALLER_GONE)
+		counters_add(COUNTER_CALLER_GONE, 1);
+	else if (verdict->run == RUN_NOT_RUN)
+		counters_add(COUNTER_REQUESTS_REFUSED, 1);
+	else
+		counters_add(COUNTER_REQUESTS_FAILED, 1);
 }
 
 static void observe_token(request_t *request)
@@ -125,28 +79,25 @@
 	counters_add(COUNTER_TOKENS_SENT, 1);
 }
 
-static void on_token(void *context, const engine_token_t *token)
+static void append_chunk(request_t *request, str_t text, str_t finish)
 {
-	request_t *request = context;
+	reply_stream_start(&request->reply);
+	completion_append_chunk(reply_stream_buffer(&request->reply),
+				&request->completion, str_from(request->id),
+				text, finish);
+}
 
-	if (token->offset != request->next_offset) {
-		counters_add(COUNTER_STALE_ANSWERS, 1);
-		return;
-	}
-	if (token->text.len) {
-		request->next_offset++;
-		observe_token(request);
-	}
-	if (request->completion.stream) {
-		reply_stream_start(&request->reply);
-		completion_append_chunk(reply_stream_buffer(&request->reply),
-					&request->completion,
-					str_from(request->id), token->text,
-					token->finish);
-	} else {
-		g_string_append_len(request->text, token->text.data,
-				    (gssize)token->text.len);
-	}
+/* Passes the token of the present event on to the caller. */
+void request_forward_token(request_t *request)
+{
+	str_t text = request->token->text;
+
+	request->sent_tokens++;
+	observe_token(request);
+	if (request->completion.stream)
+		append_chunk(request, text, STR(""));
+	else
+		g_string_append_len(request->text, text.data, (gssize)text.len);
 }
 
 static void answer_whole(request_t *request)
@@ -155,184 +106,133 @@
 
 	completion_append_whole(body, &request->completion,
 				str_from(request->id),
-				str_from_gstring(request->text), STR("stop"),
-				request->next_offset);
+				str_from_gstring(request->text),
+				str_from(request->finish),
+				request->sent_tokens);
 	reply_whole(&request->reply, 200, RUN_RAN, "application/json",
 		    str_from_gstring(body));
 	g_string_free(body, TRUE);
 }
 
-static void on_decode_end(void *context, engine_status_t status)
+static void answer_caller(request_t *request)
 {
-	request_t *request = context;
+	const verdict_t *verdict = &request->lifecycle.verdict;
 
-	request->call = NULL;
-	scheduler_decode_ended(request->ticket, request->decode,
-			       status == ENGINE_OK, request->next_offset,
-			       clock_now(&request->router->clock) -
-				       request->decode_started_at_us);
-	if (status != ENGINE_OK) {
-		request_fail(request, VERDICT_BACKEND_FAILED,
-			     "decode engine failed");
+	if (verdict->code == VERDICT_CALLER_GONE)
 		return;
-	}
-	scheduler_release(request->ticket, (uint32_t)request->attempt,
-			  request->decode, false);
-	if (request->completion.stream)
+	if (verdict->code != VERDICT_OK) {
+		reply_verdict(&request->reply, verdict);
+	} else if (request->completion.stream) {
+		append_chunk(request, STR(""), str_from(request->finish));
 		reply_stream_end(&request->reply);
-	else
+	} else {
 		answer_whole(request);
-	log_end(request, "ok", RUN_RAN);
-	request_free(request);
+	}
 }
 
-static void start_decode(request_t *request)
+static void step(request_t *request, lifecycle_event_t *event)
 {
-	engine_decode_t args = {
-		.id = attempt_of(request),
-		.kv = str_from(request->imported_kv),
-		.offset = request->next_offset,
-		.max_tokens = request->max_tokens,
-		.priority = request->service->priority,
-	};
-	router_t *router = request->router;
+	lifecycle_action_t actions[LIFECYCLE_MAX_ACTIONS];
+	size_t n = 0;
 
-	counters_add(COUNTER_DECODES, 1);
-	request->decode_started_at_us = clock_now(&router->clock);
-	request->call = engine_decode(&router->client,
-				      str_from(request->decode->address), &args,
-				      request->deadline_us, DECODE_IDLE_US,
-				      on_token, on_decode_end, request);
+	event->now_us = clock_now(&request->router->clock);
+	lifecycle_step(&request->lifecycle, event, actions, &n);
+	for (size_t i = 0; i < n; i++)
+		execute_action(request, &actions[i]);
 }
 
-static void on_import(void *context, const engine_result_t *result)
+/*
+ * Feeds an event to the state machine and executes its actions. Events that
+ * the actions give are fed afterwards, in order. The request may have been
+ * freed on return.
+ */
+void request_feed(request_t *request, lifecycle_event_t event)
 {
-	request_t *request = context;
-
-	request->call = NULL;
-	scheduler_import_ended(request->ticket, request->decode,
-			       result->status == ENGINE_OK);
-	if (result->status != ENGINE_OK) {
-		counters_add(COUNTER_IMPORTS_FAILED, 1);
-		request_fail(request, VERDICT_BACKEND_FAILED,
-			     "KV cache import failed");
+	if (request->stepping) {
+		g_array_append_val(request->events, event);
 		return;
 	}
-	request->imported_kv = str_dup(result->kv);
-	start_decode(request);
+	request->stepping = true;
+	step(request, &event);
+	while (request->events->len) {
+		event = g_array_index(request->events, lifecycle_event_t, 0);
+		g_array_remove_index(request->events, 0);
+		step(request, &event);
+	}
+	request->stepping = false;
+	if (request->lifecycle.state != LIFECYCLE_FINISHED)
+		return;
+	answer_caller(request);
+	count_end(request);
+	log_end(request);
+	request_free(request);
 }
 
-static void start_import(request_t *request)
+static void feed_kind(request_t *request, lifecycle_event_kind_t kind)
 {
-	engine_import_t args = {
-		.id = attempt_of(request),
-		.source = str_from(request->prefill->address),
-		.kv = str_from(request->kv),
-		.tokens = request->completion.prompt_tokens,
-		.reserve_tokens =
-			request->completion.prompt_tokens + request->max_tokens,
-	};
-	router_t *router = request->router;
-
-	counters_add(COUNTER_IMPORTS, 1);
-	request->call = engine_import(&router->client,
-				      str_from(request->decode->address), &args,
-				      request->deadline_us, on_import, request);
+	request_feed(request, (lifecycle_event_t){.kind = kind});
 }
 
-static void on_prefill(void *context, const engine_result_t *result)
+static void on_caller_gone(void *context)
 {
-	request_t *request = context;
-
-	request->call = NULL;
-	if (result->status == ENGINE_NOT_SENT ||
-	    result->status == ENGINE_REFUSED)
-		request->may_have_run = false;
-	scheduler_prefill_ended(request->ticket, request->prefill,
-				result->status == ENGINE_OK,
-				result->tokens - result->cached_tokens);
-	if (result->status != ENGINE_OK) {
-		request_fail(request, VERDICT_BACKEND_FAILED,
-			     "prefill engine failed");
-		return;
-	}
-	request->kv = str_dup(result->kv);
-	counters_add(COUNTER_PREFILL_TOKENS, result->tokens);
-	start_import(request);
+	feed_kind(context, EVENT_CALLER_GONE);
 }
 
-static void start_prefill(request_t *request)
+static void on_admitted(void *context)
 {
-	engine_prefill_t args = {
-		.id = attempt_of(request),
-		.model = request->service->prefill->model->name,
-		.adapter = request->service->adapter,
-		.prompt = {request->completion.prompt,
-			   request->completion.prompt_len},
-		.prompt_tokens = request->completion.prompt_tokens,
-		.priority = request->service->priority,
-	};
-	router_t *router = request->router;
-
-	request->prefill = backends_pick(&router->backends,
-					 request->service->prefill->name,
-					 STR(""), NULL);
-	request->decode = backends_pick(&router->backends,
-					request->service->decode->name, STR(""),
-					NULL);
-	if (!request->prefill || !request->decode) {
-		request_fail(request, VERDICT_UNAVAILABLE, "no usable engine");
-		return;
-	}
-	counters_add(COUNTER_PREFILLS, 1);
-	request->may_have_run = true;
-	request->call = engine_prefill(&router->client,
-				       str_from(request->prefill->address),
-				       &args, request->deadline_us, on_prefill,
-				       request);
+	feed_kind(context, EVENT_ADMITTED);
 }
 
-static void on_reserved(void *context, uint32_t attempt,
-			backend_entry_t *engine, int64_t retry_at_us)
+static void on_refused(void *context, const verdict_t *verdict)
 {
-	request_t *request = context;
-
-	request->decode = engine;
-	if (engine)
-		start_prefill(request);
-	else
-		request_fail(request, VERDICT_UNAVAILABLE, "no usable engine");
+	request_feed(context, (lifecycle_event_t){.kind = EVENT_REFUSED,
+						  .verdict = *verdict});
 }
 
-static void on_admitted(void *context)
+static gboolean on_deadline(gpointer data)
 {
-	request_t *request = context;
+	request_t *request = data;
 
-	scheduler_reserve(request->ticket, (uint32_t)request->attempt, NULL);
+	request->deadline_timer = 0;
+	feed_kind(request, EVENT_DEADLINE);
+	return G_SOURCE_REMOVE;
 }
 
-static void on_refused(void *context, const verdict_t *verdict)
+/* Ends a request at the shutdown deadline, with a verdict. */
+void request_abort(request_t *request)
 {
-	request_fail(context, verdict->code, verdict->detail);
+	feed_kind(request, EVENT_SHUTDOWN);
 }
 
 static void submit(request_t *request)
 {
+	int64_t first_token_us =
+		request->service->first_token_ms * CLOCK_US_PER_MS;
 	scheduler_request_t want = {
 		.customer = request->customer,
 		.service = request->service,
 		.prompt_tokens = request->completion.prompt_tokens,
 		.max_tokens = request->max_tokens,
-		.start_by_us =
-			request->accepted_at_us +
-			request->service->first_token_ms * CLOCK_US_PER_MS,
+		.start_by_us = request->accepted_at_us + first_token_us,
 		.deadline_us = request->deadline_us,
 		.on_admitted = on_admitted,
 		.on_refused = on_refused,
-		.on_reserved = on_reserved,
+		.on_reserved = execute_on_reserved,
 		.context = request,
 	};
+	const lifecycle_config_t config = {
+		.start_by_us = want.start_by_us,
+		.deadline_us = request->deadline_us,
+		.budget = &request->router->retry_budget,
+		.seed = request->router->id_prefix +
+			request->router->id_counter,
+	};
+	int64_t left_us = request->deadline_us - request->accepted_at_us;
 
+	lifecycle_init(&request->lifecycle, &config);
+	request->deadline_timer = g_timeout_add(
+		(guint)((left_us + CLOCK_US_PER_MS - 1) / CLOCK_US_PER_MS),
+		on_deadline, request);
 	memcpy(want.id, request->id, sizeof(want.id));
 	request->ticket = scheduler_submit(&request->router->scheduler, &want);
 }
@@ -380,9 +280,11 @@
 
 	request->router = router;
 	request->state = state_ref(router->state);
-	request->attempt = 1;
 	request->accepted_at_us = clock_now(&router->clock);
 	request->text = g_string_new(NULL);
+	request->events = g_array_new(FALSE, FALSE, sizeof(lifecycle_event_t));
+	request->engines = g_ptr_array_new();
+	request->finish_offset = -1;
 	router_make_id(router, request->id);
 	access_trace(headers, request->trace);
 	request->customer =
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -6,6 +6,7 @@
 #include "connection/reply.h"
 #include "process/router.h"
 #include "request/completion.h"
+#include "request/lifecycle.h"
 
 typedef struct {
 	router_t *router;
@@ -14,7 +15,6 @@
 	const service_t *service;
 	char id[33];
 	char trace[56]; /* W3C traceparent, or empty */
-	int attempt;
 	completion_t completion;
 	reply_t reply;
 	int64_t accepted_at_us;
@@ -23,19 +23,44 @@
 	int64_t deadline_us;
 	int64_t max_tokens;
 	scheduler_ticket_t *ticket;
-	int64_t decode_started_at_us;
-	backend_entry_t *prefill;
-	backend_entry_t *decode;
+
+	lifecycle_t lifecycle;
+	GArray *events; /* of lifecycle_event_t, to be fed after this one */
+	bool stepping; /* inside lifecycle_step() or its actions */
+	GPtrArray *engines; /* backend_entry_t by engine number, from 1 */
+	guint deadline_timer;
+	guint timer; /* back-off, or the watch over the current call */
+
 	engine_call_t *call; /* in progress */
+	uint32_t attempt; /* of the call */
+	backend_entry_t *engine; /* of the call */
+	int64_t call_started_us;
+	int64_t call_limit_us; /* when the call counts as silent */
+	uint32_t import_source; /* attempt of the import that waits */
+	backend_entry_t *prefill; /* that holds the result */
 	char *kv; /* prefill result */
-	char *imported_kv; /* at the decode engine */
 	int64_t kv_kept_until_us;
-	int64_t next_offset; /* first token not yet forwarded */
+	int64_t computed_tokens; /* by the prefill of that result */
+	char *imported_kv; /* at the decode engine */
+	const engine_token_t *token; /* of the event being fed */
+	int64_t stream_offset; /* first offset of the stream */
+	int64_t finish_offset; /* of the event that ends the answer, or -1 */
+	char *finish; /* reason in that event */
+	int64_t sent_tokens;
 	GString *text; /* answer that is not streamed */
-	bool may_have_run;
 } request_t;
 
 void request_start(router_t *router, SoupServerMessage *message, bool chat);
-void request_abort(request_t *request, verdict_code_t code);
+void request_abort(request_t *request);
+void request_feed(request_t *request, lifecycle_event_t event);
+
+/* execute.c: the actions of the state machine. */
+void execute_action(request_t *request, const lifecycle_action_t *action);
+void execute_on_reserved(void *context, uint32_t attempt,
+			 backend_entry_t *engine, int64_t retry_at_us);
+void execute_stop(request_t *request);
+
+/* request.c: what the caller sees. */
+void request_forward_token(request_t *request);
 
 #endif
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -31,8 +31,10 @@
 /* Takes one retry out of the budget; false when none is left. */
 bool retry_budget_take(retry_budget_t *budget)
 {
-	if (budget->tokens < 1)
+	if (budget->tokens < 1) {
+		budget->denied++;
 		return false;
+	}
 	budget->tokens -= 1;
 	return true;
 }
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -14,6 +14,7 @@
 	double share; /* retries for each first send */
 	double tokens;
 	double capacity;
+	uint64_t denied; /* retries denied since it was last reset */
 } retry_budget_t;
 
 /* Jittered exponential backoff. */
--- a/tests/test_lifecycle.c
+++ b/tests/test_lifecycle.c
@@ -300,6 +300,17 @@
 		   "reserve 32 not e7; resuming"},
 	  {EVENT_RESERVED, 32, 8, .at_ms = KEPT_PASSED_MS,
 	   .want = "prefill 17 not e1; prefilling"}}},
+	{"two imports stall: the result counts as lost",
+	 1,
+	 {TO_IMPORTING,
+	  {EVENT_IMPORT_STALLED, 2, 7,
+	   .want = "cancel e7 2; release e7 16 after cancel; "
+		   "reserve 32 not e7; resuming"},
+	  {EVENT_RESERVED, 32, 8, .want = "import e8 17 from 1; importing"},
+	  {EVENT_IMPORT_STALLED, 17, 8,
+	   .want = "cancel e8 17; release e8 32 after cancel; "
+		   "reserve 48 not e8; resuming"},
+	  {EVENT_RESERVED, 48, 9, .want = "prefill 33 not e1; prefilling"}}},
 	{"decode engine full",
 	 0,
 	 {TO_IMPORTING,
