Feed engines' cache events to the prefix hints

Cause: placement by cached prefix needs the engines' cache events. Change: prefill engines are asked for their events with their load; the prefix ID of a prompt is computed from its first 64 words. Conclusion: events are hints only, as they are late and have gaps.

--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -14,6 +14,7 @@
 	engine_end_fn_t on_end;
 	engine_load_fn_t on_load;
 	engine_cancel_fn_t on_cancel;
+	engine_cache_fn_t on_cache;
 	void *context;
 	sse_parser_t sse;
 	bool streaming;
@@ -182,6 +183,48 @@
 	call_free(call);
 }
 
+static void pass_cache_event(JsonArray *array, guint index, JsonNode *node,
+			     gpointer data)
+{
+	engine_call_t *call = data;
+	engine_cache_event_t event;
+	JsonObject *object;
+	str_t prefix;
+
+	if (!JSON_NODE_HOLDS_OBJECT(node))
+		return;
+	object = json_node_get_object(node);
+	prefix = get_str(object, "prefix");
+	event.seq = (uint64_t)get_int(object, "seq");
+	event.store = str_equal(get_str(object, "op"), STR("store"));
+	event.prefix = g_ascii_strtoull(prefix.data, NULL, 16);
+	call->on_cache(call->context, &event, ENGINE_OK, 0);
+}
+
+static void on_cache_response(void *context, const client_response_t *response)
+{
+	engine_call_t *call = context;
+	engine_status_t status = status_of(response);
+	JsonParser *parser = json_parser_new_immutable();
+	JsonObject *object = NULL;
+	JsonNode *events;
+	uint64_t next = 0;
+
+	if (status == ENGINE_OK)
+		object = parse_body(parser, response);
+	events = object ? json_object_get_member(object, "events") : NULL;
+	if (events && JSON_NODE_HOLDS_ARRAY(events)) {
+		next = (uint64_t)get_int(object, "next");
+		json_array_foreach_element(json_node_get_array(events),
+					   pass_cache_event, call);
+	} else if (status == ENGINE_OK) {
+		status = ENGINE_REJECTED;
+	}
+	call->on_cache(call->context, NULL, status, next);
+	g_object_unref(parser);
+	call_free(call);
+}
+
 static void on_stream_event(const sse_event_t *event, void *context)
 {
 	engine_call_t *call = context;
@@ -431,6 +474,29 @@
 	return send_call(client, call, &request);
 }
 
+/* Asks for the changes of an engine's prefix cache after an event. */
+engine_call_t *engine_cache_events(client_t *client, str_t address,
+				   uint64_t after, int64_t deadline_us,
+				   engine_cache_fn_t fn, void *context)
+{
+	engine_call_t *call = g_new0(engine_call_t, 1);
+	char *path = g_strdup_printf(
+		"/v1/cache-events?after=%" G_GUINT64_FORMAT, after);
+	client_request_t request = {
+		.method = "GET",
+		.address = address,
+		.path = path,
+		.deadline_us = deadline_us,
+		.on_done = on_cache_response,
+	};
+
+	call->on_cache = fn;
+	call->context = context;
+	call = send_call(client, call, &request);
+	g_free(path);
+	return call;
+}
+
 /*
  * Gives up a call; its callbacks are not called again. It does not free
  * anything at the engine: that takes engine_cancel().
--- a/src/connection/engine.h
+++ b/src/connection/engine.h
@@ -80,6 +80,20 @@
 typedef void (*engine_token_fn_t)(void *context, const engine_token_t *token);
 typedef void (*engine_end_fn_t)(void *context, engine_status_t status);
 typedef void (*engine_load_fn_t)(void *context, const engine_load_t *load);
+/* Change of an engine's prefix cache. */
+typedef struct {
+	uint64_t seq;
+	bool store; /* otherwise evicted */
+	uint64_t prefix; /* prefix ID */
+} engine_cache_event_t;
+
+/* Called for each event and then once with NULL and the end's status; `next`
+ * is what to ask for next.
+ */
+typedef void (*engine_cache_fn_t)(void *context,
+				  const engine_cache_event_t *event,
+				  engine_status_t status, uint64_t next);
+
 typedef void (*engine_cancel_fn_t)(void *context, engine_status_t status,
 				   int64_t held_tokens);
 
@@ -100,6 +114,9 @@
 			     engine_cancel_fn_t fn, void *context);
 engine_call_t *engine_load(client_t *client, str_t address, int64_t deadline_us,
 			   engine_load_fn_t fn, void *context);
+engine_call_t *engine_cache_events(client_t *client, str_t address,
+				   uint64_t after, int64_t deadline_us,
+				   engine_cache_fn_t fn, void *context);
 void engine_abort(engine_call_t *call);
 const char *engine_status_text(engine_status_t status);
 
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -16,6 +16,7 @@
 	backend_entry_t *entry = data;
 
 	engine_abort(entry->poll);
+	engine_abort(entry->cache_poll);
 	g_free(entry->name);
 	g_free(entry->address);
 	g_free(entry->zone);
@@ -61,6 +62,38 @@
 	changed(entry, true);
 }
 
+static void on_cache(void *context, const engine_cache_event_t *event,
+		     engine_status_t status, uint64_t next)
+{
+	backend_entry_t *entry = context;
+	backends_t *backends = entry->owner;
+
+	if (event) {
+		if (backends->on_cache)
+			backends->on_cache(backends->context, entry, event);
+		return;
+	}
+	entry->cache_poll = NULL;
+	/* An engine that was replaced counts from the start again. */
+	if (status == ENGINE_OK)
+		entry->cache_next = next;
+}
+
+static void poll_entry(backends_t *backends, backend_entry_t *entry,
+		       int64_t now_us)
+{
+	str_t address = str_from(entry->address);
+	int64_t deadline_us = now_us + POLL_TIMEOUT_US;
+
+	if (!entry->poll)
+		entry->poll = engine_load(backends->client, address,
+					  deadline_us, on_load, entry);
+	if (!entry->cache_poll && entry->prefill)
+		entry->cache_poll = engine_cache_events(
+			backends->client, address, entry->cache_next,
+			deadline_us, on_cache, entry);
+}
+
 static gboolean on_poll(gpointer data)
 {
 	backends_t *backends = data;
@@ -73,11 +106,8 @@
 		/* Plain services have no agreed load call; asking one would
 		 * execute a call of its own.
 		 */
-		if (!entry->present || entry->poll || !*entry->pool)
-			continue;
-		entry->poll =
-			engine_load(backends->client, str_from(entry->address),
-				    now_us + POLL_TIMEOUT_US, on_load, entry);
+		if (entry->present && *entry->pool)
+			poll_entry(backends, entry, now_us);
 	}
 	return G_SOURCE_CONTINUE;
 }
@@ -90,6 +120,7 @@
 	backends->entries = g_ptr_array_new_with_free_func(entry_free);
 	backends->next = 0;
 	backends->on_changed = NULL;
+	backends->on_cache = NULL;
 	backends->poll_timer =
 		g_timeout_add(POLL_INTERVAL_MS, on_poll, backends);
 }
@@ -139,6 +170,7 @@
 	entry->present = true;
 	if (backend->pool && !entry->kv_total)
 		entry->kv_total = backend->pool->kv_tokens;
+	entry->prefill = backend->pool && backend->pool->role == ROLE_PREFILL;
 	entry->max_prefills = backend->pool ? backend->pool->max_prefills : 0;
 }
 
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -15,6 +15,7 @@
 	char *zone;
 	char *pool; /* name, or empty for a plain service */
 	char *service; /* name, or empty for an engine */
+	bool prefill; /* in a prefill pool */
 	bool leaving; /* by the state, its report or the VM list */
 	bool present; /* in the state in effect */
 	int64_t kv_total;
@@ -27,6 +28,8 @@
 	int64_t in_flight; /* calls of this process */
 	int64_t max_prefills; /* at once */
 	engine_call_t *poll;
+	engine_call_t *cache_poll;
+	uint64_t cache_next; /* position in the engine's cache events */
 	route_t *route; /* pool that the scheduler put it in, or NULL */
 	route_engine_t *engine; /* its place there */
 } backend_entry_t;
@@ -37,6 +40,9 @@
 typedef void (*backends_changed_fn_t)(void *context, backend_entry_t *entry,
 				      bool reported);
 
+typedef void (*backends_cache_fn_t)(void *context, backend_entry_t *entry,
+				    const engine_cache_event_t *event);
+
 struct backends {
 	client_t *client;
 	clock_source_t clock;
@@ -44,6 +50,7 @@
 	guint poll_timer;
 	guint next; /* round-robin position */
 	backends_changed_fn_t on_changed; /* may be NULL */
+	backends_cache_fn_t on_cache; /* may be NULL */
 	void *context;
 };
 
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -246,6 +246,17 @@
 	scheduler_backend_changed(&router->scheduler, entry, reported);
 }
 
+static void on_cache_event(void *context, backend_entry_t *entry,
+			   const engine_cache_event_t *event)
+{
+	router_t *router = context;
+
+	if (entry->engine)
+		prefix_event(&router->scheduler.prefix,
+			     entry->engine->config.id, event->seq, event->store,
+			     event->prefix);
+}
+
 static void router_init(router_t *router, const settings_t *settings)
 {
 	route_policy_t policy;
@@ -267,6 +278,7 @@
 	scheduler_init(&router->scheduler, &router->backends, &router->reserve,
 		       router->clock, settings, router->id_prefix);
 	router->backends.on_changed = on_backend_changed;
+	router->backends.on_cache = on_cache_event;
 	router->backends.context = router;
 	router->loop = g_main_loop_new(NULL, FALSE);
 }
--- a/src/request/completion.c
+++ b/src/request/completion.c
@@ -4,6 +4,7 @@
 #include <json-glib/json-glib.h>
 
 #define MAX_TOKENS_LIMIT 1000000
+#define PREFIX_WORDS 64
 
 /*
  * Counts whitespace-separated words, the measure that the engines use for
@@ -23,6 +24,37 @@
 	return n;
 }
 
+/*
+ * Returns the prefix ID of a prompt: the first 16 hex digits of the SHA-256 of
+ * its first words, joined by spaces, as engines name prefixes in their cache
+ * events.
+ */
+uint64_t completion_prefix(str_t prompt)
+{
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	char digits[17];
+	size_t at = 0;
+
+	for (size_t words = 0; words < PREFIX_WORDS; words++) {
+		size_t start;
+
+		while (at < prompt.len && g_ascii_isspace(prompt.data[at]))
+			at++;
+		start = at;
+		while (at < prompt.len && !g_ascii_isspace(prompt.data[at]))
+			at++;
+		if (at == start)
+			break;
+		if (words)
+			g_checksum_update(sum, (const guchar *)" ", 1);
+		g_checksum_update(sum, (const guchar *)prompt.data + start,
+				  (gssize)(at - start));
+	}
+	g_strlcpy(digits, g_checksum_get_string(sum), sizeof(digits));
+	g_checksum_free(sum);
+	return g_ascii_strtoull(digits, NULL, 16);
+}
+
 static bool refuse(verdict_t *verdict, const char *detail)
 {
 	*verdict = verdict_make(RUN_NOT_RUN, VERDICT_BAD_REQUEST, detail);
--- a/src/request/completion.h
+++ b/src/request/completion.h
@@ -23,6 +23,7 @@
 void completion_append_whole(GString *out, const completion_t *completion,
 			     str_t id, str_t text, str_t finish,
 			     int64_t output_tokens);
+uint64_t completion_prefix(str_t prompt);
 int64_t completion_count_tokens(str_t text);
 
 #endif
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -323,6 +323,9 @@
 		.service = request->service,
 		.prompt_tokens = request->completion.prompt_tokens,
 		.max_tokens = request->max_tokens,
+		.prefix = completion_prefix(
+			(str_t){request->completion.prompt,
+				request->completion.prompt_len}),
 		.start_by_us =
 			request->accepted_at_us +
 			request->service->first_token_ms * CLOCK_US_PER_MS,
