--- a/tests/engine_load.c
+++ b/tests/engine_load.c
@@ -34,9 +34,10 @@
 {
 	engine_t *engine = user_data;
 	int64_t lag_us = engine->options.load_lag_ms * CLOCK_US_PER_MS;
-	int64_t visible_us = fake_now_us() - lag_us;
+	int64_t visible_us;
 
 	g_queue_push_tail(&engine->loads, sample(engine));
+	visible_us = fake_now_us() - lag_us;
 	while (g_queue_get_length(&engine->loads) > 1) {
 		const load_sample_t *second =
 			g_queue_peek_nth(&engine->loads, 1);
--- a/tests/engine_prefill.c
+++ b/tests/engine_prefill.c
@@ -188,6 +188,7 @@
 
 typedef struct {
 	SoupServerMessage *message;
+	fake_execution_t *execution;
 	size_t bytes;
 } export_t;
 
@@ -196,6 +197,7 @@
 	export_t *export = user_data;
 	char *piece = g_malloc0(export->bytes);
 
+	fake_execution_end(export->execution, "done");
 	fake_reply_text(export->message, 200, "application/octet-stream", piece,
 			export->bytes);
 	soup_server_message_unpause(export->message);
@@ -206,43 +208,55 @@
 }
 
 /*
- * POST /v1/kv/export: one piece over the shared link, which serves pieces one
- * after the other. A retained result that ends while its piece is under way
- * answers 410 from the next piece on.
+ * Sends a piece over the shared link, which serves pieces one after the
+ * other. A stalled piece uses its share of the link too.
  */
-void engine_export(engine_t *engine, SoupServerMessage *message,
-		   JsonObject *body)
+static void send_piece(engine_t *engine, SoupServerMessage *message,
+		       JsonObject *body, int64_t tokens)
 {
-	work_t *work = work_find(engine, fake_get_string(body, "kv"));
-	int64_t piece = fake_get_int(body, "piece", 0);
-	int64_t size = engine->options.piece_tokens;
+	int64_t cost_us =
+		tokens * CLOCK_US_PER_S / engine->options.link_tokens_s;
 	int64_t now_us = fake_now_us();
-	int64_t tokens, cost_us;
+	fake_execution_t *execution;
 	export_t *export;
 
-	if (fake_fault_take(&engine->fake, "refuse")) {
-		fake_reply_error(message, 503, "refused");
-		return;
-	}
-	if (!work || work->state != WORK_KEPT || piece < 0 ||
-	    piece * size >= MAX(work->prompt_tokens, 1)) {
-		fake_reply_error(message, 410, "gone");
-		return;
-	}
+	engine->link_free_us = MAX(engine->link_free_us, now_us) +
+			       engine_scale_us(engine, cost_us);
+	execution = fake_execution_start(&engine->fake, "export",
+					 fake_get_string(body, "request"), 0);
+	execution->tokens = tokens;
+	soup_server_message_pause(message);
 	if (fake_fault_take(&engine->fake, "stall_transfers")) {
-		soup_server_message_pause(message);
+		fake_execution_end(execution, "stalled");
 		return;
 	}
-	tokens = MIN(size, work->prompt_tokens - piece * size);
-	cost_us = tokens * CLOCK_US_PER_S / engine->options.link_tokens_s;
-	engine->link_free_us = MAX(engine->link_free_us, now_us) +
-			       engine_scale_us(engine, cost_us);
 	export = g_new0(export_t, 1);
 	export->message = g_object_ref(message);
+	export->execution = execution;
 	export->bytes = (size_t)tokens;
-	soup_server_message_pause(message);
 	g_timeout_add(
 		(guint)((engine->link_free_us - now_us + CLOCK_US_PER_MS - 1) /
 			CLOCK_US_PER_MS),
 		on_piece_sent, export);
 }
+
+/*
+ * POST /v1/kv/export: one piece. A retained result that ends while its piece
+ * is under way answers 410 from the next piece on.
+ */
+void engine_export(engine_t *engine, SoupServerMessage *message,
+		   JsonObject *body)
+{
+	const work_t *work = work_find(engine, fake_get_string(body, "kv"));
+	int64_t piece = fake_get_int(body, "piece", 0);
+	int64_t size = engine->options.piece_tokens;
+
+	if (fake_fault_take(&engine->fake, "refuse"))
+		fake_reply_error(message, 503, "refused");
+	else if (!work || work->state != WORK_KEPT || piece < 0 ||
+		 piece * size >= MAX(work->prompt_tokens, 1))
+		fake_reply_error(message, 410, "gone");
+	else
+		send_piece(engine, message, body,
+			   MIN(size, work->prompt_tokens - piece * size));
+}
