Bound what a sender can hold, and test it on raw sockets

Cause: a refused declared length was answered only after the sender's time limit: the library reads the body before it sends the response of an early handler. Ruled out: taking the connection over and writing the response by hand, which loses the response when unread data makes the kernel reset the connection. Measured: test_listener failed on the large body before (no response), and passes now with slow heads, slow bodies, large heads, large and endless bodies. Conclusion: each sender is bounded in time and bytes.

--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -13,6 +13,9 @@
 	bool refused;
 } receive_t;
 
+/* A refused body is discarded up to this many times the limit. */
+#define DISCARD_FACTOR 16
+
 #define RECEIVE_KEY "gooseberryspur-receive"
 
 static void receive_free(gpointer data)
@@ -102,6 +105,11 @@
 		g_snprintf(text, sizeof(text), "%" PRId64, retry_s);
 		soup_message_headers_replace(headers, "Retry-After", text);
 	}
+	if (verdict->code == VERDICT_UNAUTHORIZED)
+		soup_message_headers_replace(headers, "WWW-Authenticate",
+					     "Bearer");
+	if (verdict->code == VERDICT_METHOD_NOT_ALLOWED)
+		soup_message_headers_replace(headers, "Allow", "POST");
 	soup_message_headers_replace(headers, VERDICT_HEADER,
 				     verdict_run_text(verdict->run));
 	verdict_append_json(body, verdict, now_us);
@@ -138,6 +146,19 @@
 	}
 }
 
+/*
+ * Refuses a body by its declared length. The library answers after it has
+ * read the body, which is discarded here within the time limit for senders.
+ */
+static void refuse_body(SoupServerMessage *message, receive_t *receive)
+{
+	soup_message_body_set_accumulate(
+		soup_server_message_get_request_body(message), FALSE);
+	if (receive)
+		receive->max_body_bytes *= DISCARD_FACTOR;
+	refuse_and_close(message, "body: too many bytes");
+}
+
 /* Runs when the head of a request is complete and its body is not read. */
 static void on_head(SoupServer *server, SoupServerMessage *message,
 		    const char *path, GHashTable *query, gpointer data)
@@ -153,14 +174,12 @@
 		refuse_and_close(message, "header: too many bytes");
 		return;
 	}
-	if (soup_message_headers_get_content_length(headers) >
-	    listener->limits.max_body_bytes) {
-		refuse_and_close(message, "body: too many bytes");
-		return;
-	}
 	if (receive)
 		g_signal_connect(message, "got-chunk", G_CALLBACK(on_got_chunk),
 				 receive);
+	if (soup_message_headers_get_content_length(headers) >
+	    listener->limits.max_body_bytes)
+		refuse_body(message, receive);
 }
 
 static void on_whole(SoupServer *server, SoupServerMessage *message,
--- /dev/null
+++ b/tests/test_listener.c
@@ -0,0 +1,183 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "support_deployment.h"
+#include "support_http.h"
+
+#define CLOSE_TIMEOUT_MS 5000
+
+static deployment_t deployment;
+
+static int start_group(void **state)
+{
+	deployment_config_t config = {
+		.prefills = 1,
+		.decodes = 1,
+		.routers = 1,
+		.state_extra = "[limits]\nmax_header_bytes = 2048\n"
+			       "max_body_bytes = 4096\n"
+			       "receive_timeout_ms = 300\n",
+	};
+
+	deployment_start(&deployment, &config);
+	return 0;
+}
+
+static int finish_group(void **state)
+{
+	deployment_finish(&deployment);
+	return 0;
+}
+
+static int connect_to_callers(void)
+{
+	char **parts = g_strsplit(deployment.callers_address[0], ":", 2);
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)atoi(parts[1])),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, parts[0], &address.sin_addr);
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	g_strfreev(parts);
+	return fd;
+}
+
+/* Reads until the peer closes; fails if it does not in time. */
+static char *read_to_end(int fd)
+{
+	GString *text = g_string_new(NULL);
+	struct pollfd wait = {fd, POLLIN, 0};
+	char buffer[4096];
+	ssize_t n;
+
+	do {
+		assert_int_equal(poll(&wait, 1, CLOSE_TIMEOUT_MS), 1);
+		n = read(fd, buffer, sizeof(buffer));
+		if (n > 0)
+			g_string_append_len(text, buffer, n);
+	} while (n > 0);
+	close(fd);
+	return g_string_free(text, FALSE);
+}
+
+typedef struct {
+	const char *sent;
+	const char *status; /* start of the response, or NULL: none at all */
+} partial_t;
+
+/* Guards against senders that hold a connection open without ever sending a
+ * whole request.
+ */
+static void test_slow_senders_are_cut(void **state)
+{
+	static const partial_t cases[] = {
+		{"", NULL},
+		{"POST /v1/completions HTTP/1.1\r\nHost: a\r\n", NULL},
+		{"POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+		 "Content-Length: 100\r\n\r\n{",
+		 NULL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int fd = connect_to_callers();
+		char *text;
+
+		assert_int_equal(write(fd, cases[i].sent,
+				       strlen(cases[i].sent)),
+				 strlen(cases[i].sent));
+		text = read_to_end(fd);
+		assert_string_equal(text, "");
+		g_free(text);
+	}
+}
+
+static void assert_refused(const char *request, const char *status)
+{
+	int fd = connect_to_callers();
+	char *text;
+
+	assert_int_equal(write(fd, request, strlen(request)), strlen(request));
+	text = read_to_end(fd);
+	if (!g_str_has_prefix(text, status))
+		print_message("got: %.100s\n", text);
+	assert_true(g_str_has_prefix(text, status));
+	g_free(text);
+}
+
+/* Guards against requests that are read although they are too large. */
+static void test_large_requests_are_refused(void **state)
+{
+	char *filler = g_strnfill(5000, 'a');
+	char *head = g_strdup_printf("POST /v1/completions HTTP/1.1\r\n"
+				     "Host: a\r\nX-Filler: %s\r\n"
+				     "Content-Length: 0\r\n\r\n",
+				     filler);
+	char *body =
+		g_strdup_printf("POST /v1/completions HTTP/1.1\r\n"
+				"Host: a\r\nContent-Length: 5000\r\n\r\n%s",
+				filler);
+
+	assert_refused(head, "HTTP/1.1 413");
+	assert_refused(body, "HTTP/1.1 413");
+	g_free(head);
+	g_free(body);
+	g_free(filler);
+}
+
+/* Guards against a body without declared length that has no end. */
+static void test_endless_body_is_cut(void **state)
+{
+	int fd = connect_to_callers();
+	const char *head = "POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+			   "Transfer-Encoding: chunked\r\n\r\n";
+	char chunk[1024 + 8];
+	int chunks = 0;
+	char *text;
+
+	memset(chunk, 'a', sizeof(chunk));
+	memcpy(chunk, "400\r\n", 5);
+	memcpy(chunk + 5 + 1024, "\r\n", 2);
+	assert_int_equal(write(fd, head, strlen(head)), strlen(head));
+	while (chunks < 100 && send(fd, chunk, 5 + 1024 + 2, MSG_NOSIGNAL) > 0)
+		chunks++;
+	text = read_to_end(fd);
+	assert_null(strstr(text, "HTTP/1.1 200"));
+	g_free(text);
+}
+
+/* Guards against a listener that stops working after bad senders. */
+static void test_still_serves(void **state)
+{
+	http_answer_t answer = http_call(
+		"POST", deployment.callers_address[0], "/v1/completions",
+		"{\"model\":\"summaries\",\"prompt\":\"a\",\"max_tokens\":1}",
+		DEPLOYMENT_HEADERS);
+
+	assert_int_equal(answer.status, 200);
+	http_answer_finish(&answer);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_slow_senders_are_cut),
+		cmocka_unit_test(test_large_requests_are_refused),
+		cmocka_unit_test(test_endless_body_is_cut),
+		cmocka_unit_test(test_still_serves),
+	};
+
+	return cmocka_run_group_tests(tests, start_group, finish_group);
+}
