--- a/src/process/cmd_check.c
+++ b/src/process/cmd_check.c
@@ -25,8 +25,8 @@
 /* Checks a settings file or a desired state without applying it. */
 int cmd_check(int argc, char **argv)
 {
-	struct arg_file *file = arg_file1(NULL, NULL, "FILE",
-					  "settings file or desired state");
+	struct arg_file *file =
+		arg_file1(NULL, NULL, "FILE", "settings file or desired state");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
--- /dev/null
+++ b/src/version/write.h
@@ -0,0 +1,18 @@
+/* Canonical TOML text of a desired state: equal states give equal bytes. */
+#ifndef VERSION_WRITE_H
+#define VERSION_WRITE_H
+
+#include "version/state.h"
+
+void write_head(const state_t *state, GString *out);
+void write_zones(const state_t *state, GString *out);
+void write_models(const state_t *state, GString *out);
+void write_pools(const state_t *state, GString *out);
+void write_services(const state_t *state, GString *out);
+void write_backend(const backend_t *backend, GString *out);
+void write_customer(const customer_t *customer, GString *out);
+GPtrArray *write_sorted_backends(const state_t *state);
+GPtrArray *write_sorted_customers(const state_t *state);
+void write_state(const state_t *state, GString *out);
+
+#endif
