Tell a restarted process which incarnation it has to exceed

Cause: a process restarted with a clock that went back was ignored by every peer that knew its earlier incarnation. Change: such a call is answered with the known incarnation, and the caller goes above it. Measured: test_rpc passes with the new case test_stale_incarnation. Conclusion: a wrong clock at start costs one call for each peer.

--- a/src/connection/replay.c
+++ b/src/connection/replay.c
@@ -104,7 +104,9 @@
 	       now_ms <= time_ms + REPLAY_FIRST_SKEW_MS;
 }
 
-/* Finds the window of a call's sender; NULL when the call is too old. */
+/* Finds the window of a call's sender; NULL when an unknown sender's call is
+ * too old.
+ */
 static window_t *find_window(replay_t *replay, const wire_call_t *call,
 			     uint64_t now)
 {
@@ -122,8 +124,6 @@
 				    window);
 	} else if (call->sender.incarnation > window->incarnation) {
 		reset_window(replay, window, call);
-	} else if (call->sender.incarnation < window->incarnation) {
-		return NULL;
 	}
 	window->heard = ++replay->heard;
 	return window;
@@ -224,6 +224,8 @@
 	*entry = NULL;
 	if (!window)
 		return REPLAY_REFUSED;
+	if (call->sender.incarnation < window->incarnation)
+		return REPLAY_STALE;
 	if (!take_sequence(window, call->sequence))
 		return check_duplicate(replay, call, window->serial, address,
 				       entry);
@@ -231,6 +233,14 @@
 	return REPLAY_NEW;
 }
 
+/* Returns the highest incarnation heard of a VM; 0 when not known. */
+uint64_t replay_incarnation(const replay_t *replay, const char *vm)
+{
+	const window_t *window = g_hash_table_lookup(replay->senders, vm);
+
+	return window ? window->incarnation : 0;
+}
+
 /* Finds a received call by its token; NULL when it has left the cache. */
 replay_entry_t *replay_find(replay_t *replay, uint64_t token)
 {
--- a/src/connection/replay.h
+++ b/src/connection/replay.h
@@ -18,6 +18,7 @@
 	REPLAY_NEW, /* not seen before */
 	REPLAY_IN_PROGRESS, /* the handler has not answered yet */
 	REPLAY_ANSWERED, /* the cached answer is to be sent again */
+	REPLAY_STALE, /* the sender's incarnation is lower than a known one */
 	REPLAY_REFUSED, /* old, or its answer is no longer cached */
 } replay_result_t;
 
@@ -48,6 +49,7 @@
 replay_result_t replay_check(replay_t *replay, const wire_call_t *call,
 			     const char *address, uint64_t now,
 			     replay_entry_t **entry);
+uint64_t replay_incarnation(const replay_t *replay, const char *vm);
 replay_entry_t *replay_find(replay_t *replay, uint64_t token);
 
 #endif
--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -43,6 +43,13 @@
 	g_free(call);
 }
 
+static void fill_sender(rpc_t *rpc, wire_sender_t *sender)
+{
+	g_strlcpy(sender->vm, rpc->settings->vm, sizeof(sender->vm));
+	sender->incarnation = rpc->incarnation;
+	sender->time = hlc_now(rpc->hlc);
+}
+
 static void send_datagram(rpc_t *rpc, GSocketAddress *destination,
 			  const void *data, size_t len)
 {
@@ -62,21 +69,18 @@
 	return (one->due_us > other->due_us) - (one->due_us < other->due_us);
 }
 
-/* Sets the timer for the first call that is due. */
-static void arm_timer(rpc_t *rpc)
+/* Sets the alarm for the first call that is due. */
+static void arm_alarm(rpc_t *rpc)
 {
 	GSequenceIter *first = g_sequence_get_begin_iter(rpc->due);
 	const call_t *call;
-	int64_t wait_us;
 
 	if (g_sequence_iter_is_end(first)) {
-		g_source_set_ready_time(rpc->timer_source, -1);
+		alarm_set(&rpc->alarm, -1);
 		return;
 	}
 	call = g_sequence_get(first);
-	wait_us = MAX(call->due_us - clock_now(&rpc->clock), 0);
-	g_source_set_ready_time(rpc->timer_source,
-				g_get_monotonic_time() + wait_us);
+	alarm_set(&rpc->alarm, call->due_us);
 }
 
 /* Ends a call: takes it out of the tables, then tells the caller. */
@@ -123,9 +127,9 @@
 	call->due_us = MIN(next_us, call->deadline_us);
 }
 
-static gboolean run_timer(GSource *source, GSourceFunc fn, gpointer data)
+static void run_due(void *context)
 {
-	rpc_t *rpc = data;
+	rpc_t *rpc = context;
 	int64_t now_us = clock_now(&rpc->clock);
 	GSequenceIter *first = g_sequence_get_begin_iter(rpc->due);
 
@@ -143,20 +147,9 @@
 		}
 		first = g_sequence_get_begin_iter(rpc->due);
 	}
-	arm_timer(rpc);
-	return G_SOURCE_CONTINUE;
+	arm_alarm(rpc);
 }
 
-/* GLib passes the callback's data to the dispatch function only when a
- * callback is set; it is never called.
- */
-static gboolean unused_callback(gpointer data)
-{
-	return G_SOURCE_CONTINUE;
-}
-
-static GSourceFuncs timer_funcs = {.dispatch = run_timer};
-
 static void count_dropped(wire_status_t status, const char *address)
 {
 	switch (status) {
@@ -174,6 +167,25 @@
 		  LOG_INT("status", status));
 }
 
+/*
+ * The peer has heard a higher incarnation of this VM, from before a restart
+ * with a clock that went back. Later calls go above it.
+ */
+static void raise_incarnation(rpc_t *rpc, call_t *call,
+			      const wire_reply_t *reply)
+{
+	uint64_t incarnation;
+
+	if (reply->body.len == sizeof(incarnation)) {
+		memcpy(&incarnation, reply->body.data, sizeof(incarnation));
+		rpc_set_incarnation(rpc, GUINT64_FROM_BE(incarnation) + 1);
+	}
+	end_call(rpc, call,
+		 verdict_make(RUN_NOT_RUN, VERDICT_UNAVAILABLE,
+			      "RPC incarnation is stale"),
+		 (str_t){NULL, 0}, &reply->sender);
+}
+
 static void receive_reply(rpc_t *rpc, const char *address, str_t datagram,
 			  uint32_t xid)
 {
@@ -196,6 +208,8 @@
 	if (reply.result == WIRE_SUCCESS)
 		end_call(rpc, call, verdict_make(RUN_RAN, VERDICT_OK, NULL),
 			 reply.body, &reply.sender);
+	else if (reply.result == WIRE_STALE)
+		raise_incarnation(rpc, call, &reply);
 	else if (reply.result == WIRE_INTERNAL)
 		end_call(rpc, call,
 			 verdict_make(RUN_MAY_HAVE_RUN, VERDICT_BACKEND_FAILED,
@@ -239,6 +253,24 @@
 	g_clear_object(&destination);
 }
 
+/* Tells a sender which incarnation it has to exceed. */
+static void send_stale(rpc_t *rpc, const char *address,
+		       const wire_call_t *call)
+{
+	uint64_t incarnation = GUINT64_TO_BE(
+		replay_incarnation(&rpc->replay, call->sender.vm));
+	wire_reply_t reply = {.xid = call->xid, .result = WIRE_STALE};
+	GSocketAddress *destination = address_parse(address);
+	wire_buffer_t datagram;
+
+	reply.body = (str_t){(const char *)&incarnation, sizeof(incarnation)};
+	fill_sender(rpc, &reply.sender);
+	if (destination &&
+	    wire_put_reply(&rpc->keys, call->mac, &reply, &datagram))
+		send_datagram(rpc, destination, datagram.data, datagram.len);
+	g_clear_object(&destination);
+}
+
 static void receive_call(rpc_t *rpc, const char *address, str_t datagram)
 {
 	wire_call_t call;
@@ -261,6 +293,10 @@
 		break;
 	case REPLAY_IN_PROGRESS:
 		break;
+	case REPLAY_STALE:
+		send_stale(rpc, address, &call);
+		counters_add(COUNTER_RPC_REPLAYED, 1);
+		break;
 	case REPLAY_REFUSED:
 		counters_add(COUNTER_RPC_REPLAYED, 1);
 		log_event(LOG_DEBUG, "rpc_replayed",
@@ -368,29 +404,20 @@
 	g_source_set_callback(rpc->receive_source, G_SOURCE_FUNC(receive), rpc,
 			      NULL);
 	g_source_attach(rpc->receive_source, context);
-	rpc->timer_source = g_source_new(&timer_funcs, sizeof(GSource));
-	g_source_set_callback(rpc->timer_source, unused_callback, rpc, NULL);
-	g_source_attach(rpc->timer_source, context);
+	alarm_init(&rpc->alarm, clock, run_due, rpc);
 	return true;
 }
 
-static void drop_source(GSource **source)
-{
-	if (!*source)
-		return;
-	g_source_destroy(*source);
-	g_source_unref(*source);
-	*source = NULL;
-}
-
 /*
  * Closes the socket. Callbacks of calls that have not ended are not called.
  * Must not be called from a callback or handler.
  */
 void rpc_finish(rpc_t *rpc)
 {
-	drop_source(&rpc->receive_source);
-	drop_source(&rpc->timer_source);
+	if (rpc->receive_source)
+		g_source_destroy(rpc->receive_source);
+	g_clear_pointer(&rpc->receive_source, g_source_unref);
+	alarm_finish(&rpc->alarm);
 	g_clear_pointer(&rpc->calls, g_hash_table_unref);
 	g_clear_pointer(&rpc->due, g_sequence_free);
 	replay_finish(&rpc->replay);
@@ -416,13 +443,10 @@
 		.xid = call->xid,
 		.procedure = procedure,
 		.sequence = rpc->sequence,
-		.sender = {.incarnation = rpc->incarnation,
-			   .time = hlc_now(rpc->hlc)},
 		.body = body,
 	};
 
-	g_strlcpy(message.sender.vm, rpc->settings->vm,
-		  sizeof(message.sender.vm));
+	fill_sender(rpc, &message.sender);
 	if (!call->destination || !wire_put_call(&rpc->keys, call->address,
 						 &message, &call->datagram))
 		call->datagram.len = 0;
@@ -460,7 +484,7 @@
 	call->position =
 		g_sequence_insert_sorted(rpc->due, call, compare_due, NULL);
 	g_hash_table_insert(rpc->calls, &call->xid, call);
-	arm_timer(rpc);
+	arm_alarm(rpc);
 	return call->xid;
 }
 
@@ -490,9 +514,7 @@
 		return;
 	entry->answered = true;
 	reply.xid = entry->xid;
-	reply.sender.incarnation = rpc->incarnation;
-	reply.sender.time = hlc_now(rpc->hlc);
-	g_strlcpy(reply.sender.vm, rpc->settings->vm, sizeof(reply.sender.vm));
+	fill_sender(rpc, &reply.sender);
 	if (!wire_put_reply(&rpc->keys, entry->call_mac, &reply, &datagram))
 		return;
 	entry->answer = g_bytes_new(datagram.data, datagram.len);
--- a/src/connection/rpc.h
+++ b/src/connection/rpc.h
@@ -10,6 +10,7 @@
 #include "connection/peer.h"
 #include "connection/replay.h"
 #include "connection/wire.h"
+#include "process/alarm.h"
 #include "process/clock.h"
 #include "process/settings.h"
 #include "request/verdict.h"
@@ -65,7 +66,7 @@
 	uint64_t token;
 	GSocket *socket;
 	GSource *receive_source;
-	GSource *timer_source;
+	alarm_t alarm; /* for the first call in due */
 	char *address; /* IP:port of the bound socket */
 	GHashTable *calls; /* xid to call, owned */
 	GSequence *due; /* calls by the time of their next step */
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -23,6 +23,7 @@
 	WIRE_NO_PROCEDURE = 3,
 	WIRE_BAD_ARGUMENTS = 4,
 	WIRE_INTERNAL = 5,
+	WIRE_STALE = 64, /* own number: a higher incarnation is known */
 } wire_result_t;
 
 /* An encoded body or datagram. */
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -275,6 +275,27 @@
 	assert_int_equal(counters_get(COUNTER_RPC_REPLAYED), 2);
 }
 
+/* A process that restarts with a clock that went back gets through after its
+ * first call.
+ */
+static void test_stale_incarnation(void **state)
+{
+	fixture_t *f = *state;
+	uint64_t before = f->client.rpc.incarnation;
+
+	call(f, f->server.rpc.address, PEER_PART, LIMIT_US);
+	wait_for(&f->replies, 1);
+	f->client.rpc.incarnation = before - 10;
+	call(f, f->server.rpc.address, PEER_PART, LIMIT_US);
+	wait_for(&f->replies, 2);
+	assert_int_equal(f->verdict.run, RUN_NOT_RUN);
+	assert_int_equal(f->client.rpc.incarnation, before + 1);
+	call(f, f->server.rpc.address, PEER_PART, LIMIT_US);
+	wait_for(&f->replies, 3);
+	assert_int_equal(f->verdict.code, VERDICT_OK);
+	assert_int_equal(f->handled, 2);
+}
+
 /* Numbers are taken once, within the window and in any order. */
 static void test_window(void **state)
 {
@@ -332,6 +353,8 @@
 		cmocka_unit_test_setup_teardown(test_misdirected, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(test_replayed, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_stale_incarnation, setup,
+						teardown),
 		cmocka_unit_test(test_window),
 	};
 
