Let grants be re-sent at any time in the recovery period in the ledger's random test

Routers re-sent all grants at the instant of an owner change, so the test passed without the recovery period and without voiding the old owner's credits.

--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -277,12 +277,15 @@
 	uint64_t owner;
 	share_t shares[ROUTERS];
 	ledger_vm_t vms[ROUTERS];
+	bool unaware[ROUTERS]; /* has not re-sent to the new owner yet */
 	int64_t now;
 	uint32_t next;
+	int64_t refused_in_recovery;
 } fleet_t;
 
 #define LEASE_US 100
 #define CREDIT_US 20
+#define TICK_US 5
 
 static void restore_one(const ledger_grant_t *held, void *context)
 {
@@ -292,37 +295,34 @@
 			 LEDGER_OK);
 }
 
+static void resend(fleet_t *fleet, int i)
+{
+	if (!fleet->unaware[i])
+		return;
+	fleet->unaware[i] = false;
+	share_owner_seen(&fleet->shares[i], fleet->owner);
+	share_each(&fleet->shares[i], restore_one, fleet);
+}
+
 /* The owner dies, and the next one starts with an empty ledger. Each router
- * re-sends its grants at a random time within the recovery period; until then
- * it can use the credits of the dead owner.
+ * re-sends its grants at some time within the recovery period; until then it
+ * can use the credit of the dead owner.
  */
 static void change_owner(fleet_t *fleet)
 {
+	for (int i = 0; i < ROUTERS; i++)
+		resend(fleet, i);
 	ledger_finish(&fleet->ledger);
 	ledger_init(&fleet->ledger, CAPACITY, 0, ++fleet->owner,
 		    fleet->now + CREDIT_US);
-	for (int i = 0; i < ROUTERS; i++) {
-		share_t *share = &fleet->shares[i];
-
-		while (g_rand_int_range(fleet->rand, 0, 3) == 0) {
-			ledger_grant_t own = {
-				.key = {{0}, fleet->next++},
-				.tokens = 1 + share->credit / 4,
-				.deadline_us = fleet->now + LEASE_US,
-				.vm = fleet->vms[i],
-			};
-
-			share_take_credit(share, &own, fleet->now);
-		}
-		share_owner_seen(share, fleet->owner);
-		share_each(share, restore_one, fleet);
-	}
-	fleet->now += CREDIT_US;
+	for (int i = 0; i < ROUTERS; i++)
+		fleet->unaware[i] = true;
 }
 
 static void random_start(fleet_t *fleet, int i)
 {
 	share_t *share = &fleet->shares[i];
+	ledger_result_t result;
 	ledger_grant_t want = {
 		.key = {{0}, fleet->next++},
 		.tokens = g_rand_int_range(fleet->rand, 1, 150),
@@ -330,13 +330,21 @@
 		.vm = fleet->vms[i],
 	};
 
+	if (g_rand_int_range(fleet->rand, 0, 2) && share->credit > 0)
+		want.tokens = MIN(want.tokens, share->credit);
 	if (share_take_credit(share, &want, fleet->now)) {
+		if (fleet->unaware[i])
+			return;
 		assert_int_equal(ledger_use_credit(&fleet->ledger, &want,
 						   fleet->now),
 				 LEDGER_OK);
 		return;
 	}
-	if (ledger_reserve(&fleet->ledger, &want, fleet->now) == LEDGER_OK)
+	if (fleet->unaware[i])
+		return;
+	result = ledger_reserve(&fleet->ledger, &want, fleet->now);
+	fleet->refused_in_recovery += result == LEDGER_RECOVERING;
+	if (result == LEDGER_OK)
 		share_hold(share, &want);
 }
 
@@ -352,7 +360,7 @@
 	if (share_each(&fleet->shares[i], pick_any, &key) == 0)
 		return;
 	share_drop(&fleet->shares[i], &key);
-	if (!lost)
+	if (!lost && !fleet->unaware[i])
 		assert_int_equal(ledger_release(&fleet->ledger, &key,
 						fleet->vms[i]),
 				 LEDGER_OK);
@@ -371,24 +379,45 @@
 			      deadline);
 }
 
+static void advance(fleet_t *fleet)
+{
+	bool recovered = fleet->now + TICK_US >=
+			 fleet->ledger.recovery_until_us;
+
+	for (int i = 0; i < ROUTERS; i++) {
+		if (recovered)
+			resend(fleet, i);
+		if (!fleet->unaware[i])
+			share_each(&fleet->shares[i], renew_one, fleet);
+	}
+	fleet->now += TICK_US;
+}
+
 static void confirm_one(const ledger_grant_t *found, void *context)
 {
 	*(ledger_key_t *)context = found->key;
 }
 
+static void random_lend(fleet_t *fleet, int i)
+{
+	int64_t lent;
+
+	if (fleet->unaware[i])
+		return;
+	lent = ledger_lend(&fleet->ledger, fleet->vms[i], 200, ROUTERS,
+			   fleet->now + CREDIT_US, fleet->now);
+	if (lent > 0)
+		share_lent(&fleet->shares[i], lent, fleet->now + CREDIT_US - 1);
+}
+
 static void random_step(fleet_t *fleet)
 {
 	int i = g_rand_int_range(fleet->rand, 0, ROUTERS);
 	ledger_key_t key = {0};
-	int64_t lent;
 
 	switch (g_rand_int_range(fleet->rand, 0, 12)) {
 	case 0:
-		lent = ledger_lend(&fleet->ledger, fleet->vms[i], 200, ROUTERS,
-				   fleet->now + CREDIT_US, fleet->now);
-		if (lent > 0)
-			share_lent(&fleet->shares[i], lent,
-				   fleet->now + CREDIT_US - 1);
+		random_lend(fleet, i);
 		break;
 	case 1:
 	case 2:
@@ -398,15 +427,14 @@
 		random_end(fleet, i, g_rand_int_range(fleet->rand, 0, 9) == 0);
 		break;
 	case 4:
-		fleet->now += 5;
-		for (int r = 0; r < ROUTERS; r++)
-			share_each(&fleet->shares[r], renew_one, fleet);
+		advance(fleet);
 		break;
 	case 5:
 		ledger_expire(&fleet->ledger, fleet->now, confirm_one, &key);
 		ledger_confirm_cancelled(&fleet->ledger, &key);
 		break;
 	case 6:
+		resend(fleet, i);
 		if (g_rand_int_range(fleet->rand, 0, 100) == 0)
 			change_owner(fleet);
 		break;
@@ -437,14 +465,17 @@
 
 		random_step(&fleet);
 		for (int i = 0; i < ROUTERS; i++)
-			held += fleet.shares[i].held;
-		assert_true(held <= fleet.ledger.granted);
+			held += fleet.shares[i].held +
+				share_credit(&fleet.shares[i], fleet.now);
+		assert_true(held <= CAPACITY);
 		assert_true(fleet.ledger.granted + fleet.ledger.lent <=
 			    CAPACITY);
 		assert_true(fleet.ledger.lent >= 0);
 		most = MAX(most, held);
 	}
 	assert_true(most > CAPACITY * 9 / 10);
+	assert_true(fleet.owner > OWNER + 50);
+	assert_true(fleet.refused_in_recovery > 100);
 	for (int i = 0; i < ROUTERS; i++)
 		share_finish(&fleet.shares[i]);
 	ledger_finish(&fleet.ledger);
