Connect the membership to RPC

Cause: the membership state machine needs probes over real sockets, and other modules need owners and addresses. Change: fleet.c sends and answers probes, relays them for others, carries the configuration version and manifest hash, and reports changes. A process whose VM name a newer process has is told that it is superseded; only within 60 s of its start does it go above a refused incarnation instead. Conclusion: owners, addresses and configuration versions are available to the other modules.

--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -13,6 +13,8 @@
  * lost together are not sent again together.
  */
 #define RETRANSMIT_JITTER 0.25
+/* A restarted process hears its peers' refusals within this time. */
+#define RESTART_US (60 * CLOCK_US_PER_S)
 /* Datagrams received before other sources of the main loop get a turn. */
 #define RECEIVE_BATCH 64
 
@@ -168,15 +170,18 @@
 }
 
 /*
- * The peer has heard a higher incarnation of this VM, from before a restart
- * with a clock that went back. Later calls go above it.
+ * The peer has heard a higher incarnation of this VM. Shortly after the start
+ * it comes from before a restart with a clock that went back, and later calls
+ * go above it. Later on it belongs to a newer process, as when a suspended VM
+ * that was replaced returns.
  */
-static void raise_incarnation(rpc_t *rpc, call_t *call,
-			      const wire_reply_t *reply)
+static void hear_stale(rpc_t *rpc, call_t *call, const wire_reply_t *reply)
 {
 	uint64_t incarnation;
 
-	if (reply->body.len == sizeof(incarnation)) {
+	if (clock_now(&rpc->clock) - rpc->start_us > RESTART_US) {
+		rpc->superseded = true;
+	} else if (reply->body.len == sizeof(incarnation)) {
 		memcpy(&incarnation, reply->body.data, sizeof(incarnation));
 		rpc_set_incarnation(rpc, GUINT64_FROM_BE(incarnation) + 1);
 	}
@@ -209,7 +214,7 @@
 		end_call(rpc, call, verdict_make(RUN_RAN, VERDICT_OK, NULL),
 			 reply.body, &reply.sender);
 	else if (reply.result == WIRE_STALE)
-		raise_incarnation(rpc, call, &reply);
+		hear_stale(rpc, call, &reply);
 	else if (reply.result == WIRE_INTERNAL)
 		end_call(rpc, call,
 			 verdict_make(RUN_MAY_HAVE_RUN, VERDICT_BACKEND_FAILED,
@@ -254,8 +259,7 @@
 }
 
 /* Tells a sender which incarnation it has to exceed. */
-static void send_stale(rpc_t *rpc, const char *address,
-		       const wire_call_t *call)
+static void send_stale(rpc_t *rpc, const char *address, const wire_call_t *call)
 {
 	uint64_t incarnation = GUINT64_TO_BE(
 		replay_incarnation(&rpc->replay, call->sender.vm));
@@ -393,6 +397,7 @@
 	rpc->clock = clock;
 	rpc->hlc = hlc;
 	rpc->incarnation = hlc_now(hlc);
+	rpc->start_us = clock_now(&clock);
 	replay_init(&rpc->replay);
 	rpc->due = g_sequence_new(NULL);
 	rpc->calls =
--- a/src/connection/rpc.h
+++ b/src/connection/rpc.h
@@ -62,6 +62,8 @@
 	clock_source_t clock; /* for deadlines */
 	hlc_t *hlc; /* borrowed */
 	uint64_t incarnation;
+	int64_t start_us;
+	bool superseded; /* a newer process has this VM's name */
 	uint64_t sequence;
 	uint64_t token;
 	GSocket *socket;
--- /dev/null
+++ b/src/process/fleet.c
@@ -0,0 +1,365 @@
+#include "process/fleet.h"
+
+#include "process/counters.h"
+#include "process/heartbeat.h"
+#include "process/log.h"
+
+/* A helper waits at most this long for the target, whatever is asked of it. */
+#define RELAY_MAX_MS 2000
+
+/* Context of a call in progress. */
+typedef struct {
+	fleet_t *fleet;
+	uint32_t call;
+	uint64_t probe;
+	uint64_t token; /* of the request to answer, for a relayed probe */
+	bool relayed;
+	char vm[MEMBER_NAME_SIZE]; /* who must answer a relayed probe */
+} pending_t;
+
+static uint32_t random_number(void *context)
+{
+	fleet_t *fleet = context;
+
+	return g_rand_int(fleet->rand);
+}
+
+static const char *state_text(member_state_t state)
+{
+	static const char *const names[] = {"alive", "leaving", "suspect",
+					    "dead", "left"};
+
+	return state < G_N_ELEMENTS(names) ? names[state] : "unknown";
+}
+
+static void member_changed(void *context, const member_t *member,
+			   member_state_t before)
+{
+	fleet_t *fleet = context;
+
+	if (member->info.state == MEMBER_SUSPECT)
+		counters_add(COUNTER_MEMBERS_SUSPECTED, 1);
+	if (member->info.state == MEMBER_DEAD)
+		counters_add(COUNTER_MEMBERS_REMOVED, 1);
+	counters_set(GAUGE_MEMBERS_ALIVE,
+		     (int64_t)member_count_live(&fleet->members));
+	log_event(LOG_INFO, "member", LOG_CSTR("member", member->info.vm),
+		  LOG_CSTR("address", member->info.address),
+		  LOG_CSTR("state", state_text(member->info.state)),
+		  LOG_CSTR("before", state_text(before)),
+		  LOG_UINT("incarnation", member->info.incarnation));
+	if (fleet->callbacks.changed)
+		fleet->callbacks.changed(fleet->callbacks.context, member,
+					 before);
+}
+
+/* Brings the incarnations of calls and heartbeats together; either may have
+ * been raised to exceed one from before a restart.
+ */
+static void align_incarnation(fleet_t *fleet)
+{
+	member_info_t *self = &fleet->members.self.info;
+
+	if (fleet->rpc->incarnation > self->incarnation)
+		self->incarnation = fleet->rpc->incarnation;
+	else
+		rpc_set_incarnation(fleet->rpc, self->incarnation);
+}
+
+/* To be called after every step of the state machine. */
+static void after_step(fleet_t *fleet)
+{
+	if ((fleet->members.superseded || fleet->rpc->superseded) &&
+	    !fleet->superseded) {
+		fleet->superseded = true;
+		log_event(LOG_ERROR, "superseded",
+			  LOG_CSTR("member", fleet->members.self.info.vm));
+		if (fleet->callbacks.superseded)
+			fleet->callbacks.superseded(fleet->callbacks.context);
+	}
+	/* A superseded process must not go on contradicting its successor. */
+	if (fleet->superseded) {
+		alarm_set(&fleet->alarm, -1);
+		return;
+	}
+	align_incarnation(fleet);
+	alarm_set(&fleet->alarm, member_next_us(&fleet->members));
+}
+
+static void tell_heard(fleet_t *fleet, const member_message_t *message)
+{
+	const member_t *member = member_find(&fleet->members, message->self.vm);
+
+	if (fleet->callbacks.heard && member &&
+	    member != &fleet->members.self && member_is_live(member))
+		fleet->callbacks.heard(fleet->callbacks.context, member);
+}
+
+static pending_t *add_pending(fleet_t *fleet)
+{
+	pending_t *pending = g_new0(pending_t, 1);
+
+	pending->fleet = fleet;
+	g_hash_table_add(fleet->calls, pending);
+	return pending;
+}
+
+static void answer_relay(fleet_t *fleet, const pending_t *pending, bool reached)
+{
+	peer_ping_req_result result = {.reached = reached};
+	wire_buffer_t body;
+
+	if (rpc_encode(peer_ping_req_result, &result, &body))
+		rpc_answer(fleet->rpc, pending->token, rpc_body(&body));
+}
+
+static void ping_answered(void *context, verdict_t verdict, str_t body,
+			  const wire_sender_t *from)
+{
+	pending_t *pending = context;
+	fleet_t *fleet = pending->fleet;
+	member_message_t message;
+	bool ok = verdict.code == VERDICT_OK &&
+		  heartbeat_decode(body, &message) &&
+		  strcmp(message.self.vm, from->vm) == 0;
+
+	if (ok) {
+		member_acked(&fleet->members, clock_now(&fleet->clock),
+			     pending->relayed ? 0 : pending->probe, &message);
+		tell_heard(fleet, &message);
+	}
+	if (pending->relayed)
+		answer_relay(fleet, pending,
+			     ok && strcmp(from->vm, pending->vm) == 0);
+	g_hash_table_remove(fleet->calls, pending);
+	after_step(fleet);
+}
+
+static void request_answered(void *context, verdict_t verdict, str_t body,
+			     const wire_sender_t *from)
+{
+	pending_t *pending = context;
+	fleet_t *fleet = pending->fleet;
+	peer_ping_req_result result;
+
+	if (verdict.code == VERDICT_OK) {
+		if (rpc_decode(peer_ping_req_result, body, &result))
+			member_relayed(&fleet->members, pending->probe,
+				       result.reached);
+		rpc_free(peer_ping_req_result, &result);
+	}
+	g_hash_table_remove(fleet->calls, pending);
+	after_step(fleet);
+}
+
+static void send_ping(fleet_t *fleet, pending_t *pending, const char *address,
+		      const char *vm, int64_t deadline_us)
+{
+	member_message_t message;
+	wire_buffer_t body;
+
+	member_fill(&fleet->members, vm, &message);
+	if (!heartbeat_encode(&message, &body))
+		body.len = 0;
+	pending->call = rpc_send(fleet->rpc, address, PEER_PING,
+				 rpc_body(&body), deadline_us, ping_answered,
+				 pending);
+}
+
+static void send_request(fleet_t *fleet, pending_t *pending,
+			 const member_action_t *action)
+{
+	member_message_t message;
+	wire_buffer_t body;
+
+	member_fill(&fleet->members, "", &message);
+	if (!heartbeat_encode_request(action, clock_now(&fleet->clock),
+				      &message, &body))
+		body.len = 0;
+	pending->call = rpc_send(fleet->rpc, action->address, PEER_PING_REQ,
+				 rpc_body(&body), action->deadline_us,
+				 request_answered, pending);
+}
+
+static void act(fleet_t *fleet, const member_action_t *action)
+{
+	pending_t *pending = add_pending(fleet);
+
+	pending->probe = action->probe;
+	if (action->kind == MEMBER_PING)
+		send_ping(fleet, pending, action->address, action->vm,
+			  action->deadline_us);
+	else
+		send_request(fleet, pending, action);
+}
+
+static void tick(void *context)
+{
+	fleet_t *fleet = context;
+	member_action_t actions[MEMBER_ACTIONS_MAX];
+	size_t n =
+		member_tick(&fleet->members, clock_now(&fleet->clock), actions);
+
+	for (size_t i = 0; i < n; i++)
+		act(fleet, &actions[i]);
+	after_step(fleet);
+}
+
+static void handle_ping(void *context, const rpc_request_t *request)
+{
+	fleet_t *fleet = context;
+	member_message_t message;
+	member_message_t answer;
+	wire_buffer_t body;
+
+	if (!heartbeat_decode(request->body, &message) ||
+	    strcmp(message.self.vm, request->from->vm) != 0) {
+		rpc_reject(fleet->rpc, request->token, WIRE_BAD_ARGUMENTS);
+		return;
+	}
+	member_receive(&fleet->members, clock_now(&fleet->clock), &message);
+	after_step(fleet);
+	member_fill(&fleet->members, message.self.vm, &answer);
+	if (heartbeat_encode(&answer, &body))
+		rpc_answer(fleet->rpc, request->token, rpc_body(&body));
+	else
+		rpc_reject(fleet->rpc, request->token, WIRE_INTERNAL);
+	tell_heard(fleet, &message);
+}
+
+static void relay(fleet_t *fleet, const rpc_request_t *request,
+		  const peer_ping_req *wanted)
+{
+	pending_t *pending = add_pending(fleet);
+	int64_t wait_ms = MIN(wanted->timeout_ms, RELAY_MAX_MS);
+
+	pending->relayed = true;
+	pending->token = request->token;
+	g_strlcpy(pending->vm, wanted->vm, sizeof(pending->vm));
+	send_ping(fleet, pending, wanted->address, wanted->vm,
+		  clock_now(&fleet->clock) + wait_ms * CLOCK_US_PER_MS);
+}
+
+static void handle_request(void *context, const rpc_request_t *request)
+{
+	fleet_t *fleet = context;
+	member_message_t message;
+	peer_ping_req wanted;
+
+	if (!rpc_decode(peer_ping_req, request->body, &wanted) ||
+	    strcmp(wanted.ping.self.vm, request->from->vm) != 0) {
+		rpc_reject(fleet->rpc, request->token, WIRE_BAD_ARGUMENTS);
+		goto out;
+	}
+	heartbeat_from_ping(&wanted.ping, &message);
+	member_receive(&fleet->members, clock_now(&fleet->clock), &message);
+	relay(fleet, request, &wanted);
+	tell_heard(fleet, &message);
+	after_step(fleet);
+out:
+	rpc_free(peer_ping_req, &wanted);
+}
+
+/*
+ * Starts probing over an RPC socket in the thread-default main context. The
+ * settings, the socket and the callbacks' context are borrowed; the settings'
+ * peers are the first contacts.
+ */
+void fleet_init(fleet_t *fleet, const settings_t *settings, rpc_t *rpc,
+		clock_source_t clock, const fleet_callbacks_t *callbacks)
+{
+	member_info_t self = {.incarnation = rpc->incarnation};
+	int64_t now_us = clock_now(&clock);
+
+	memset(fleet, 0, sizeof(*fleet));
+	fleet->rpc = rpc;
+	fleet->clock = clock;
+	fleet->callbacks = *callbacks;
+	fleet->rand = g_rand_new();
+	fleet->calls = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+	g_strlcpy(self.vm, settings->vm, sizeof(self.vm));
+	g_strlcpy(self.zone, settings->zone, sizeof(self.zone));
+	g_strlcpy(self.address, rpc->address, sizeof(self.address));
+	member_init(&fleet->members, &self, random_number, member_changed,
+		    fleet, now_us);
+	for (guint i = 0; i < settings->peers->len; i++)
+		member_add_contact(&fleet->members,
+				   g_array_index(settings->peers,
+						 settings_peer_t, i)
+					   .address);
+	counters_set(GAUGE_MEMBERS_ALIVE, 1);
+	rpc_handle(rpc, PEER_PING, handle_ping, fleet);
+	rpc_handle(rpc, PEER_PING_REQ, handle_request, fleet);
+	alarm_init(&fleet->alarm, clock, tick, fleet);
+	alarm_set(&fleet->alarm, now_us);
+}
+
+/* Stops probing and answering. Must be called before rpc_finish(). */
+void fleet_finish(fleet_t *fleet)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	alarm_finish(&fleet->alarm);
+	rpc_handle(fleet->rpc, PEER_PING, NULL, NULL);
+	rpc_handle(fleet->rpc, PEER_PING_REQ, NULL, NULL);
+	g_hash_table_iter_init(&iter, fleet->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const pending_t *pending = key;
+
+		rpc_cancel(fleet->rpc, pending->call);
+	}
+	g_hash_table_unref(fleet->calls);
+	member_finish(&fleet->members);
+	g_rand_free(fleet->rand);
+}
+
+/* Sets the configuration version and manifest hash that heartbeats carry. */
+void fleet_set_config(fleet_t *fleet, uint64_t config_version,
+		      const uint8_t manifest[MEMBER_HASH_BYTES])
+{
+	member_set_config(&fleet->members, config_version, manifest);
+}
+
+/* Takes in the platform's VM list; the addresses are those of RPC sockets. */
+void fleet_set_listed(fleet_t *fleet, const member_info_t *vms, size_t n)
+{
+	member_set_listed(&fleet->members, vms, n);
+	after_step(fleet);
+}
+
+/*
+ * Announces MEMBER_LEAVING at the start of a shutdown, so that this process
+ * loses its roles, or MEMBER_LEFT at its end. Announcements are sent at once,
+ * without waiting for answers.
+ */
+void fleet_leave(fleet_t *fleet, member_state_t state)
+{
+	member_action_t actions[MEMBER_ACTIONS_MAX];
+	size_t n;
+
+	member_set_state(&fleet->members, state);
+	n = member_announce(&fleet->members, clock_now(&fleet->clock), actions);
+	for (size_t i = 0; i < n; i++)
+		act(fleet, &actions[i]);
+}
+
+/* Returns the live member of a zone that owns a key; NULL when none lives. */
+const member_t *fleet_owner(const fleet_t *fleet, const char *zone, str_t key)
+{
+	return member_owner(&fleet->members, zone, member_key(key));
+}
+
+/* Tells whether a member is the own process. */
+bool fleet_is_self(const fleet_t *fleet, const member_t *member)
+{
+	return member == &fleet->members.self;
+}
+
+/* Returns the RPC address of a live VM; NULL when it is not known or dead. */
+const char *fleet_address_of(const fleet_t *fleet, const char *vm)
+{
+	const member_t *member = member_find(&fleet->members, vm);
+
+	return member && member_is_live(member) ? member->info.address : NULL;
+}
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,209 @@
+/* Guards against serve processes that do not find each other, or keep one that
+ * is gone, over real sockets. The bound is "a few seconds": 10 s.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "connection/address.h"
+#include "process/counters.h"
+#include "process/fleet.h"
+#include "support_settings.h"
+
+#define NODES 6
+#define BOUND_US (10 * CLOCK_US_PER_S)
+
+typedef struct {
+	settings_t settings;
+	hlc_t hlc;
+	rpc_t rpc;
+	fleet_t fleet;
+	uint64_t highest_version; /* heard from others */
+	int superseded;
+	bool up;
+} node_t;
+
+static node_t nodes[NODES + 1];
+
+static void heard(void *context, const member_t *member)
+{
+	node_t *node = context;
+
+	node->highest_version =
+		MAX(node->highest_version, member->config_version);
+}
+
+static void superseded(void *context)
+{
+	node_t *node = context;
+
+	node->superseded++;
+}
+
+static void start(node_t *node, const char *vm, const char *zone)
+{
+	fleet_callbacks_t callbacks = {
+		.heard = heard, .superseded = superseded, .context = node};
+
+	memset(node, 0, sizeof(*node));
+	support_settings_init(&node->settings, vm, zone);
+	if (node != &nodes[0])
+		support_settings_add_peer(&node->settings,
+					  nodes[0].rpc.address);
+	hlc_init(&node->hlc, clock_realtime());
+	assert_true(rpc_init(&node->rpc, &node->settings, clock_boottime(),
+			     &node->hlc, NULL));
+	fleet_init(&node->fleet, &node->settings, &node->rpc, clock_boottime(),
+		   &callbacks);
+	node->up = true;
+}
+
+static void stop(node_t *node)
+{
+	if (!node->up)
+		return;
+	node->up = false;
+	fleet_finish(&node->fleet);
+	rpc_finish(&node->rpc);
+	support_settings_finish(&node->settings);
+}
+
+typedef bool (*condition_t)(void);
+
+static void wait_until(condition_t condition)
+{
+	clock_source_t clock = clock_boottime();
+	int64_t limit_us = clock_now(&clock) + BOUND_US;
+
+	while (!condition() && clock_now(&clock) < limit_us)
+		g_main_context_iteration(NULL, TRUE);
+	assert_true(condition());
+}
+
+static size_t count_up(void)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++)
+		n += nodes[i].up;
+	return n;
+}
+
+static bool all_agree(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++) {
+		if (nodes[i].up &&
+		    member_count_live(&nodes[i].fleet.members) != count_up())
+			return false;
+	}
+	return true;
+}
+
+static int setup(void **state)
+{
+	counters_reset();
+	for (int i = 0; i < NODES; i++) {
+		char vm[16];
+
+		g_snprintf(vm, sizeof(vm), "vm-%d", i);
+		start(&nodes[i], vm, i < NODES / 2 ? "za" : "zb");
+	}
+	wait_until(all_agree);
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(nodes); i++)
+		stop(&nodes[i]);
+	return 0;
+}
+
+static void test_owners(void **state)
+{
+	const member_t *owner = fleet_owner(&nodes[4].fleet, "za", STR("e1"));
+
+	assert_non_null(owner);
+	assert_string_equal(owner->info.zone, "za");
+	assert_string_equal(fleet_address_of(&nodes[4].fleet, owner->info.vm),
+			    owner->info.address);
+	for (int i = 0; i < NODES; i++) {
+		const member_t *same =
+			fleet_owner(&nodes[i].fleet, "za", STR("e1"));
+
+		assert_string_equal(same->info.vm, owner->info.vm);
+		assert_int_equal(fleet_is_self(&nodes[i].fleet, same),
+				 strcmp(nodes[i].settings.vm, owner->info.vm) ==
+					 0);
+	}
+	assert_null(fleet_owner(&nodes[4].fleet, "zc", STR("e1")));
+	assert_null(fleet_address_of(&nodes[4].fleet, "vm-99"));
+}
+
+static bool all_heard(void)
+{
+	for (int i = 1; i < NODES; i++) {
+		if (nodes[i].highest_version != 7)
+			return false;
+	}
+	return true;
+}
+
+static void test_config_heard(void **state)
+{
+	uint8_t manifest[MEMBER_HASH_BYTES] = {1, 2, 3};
+
+	fleet_set_config(&nodes[0].fleet, 7, manifest);
+	wait_until(all_heard);
+	assert_memory_equal(
+		member_find(&nodes[1].fleet.members, "vm-0")->manifest,
+		manifest, sizeof(manifest));
+}
+
+/* One process stops without a word, another leaves on purpose. */
+static void test_departures(void **state)
+{
+	stop(&nodes[2]);
+	wait_until(all_agree);
+	assert_null(fleet_address_of(&nodes[0].fleet, "vm-2"));
+	assert_true(counters_get(COUNTER_MEMBERS_REMOVED) > 0);
+	counters_reset();
+	fleet_leave(&nodes[3].fleet, MEMBER_LEFT);
+	stop(&nodes[3]);
+	wait_until(all_agree);
+	assert_int_equal(counters_get(COUNTER_MEMBERS_REMOVED), 0);
+}
+
+static bool first_is_superseded(void)
+{
+	return nodes[1].superseded > 0;
+}
+
+/* A VM was suspended, replaced under its name, and returns. */
+static void test_superseded(void **state)
+{
+	start(&nodes[NODES], "vm-1", "za");
+	nodes[1].rpc.start_us -= 100 * CLOCK_US_PER_S;
+	wait_until(first_is_superseded);
+	stop(&nodes[1]);
+	wait_until(all_agree);
+	assert_int_equal(nodes[NODES].superseded, 0);
+	assert_string_equal(fleet_address_of(&nodes[0].fleet, "vm-1"),
+			    nodes[NODES].rpc.address);
+}
+
+#define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(test_owners),
+		TEST(test_config_heard),
+		TEST(test_departures),
+		TEST(test_superseded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
