Do not count requests that return to the queue as drained

A request that is popped but gets no decode memory is pushed again.

It also replaces a comparison in tool_route.c that the linter rejects.

--- a/src/process/queue.c
+++ b/src/process/queue.c
@@ -425,10 +425,12 @@
 	add_cost(flow, entry->level, entry->cost_tokens);
 	flow->n_entries++;
 	queue->n_entries++;
-	if (request->returning)
+	if (request->returning) {
 		flow->tag -= (double)entry->cost_tokens / flow->weight;
-	else if (flow->n_entries == 1)
+		queue->slot_tokens -= entry->cost_tokens;
+	} else if (flow->n_entries == 1) {
 		flow->tag = fmax(flow->tag, class->virtual_time);
+	}
 	if (flow->n_entries == 1)
 		flow_activate(flow);
 	else
@@ -440,8 +442,8 @@
  * Queues a request, or refuses it at once: QUEUE_LATE if it would be popped
  * after start_by_us, QUEUE_FULL if the queue is full of requests with an equal
  * or stronger claim. A request that was popped and could not be started is
- * pushed again as returning; the customer is not charged twice and the
- * estimated wait is not held against it.
+ * pushed again as returning: the customer is not charged twice, the drain rate
+ * does not count it, and the estimated wait is not held against it.
  */
 queue_outcome_t queue_push(queue_t *queue, const queue_request_t *request,
 			   int64_t now_us)
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -168,6 +168,30 @@
 	queue_finish(&queue);
 }
 
+/* Guards against requests that are popped and come back being counted as
+ * drained, which made a queue that did not move look fast.
+ */
+static void test_returning_is_not_drained(void **state)
+{
+	queue_t queue;
+	queue_request_t r = request("a", 0, 1, 100, 1);
+	int64_t now = 0;
+
+	queue_init(&queue, 100);
+	for (int i = 0; i < 20; i++)
+		queue_push(&queue, &r, now);
+	r.returning = true;
+	for (; now < 5 * CLOCK_US_PER_S; now += 10 * CLOCK_US_PER_MS) {
+		queue_pop(&queue, now);
+		queue_push(&queue, &r, now);
+	}
+	assert_in_range((int64_t)queue_rate(&queue), 0, 10);
+	r.returning = false;
+	r.start_by_us = now + CLOCK_US_PER_S;
+	assert_int_equal(queue_push(&queue, &r, now).result, QUEUE_LATE);
+	queue_finish(&queue);
+}
+
 static void count_expired(void *entry_context, void *context)
 {
 	*(intptr_t *)context += (intptr_t)entry_context;
@@ -280,6 +304,7 @@
 		cmocka_unit_test(test_refuses_what_would_be_late),
 		cmocka_unit_test(test_expires_and_removes),
 		cmocka_unit_test(test_returning_is_not_charged_twice),
+		cmocka_unit_test(test_returning_is_not_drained),
 		cmocka_unit_test(test_random_operations),
 	};
 
--- a/tests/tool_route.c
+++ b/tests/tool_route.c
@@ -135,9 +135,8 @@
 
 static void run_route(const char *what, uint32_t size, int count)
 {
-	route_kind_t kind = strcmp(what, "prefill") && strcmp(what, "scan")
-				    ? ROUTE_DECODE_POOL
-				    : ROUTE_PREFILL_POOL;
+	bool prefill = is(what, "prefill") || is(what, "scan");
+	route_kind_t kind = prefill ? ROUTE_PREFILL_POOL : ROUTE_DECODE_POOL;
 	bench_t bench;
 	route_engine_t *engine;
 
