--- a/tests/tool_policies.c
+++ b/tests/tool_policies.c
@@ -22,7 +22,7 @@
 
 #define ROUTERS 8
 #define DECODERS 12
-#define PREFILLERS 16
+#define PREFILLERS 12
 #define PROMPT_MEAN 1000
 #define OUTPUT_MAX 200
 #define SLOTS 20 /* requests of mean size in a decode engine */
@@ -39,6 +39,7 @@
 #define FAULT_US (3 * CLOCK_US_PER_S)
 #define RECOVERY_US 500000
 #define CREDIT_US 200000
+#define RENEW_US 100000 /* interval; the reply tells the free memory */
 #define LEASE_US (60 * CLOCK_US_PER_S)
 #define STEP_US CLOCK_US_PER_MS
 #define TRIES 3
@@ -526,6 +527,23 @@
 	}
 }
 
+/* Renewals go to the owners of all engines on which a router holds grants. */
+static void renew(trial_t *t)
+{
+	for (unsigned r = 0; r < ROUTERS; r++) {
+		router_t *router = &t->routers[r];
+
+		for (uint32_t i = 0; i < DECODERS && reachable(t, r); i++) {
+			if (router->shares[i].held == 0)
+				continue;
+			route_learn_free(&router->decode,
+					 route_find(&router->decode, i),
+					 ledger_free(&t->decoders[i].ledger),
+					 t->now);
+		}
+	}
+}
+
 static void restore_one(const ledger_grant_t *held, void *context)
 {
 	ledger_grant_t grant = *held;
@@ -568,6 +586,8 @@
 		report(t);
 	if (t->policy == ROUTE_CREDITS && t->now % (20 * STEP_US) == 0)
 		lend(t);
+	if (reserves(t) && t->now % RENEW_US == 0)
+		renew(t);
 	if (t->now == FAULT_AT_US + FAULT_US && reserves(t) &&
 	    !str_equal(t->fault, STR("none")))
 		recover(t);
