Reserve decode memory at ledger owners over RPC

A release after a cancellation waits for its confirmation. router.c wires RPC, membership, owner and reservations. Decode engines are polled often by their owner only. Conclusion: the ledger gives away each token once without a static split.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -1,8 +1,12 @@
 #include "process/backends.h"
 
 #include "process/log.h"
+#include "process/member.h"
 
 #define POLL_INTERVAL_MS 250
+/* Engines whose load matters less to this VM are asked at every such poll. */
+#define SLOW_POLLS 4
+
 #define POLL_TIMEOUT_US (1 * CLOCK_US_PER_S)
 
 /* After a failure a backend server is left alone for this long, doubled with
@@ -80,13 +84,19 @@
 		entry->cache_next = next;
 }
 
+static bool is_due(const backends_t *backends, const backend_entry_t *entry)
+{
+	return backends->polls % SLOW_POLLS == 0 || !backends->on_poll_often ||
+	       backends->on_poll_often(backends->context, entry);
+}
+
 static void poll_entry(backends_t *backends, backend_entry_t *entry,
 		       int64_t now_us)
 {
 	str_t address = str_from(entry->address);
 	int64_t deadline_us = now_us + POLL_TIMEOUT_US;
 
-	if (!entry->poll)
+	if (!entry->poll && is_due(backends, entry))
 		entry->poll = engine_load(backends->client, address,
 					  deadline_us, on_load, entry);
 	if (!entry->cache_poll && entry->prefill)
@@ -122,6 +132,8 @@
 	backends->next = 0;
 	backends->on_changed = NULL;
 	backends->on_cache = NULL;
+	backends->on_poll_often = NULL;
+	backends->polls = 0;
 	backends->poll_timer =
 		g_timeout_add(POLL_INTERVAL_MS, on_poll, backends);
 }
@@ -160,6 +172,7 @@
 		entry = g_new0(backend_entry_t, 1);
 		entry->owner = backends;
 		entry->address = str_dup(backend->address);
+		entry->key = member_key(backend->address);
 		g_ptr_array_add(backends->entries, entry);
 	}
 	set_text(&entry->name, backend->name);
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -12,6 +12,7 @@
 	backends_t *owner;
 	char *name;
 	char *address;
+	uint64_t key; /* hash of the address, as in RPC messages */
 	char *zone;
 	char *pool; /* name, or empty for a plain service */
 	char *service; /* name, or empty for an engine */
@@ -44,6 +45,10 @@
 typedef void (*backends_cache_fn_t)(void *context, backend_entry_t *entry,
 				    const engine_cache_event_t *event);
 
+/* Tells whether to ask for load with every poll, not with every fourth. */
+typedef bool (*backends_poll_often_fn_t)(void *context,
+					 const backend_entry_t *entry);
+
 struct backends {
 	client_t *client;
 	clock_source_t clock;
@@ -52,6 +57,8 @@
 	guint next; /* round-robin position */
 	backends_changed_fn_t on_changed; /* may be NULL */
 	backends_cache_fn_t on_cache; /* may be NULL */
+	backends_poll_often_fn_t on_poll_often; /* NULL: always */
+	unsigned polls;
 	void *context;
 };
 
--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -21,6 +21,20 @@
 	bool orphan; /* being cancelled by the owner */
 } slot_t;
 
+/* Makes a key from a request ID of 32 hex digits. */
+ledger_key_t ledger_key_make(str_t request, uint32_t attempt)
+{
+	ledger_key_t key = {.attempt = attempt};
+
+	for (size_t i = 0; i < LEDGER_ID_BYTES && 2 * i + 1 < request.len; i++)
+		key.request[i] =
+			(uint8_t)(g_ascii_xdigit_value(request.data[2 * i]) *
+					  16 +
+				  g_ascii_xdigit_value(
+					  request.data[2 * i + 1]));
+	return key;
+}
+
 /* Hash of a ledger_key_t, for hash tables. */
 guint ledger_key_hash(const void *data)
 {
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -104,6 +104,7 @@
 void ledger_set_capacity(ledger_t *ledger, int64_t capacity);
 int64_t ledger_free(const ledger_t *ledger);
 int64_t ledger_overcommitted(const ledger_t *ledger);
+ledger_key_t ledger_key_make(str_t request, uint32_t attempt);
 guint ledger_key_hash(const void *key);
 gboolean ledger_key_equal(const void *a, const void *b);
 const char *ledger_result_text(ledger_result_t result);
--- /dev/null
+++ b/src/process/owner.c
@@ -0,0 +1,392 @@
+#include "process/owner.h"
+
+#include "process/counters.h"
+#include "process/log.h"
+
+/*
+ * A new owner collects the grants of its predecessor for this time: longer
+ * than two intervals at which routers renew, so that one lost renewal does
+ * not leave a grant out.
+ */
+#define RECOVERY_US (1500 * CLOCK_US_PER_MS)
+
+#define EXPIRE_INTERVAL_MS 250
+
+/* Answer of a full ledger: memory is freed within some tens of tokens. */
+#define FULL_RETRY_MS 50
+
+typedef struct {
+	uint64_t key;
+	char *address;
+	ledger_t ledger;
+} engine_ledger_t;
+
+static void engine_free(gpointer data)
+{
+	engine_ledger_t *engine = data;
+
+	ledger_finish(&engine->ledger);
+	g_free(engine->address);
+	g_free(engine);
+}
+
+static backend_entry_t *find_backend(const owner_t *owner, uint64_t key)
+{
+	GPtrArray *entries = owner->backends->entries;
+
+	for (guint i = 0; i < entries->len; i++) {
+		backend_entry_t *entry = g_ptr_array_index(entries, i);
+
+		if (entry->key == key)
+			return entry;
+	}
+	return NULL;
+}
+
+/* Tells whether this VM is the ledger owner of an engine. */
+bool owner_is_self(const owner_t *owner, const backend_entry_t *entry)
+{
+	const member_t *member = fleet_owner(owner->fleet, entry->zone,
+					     str_from(entry->address));
+
+	return member && fleet_is_self(owner->fleet, member);
+}
+
+static bool has_ledger(const backend_entry_t *entry)
+{
+	return entry->present && *entry->pool && !entry->prefill;
+}
+
+static engine_ledger_t *add_ledger(owner_t *owner, const backend_entry_t *entry)
+{
+	engine_ledger_t *engine = g_new0(engine_ledger_t, 1);
+	clock_source_t wall = clock_realtime();
+	int64_t now_us = clock_now(&owner->clock);
+
+	/* Unique also when an engine is lost and gained again. */
+	owner->last_incarnation =
+		MAX(owner->last_incarnation + 1, (uint64_t)clock_now(&wall));
+	engine->key = entry->key;
+	engine->address = g_strdup(entry->address);
+	ledger_init(&engine->ledger, entry->kv_total, owner->max_transfers,
+		    owner->last_incarnation, now_us + RECOVERY_US);
+	g_hash_table_insert(owner->engines, &engine->key, engine);
+	log_event(LOG_INFO, "ledger_gained", LOG_CSTR("engine", entry->name),
+		  LOG_UINT("incarnation", engine->ledger.incarnation));
+	return engine;
+}
+
+/* Returns the ledger of an engine that this VM owns, or NULL. */
+static engine_ledger_t *find_ledger(owner_t *owner, uint64_t key)
+{
+	engine_ledger_t *engine = g_hash_table_lookup(owner->engines, &key);
+	backend_entry_t *entry;
+
+	if (engine)
+		return engine;
+	entry = find_backend(owner, key);
+	if (!entry || !has_ledger(entry) || !owner_is_self(owner, entry))
+		return NULL;
+	return add_ledger(owner, entry);
+}
+
+static gboolean is_lost(gpointer key, gpointer value, gpointer data)
+{
+	const engine_ledger_t *engine = value;
+	const owner_t *owner = data;
+	const backend_entry_t *entry = find_backend(owner, engine->key);
+	bool lost = !entry || !has_ledger(entry) ||
+		    !owner_is_self(owner, entry);
+
+	if (lost)
+		log_event(LOG_INFO, "ledger_lost",
+			  LOG_CSTR("engine", engine->address));
+	return lost;
+}
+
+/*
+ * Adds and drops ledgers after a change of the members or of the state.
+ * Ledgers of engines gained are set up at once, so that their recovery is
+ * over when the first request asks.
+ */
+void owner_update(owner_t *owner)
+{
+	GPtrArray *entries = owner->backends->entries;
+
+	g_hash_table_foreach_remove(owner->engines, is_lost, owner);
+	for (guint i = 0; i < entries->len; i++) {
+		backend_entry_t *entry = g_ptr_array_index(entries, i);
+
+		if (has_ledger(entry))
+			find_ledger(owner, entry->key);
+	}
+}
+
+static void to_hex(const uint8_t request[LEDGER_ID_BYTES], char text[33])
+{
+	for (size_t i = 0; i < LEDGER_ID_BYTES; i++)
+		g_snprintf(text + 2 * i, 3, "%02x", request[i]);
+}
+
+typedef struct {
+	owner_t *owner;
+	engine_ledger_t *engine;
+} orphan_context_t;
+
+static void cancel_orphan(const ledger_grant_t *grant, void *context)
+{
+	orphan_context_t *orphan = context;
+	char request[33];
+
+	to_hex(grant->key.request, request);
+	log_event(LOG_INFO, "orphan_cancelled", LOG_CSTR("request", request),
+		  LOG_UINT("attempt", grant->key.attempt),
+		  LOG_CSTR("engine", orphan->engine->address),
+		  LOG_STR("dead_vm", grant->vm.name));
+	canceller_add(orphan->owner->canceller,
+		      str_from(orphan->engine->address), str_from(request),
+		      grant->key.attempt);
+}
+
+/*
+ * Cancels at the engines what a dead VM's incarnation has left there. If it
+ * was only cut off and returns, it finds its attempts cancelled and resumes
+ * under a higher attempt number.
+ */
+void owner_vm_dead(owner_t *owner, str_t vm, uint64_t incarnation)
+{
+	GHashTableIter iter;
+	gpointer value;
+	ledger_vm_t dead = {vm, incarnation};
+
+	g_hash_table_iter_init(&iter, owner->engines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		orphan_context_t context = {owner, value};
+
+		ledger_vm_dead(&context.engine->ledger, dead,
+			       clock_now(&owner->clock), cancel_orphan,
+			       &context);
+	}
+}
+
+/* Frees the grant of a dead VM once the engine holds nothing for it. */
+void owner_cancel_confirmed(owner_t *owner, str_t engine,
+			    const ledger_key_t *key)
+{
+	uint64_t hash = member_key(engine);
+	engine_ledger_t *found = g_hash_table_lookup(owner->engines, &hash);
+
+	if (found)
+		ledger_confirm_cancelled(&found->ledger, key);
+}
+
+/* Takes in an engine's load report, which shows memory in use by others. */
+void owner_observe(owner_t *owner, const backend_entry_t *entry)
+{
+	engine_ledger_t *engine =
+		g_hash_table_lookup(owner->engines, &entry->key);
+
+	if (!engine)
+		return;
+	ledger_set_capacity(&engine->ledger, entry->kv_total);
+	engine->ledger.leaving = entry->leaving;
+	ledger_observe(&engine->ledger, entry->kv_used);
+}
+
+static peer_grant_code code_of(ledger_result_t result)
+{
+	switch (result) {
+	case LEDGER_OK:
+	case LEDGER_BUSY:
+		return PEER_GRANTED;
+	case LEDGER_STALE:
+	case LEDGER_TOO_LARGE:
+		return PEER_STALE;
+	case LEDGER_RECOVERING:
+		/* The router uses its fixed share and restores the grant. */
+		return PEER_NOT_OWNER;
+	case LEDGER_FULL:
+	case LEDGER_UNKNOWN:
+		break;
+	}
+	return PEER_FULL;
+}
+
+static ledger_grant_t grant_of(const owner_t *owner, ledger_vm_t from,
+			       const peer_hold *hold, ledger_phase_t phase)
+{
+	ledger_grant_t grant = {
+		.key.attempt = hold->attempt,
+		.tokens = hold->tokens,
+		.deadline_us = clock_now(&owner->clock) +
+			       OWNER_GRANT_MS * CLOCK_US_PER_MS,
+		.phase = phase,
+		.vm = from,
+	};
+
+	memcpy(grant.key.request, hold->request, LEDGER_ID_BYTES);
+	return grant;
+}
+
+/* Answers PEER_RESERVE. */
+void owner_reserve(owner_t *owner, ledger_vm_t from, const peer_reserve *call,
+		   peer_reserve_result *result)
+{
+	engine_ledger_t *engine = find_ledger(owner, call->engine);
+	int64_t now_us = clock_now(&owner->clock);
+	ledger_grant_t want =
+		grant_of(owner, from, &call->hold, LEDGER_PREFILLING);
+
+	memset(result, 0, sizeof(*result));
+	if (!engine) {
+		result->code = PEER_NOT_OWNER;
+		return;
+	}
+	result->code = code_of(ledger_reserve(&engine->ledger, &want, now_us));
+	result->owner = engine->ledger.incarnation;
+	result->valid_ms = OWNER_GRANT_MS;
+	result->free_tokens = (u_int)ledger_free(&engine->ledger);
+	result->retry_ms = FULL_RETRY_MS;
+}
+
+static ledger_result_t renew_one(owner_t *owner, ledger_t *ledger,
+				 ledger_vm_t from, const peer_hold *hold)
+{
+	/* The message does not tell the phase. Memory that may be in use has
+	 * to be recorded, so a restored grant counts as in use.
+	 */
+	ledger_grant_t held = grant_of(owner, from, hold, LEDGER_DECODING);
+	const ledger_grant_t *known = ledger_find(ledger, &held.key);
+	ledger_result_t result = LEDGER_UNKNOWN;
+
+	if (known)
+		result = ledger_renew(ledger, &held.key, from, known->phase,
+				      held.deadline_us);
+	if (result == LEDGER_UNKNOWN)
+		result =
+			ledger_restore(ledger, &held, clock_now(&owner->clock));
+	return result;
+}
+
+/* Answers PEER_RENEW. */
+void owner_renew(owner_t *owner, ledger_vm_t from, const peer_renew *call,
+		 peer_renew_result *result)
+{
+	engine_ledger_t *engine = find_ledger(owner, call->engine);
+
+	memset(result, 0, sizeof(*result));
+	if (!engine) {
+		result->code = PEER_NOT_OWNER;
+		return;
+	}
+	for (u_int i = 0; i < call->holds.holds_len; i++)
+		if (renew_one(owner, &engine->ledger, from,
+			      &call->holds.holds_val[i]) != LEDGER_OK)
+			result->refused |= 1U << i;
+	result->code = PEER_GRANTED;
+	result->owner = engine->ledger.incarnation;
+	result->valid_ms = OWNER_GRANT_MS;
+	result->free_tokens = (u_int)ledger_free(&engine->ledger);
+}
+
+/* Answers PEER_RELEASE. */
+void owner_release(owner_t *owner, ledger_vm_t from, const peer_release *call,
+		   peer_release_result *result)
+{
+	engine_ledger_t *engine = find_ledger(owner, call->engine);
+
+	memset(result, 0, sizeof(*result));
+	if (!engine) {
+		result->code = PEER_NOT_OWNER;
+		return;
+	}
+	for (u_int i = 0; i < call->holds.holds_len; i++) {
+		ledger_grant_t held = grant_of(owner, from,
+					       &call->holds.holds_val[i],
+					       LEDGER_DECODING);
+
+		ledger_release(&engine->ledger, &held.key, from);
+	}
+	result->code = PEER_GRANTED;
+	result->free_tokens = (u_int)ledger_free(&engine->ledger);
+}
+
+static ledger_vm_t sender_of(const rpc_request_t *request)
+{
+	return (ledger_vm_t){
+		.name = str_from(request->from->vm),
+		.incarnation = request->from->incarnation,
+	};
+}
+
+/* Each handler decodes the arguments, calls the function and answers. */
+#define OWNER_HANDLER(name)                                                   \
+	static void on_##name(void *context, const rpc_request_t *request)    \
+	{                                                                     \
+		owner_t *owner = context;                                     \
+		peer_##name call;                                             \
+		peer_##name##_result result;                                  \
+		wire_buffer_t body;                                           \
+                                                                              \
+		if (!rpc_decode(peer_##name, request->body, &call)) {         \
+			rpc_reject(owner->rpc, request->token,                \
+				   WIRE_BAD_ARGUMENTS);                       \
+		} else {                                                      \
+			owner_##name(owner, sender_of(request), &call,        \
+				     &result);                                \
+			if (rpc_encode(peer_##name##_result, &result, &body)) \
+				rpc_answer(owner->rpc, request->token,        \
+					   rpc_body(&body));                  \
+		}                                                             \
+		rpc_free(peer_##name, &call);                                 \
+	}
+
+OWNER_HANDLER(reserve)
+OWNER_HANDLER(renew)
+OWNER_HANDLER(release)
+
+static gboolean on_expire(gpointer data)
+{
+	owner_t *owner = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->engines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		engine_ledger_t *engine = value;
+
+		ledger_expire(&engine->ledger, clock_now(&owner->clock), NULL,
+			      NULL);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+/* Starts to answer; what it is given must outlive owner_finish(). */
+void owner_init(owner_t *owner, rpc_t *rpc, fleet_t *fleet,
+		backends_t *backends, canceller_t *canceller,
+		clock_source_t clock, unsigned routers)
+{
+	memset(owner, 0, sizeof(*owner));
+	owner->rpc = rpc;
+	owner->fleet = fleet;
+	owner->backends = backends;
+	owner->canceller = canceller;
+	owner->clock = clock;
+	owner->routers = routers;
+	owner->engines = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, engine_free);
+	owner->timer = g_timeout_add(EXPIRE_INTERVAL_MS, on_expire, owner);
+	rpc_handle(rpc, PEER_RESERVE, on_reserve, owner);
+	rpc_handle(rpc, PEER_RENEW, on_renew, owner);
+	rpc_handle(rpc, PEER_RELEASE, on_release, owner);
+}
+
+/* Stops answering and drops all ledgers. */
+void owner_finish(owner_t *owner)
+{
+	rpc_handle(owner->rpc, PEER_RESERVE, NULL, NULL);
+	rpc_handle(owner->rpc, PEER_RENEW, NULL, NULL);
+	rpc_handle(owner->rpc, PEER_RELEASE, NULL, NULL);
+	g_source_remove(owner->timer);
+	g_hash_table_unref(owner->engines);
+}
--- a/src/process/router.c
+++ b/src/process/router.c
@@ -1,6 +1,15 @@
 #include "process/router.h"
 
 #include <inttypes.h>
+#include <xxhash.h>
+
+#include "process/counters.h"
+#include "process/log.h"
+
+/* Retries at once after a quiet time: one process's part of the requests that
+ * the loss of one decode engine (about 20 requests) interrupts.
+ */
+#define RETRY_BURST 20
 
 /* Writes a request ID, unique over all VMs and incarnations: 32 hex digits. */
 void router_make_id(router_t *router, char id[33])
@@ -8,3 +17,184 @@
 	g_snprintf(id, 33, "%016" PRIx64 "%016" PRIx64, router->id_prefix,
 		   ++router->id_counter);
 }
+
+static void on_backend_changed(void *context, backend_entry_t *entry,
+			       bool reported)
+{
+	router_t *router = context;
+
+	scheduler_backend_changed(&router->scheduler, entry, reported);
+	if (reported && router->joined)
+		owner_observe(&router->owner, entry);
+}
+
+static void on_cache_event(void *context, backend_entry_t *entry,
+			   const engine_cache_event_t *event)
+{
+	router_t *router = context;
+
+	if (entry->engine)
+		prefix_event(&router->scheduler.prefix,
+			     entry->engine->config.id, event->seq, event->store,
+			     event->prefix);
+}
+
+/* Load reports of a decode engine matter most to its ledger owner; the other
+ * routers learn its free memory from the owner's answers.
+ */
+static bool on_poll_often(void *context, const backend_entry_t *entry)
+{
+	router_t *router = context;
+
+	return entry->prefill || !router->joined ||
+	       router->reserve.policy < ROUTE_LEDGER ||
+	       owner_is_self(&router->owner, entry);
+}
+
+static void on_cancel_confirmed(void *context, str_t engine, str_t request,
+				uint32_t attempt)
+{
+	router_t *router = context;
+	ledger_key_t key = ledger_key_make(request, attempt);
+
+	reserve_cancel_confirmed(&router->reserve, engine, &key);
+	if (router->joined)
+		owner_cancel_confirmed(&router->owner, engine, &key);
+}
+
+/*
+ * Sets up everything that needs no other process. The settings must outlive
+ * router_finish().
+ */
+void router_init(router_t *router, const settings_t *settings)
+{
+	route_policy_t policy;
+	clock_source_t wall = clock_realtime();
+
+	router->settings = settings;
+	router->clock = clock_boottime();
+	hlc_init(&router->hlc, wall);
+	router->incarnation = (uint64_t)clock_now(&wall);
+	router->id_prefix =
+		XXH64(settings->vm, strlen(settings->vm), router->incarnation);
+	g_queue_init(&router->requests);
+	g_queue_init(&router->forwards);
+	client_init(&router->client, router->clock);
+	canceller_init(&router->canceller, &router->client, router->clock,
+		       router->id_prefix);
+	retry_budget_init(&router->retry_budget, 0, RETRY_BURST);
+	backends_init(&router->backends, &router->client, router->clock);
+	if (!route_policy_parse(str_from(settings->routing_policy), &policy))
+		policy = ROUTE_LEDGER;
+	reserve_init(&router->reserve, policy, settings->peers->len + 1,
+		     router->clock);
+	scheduler_init(&router->scheduler, &router->backends, &router->reserve,
+		       router->clock, settings, router->id_prefix);
+	router->backends.on_changed = on_backend_changed;
+	router->backends.on_cache = on_cache_event;
+	router->backends.on_poll_often = on_poll_often;
+	router->backends.context = router;
+	router->canceller.on_confirmed = on_cancel_confirmed;
+	router->canceller.context = router;
+	router->loop = g_main_loop_new(NULL, FALSE);
+}
+
+static void on_member_changed(void *context, const member_t *member,
+			      member_state_t before)
+{
+	router_t *router = context;
+
+	if (!router->joined)
+		return;
+	owner_update(&router->owner);
+	if (member->info.state == MEMBER_DEAD)
+		owner_vm_dead(&router->owner, str_from(member->info.vm),
+			      member->info.incarnation);
+}
+
+static void on_superseded(void *context)
+{
+	router_t *router = context;
+
+	router->on_superseded(router->superseded_context);
+}
+
+/*
+ * Joins the other serve processes. The callback is called if a newer process
+ * has this VM's name. On failure the error is set.
+ */
+bool router_join(router_t *router, router_superseded_fn_t superseded,
+		 void *context, GError **error)
+{
+	const settings_t *settings = router->settings;
+	fleet_callbacks_t callbacks = {
+		.changed = on_member_changed,
+		.superseded = on_superseded,
+		.context = router,
+	};
+	ledger_vm_t self = {.name = str_from(settings->vm)};
+
+	router->on_superseded = superseded;
+	router->superseded_context = context;
+	if (!rpc_init(&router->rpc, settings, router->clock, &router->hlc,
+		      error))
+		return false;
+	self.incarnation = router->rpc.incarnation;
+	fleet_init(&router->fleet, settings, &router->rpc, router->clock,
+		   &callbacks);
+	owner_init(&router->owner, &router->rpc, &router->fleet,
+		   &router->backends, &router->canceller, router->clock,
+		   settings->peers->len + 1);
+	reserve_attach(&router->reserve, &router->rpc, &router->fleet,
+		       &router->owner, self);
+	router->joined = true;
+	return true;
+}
+
+/* Puts a version into effect for new requests; takes over the reference. */
+void router_set_state(router_t *router, state_t *state)
+{
+	if (router->state)
+		state_unref(router->state);
+	router->state = state;
+	counters_set(GAUGE_STATE_VERSION, (int64_t)state->version);
+	retry_budget_set_share(&router->retry_budget,
+			       state->limits.retry_share);
+	backends_apply(&router->backends, state);
+	scheduler_apply(&router->scheduler, state);
+	if (router->joined) {
+		router->owner.max_transfers = state->limits.transfers_per_link;
+		owner_update(&router->owner);
+	}
+	log_event(LOG_INFO, "state_in_effect",
+		  LOG_UINT("version", state->version),
+		  LOG_UINT("backends", state->n_backends));
+}
+
+/* Starts to withdraw: new roles go to other VMs, requests are still served. */
+void router_drain(router_t *router)
+{
+	router->draining = true;
+	if (router->joined)
+		fleet_leave(&router->fleet, MEMBER_LEAVING);
+}
+
+/* Leaves the fleet and frees everything. All requests must have ended. */
+void router_finish(router_t *router)
+{
+	if (router->joined)
+		fleet_leave(&router->fleet, MEMBER_LEFT);
+	backends_finish(&router->backends);
+	scheduler_finish(&router->scheduler);
+	reserve_finish(&router->reserve);
+	if (router->joined) {
+		owner_finish(&router->owner);
+		fleet_finish(&router->fleet);
+		rpc_finish(&router->rpc);
+	}
+	canceller_finish(&router->canceller);
+	client_finish(&router->client);
+	if (router->state)
+		state_unref(router->state);
+	g_main_loop_unref(router->loop);
+}
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -4,12 +4,17 @@
 
 #include "connection/client.h"
 #include "process/backends.h"
+#include "process/fleet.h"
+#include "process/owner.h"
 #include "process/scheduler.h"
 #include "process/settings.h"
 #include "request/canceller.h"
 #include "request/retry.h"
 #include "version/state.h"
 
+/* Called when a newer process has this VM's name. */
+typedef void (*router_superseded_fn_t)(void *context);
+
 typedef struct {
 	const settings_t *settings;
 	clock_source_t clock; /* CLOCK_BOOTTIME */
@@ -26,10 +31,22 @@
 	uint64_t id_counter;
 	GQueue requests; /* of request_t, in progress */
 	GQueue forwards; /* of forward_t, in progress */
+	rpc_t rpc;
+	fleet_t fleet;
+	owner_t owner;
+	bool joined; /* rpc, fleet and owner are set up */
+	router_superseded_fn_t on_superseded;
+	void *superseded_context;
 	bool draining; /* no longer ready, finishing what is in progress */
 	GMainLoop *loop;
 } router_t;
 
+void router_init(router_t *router, const settings_t *settings);
+bool router_join(router_t *router, router_superseded_fn_t superseded,
+		 void *context, GError **error);
+void router_finish(router_t *router);
+void router_set_state(router_t *router, state_t *state);
+void router_drain(router_t *router);
 void router_make_id(router_t *router, char id[33]);
 
 #endif
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -1,7 +1,6 @@
 #include <argtable2.h>
 #include <glib-unix.h>
 #include <signal.h>
-#include <xxhash.h>
 
 #include "connection/listener.h"
 #include "process/cmd.h"
@@ -18,11 +17,6 @@
 /* Time for the last responses and cancels after all requests have ended. */
 #define FLUSH_LIMIT_US (3 * CLOCK_US_PER_S)
 
-/* Retries at once after a quiet time: one process's part of the requests that
- * the loss of one decode engine (about 20 requests) interrupts.
- */
-#define RETRY_BURST 20
-
 typedef struct {
 	settings_t settings;
 	router_t router;
@@ -140,21 +134,6 @@
 	}
 }
 
-static void set_state(server_t *server, state_t *state)
-{
-	if (server->router.state)
-		state_unref(server->router.state);
-	server->router.state = state;
-	counters_set(GAUGE_STATE_VERSION, (int64_t)state->version);
-	retry_budget_set_share(&server->router.retry_budget,
-			       state->limits.retry_share);
-	backends_apply(&server->router.backends, state);
-	scheduler_apply(&server->router.scheduler, state);
-	log_event(LOG_INFO, "state_in_effect",
-		  LOG_UINT("version", state->version),
-		  LOG_UINT("backends", state->n_backends));
-}
-
 static gboolean on_drain(gpointer data)
 {
 	server_t *server = data;
@@ -197,7 +176,7 @@
 	server->signals++;
 	if (server->signals > 1)
 		return G_SOURCE_CONTINUE;
-	server->router.draining = true;
+	router_drain(&server->router);
 	server->notice_until_us =
 		now_us + server->settings.drain_notice_ms * CLOCK_US_PER_MS;
 	server->shutdown_until_us =
@@ -209,6 +188,15 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/* A newer process has this VM's name: this one ends gracefully. */
+static void on_superseded(void *context)
+{
+	server_t *server = context;
+
+	if (!server->signals)
+		on_signal(server);
+}
+
 static bool load_state_file(server_t *server, diag_t *diag)
 {
 	const char *path = server->settings.state_file;
@@ -226,7 +214,7 @@
 	ok = state_parse(text, len, path, &state, diag);
 	g_free(text);
 	if (ok)
-		set_state(server, state);
+		router_set_state(&server->router, state);
 	return ok;
 }
 
@@ -260,67 +248,6 @@
 	return false;
 }
 
-static void on_backend_changed(void *context, backend_entry_t *entry,
-			       bool reported)
-{
-	router_t *router = context;
-
-	scheduler_backend_changed(&router->scheduler, entry, reported);
-}
-
-static void on_cache_event(void *context, backend_entry_t *entry,
-			   const engine_cache_event_t *event)
-{
-	router_t *router = context;
-
-	if (entry->engine)
-		prefix_event(&router->scheduler.prefix,
-			     entry->engine->config.id, event->seq, event->store,
-			     event->prefix);
-}
-
-static void router_init(router_t *router, const settings_t *settings)
-{
-	route_policy_t policy;
-	clock_source_t wall = clock_realtime();
-
-	router->settings = settings;
-	router->clock = clock_boottime();
-	hlc_init(&router->hlc, wall);
-	router->incarnation = (uint64_t)clock_now(&wall);
-	router->id_prefix =
-		XXH64(settings->vm, strlen(settings->vm), router->incarnation);
-	g_queue_init(&router->requests);
-	g_queue_init(&router->forwards);
-	client_init(&router->client, router->clock);
-	canceller_init(&router->canceller, &router->client, router->clock,
-		       router->id_prefix);
-	retry_budget_init(&router->retry_budget, 0, RETRY_BURST);
-	backends_init(&router->backends, &router->client, router->clock);
-	if (!route_policy_parse(str_from(settings->routing_policy), &policy))
-		policy = ROUTE_LEDGER;
-	reserve_init(&router->reserve, policy, settings->peers->len + 1,
-		     router->clock);
-	scheduler_init(&router->scheduler, &router->backends, &router->reserve,
-		       router->clock, settings, router->id_prefix);
-	router->backends.on_changed = on_backend_changed;
-	router->backends.on_cache = on_cache_event;
-	router->backends.context = router;
-	router->loop = g_main_loop_new(NULL, FALSE);
-}
-
-static void router_finish(router_t *router)
-{
-	backends_finish(&router->backends);
-	scheduler_finish(&router->scheduler);
-	reserve_finish(&router->reserve);
-	canceller_finish(&router->canceller);
-	client_finish(&router->client);
-	if (router->state)
-		state_unref(router->state);
-	g_main_loop_unref(router->loop);
-}
-
 /* Prints the addresses in use, which tests and the demo wait for. */
 static void print_ready(server_t *server)
 {
@@ -347,6 +274,11 @@
 	log_init(server->log_file ? server->log_file : stderr,
 		 server->settings.log_level, str_from(server->settings.vm),
 		 str_from(server->settings.zone), &server->router.hlc);
+	if (!router_join(&server->router, on_superseded, server, &error)) {
+		diag_add(&diag, "rpc_address", 0, "", "%s", error->message);
+		g_clear_error(&error);
+		goto out;
+	}
 	if (!load_state_file(server, &diag))
 		goto out;
 	if (!start_listeners(server, &error)) {
--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -279,16 +279,7 @@
 
 static ledger_key_t key_of(const scheduler_ticket_t *ticket, uint32_t attempt)
 {
-	ledger_key_t key = {.attempt = attempt};
-
-	for (size_t i = 0; i < LEDGER_ID_BYTES; i++)
-		key.request[i] =
-			(uint8_t)(g_ascii_xdigit_value(
-					  ticket->request.id[2 * i]) *
-					  16 +
-				  g_ascii_xdigit_value(
-					  ticket->request.id[2 * i + 1]));
-	return key;
+	return ledger_key_make(str_from(ticket->request.id), attempt);
 }
 
 static void drop_holding(scheduler_ticket_t *ticket, guint index,
--- a/src/request/canceller.c
+++ b/src/request/canceller.c
@@ -29,9 +29,15 @@
 static void on_end(const cancel_t *cancel, cancel_end_t end, int64_t now_us,
 		   void *context)
 {
+	canceller_t *canceller = context;
 	int64_t took_us = now_us - cancel->added_us;
 
 	if (end == CANCEL_CONFIRMED) {
+		if (canceller->on_confirmed)
+			canceller->on_confirmed(canceller->context,
+						str_from(cancel->engine),
+						str_from(cancel->request),
+						cancel->attempt);
 		counters_add(COUNTER_CANCELS_CONFIRMED, 1);
 		counters_observe(HISTOGRAM_CANCEL_MS,
 				 (double)took_us / CLOCK_US_PER_MS);
@@ -52,7 +58,7 @@
 	canceller->client = client;
 	canceller->clock = clock;
 	g_queue_init(&canceller->calls);
-	cancel_queue_init(&canceller->queue, seed, on_end, NULL);
+	cancel_queue_init(&canceller->queue, seed, on_end, canceller);
 }
 
 /* Drops what is not confirmed: engines then free it by their own bound. */
--- a/src/request/canceller.h
+++ b/src/request/canceller.h
@@ -5,6 +5,12 @@
 #include "connection/engine.h"
 #include "request/cancel.h"
 
+/* Called when an engine has confirmed that it holds nothing any more. Must not
+ * call into the canceller.
+ */
+typedef void (*canceller_confirmed_fn_t)(void *context, str_t engine,
+					 str_t request, uint32_t attempt);
+
 typedef struct {
 	cancel_queue_t queue;
 	client_t *client;
@@ -12,6 +18,8 @@
 	GQueue calls; /* of sends in progress */
 	guint timer;
 	int64_t timer_us; /* when it is due */
+	canceller_confirmed_fn_t on_confirmed; /* may be NULL */
+	void *context;
 } canceller_t;
 
 void canceller_init(canceller_t *canceller, client_t *client,
--- a/src/request/execute.c
+++ b/src/request/execute.c
@@ -116,9 +116,8 @@
 static void log_call(const request_t *request, const char *call,
 		     engine_status_t status)
 {
-	log_event(status == ENGINE_OK ? LOG_DEBUG : LOG_INFO, "engine_call",
-		  LOG_CSTR("request", request->id), LOG_CSTR("call", call),
-		  LOG_UINT("attempt", request->attempt),
+	log_event(LOG_INFO, "engine_call", LOG_CSTR("request", request->id),
+		  LOG_CSTR("call", call), LOG_UINT("attempt", request->attempt),
 		  LOG_CSTR("engine", request->engine->name),
 		  LOG_CSTR("status", engine_status_text(status)),
 		  LOG_INT("duration_us",
