Let reservations wait at the ledger owner

Change: the owner answers a reservation when memory becomes free, in order of priority and arrival, smaller ones first until the head has waited for half of its time; a router that sees no room waits at a random engine.

--- a/src/process/owner.c
+++ b/src/process/owner.c
@@ -10,21 +10,46 @@
  */
 #define RECOVERY_US (1500 * CLOCK_US_PER_MS)
 
-#define EXPIRE_INTERVAL_MS 250
+#define EXPIRE_INTERVAL_MS 20
 
 /* Answer of a full ledger: memory is freed within some tens of tokens. */
 #define FULL_RETRY_MS 50
 
+/* Requests that wait for memory of one engine at most. */
+#define MAX_WAITING 256
+
 typedef struct {
 	uint64_t key;
 	char *address;
 	ledger_t ledger;
+	GQueue waiting; /* of waiter_t, first served first */
 } engine_ledger_t;
 
+/* A reservation that is answered when memory is free or its time is over. */
+typedef struct {
+	ledger_grant_t want; /* the VM's name is owned */
+	unsigned priority;
+	int64_t since_us;
+	int64_t until_us;
+	owner_answer_fn_t answer;
+	void *context;
+} waiter_t;
+
+static void waiter_free(gpointer data)
+{
+	waiter_t *waiter = data;
+
+	if (waiter->answer)
+		waiter->answer(waiter->context, NULL);
+	g_free((gpointer)waiter->want.vm.name.data);
+	g_free(waiter);
+}
+
 static void engine_free(gpointer data)
 {
 	engine_ledger_t *engine = data;
 
+	g_queue_clear_full(&engine->waiting, waiter_free);
 	ledger_finish(&engine->ledger);
 	g_free(engine->address);
 	g_free(engine);
@@ -90,18 +115,44 @@
 	return add_ledger(owner, entry);
 }
 
+static peer_reserve_result result_of(const engine_ledger_t *engine,
+				     peer_grant_code code)
+{
+	return (peer_reserve_result){
+		.code = code,
+		.owner = engine->ledger.incarnation,
+		.valid_ms = OWNER_GRANT_MS,
+		.free_tokens = (u_int)ledger_free(&engine->ledger),
+		.retry_ms = FULL_RETRY_MS,
+	};
+}
+
+static void answer_waiter(engine_ledger_t *engine, GList *link,
+			  peer_grant_code code)
+{
+	waiter_t *waiter = link->data;
+	peer_reserve_result result = result_of(engine, code);
+
+	g_queue_delete_link(&engine->waiting, link);
+	waiter->answer(waiter->context, &result);
+	waiter->answer = NULL;
+	waiter_free(waiter);
+}
+
 static gboolean is_lost(gpointer key, gpointer value, gpointer data)
 {
-	const engine_ledger_t *engine = value;
+	engine_ledger_t *engine = value;
 	const owner_t *owner = data;
 	const backend_entry_t *entry = find_backend(owner, engine->key);
 	bool lost = !entry || !has_ledger(entry) ||
 		    !owner_is_self(owner, entry);
 
-	if (lost)
-		log_event(LOG_INFO, "ledger_lost",
-			  LOG_CSTR("engine", engine->address));
-	return lost;
+	if (!lost)
+		return FALSE;
+	log_event(LOG_INFO, "ledger_lost", LOG_CSTR("engine", engine->address));
+	while (engine->waiting.head)
+		answer_waiter(engine, engine->waiting.head, PEER_NOT_OWNER);
+	return TRUE;
 }
 
 /*
@@ -122,6 +173,8 @@
 	}
 }
 
+static void serve_waiting(owner_t *owner, engine_ledger_t *engine);
+
 static void to_hex(const uint8_t request[LEDGER_ID_BYTES], char text[33])
 {
 	for (size_t i = 0; i < LEDGER_ID_BYTES; i++)
@@ -176,8 +229,10 @@
 	uint64_t hash = member_key(engine);
 	engine_ledger_t *found = g_hash_table_lookup(owner->engines, &hash);
 
-	if (found)
-		ledger_confirm_cancelled(&found->ledger, key);
+	if (!found)
+		return;
+	ledger_confirm_cancelled(&found->ledger, key);
+	serve_waiting(owner, found);
 }
 
 /* Takes in an engine's load report, which shows memory in use by others. */
@@ -191,6 +246,7 @@
 	ledger_set_capacity(&engine->ledger, entry->kv_total);
 	engine->ledger.leaving = entry->leaving;
 	ledger_observe(&engine->ledger, entry->kv_used);
+	serve_waiting(owner, engine);
 }
 
 static peer_grant_code code_of(ledger_result_t result)
@@ -228,25 +284,107 @@
 	return grant;
 }
 
-/* Answers PEER_RESERVE. */
-void owner_reserve(owner_t *owner, ledger_vm_t from, const peer_reserve *call,
-		   peer_reserve_result *result)
+/* A request that has waited for half of its time is not overtaken any more,
+ * so that small requests cannot keep a large one waiting for ever.
+ */
+static bool blocks_others(const waiter_t *waiter, int64_t now_us)
+{
+	return now_us - waiter->since_us >
+	       (waiter->until_us - waiter->since_us) / 2;
+}
+
+/* Gives free memory to those that wait for it. */
+static void serve_waiting(owner_t *owner, engine_ledger_t *engine)
 {
-	engine_ledger_t *engine = find_ledger(owner, call->engine);
 	int64_t now_us = clock_now(&owner->clock);
+	GList *next;
+
+	for (GList *at = engine->waiting.head; at; at = next) {
+		waiter_t *waiter = at->data;
+		ledger_result_t result;
+
+		next = at->next;
+		waiter->want.deadline_us =
+			now_us + OWNER_GRANT_MS * CLOCK_US_PER_MS;
+		result = ledger_reserve(&engine->ledger, &waiter->want, now_us);
+		if (result != LEDGER_FULL)
+			answer_waiter(engine, at, code_of(result));
+		else if (now_us >= waiter->until_us)
+			answer_waiter(engine, at, PEER_FULL);
+		else if (blocks_others(waiter, now_us))
+			break;
+	}
+}
+
+static void enqueue_waiter(engine_ledger_t *engine, waiter_t *waiter)
+{
+	GList *at = engine->waiting.tail;
+
+	while (at && ((waiter_t *)at->data)->priority > waiter->priority)
+		at = at->prev;
+	g_queue_insert_after(&engine->waiting, at, waiter);
+}
+
+static void add_waiter(owner_t *owner, engine_ledger_t *engine,
+		       const ledger_grant_t *want, const peer_reserve *call,
+		       owner_answer_fn_t answer, void *context)
+{
+	waiter_t *waiter = g_new0(waiter_t, 1);
+
+	waiter->want = *want;
+	waiter->want.vm.name =
+		(str_t){str_dup(want->vm.name), want->vm.name.len};
+	waiter->priority = call->priority;
+	waiter->since_us = clock_now(&owner->clock);
+	waiter->until_us = waiter->since_us + call->wait_ms * CLOCK_US_PER_MS;
+	waiter->answer = answer;
+	waiter->context = context;
+	enqueue_waiter(engine, waiter);
+}
+
+/*
+ * Answers a reservation: at once if it can be decided, otherwise when memory
+ * is free or the call's wait_ms are over. A release of the same key withdraws
+ * a waiting one, which is then not answered.
+ */
+void owner_ask(owner_t *owner, ledger_vm_t from, const peer_reserve *call,
+	       owner_answer_fn_t answer, void *context)
+{
+	engine_ledger_t *engine = find_ledger(owner, call->engine);
 	ledger_grant_t want =
 		grant_of(owner, from, &call->hold, LEDGER_PREFILLING);
+	peer_reserve_result result = {.code = PEER_NOT_OWNER};
+	ledger_result_t decided = LEDGER_FULL;
 
-	memset(result, 0, sizeof(*result));
 	if (!engine) {
-		result->code = PEER_NOT_OWNER;
+		answer(context, &result);
+		return;
+	}
+	/* Those that wait already come first. */
+	if (g_queue_is_empty(&engine->waiting))
+		decided = ledger_reserve(&engine->ledger, &want,
+					 clock_now(&owner->clock));
+	if (decided == LEDGER_FULL && call->wait_ms > 0 &&
+	    g_queue_get_length(&engine->waiting) < MAX_WAITING) {
+		add_waiter(owner, engine, &want, call, answer, context);
+		serve_waiting(owner, engine);
+		return;
+	}
+	result = result_of(engine, code_of(decided));
+	answer(context, &result);
+}
+
+static void withdraw_waiter(engine_ledger_t *engine, const ledger_key_t *key)
+{
+	for (GList *at = engine->waiting.head; at; at = at->next) {
+		waiter_t *waiter = at->data;
+
+		if (!ledger_key_equal(&waiter->want.key, key))
+			continue;
+		g_queue_delete_link(&engine->waiting, at);
+		waiter_free(waiter);
 		return;
 	}
-	result->code = code_of(ledger_reserve(&engine->ledger, &want, now_us));
-	result->owner = engine->ledger.incarnation;
-	result->valid_ms = OWNER_GRANT_MS;
-	result->free_tokens = (u_int)ledger_free(&engine->ledger);
-	result->retry_ms = FULL_RETRY_MS;
 }
 
 static ledger_result_t renew_one(owner_t *owner, ledger_t *ledger,
@@ -305,8 +443,10 @@
 					       &call->holds.holds_val[i],
 					       LEDGER_DECODING);
 
+		withdraw_waiter(engine, &held.key);
 		ledger_release(&engine->ledger, &held.key, from);
 	}
+	serve_waiting(owner, engine);
 	result->code = PEER_GRANTED;
 	result->free_tokens = (u_int)ledger_free(&engine->ledger);
 }
@@ -341,10 +481,43 @@
 		rpc_free(peer_##name, &call);                                 \
 	}
 
-OWNER_HANDLER(reserve)
 OWNER_HANDLER(renew)
 OWNER_HANDLER(release)
 
+typedef struct {
+	owner_t *owner;
+	uint64_t token;
+} rpc_waiter_t;
+
+static void answer_rpc(void *context, const peer_reserve_result *result)
+{
+	rpc_waiter_t *waiter = context;
+	/* The encoder of XDR takes no pointer to const. */
+	peer_reserve_result *copy = (peer_reserve_result *)result;
+	wire_buffer_t body;
+
+	if (copy && rpc_encode(peer_reserve_result, copy, &body))
+		rpc_answer(waiter->owner->rpc, waiter->token, rpc_body(&body));
+	g_free(waiter);
+}
+
+static void on_reserve(void *context, const rpc_request_t *request)
+{
+	owner_t *owner = context;
+	rpc_waiter_t *waiter;
+	peer_reserve call;
+
+	if (!rpc_decode(peer_reserve, request->body, &call)) {
+		rpc_reject(owner->rpc, request->token, WIRE_BAD_ARGUMENTS);
+	} else {
+		waiter = g_new0(rpc_waiter_t, 1);
+		waiter->owner = owner;
+		waiter->token = request->token;
+		owner_ask(owner, sender_of(request), &call, answer_rpc, waiter);
+	}
+	rpc_free(peer_reserve, &call);
+}
+
 static gboolean on_expire(gpointer data)
 {
 	owner_t *owner = data;
@@ -357,6 +530,7 @@
 
 		ledger_expire(&engine->ledger, clock_now(&owner->clock), NULL,
 			      NULL);
+		serve_waiting(owner, engine);
 	}
 	return G_SOURCE_CONTINUE;
 }
--- a/src/process/owner.h
+++ b/src/process/owner.h
@@ -12,6 +12,12 @@
 /* A grant lapses unless it is renewed within this time. */
 #define OWNER_GRANT_MS 3000
 
+/* Called once with the answer to owner_ask(), or with NULL if it was withdrawn;
+ * the context is then only to be freed.
+ */
+typedef void (*owner_answer_fn_t)(void *context,
+				  const peer_reserve_result *result);
+
 typedef struct {
 	rpc_t *rpc;
 	fleet_t *fleet;
@@ -36,8 +42,8 @@
 void owner_observe(owner_t *owner, const backend_entry_t *entry);
 bool owner_is_self(const owner_t *owner, const backend_entry_t *entry);
 
-void owner_reserve(owner_t *owner, ledger_vm_t from, const peer_reserve *call,
-		   peer_reserve_result *result);
+void owner_ask(owner_t *owner, ledger_vm_t from, const peer_reserve *call,
+	       owner_answer_fn_t answer, void *context);
 void owner_renew(owner_t *owner, ledger_vm_t from, const peer_renew *call,
 		 peer_renew_result *result);
 void owner_release(owner_t *owner, ledger_vm_t from, const peer_release *call,
--- a/src/process/reserve.c
+++ b/src/process/reserve.c
@@ -10,6 +10,11 @@
  */
 #define DEFERRED_US (1 * CLOCK_US_PER_S)
 
+/* Time beyond the owner's waiting after which the owner counts as unreachable:
+ * some round trips of at most a few milliseconds, with retransmissions.
+ */
+#define ANSWER_MARGIN_US (50 * CLOCK_US_PER_MS)
+
 #define CALL_TIMEOUT_US (400 * CLOCK_US_PER_MS)
 
 typedef struct {
@@ -233,6 +238,12 @@
 		fall_back(ask);
 }
 
+static void on_own_answer(void *context, const peer_reserve_result *result)
+{
+	if (result)
+		take_result(context, result);
+}
+
 static void ask_owner(reserve_ask_t *ask, const member_t *member,
 		      const reserve_want_t *want)
 {
@@ -241,19 +252,21 @@
 		.engine = ask->engine->key,
 		.priority = (u_int)want->priority,
 	};
-	peer_reserve_result result;
+	int64_t wait_us = want->wait_until_us - clock_now(&reserve->clock);
 	wire_buffer_t body;
 
 	put_hold(&ask->grant, &call.hold);
+	call.wait_ms = wait_us > 0 ? (u_int)(wait_us / CLOCK_US_PER_MS) : 0;
 	if (fleet_is_self(reserve->fleet, member)) {
-		owner_reserve(reserve->owner, reserve->self, &call, &result);
-		take_result(ask, &result);
+		owner_ask(reserve->owner, reserve->self, &call, on_own_answer,
+			  ask);
 		return;
 	}
 	if (rpc_encode(peer_reserve, &call, &body))
 		ask->call = rpc_send(reserve->rpc, member->info.address,
 				     PEER_RESERVE, rpc_body(&body),
-				     want->answer_by_us, on_reserve_reply, ask);
+				     want->wait_until_us + ANSWER_MARGIN_US,
+				     on_reserve_reply, ask);
 	if (!ask->call)
 		fall_back(ask);
 }
--- a/src/process/reserve.h
+++ b/src/process/reserve.h
@@ -33,7 +33,7 @@
 	ledger_key_t key;
 	int64_t tokens;
 	int priority;
-	int64_t answer_by_us; /* without an answer then, the fallback applies */
+	int64_t wait_until_us; /* the owner may wait for memory */
 	int64_t deadline_us; /* of the request */
 } reserve_want_t;
 
--- a/src/process/route.h
+++ b/src/process/route.h
@@ -127,6 +127,7 @@
 				   int64_t now_us);
 route_engine_t *route_pick_decode(route_t *route, const route_decode_t *want,
 				  int64_t now_us);
+route_engine_t *route_pick_waiting(route_t *route, const route_decode_t *want);
 int64_t route_prefill_us(const route_t *route, const route_engine_t *engine,
 			 int64_t tokens, int64_t now_us);
 void route_begin(route_t *route, route_engine_t *engine, int64_t tokens);
--- a/src/process/route_pick.c
+++ b/src/process/route_pick.c
@@ -240,3 +240,20 @@
 		engine = pick_from(route, route->far, want);
 	return engine;
 }
+
+/*
+ * Chooses a decode engine to wait at when none is believed to have memory: any
+ * that is large enough, at random, so that the routers' waiting requests
+ * spread over all engines. Returns NULL if none can be used.
+ */
+route_engine_t *route_pick_waiting(route_t *route, const route_decode_t *want)
+{
+	for (int i = 0; i < SEARCH; i++) {
+		route_engine_t *engine = random_engine(route);
+
+		if (engine &&
+		    can_decode(route, want, engine, engine->config.kv_tokens))
+			return engine;
+	}
+	return NULL;
+}
--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -11,8 +11,10 @@
  */
 #define MAX_RESERVING 4
 
-/* The ledger owner answers within a round trip; later the share applies. */
-#define RESERVE_ANSWER_US (50 * CLOCK_US_PER_MS)
+/* A request waits this long for memory of one engine, then at another: about
+ * the time in which a full engine ends one request.
+ */
+#define RESERVE_WAIT_US (100 * CLOCK_US_PER_MS)
 
 /* Allowance for import and the first output token. */
 #define FIRST_TOKEN_ALLOWANCE_US (60 * CLOCK_US_PER_MS)
@@ -137,6 +139,13 @@
 				      CLOCK_US_PER_S)));
 }
 
+/* Ledger owners tell when memory is free; the other policies look again. */
+static bool waits_at_owner(const scheduler_ticket_t *ticket)
+{
+	return ticket->scheduler->config.policy >= ROUTE_LEDGER &&
+	       now_of(ticket->scheduler) < ticket->request.start_by_us;
+}
+
 /* Tells whether a request at the head of the queue could be placed now. */
 static bool can_place(const scheduler_ticket_t *ticket)
 {
@@ -147,9 +156,10 @@
 	};
 	int64_t now_us = now_of(ticket->scheduler);
 
-	return route_pick_decode(&ticket->decode_pool->route, &decode,
-				 now_us) &&
-	       route_pick_prefill(&ticket->prefill_pool->route, &prefill,
+	if (!waits_at_owner(ticket) &&
+	    !route_pick_decode(&ticket->decode_pool->route, &decode, now_us))
+		return false;
+	return route_pick_prefill(&ticket->prefill_pool->route, &prefill,
 				  now_us);
 }
 
@@ -397,10 +407,16 @@
 	reserve_want_t reserve = {
 		.tokens = want.tokens,
 		.priority = ticket->request.service->priority,
-		.answer_by_us = now_us + RESERVE_ANSWER_US,
+		.wait_until_us = now_us,
 		.deadline_us = ticket->request.deadline_us,
 	};
 
+	if (!engine && waits_at_owner(ticket)) {
+		engine = route_pick_waiting(&ticket->decode_pool->route, &want);
+		reserve.wait_until_us =
+			MIN(now_us + RESERVE_WAIT_US,
+			    MAX(ticket->request.start_by_us, now_us));
+	}
 	if (!engine || ticket->n_except == MAX_EXCEPT) {
 		wait_for_memory(ticket);
 		return;
