Measure the drain rate over all busy time and learn a margin for prefills

The drain rate was taken only from slots in which the queue was never empty, so only from those in which it was stuck. The rate now covers all time in which the queue is not empty, and a request is queued if it could bear twice the expected wait.

With longer queues more prefills ended too late, since other routers' requests are known late: routers now learn a margin from the difference between actual and expected prefill times.

--- a/src/process/queue.c
+++ b/src/process/queue.c
@@ -4,7 +4,7 @@
 
 #include "process/clock.h"
 
-/* The drain rate is averaged over about ten slots of this length: starts are
+/* The drain rate is averaged over about ten slots of this busy time: starts are
  * few and of unequal size, so shorter averages follow single requests.
  */
 #define SLOT_US (100 * CLOCK_US_PER_MS)
@@ -13,6 +13,12 @@
 /* With fewer slots measured nobody is refused on the estimated wait. */
 #define SLOTS_NEEDED 5
 
+/* A request is queued only if it could bear this many times the expected wait,
+ * as the drain rate is averaged over few starts. A shorter queue costs nothing
+ * as long as it is not empty.
+ */
+#define WAIT_SAFETY 2
+
 /* Bounds of the time after which a refused caller may come back. */
 #define RETRY_MIN_US (100 * CLOCK_US_PER_MS)
 #define RETRY_MAX_US (30 * CLOCK_US_PER_S)
@@ -133,29 +139,29 @@
 	}
 }
 
-/* Ends the slots that have passed. A slot counts only if the queue was never
- * empty in it; otherwise it measures the arrivals and not the capacity.
+/*
+ * Measures the drain rate over the time in which the queue is not empty,
+ * including the pop that empties it. Leaving those pops out would measure only
+ * the periods in which the queue is stuck.
  */
-static void advance_slots(queue_t *queue, int64_t now_us)
-{
-	while (queue->n_entries > 0 &&
-	       now_us >= queue->slot_start_us + SLOT_US) {
-		double rate = (double)queue->slot_tokens *
-			      (double)CLOCK_US_PER_S / (double)SLOT_US;
-		double gain = fmax(RATE_GAIN, 1.0 / (queue->slots + 1.0));
-
-		queue->rate += gain * (rate - queue->rate);
-		if (queue->slots < UINT16_MAX)
-			queue->slots++;
-		queue->slot_tokens = 0;
-		queue->slot_start_us += SLOT_US;
-	}
-}
-
-static void start_slot(queue_t *queue, int64_t now_us)
+static void advance_rate(queue_t *queue, int64_t now_us)
 {
-	queue->slot_start_us = now_us;
+	double rate, slots, keep;
+
+	if (queue->n_entries > 0)
+		queue->busy_us += MAX(now_us - queue->counted_us, 0);
+	queue->counted_us = now_us;
+	if (queue->busy_us < SLOT_US)
+		return;
+	rate = (double)queue->slot_tokens * (double)CLOCK_US_PER_S /
+	       (double)queue->busy_us;
+	slots = (double)queue->busy_us / (double)SLOT_US;
+	keep = fmin(pow(1 - RATE_GAIN, slots),
+		    queue->slots / (queue->slots + slots));
+	queue->rate = fmax(keep * queue->rate + (1 - keep) * rate, 0);
+	queue->slots = MIN(queue->slots + (unsigned)slots, UINT16_MAX);
 	queue->slot_tokens = 0;
+	queue->busy_us = 0;
 }
 
 /* Idle flows matter only while their tag is ahead of the virtual time. */
@@ -361,7 +367,7 @@
 			int64_t now_us)
 {
 	int64_t slack = MAX(request->start_by_us - now_us, 0);
-	int64_t wait = queue_wait_us(queue, request) - slack;
+	int64_t wait = queue_wait_us(queue, request) - slack / WAIT_SAFETY;
 
 	return now_us + CLAMP(wait, RETRY_MIN_US, RETRY_MAX_US);
 }
@@ -451,9 +457,9 @@
 	queue_outcome_t outcome = {QUEUE_LATE, NULL, 0, NULL};
 	int64_t wait;
 
-	advance_slots(queue, now_us);
+	advance_rate(queue, now_us);
 	wait = request->returning ? 0 : queue_wait_us(queue, request);
-	if (now_us + wait > request->start_by_us) {
+	if (now_us + WAIT_SAFETY * wait > request->start_by_us) {
 		outcome.retry_at_us = retry_at(queue, request, now_us);
 		return outcome;
 	}
@@ -466,8 +472,6 @@
 			return outcome;
 		outcome.evicted = unlink_entry(queue, victim);
 	}
-	if (queue->n_entries == 0)
-		start_slot(queue, now_us);
 	outcome.result = QUEUE_ACCEPTED;
 	outcome.entry = insert_entry(queue, request);
 	return outcome;
@@ -502,7 +506,7 @@
 
 	if (!flow)
 		return NULL;
-	advance_slots(queue, now_us);
+	advance_rate(queue, now_us);
 	entry = first_entry(flow);
 	queue->slot_tokens += entry->cost_tokens;
 	flow->class->virtual_time = fmax(flow->class->virtual_time, flow->tag);
@@ -525,7 +529,7 @@
 {
 	size_t n = 0;
 
-	advance_slots(queue, now_us);
+	advance_rate(queue, now_us);
 	while (queue_next_expiry(queue) < now_us) {
 		queue_entry_t *entry = g_sequence_get(
 			g_sequence_get_begin_iter(queue->by_expiry));
--- a/src/process/queue.h
+++ b/src/process/queue.h
@@ -55,7 +55,8 @@
 	queue_class_t classes[QUEUE_PRIORITIES];
 	GSequence *by_expiry; /* all entries, earliest start_by_us first */
 	uint64_t next_number;
-	int64_t slot_start_us; /* of the current slot of the drain rate */
+	int64_t counted_us; /* busy time is counted up to this time */
+	int64_t busy_us; /* not empty in the current slot of the drain rate */
 	int64_t slot_tokens; /* popped in the current slot */
 	unsigned slots; /* whole slots measured */
 	double rate; /* tokens per second while not empty */
--- a/src/process/route.c
+++ b/src/process/route.c
@@ -13,6 +13,12 @@
 #define PREFILL_GUESS_US 20.0
 #define DECODE_GUESS_US (20.0 * (double)CLOCK_US_PER_MS)
 
+/* Weight of a prefill in the mean excess over the expected time, and the bound
+ * on one prefill, so that a stalled one does not stop all others.
+ */
+#define EXCESS_GAIN 0.05
+#define EXCESS_MAX_US (200.0 * (double)CLOCK_US_PER_MS)
+
 /* Weight of a request in the mean number of tokens. */
 #define MEAN_GAIN 0.05
 
@@ -303,13 +309,65 @@
 	reindex(route, engine);
 }
 
-/* Takes in the measured time of a prefill of tokens computed ones. */
+/* Returns the expected time from sending a prefill of tokens to its result,
+ * with what the engine has to compute before it. Called before route_begin().
+ */
+int64_t route_expected_us(const route_t *route, const route_engine_t *engine,
+			  int64_t tokens, int64_t now_us)
+{
+	return route_backlog_us(route, engine) +
+	       route_prefill_us(route, engine, tokens, now_us);
+}
+
+/* Returns the time by which prefills are to be expected earlier than they
+ * have to end, so that most end in time although other routers' requests are
+ * known late: the mean excess and twice the mean deviation.
+ */
+int64_t route_margin_us(const route_t *route)
+{
+	return (int64_t)fmax(route->excess_us + 2 * route->excess_deviation_us,
+			     0);
+}
+
+/* Returns when a prefill of tokens has to start on a typical idle engine to
+ * end by finish_by_us: the request's place in the queue expires then.
+ */
+int64_t route_latest_start_us(const route_t *route, int64_t tokens,
+			      int64_t finish_by_us)
+{
+	double us = exp(route->typical.prefill.log_us);
+
+	return finish_by_us - (int64_t)(us * (double)tokens) -
+	       route_margin_us(route);
+}
+
+/*
+ * Takes in the time from sending a prefill to its result. tokens are those
+ * computed, not cached; expected_us is what route_expected_us() returned, 0 if
+ * not known. The time includes waiting at the engine, which the engine does not report, so
+ * the speed is corrected by the ratio of actual and expected time.
+ */
 void route_prefilled(route_t *route, route_engine_t *engine, int64_t tokens,
-		     int64_t elapsed_us, int64_t now_us)
+		     int64_t expected_us, int64_t elapsed_us, int64_t now_us)
 {
+	double excess = (double)(elapsed_us - expected_us);
+	double compute =
+		(double)route_prefill_us(route, engine, tokens, now_us);
+	int64_t sample = elapsed_us;
+
 	set_now(route, now_us);
-	estimate_add(&engine->estimate.prefill, elapsed_us, tokens, now_us);
-	estimate_add(&route->typical.prefill, elapsed_us, tokens, now_us);
+	if (engine->estimate.prefill.samples > 0 && expected_us > 0)
+		sample = (int64_t)(compute * (double)elapsed_us /
+				   (double)expected_us);
+	if (route->typical.prefill.samples > 0 && expected_us > 0) {
+		excess = CLAMP(excess, -EXCESS_MAX_US, EXCESS_MAX_US);
+		route->excess_us += EXCESS_GAIN * (excess - route->excess_us);
+		route->excess_deviation_us +=
+			EXCESS_GAIN * (fabs(excess - route->excess_us) -
+				       route->excess_deviation_us);
+	}
+	estimate_add(&engine->estimate.prefill, sample, tokens, now_us);
+	estimate_add(&route->typical.prefill, sample, tokens, now_us);
 }
 
 /* Takes in the measured time between output tokens of one request. */
--- a/src/process/route.h
+++ b/src/process/route.h
@@ -83,6 +83,8 @@
 	estimate_engine_t typical; /* over all engines of the pool */
 	size_t next; /* round robin */
 	double mean_tokens; /* of own requests */
+	double excess_us; /* mean of actual minus expected prefill times */
+	double excess_deviation_us; /* mean deviation from that */
 	int64_t now_us; /* last time passed in */
 } route_t;
 
@@ -132,7 +134,12 @@
 void route_begin(route_t *route, route_engine_t *engine, int64_t tokens);
 void route_end(route_t *route, route_engine_t *engine, int64_t tokens);
 void route_prefilled(route_t *route, route_engine_t *engine, int64_t tokens,
-		     int64_t elapsed_us, int64_t now_us);
+		     int64_t expected_us, int64_t elapsed_us, int64_t now_us);
+int64_t route_expected_us(const route_t *route, const route_engine_t *engine,
+			  int64_t tokens, int64_t now_us);
+int64_t route_margin_us(const route_t *route);
+int64_t route_latest_start_us(const route_t *route, int64_t tokens,
+			      int64_t finish_by_us);
 void route_decoded(route_t *route, route_engine_t *engine, int64_t tokens,
 		   int64_t elapsed_us, int64_t now_us);
 bool route_transfer_begin(route_t *route, route_engine_t *engine);
--- a/src/process/route_pick.c
+++ b/src/process/route_pick.c
@@ -50,8 +50,8 @@
 {
 	double saved = confidence * (double)want->prefix_tokens;
 	int64_t tokens = MAX(want->prompt_tokens - (int64_t)saved, 1);
-	int64_t end = route->now_us + route_backlog_us(route, engine) +
-		      route_prefill_us(route, engine, tokens, route->now_us);
+	int64_t end = route->now_us +
+		      route_expected_us(route, engine, tokens, route->now_us);
 
 	if (!route_is_near(route, engine))
 		end += ZONE_PENALTY_US;
@@ -79,7 +79,7 @@
 	    route_requests(engine) >= engine->config.max_prefills)
 		return;
 	end = finish_us(route, engine, want, confidence);
-	if (end > want->finish_by_us)
+	if (end > want->finish_by_us - route_margin_us(route))
 		return;
 	if (best->engine && end >= best->finish_us)
 		return;
