Admit by the learned margin of prefill times

Change: the latest start and the choice of a prefill engine take off the margin that the routers learn from actual against expected prefill times.

--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -48,6 +48,8 @@
 
 	backend_entry_t *prefill; /* in progress, or NULL */
 	int64_t prefill_started_us;
+	int64_t prefill_expected_us;
+	int64_t first_token_due_us;
 	backend_entry_t *import; /* in progress, or NULL */
 };
 
@@ -146,13 +148,20 @@
 	       now_of(ticket->scheduler) < ticket->request.start_by_us;
 }
 
+/* Latest end of the prefill with which the first token is in time. */
+static int64_t prefill_due(const scheduler_ticket_t *ticket)
+{
+	return ticket->first_token_due_us - FIRST_TOKEN_ALLOWANCE_US -
+	       route_margin_us(&ticket->prefill_pool->route);
+}
+
 /* Tells whether a request at the head of the queue could be placed now. */
 static bool can_place(const scheduler_ticket_t *ticket)
 {
 	route_decode_t decode = {.tokens = decode_tokens(ticket)};
 	route_prefill_t prefill = {
 		.prompt_tokens = ticket->request.prompt_tokens,
-		.finish_by_us = ticket->request.deadline_us,
+		.finish_by_us = prefill_due(ticket),
 	};
 	int64_t now_us = now_of(ticket->scheduler);
 
@@ -230,8 +239,7 @@
 					  ticket->request.prompt_tokens, now_us)
 		       : 0;
 
-	return ticket->request.start_by_us - prefill_us -
-	       FIRST_TOKEN_ALLOWANCE_US;
+	return prefill_due(ticket) - prefill_us;
 }
 
 static void enqueue(scheduler_ticket_t *ticket)
@@ -240,6 +248,7 @@
 	queue_request_t request;
 	queue_outcome_t outcome;
 
+	ticket->first_token_due_us = ticket->request.start_by_us;
 	ticket->request.start_by_us = latest_start(ticket);
 	request = queue_request_of(ticket);
 	outcome = queue_push(queue, &request, now_of(ticket->scheduler));
@@ -492,6 +501,8 @@
 		return NULL;
 	ticket->prefill = engine->config.context;
 	ticket->prefill_started_us = now_us;
+	ticket->prefill_expected_us =
+		route_expected_us(route, engine, want.prompt_tokens, now_us);
 	route_begin(route, engine, want.prompt_tokens);
 	return ticket->prefill;
 }
@@ -519,6 +530,7 @@
 	route_end(engine->route, engine->engine, request->prompt_tokens);
 	if (ok && computed_tokens > 0)
 		route_prefilled(engine->route, engine->engine, computed_tokens,
+				ticket->prefill_expected_us,
 				now_us - ticket->prefill_started_us, now_us);
 	if (ok && request->prefix)
 		prefix_used(&ticket->scheduler->prefix,
