Bound how often the main loop wakes up

Cause: with 40 requests/s on one router the loop's own bookkeeping (preparing, polling and checking every source) took about 40% of the samples, one turn for each token that arrived. Change: a turn starts at most every 2 ms unless something is ready already.

--- a/src/process/router.c
+++ b/src/process/router.c
@@ -5,6 +5,7 @@
 
 #include "process/counters.h"
 #include "process/log.h"
+#include "process/pace.h"
 
 /* Retries at once after a quiet time: one process's part of the requests that
  * the loss of one decode engine (about 20 requests) interrupts.
@@ -96,6 +97,7 @@
 	router->backends.context = router;
 	router->canceller.on_confirmed = on_cancel_confirmed;
 	router->canceller.context = router;
+	pace_init(g_main_context_default());
 	router->loop = g_main_loop_new(NULL, FALSE);
 }
 
