--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -186,6 +186,20 @@
 	soup_message_headers_append(data, name, value);
 }
 
+/*
+ * libsoup sends a call again when its kept-alive connection closes without a
+ * response, and libsoup 3.2.3 then leaves out the body. A PUT would write an
+ * empty value. Nothing is sent again on a new connection.
+ */
+static void add_connection_flags(const client_request_t *request,
+				 SoupMessage *message)
+{
+	if (!strcmp(request->method, "POST") && request->reuse_connection)
+		soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
+	else if (strcmp(request->method, "GET") != 0 || request->single_send)
+		soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+}
+
 static SoupMessage *make_message(const client_request_t *request)
 {
 	char *uri = g_strdup_printf("http://%.*s%s", STR_ARG(request->address),
@@ -196,8 +210,7 @@
 	if (!message)
 		return NULL;
 	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-	if (request->reuse_connection)
-		soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
+	add_connection_flags(request, message);
 	if (request->headers)
 		soup_message_headers_foreach(
 			request->headers, copy_header,
@@ -210,8 +223,9 @@
 
 /*
  * Starts a call. The address and path must form a valid URI; NULL is returned
- * if they don't. A POST opens a new connection unless reuse_connection is
- * set, which only calls that may run twice should do. With on_data, the body
+ * if they don't. Every call but a GET opens a new connection unless it is a
+ * POST with reuse_connection, which only calls that may run twice should have.
+ * A GET that must not run twice needs single_send. With on_data, the body
  * of a 200 response is passed on as it arrives.
  */
 client_call_t *client_send(client_t *client, const client_request_t *request)
