--- a/tests/engine_work.c
+++ b/tests/engine_work.c
@@ -171,6 +171,8 @@
 	engine->kv_used -= work->held_tokens;
 	if (state == WORK_PREFILLING)
 		engine_stop_prefill(work);
+	if (state == WORK_QUEUED)
+		work->execution->ran = false;
 	clear_source(&work->timer);
 	if (work->cancellable)
 		g_cancellable_cancel(work->cancellable);
--- a/tests/load_request.c
+++ b/tests/load_request.c
@@ -46,6 +46,7 @@
 		g_string_free(request->body, TRUE);
 	load_check_finish(&request->check);
 	load_arrival_finish(&request->arrival);
+	g_free(request->key);
 	g_free(request->id);
 	g_free(request->verdict);
 	g_free(request);
@@ -345,12 +346,9 @@
 		soup_message_headers_replace(headers, "X-Request-Timeout-Ms",
 					     text);
 	}
-	if (request->arrival.kind == LOAD_BOOK) {
-		g_snprintf(text, sizeof(text),
-			   "load-%" G_GINT64_FORMAT "-%" G_GINT64_FORMAT,
-			   client->seed, request->arrival.serial);
-		soup_message_headers_replace(headers, "Idempotency-Key", text);
-	}
+	if (request->key)
+		soup_message_headers_replace(headers, "Idempotency-Key",
+					     request->key);
 }
 
 static void send_request(load_request_t *request)
@@ -380,6 +378,10 @@
 	request->body = g_string_new(NULL);
 	load_check_init(&request->check, arrival->prompt ? arrival->prompt : "",
 			arrival->output);
+	if (arrival->kind == LOAD_BOOK)
+		request->key = g_strdup_printf("load-%" G_GINT64_FORMAT
+					       "-%" G_GINT64_FORMAT,
+					       client->seed, arrival->serial);
 	if (arrival->leave_ms >= 0) {
 		request->leave_timer =
 			g_timeout_source_new((guint)arrival->leave_ms);
--- a/tests/load_request.h
+++ b/tests/load_request.h
@@ -50,6 +50,7 @@
 	int64_t end_us;
 	unsigned status; /* HTTP; 0: no response */
 	int64_t retry_after_s; /* -1: none */
+	char *key; /* Idempotency-Key, or NULL */
 	char *id; /* X-Request-Id, may be NULL */
 	char *verdict; /* Gooseberryspur-Verdict, may be NULL */
 	load_outcome_t outcome;
