Read the empty record of an idle fake

The audit ended with a null string when a fake had not executed anything. The text of an empty answer is now the empty string, and a test runs the audit against an idle service.

--- a/tests/test_audit.c
+++ b/tests/test_audit.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "shared_audit.h"
+#include "support_process.h"
 
 #define RESULT(id, outcome, verdict, fault)                     \
 	"{\"request_id\":\"" id "\",\"hash\":\"h" id            \
@@ -116,11 +117,28 @@
 	audit_finish(&audit);
 }
 
+/* Guards against a crash on the record of a fake that did nothing yet. */
+static void test_empty_record(void **state)
+{
+	process_t service, audit;
+	char *address = process_start_listening(&service, "fake_service", NULL);
+	const char *const args[] = {"--from", address, NULL};
+
+	assert_non_null(address);
+	assert_true(process_start(&audit, "tool_audit", args, NULL));
+	assert_true(process_wait_end(&audit, 10000));
+	assert_int_equal(process_stop(&audit), 0);
+	process_finish(&audit);
+	process_finish(&service);
+	g_free(address);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_cases),
 		cmocka_unit_test(test_bad_lines),
+		cmocka_unit_test(test_empty_record),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/tool_audit.c
+++ b/tests/tool_audit.c
@@ -48,6 +48,7 @@
 	char *uri = g_strdup_printf("http://%s/record", address);
 	SoupMessage *message = soup_message_new("GET", uri);
 	GError *error = NULL;
+	const char *data;
 	GBytes *bytes;
 	char *text;
 	bool ok;
@@ -60,8 +61,9 @@
 		g_error_free(error);
 		return false;
 	}
-	text = g_strndup(g_bytes_get_data(bytes, NULL),
-			 g_bytes_get_size(bytes));
+	/* An empty record has no data. */
+	data = g_bytes_get_data(bytes, NULL);
+	text = g_strndup(data ? data : "", g_bytes_get_size(bytes));
 	ok = audit_add_records(audit, text);
 	g_free(text);
 	g_bytes_unref(bytes);
