Run the policy trial with leases, faults and imports under reservation only

After an engine refused an import during a fault, routers of the trial went on to import without a reservation; that use was unknown to the owners, their grants exceeded the memory, and the engines refused imports for the rest of the run.

--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -387,9 +387,11 @@
 
 /*
  * Handles everything whose deadline has passed: credits lapse, and expired()
- * is called for each grant that was not renewed. The caller cancels these
- * attempts at the engine and then calls ledger_confirm_cancelled(). Returns
- * the number of calls.
+ * is called for each grant that was not renewed. If its VM is dead, the caller
+ * cancels the attempt at the engine first; in either case it then calls
+ * ledger_confirm_cancelled(). A live router that is only cut off from the owner
+ * goes on with its request, whose memory shows in the engine's reports.
+ * Callbacks must not call the ledger. Returns the number of calls.
  */
 size_t ledger_expire(ledger_t *ledger, int64_t now_us,
 		     ledger_grant_fn_t expired, void *context)
--- a/tests/tool_policies.c
+++ b/tests/tool_policies.c
@@ -4,7 +4,7 @@
  * steps of one millisecond. It serves to compare the policies; its figures are
  * no measurement of the product. docs/routing.md records them.
  *
- * tool_policies POLICY LOAD SECONDS FAULT SEED
+ * tool_policies POLICY LOAD SECONDS FAULT SEED PREFILLERS
  *
  * LOAD is the offered part of the decode capacity, for example 1.1. FAULT is
  * none, owner (all ledger owners are unreachable for 3 s and then replaced) or
@@ -22,7 +22,7 @@
 
 #define ROUTERS 8
 #define DECODERS 12
-#define PREFILLERS 16
+#define PREFILLERS_MAX 16
 #define PROMPT_MEAN 1000
 #define OUTPUT_MAX 200
 #define SLOTS 20 /* requests of mean size in a decode engine */
@@ -40,7 +40,7 @@
 #define RECOVERY_US 500000
 #define CREDIT_US 200000
 #define RENEW_US 100000 /* interval; the reply tells the free memory */
-#define LEASE_US (60 * CLOCK_US_PER_S)
+#define LEASE_US (2 * CLOCK_US_PER_S)
 #define STEP_US CLOCK_US_PER_MS
 #define TRIES 3
 
@@ -68,6 +68,7 @@
 	bool reserved;
 	bool returning;
 	bool in_time;
+	bool in_fault; /* arrived in it */
 	unsigned tries;
 	const route_engine_t *except[TRIES];
 	route_engine_t *decoder; /* of the router's pool */
@@ -105,14 +106,15 @@
 	str_t fault;
 	router_t routers[ROUTERS];
 	decoder_t decoders[DECODERS];
-	prefiller_t prefillers[PREFILLERS];
+	prefiller_t prefillers[PREFILLERS_MAX];
+	uint32_t n_prefillers;
 	GPtrArray *requests;
 	int64_t now;
 	uint64_t owner;
 	uint32_t next;
 	int64_t offered, good, late, refused, expired, failed, full;
 	int64_t prefilled, wasted, used_sum, steps, overcommit;
-	int64_t good_in_fault, offered_in_fault;
+	int64_t good_in_fault, offered_in_fault, full_in_fault;
 } trial_t;
 
 static uint32_t draw(void *context)
@@ -137,8 +139,23 @@
 	return str_equal(t->fault, STR("cut")) && router % 2;
 }
 
-static void ignore_grant(const ledger_grant_t *grant, void *context)
+/* A lapsed grant's router is alive, so its requests are not cancelled; what
+ * they use shows in the engine's reports.
+ */
+static void let_lapse(const ledger_grant_t *grant, void *context)
 {
+	g_array_append_val((GArray *)context, grant->key);
+}
+
+static void expire(decoder_t *d, int64_t now)
+{
+	g_autoptr(GArray)
+		lapsed = g_array_new(FALSE, FALSE, sizeof(ledger_key_t));
+
+	ledger_expire(&d->ledger, now, let_lapse, lapsed);
+	for (guint i = 0; i < lapsed->len; i++)
+		ledger_confirm_cancelled(
+			&d->ledger, &g_array_index(lapsed, ledger_key_t, i));
 }
 
 static void trial_init(trial_t *t)
@@ -166,14 +183,14 @@
 		route_init(&router->prefill, ROUTE_PREFILL_POOL, &config,
 			   &router->prefix);
 		route_init(&router->decode, ROUTE_DECODE_POOL, &config, NULL);
-		for (uint32_t i = 0; i < MAX(DECODERS, PREFILLERS); i++) {
+		for (uint32_t i = 0; i < MAX(DECODERS, PREFILLERS_MAX); i++) {
 			route_engine_config_t engine = {
 				.id = i,
 				.zone = STR("a"),
 				.kv_tokens = CAPACITY,
 			};
 
-			if (i < PREFILLERS)
+			if (i < t->n_prefillers)
 				route_add(&router->prefill, &engine);
 			if (i >= DECODERS)
 				continue;
@@ -373,14 +390,39 @@
 	q->next_us = t->now;
 }
 
-/* An engine that is full refuses the import. The result is offered to other
- * engines for as long as it is kept.
+/* Chooses another decode engine for a result that is still retained. Policies
+ * with reservation import only with one.
  */
+static void move(trial_t *t, request_t *q)
+{
+	q->next_us = t->now + 10 * STEP_US;
+	if (t->now >= q->kept_until_us || t->now >= q->first_by_us) {
+		t->wasted += q->prompt;
+		t->failed++;
+		end(t, q);
+		return;
+	}
+	q->phase = IMPORTING;
+	if (!choose_decoder(t, q))
+		return;
+	q->phase = IMPORTING;
+	if (!reserve(t, q)) {
+		release(t, q);
+		q->decoder = NULL;
+		q->next_us = t->now + 10 * STEP_US;
+	}
+}
+
+/* An engine that is full refuses the import. */
 static void import(trial_t *t, request_t *q)
 {
-	decoder_t *d = decoder_of(t, q);
-	bool chosen = false;
+	decoder_t *d;
 
+	if (!q->decoder) {
+		move(t, q);
+		return;
+	}
+	d = decoder_of(t, q);
 	if (d->used + q->tokens <= CAPACITY) {
 		d->used += q->tokens;
 		d->requests++;
@@ -390,20 +432,10 @@
 		return;
 	}
 	t->full++;
+	t->full_in_fault += in_fault(t);
 	release(t, q);
-	if (t->now < q->kept_until_us && t->now < q->first_by_us)
-		chosen = choose_decoder(t, q) && reserve(t, q);
-	q->phase = IMPORTING;
-	q->next_us = t->now + 10 * STEP_US;
-	if (chosen)
-		return;
-	if (q->decoder && t->now < q->kept_until_us && t->now < q->first_by_us)
-		return;
-	if (q->decoder)
-		release(t, q);
-	t->wasted += q->prompt;
-	t->failed++;
-	end(t, q);
+	q->decoder = NULL;
+	move(t, q);
 }
 
 static void finish(trial_t *t, request_t *q)
@@ -415,7 +447,7 @@
 	release(t, q);
 	t->good += q->in_time;
 	t->late += !q->in_time;
-	t->good_in_fault += q->in_time && in_fault(t);
+	t->good_in_fault += q->in_time && q->in_fault;
 	end(t, q);
 }
 
@@ -446,7 +478,8 @@
 	q->first_by_us = t->now + TARGET_US;
 	g_ptr_array_add(t->requests, q);
 	t->offered++;
-	t->offered_in_fault += in_fault(t);
+	q->in_fault = in_fault(t);
+	t->offered_in_fault += q->in_fault;
 	enqueue(t, q);
 }
 
@@ -487,7 +520,7 @@
 		route_report(&router->decode, route_find(&router->decode, i),
 			     &load, t->now);
 	}
-	for (uint32_t i = 0; i < PREFILLERS; i++) {
+	for (uint32_t i = 0; i < t->n_prefillers; i++) {
 		route_load_t load = {
 			.running = t->prefillers[i].requests_before,
 		};
@@ -505,10 +538,11 @@
 	for (int i = 0; i < DECODERS; i++) {
 		t->decoders[i].used_before = t->decoders[i].used;
 		t->decoders[i].requests_before = t->decoders[i].requests;
-		ledger_expire(&t->decoders[i].ledger, t->now, ignore_grant,
-			      NULL);
+		ledger_observe(&t->decoders[i].ledger,
+			       t->decoders[i].used_before);
+		expire(&t->decoders[i], t->now);
 	}
-	for (int i = 0; i < PREFILLERS; i++)
+	for (uint32_t i = 0; i < t->n_prefillers; i++)
 		t->prefillers[i].requests_before = t->prefillers[i].requests;
 }
 
@@ -533,6 +567,25 @@
 	}
 }
 
+typedef struct {
+	trial_t *trial;
+	ledger_t *ledger;
+} renewal_t;
+
+/* A grant that the owner does not know, or has let lapse, is restored. */
+static void renew_one(const ledger_grant_t *held, void *context)
+{
+	const renewal_t *renewal = context;
+	ledger_grant_t grant = *held;
+
+	grant.deadline_us = renewal->trial->now + LEASE_US;
+	if (ledger_renew(renewal->ledger, &held->key, held->vm, held->phase,
+			 grant.deadline_us) == LEDGER_OK)
+		return;
+	grant.phase = LEDGER_DECODING;
+	ledger_restore(renewal->ledger, &grant, renewal->trial->now);
+}
+
 /* Renewals go to the owners of all engines on which a router holds grants. */
 static void renew(trial_t *t)
 {
@@ -540,45 +593,33 @@
 		router_t *router = &t->routers[r];
 
 		for (uint32_t i = 0; i < DECODERS && reachable(t, r); i++) {
+			ledger_t *ledger = &t->decoders[i].ledger;
+			renewal_t renewal = {t, ledger};
+
 			if (router->shares[i].held == 0)
 				continue;
+			share_each(&router->shares[i], renew_one, &renewal);
 			route_learn_free(&router->decode,
 					 route_find(&router->decode, i),
-					 ledger_free(&t->decoders[i].ledger),
-					 t->now);
+					 ledger_free(ledger), t->now);
 		}
 	}
+	for (int i = 0; i < DECODERS; i++)
+		t->overcommit =
+			MAX(t->overcommit,
+			    ledger_overcommitted(&t->decoders[i].ledger));
 }
 
-static void restore_one(const ledger_grant_t *held, void *context)
-{
-	ledger_grant_t grant = *held;
-
-	/* All grants of a request that decodes are in use by now. */
-	grant.phase = LEDGER_DECODING;
-	ledger_restore(context, &grant, 0);
-}
-
-/* After the fault the routers re-send what they hold. */
+/* After the fault a new owner starts with an empty ledger. */
 static void recover(trial_t *t)
 {
-	bool replaced = str_equal(t->fault, STR("owner"));
-
 	for (int i = 0; i < DECODERS; i++) {
 		ledger_t *ledger = &t->decoders[i].ledger;
 
-		if (replaced) {
-			ledger_finish(ledger);
-			ledger_init(ledger, CAPACITY, 0, 2,
-				    t->now + RECOVERY_US);
-		}
-		for (int r = 0; r < ROUTERS; r++) {
+		ledger_finish(ledger);
+		ledger_init(ledger, CAPACITY, 0, 2, t->now + RECOVERY_US);
+		for (int r = 0; r < ROUTERS; r++)
 			share_owner_seen(&t->routers[r].shares[i], 2);
-			share_each(&t->routers[r].shares[i], restore_one,
-				   ledger);
-		}
-		t->overcommit =
-			MAX(t->overcommit, ledger_overcommitted(ledger));
 	}
 }
 
@@ -592,11 +633,11 @@
 		report(t);
 	if (t->policy == ROUTE_CREDITS && t->now % (20 * STEP_US) == 0)
 		lend(t);
+	if (t->now == FAULT_AT_US + FAULT_US &&
+	    str_equal(t->fault, STR("owner")))
+		recover(t);
 	if (reserves(t) && t->now % RENEW_US == 0)
 		renew(t);
-	if (t->now == FAULT_AT_US + FAULT_US && reserves(t) &&
-	    !str_equal(t->fault, STR("none")))
-		recover(t);
 	for (guint i = t->requests->len; i-- > 0;) {
 		request_t *q = t->requests->pdata[i];
 
@@ -606,6 +647,8 @@
 	}
 	for (unsigned r = 0; r < ROUTERS; r++)
 		serve(t, r);
+	if (per_step == 0)
+		return;
 	for (int i = 0; i < DECODERS; i++)
 		t->used_sum += t->decoders[i].used;
 	t->steps++;
@@ -617,13 +660,15 @@
 
 	printf("%s goodput=%.3f late=%.3f refused=%.3f expired=%.3f "
 	       "failed=%.3f engine_full=%.3f wasted_prefill=%.4f used=%.3f "
-	       "goodput_in_fault=%.3f overcommit=%.3f\n",
+	       "fault_goodput=%.3f fault_engine_full=%.3f "
+	       "overcommit=%.3f\n",
 	       route_policy_name(t->policy), (double)t->good / n,
 	       (double)t->late / n, (double)t->refused / n,
 	       (double)t->expired / n, (double)t->failed / n,
 	       (double)t->full / n, (double)t->wasted / (double)t->prefilled,
 	       (double)t->used_sum / (double)t->steps / DECODERS / CAPACITY,
 	       (double)t->good_in_fault / MAX((double)t->offered_in_fault, 1),
+	       (double)t->full_in_fault / MAX((double)t->offered_in_fault, 1),
 	       (double)t->overcommit / CAPACITY);
 }
 
@@ -633,17 +678,21 @@
 	double mean_us = IMPORT_US + (20.0 + OUTPUT_MAX) / 2 * (double)TOKEN_US;
 	double rate;
 
-	if (argc != 6 || !route_policy_parse(str_from(argv[1]), &t.policy)) {
-		fputs("usage: tool_policies POLICY LOAD SECONDS FAULT SEED\n",
+	if (argc != 7 || !route_policy_parse(str_from(argv[1]), &t.policy)) {
+		fputs("usage: tool_policies POLICY LOAD SECONDS FAULT SEED "
+		      "PREFILLERS\n",
 		      stderr);
 		return 2;
 	}
 	t.fault = str_from(argv[4]);
 	t.rand = g_rand_new_with_seed((guint32)atoi(argv[5]));
+	t.n_prefillers = (uint32_t)CLAMP(atoi(argv[6]), 1, PREFILLERS_MAX);
 	rate = atof(argv[2]) * DECODERS * SLOTS / mean_us * STEP_US;
 	trial_init(&t);
 	while (t.now < atoi(argv[3]) * CLOCK_US_PER_S)
 		step(&t, rate);
+	while (t.requests->len > 0)
+		step(&t, 0);
 	print(&t);
 	return 0;
 }
