Let old load reports count less when a prefill engine is chosen

Reports that are older than a prefill takes tell nothing about the prefills in progress, and following them sent the requests of several routers to the same engines. The difference of an engine's report from the mean now fades with the report's age relative to the duration of a prefill, and of equally loaded engines the one that this router used least recently is chosen.

test_slow_engine_gets_less now notes the start and end of each request, as routers do: without it nothing shows that an engine has been used.

--- a/src/process/route.c
+++ b/src/process/route.c
@@ -55,6 +55,8 @@
 
 	if (x->key != y->key)
 		return x->key < y->key ? -1 : 1;
+	if (x->used != y->used)
+		return x->used < y->used ? -1 : 1;
 	return x->config.id < y->config.id ? -1 : x->config.id > y->config.id;
 }
 
@@ -115,12 +117,28 @@
 	return engine->healthy && !engine->leaving && !engine->load.leaving;
 }
 
-/* Returns the requests at an engine: own ones, which are known exactly, and those of other
- * routers, as far as the late reports tell.
+/*
+ * Returns the requests of other routers at an engine. A report tells little
+ * about requests that take less time than it lags, and routers that follow the
+ * same old reports choose the same engines. The older it is compared with a
+ * request's duration, the more the mean over all engines takes its place.
+ */
+static double others_at(const route_t *route, const route_engine_t *engine)
+{
+	double mean = route->others / fmax(route->engines->len, 1);
+	double request_us = fmax(
+		exp(route->typical.prefill.log_us) * route->mean_tokens, 1);
+	double trust = exp(-(double)engine->load.age_us / request_us);
+
+	return mean + trust * (engine->others - mean);
+}
+
+/* Returns the requests at an engine: own ones, which are known exactly, and
+ * those of other routers, as far as the late reports tell.
  */
-int64_t route_requests(const route_engine_t *engine)
+double route_requests(const route_t *route, const route_engine_t *engine)
 {
-	return engine->own_requests + engine->others;
+	return (double)engine->own_requests + others_at(route, engine);
 }
 
 /* Returns the expected time to compute tokens on an engine. */
@@ -136,7 +154,7 @@
 /* Returns the expected time until an engine has computed what it has already. */
 int64_t route_backlog_us(const route_t *route, const route_engine_t *engine)
 {
-	double others = (double)engine->others * route->mean_tokens;
+	double others = others_at(route, engine) * route->mean_tokens;
 
 	return route_prefill_us(route, engine,
 				engine->own_tokens + (int64_t)others,
@@ -225,6 +243,7 @@
 
 	index_remove(&engine->in_index);
 	index_remove(&engine->in_credits);
+	route->others -= engine->others;
 	g_hash_table_remove(route->by_id, GUINT_TO_POINTER(engine->config.id));
 	last->at = engine->at;
 	g_ptr_array_remove_index_fast(route->engines, (guint)engine->at);
@@ -259,8 +278,10 @@
 
 	set_now(route, now_us);
 	engine->load = *load;
-	engine->others =
-		MAX(load->running + load->queued - engine->own_before, 0);
+	route->others -= engine->others;
+	engine->others = (double)MAX(
+		load->running + load->queued - engine->own_before, 0);
+	route->others += engine->others;
 	engine->own_before = engine->own_requests;
 	if (now_us - engine->learned_us > LEARNED_US)
 		engine->free_tokens = engine->config.kv_tokens -
@@ -295,6 +316,7 @@
 	route->mean_tokens += route->mean_tokens > 0 ? MEAN_GAIN * change
 						     : change;
 	engine->own_requests++;
+	engine->used = ++route->used;
 	engine->own_tokens += tokens;
 	engine->free_tokens -= tokens;
 	reindex(route, engine);
--- a/src/process/route.h
+++ b/src/process/route.h
@@ -59,7 +59,8 @@
 	int64_t free_tokens; /* as last told by the ledger owner or a report */
 	int64_t learned_us; /* when the ledger owner told it */
 	int64_t own_before; /* own_requests when the last report came */
-	int64_t others; /* requests of other routers, from the reports */
+	double others; /* requests of other routers, from the reports */
+	uint64_t used; /* number of the last own request */
 	size_t at; /* position in the pool's array */
 	double key; /* order in the index, least first */
 	GSequenceIter *in_index; /* NULL while it gets no new work */
@@ -82,6 +83,8 @@
 	prefix_t *prefix; /* borrowed; NULL: no hints */
 	estimate_engine_t typical; /* over all engines of the pool */
 	size_t next; /* round robin */
+	double others; /* sum over the engines */
+	uint64_t used; /* number of the last own request */
 	double mean_tokens; /* of own requests */
 	double excess_us; /* mean of actual minus expected prefill times */
 	double excess_deviation_us; /* mean deviation from that */
@@ -120,7 +123,7 @@
 		      int64_t free_tokens, int64_t now_us);
 bool route_is_near(const route_t *route, const route_engine_t *engine);
 bool route_is_available(const route_engine_t *engine);
-int64_t route_requests(const route_engine_t *engine);
+double route_requests(const route_t *route, const route_engine_t *engine);
 int64_t route_backlog_us(const route_t *route, const route_engine_t *engine);
 int64_t route_spare(const route_t *route, const route_engine_t *engine);
 void route_set_credit(route_t *route, route_engine_t *engine, int64_t tokens);
--- a/src/process/route_pick.c
+++ b/src/process/route_pick.c
@@ -9,6 +9,9 @@
  */
 #define BEST 8
 
+/* Prefill engines considered of each index; several, as their speeds differ. */
+#define FIRST 3
+
 /* How far an index is searched for engines that are not excluded. */
 #define SEARCH 32
 
@@ -76,7 +79,8 @@
 	if (!engine || !route_is_available(engine) || engine == want->except)
 		return;
 	if (engine->config.max_prefills > 0 &&
-	    route_requests(engine) >= engine->config.max_prefills)
+	    route_requests(route, engine) >=
+		    (double)engine->config.max_prefills)
 		return;
 	end = finish_us(route, engine, want, confidence);
 	if (end > want->finish_by_us - route_margin_us(route))
@@ -87,23 +91,18 @@
 	best->finish_us = end;
 }
 
-/* Considers two random engines of the best few in an index. */
+/* Considers the first engines of an index: the least loaded, and of equal ones
+ * those that this router has used least recently.
+ */
 static void consider_index(const route_t *route, GSequence *index,
 			   const route_prefill_t *want, best_t *best)
 {
-	int n = MIN(g_sequence_get_length(index), BEST);
-
-	for (int i = 0; i < 2 && n > 0; i++) {
-		int at = (int)random_below(route, (uint32_t)n);
-		GSequenceIter *iter = g_sequence_get_iter_at_pos(index, at);
+	GSequenceIter *iter = g_sequence_get_begin_iter(index);
 
+	for (int i = 0; i < FIRST && !g_sequence_iter_is_end(iter); i++) {
 		consider_prefill(route, g_sequence_get(iter), want, 0, best);
+		iter = g_sequence_iter_next(iter);
 	}
-	/* Random engines may be full while the first one is not. */
-	if (!best->engine && n > 0)
-		consider_prefill(
-			route, g_sequence_get(g_sequence_get_begin_iter(index)),
-			want, 0, best);
 }
 
 static void consider_holders(const route_t *route, const route_prefill_t *want,
@@ -121,8 +120,7 @@
 
 /*
  * Chooses the engine with the earliest expected end among the likely holders
- * of the prefix and samples of the least loaded engines here and in other
- * zones. Returns NULL if none has a free place and would end by finish_by_us:
+ * of the prefix and the least loaded engines here and in other zones. Returns NULL if none has a free place and would end by finish_by_us:
  * the request then stays in the queue.
  */
 route_engine_t *route_pick_prefill(route_t *route, const route_prefill_t *want,
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -269,6 +269,8 @@
 		int64_t us = e == f.engines[0] ? 200000 : 20000;
 
 		slow += step >= 100 && e == f.engines[0];
+		route_begin(&f.route, e, 1000);
+		route_end(&f.route, e, 1000);
 		route_prefilled(&f.route, e, 1000,
 				route_expected_us(&f.route, e, 1000, step), us,
 				step);
@@ -278,6 +280,38 @@
 	teardown(&f);
 }
 
+/* Guards against routers that all follow the same old reports: how far an
+ * engine's report differs from the mean counts less the older it is.
+ */
+static void test_old_reports_count_less(void **state)
+{
+	fixture_t f;
+	route_load_t busy = {.running = 8};
+	double fresh, old;
+
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 4, 0);
+	route_begin(&f.route, f.engines[3], 1000);
+	route_prefilled(&f.route, f.engines[3], 1000, 0, 100000, 0);
+	route_end(&f.route, f.engines[3], 1000);
+	route_report(&f.route, f.engines[0], &busy, 0);
+	fresh = route_requests(&f.route, f.engines[0]);
+	busy.age_us = 200000;
+	route_report(&f.route, f.engines[0], &busy, 0);
+	old = route_requests(&f.route, f.engines[0]);
+	assert_true(fresh == 8);
+	/* The mean is 2, and a report twice as old as a prefill counts 14%. */
+	assert_true(old > 2 && old < 3);
+	/* Equal engines are used in turn, least recently used first. */
+	for (int i = 0; i < 3; i++) {
+		route_engine_t *e = prefill(&f, 1000, 0);
+
+		assert_int_equal(e->used, i == 2 ? 1 : 0);
+		route_begin(&f.route, e, 1000);
+		route_end(&f.route, e, 1000);
+	}
+	teardown(&f);
+}
+
 /* Guards against a free list or index that goes wrong when engines come and
  * go, and against reports that count own requests twice.
  */
@@ -290,7 +324,7 @@
 	route_begin(&f.route, f.engines[4], 100);
 	route_report(&f.route, f.engines[4], &load, 0);
 	route_report(&f.route, f.engines[4], &load, 0);
-	assert_int_equal(route_requests(f.engines[4]), 3);
+	assert_true(route_requests(&f.route, f.engines[4]) == 3);
 	assert_int_equal(route_spare(&f.route, f.engines[4]), 700);
 	for (int i = 0; i < 10; i++) {
 		if (i != 4)
@@ -317,6 +351,7 @@
 		cmocka_unit_test(test_decode_policies),
 		cmocka_unit_test(test_transfers_are_bounded),
 		cmocka_unit_test(test_slow_engine_gets_less),
+		cmocka_unit_test(test_old_reports_count_less),
 		cmocka_unit_test(test_engines_come_and_go),
 	};
 
--- a/tests/tool_policies.c
+++ b/tests/tool_policies.c
@@ -523,6 +523,7 @@
 	for (uint32_t i = 0; i < t->n_prefillers; i++) {
 		route_load_t load = {
 			.running = t->prefillers[i].requests_before,
+			.age_us = REPORT_US,
 		};
 
 		route_report(&router->prefill, route_find(&router->prefill, i),
