Read the platform's VM list

Cause: a backend server that the platform takes away has to get no new work after a few seconds. Change: router.c sets up the platform client; vms.c reads the list every one to two seconds, marks leaving backend servers and tells the membership.

--- a/src/process/router.c
+++ b/src/process/router.c
@@ -121,6 +121,18 @@
 	router->on_superseded(router->superseded_context);
 }
 
+static void start_platform(router_t *router)
+{
+	platform_budget_t budget = PLATFORM_SERVE_BUDGET;
+
+	router->has_platform = true;
+	platform_init(&router->platform, &router->client,
+		      router->settings->platform_address, &budget,
+		      router->id_prefix);
+	vms_init(&router->vms, &router->platform, &router->fleet,
+		 &router->backends, router->clock, router->id_prefix);
+}
+
 /*
  * Joins the other serve processes. The callback is called if a newer process
  * has this VM's name. On failure the error is set.
@@ -147,6 +159,8 @@
 	owner_init(&router->owner, &router->rpc, &router->fleet,
 		   &router->backends, &router->canceller, router->clock,
 		   settings->peers->len + 1);
+	if (settings->platform_address)
+		start_platform(router);
 	reserve_attach(&router->reserve, &router->rpc, &router->fleet,
 		       &router->owner, self);
 	router->joined = true;
@@ -186,6 +200,10 @@
 {
 	if (router->joined)
 		fleet_leave(&router->fleet, MEMBER_LEFT);
+	if (router->has_platform) {
+		vms_finish(&router->vms);
+		platform_finish(&router->platform);
+	}
 	backends_finish(&router->backends);
 	scheduler_finish(&router->scheduler);
 	reserve_finish(&router->reserve);
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -6,8 +6,10 @@
 #include "process/backends.h"
 #include "process/fleet.h"
 #include "process/owner.h"
+#include "process/platform.h"
 #include "process/scheduler.h"
 #include "process/settings.h"
+#include "process/vms.h"
 #include "request/canceller.h"
 #include "request/retry.h"
 #include "version/state.h"
@@ -34,6 +36,9 @@
 	rpc_t rpc;
 	fleet_t fleet;
 	owner_t owner;
+	platform_t platform;
+	bool has_platform; /* its address is in the settings */
+	vms_t vms;
 	bool joined; /* rpc, fleet and owner are set up */
 	router_superseded_fn_t on_superseded;
 	void *superseded_context;
--- /dev/null
+++ b/src/process/vms.c
@@ -0,0 +1,91 @@
+#include "process/vms.h"
+
+#include "process/log.h"
+#include "request/retry.h"
+
+/* With the list's own lag this keeps new work from a leaving backend server
+ * after a few seconds. Half of it is jitter, so that VMs spread their reads.
+ */
+#define READ_INTERVAL_US (2 * CLOCK_US_PER_S)
+#define READ_TIMEOUT_US (1 * CLOCK_US_PER_S)
+
+static gboolean on_timer(gpointer data);
+
+static void arm(vms_t *vms)
+{
+	int64_t jitter_us =
+		(int64_t)(retry_random(&vms->seed) % (READ_INTERVAL_US / 2));
+
+	vms->timer = g_timeout_add(
+		(guint)((READ_INTERVAL_US / 2 + jitter_us) / CLOCK_US_PER_MS),
+		on_timer, vms);
+}
+
+/* An entry VM is listed by its RPC address, a backend server by its own. */
+static void take_vm(vms_t *vms, const platform_vm_t *vm, GArray *members)
+{
+	member_info_t info = {
+		.state = vm->leaving ? MEMBER_LEAVING : MEMBER_ALIVE,
+	};
+
+	if (backends_find(vms->backends, str_from(vm->address))) {
+		if (vm->leaving)
+			backends_set_leaving(vms->backends,
+					     str_from(vm->address));
+		return;
+	}
+	g_strlcpy(info.vm, vm->name, sizeof(info.vm));
+	g_strlcpy(info.zone, vm->zone, sizeof(info.zone));
+	g_strlcpy(info.address, vm->address, sizeof(info.address));
+	g_array_append_val(members, info);
+}
+
+static void on_list(void *context, const platform_answer_t *answer)
+{
+	vms_t *vms = context;
+	GArray *members;
+
+	vms->call = NULL;
+	if (answer->outcome != PLATFORM_DONE || !answer->vms)
+		return;
+	members = g_array_new(FALSE, FALSE, sizeof(member_info_t));
+	for (guint i = 0; i < answer->vms->len; i++)
+		take_vm(vms, &g_array_index(answer->vms, platform_vm_t, i),
+			members);
+	fleet_set_listed(vms->fleet, (const member_info_t *)members->data,
+			 members->len);
+	g_array_unref(members);
+}
+
+static gboolean on_timer(gpointer data)
+{
+	vms_t *vms = data;
+	int64_t deadline_us = clock_now(&vms->clock) + READ_TIMEOUT_US;
+
+	if (!vms->call)
+		vms->call = platform_list_vms(vms->platform, deadline_us,
+					      on_list, vms);
+	arm(vms);
+	return G_SOURCE_REMOVE;
+}
+
+/* Starts to read the list; what it is given must outlive vms_finish(). */
+void vms_init(vms_t *vms, platform_t *platform, fleet_t *fleet,
+	      backends_t *backends, clock_source_t clock, uint64_t seed)
+{
+	memset(vms, 0, sizeof(*vms));
+	vms->platform = platform;
+	vms->fleet = fleet;
+	vms->backends = backends;
+	vms->clock = clock;
+	vms->seed = seed | 1;
+	arm(vms);
+}
+
+/* Stops reading. */
+void vms_finish(vms_t *vms)
+{
+	g_source_remove(vms->timer);
+	if (vms->call)
+		platform_cancel(vms->call);
+}
