--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -37,6 +37,32 @@
 		backends->on_changed(backends->context, entry, reported);
 }
 
+static const char *const source_names[] = {
+	[BACKENDS_STATE] = "state",
+	[BACKENDS_REPORT] = "load_report",
+	[BACKENDS_VM_LIST] = "vm_list",
+	[BACKENDS_DRAIN] = "drain",
+};
+
+/* Notes what one source says; new work is kept away while any says leaving. */
+void backends_set_leaving(backend_entry_t *entry, backends_source_t source,
+			  bool leaving)
+{
+	unsigned before = entry->leaving_by;
+
+	if (leaving)
+		entry->leaving_by |= 1U << source;
+	else
+		entry->leaving_by &= ~(1U << source);
+	if (entry->leaving_by == before)
+		return;
+	entry->leaving = entry->leaving_by != 0;
+	log_event(LOG_INFO, leaving ? "backend_leaving" : "backend_staying",
+		  LOG_CSTR("backend", entry->name),
+		  LOG_CSTR("source", source_names[source]));
+	changed(entry, false);
+}
+
 static void on_load(void *context, const engine_load_t *load)
 {
 	backend_entry_t *entry = context;
@@ -52,12 +78,7 @@
 	entry->kv_used = load->kv_used;
 	entry->running = load->running;
 	entry->queued = load->queued;
-	if (load->leaving && !entry->leaving) {
-		entry->leaving = true;
-		log_event(LOG_INFO, "backend_leaving",
-			  LOG_CSTR("backend", entry->name),
-			  LOG_CSTR("source", "load_report"));
-	}
+	backends_set_leaving(entry, BACKENDS_REPORT, load->leaving);
 	if (!entry->reported_at_us)
 		log_event(LOG_INFO, "backend_reports",
 			  LOG_CSTR("backend", entry->name),
@@ -180,8 +201,8 @@
 	set_text(&entry->pool, backend->pool ? backend->pool->name : STR(""));
 	set_text(&entry->service,
 		 backend->service ? backend->service->name : STR(""));
-	entry->leaving = backend->leaving;
 	entry->present = true;
+	backends_set_leaving(entry, BACKENDS_STATE, backend->leaving);
 	if (backend->pool && !entry->kv_total)
 		entry->kv_total = backend->pool->kv_tokens;
 	entry->prefill = backend->pool && backend->pool->role == ROLE_PREFILL;
@@ -206,19 +227,6 @@
 	on_poll(backends);
 }
 
-/* Marks the backend server of an address as leaving. */
-void backends_set_leaving(backends_t *backends, str_t address)
-{
-	backend_entry_t *entry = backends_find(backends, address);
-
-	if (!entry || entry->leaving)
-		return;
-	entry->leaving = true;
-	log_event(LOG_INFO, "backend_leaving", LOG_CSTR("backend", entry->name),
-		  LOG_CSTR("source", "vm_list"));
-	changed(entry, false);
-}
-
 /* Tells whether a backend server may get new work. */
 bool backends_usable(const backend_entry_t *entry, int64_t now_us)
 {
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -8,6 +8,16 @@
 
 typedef struct backends backends_t;
 
+/* Who says that a backend server is leaving. Each can take it back, since an
+ * address may be used again by a new VM.
+ */
+typedef enum {
+	BACKENDS_STATE,
+	BACKENDS_REPORT,
+	BACKENDS_VM_LIST,
+	BACKENDS_DRAIN, /* ordered away by the control of its zone */
+} backends_source_t;
+
 typedef struct {
 	backends_t *owner;
 	char *name;
@@ -17,7 +27,8 @@
 	char *pool; /* name, or empty for a plain service */
 	char *service; /* name, or empty for an engine */
 	bool prefill; /* in a prefill pool */
-	bool leaving; /* by the state, its report or the VM list */
+	unsigned leaving_by; /* bits of backends_source_t */
+	bool leaving; /* by any of these sources */
 	bool present; /* in the state in effect */
 	int64_t kv_total;
 	int64_t kv_used;
@@ -66,7 +77,8 @@
 		   clock_source_t clock);
 void backends_finish(backends_t *backends);
 void backends_apply(backends_t *backends, const state_t *state);
-void backends_set_leaving(backends_t *backends, str_t address);
+void backends_set_leaving(backend_entry_t *entry, backends_source_t source,
+			  bool leaving);
 backend_entry_t *backends_pick(backends_t *backends, str_t pool, str_t service,
 			       const backend_entry_t *avoid);
 backend_entry_t *backends_find(backends_t *backends, str_t address);
--- a/src/process/vms.c
+++ b/src/process/vms.c
@@ -27,11 +27,11 @@
 	member_info_t info = {
 		.state = vm->leaving ? MEMBER_LEAVING : MEMBER_ALIVE,
 	};
+	backend_entry_t *entry =
+		backends_find(vms->backends, str_from(vm->address));
 
-	if (backends_find(vms->backends, str_from(vm->address))) {
-		if (vm->leaving)
-			backends_set_leaving(vms->backends,
-					     str_from(vm->address));
+	if (entry) {
+		backends_set_leaving(entry, BACKENDS_VM_LIST, vm->leaving);
 		return;
 	}
 	g_strlcpy(info.vm, vm->name, sizeof(info.vm));
--- a/tests/support_deployment.c
+++ b/tests/support_deployment.c
@@ -203,7 +203,7 @@
 	if (config->platform)
 		g_string_append_printf(text, "platform_address = \"%s\"\n",
 				       deployment->platform_address);
-	else
+	if (!config->platform || config->state_file_too)
 		g_string_append_printf(text, "state_file = \"%s\"\n",
 				       deployment->state_path);
 	if (config->policy)
--- a/tests/support_deployment.h
+++ b/tests/support_deployment.h
@@ -18,6 +18,7 @@
 	unsigned routers;
 	unsigned zones; /* zone-1 to zone-N, members in turn; 0: one */
 	bool platform; /* otherwise routers read the state from a file */
+	bool state_file_too; /* read from the file although there is one */
 	const char *policy; /* NULL: the default */
 	const char *const *engine_args; /* NULL-terminated, may be NULL */
 	const char *state_extra; /* appended to the state, may be NULL */
