--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -161,12 +161,14 @@
 struct peer_use {
 	u_quad_t key;
 	u_int running;
-	u_int waiting;
+	u_int demand;
 };
 typedef struct peer_use peer_use;
 
 struct peer_limits {
-	u_quad_t config_version;
+	u_quad_t round;
+	u_int piece;
+	u_int pieces;
 	struct {
 		u_int uses_len;
 		peer_use *uses_val;
--- a/src/connection/peer.x
+++ b/src/connection/peer.x
@@ -137,15 +137,18 @@
 	unsigned int free_tokens;
 };
 
-/* Use of a customer's or service's limit by the sender. */
+/* Use of a limit by the sender. */
 struct peer_use {
-	unsigned hyper key; /* 64-bit xxhash of the name */
+	unsigned hyper key; /* limit_id() of customer and service */
 	unsigned int running;
-	unsigned int waiting;
+	unsigned int demand; /* requests in 1,000 s */
 };
 
+/* Piece of a report of one round; a report without use has one empty piece. */
 struct peer_limits {
-	unsigned hyper config_version;
+	unsigned hyper round;
+	unsigned int piece; /* from 0 */
+	unsigned int pieces; /* at most 32 */
 	peer_use uses<PEER_USES_MAX>;
 };
 
--- a/src/connection/peer_xdr.c
+++ b/src/connection/peer_xdr.c
@@ -344,7 +344,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->waiting))
+	 if (!xdr_u_int (xdrs, &objp->demand))
 		 return FALSE;
 	return TRUE;
 }
@@ -354,7 +354,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+	 if (!xdr_u_quad_t (xdrs, &objp->round))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->piece))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pieces))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, PEER_USES_MAX,
 		sizeof (peer_use), (xdrproc_t) xdr_peer_use))
--- a/src/process/router.c
+++ b/src/process/router.c
@@ -159,6 +159,8 @@
 	owner_init(&router->owner, &router->rpc, &router->fleet,
 		   &router->backends, &router->canceller, router->clock,
 		   settings->peers->len + 1);
+	limits_init(&router->limits, &router->scheduler.limit, &router->rpc,
+		    &router->fleet, settings, router->clock);
 	if (settings->platform_address)
 		start_platform(router);
 	reserve_attach(&router->reserve, &router->rpc, &router->fleet,
@@ -204,6 +206,8 @@
 		vms_finish(&router->vms);
 		platform_finish(&router->platform);
 	}
+	if (router->joined)
+		limits_finish(&router->limits);
 	backends_finish(&router->backends);
 	scheduler_finish(&router->scheduler);
 	reserve_finish(&router->reserve);
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -5,6 +5,7 @@
 #include "connection/client.h"
 #include "process/backends.h"
 #include "process/fleet.h"
+#include "process/limits.h"
 #include "process/owner.h"
 #include "process/platform.h"
 #include "process/scheduler.h"
@@ -36,6 +37,7 @@
 	rpc_t rpc;
 	fleet_t fleet;
 	owner_t owner;
+	limits_t limits;
 	platform_t platform;
 	bool has_platform; /* its address is in the settings */
 	vms_t vms;
