--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -254,8 +254,7 @@
 }
 
 /* Tells a sender which incarnation it has to exceed. */
-static void send_stale(rpc_t *rpc, const char *address,
-		       const wire_call_t *call)
+static void send_stale(rpc_t *rpc, const char *address, const wire_call_t *call)
 {
 	uint64_t incarnation = GUINT64_TO_BE(
 		replay_incarnation(&rpc->replay, call->sender.vm));
--- a/src/connection/wire.c
+++ b/src/connection/wire.c
@@ -358,7 +358,8 @@
 static bool is_known_result(int result)
 {
 	return result == WIRE_SUCCESS || result == WIRE_NO_PROCEDURE ||
-	       result == WIRE_BAD_ARGUMENTS || result == WIRE_INTERNAL || result == WIRE_STALE;
+	       result == WIRE_BAD_ARGUMENTS || result == WIRE_INTERNAL ||
+	       result == WIRE_STALE;
 }
 
 static wire_status_t check_reply(const wire_keys_t *keys,
--- /dev/null
+++ b/src/request/execute_decode.c
@@ -0,0 +1,262 @@
+/* Import and decode calls of a request, and the events that their results give.
+ */
+#include "process/counters.h"
+#include "process/log.h"
+#include "request/execute.h"
+
+/* An open stream counts as silent after this many inter-token targets, within
+ * these bounds: resuming at the same engine costs little, and a prefill result
+ * is retained for less than a second.
+ */
+#define STREAM_IDLE_TARGETS 6
+#define STREAM_IDLE_MIN_US (250 * CLOCK_US_PER_MS)
+#define STREAM_IDLE_MAX_US (1 * CLOCK_US_PER_S)
+
+/* Longest wait for a stream's first token. A resumed stream needs no batch
+ * place, so it answers soon, and sooner still decides whether the engine lives
+ * if it has missed a load poll (sent every 250 ms).
+ */
+#define FIRST_TOKEN_US (1 * CLOCK_US_PER_S)
+#define RESUMED_TOKEN_US (500 * CLOCK_US_PER_MS)
+#define RESUMED_MISSED_US (150 * CLOCK_US_PER_MS)
+#define POLL_MISSED_US (300 * CLOCK_US_PER_MS)
+
+/* An import waits for a transfer in steps of this length, short against the time
+ * for which a prefill result is retained.
+ */
+#define SLOT_POLL_MS 2
+
+static lifecycle_event_kind_t import_event(engine_status_t status)
+{
+	switch (status) {
+	case ENGINE_OK:
+		return EVENT_IMPORT_DONE;
+	case ENGINE_GONE:
+		return EVENT_IMPORT_GONE;
+	case ENGINE_REFUSED:
+	case ENGINE_FULL:
+		return EVENT_IMPORT_FULL;
+	case ENGINE_NOT_SENT:
+	case ENGINE_REJECTED:
+	case ENGINE_LOST:
+	case ENGINE_SILENT:
+		break;
+	}
+	return EVENT_IMPORT_STALLED;
+}
+
+/* An import also fails through the engine that has the result, or the link to
+ * it. The importing engine is to blame only if it cannot be reached.
+ */
+static bool is_own_fault(const request_t *request, engine_status_t status)
+{
+	int64_t heard_us = execute_now(request) - request->engine->heard_at_us;
+
+	if (status == ENGINE_SILENT)
+		return heard_us > POLL_MISSED_US;
+	return status == ENGINE_NOT_SENT || status == ENGINE_LOST;
+}
+
+static void on_import(void *context, const engine_result_t *result)
+{
+	request_t *request = context;
+	lifecycle_event_t event =
+		execute_event(request, import_event(result->status));
+	request->call = NULL;
+	execute_log_call(request, "import", result->status);
+	scheduler_import_ended(request->ticket, request->engine,
+			       !is_own_fault(request, result->status));
+	if (result->status == ENGINE_OK) {
+		g_free(request->imported_kv);
+		request->imported_kv = str_dup(result->kv);
+	} else {
+		counters_add(COUNTER_IMPORTS_FAILED, 1);
+	}
+	if (result->status == ENGINE_FULL)
+		counters_add(COUNTER_LEDGER_OVERCOMMITS, 1);
+	request_feed(request, event);
+}
+
+static void send_import(request_t *request)
+{
+	engine_import_t args = {
+		.id = execute_attempt(request),
+		.source = str_from(request->prefill->address),
+		.kv = str_from(request->kv),
+		.tokens = request->completion.prompt_tokens,
+		.reserve_tokens =
+			request->completion.prompt_tokens + request->max_tokens,
+	};
+
+	counters_add(COUNTER_IMPORTS, 1);
+	request->call_started_us = execute_now(request);
+	request->call = engine_import(&request->router->client,
+				      str_from(request->engine->address), &args,
+				      request->call_limit_us, on_import,
+				      request);
+	if (!request->call)
+		request_feed(request,
+			     execute_event(request, EVENT_IMPORT_STALLED));
+}
+
+/* Waits until the decode engine has a free transfer, up to the limit. */
+static gboolean on_slot_poll(gpointer data)
+{
+	request_t *request = data;
+
+	if (scheduler_import_begin(request->ticket, request->engine)) {
+		request->timer = 0;
+		send_import(request);
+		return G_SOURCE_REMOVE;
+	}
+	if (execute_now(request) < request->call_limit_us)
+		return G_SOURCE_CONTINUE;
+	request->timer = 0;
+	request_feed(request, execute_event(request, EVENT_IMPORT_FULL));
+	return G_SOURCE_REMOVE;
+}
+
+/*
+ * An import may take half of the time for which the result is still retained;
+ * the other half is left for an import at another engine.
+ */
+void execute_import(request_t *request, const lifecycle_action_t *action)
+{
+	int64_t now_us = execute_now(request);
+	int64_t half_us = (request->kv_kept_until_us - now_us) / 2;
+
+	execute_begin_call(request, execute_entry(request, action->engine),
+			   action->attempt);
+	request->call_limit_us = MIN(request->deadline_us, now_us + half_us);
+	if (scheduler_import_begin(request->ticket, request->engine))
+		send_import(request);
+	else
+		request->timer =
+			g_timeout_add(SLOT_POLL_MS, on_slot_poll, request);
+}
+
+static void on_token(void *context, const engine_token_t *token)
+{
+	request_t *request = context;
+	lifecycle_event_t event = execute_event(request, EVENT_TOKEN);
+
+	request->stream_token_us = execute_now(request);
+	event.offset = token->offset;
+	if (token->finish.len) {
+		request->finish_offset = token->offset;
+		g_free(request->finish);
+		request->finish = str_dup(token->finish);
+		if (!token->text.len)
+			return;
+		request->finish_offset++;
+	}
+	request->token = token;
+	request_feed(request, event);
+}
+
+static lifecycle_event_kind_t stream_event(const request_t *request,
+					   engine_status_t status)
+{
+	/* Nothing can follow the event that ends the answer. */
+	if (request->finish_offset >= 0)
+		return EVENT_STREAM_FINISHED;
+	if (status == ENGINE_LOST || status == ENGINE_SILENT)
+		return EVENT_STREAM_LOST;
+	return EVENT_STREAM_REFUSED;
+}
+
+static void on_decode_end(void *context, engine_status_t status)
+{
+	request_t *request = context;
+	lifecycle_event_t event =
+		execute_event(request, stream_event(request, status));
+	bool finished = event.kind == EVENT_STREAM_FINISHED;
+
+	request->call = NULL;
+	execute_stop_timer(request);
+	execute_log_call(request, "decode", status);
+	scheduler_decode_ended(request->ticket, request->engine, finished,
+			       request->lifecycle.next_offset -
+				       request->stream_offset,
+			       execute_now(request) - request->call_started_us);
+	event.offset = request->finish_offset;
+	request_feed(request, event);
+}
+
+/* Longest wait for the next token of the open stream. */
+static int64_t stream_limit_us(const request_t *request)
+{
+	int64_t idle_us = STREAM_IDLE_TARGETS *
+			  request->service->inter_token_ms * CLOCK_US_PER_MS;
+	int64_t heard_us = execute_now(request) - request->engine->heard_at_us;
+
+	if (request->stream_token_us)
+		return CLAMP(idle_us, STREAM_IDLE_MIN_US, STREAM_IDLE_MAX_US);
+	if (!request->lifecycle.resumed_here)
+		return FIRST_TOKEN_US;
+	return heard_us > POLL_MISSED_US ? RESUMED_MISSED_US : RESUMED_TOKEN_US;
+}
+
+static gboolean on_stream_watch(gpointer data);
+
+/* Looks at the stream again when it would have been silent for too long. */
+static void watch_stream(request_t *request)
+{
+	int64_t last_us =
+		MAX(request->stream_token_us, request->call_started_us);
+	int64_t left_us =
+		last_us + stream_limit_us(request) - execute_now(request);
+
+	request->timer =
+		g_timeout_add((guint)(MAX(left_us, 0) / CLOCK_US_PER_MS) + 1,
+			      on_stream_watch, request);
+}
+
+static gboolean on_stream_watch(gpointer data)
+{
+	request_t *request = data;
+	lifecycle_event_t event = execute_event(request, EVENT_STREAM_LOST);
+	int64_t last_us =
+		MAX(request->stream_token_us, request->call_started_us);
+
+	request->timer = 0;
+	if (execute_now(request) < last_us + stream_limit_us(request)) {
+		watch_stream(request);
+		return G_SOURCE_REMOVE;
+	}
+	execute_log_call(request, "decode", ENGINE_SILENT);
+	scheduler_decode_ended(request->ticket, request->engine, false, 0, 0);
+	execute_stop(request);
+	request_feed(request, event);
+	return G_SOURCE_REMOVE;
+}
+
+/* Carries out ACTION_START_DECODE. */
+void execute_decode(request_t *request, const lifecycle_action_t *action)
+{
+	engine_decode_t args = {
+		.kv = str_from(request->imported_kv),
+		.offset = action->offset,
+		.max_tokens = request->max_tokens,
+		.priority = request->service->priority,
+	};
+
+	execute_begin_call(request, execute_entry(request, action->engine),
+			   action->attempt);
+	counters_add(COUNTER_DECODES, 1);
+	if (action->offset > 0 || action->attempt != action->source_attempt)
+		counters_add(COUNTER_DECODES_RESUMED, 1);
+	request->stream_offset = action->offset;
+	request->stream_token_us = 0;
+	request->finish_offset = -1;
+	args.id = execute_attempt(request);
+	request->call = engine_decode(&request->router->client,
+				      str_from(request->engine->address), &args,
+				      request->deadline_us, STREAM_IDLE_MAX_US,
+				      on_token, on_decode_end, request);
+	if (!request->call)
+		request_feed(request,
+			     execute_event(request, EVENT_STREAM_REFUSED));
+	else
+		watch_stream(request);
+}
--- /dev/null
+++ b/src/request/execute_prefill.c
@@ -0,0 +1,179 @@
+/* Prefill calls of a request, and the events that their results give. */
+#include "process/counters.h"
+#include "process/log.h"
+#include "request/execute.h"
+
+/* A prefill counts as silent after three first-token targets, or after one if
+ * its engine has not answered a load poll (sent every 250 ms) for this long.
+ */
+#define PREFILL_SILENT_TARGETS 3
+#define ENGINE_SILENT_US (750 * CLOCK_US_PER_MS)
+#define PREFILL_WATCH_MS 50
+
+/* A prefill waits for a free engine in steps of this length, short against the
+ * first-token target.
+ */
+#define PREFILL_POLL_MS 2
+
+#define NO_ENGINE_RETRY_US (1 * CLOCK_US_PER_S)
+
+static lifecycle_event_kind_t prefill_event(engine_status_t status)
+{
+	switch (status) {
+	case ENGINE_OK:
+		return EVENT_PREFILL_DONE;
+	case ENGINE_REFUSED:
+	case ENGINE_FULL:
+	case ENGINE_NOT_SENT:
+		return EVENT_PREFILL_REFUSED;
+	case ENGINE_SILENT:
+		return EVENT_PREFILL_SILENT;
+	case ENGINE_GONE:
+	case ENGINE_REJECTED:
+	case ENGINE_LOST:
+		break;
+	}
+	return EVENT_PREFILL_FAILED;
+}
+
+static void on_prefill(void *context, const engine_result_t *result)
+{
+	request_t *request = context;
+	lifecycle_event_t event =
+		execute_event(request, prefill_event(result->status));
+	backend_entry_t *engine = request->engine;
+	int64_t computed = result->tokens - result->cached_tokens;
+
+	request->call = NULL;
+	execute_stop_timer(request);
+	execute_log_call(request, "prefill", result->status);
+	scheduler_prefill_ended(request->ticket, engine,
+				result->status == ENGINE_OK, computed);
+	if (result->status == ENGINE_OK) {
+		request->prefill = engine;
+		g_free(request->kv);
+		request->kv = str_dup(result->kv);
+		request->computed_tokens = computed;
+		request->kv_kept_until_us = execute_now(request) +
+					    result->kept_ms * CLOCK_US_PER_MS;
+		event.kept_until_us = request->kv_kept_until_us;
+		counters_add(COUNTER_PREFILL_TOKENS, computed);
+	}
+	request_feed(request, event);
+}
+
+static bool is_engine_silent(const request_t *request)
+{
+	int64_t now_us = execute_now(request);
+	int64_t target_us = request->service->first_token_ms * CLOCK_US_PER_MS;
+
+	if (now_us >= request->call_limit_us)
+		return true;
+	/* Engines that the state no longer names are not polled. */
+	return request->engine->present &&
+	       now_us >= request->call_started_us + target_us &&
+	       now_us - request->engine->heard_at_us > ENGINE_SILENT_US;
+}
+
+static gboolean on_prefill_watch(gpointer data)
+{
+	request_t *request = data;
+	lifecycle_event_t event = execute_event(request, EVENT_PREFILL_SILENT);
+
+	if (!is_engine_silent(request))
+		return G_SOURCE_CONTINUE;
+	request->timer = 0;
+	execute_log_call(request, "prefill", ENGINE_SILENT);
+	scheduler_prefill_ended(request->ticket, request->engine, false, 0);
+	execute_stop(request);
+	request_feed(request, event);
+	return G_SOURCE_REMOVE;
+}
+
+static void refuse_prefill(request_t *request)
+{
+	lifecycle_event_t event = execute_event(request, EVENT_PREFILL_REFUSED);
+
+	event.verdict.retry_at_us = execute_now(request) + NO_ENGINE_RETRY_US;
+	request_feed(request, event);
+}
+
+static void send_prefill(request_t *request, backend_entry_t *engine)
+{
+	engine_prefill_t args = {
+		.id = execute_attempt(request),
+		.model = request->service->prefill->model->name,
+		.adapter = request->service->adapter,
+		.prompt = {request->completion.prompt,
+			   request->completion.prompt_len},
+		.prompt_tokens = request->completion.prompt_tokens,
+		.priority = request->service->priority,
+	};
+	int64_t silent_us = PREFILL_SILENT_TARGETS *
+			    request->service->first_token_ms * CLOCK_US_PER_MS;
+
+	request->engine = engine;
+	request->call_started_us = execute_now(request);
+	request->call_limit_us = request->call_started_us + silent_us;
+	request_feed(request, execute_event(request, EVENT_PREFILL_SENT));
+	counters_add(COUNTER_PREFILLS, 1);
+	request->call = engine_prefill(&request->router->client,
+				       str_from(engine->address), &args,
+				       request->deadline_us, on_prefill,
+				       request);
+	if (!request->call) {
+		refuse_prefill(request);
+		return;
+	}
+	request->timer =
+		g_timeout_add(PREFILL_WATCH_MS, on_prefill_watch, request);
+}
+
+/* Prefers other engines to the one that failed, if any is free. */
+static backend_entry_t *pick_prefill(request_t *request)
+{
+	backend_entry_t *engine =
+		scheduler_pick_prefill(request->ticket, request->avoid_prefill);
+
+	if (!engine && request->avoid_prefill)
+		engine = scheduler_pick_prefill(request->ticket, NULL);
+	return engine;
+}
+
+/* Waits until an engine is free; nothing has been sent meanwhile. */
+static gboolean on_prefill_poll(gpointer data)
+{
+	request_t *request = data;
+	backend_entry_t *engine = pick_prefill(request);
+
+	if (engine) {
+		request->timer = 0;
+		send_prefill(request, engine);
+		return G_SOURCE_REMOVE;
+	}
+	if (execute_now(request) < request->call_limit_us)
+		return G_SOURCE_CONTINUE;
+	request->timer = 0;
+	refuse_prefill(request);
+	return G_SOURCE_REMOVE;
+}
+
+/* Carries out ACTION_START_PREFILL. */
+void execute_prefill(request_t *request, const lifecycle_action_t *action)
+{
+	backend_entry_t *engine;
+
+	execute_begin_call(request, NULL, action->attempt);
+	execute_count_wasted(request);
+	if (request->lifecycle.calls > 1)
+		counters_add(COUNTER_RETRIES, 1);
+	request->avoid_prefill = execute_entry(request, action->engine);
+	engine = pick_prefill(request);
+	if (engine) {
+		send_prefill(request, engine);
+		return;
+	}
+	request->call_limit_us = lifecycle_retry_limit_us(&request->lifecycle);
+	request->timer =
+		g_timeout_add(PREFILL_POLL_MS, on_prefill_poll, request);
+}
--- a/src/request/lifecycle.c
+++ b/src/request/lifecycle.c
@@ -37,7 +37,7 @@
 				 &request->config.seed);
 	at_us = MAX(at_us, step->event->verdict.retry_at_us);
 	if (++request->reserve_failures >= MAX_RESERVE_TRIES ||
-	    at_us >= act_retry_limit_us(request)) {
+	    at_us >= lifecycle_retry_limit_us(request)) {
 		act_give_up(step, VERDICT_OVERLOADED, "no decode memory");
 		return;
 	}
@@ -64,7 +64,7 @@
 		.retries = request->prefills_refused++,
 		.max_retries = MAX_REFUSED_PREFILLS,
 		.now_us = step->event->now_us,
-		.deadline_us = act_retry_limit_us(request),
+		.deadline_us = lifecycle_retry_limit_us(request),
 	};
 	retry_decision_t decision;
 
--- a/src/request/lifecycle.h
+++ b/src/request/lifecycle.h
@@ -149,6 +149,7 @@
 void lifecycle_init(lifecycle_t *request, const lifecycle_config_t *config);
 void lifecycle_step(lifecycle_t *request, const lifecycle_event_t *event,
 		    lifecycle_action_t *actions, size_t *n_actions);
+int64_t lifecycle_retry_limit_us(const lifecycle_t *request);
 const char *lifecycle_state_text(lifecycle_state_t state);
 
 #endif
--- a/src/request/lifecycle_act.c
+++ b/src/request/lifecycle_act.c
@@ -168,10 +168,12 @@
 					    .until_us = until_us});
 }
 
-/* A request that has not run can still be refused cheaply, so it must start in
- * time; one that may have run is worth finishing late.
+/*
+ * Returns the time until which a prefill may be started. A request that has
+ * not run can still be refused cheaply, so it must start in time; one that may
+ * have run is worth finishing late.
  */
-int64_t act_retry_limit_us(const lifecycle_t *request)
+int64_t lifecycle_retry_limit_us(const lifecycle_t *request)
 {
 	if (request->may_have_run)
 		return request->config.deadline_us;
--- a/src/request/lifecycle_act.h
+++ b/src/request/lifecycle_act.h
@@ -26,7 +26,6 @@
 run_t act_run_so_far(const lifecycle_t *request);
 void act_give_up(step_t *step, verdict_code_t code, const char *detail);
 void act_back_off_until(step_t *step, int64_t until_us);
-int64_t act_retry_limit_us(const lifecycle_t *request);
 void act_reserve(step_t *step);
 void act_start_prefill(step_t *step);
 void act_repeat_prefill(step_t *step, verdict_code_t code);
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -5,6 +5,7 @@
 #include "process/counters.h"
 #include "process/log.h"
 #include "request/access.h"
+#include "request/execute.h"
 
 static void request_free(request_t *request)
 {
--- a/src/request/request.h
+++ b/src/request/request.h
@@ -37,12 +37,14 @@
 	int64_t call_started_us;
 	int64_t call_limit_us; /* when the call counts as silent */
 	uint32_t import_source; /* attempt of the import that waits */
+	backend_entry_t *avoid_prefill; /* failed before, or NULL */
 	backend_entry_t *prefill; /* that holds the result */
 	char *kv; /* prefill result */
 	int64_t kv_kept_until_us;
 	int64_t computed_tokens; /* by the prefill of that result */
 	char *imported_kv; /* at the decode engine */
 	const engine_token_t *token; /* of the event being fed */
+	int64_t stream_token_us; /* last event of the stream; 0: none */
 	int64_t stream_offset; /* first offset of the stream */
 	int64_t finish_offset; /* of the event that ends the answer, or -1 */
 	char *finish; /* reason in that event */
@@ -53,14 +55,6 @@
 void request_start(router_t *router, SoupServerMessage *message, bool chat);
 void request_abort(request_t *request);
 void request_feed(request_t *request, lifecycle_event_t event);
-
-/* execute.c: the actions of the state machine. */
-void execute_action(request_t *request, const lifecycle_action_t *action);
-void execute_on_reserved(void *context, uint32_t attempt,
-			 backend_entry_t *engine, int64_t retry_at_us);
-void execute_stop(request_t *request);
-
-/* request.c: what the caller sees. */
 void request_forward_token(request_t *request);
 
 #endif
