--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -8,15 +8,27 @@
 
 typedef struct backends backends_t;
 
+/* Who says that a backend server is leaving. Each can take it back, since an
+ * address may be used again by a new VM.
+ */
+typedef enum {
+	BACKENDS_STATE,
+	BACKENDS_REPORT,
+	BACKENDS_VM_LIST,
+	BACKENDS_DRAIN, /* ordered away by the control of its zone */
+} backends_source_t;
+
 typedef struct {
 	backends_t *owner;
 	char *name;
 	char *address;
+	uint64_t key; /* hash of the address, as in RPC messages */
 	char *zone;
 	char *pool; /* name, or empty for a plain service */
 	char *service; /* name, or empty for an engine */
 	bool prefill; /* in a prefill pool */
-	bool leaving; /* by the state, its report or the VM list */
+	unsigned leaving_by; /* bits of backends_source_t */
+	bool leaving; /* by any of these sources */
 	bool present; /* in the state in effect */
 	int64_t kv_total;
 	int64_t kv_used;
@@ -44,6 +56,10 @@
 typedef void (*backends_cache_fn_t)(void *context, backend_entry_t *entry,
 				    const engine_cache_event_t *event);
 
+/* Tells whether to ask for load with every poll, not with every fourth. */
+typedef bool (*backends_poll_often_fn_t)(void *context,
+					 const backend_entry_t *entry);
+
 struct backends {
 	client_t *client;
 	clock_source_t clock;
@@ -52,6 +68,8 @@
 	guint next; /* round-robin position */
 	backends_changed_fn_t on_changed; /* may be NULL */
 	backends_cache_fn_t on_cache; /* may be NULL */
+	backends_poll_often_fn_t on_poll_often; /* NULL: always */
+	unsigned polls;
 	void *context;
 };
 
@@ -59,7 +77,8 @@
 		   clock_source_t clock);
 void backends_finish(backends_t *backends);
 void backends_apply(backends_t *backends, const state_t *state);
-void backends_set_leaving(backends_t *backends, str_t address);
+void backends_set_leaving(backend_entry_t *entry, backends_source_t source,
+			  bool leaving);
 backend_entry_t *backends_pick(backends_t *backends, str_t pool, str_t service,
 			       const backend_entry_t *avoid);
 backend_entry_t *backends_find(backends_t *backends, str_t address);
--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -11,8 +11,10 @@
  */
 #define MAX_RESERVING 4
 
-/* The ledger owner answers within a round trip; later the share applies. */
-#define RESERVE_ANSWER_US (50 * CLOCK_US_PER_MS)
+/* A request waits this long for memory of one engine, then at another: about
+ * the time in which a full engine ends one request.
+ */
+#define RESERVE_WAIT_US (100 * CLOCK_US_PER_MS)
 
 /* Allowance for import and the first output token. */
 #define FIRST_TOKEN_ALLOWANCE_US (60 * CLOCK_US_PER_MS)
@@ -46,6 +48,8 @@
 
 	backend_entry_t *prefill; /* in progress, or NULL */
 	int64_t prefill_started_us;
+	int64_t prefill_expected_us;
+	int64_t first_token_due_us;
 	backend_entry_t *import; /* in progress, or NULL */
 };
 
@@ -137,19 +141,34 @@
 				      CLOCK_US_PER_S)));
 }
 
+/* Ledger owners tell when memory is free; the other policies look again. */
+static bool waits_at_owner(const scheduler_ticket_t *ticket)
+{
+	return ticket->scheduler->config.policy >= ROUTE_LEDGER &&
+	       now_of(ticket->scheduler) < ticket->request.start_by_us;
+}
+
+/* Latest end of the prefill with which the first token is in time. */
+static int64_t prefill_due(const scheduler_ticket_t *ticket)
+{
+	return ticket->first_token_due_us - FIRST_TOKEN_ALLOWANCE_US -
+	       route_margin_us(&ticket->prefill_pool->route);
+}
+
 /* Tells whether a request at the head of the queue could be placed now. */
 static bool can_place(const scheduler_ticket_t *ticket)
 {
 	route_decode_t decode = {.tokens = decode_tokens(ticket)};
 	route_prefill_t prefill = {
 		.prompt_tokens = ticket->request.prompt_tokens,
-		.finish_by_us = ticket->request.deadline_us,
+		.finish_by_us = prefill_due(ticket),
 	};
 	int64_t now_us = now_of(ticket->scheduler);
 
-	return route_pick_decode(&ticket->decode_pool->route, &decode,
-				 now_us) &&
-	       route_pick_prefill(&ticket->prefill_pool->route, &prefill,
+	if (!waits_at_owner(ticket) &&
+	    !route_pick_decode(&ticket->decode_pool->route, &decode, now_us))
+		return false;
+	return route_pick_prefill(&ticket->prefill_pool->route, &prefill,
 				  now_us);
 }
 
@@ -220,8 +239,7 @@
 					  ticket->request.prompt_tokens, now_us)
 		       : 0;
 
-	return ticket->request.start_by_us - prefill_us -
-	       FIRST_TOKEN_ALLOWANCE_US;
+	return prefill_due(ticket) - prefill_us;
 }
 
 static void enqueue(scheduler_ticket_t *ticket)
@@ -230,6 +248,7 @@
 	queue_request_t request;
 	queue_outcome_t outcome;
 
+	ticket->first_token_due_us = ticket->request.start_by_us;
 	ticket->request.start_by_us = latest_start(ticket);
 	request = queue_request_of(ticket);
 	outcome = queue_push(queue, &request, now_of(ticket->scheduler));
@@ -279,16 +298,7 @@
 
 static ledger_key_t key_of(const scheduler_ticket_t *ticket, uint32_t attempt)
 {
-	ledger_key_t key = {.attempt = attempt};
-
-	for (size_t i = 0; i < LEDGER_ID_BYTES; i++)
-		key.request[i] =
-			(uint8_t)(g_ascii_xdigit_value(
-					  ticket->request.id[2 * i]) *
-					  16 +
-				  g_ascii_xdigit_value(
-					  ticket->request.id[2 * i + 1]));
-	return key;
+	return ledger_key_make(str_from(ticket->request.id), attempt);
 }
 
 static void drop_holding(scheduler_ticket_t *ticket, guint index,
@@ -406,10 +416,16 @@
 	reserve_want_t reserve = {
 		.tokens = want.tokens,
 		.priority = ticket->request.service->priority,
-		.answer_by_us = now_us + RESERVE_ANSWER_US,
+		.wait_until_us = now_us,
 		.deadline_us = ticket->request.deadline_us,
 	};
 
+	if (!engine && waits_at_owner(ticket)) {
+		engine = route_pick_waiting(&ticket->decode_pool->route, &want);
+		reserve.wait_until_us =
+			MIN(now_us + RESERVE_WAIT_US,
+			    MAX(ticket->request.start_by_us, now_us));
+	}
 	if (!engine || ticket->n_except == MAX_EXCEPT) {
 		wait_for_memory(ticket);
 		return;
@@ -485,6 +501,8 @@
 		return NULL;
 	ticket->prefill = engine->config.context;
 	ticket->prefill_started_us = now_us;
+	ticket->prefill_expected_us =
+		route_expected_us(route, engine, want.prompt_tokens, now_us);
 	route_begin(route, engine, want.prompt_tokens);
 	return ticket->prefill;
 }
@@ -512,6 +530,7 @@
 	route_end(engine->route, engine->engine, request->prompt_tokens);
 	if (ok && computed_tokens > 0)
 		route_prefilled(engine->route, engine->engine, computed_tokens,
+				ticket->prefill_expected_us,
 				now_us - ticket->prefill_started_us, now_us);
 	if (ok && request->prefix)
 		prefix_used(&ticket->scheduler->prefix,
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -148,7 +148,7 @@
 
 	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 2, 0);
 	for (int i = 0; i < 2; i++)
-		route_prefilled(&f.route, f.engines[i], 1000,
+		route_prefilled(&f.route, f.engines[i], 1000, 0,
 				20 * CLOCK_US_PER_MS, 0);
 	assert_null(route_pick_prefill(&f.route, &want, 0));
 	want.finish_by_us = 21 * CLOCK_US_PER_MS;
@@ -162,6 +162,35 @@
 	teardown(&f);
 }
 
+/* Guards against starting prefills that end too late because other routers'
+ * requests are not known yet: a margin is learned from earlier prefills, and
+ * one stalled prefill does not make it prohibitive.
+ */
+static void test_learns_margin(void **state)
+{
+	fixture_t f;
+	int64_t margin;
+
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 1, 0);
+	for (int i = 0; i < 200; i++) {
+		int64_t expected =
+			route_expected_us(&f.route, f.engines[0], 1000, 0);
+		int64_t jitter = g_rand_int_range(f.rand, -10, 11);
+
+		route_prefilled(&f.route, f.engines[0], 1000, expected,
+				20 * CLOCK_US_PER_MS + jitter * CLOCK_US_PER_MS,
+				0);
+	}
+	/* The mean deviation is 5 ms, and the margin twice that. */
+	margin = route_margin_us(&f.route);
+	assert_in_range(margin, 5 * CLOCK_US_PER_MS, 20 * CLOCK_US_PER_MS);
+	assert_true(route_latest_start_us(&f.route, 1000, 0) < -margin);
+	route_prefilled(&f.route, f.engines[0], 1000, 20 * CLOCK_US_PER_MS,
+			60 * CLOCK_US_PER_S, 0);
+	assert_true(route_margin_us(&f.route) < margin + 35 * CLOCK_US_PER_MS);
+	teardown(&f);
+}
+
 /* Guards against leaving the own zone without need, and against staying in it
  * while it has no room.
  */
@@ -240,13 +269,49 @@
 		int64_t us = e == f.engines[0] ? 200000 : 20000;
 
 		slow += step >= 100 && e == f.engines[0];
-		route_prefilled(&f.route, e, 1000, us, step);
+		route_begin(&f.route, e, 1000);
+		route_end(&f.route, e, 1000);
+		route_prefilled(&f.route, e, 1000,
+				route_expected_us(&f.route, e, 1000, step), us,
+				step);
 	}
 	/* A quarter would be 75. */
 	assert_in_range(slow, 0, 30);
 	teardown(&f);
 }
 
+/* Guards against routers that all follow the same old reports: how far an
+ * engine's report differs from the mean counts less the older it is.
+ */
+static void test_old_reports_count_less(void **state)
+{
+	fixture_t f;
+	route_load_t busy = {.running = 8};
+	double fresh, old;
+
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 4, 0);
+	route_begin(&f.route, f.engines[3], 1000);
+	route_prefilled(&f.route, f.engines[3], 1000, 0, 100000, 0);
+	route_end(&f.route, f.engines[3], 1000);
+	route_report(&f.route, f.engines[0], &busy, 0);
+	fresh = route_requests(&f.route, f.engines[0]);
+	busy.age_us = 200000;
+	route_report(&f.route, f.engines[0], &busy, 0);
+	old = route_requests(&f.route, f.engines[0]);
+	assert_true(fresh == 8);
+	/* The mean is 2, and a report twice as old as a prefill counts 14%. */
+	assert_true(old > 2 && old < 3);
+	/* Equal engines are used in turn, least recently used first. */
+	for (int i = 0; i < 3; i++) {
+		route_engine_t *e = prefill(&f, 1000, 0);
+
+		assert_int_equal(e->used, i == 2 ? 1 : 0);
+		route_begin(&f.route, e, 1000);
+		route_end(&f.route, e, 1000);
+	}
+	teardown(&f);
+}
+
 /* Guards against a free list or index that goes wrong when engines come and
  * go, and against reports that count own requests twice.
  */
@@ -259,7 +324,7 @@
 	route_begin(&f.route, f.engines[4], 100);
 	route_report(&f.route, f.engines[4], &load, 0);
 	route_report(&f.route, f.engines[4], &load, 0);
-	assert_int_equal(route_requests(f.engines[4]), 3);
+	assert_true(route_requests(&f.route, f.engines[4]) == 3);
 	assert_int_equal(route_spare(&f.route, f.engines[4]), 700);
 	for (int i = 0; i < 10; i++) {
 		if (i != 4)
@@ -281,10 +346,12 @@
 		cmocka_unit_test(test_no_work_for_leaving_engines),
 		cmocka_unit_test(test_cached_prefix_bounded_by_load),
 		cmocka_unit_test(test_prefill_not_started_in_vain),
+		cmocka_unit_test(test_learns_margin),
 		cmocka_unit_test(test_zone_preference_spills_over),
 		cmocka_unit_test(test_decode_policies),
 		cmocka_unit_test(test_transfers_are_bounded),
 		cmocka_unit_test(test_slow_engine_gets_less),
+		cmocka_unit_test(test_old_reports_count_less),
 		cmocka_unit_test(test_engines_come_and_go),
 	};
 
