--- a/tests/engine_prefill.c
+++ b/tests/engine_prefill.c
@@ -73,6 +73,10 @@
 	return G_SOURCE_REMOVE;
 }
 
+/*
+ * Starts a queued prefill. With fault `stall_prefills` it computes without an
+ * end and occupies its lane until a cancel or the end of the engine's bound.
+ */
 static void start_prefill(work_t *work)
 {
 	engine_t *engine = work->engine;
@@ -82,7 +86,10 @@
 	work->prefill_start_us = fake_now_us();
 	work->prefill_cost_us = engine_scale_us(
 		engine, computed * engine->options.prefill_us_per_token);
-	work_set_timer(work, work->prefill_cost_us, on_prefill_done);
+	if (fake_fault_take(&engine->fake, "stall_prefills"))
+		work_hold(work);
+	else
+		work_set_timer(work, work->prefill_cost_us, on_prefill_done);
 }
 
 /* Counts what a prefill has computed when it ends early. */
--- a/tests/test_contract_engine_faults.c
+++ b/tests/test_contract_engine_faults.c
@@ -173,6 +173,84 @@
 	engines_stop(&e);
 }
 
+/* Guards against a stalled prefill that cannot be cancelled. */
+static void test_stalled_prefill(void **state)
+{
+	static const char *const one_lane[] = {"--max-prefills", "1", NULL};
+	http_answer_t answer;
+	http_call_t call;
+	engines_t e;
+	char *body;
+
+	engines_start(&e, one_lane, NULL, true);
+	http_fault(e.prefill_address, "{\"stall_prefills\":1}");
+	body = engines_prefill_body(0, 1, 0, "w", ENGINE_PROMPT_WORDS);
+	http_call_start(&call, "POST", e.prefill_address, "/v1/prefill", body);
+	engine_wait_load(e.prefill_address, "running", 1);
+	assert_int_equal(engine_cancel(e.prefill_address, 0, 1), 0);
+	answer = http_call_join(&call);
+	assert_int_equal(answer.status, 409);
+	http_answer_finish(&answer);
+	/* The lane is free again. */
+	answer = engines_prefill(&e, 2, "w");
+	assert_int_equal(answer.status, 200);
+	http_answer_finish(&answer);
+	g_free(body);
+	engines_stop(&e);
+}
+
+/* Guards against a link that gives each of two transfers its whole rate. */
+static void test_link_is_shared(void **state)
+{
+	/* With the speed of 10, a prompt takes 50 ms alone. */
+	static const char *const slow[] = {"--link-tokens-s", "200", NULL};
+	http_call_t calls[2];
+	engines_t e;
+	int64_t start_ms;
+
+	engines_start(&e, slow, NULL, true);
+	start_ms = now_ms();
+	for (e.request = 0; e.request < 2; e.request++) {
+		http_answer_t done = engines_prefill(&e, 1, "w");
+		char *body = engines_import_body(&e, 1, e.prefill_address,
+						 http_string(&done, "kv"), 150);
+
+		http_call_start(&calls[e.request], "POST", e.decode_address,
+				"/v1/kv/import", body);
+		http_answer_finish(&done);
+		g_free(body);
+	}
+	for (int i = 0; i < 2; i++) {
+		http_answer_t answer = http_call_join(&calls[i]);
+
+		assert_int_equal(answer.status, 200);
+		http_answer_finish(&answer);
+	}
+	assert_true(now_ms() - start_ms >= 100);
+	engines_stop(&e);
+}
+
+/* Guards against work that is not slowed, and load that hides a departure. */
+static void test_slow_and_leaving(void **state)
+{
+	http_answer_t answer;
+	engines_t e;
+	int64_t start_ms;
+
+	engines_start(&e, NULL, NULL, true);
+	/* 100 tokens take 1 ms at the speed of 10. */
+	http_fault(e.prefill_address, "{\"slow_factor\":50,\"leaving\":true}");
+	start_ms = now_ms();
+	answer = engines_prefill(&e, 1, "w");
+	assert_int_equal(answer.status, 200);
+	assert_true(now_ms() - start_ms >= 50);
+	http_answer_finish(&answer);
+	answer = http_get(e.prefill_address, "/v1/load");
+	assert_true(json_object_get_boolean_member(answer.json, "leaving"));
+	http_answer_finish(&answer);
+	engines_stop(&e);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -182,6 +260,9 @@
 		cmocka_unit_test(test_stalled_transfer_moves),
 		cmocka_unit_test(test_lost_answer_after_work),
 		cmocka_unit_test(test_cancel_on_close),
+		cmocka_unit_test(test_stalled_prefill),
+		cmocka_unit_test(test_link_is_shared),
+		cmocka_unit_test(test_slow_and_leaving),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
