Split the ledger owner and the tickets by concern

Change: orphan.c, owner_rpc.c and placement.c; each test process uses a loopback IP number of its own. Conclusion: no change of behaviour.

--- a/src/process/owner.c
+++ b/src/process/owner.c
@@ -15,9 +15,6 @@
 /* Answer of a full ledger: memory is freed within some tens of tokens. */
 #define FULL_RETRY_MS 50
 
-/* Longer than the membership takes to find a VM dead. */
-#define LAPSED_KEPT_US (60 * CLOCK_US_PER_S)
-
 /* Requests that wait for memory of one engine at most. */
 #define MAX_WAITING 256
 
@@ -217,96 +214,24 @@
 
 static void serve_waiting(owner_t *owner, engine_ledger_t *engine);
 
-static void to_hex(const uint8_t request[LEDGER_ID_BYTES], char text[33])
-{
-	for (size_t i = 0; i < LEDGER_ID_BYTES; i++)
-		g_snprintf(text + 2 * i, 3, "%02x", request[i]);
-}
-
 typedef struct {
 	owner_t *owner;
 	engine_ledger_t *engine;
 } orphan_context_t;
 
-/* A grant that lapsed although its VM was not known to be dead. */
-typedef struct {
-	char *engine;
-	char *vm;
-	uint64_t incarnation;
-	ledger_key_t key;
-	int64_t until_us;
-} lapsed_t;
-
-static void lapsed_clear(gpointer data)
-{
-	lapsed_t *lapsed = data;
-
-	g_free(lapsed->engine);
-	g_free(lapsed->vm);
-}
-
-static void cancel_attempt(owner_t *owner, const char *engine, str_t vm,
-			   const ledger_key_t *key)
-{
-	char request[33];
-
-	to_hex(key->request, request);
-	log_event(LOG_INFO, "orphan_cancelled", LOG_CSTR("request", request),
-		  LOG_UINT("attempt", key->attempt), LOG_CSTR("engine", engine),
-		  LOG_STR("dead_vm", vm));
-	canceller_add(owner->canceller, str_from(engine), str_from(request),
-		      key->attempt);
-}
-
 static void cancel_orphan(const ledger_grant_t *grant, void *context)
 {
 	orphan_context_t *orphan = context;
 
-	cancel_attempt(orphan->owner, orphan->engine->address, grant->vm.name,
-		       &grant->key);
+	orphan_cancel(&orphan->owner->orphans, orphan->engine->address,
+		      grant->vm.name, &grant->key);
 }
 
-/*
- * A router that did not renew may be dead, or only cut off from this VM while
- * its requests still run. Its attempts are cancelled once the membership says
- * that it is dead.
- */
 static void keep_lapsed(const ledger_grant_t *grant, void *context)
 {
 	orphan_context_t *orphan = context;
-	owner_t *owner = orphan->owner;
-	lapsed_t lapsed = {
-		.engine = g_strdup(orphan->engine->address),
-		.vm = str_dup(grant->vm.name),
-		.incarnation = grant->vm.incarnation,
-		.key = grant->key,
-		.until_us = clock_now(&owner->clock) + LAPSED_KEPT_US,
-	};
-
-	g_array_append_val(owner->lapsed, lapsed);
-}
-
-static void cancel_lapsed(owner_t *owner, ledger_vm_t dead)
-{
-	for (guint i = owner->lapsed->len; i-- > 0;) {
-		lapsed_t *lapsed = &g_array_index(owner->lapsed, lapsed_t, i);
 
-		if (!str_equal(str_from(lapsed->vm), dead.name) ||
-		    lapsed->incarnation > dead.incarnation)
-			continue;
-		cancel_attempt(owner, lapsed->engine, dead.name, &lapsed->key);
-		g_array_remove_index_fast(owner->lapsed, i);
-	}
-}
-
-static void drop_lapsed(owner_t *owner)
-{
-	int64_t now_us = clock_now(&owner->clock);
-
-	for (guint i = owner->lapsed->len; i-- > 0;)
-		if (now_us >=
-		    g_array_index(owner->lapsed, lapsed_t, i).until_us)
-			g_array_remove_index_fast(owner->lapsed, i);
+	orphan_keep(&orphan->owner->orphans, orphan->engine->address, grant);
 }
 
 /*
@@ -328,7 +253,7 @@
 			       clock_now(&owner->clock), cancel_orphan,
 			       &context);
 	}
-	cancel_lapsed(owner, dead);
+	orphan_vm_dead(&owner->orphans, dead);
 }
 
 /* Frees the grant of a dead VM once the engine holds nothing for it. */
@@ -565,73 +490,6 @@
 	result->free_tokens = (u_int)ledger_free(&engine->ledger);
 }
 
-static ledger_vm_t sender_of(const rpc_request_t *request)
-{
-	return (ledger_vm_t){
-		.name = str_from(request->from->vm),
-		.incarnation = request->from->incarnation,
-	};
-}
-
-/* Each handler decodes the arguments, calls the function and answers. */
-#define OWNER_HANDLER(name)                                                   \
-	static void on_##name(void *context, const rpc_request_t *request)    \
-	{                                                                     \
-		owner_t *owner = context;                                     \
-		peer_##name call;                                             \
-		peer_##name##_result result;                                  \
-		wire_buffer_t body;                                           \
-                                                                              \
-		if (!rpc_decode(peer_##name, request->body, &call)) {         \
-			rpc_reject(owner->rpc, request->token,                \
-				   WIRE_BAD_ARGUMENTS);                       \
-		} else {                                                      \
-			owner_##name(owner, sender_of(request), &call,        \
-				     &result);                                \
-			if (rpc_encode(peer_##name##_result, &result, &body)) \
-				rpc_answer(owner->rpc, request->token,        \
-					   rpc_body(&body));                  \
-		}                                                             \
-		rpc_free(peer_##name, &call);                                 \
-	}
-
-OWNER_HANDLER(renew)
-OWNER_HANDLER(release)
-
-typedef struct {
-	owner_t *owner;
-	uint64_t token;
-} rpc_waiter_t;
-
-static void answer_rpc(void *context, const peer_reserve_result *result)
-{
-	rpc_waiter_t *waiter = context;
-	/* The encoder of XDR takes no pointer to const. */
-	peer_reserve_result *copy = (peer_reserve_result *)result;
-	wire_buffer_t body;
-
-	if (copy && rpc_encode(peer_reserve_result, copy, &body))
-		rpc_answer(waiter->owner->rpc, waiter->token, rpc_body(&body));
-	g_free(waiter);
-}
-
-static void on_reserve(void *context, const rpc_request_t *request)
-{
-	owner_t *owner = context;
-	rpc_waiter_t *waiter;
-	peer_reserve call;
-
-	if (!rpc_decode(peer_reserve, request->body, &call)) {
-		rpc_reject(owner->rpc, request->token, WIRE_BAD_ARGUMENTS);
-	} else {
-		waiter = g_new0(rpc_waiter_t, 1);
-		waiter->owner = owner;
-		waiter->token = request->token;
-		owner_ask(owner, sender_of(request), &call, answer_rpc, waiter);
-	}
-	rpc_free(peer_reserve, &call);
-}
-
 static gboolean on_expire(gpointer data)
 {
 	owner_t *owner = data;
@@ -647,11 +505,11 @@
 		serve_waiting(owner, context.engine);
 	}
 	g_hash_table_foreach_remove(owner->engines, is_unused, owner);
-	drop_lapsed(owner);
+	orphan_expire(&owner->orphans);
 	return G_SOURCE_CONTINUE;
 }
 
-/* Starts to answer; what it is given must outlive owner_finish(). */
+/* Sets up without ledgers; what it is given must outlive owner_finish(). */
 void owner_init(owner_t *owner, rpc_t *rpc, fleet_t *fleet,
 		backends_t *backends, canceller_t *canceller,
 		clock_source_t clock, unsigned routers)
@@ -660,26 +518,18 @@
 	owner->rpc = rpc;
 	owner->fleet = fleet;
 	owner->backends = backends;
-	owner->canceller = canceller;
 	owner->clock = clock;
 	owner->routers = routers;
 	owner->engines = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, engine_free);
-	owner->lapsed = g_array_new(FALSE, FALSE, sizeof(lapsed_t));
-	g_array_set_clear_func(owner->lapsed, lapsed_clear);
+	orphan_init(&owner->orphans, canceller, clock);
 	owner->timer = g_timeout_add(EXPIRE_INTERVAL_MS, on_expire, owner);
-	rpc_handle(rpc, PEER_RESERVE, on_reserve, owner);
-	rpc_handle(rpc, PEER_RENEW, on_renew, owner);
-	rpc_handle(rpc, PEER_RELEASE, on_release, owner);
 }
 
-/* Stops answering and drops all ledgers. */
+/* Drops all ledgers. */
 void owner_finish(owner_t *owner)
 {
-	rpc_handle(owner->rpc, PEER_RESERVE, NULL, NULL);
-	rpc_handle(owner->rpc, PEER_RENEW, NULL, NULL);
-	rpc_handle(owner->rpc, PEER_RELEASE, NULL, NULL);
 	g_source_remove(owner->timer);
-	g_array_unref(owner->lapsed);
+	orphan_finish(&owner->orphans);
 	g_hash_table_unref(owner->engines);
 }
--- a/src/process/owner.h
+++ b/src/process/owner.h
@@ -7,7 +7,7 @@
 #include "process/backends.h"
 #include "process/fleet.h"
 #include "process/ledger.h"
-#include "request/canceller.h"
+#include "process/orphan.h"
 
 /* A grant lapses unless it is renewed within this time. */
 #define OWNER_GRANT_MS 3000
@@ -22,13 +22,12 @@
 	rpc_t *rpc;
 	fleet_t *fleet;
 	backends_t *backends;
-	canceller_t *canceller;
 	clock_source_t clock;
 	unsigned routers; /* in the deployment, dead or alive */
 	int64_t max_transfers; /* at once to one engine; 0: no limit */
 	uint64_t last_incarnation; /* of a ledger */
 	GHashTable *engines; /* member_key() of the address to the ledger */
-	GArray *lapsed; /* grants that were not renewed in time */
+	orphans_t orphans;
 	guint timer;
 } owner_t;
 
@@ -36,6 +35,8 @@
 		backends_t *backends, canceller_t *canceller,
 		clock_source_t clock, unsigned routers);
 void owner_finish(owner_t *owner);
+void owner_listen(owner_t *owner);
+void owner_unlisten(owner_t *owner);
 void owner_update(owner_t *owner);
 void owner_vm_dead(owner_t *owner, str_t vm, uint64_t incarnation);
 void owner_cancel_confirmed(owner_t *owner, str_t engine,
--- /dev/null
+++ b/src/process/placement.c
@@ -0,0 +1,93 @@
+/* Where a request's calls run, and what their results teach the scheduler. */
+#include "process/ticket.h"
+
+static int64_t now_of(const scheduler_t *scheduler)
+{
+	return clock_now(&scheduler->clock);
+}
+
+/* Returns a prefill engine, not `avoid` if there is a choice, or NULL. */
+backend_entry_t *scheduler_pick_prefill(scheduler_ticket_t *ticket,
+					const backend_entry_t *avoid)
+{
+	route_prefill_t want = {
+		.prompt_tokens = ticket->request.prompt_tokens,
+		.prefix = ticket->request.prefix,
+		.finish_by_us = ticket->request.deadline_us,
+		.except = avoid ? avoid->engine : NULL,
+	};
+	int64_t now_us = now_of(ticket->scheduler);
+	route_t *route = &ticket->prefill_pool->route;
+	route_engine_t *engine = route_pick_prefill(route, &want, now_us);
+
+	if (!engine)
+		return NULL;
+	ticket->prefill = engine->config.context;
+	ticket->prefill_started_us = now_us;
+	ticket->prefill_expected_us =
+		route_expected_us(route, engine, want.prompt_tokens, now_us);
+	route_begin(route, engine, want.prompt_tokens);
+	return ticket->prefill;
+}
+
+static void note_result(scheduler_t *scheduler, backend_entry_t *entry, bool ok)
+{
+	if (ok)
+		backends_note_success(entry);
+	else
+		backends_note_failure(entry);
+	scheduler_backend_changed(scheduler, entry, false);
+}
+
+/* Reports the end of a prefill; computed_tokens excludes cached ones. */
+void scheduler_prefill_ended(scheduler_ticket_t *ticket,
+			     backend_entry_t *engine, bool ok,
+			     int64_t computed_tokens)
+{
+	int64_t now_us = now_of(ticket->scheduler);
+	scheduler_request_t *request = &ticket->request;
+
+	if (ticket->prefill != engine || !engine)
+		return;
+	ticket->prefill = NULL;
+	route_end(engine->route, engine->engine, request->prompt_tokens);
+	if (ok && computed_tokens > 0)
+		route_prefilled(engine->route, engine->engine, computed_tokens,
+				ticket->prefill_expected_us,
+				now_us - ticket->prefill_started_us, now_us);
+	if (ok && request->prefix)
+		prefix_used(&ticket->scheduler->prefix,
+			    engine->engine->config.id, request->prefix,
+			    computed_tokens < request->prompt_tokens);
+	note_result(ticket->scheduler, engine, ok);
+}
+
+/* Takes one of the engine's transfers; false if all are in use. */
+bool scheduler_import_begin(scheduler_ticket_t *ticket, backend_entry_t *engine)
+{
+	if (!route_transfer_begin(engine->route, engine->engine))
+		return false;
+	ticket->import = engine;
+	return true;
+}
+
+/* Gives the transfer back. */
+void scheduler_import_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
+			    bool ok)
+{
+	if (ticket->import == engine) {
+		ticket->import = NULL;
+		route_transfer_end(engine->route, engine->engine);
+	}
+	note_result(ticket->scheduler, engine, ok);
+}
+
+/* Reports the end of a decode with the tokens that it gave. */
+void scheduler_decode_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
+			    bool ok, int64_t tokens, int64_t elapsed_us)
+{
+	if (ok && tokens > 0 && engine->engine)
+		route_decoded(engine->route, engine->engine, tokens, elapsed_us,
+			      now_of(ticket->scheduler));
+	note_result(ticket->scheduler, engine, ok);
+}
--- a/src/process/router.c
+++ b/src/process/router.c
@@ -159,6 +159,7 @@
 	owner_init(&router->owner, &router->rpc, &router->fleet,
 		   &router->backends, &router->canceller, router->clock,
 		   settings->peers->len + 1);
+	owner_listen(&router->owner);
 	limits_init(&router->limits, &router->scheduler.limit, &router->rpc,
 		    &router->fleet, settings, router->clock);
 	if (settings->platform_address)
@@ -212,6 +213,7 @@
 	scheduler_finish(&router->scheduler);
 	reserve_finish(&router->reserve);
 	if (router->joined) {
+		owner_unlisten(&router->owner);
 		owner_finish(&router->owner);
 		fleet_finish(&router->fleet);
 		rpc_finish(&router->rpc);
--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -1,5 +1,5 @@
 #include "process/counters.h"
-#include "process/scheduler.h"
+#include "process/ticket.h"
 
 /* While the queue is not empty it is looked at again after this time, since
  * load reports of others may have freed memory.
@@ -20,39 +20,6 @@
 #define FIRST_TOKEN_ALLOWANCE_US (60 * CLOCK_US_PER_MS)
 
 #define NO_ENGINE_RETRY_US (1 * CLOCK_US_PER_S)
-#define MAX_EXCEPT 8
-
-typedef struct {
-	uint32_t attempt;
-	backend_entry_t *entry;
-} holding_t;
-
-struct scheduler_ticket {
-	scheduler_t *scheduler;
-	scheduler_pool_t *decode_pool;
-	scheduler_pool_t *prefill_pool;
-	scheduler_request_t request;
-	queue_entry_t *queued; /* NULL once admitted or refused */
-	verdict_t verdict; /* for on_refused */
-	guint source; /* admission or refusal to be reported */
-	bool counted; /* in the pool's `reserving` */
-	bool limited; /* counts against the customer's limits */
-
-	uint32_t attempt; /* reservation in progress, or 0 */
-	uint32_t ask;
-	backend_entry_t *asked;
-	const route_engine_t *except[MAX_EXCEPT];
-	size_t n_except;
-	bool waiting; /* in the pool's list */
-	GArray *holdings;
-
-	backend_entry_t *prefill; /* in progress, or NULL */
-	int64_t prefill_started_us;
-	int64_t prefill_expected_us;
-	int64_t first_token_due_us;
-	backend_entry_t *import; /* in progress, or NULL */
-};
-
 static int64_t now_of(const scheduler_t *scheduler)
 {
 	return clock_now(&scheduler->clock);
@@ -374,7 +341,7 @@
 
 static void add_except(scheduler_ticket_t *ticket, const route_engine_t *engine)
 {
-	if (engine && ticket->n_except < MAX_EXCEPT)
+	if (engine && ticket->n_except < TICKET_EXCEPT_MAX)
 		ticket->except[ticket->n_except++] = engine;
 }
 
@@ -426,7 +393,7 @@
 			MIN(now_us + RESERVE_WAIT_US,
 			    MAX(ticket->request.start_by_us, now_us));
 	}
-	if (!engine || ticket->n_except == MAX_EXCEPT) {
+	if (!engine || ticket->n_except == TICKET_EXCEPT_MAX) {
 		wait_for_memory(ticket);
 		return;
 	}
@@ -482,89 +449,3 @@
 		}
 	}
 }
-
-/* Returns a prefill engine, not `avoid` if there is a choice, or NULL. */
-backend_entry_t *scheduler_pick_prefill(scheduler_ticket_t *ticket,
-					const backend_entry_t *avoid)
-{
-	route_prefill_t want = {
-		.prompt_tokens = ticket->request.prompt_tokens,
-		.prefix = ticket->request.prefix,
-		.finish_by_us = ticket->request.deadline_us,
-		.except = avoid ? avoid->engine : NULL,
-	};
-	int64_t now_us = now_of(ticket->scheduler);
-	route_t *route = &ticket->prefill_pool->route;
-	route_engine_t *engine = route_pick_prefill(route, &want, now_us);
-
-	if (!engine)
-		return NULL;
-	ticket->prefill = engine->config.context;
-	ticket->prefill_started_us = now_us;
-	ticket->prefill_expected_us =
-		route_expected_us(route, engine, want.prompt_tokens, now_us);
-	route_begin(route, engine, want.prompt_tokens);
-	return ticket->prefill;
-}
-
-static void note_result(scheduler_t *scheduler, backend_entry_t *entry, bool ok)
-{
-	if (ok)
-		backends_note_success(entry);
-	else
-		backends_note_failure(entry);
-	scheduler_backend_changed(scheduler, entry, false);
-}
-
-/* Reports the end of a prefill; computed_tokens excludes cached ones. */
-void scheduler_prefill_ended(scheduler_ticket_t *ticket,
-			     backend_entry_t *engine, bool ok,
-			     int64_t computed_tokens)
-{
-	int64_t now_us = now_of(ticket->scheduler);
-	scheduler_request_t *request = &ticket->request;
-
-	if (ticket->prefill != engine || !engine)
-		return;
-	ticket->prefill = NULL;
-	route_end(engine->route, engine->engine, request->prompt_tokens);
-	if (ok && computed_tokens > 0)
-		route_prefilled(engine->route, engine->engine, computed_tokens,
-				ticket->prefill_expected_us,
-				now_us - ticket->prefill_started_us, now_us);
-	if (ok && request->prefix)
-		prefix_used(&ticket->scheduler->prefix,
-			    engine->engine->config.id, request->prefix,
-			    computed_tokens < request->prompt_tokens);
-	note_result(ticket->scheduler, engine, ok);
-}
-
-/* Takes one of the engine's transfers; false if all are in use. */
-bool scheduler_import_begin(scheduler_ticket_t *ticket, backend_entry_t *engine)
-{
-	if (!route_transfer_begin(engine->route, engine->engine))
-		return false;
-	ticket->import = engine;
-	return true;
-}
-
-/* Gives the transfer back. */
-void scheduler_import_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
-			    bool ok)
-{
-	if (ticket->import == engine) {
-		ticket->import = NULL;
-		route_transfer_end(engine->route, engine->engine);
-	}
-	note_result(ticket->scheduler, engine, ok);
-}
-
-/* Reports the end of a decode with the tokens that it gave. */
-void scheduler_decode_ended(scheduler_ticket_t *ticket, backend_entry_t *engine,
-			    bool ok, int64_t tokens, int64_t elapsed_us)
-{
-	if (ok && tokens > 0 && engine->engine)
-		route_decoded(engine->route, engine->engine, tokens, elapsed_us,
-			      now_of(ticket->scheduler));
-	note_result(ticket->scheduler, engine, ok);
-}
--- a/tests/support_deployment.c
+++ b/tests/support_deployment.c
@@ -19,6 +19,17 @@
 	abort();
 }
 
+/* A loopback IP number of this test process alone, so that tests that run side
+ * by side cannot take each other's ports.
+ */
+static in_addr_t own_ip(void)
+{
+	in_addr_t pid = (in_addr_t)getpid();
+
+	return 0x7f000000 | (1 + (pid >> 15 & 0x7f)) << 16 |
+	       (pid >> 7 & 0xff) << 8 | (1 + (pid & 0x7f));
+}
+
 /*
  * Returns an address with a port that was free a moment ago. Peers' settings
  * name each other's ports, so these cannot be chosen at the start.
@@ -27,16 +38,18 @@
 {
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_addr.s_addr = htonl(own_ip()),
 	};
 	socklen_t len = sizeof(address);
 	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	char ip[INET_ADDRSTRLEN];
 
 	if (fd < 0 || bind(fd, (struct sockaddr *)&address, len) < 0 ||
 	    getsockname(fd, (struct sockaddr *)&address, &len) < 0)
 		give_up("no free port");
 	close(fd);
-	return g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
+	inet_ntop(AF_INET, &address.sin_addr, ip, sizeof(ip));
+	return g_strdup_printf("%s:%d", ip, ntohs(address.sin_port));
 }
 
 static char *start_engine(const deployment_config_t *config, process_t *process,
