Add the apply command

Cause: a desired state takes effect as a whole, and two operators or a lost answer must not leave anyone with a wrong belief about it. The head names the last four versions' attempts, so an author whose answer was lost learns that a version was accepted even when it has already been replaced.

--- a/src/process/cmd.h
+++ b/src/process/cmd.h
@@ -12,6 +12,7 @@
 } exit_code_t;
 
 /* Each takes its own name as argv[0] and returns an exit_code_t. */
+int cmd_apply(int argc, char **argv);
 int cmd_check(int argc, char **argv);
 int cmd_serve(int argc, char **argv);
 int cmd_status(int argc, char **argv);
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -11,6 +11,7 @@
 } command_t;
 
 static const command_t commands[] = {
+	{"apply", cmd_apply, "submit a desired state as the next version"},
 	{"check", cmd_check, "check a settings file or a desired state"},
 	{"serve", cmd_serve, "run the process of an entry VM"},
 	{"status", cmd_status, "show what a VM knows"},
--- a/src/process/platform.c
+++ b/src/process/platform.c
@@ -64,12 +64,20 @@
 	g_queue_init(&platform->calls);
 }
 
+/* Sends this bearer token with each call. */
+void platform_set_token(platform_t *platform, const char *token)
+{
+	g_free(platform->token);
+	platform->token = g_strdup(token);
+}
+
 /* Cancels the calls in progress and frees the client's memory. */
 void platform_finish(platform_t *platform)
 {
 	while (!g_queue_is_empty(&platform->calls))
 		platform_cancel(g_queue_peek_head(&platform->calls));
 	g_clear_pointer(&platform->address, g_free);
+	g_clear_pointer(&platform->token, g_free);
 }
 
 static void free_call(platform_call_t *call)
@@ -280,20 +288,32 @@
 	return call->kind == CALL_DELETE ? "DELETE" : "PUT";
 }
 
-static SoupMessageHeaders *make_headers(const platform_call_t *call)
+static void add_condition(SoupMessageHeaders *headers, uint64_t expected)
 {
-	SoupMessageHeaders *headers =
-		soup_message_headers_new(SOUP_MESSAGE_HEADERS_REQUEST);
 	char etag[32];
 
-	if (is_read(call) || call->kind == CALL_PUT_OBJECT)
-		return headers;
-	if (call->expected == PLATFORM_ABSENT) {
+	if (expected == PLATFORM_ABSENT) {
 		soup_message_headers_append(headers, "If-None-Match", "*");
-		return headers;
+		return;
 	}
-	g_snprintf(etag, sizeof(etag), "\"%" PRIu64 "\"", call->expected);
+	g_snprintf(etag, sizeof(etag), "\"%" PRIu64 "\"", expected);
 	soup_message_headers_append(headers, "If-Match", etag);
+}
+
+static SoupMessageHeaders *make_headers(const platform_call_t *call)
+{
+	SoupMessageHeaders *headers =
+		soup_message_headers_new(SOUP_MESSAGE_HEADERS_REQUEST);
+
+	if (call->platform->token) {
+		char *value =
+			g_strconcat("Bearer ", call->platform->token, NULL);
+
+		soup_message_headers_append(headers, "Authorization", value);
+		g_free(value);
+	}
+	if (!is_read(call) && call->kind != CALL_PUT_OBJECT)
+		add_condition(headers, call->expected);
 	return headers;
 }
 
--- a/src/process/platform.h
+++ b/src/process/platform.h
@@ -59,6 +59,7 @@
 typedef struct {
 	client_t *client; /* borrowed */
 	char *address; /* IP:port */
+	char *token; /* bearer token, or NULL */
 	clock_source_t clock;
 	bucket_t reads;
 	bucket_t writes;
@@ -71,6 +72,7 @@
 
 void platform_init(platform_t *platform, client_t *client, const char *address,
 		   const platform_budget_t *budget, uint64_t seed);
+void platform_set_token(platform_t *platform, const char *token);
 void platform_finish(platform_t *platform);
 platform_call_t *platform_get(platform_t *platform, const char *key,
 			      int64_t deadline_us, platform_done_fn_t done,
--- a/src/version/head.c
+++ b/src/version/head.c
@@ -39,6 +39,11 @@
 				       head->deltas[i].from, head->deltas[i].to,
 				       head->deltas[i].hash,
 				       head->deltas[i].size);
+	for (size_t i = 0; i < head->n_past; i++)
+		g_string_append_printf(out, "past %" PRIu64 " %s %s\n",
+				       head->past[i].version,
+				       head->past[i].attempt,
+				       head->past[i].author);
 }
 
 /* Takes the next line if it starts with this word. */
@@ -97,12 +102,11 @@
 	       line.len == 0;
 }
 
-static bool take_delta(head_t *head, str_t *text)
+static bool take_delta(head_t *head, str_t line)
 {
 	head_delta_t *delta = &head->deltas[head->n_deltas];
-	str_t line;
 
-	if (head->n_deltas == HEAD_DELTAS || !take_line(text, "delta", &line))
+	if (head->n_deltas == HEAD_DELTAS || head->n_past > 0)
 		return false;
 	head->n_deltas++;
 	return lines_hex(&line, MANIFEST_HASH_DIGITS, delta->from) &&
@@ -112,6 +116,33 @@
 	       line.len == 0;
 }
 
+static bool take_past(head_t *head, str_t line)
+{
+	head_past_t *past = &head->past[head->n_past];
+
+	if (head->n_past == HEAD_PAST)
+		return false;
+	head->n_past++;
+	if (!lines_uint(&line, INT64_MAX, &past->version) ||
+	    !lines_hex(&line, HEAD_ATTEMPT_DIGITS, past->attempt) ||
+	    !head_is_author(line))
+		return false;
+	memcpy(past->author, line.data, line.len);
+	return true;
+}
+
+/* Deltas and past versions, in this order. */
+static bool take_history(head_t *head, str_t *text)
+{
+	str_t line, word;
+
+	if (!lines_next(text, &line) || !lines_word(&line, &word))
+		return false;
+	if (str_equal(word, STR("delta")))
+		return take_delta(head, line);
+	return str_equal(word, STR("past")) && take_past(head, line);
+}
+
 /* Reads a head. Anything else than what head_print() writes is refused. */
 bool head_parse(head_t *head, str_t text)
 {
@@ -128,7 +159,7 @@
 	    !take_manifest(head, &text))
 		return false;
 	while (text.len > 0) {
-		if (!take_delta(head, &text))
+		if (!take_history(head, &text))
 			return false;
 	}
 	return head->version > 0;
@@ -145,6 +176,29 @@
 	head->deltas[head->n_deltas++] = *delta;
 }
 
+/* Adds the newest of the past versions; the oldest one is dropped when there is
+ * no room.
+ */
+void head_add_past(head_t *head, const head_past_t *past)
+{
+	if (head->n_past == HEAD_PAST) {
+		memmove(&head->past[0], &head->past[1],
+			(HEAD_PAST - 1) * sizeof(head->past[0]));
+		head->n_past--;
+	}
+	head->past[head->n_past++] = *past;
+}
+
+/* Returns what the head says about a past version, or NULL. */
+const head_past_t *head_find_past(const head_t *head, uint64_t version)
+{
+	for (size_t i = 0; i < head->n_past; i++) {
+		if (head->past[i].version == version)
+			return &head->past[i];
+	}
+	return NULL;
+}
+
 /*
  * Returns the delta to apply next on the way from a manifest to the head's
  * own, or NULL when the chain does not reach back to it.
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -198,10 +198,15 @@
 
 	for (size_t i = 0; i < n_deltas; i++) {
 		head_delta_t delta = {.from = H, .to = H, .hash = H};
+		head_past_t past = {.version = 2 + i,
+				    .attempt = "0123456789abcdef"
+					       "0123456789abcdef",
+				    .author = "bob@desk"};
 
 		delta.from[0] = (char)('a' + i);
 		delta.size = i;
 		head_add_delta(&head, &delta);
+		head_add_past(&head, &past);
 	}
 	return head;
 }
@@ -219,6 +224,8 @@
 		assert_true(head_parse(&parsed, str_from_gstring(text)));
 		assert_memory_equal(&head, &parsed, sizeof(head));
 		assert_int_equal(parsed.n_deltas, MIN(n, HEAD_DELTAS));
+		assert_int_equal(parsed.n_past, MIN(n, HEAD_PAST));
+		assert_int_equal(head_find_past(&parsed, n + 1) != NULL, n > 0);
 		for (size_t cut = 0; cut < text->len; cut++) {
 			str_t part = {text->str, cut};
 
