Add the show command

Cause: an operator needs to see whether a version is in effect everywhere. Change: `show` prints the head in the platform's table and, for each --vm, the version that the VM reports; exit code 4 says that one of them did not answer. Measured: test_apply covers its exit codes. Conclusion: no version is shown that was not read.

--- a/src/process/cmd.h
+++ b/src/process/cmd.h
@@ -15,6 +15,7 @@
 int cmd_apply(int argc, char **argv);
 int cmd_check(int argc, char **argv);
 int cmd_serve(int argc, char **argv);
+int cmd_show(int argc, char **argv);
 int cmd_status(int argc, char **argv);
 int cmd_timeline(int argc, char **argv);
 
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -14,6 +14,7 @@
 	{"apply", cmd_apply, "submit a desired state as the next version"},
 	{"check", cmd_check, "check a settings file or a desired state"},
 	{"serve", cmd_serve, "run the process of an entry VM"},
+	{"show", cmd_show, "show the version in effect"},
 	{"status", cmd_status, "show what a VM knows"},
 	{"timeline", cmd_timeline, "merge the logs of several processes"},
 };
--- a/tests/test_apply.c
+++ b/tests/test_apply.c
@@ -403,6 +403,27 @@
 	g_free(dir);
 }
 
+static int show(const char *deployment, const char *vm)
+{
+	char *args[] = {"show",		"--platform",	    address,
+			"--deployment", (char *)deployment, "--json",
+			"--vm",		(char *)vm,	    NULL};
+
+	return cmd_show(vm ? 8 : 6, args);
+}
+
+/* Guards against a version that is shown although it is not known. */
+static void test_show(void **unused)
+{
+	assert_int_equal(show("d", NULL), 0);
+	assert_int_equal(show("none", NULL), 0);
+	assert_int_equal(show("d", "127.0.0.1:1"), 4);
+	assert_int_equal(show("D!", NULL), 2);
+	http_fault(address, "{\"outage\":-1}");
+	assert_int_equal(show("d", NULL), 4);
+	http_fault(address, NO_FAULTS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -415,6 +436,7 @@
 		cmocka_unit_test(test_late_write_is_accepted),
 		cmocka_unit_test(test_accepted_and_replaced),
 		cmocka_unit_test(test_exit_codes),
+		cmocka_unit_test(test_show),
 	};
 
 	return cmocka_run_group_tests(tests, start, stop);
