Cancel what a dead entry VM left at the engines

Cause: nobody freed decode memory of requests whose entry VM had died or stood still. Change: a ledger owner cancels the attempts of a VM that the membership declares dead, also those whose grants have lapsed before. An owner tells its own grants to its successor, since nobody else would know them. A ledger that moved to another VM stays on standby until its grants are gone. Not covered: the VM and the ledger owner that knows of its grants lost within one renewal interval of 0.5 s.

--- a/src/process/fleet.c
+++ b/src/process/fleet.c
@@ -350,6 +350,13 @@
 	return member_owner(&fleet->members, zone, member_key(key));
 }
 
+/* Returns the member that would own a key next, or NULL. */
+const member_t *fleet_successor(const fleet_t *fleet, const char *zone,
+				str_t key)
+{
+	return member_successor(&fleet->members, zone, member_key(key));
+}
+
 /* Tells whether a member is the own process. */
 bool fleet_is_self(const fleet_t *fleet, const member_t *member)
 {
--- a/src/process/fleet.h
+++ b/src/process/fleet.h
@@ -39,6 +39,8 @@
 void fleet_set_listed(fleet_t *fleet, const member_info_t *vms, size_t n);
 void fleet_leave(fleet_t *fleet, member_state_t state);
 const member_t *fleet_owner(const fleet_t *fleet, const char *zone, str_t key);
+const member_t *fleet_successor(const fleet_t *fleet, const char *zone,
+				str_t key);
 bool fleet_is_self(const fleet_t *fleet, const member_t *member);
 const char *fleet_address_of(const fleet_t *fleet, const char *vm);
 
--- a/src/process/member.c
+++ b/src/process/member.c
@@ -410,10 +410,11 @@
 	return XXH3_64bits(name.data, name.len);
 }
 
+/* A NULL zone stands for all zones. */
 static bool may_own(const member_t *member, const char *zone)
 {
 	return member_is_live(member) && !member->leaving &&
-	       strcmp(member->info.zone, zone) == 0;
+	       (!zone || strcmp(member->info.zone, zone) == 0);
 }
 
 static uint64_t weight(const member_t *member, uint64_t key)
@@ -422,6 +423,36 @@
 				    key);
 }
 
+/* Tells whether a member comes before another one for a key. */
+static bool precedes(const member_t *member, const member_t *other,
+		     uint64_t key)
+{
+	uint64_t own = weight(member, key);
+	uint64_t others = weight(other, key);
+
+	if (own != others)
+		return own > others;
+	return strcmp(member->info.vm, other->info.vm) > 0;
+}
+
+static const member_t *best_member(const members_t *members, const char *zone,
+				   uint64_t key, const member_t *except)
+{
+	const member_t *self = &members->self;
+	const member_t *best = self != except && may_own(self, zone) ? self
+								     : NULL;
+
+	for (guint i = 0; i < members->list->len; i++) {
+		const member_t *member = g_ptr_array_index(members->list, i);
+
+		if (member == except || !may_own(member, zone))
+			continue;
+		if (!best || precedes(member, best, key))
+			best = member;
+	}
+	return best;
+}
+
 /*
  * Returns the live member of a zone that owns a key, by rendezvous hashing:
  * when a member leaves, only its keys move. A suspect keeps its keys until it
@@ -430,23 +461,19 @@
 const member_t *member_owner(const members_t *members, const char *zone,
 			     uint64_t key)
 {
-	const member_t *best = may_own(&members->self, zone) ? &members->self
-							     : NULL;
-	uint64_t best_weight = best ? weight(best, key) : 0;
+	return best_member(members, zone, key, NULL);
+}
 
-	for (guint i = 0; i < members->list->len; i++) {
-		const member_t *member = g_ptr_array_index(members->list, i);
-		uint64_t own;
+/*
+ * Returns the member that becomes the owner of a key if its present owner is
+ * removed; if the zone has no other live member, one of any zone, which knows
+ * at least what the owner told it. NULL if there is none.
+ */
+const member_t *member_successor(const members_t *members, const char *zone,
+				 uint64_t key)
+{
+	const member_t *owner = best_member(members, zone, key, NULL);
+	const member_t *next = best_member(members, zone, key, owner);
 
-		if (!may_own(member, zone))
-			continue;
-		own = weight(member, key);
-		if (!best || own > best_weight ||
-		    (own == best_weight &&
-		     strcmp(member->info.vm, best->info.vm) > 0)) {
-			best = member;
-			best_weight = own;
-		}
-	}
-	return best;
+	return next ? next : best_member(members, NULL, key, owner);
 }
--- a/src/process/member.h
+++ b/src/process/member.h
@@ -160,5 +160,7 @@
 uint64_t member_key(str_t name);
 const member_t *member_owner(const members_t *members, const char *zone,
 			     uint64_t key);
+const member_t *member_successor(const members_t *members, const char *zone,
+				 uint64_t key);
 
 #endif
--- a/src/process/owner.c
+++ b/src/process/owner.c
@@ -15,6 +15,9 @@
 /* Answer of a full ledger: memory is freed within some tens of tokens. */
 #define FULL_RETRY_MS 50
 
+/* Longer than the membership takes to find a VM dead. */
+#define LAPSED_KEPT_US (60 * CLOCK_US_PER_S)
+
 /* Requests that wait for memory of one engine at most. */
 #define MAX_WAITING 256
 
@@ -22,6 +25,7 @@
 	uint64_t key;
 	char *address;
 	ledger_t ledger;
+	bool standby; /* another VM owns the engine; see owner_renew() */
 	GQueue waiting; /* of waiter_t, first served first */
 } engine_ledger_t;
 
@@ -82,27 +86,44 @@
 	return entry->present && *entry->pool && !entry->prefill;
 }
 
-static engine_ledger_t *add_ledger(owner_t *owner, const backend_entry_t *entry)
+/* Unique also when an engine is lost and gained again. */
+static uint64_t next_incarnation(owner_t *owner)
 {
-	engine_ledger_t *engine = g_new0(engine_ledger_t, 1);
 	clock_source_t wall = clock_realtime();
-	int64_t now_us = clock_now(&owner->clock);
 
-	/* Unique also when an engine is lost and gained again. */
 	owner->last_incarnation =
 		MAX(owner->last_incarnation + 1, (uint64_t)clock_now(&wall));
+	return owner->last_incarnation;
+}
+
+static engine_ledger_t *add_ledger(owner_t *owner, const backend_entry_t *entry)
+{
+	engine_ledger_t *engine = g_new0(engine_ledger_t, 1);
+
 	engine->key = entry->key;
 	engine->address = g_strdup(entry->address);
-	ledger_init(&engine->ledger, entry->kv_total, owner->max_transfers,
-		    owner->last_incarnation, now_us + RECOVERY_US);
+	engine->standby = true;
+	ledger_init(&engine->ledger, entry->kv_total, owner->max_transfers, 0,
+		    0);
 	g_hash_table_insert(owner->engines, &engine->key, engine);
-	log_event(LOG_INFO, "ledger_gained", LOG_CSTR("engine", entry->name),
-		  LOG_UINT("incarnation", engine->ledger.incarnation));
 	return engine;
 }
 
-/* Returns the ledger of an engine that this VM owns, or NULL. */
-static engine_ledger_t *find_ledger(owner_t *owner, uint64_t key)
+static void become_owner(owner_t *owner, engine_ledger_t *engine)
+{
+	engine->standby = false;
+	engine->ledger.incarnation = next_incarnation(owner);
+	engine->ledger.recovery_until_us =
+		clock_now(&owner->clock) + RECOVERY_US;
+	log_event(LOG_INFO, "ledger_gained",
+		  LOG_CSTR("engine", engine->address),
+		  LOG_UINT("incarnation", engine->ledger.incarnation));
+}
+
+/* Returns the ledger of an engine, owned or on standby; NULL if the engine is
+ * not known.
+ */
+static engine_ledger_t *get_ledger(owner_t *owner, uint64_t key)
 {
 	engine_ledger_t *engine = g_hash_table_lookup(owner->engines, &key);
 	backend_entry_t *entry;
@@ -110,9 +131,20 @@
 	if (engine)
 		return engine;
 	entry = find_backend(owner, key);
-	if (!entry || !has_ledger(entry) || !owner_is_self(owner, entry))
+	if (!entry || !has_ledger(entry))
 		return NULL;
-	return add_ledger(owner, entry);
+	engine = add_ledger(owner, entry);
+	if (owner_is_self(owner, entry))
+		become_owner(owner, engine);
+	return engine;
+}
+
+/* Returns the ledger of an engine that this VM owns, or NULL. */
+static engine_ledger_t *find_ledger(owner_t *owner, uint64_t key)
+{
+	engine_ledger_t *engine = g_hash_table_lookup(owner->engines, &key);
+
+	return engine && !engine->standby ? engine : NULL;
 }
 
 static peer_reserve_result result_of(const engine_ledger_t *engine,
@@ -139,38 +171,48 @@
 	waiter_free(waiter);
 }
 
-static gboolean is_lost(gpointer key, gpointer value, gpointer data)
+/* Another VM owns the engine now; what is known here stays on standby. */
+static void stand_by(engine_ledger_t *engine)
 {
-	engine_ledger_t *engine = value;
-	const owner_t *owner = data;
-	const backend_entry_t *entry = find_backend(owner, engine->key);
-	bool lost = !entry || !has_ledger(entry) ||
-		    !owner_is_self(owner, entry);
-
-	if (!lost)
-		return FALSE;
+	engine->standby = true;
 	log_event(LOG_INFO, "ledger_lost", LOG_CSTR("engine", engine->address));
 	while (engine->waiting.head)
 		answer_waiter(engine, engine->waiting.head, PEER_NOT_OWNER);
-	return TRUE;
+}
+
+static gboolean is_unused(gpointer key, gpointer value, gpointer data)
+{
+	engine_ledger_t *engine = value;
+	const backend_entry_t *entry = find_backend(data, engine->key);
+
+	return engine->standby &&
+	       (!entry || !has_ledger(entry) ||
+		g_hash_table_size(engine->ledger.grants) == 0);
 }
 
 /*
- * Adds and drops ledgers after a change of the members or of the state.
- * Ledgers of engines gained are set up at once, so that their recovery is
- * over when the first request asks.
+ * Takes over and hands over ledgers after a change of the members or of the
+ * state. Ledgers of engines gained are set up at once, so that their recovery
+ * is over when the first request asks.
  */
 void owner_update(owner_t *owner)
 {
 	GPtrArray *entries = owner->backends->entries;
 
-	g_hash_table_foreach_remove(owner->engines, is_lost, owner);
 	for (guint i = 0; i < entries->len; i++) {
 		backend_entry_t *entry = g_ptr_array_index(entries, i);
-
-		if (has_ledger(entry))
-			find_ledger(owner, entry->key);
+		engine_ledger_t *engine =
+			g_hash_table_lookup(owner->engines, &entry->key);
+		bool own = has_ledger(entry) && owner_is_self(owner, entry);
+
+		if (own && !engine)
+			engine = add_ledger(owner, entry);
+		if (own && engine->standby)
+			become_owner(owner, engine);
+		else if (!own && engine && !engine->standby)
+			stand_by(engine);
 	}
+	g_hash_table_foreach_remove(owner->engines, is_unused, owner);
 }
 
 static void serve_waiting(owner_t *owner, engine_ledger_t *engine);
@@ -186,19 +228,85 @@
 	engine_ledger_t *engine;
 } orphan_context_t;
 
-static void cancel_orphan(const ledger_grant_t *grant, void *context)
+/* A grant that lapsed although its VM was not known to be dead. */
+typedef struct {
+	char *engine;
+	char *vm;
+	uint64_t incarnation;
+	ledger_key_t key;
+	int64_t until_us;
+} lapsed_t;
+
+static void lapsed_clear(gpointer data)
+{
+	lapsed_t *lapsed = data;
+
+	g_free(lapsed->engine);
+	g_free(lapsed->vm);
+}
+
+static void cancel_attempt(owner_t *owner, const char *engine, str_t vm,
+			   const ledger_key_t *key)
 {
-	orphan_context_t *orphan = context;
 	char request[33];
 
-	to_hex(grant->key.request, request);
+	to_hex(key->request, request);
 	log_event(LOG_INFO, "orphan_cancelled", LOG_CSTR("request", request),
-		  LOG_UINT("attempt", grant->key.attempt),
-		  LOG_CSTR("engine", orphan->engine->address),
-		  LOG_STR("dead_vm", grant->vm.name));
-	canceller_add(orphan->owner->canceller,
-		      str_from(orphan->engine->address), str_from(request),
-		      grant->key.attempt);
+		  LOG_UINT("attempt", key->attempt), LOG_CSTR("engine", engine),
+		  LOG_STR("dead_vm", vm));
+	canceller_add(owner->canceller, str_from(engine), str_from(request),
+		      key->attempt);
+}
+
+static void cancel_orphan(const ledger_grant_t *grant, void *context)
+{
+	orphan_context_t *orphan = context;
+
+	cancel_attempt(orphan->owner, orphan->engine->address, grant->vm.name,
+		       &grant->key);
+}
+
+/*
+ * A router that did not renew may be dead, or only cut off from this VM while
+ * its requests still run. Its attempts are cancelled once the membership says
+ * that it is dead.
+ */
+static void keep_lapsed(const ledger_grant_t *grant, void *context)
+{
+	orphan_context_t *orphan = context;
+	owner_t *owner = orphan->owner;
+	lapsed_t lapsed = {
+		.engine = g_strdup(orphan->engine->address),
+		.vm = str_dup(grant->vm.name),
+		.incarnation = grant->vm.incarnation,
+		.key = grant->key,
+		.until_us = clock_now(&owner->clock) + LAPSED_KEPT_US,
+	};
+
+	g_array_append_val(owner->lapsed, lapsed);
+}
+
+static void cancel_lapsed(owner_t *owner, ledger_vm_t dead)
+{
+	for (guint i = owner->lapsed->len; i-- > 0;) {
+		lapsed_t *lapsed = &g_array_index(owner->lapsed, lapsed_t, i);
+
+		if (!str_equal(str_from(lapsed->vm), dead.name) ||
+		    lapsed->incarnation > dead.incarnation)
+			continue;
+		cancel_attempt(owner, lapsed->engine, dead.name, &lapsed->key);
+		g_array_remove_index_fast(owner->lapsed, i);
+	}
+}
+
+static void drop_lapsed(owner_t *owner)
+{
+	int64_t now_us = clock_now(&owner->clock);
+
+	for (guint i = owner->lapsed->len; i-- > 0;)
+		if (now_us >=
+		    g_array_index(owner->lapsed, lapsed_t, i).until_us)
+			g_array_remove_index_fast(owner->lapsed, i);
 }
 
 /*
@@ -220,6 +328,7 @@
 			       clock_now(&owner->clock), cancel_orphan,
 			       &context);
 	}
+	cancel_lapsed(owner, dead);
 }
 
 /* Frees the grant of a dead VM once the engine holds nothing for it. */
@@ -406,21 +515,26 @@
 	return result;
 }
 
-/* Answers PEER_RENEW. */
+/*
+ * Answers PEER_RENEW. A VM that does not own the engine records the grants on
+ * standby: the owner of an engine sends its own grants to its successor, so
+ * that they are cancelled if it dies.
+ */
 void owner_renew(owner_t *owner, ledger_vm_t from, const peer_renew *call,
 		 peer_renew_result *result)
 {
-	engine_ledger_t *engine = find_ledger(owner, call->engine);
+	engine_ledger_t *engine = get_ledger(owner, call->engine);
 
 	memset(result, 0, sizeof(*result));
-	if (!engine) {
-		result->code = PEER_NOT_OWNER;
+	result->code = PEER_NOT_OWNER;
+	if (!engine)
 		return;
-	}
 	for (u_int i = 0; i < call->holds.holds_len; i++)
 		if (renew_one(owner, &engine->ledger, from,
 			      &call->holds.holds_val[i]) != LEDGER_OK)
 			result->refused |= 1U << i;
+	if (engine->standby)
+		return;
 	result->code = PEER_GRANTED;
 	result->owner = engine->ledger.incarnation;
 	result->valid_ms = OWNER_GRANT_MS;
@@ -431,7 +545,7 @@
 void owner_release(owner_t *owner, ledger_vm_t from, const peer_release *call,
 		   peer_release_result *result)
 {
-	engine_ledger_t *engine = find_ledger(owner, call->engine);
+	engine_ledger_t *engine = get_ledger(owner, call->engine);
 
 	memset(result, 0, sizeof(*result));
 	if (!engine) {
@@ -447,7 +561,7 @@
 		ledger_release(&engine->ledger, &held.key, from);
 	}
 	serve_waiting(owner, engine);
-	result->code = PEER_GRANTED;
+	result->code = engine->standby ? PEER_NOT_OWNER : PEER_GRANTED;
 	result->free_tokens = (u_int)ledger_free(&engine->ledger);
 }
 
@@ -526,12 +640,14 @@
 
 	g_hash_table_iter_init(&iter, owner->engines);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		engine_ledger_t *engine = value;
+		orphan_context_t context = {owner, value};
 
-		ledger_expire(&engine->ledger, clock_now(&owner->clock), NULL,
-			      NULL);
-		serve_waiting(owner, engine);
+		ledger_expire(&context.engine->ledger, clock_now(&owner->clock),
+			      keep_lapsed, &context);
+		serve_waiting(owner, context.engine);
 	}
+	g_hash_table_foreach_remove(owner->engines, is_unused, owner);
+	drop_lapsed(owner);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -549,6 +665,8 @@
 	owner->routers = routers;
 	owner->engines = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, engine_free);
+	owner->lapsed = g_array_new(FALSE, FALSE, sizeof(lapsed_t));
+	g_array_set_clear_func(owner->lapsed, lapsed_clear);
 	owner->timer = g_timeout_add(EXPIRE_INTERVAL_MS, on_expire, owner);
 	rpc_handle(rpc, PEER_RESERVE, on_reserve, owner);
 	rpc_handle(rpc, PEER_RENEW, on_renew, owner);
@@ -562,5 +680,6 @@
 	rpc_handle(owner->rpc, PEER_RENEW, NULL, NULL);
 	rpc_handle(owner->rpc, PEER_RELEASE, NULL, NULL);
 	g_source_remove(owner->timer);
+	g_array_unref(owner->lapsed);
 	g_hash_table_unref(owner->engines);
 }
--- a/src/process/owner.h
+++ b/src/process/owner.h
@@ -28,6 +28,7 @@
 	int64_t max_transfers; /* at once to one engine; 0: no limit */
 	uint64_t last_incarnation; /* of a ledger */
 	GHashTable *engines; /* member_key() of the address to the ledger */
+	GArray *lapsed; /* grants that were not renewed in time */
 	guint timer;
 } owner_t;
 
--- a/src/process/reserve.c
+++ b/src/process/reserve.c
@@ -429,6 +429,26 @@
 	reserve_engine_t *engine;
 } renewal_t;
 
+static void on_standby_reply(void *context, verdict_t verdict, str_t body,
+			     const wire_sender_t *from)
+{
+}
+
+/* Nobody else would know of the grants that this VM gives to itself; the
+ * owner's successor cancels them if this VM dies.
+ */
+static void tell_successor(reserve_t *reserve, const reserve_engine_t *engine,
+			   str_t body)
+{
+	const member_t *member = fleet_successor(reserve->fleet, engine->zone,
+						 str_from(engine->address));
+
+	if (member)
+		rpc_send(reserve->rpc, member->info.address, PEER_RENEW, body,
+			 clock_now(&reserve->clock) + CALL_TIMEOUT_US,
+			 on_standby_reply, NULL);
+}
+
 static void send_renewal(renewal_t *renewal)
 {
 	reserve_t *reserve = renewal->reserve;
@@ -443,14 +463,13 @@
 	wire_buffer_t body;
 
 	renewal->n = 0;
-	if (!member)
+	if (!member || !rpc_encode(peer_renew, &call, &body))
 		return;
 	if (fleet_is_self(reserve->fleet, member)) {
 		owner_renew(reserve->owner, reserve->self, &call, &result);
+		tell_successor(reserve, engine, rpc_body(&body));
 		return;
 	}
-	if (!rpc_encode(peer_renew, &call, &body))
-		return;
 	if (engine->renewing)
 		rpc_cancel(reserve->rpc, engine->renewing);
 	engine->renewing = rpc_send(
