--- a/src/process/route.h
+++ b/src/process/route.h
@@ -59,7 +59,8 @@
 	int64_t free_tokens; /* as last told by the ledger owner or a report */
 	int64_t learned_us; /* when the ledger owner told it */
 	int64_t own_before; /* own_requests when the last report came */
-	int64_t others; /* requests of other routers, from the reports */
+	double others; /* requests of other routers, from the reports */
+	uint64_t used; /* number of the last own request */
 	size_t at; /* position in the pool's array */
 	double key; /* order in the index, least first */
 	GSequenceIter *in_index; /* NULL while it gets no new work */
@@ -82,7 +83,11 @@
 	prefix_t *prefix; /* borrowed; NULL: no hints */
 	estimate_engine_t typical; /* over all engines of the pool */
 	size_t next; /* round robin */
+	double others; /* sum over the engines */
+	uint64_t used; /* number of the last own request */
 	double mean_tokens; /* of own requests */
+	double excess_us; /* mean of actual minus expected prefill times */
+	double excess_deviation_us; /* mean deviation from that */
 	int64_t now_us; /* last time passed in */
 } route_t;
 
@@ -118,7 +123,7 @@
 		      int64_t free_tokens, int64_t now_us);
 bool route_is_near(const route_t *route, const route_engine_t *engine);
 bool route_is_available(const route_engine_t *engine);
-int64_t route_requests(const route_engine_t *engine);
+double route_requests(const route_t *route, const route_engine_t *engine);
 int64_t route_backlog_us(const route_t *route, const route_engine_t *engine);
 int64_t route_spare(const route_t *route, const route_engine_t *engine);
 void route_set_credit(route_t *route, route_engine_t *engine, int64_t tokens);
@@ -127,12 +132,18 @@
 				   int64_t now_us);
 route_engine_t *route_pick_decode(route_t *route, const route_decode_t *want,
 				  int64_t now_us);
+route_engine_t *route_pick_waiting(route_t *route, const route_decode_t *want);
 int64_t route_prefill_us(const route_t *route, const route_engine_t *engine,
 			 int64_t tokens, int64_t now_us);
 void route_begin(route_t *route, route_engine_t *engine, int64_t tokens);
 void route_end(route_t *route, route_engine_t *engine, int64_t tokens);
 void route_prefilled(route_t *route, route_engine_t *engine, int64_t tokens,
-		     int64_t elapsed_us, int64_t now_us);
+		     int64_t expected_us, int64_t elapsed_us, int64_t now_us);
+int64_t route_expected_us(const route_t *route, const route_engine_t *engine,
+			  int64_t tokens, int64_t now_us);
+int64_t route_margin_us(const route_t *route);
+int64_t route_latest_start_us(const route_t *route, int64_t tokens,
+			      int64_t finish_by_us);
 void route_decoded(route_t *route, route_engine_t *engine, int64_t tokens,
 		   int64_t elapsed_us, int64_t now_us);
 bool route_transfer_begin(route_t *route, route_engine_t *engine);
--- a/src/request/lifecycle.h
+++ b/src/request/lifecycle.h
@@ -131,6 +131,7 @@
 
 	uint32_t prefill_attempt; /* whose result is retained, or 0 */
 	int64_t kept_until_us;
+	unsigned imports_failed; /* of that result */
 	unsigned prefills_repeated;
 	unsigned prefills_refused;
 	lifecycle_engine_t prefill_engine; /* latest that was sent to, or 0 */
@@ -148,6 +149,7 @@
 void lifecycle_init(lifecycle_t *request, const lifecycle_config_t *config);
 void lifecycle_step(lifecycle_t *request, const lifecycle_event_t *event,
 		    lifecycle_action_t *actions, size_t *n_actions);
+int64_t lifecycle_retry_limit_us(const lifecycle_t *request);
 const char *lifecycle_state_text(lifecycle_state_t state);
 
 #endif
