Serve short bursts of idle customers before another customer's surge

Two causes: twice the expected wait was held against a request, which the learned margin of prefills has made unnecessary, and an idle customer got no credit for its unused share. Fixed shares are not adopted.

--- a/src/process/queue.c
+++ b/src/process/queue.c
@@ -13,11 +13,11 @@
 /* With fewer slots measured nobody is refused on the estimated wait. */
 #define SLOTS_NEEDED 5
 
-/* A request is queued only if it could bear this many times the expected wait,
- * as the drain rate is averaged over few starts. A shorter queue costs nothing
- * as long as it is not empty.
+/* A customer that has been idle is served before others for what it would have
+ * had in this time. Bursts of customers below their shares then wait less for
+ * another customer's surge.
  */
-#define WAIT_SAFETY 2
+#define IDLE_CREDIT_S 0.5
 
 /* Bounds of the time after which a refused caller may come back. */
 #define RETRY_MIN_US (100 * CLOCK_US_PER_MS)
@@ -164,19 +164,29 @@
 	queue->busy_us = 0;
 }
 
-/* Idle flows matter only while their tag is ahead of the virtual time. */
+/* The earliest start tag of a customer that becomes active. */
+static double earliest_tag(const queue_t *queue, const queue_class_t *class)
+{
+	double weights = fmax(class->weights, 1);
+
+	return class->virtual_time -
+	       queue_rate(queue) * IDLE_CREDIT_S / weights;
+}
+
+/* Idle flows matter only while their tag is later than a new one's. */
 static gboolean flow_is_spent(void *key, void *value, void *context)
 {
 	const flow_t *flow = value;
 
-	return flow->n_entries == 0 && flow->tag <= flow->class->virtual_time;
+	return flow->n_entries == 0 &&
+	       flow->tag <= earliest_tag(context, flow->class);
 }
 
-static void sweep(queue_class_t *class)
+static void sweep(queue_t *queue, queue_class_t *class)
 {
 	if (g_hash_table_size(class->flows) < class->sweep_at)
 		return;
-	g_hash_table_foreach_remove(class->flows, flow_is_spent, NULL);
+	g_hash_table_foreach_remove(class->flows, flow_is_spent, queue);
 	class->sweep_at =
 		MAX(SWEEP_MIN, 2 * (size_t)g_hash_table_size(class->flows));
 }
@@ -212,12 +222,12 @@
 
 	if (flow)
 		return flow;
-	sweep(class);
+	sweep(queue, class);
 	flow = g_new0(flow_t, 1);
 	flow->customer = str_dup(customer);
 	flow->class = class;
 	flow->number = queue->next_number++;
-	flow->tag = class->virtual_time;
+	flow->tag = earliest_tag(queue, class);
 	g_hash_table_insert(class->flows, flow->customer, flow);
 	return flow;
 }
@@ -236,7 +246,7 @@
 /* When the last flow of a class has gone idle, nobody waits who could be
  * treated unfairly, and all tags may be forgotten.
  */
-static void flow_deactivate(flow_t *flow)
+static void flow_deactivate(queue_t *queue, flow_t *flow)
 {
 	queue_class_t *class = flow->class;
 
@@ -249,7 +259,7 @@
 		return;
 	class->weights = 0;
 	class->virtual_time = class->last_tag;
-	sweep(class);
+	sweep(queue, class);
 }
 
 static void flow_reorder(flow_t *flow)
@@ -287,7 +297,7 @@
 	queue->n_entries--;
 	g_free(entry);
 	if (flow->n_entries == 0)
-		flow_deactivate(flow);
+		flow_deactivate(queue, flow);
 	else
 		flow_reorder(flow);
 	return context;
@@ -328,19 +338,20 @@
 	double weight = request->weight > 0 ? request->weight : 1;
 	double weights = class->weights;
 	double own = (double)request->cost_tokens;
-	double lead = 0;
+	double tag = earliest_tag(queue, class);
 	double above = 0;
+	double lead;
 
 	for (const queue_class_t *c = queue->classes; c < class; c++)
 		above += (double)c->cost_tokens;
 	for (unsigned i = 0; flow && i <= level_of(request->worth); i++)
 		own += (double)flow->levels[i].cost_tokens;
 	if (flow)
-		lead = fmax(0, flow->tag - class->virtual_time);
+		tag = fmax(tag, flow->tag);
 	if (!flow || flow->n_entries == 0)
 		weights += weight;
-	return above + fmin((double)class->cost_tokens,
-			    (lead + own / weight) * weights);
+	lead = fmax(tag - class->virtual_time + own / weight, 0);
+	return above + fmin((double)class->cost_tokens, lead * weights);
 }
 
 /* Returns the expected time in microseconds until the request would be popped
@@ -367,7 +378,7 @@
 			int64_t now_us)
 {
 	int64_t slack = MAX(request->start_by_us - now_us, 0);
-	int64_t wait = queue_wait_us(queue, request) - slack / WAIT_SAFETY;
+	int64_t wait = queue_wait_us(queue, request) - slack;
 
 	return now_us + CLAMP(wait, RETRY_MIN_US, RETRY_MAX_US);
 }
@@ -435,7 +446,7 @@
 		flow->tag -= (double)entry->cost_tokens / flow->weight;
 		queue->slot_tokens -= entry->cost_tokens;
 	} else if (flow->n_entries == 1) {
-		flow->tag = fmax(flow->tag, class->virtual_time);
+		flow->tag = fmax(flow->tag, earliest_tag(queue, class));
 	}
 	if (flow->n_entries == 1)
 		flow_activate(flow);
@@ -459,7 +470,7 @@
 
 	advance_rate(queue, now_us);
 	wait = request->returning ? 0 : queue_wait_us(queue, request);
-	if (now_us + WAIT_SAFETY * wait > request->start_by_us) {
+	if (now_us + wait > request->start_by_us) {
 		outcome.retry_at_us = retry_at(queue, request, now_us);
 		return outcome;
 	}
