--- a/tests/support_deployment.c
+++ b/tests/support_deployment.c
@@ -19,6 +19,14 @@
 	abort();
 }
 
+/* Path of the record file of a backend, freed with g_free(). */
+char *deployment_record_path(const deployment_t *deployment, const char *role,
+			     unsigned index)
+{
+	return g_strdup_printf("%s/%s-%u.record", deployment->dir, role,
+			       index + 1);
+}
+
 /* A loopback IP number of this test process alone, so that tests that run side
  * by side cannot take each other's ports.
  */
@@ -52,13 +60,18 @@
 	return g_strdup_printf("%s:%d", ip, ntohs(address.sin_port));
 }
 
-static char *start_engine(const deployment_config_t *config, process_t *process,
-			  const char *role)
+/* Starts an engine at IP:port and returns its address. Its record file outlives
+ * a crash.
+ */
+static char *start_engine(const deployment_t *deployment, process_t *process,
+			  const char *role, unsigned index, const char *listen)
 {
+	const deployment_config_t *config = &deployment->config;
 	GPtrArray *args = g_ptr_array_new();
 	char *kv = g_strdup_printf("%" G_GINT64_FORMAT, config->kv_tokens);
-	const char *fixed[] = {"--listen", "127.0.0.1:0", "--role",
-			       role,	   "--kv-tokens", kv};
+	char *record = deployment_record_path(deployment, role, index);
+	const char *fixed[] = {"--listen",    listen, "--role",	       role,
+			       "--kv-tokens", kv,     "--record-file", record};
 	char *address;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(fixed); i++)
@@ -70,21 +83,61 @@
 					  (const char *const *)args->pdata);
 	g_ptr_array_unref(args);
 	g_free(kv);
+	g_free(record);
 	if (!address)
 		give_up("fake_engine did not start");
 	return address;
 }
 
-static char *start_fake(process_t *process, const char *program)
+static char *start_service(const deployment_t *deployment, process_t *process,
+			   unsigned index, const char *listen)
+{
+	char *record = deployment_record_path(deployment, "listing", index);
+	const char *const args[] = {"--listen", listen, "--record-file", record,
+				    NULL};
+	char *address = process_start_listening(process, "fake_service", args);
+
+	g_free(record);
+	if (!address)
+		give_up("fake_service did not start");
+	return address;
+}
+
+static char *start_platform(process_t *process)
 {
 	static const char *const args[] = {"--listen", "127.0.0.1:0", NULL};
-	char *address = process_start_listening(process, program, args);
+	char *address = process_start_listening(process, "fake_platform", args);
 
 	if (!address)
-		give_up("a fake did not start");
+		give_up("fake_platform did not start");
 	return address;
 }
 
+/* Starts an engine or a service again at its address after it has ended. */
+void deployment_restart_backend(deployment_t *deployment,
+				deployment_role_t role, unsigned index)
+{
+	char *address;
+
+	if (role == DEPLOYMENT_PREFILL) {
+		process_finish(&deployment->prefill[index]);
+		address = start_engine(deployment, &deployment->prefill[index],
+				       "prefill", index,
+				       deployment->prefill_address[index]);
+	} else if (role == DEPLOYMENT_DECODE) {
+		process_finish(&deployment->decode[index]);
+		address = start_engine(deployment, &deployment->decode[index],
+				       "decode", index,
+				       deployment->decode_address[index]);
+	} else {
+		process_finish(&deployment->service[index]);
+		address = start_service(deployment, &deployment->service[index],
+					index,
+					deployment->service_address[index]);
+	}
+	g_free(address);
+}
+
 static unsigned zone_of(const deployment_config_t *config, unsigned index)
 {
 	return index % config->zones + 1;
@@ -264,19 +317,71 @@
 static void start_fakes(deployment_t *deployment)
 {
 	const deployment_config_t *config = &deployment->config;
-
+	struct in_addr ip = {.s_addr = htonl(own_ip())};
+	char text[INET_ADDRSTRLEN];
+	char *any;
+
+	/* Outgoing connections have the address 127.0.0.1, so that a backend
+	 * that is restarted finds its port free.
+	 */
+	inet_ntop(AF_INET, &ip, text, sizeof(text));
+	any = g_strdup_printf("%s:0", text);
 	for (unsigned i = 0; i < config->prefills; i++)
 		deployment->prefill_address[i] = start_engine(
-			config, &deployment->prefill[i], "prefill");
+			deployment, &deployment->prefill[i], "prefill", i, any);
 	for (unsigned i = 0; i < config->decodes; i++)
-		deployment->decode_address[i] =
-			start_engine(config, &deployment->decode[i], "decode");
+		deployment->decode_address[i] = start_engine(
+			deployment, &deployment->decode[i], "decode", i, any);
 	for (unsigned i = 0; i < config->services; i++)
-		deployment->service_address[i] =
-			start_fake(&deployment->service[i], "fake_service");
+		deployment->service_address[i] = start_service(
+			deployment, &deployment->service[i], i, any);
 	if (config->platform)
 		deployment->platform_address =
-			start_fake(&deployment->platform, "fake_platform");
+			start_platform(&deployment->platform);
+	g_free(any);
+}
+
+static bool is_chosen(const deployment_t *deployment, unsigned n,
+		      const char *address)
+{
+	for (unsigned i = 0; i < n; i++)
+		if (!strcmp(deployment->callers_address[i], address) ||
+		    !strcmp(deployment->operators_address[i], address) ||
+		    !strcmp(deployment->rpc_address[i], address))
+			return true;
+	return false;
+}
+
+/* A free address that none of the first n routers has. A port that was closed
+ * a moment ago may be handed out again.
+ */
+static char *choose_address(const deployment_t *deployment, unsigned n,
+			    int type)
+{
+	char *address = free_address(type);
+
+	while (is_chosen(deployment, n, address)) {
+		g_free(address);
+		address = free_address(type);
+	}
+	return address;
+}
+
+static void choose_addresses(deployment_t *deployment)
+{
+	for (unsigned i = 0; i < deployment->config.routers; i++) {
+		char *callers = choose_address(deployment, i, SOCK_STREAM);
+		char *operators = choose_address(deployment, i, SOCK_STREAM);
+
+		while (!strcmp(callers, operators)) {
+			g_free(operators);
+			operators = choose_address(deployment, i, SOCK_STREAM);
+		}
+		deployment->callers_address[i] = callers;
+		deployment->operators_address[i] = operators;
+		deployment->rpc_address[i] =
+			choose_address(deployment, i, SOCK_DGRAM);
+	}
 }
 
 /* Starts everything; a failure ends the test program with a message. */
@@ -304,11 +409,7 @@
 	text = make_state(deployment);
 	write_file(deployment->state_path, text);
 	g_free(text);
-	for (unsigned i = 0; i < deployment->config.routers; i++) {
-		deployment->callers_address[i] = free_address(SOCK_STREAM);
-		deployment->operators_address[i] = free_address(SOCK_STREAM);
-		deployment->rpc_address[i] = free_address(SOCK_DGRAM);
-	}
+	choose_addresses(deployment);
 	for (unsigned i = 0; i < deployment->config.routers; i++) {
 		write_settings(deployment, i);
 		deployment_start_router(deployment, i);
--- a/tests/support_deployment.h
+++ b/tests/support_deployment.h
@@ -45,11 +45,21 @@
 	char *state_path;
 } deployment_t;
 
+typedef enum {
+	DEPLOYMENT_PREFILL,
+	DEPLOYMENT_DECODE,
+	DEPLOYMENT_SERVICE,
+} deployment_role_t;
+
 void deployment_start(deployment_t *deployment,
 		      const deployment_config_t *config);
 void deployment_finish(deployment_t *deployment);
 void deployment_start_router(deployment_t *deployment, unsigned index);
 void deployment_stop_router(deployment_t *deployment, unsigned index);
+void deployment_restart_backend(deployment_t *deployment,
+				deployment_role_t role, unsigned index);
+char *deployment_record_path(const deployment_t *deployment, const char *role,
+			     unsigned index);
 char *deployment_log(const deployment_t *deployment, unsigned index);
 char *deployment_log_path(const deployment_t *deployment, unsigned index);
 
