Cancel what the first process of a restarted VM left

Change: a newer incarnation at the same address puts the old one to dead first. At another address the old process may still be ending gracefully, so that case is left as it was.

--- a/src/process/member.c
+++ b/src/process/member.c
@@ -185,6 +185,19 @@
 	member_put_state(members, member, info->state, now_us);
 }
 
+/*
+ * A newer incarnation at the same address means that the process of the old
+ * one has ended, even if it was restarted before anybody missed it. At another
+ * address the old one may still be ending gracefully.
+ */
+static bool ends_older_process(const member_t *member,
+			       const member_info_t *info)
+{
+	return member_is_live(member) &&
+	       info->incarnation > member->info.incarnation &&
+	       strcmp(info->address, member->info.address) == 0;
+}
+
 static void update_member(members_t *members, member_t *member,
 			  const member_info_t *info, int64_t now_us)
 {
@@ -192,6 +205,8 @@
 
 	if (age < 0 || (age == 0 && info->state <= member->info.state))
 		return;
+	if (ends_older_process(member, info))
+		member_put_state(members, member, MEMBER_DEAD, now_us);
 	if (info->incarnation > member->info.incarnation) {
 		member->leaving = false;
 		copy_text(member->info.zone, info->zone,
--- a/tests/test_orphans.c
+++ b/tests/test_orphans.c
@@ -155,12 +155,21 @@
 	assert_true(time_to_free_early_us(false) < ORPHAN_BOUND_US);
 }
 
+/* Guards against an entry VM that is restarted before the others have found it
+ * dead, so that nobody cancels what its first process left.
+ */
+static void test_killed_and_restarted(void **state)
+{
+	assert_true(time_to_free_early_us(true) < ORPHAN_BOUND_US);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_killed),
 		cmocka_unit_test(test_frozen),
 		cmocka_unit_test(test_killed_before_renewal),
+		cmocka_unit_test(test_killed_and_restarted),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
