--- a/tests/support_deployment.c
+++ b/tests/support_deployment.c
@@ -259,13 +259,13 @@
 		"callers_address = \"%s\"\noperators_address = \"%s\"\n"
 		"rpc_address = \"%s\"\noperator_token_sha256 = \"%s\"\n"
 		"log_file = \"%s\"\nlog_level = \"debug\"\n"
-		"drain_notice_ms = 100\n"
+		"drain_notice_ms = %" G_GINT64_FORMAT "\n"
 		"shutdown_limit_ms = %" G_GINT64_FORMAT "\n",
 		index + 1, zone_of(config, index),
 		deployment->callers_address[index],
 		deployment->operators_address[index],
 		deployment->rpc_address[index], hash, log,
-		config->shutdown_limit_ms);
+		config->drain_notice_ms, config->shutdown_limit_ms);
 	if (config->platform)
 		g_string_append_printf(text, "platform_address = \"%s\"\n",
 				       deployment->platform_address);
@@ -400,6 +400,8 @@
 		deployment->config.first_token_ms = 5000;
 	if (!deployment->config.shutdown_limit_ms)
 		deployment->config.shutdown_limit_ms = 5000;
+	if (!deployment->config.drain_notice_ms)
+		deployment->config.drain_notice_ms = 100;
 	deployment->dir = g_dir_make_tmp("gooseberryspur-XXXXXX", NULL);
 	if (!deployment->dir)
 		give_up("no temporary directory");
--- a/tests/support_deployment.h
+++ b/tests/support_deployment.h
@@ -25,6 +25,7 @@
 	int64_t kv_tokens; /* of each engine; 0: 60000 */
 	int64_t first_token_ms; /* target; 0: 5000 */
 	int64_t shutdown_limit_ms; /* 0: 5000 */
+	int64_t drain_notice_ms; /* 0: 100 */
 } deployment_config_t;
 
 typedef struct {
--- a/tests/support_load.c
+++ b/tests/support_load.c
@@ -96,6 +96,24 @@
 	return value;
 }
 
+/* Number of callers that got no whole answer and no verdict either. */
+unsigned load_run_unexplained(const load_run_t *run)
+{
+	char *text = NULL;
+	char **lines;
+	unsigned n = 0;
+
+	if (!g_file_get_contents(run->results, &text, NULL, NULL))
+		give_up("the results cannot be read");
+	lines = g_strsplit(text, "\n", -1);
+	for (size_t i = 0; lines[i]; i++)
+		n += strstr(lines[i], "\"outcome\":\"failed\"") &&
+		     strstr(lines[i], "\"verdict\":\"\"");
+	g_strfreev(lines);
+	g_free(text);
+	return n;
+}
+
 static void add_file(audit_t *audit, const char *path,
 		     bool (*add)(audit_t *, const char *))
 {
--- a/tests/support_load.h
+++ b/tests/support_load.h
@@ -29,6 +29,7 @@
 		    const load_run_config_t *config);
 void load_run_join(load_run_t *run);
 int64_t load_run_count(const load_run_t *run, const char *key);
+unsigned load_run_unexplained(const load_run_t *run);
 bool load_run_audit(const load_run_t *run, int64_t release_bound_us,
 		    audit_counts_t *counts);
 void load_run_finish(load_run_t *run);
