--- a/src/process/fields.c
+++ b/src/process/fields.c
@@ -402,9 +402,9 @@
 }
 
 static void read_field(const fields_reader_t *reader, const toml_node_t *table,
-		       const char *path, const field_t *field, void *target)
+		       const char *path, const field_t *field,
+		       const toml_node_t *value, void *target)
 {
-	const toml_node_t *value = toml_get(table, field->key);
 	char *expected;
 
 	if (value && value_is_valid(field, value)) {
@@ -428,13 +428,28 @@
 	g_free(expected);
 }
 
-static bool is_known(str_t key, const field_t *fields, size_t n_fields)
+/* Index of the field with this key, or n_fields. */
+static size_t find_field(str_t key, const field_t *fields, size_t n_fields)
 {
 	for (size_t i = 0; i < n_fields; i++) {
-		if (str_equal(str_from(fields[i].key), key))
-			return true;
+		/* The key of a field is NUL-terminated, the other one not. */
+		if (key.len && !strncmp(fields[i].key, key.data, key.len) &&
+		    fields[i].key[key.len] == '\0')
+			return i;
 	}
-	return false;
+	return n_fields;
+}
+
+static void add_unknown(const fields_reader_t *reader, const toml_node_t *node,
+			const char *path, const field_t *fields,
+			size_t n_fields)
+{
+	char *message =
+		g_strdup_printf("unknown key, the nearest known key is \"%s\"",
+				fields_nearest(node->key, fields, n_fields));
+
+	add_error(reader, node->line, path, node->key, message);
+	g_free(message);
 }
 
 /*
@@ -446,19 +461,18 @@
 		 const char *path, const field_t *fields, size_t n_fields,
 		 void *target)
 {
-	for (size_t i = 0; i < n_fields; i++)
-		read_field(reader, table, path, &fields[i], target);
+	const toml_node_t *values[FIELDS_MAX] = {0};
+
+	g_assert(n_fields <= FIELDS_MAX);
 	for (size_t i = 0; i < table->n_children; i++) {
 		const toml_node_t *child = &table->children[i];
-		char *message;
-
-		if (is_known(child->key, fields, n_fields))
-			continue;
-		message = g_strdup_printf("unknown key, the nearest known key "
-					  "is \"%s\"",
-					  fields_nearest(child->key, fields,
-							 n_fields));
-		add_error(reader, child->line, path, child->key, message);
-		g_free(message);
+		size_t field = find_field(child->key, fields, n_fields);
+
+		if (field < n_fields)
+			values[field] = child;
+		else
+			add_unknown(reader, child, path, fields, n_fields);
 	}
+	for (size_t i = 0; i < n_fields; i++)
+		read_field(reader, table, path, &fields[i], values[i], target);
 }
--- a/src/process/fields.h
+++ b/src/process/fields.h
@@ -7,6 +7,9 @@
 #include "process/diag.h"
 #include "process/toml.h"
 
+/* Most fields of one table. */
+#define FIELDS_MAX 24
+
 typedef enum {
 	FIELD_NAME, /* str_t: lower-case letters, digits, '-', '_', '.' */
 	FIELD_TEXT, /* str_t: printable ASCII, min to max bytes */
--- a/src/version/fetch.c
+++ b/src/version/fetch.c
@@ -234,18 +234,6 @@
 	get(fetch, &request, delta->size);
 }
 
-static void copy_manifest(manifest_t *to, const manifest_t *from)
-{
-	for (guint i = 0; i < from->parts->len; i++) {
-		manifest_part_t part =
-			g_array_index(from->parts, manifest_part_t, i);
-
-		if (part.bytes)
-			g_bytes_ref(part.bytes);
-		g_array_append_val(to->parts, part);
-	}
-}
-
 /*
  * Prepares to fetch what a head names. `held` is what is known already, and
  * may have no parts. The caller frees the fetch with fetch_free().
@@ -264,8 +252,8 @@
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	manifest_init(&fetch->held);
 	manifest_init(&fetch->manifest);
-	copy_manifest(&fetch->held, held);
-	copy_manifest(&fetch->manifest, held);
+	manifest_copy(&fetch->held, held);
+	manifest_copy(&fetch->manifest, held);
 	return fetch;
 }
 
--- a/src/version/manifest.c
+++ b/src/version/manifest.c
@@ -7,14 +7,29 @@
 #include "version/lines.h"
 #include "version/write.h"
 
-/* The part that starts the reassembled text; TOML wants it before tables. */
-#define HEAD_PART "head"
+static void unref_tree(part_tree_t *tree)
+{
+	if (--tree->refs > 0)
+		return;
+	toml_free(tree->root);
+	g_free(tree);
+}
 
 static void clear_part(gpointer data)
 {
 	manifest_part_t *part = data;
 
 	g_clear_pointer(&part->bytes, g_bytes_unref);
+	g_clear_pointer(&part->tree, unref_tree);
+}
+
+/* Gives a part the bytes and the tree of another one. */
+static void share_content(manifest_part_t *to, const manifest_part_t *from)
+{
+	to->bytes = from->bytes ? g_bytes_ref(from->bytes) : NULL;
+	to->tree = from->tree;
+	if (to->tree)
+		to->tree->refs++;
 }
 
 /* Sets up a manifest without parts. */
@@ -166,8 +181,8 @@
 		const char *name;
 		void (*write)(const state_t *state, GString *out);
 	} groups[] = {
-		{HEAD_PART, write_head}, {"models", write_models},
-		{"pools", write_pools},	 {"services", write_services},
+		{"head", write_head},	{"models", write_models},
+		{"pools", write_pools}, {"services", write_services},
 		{"zones", write_zones},
 	};
 
@@ -181,46 +196,138 @@
 	split_customers(manifest, state);
 }
 
-static bool append_part(GString *text, const manifest_part_t *part,
-			diag_t *diag)
+static bool parse_tree(manifest_part_t *part, diag_t *diag)
 {
-	gsize len;
+	toml_node_t *root;
 	const char *data;
+	gsize len;
 
+	if (part->tree)
+		return true;
 	if (!part->bytes) {
 		diag_add(diag, "manifest", 0, part->name, "part is missing");
 		return false;
 	}
 	data = g_bytes_get_data(part->bytes, &len);
-	g_string_append_len(text, data, (gssize)len);
+	if (!toml_parse(data, len, part->name, &root, diag))
+		return false;
+	part->tree = g_new0(part_tree_t, 1);
+	part->tree->refs = 1;
+	part->tree->root = root;
+	return true;
+}
+
+/* A table that borrows the members of several trees. Arrays of the same key
+ * are joined.
+ */
+typedef struct {
+	GArray *members; /* of toml_node_t */
+	GPtrArray *elements; /* of GArray of toml_node_t, for each member */
+} joined_t;
+
+static GArray *new_nodes(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(toml_node_t));
+}
+
+static bool join_member(joined_t *joined, const toml_node_t *node)
+{
+	for (guint i = 0; i < joined->members->len; i++) {
+		const toml_node_t *member =
+			&g_array_index(joined->members, toml_node_t, i);
+
+		if (!str_equal(member->key, node->key))
+			continue;
+		if (member->kind != TOML_ARRAY || node->kind != TOML_ARRAY)
+			return false;
+		g_array_append_vals(joined->elements->pdata[i], node->children,
+				    (guint)node->n_children);
+		return true;
+	}
+	g_array_append_val(joined->members, *node);
+	g_ptr_array_add(joined->elements, new_nodes());
+	if (node->kind == TOML_ARRAY)
+		g_array_append_vals(
+			joined->elements->pdata[joined->elements->len - 1],
+			node->children, (guint)node->n_children);
+	return true;
+}
+
+static bool join_part(joined_t *joined, const manifest_part_t *part,
+		      diag_t *diag)
+{
+	const toml_node_t *root = part->tree->root;
+
+	for (size_t i = 0; i < root->n_children; i++) {
+		if (!join_member(joined, &root->children[i])) {
+			diag_add(diag, part->name, root->children[i].line, NULL,
+				 "expected a key that no other part has");
+			return false;
+		}
+	}
 	return true;
 }
 
+static toml_node_t joined_root(joined_t *joined)
+{
+	for (guint i = 0; i < joined->members->len; i++) {
+		toml_node_t *member =
+			&g_array_index(joined->members, toml_node_t, i);
+		const GArray *elements = joined->elements->pdata[i];
+
+		if (member->kind != TOML_ARRAY)
+			continue;
+		member->children = (toml_node_t *)elements->data;
+		member->n_children = elements->len;
+	}
+	return (toml_node_t){
+		.kind = TOML_TABLE,
+		.children = (toml_node_t *)joined->members->data,
+		.n_children = joined->members->len,
+	};
+}
+
 /*
- * Parses the state that the parts form. All parts must have their bytes. The
- * state's version is left 0.
+ * Builds the state that the parts form. All parts must have their bytes; those
+ * that have been parsed before are not parsed again. The state's version is
+ * left 0.
  */
-bool manifest_assemble(const manifest_t *manifest, state_t **state,
-		       diag_t *diag)
+bool manifest_assemble(manifest_t *manifest, state_t **state, diag_t *diag)
 {
-	GString *text = g_string_new(NULL);
-	const manifest_part_t *head = manifest_find(manifest, HEAD_PART);
-	bool ok = head && append_part(text, head, diag);
+	joined_t joined = {
+		.members = new_nodes(),
+		.elements = g_ptr_array_new_with_free_func(
+			(GDestroyNotify)g_array_unref),
+	};
+	bool ok = true;
 
 	*state = NULL;
-	if (!head)
-		diag_add(diag, "manifest", 0, HEAD_PART, "part is missing");
 	for (guint i = 0; ok && i < manifest->parts->len; i++) {
-		const manifest_part_t *part = part_at(manifest, i);
+		manifest_part_t *part = part_at(manifest, i);
 
-		if (part != head)
-			ok = append_part(text, part, diag);
+		ok = parse_tree(part, diag) && join_part(&joined, part, diag);
 	}
-	ok = ok && state_parse(text->str, text->len, "state", state, diag);
-	g_string_free(text, TRUE);
+	if (ok) {
+		toml_node_t root = joined_root(&joined);
+
+		ok = state_from_tree(&root, "state", state, diag);
+	}
+	g_array_unref(joined.members);
+	g_ptr_array_unref(joined.elements);
 	return ok;
 }
 
+/* Copies the parts of a manifest into an empty one. */
+void manifest_copy(manifest_t *to, const manifest_t *from)
+{
+	for (guint i = 0; i < from->parts->len; i++) {
+		manifest_part_t part = *part_at(from, i);
+
+		share_content(&part, part_at(from, i));
+		g_array_append_val(to->parts, part);
+	}
+}
+
 static void print_part(const manifest_part_t *part, GString *out)
 {
 	g_string_append_printf(out, "%s %s %" PRIu64 "\n", part->name,
@@ -365,7 +472,7 @@
 
 		if (!part->bytes && held && held->bytes &&
 		    !strcmp(held->hash, part->hash))
-			part->bytes = g_bytes_ref(held->bytes);
+			share_content(part, held);
 		missing += part->bytes == NULL;
 	}
 	return missing;
@@ -381,7 +488,7 @@
 	manifest_hash((str_t){data, len}, hash);
 	if (len != part->size || strcmp(hash, part->hash) != 0)
 		return false;
-	g_clear_pointer(&part->bytes, g_bytes_unref);
+	clear_part(part);
 	part->bytes = g_bytes_ref(bytes);
 	return true;
 }
--- a/src/version/state.c
+++ b/src/version/state.c
@@ -3,25 +3,20 @@
 #include "version/read.h"
 
 /*
- * Parses and checks a desired state. On success the caller owns one
- * reference. On failure every error of the file is added and *state is NULL.
+ * Checks a desired state that has been read from TOML. On success the caller
+ * owns one reference. On failure every error is added and *state is NULL.
  */
-bool state_parse(const char *text, size_t len, const char *name,
-		 state_t **state, diag_t *diag)
+bool state_from_tree(const toml_node_t *root, const char *name, state_t **state,
+		     diag_t *diag)
 {
 	guint errors_before = diag->entries->len;
-	toml_node_t *root;
-	state_t *parsed;
+	state_t *parsed = g_new0(state_t, 1);
 
 	*state = NULL;
-	if (!toml_parse(text, len, name, &root, diag))
-		return false;
-	parsed = g_new0(state_t, 1);
 	parsed->refs = 1;
 	parsed->strings = g_string_chunk_new(4096);
 	parsed->by_token = g_hash_table_new(g_str_hash, g_str_equal);
 	read_state(root, name, parsed, diag);
-	toml_free(root);
 	if (diag->entries->len == errors_before) {
 		*state = parsed;
 		return true;
@@ -30,6 +25,21 @@
 	return false;
 }
 
+/* Parses a text and checks it as state_from_tree(). */
+bool state_parse(const char *text, size_t len, const char *name,
+		 state_t **state, diag_t *diag)
+{
+	toml_node_t *root;
+	bool ok;
+
+	*state = NULL;
+	if (!toml_parse(text, len, name, &root, diag))
+		return false;
+	ok = state_from_tree(root, name, state, diag);
+	toml_free(root);
+	return ok;
+}
+
 /* Adds a reference. The state belongs to the main loop's thread. */
 state_t *state_ref(state_t *state)
 {
--- a/src/version/state.h
+++ b/src/version/state.h
@@ -9,6 +9,7 @@
 
 #include "process/diag.h"
 #include "process/str.h"
+#include "process/toml.h"
 
 typedef enum {
 	ROLE_PREFILL,
@@ -114,6 +115,8 @@
 
 bool state_parse(const char *text, size_t len, const char *name,
 		 state_t **state, diag_t *diag);
+bool state_from_tree(const toml_node_t *root, const char *name, state_t **state,
+		     diag_t *diag);
 state_t *state_ref(state_t *state);
 void state_unref(state_t *state);
 const service_t *state_find_service(const state_t *state, str_t name);
--- a/src/version/sync.c
+++ b/src/version/sync.c
@@ -173,11 +173,24 @@
 	draw_poll_wait(sync);
 	if (result != SYNC_POLL_FOUND)
 		return;
+	sync->polled = *version;
 	raise_target(sync, version, true);
 	if (is_same(version, &sync->current))
 		confirm(sync, now_us);
 }
 
+/* Returns to the version that the platform has. The one that is
+ * given up becomes the target again when a peer tells of it again.
+ */
+static void give_up_target(sync_t *sync)
+{
+	bool polled = sync->polled.version > sync->current.version;
+
+	sync->target = polled ? sync->polled : sync->current;
+	sync->target_polled = polled;
+	sync->retries = 0;
+}
+
 /*
  * Takes the end of a fetch. Returns true when the fetched version is now in
  * effect, which needs a higher version than the one before.
@@ -192,6 +205,8 @@
 		sync->retry_us = now_us + retry_backoff_us(&backoff,
 							   sync->retries++,
 							   &sync->seed);
+		if (sync->retries >= SYNC_GIVE_UP && !sync->target_polled)
+			give_up_target(sync);
 		return false;
 	}
 	sync->retries = 0;
--- a/src/version/sync.h
+++ b/src/version/sync.h
@@ -26,6 +26,11 @@
 #define SYNC_RETRY_US INT64_C(200000)
 #define SYNC_RETRY_MAX_US INT64_C(2000000)
 
+/* After this many failures, a version that only peers have told of is given up
+ * for the one that the platform has: no object of it may exist.
+ */
+#define SYNC_GIVE_UP 3
+
 /* Peers that are remembered, and those offered for one fetch. */
 #define SYNC_PEERS 16
 #define SYNC_CANDIDATES 4
@@ -54,6 +59,7 @@
 	char vm[SYNC_NAME_BYTES];
 	sync_version_t current; /* in effect */
 	sync_version_t target; /* highest known */
+	sync_version_t polled; /* last read from the platform */
 	bool target_polled; /* the target was read from the platform */
 	bool is_reader;
 	bool polling;
--- a/tests/test_manifest.c
+++ b/tests/test_manifest.c
@@ -217,12 +217,16 @@
 	for (size_t n = 0; n <= HEAD_DELTAS + 1; n++) {
 		head_t head = make_head(n);
 		GString *text = g_string_new(NULL);
+		GString *again = g_string_new(NULL);
 		head_t parsed;
 
 		head_print(&head, text);
 		assert_true(text->len <= HEAD_MAX_BYTES);
 		assert_true(head_parse(&parsed, str_from_gstring(text)));
-		assert_memory_equal(&head, &parsed, sizeof(head));
+		head_print(&parsed, again);
+		assert_string_equal(again->str, text->str);
+		assert_int_equal(parsed.version, head.version);
+		assert_int_equal(parsed.manifest_size, head.manifest_size);
 		assert_int_equal(parsed.n_deltas, MIN(n, HEAD_DELTAS));
 		assert_int_equal(parsed.n_past, MIN(n, HEAD_PAST));
 		assert_int_equal(head_find_past(&parsed, n + 1) != NULL, n > 0);
@@ -235,6 +239,7 @@
 			assert_false(head_parse(&parsed, part));
 		}
 		g_string_free(text, TRUE);
+		g_string_free(again, TRUE);
 	}
 }
 
