Do not pass round robin's turn by asking; keep limits small

The scheduler asks for a prefill engine up to three times before a request starts. With round robin each question passed the turn, so of three engines one got every prefill. The turn now passes when a request starts.

Each limit had places for the reports of 64 routers, 3.2 KB, also for customers without a limit. It now has places for the routers of the deployment, and customers without a limit take no memory.

--- a/src/process/limit.c
+++ b/src/process/limit.c
@@ -38,9 +38,22 @@
 	double tokens; /* of the token bucket */
 	int64_t filled_us;
 	share_pair_t shares[2]; /* of the last even and odd round */
-	usage_t usage[LIMIT_ROUTERS_MAX][2]; /* of the last even, odd round */
+	usage_t *usage; /* two for each router: of the last even, odd round */
 } entry_t;
 
+static void entry_free(void *data)
+{
+	entry_t *entry = data;
+
+	g_free(entry->usage);
+	g_free(entry);
+}
+
+static usage_t *slot_of(const entry_t *entry, unsigned router, uint64_t round)
+{
+	return &entry->usage[2 * router + (round & 1)];
+}
+
 static entry_t *find(const limit_t *limit, uint64_t id)
 {
 	return g_hash_table_lookup(limit->entries, &id);
@@ -73,7 +86,7 @@
 
 		entry->demand_s += DEMAND_GAIN * (demand - entry->demand_s);
 		entry->arrivals = 0;
-		entry->usage[limit->self][round & 1] = (usage_t){
+		*slot_of(entry, limit->self, round) = (usage_t){
 			.round = round,
 			.demand_s = rint(entry->demand_s * 1000) / 1000,
 			.running = entry->running,
@@ -87,11 +100,13 @@
 	*limit = (limit_t){
 		.routers = CLAMP(routers, 1, LIMIT_ROUTERS_MAX),
 		.self = MIN(self, LIMIT_ROUTERS_MAX - 1),
+		.slots = MAX(CLAMP(routers, 1, LIMIT_ROUTERS_MAX),
+			     MIN(self, LIMIT_ROUTERS_MAX - 1) + 1),
 		.round_started_us = now_us,
 	};
 	limit->members = bit(limit->self);
 	limit->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					       NULL, g_free);
+					       NULL, entry_free);
 	begin_round(limit, 1, now_us);
 }
 
@@ -142,12 +157,18 @@
 	}
 }
 
-/* Adds or changes a limit. Requests in progress stay counted. */
+/* Adds or changes a limit. Requests in progress stay counted. Without a rate
+ * and a concurrency there is no limit, and nothing is kept.
+ */
 void limit_set(limit_t *limit, uint64_t id, limit_values_t values,
 	       int64_t now_us)
 {
 	entry_t *entry = find(limit, id);
 
+	if (values.requests_s <= 0 && values.concurrency <= 0) {
+		limit_remove(limit, id);
+		return;
+	}
 	if (entry) {
 		entry->values = values;
 		if (limit_is_fixed(limit))
@@ -156,6 +177,7 @@
 	}
 	entry = g_new0(entry_t, 1);
 	entry->id = id;
+	entry->usage = g_new0(usage_t, 2 * limit->slots);
 	entry->values = values;
 	entry->tokens = 1;
 	entry->filled_us = now_us;
@@ -171,6 +193,23 @@
 	g_hash_table_remove(limit->entries, &id);
 }
 
+/* Makes place for the reports of one more router. */
+static void grow(limit_t *limit)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, limit->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_t *entry = value;
+
+		entry->usage =
+			g_renew(usage_t, entry->usage, 2 * (limit->slots + 1));
+		memset(&entry->usage[2 * limit->slots], 0, 2 * sizeof(usage_t));
+	}
+	limit->slots++;
+}
+
 /* Sets the routers that take part in rounds, and how many the deployment has
  * according to the platform. The own number is always a member.
  */
@@ -178,6 +217,9 @@
 {
 	limit->members = members | bit(limit->self);
 	limit->routers = CLAMP(routers, 1, LIMIT_ROUTERS_MAX);
+	while (limit->slots < LIMIT_ROUTERS_MAX &&
+	       limit->members >> limit->slots)
+		grow(limit);
 }
 
 /* Part of the limits that the members may use. If they are fewer than the
@@ -201,7 +243,7 @@
 			       uint64_t round)
 {
 	static const usage_t none;
-	const usage_t *usage = &entry->usage[router][round & 1];
+	const usage_t *usage = slot_of(entry, router, round);
 
 	return usage->round == round ? usage : &none;
 }
@@ -211,7 +253,7 @@
 {
 	totals_t totals = {0, 0, 0};
 
-	for (unsigned i = 0; i < LIMIT_ROUTERS_MAX; i++) {
+	for (unsigned i = 0; i < limit->slots; i++) {
 		const usage_t *usage = usage_of(entry, i, round);
 
 		if (!(limit->members & bit(i)))
@@ -355,7 +397,7 @@
 void limit_receive(limit_t *limit, unsigned router, uint64_t round,
 		   const limit_usage_t *usage, size_t n_usage, int64_t now_us)
 {
-	if (router >= LIMIT_ROUTERS_MAX || router == limit->self)
+	if (router >= limit->slots || router == limit->self)
 		return;
 	if (round > limit->round + 1)
 		join_round(limit, round, now_us);
@@ -366,7 +408,7 @@
 
 		if (!entry)
 			continue;
-		entry->usage[router][round & 1] = (usage_t){
+		*slot_of(entry, router, round) = (usage_t){
 			.round = round,
 			.demand_s = fmax(usage[i].demand_s, 0),
 			.running = MAX(usage[i].running, 0),
--- a/src/process/limit.h
+++ b/src/process/limit.h
@@ -52,6 +52,7 @@
 typedef struct {
 	unsigned routers; /* in the deployment, at most LIMIT_ROUTERS_MAX */
 	unsigned self; /* own number, the same numbering on all routers */
+	unsigned slots; /* routers whose reports have a place */
 	uint64_t members; /* bit for each router that takes part in rounds */
 	uint64_t round; /* of the own last report */
 	uint64_t reported[2]; /* routers whose report of an even, odd round
--- a/src/process/route.c
+++ b/src/process/route.c
@@ -317,6 +317,7 @@
 						     : change;
 	engine->own_requests++;
 	engine->used = ++route->used;
+	route->next = engine->at + 1;
 	engine->own_tokens += tokens;
 	engine->free_tokens -= tokens;
 	reindex(route, engine);
--- a/src/process/route_pick.c
+++ b/src/process/route_pick.c
@@ -32,14 +32,16 @@
 	return n ? route->engines->pdata[random_below(route, n)] : NULL;
 }
 
-/* Returns the next engine in turn that is available, NULL if none is. */
-static route_engine_t *next_in_turn(route_t *route,
+/* Returns the next engine in turn that is available, NULL if none is. The turn
+ * passes on in route_begin(), so asking without starting changes nothing.
+ */
+static route_engine_t *next_in_turn(const route_t *route,
 				    const route_engine_t *except)
 {
 	for (guint i = 0; i < route->engines->len; i++) {
 		route_engine_t *engine =
-			route->engines
-				->pdata[route->next++ % route->engines->len];
+			route->engines->pdata[(route->next + i) %
+					      route->engines->len];
 
 		if (route_is_available(engine) && engine != except)
 			return engine;
--- a/tests/test_limit.c
+++ b/tests/test_limit.c
@@ -316,6 +316,30 @@
 	limit_finish(&limit);
 }
 
+/* Guards against memory for customers without a limit, and against writing
+ * beyond the reports' places when more routers join than were configured.
+ */
+static void test_keeps_what_is_needed(void **state)
+{
+	limit_t limit;
+	limit_usage_t usage = {1, 50, 3};
+	int64_t retry_at;
+
+	limit_init(&limit, 2, 0, 0);
+	limit_set(&limit, 1, (limit_values_t){0, 0}, 0);
+	assert_int_equal(g_hash_table_size(limit.entries), 0);
+	limit_set(&limit, 1, (limit_values_t){0, 10}, 0);
+	limit_begin(&limit, 1, 0, &retry_at);
+	limit_receive(&limit, 63, 1, &usage, 1, 0);
+	limit_set_members(&limit, UINT64_C(1) << 63, 64);
+	limit_receive(&limit, 63, 1, &usage, 1, 0);
+	assert_int_equal(limit_tick(&limit, LIMIT_ROUND_US), 1);
+	limit_set(&limit, 1, (limit_values_t){0, 0}, 0);
+	assert_int_equal(g_hash_table_size(limit.entries), 0);
+	limit_end(&limit, 1);
+	limit_finish(&limit);
+}
+
 /* Guards against fixed shares that lose or add places when the limit is not a
  * multiple of the number of routers.
  */
@@ -343,6 +367,7 @@
 		cmocka_unit_test(test_cut_off_falls_back),
 		cmocka_unit_test(test_restarted_router_joins),
 		cmocka_unit_test(test_enforces_share),
+		cmocka_unit_test(test_keeps_what_is_needed),
 		cmocka_unit_test(test_fixed_shares_add_up),
 	};
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -118,6 +118,25 @@
 	}
 }
 
+/* Guards against round robin that always meets the same engine because a
+ * caller asks several times before it starts a request.
+ */
+static void test_asking_does_not_pass_the_turn(void **state)
+{
+	fixture_t f;
+
+	setup(&f, ROUTE_PREFILL_POOL, ROUTE_ROUND_ROBIN, 3, 0);
+	for (int i = 0; i < 9; i++) {
+		route_engine_t *e = prefill(&f, 10, 0);
+
+		assert_ptr_equal(e, f.engines[i % 3]);
+		assert_ptr_equal(prefill(&f, 10, 0), e);
+		assert_ptr_equal(prefill(&f, 10, 0), e);
+		route_begin(&f.route, e, 10);
+	}
+	teardown(&f);
+}
+
 /* Guards against ignoring a cached prefix, and against preferring one at an
  * engine whose backlog costs more than the prefix saves.
  */
@@ -344,6 +363,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_policy_names),
 		cmocka_unit_test(test_no_work_for_leaving_engines),
+		cmocka_unit_test(test_asking_does_not_pass_the_turn),
 		cmocka_unit_test(test_cached_prefix_bounded_by_load),
 		cmocka_unit_test(test_prefill_not_started_in_vain),
 		cmocka_unit_test(test_learns_margin),
