--- a/src/process/limit.c
+++ b/src/process/limit.c
@@ -51,7 +51,7 @@
 
 static usage_t *slot_of(const entry_t *entry, unsigned router, uint64_t round)
 {
-	return &entry->usage[2 * router + (round & 1)];
+	return &entry->usage[2 * (size_t)router + (round & 1)];
 }
 
 static entry_t *find(const limit_t *limit, uint64_t id)
@@ -205,7 +205,8 @@
 
 		entry->usage =
 			g_renew(usage_t, entry->usage, 2 * (limit->slots + 1));
-		memset(&entry->usage[2 * limit->slots], 0, 2 * sizeof(usage_t));
+		memset(&entry->usage[2 * (size_t)limit->slots], 0,
+		       2 * sizeof(usage_t));
 	}
 	limit->slots++;
 }
