Mend what the linter found

Cause: the linter was run for the first time on the tests of whole deployments. Change: widths of constants, a division that it cannot prove to be defined. Conclusion: the linter uses all cores from now on.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Entry points for people; CMake and ctest do the work.
 BUILD ?= build
-JOBS ?= 6
+JOBS ?= $(shell nproc)
 PACKAGES = libsoup-3.0-dev libtirpc-dev rpcsvc-proto libargtable2-dev \
 	libcmocka-dev libjson-glib-dev libtomlplusplus-dev libxxhash-dev \
 	pkg-config ninja-build curl
--- a/tests/support_deployment.c
+++ b/tests/support_deployment.c
@@ -87,7 +87,7 @@
 
 static unsigned zone_of(const deployment_config_t *config, unsigned index)
 {
-	return index % config->zones + 1;
+	return index % MAX(config->zones, 1) + 1;
 }
 
 static void add_backends(GString *state, const deployment_config_t *config,
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -9,7 +9,7 @@
 #include "support_http.h"
 
 /* "After a few seconds" of the requirements. */
-#define LEAVING_BOUND_US (3 * G_USEC_PER_SEC)
+#define LEAVING_BOUND_US (INT64_C(3) * G_USEC_PER_SEC)
 
 #define BODY "{\"model\":\"summaries\",\"prompt\":\"a b c\",\"max_tokens\":1}"
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -12,6 +12,9 @@
 #define SECONDS 4
 #define ROUTERS 4
 
+/* Saved-up requests of all shares. */
+#define BURST (unsigned)(RATE * LIMIT_BURST_US / G_USEC_PER_SEC)
+
 #define STATE_EXTRA                                                  \
 	"[[customers]]\nname = \"limited\"\ntoken_sha256 = \"%s\"\n" \
 	"services = [\"listing\"]\nrequests_s = " G_STRINGIFY(RATE) "\n"
@@ -76,8 +79,7 @@
 /* Guards against a limit that each router grants in full. */
 static void test_rate_holds_over_the_fleet(void **state)
 {
-	unsigned most = RATE * SECONDS +
-			(unsigned)(RATE * LIMIT_BURST_US / G_USEC_PER_SEC);
+	unsigned most = RATE * SECONDS + BURST;
 	unsigned admitted = call_for(ROUTERS, SECONDS);
 
 	print_message("admitted %u of at most %u\n", admitted, most);
@@ -94,8 +96,7 @@
 	admitted = call_for(1, SECONDS);
 	print_message("admitted %u at one router\n", admitted);
 	assert_true(admitted > RATE * SECONDS / 2);
-	assert_true(admitted <=
-		    RATE * SECONDS + RATE * LIMIT_BURST_US / G_USEC_PER_SEC);
+	assert_true(admitted <= RATE * SECONDS + BURST);
 }
 
 int main(void)
--- a/tests/test_orphans.c
+++ b/tests/test_orphans.c
@@ -17,7 +17,7 @@
 /* Stated bound from the failure of an entry VM to free engine memory: time to
  * suspect and remove a member, and the cancellation.
  */
-#define ORPHAN_BOUND_US (10 * G_USEC_PER_SEC)
+#define ORPHAN_BOUND_US (INT64_C(10) * G_USEC_PER_SEC)
 
 /* Engines keep unused memory longer than the bound, so that what frees it is
  * the cancellation by another entry VM.
