Count the notice of a drain from its publication

Cause: the time that routers have to follow a drain was counted from the decision, although the note that tells them may be written later or not at all. Change: order_published() starts the notice for the drains of a written note. Conclusion: an engine is not taken while the platform cannot be written.

--- a/src/process/order.c
+++ b/src/process/order.c
@@ -305,18 +305,18 @@
 static bool drain(const orders_t *orders, order_engine_t *engine,
 		  int64_t now_us)
 {
-	int64_t noticed_us = engine->drain_us + ORDER_NOTICE_US;
+	int64_t noticed_us = engine->published_us + ORDER_NOTICE_US;
 
 	if (count_wanted(orders, engine->seen_model, engine->seen_role) == 0 &&
 	    engine->busy == 0)
 		return true;
 	if (!engine->draining) {
 		engine->draining = true;
-		engine->drain_us = now_us;
+		engine->published_us = 0;
 		return false;
 	}
-	return now_us >= noticed_us && engine->sampled_us >= noticed_us &&
-	       engine->busy == 0;
+	return engine->published_us != 0 && now_us >= noticed_us &&
+	       engine->sampled_us >= noticed_us && engine->busy == 0;
 }
 
 /* Wait until a load is ordered again. It grows, as the order may start the load
@@ -356,6 +356,21 @@
 	       drain(orders, engine, now_us);
 }
 
+/*
+ * Routers can now read a note. The time that they have to follow it starts,
+ * for each drain that it has.
+ */
+void order_published(orders_t *orders, str_t note, int64_t now_us)
+{
+	for (guint i = 0; i < orders->engines->len; i++) {
+		order_engine_t *engine = orders->engines->pdata[i];
+
+		if (engine->draining && engine->published_us == 0 &&
+		    order_note_has_drain(note, str_from(engine->name)))
+			engine->published_us = now_us;
+	}
+}
+
 static void fill_action(const order_engine_t *engine, order_kind_t kind,
 			order_action_t *action)
 {
--- a/src/process/order.h
+++ b/src/process/order.h
@@ -94,7 +94,7 @@
 	int64_t busy;
 	int64_t sampled_us;
 	bool draining; /* routers are to send no new work */
-	int64_t drain_us; /* since when */
+	int64_t published_us; /* since when routers can know it; 0: not yet */
 	bool in_flight; /* an order was sent and not answered */
 	bool loading; /* counts against ORDER_LOADS_MAX */
 	int64_t load_us; /* since when */
@@ -133,7 +133,8 @@
 		order_outcome_t outcome);
 bool order_is_settled(const orders_t *orders);
 void order_print_note(const orders_t *orders, GString *note);
-void order_read_note(orders_t *orders, str_t note, int64_t now_us);
+void order_read_note(orders_t *orders, str_t note);
+void order_published(orders_t *orders, str_t note, int64_t now_us);
 bool order_note_has_drain(str_t note, str_t name);
 
 #endif
--- a/src/process/order_demand.c
+++ b/src/process/order_demand.c
@@ -153,7 +153,7 @@
 	}
 }
 
-static void read_line(orders_t *orders, char **words, int64_t now_us)
+static void read_line(orders_t *orders, char **words)
 {
 	order_engine_t *engine =
 		words[0] && words[1] ? order_find(orders, str_from(words[1]))
@@ -163,7 +163,7 @@
 		return;
 	if (strcmp(words[0], "draining") == 0) {
 		engine->draining = true;
-		engine->drain_us = now_us;
+		engine->published_us = 0;
 	} else if (strcmp(words[0], "lent") == 0 && words[2]) {
 		engine->role = strcmp(words[2], role_names[ROLE_DECODE]) == 0
 				       ? ROLE_DECODE
@@ -174,7 +174,7 @@
 /* Takes over the previous holder's loans and drains; unknown lines and engines
  * are skipped.
  */
-void order_read_note(orders_t *orders, str_t note, int64_t now_us)
+void order_read_note(orders_t *orders, str_t note)
 {
 	char *text = str_dup(note);
 	char **lines = g_strsplit(text, "\n", -1);
@@ -182,7 +182,7 @@
 	for (char **line = lines; *line; line++) {
 		char **words = g_strsplit(*line, " ", 4);
 
-		read_line(orders, words, now_us);
+		read_line(orders, words);
 		g_strfreev(words);
 	}
 	g_strfreev(lines);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -144,14 +144,14 @@
 static void test_lost_answers(void **state)
 {
 	static const struct {
+		int64_t read_us; /* when the row is read back */
 		bool executed;
 		bool held_before;
-		int64_t read_us; /* when the row is read back */
 		bool may_send; /* then */
 	} cases[] = {
-		{true, false, 2 * S, true},  {true, false, 12 * S, false},
-		{false, false, 2 * S, true}, {true, true, 5 * S, true},
-		{false, true, 5 * S, true},  {true, true, 30 * S, false},
+		{2 * S, true, false, true},  {12 * S, true, false, false},
+		{2 * S, false, false, true}, {5 * S, true, true, true},
+		{5 * S, false, true, true},  {30 * S, true, true, false},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -91,6 +91,16 @@
 	return n;
 }
 
+/* Lets routers know of all drains at once. */
+static void publish(fixture_t *f)
+{
+	GString *note = g_string_new(NULL);
+
+	order_print_note(&f->orders, note);
+	order_published(&f->orders, str_from_gstring(note), f->now_us);
+	g_string_free(note, TRUE);
+}
+
 /* Lets time pass by seconds; every order is executed at once. */
 static void run(fixture_t *f, int seconds)
 {
@@ -108,6 +118,7 @@
 			assert_true(serving(f, ROLE_PREFILL) > 0);
 			assert_true(serving(f, ROLE_DECODE) > 0);
 		}
+		publish(f);
 	}
 }
 
@@ -187,6 +198,24 @@
 	}
 }
 
+/* An engine is not taken before routers could know that it is draining. */
+static void test_unpublished(void **state)
+{
+	fixture_t *f = *state;
+	order_action_t action;
+
+	fill(f, "ppdd");
+	f->desired[1].role = ROLE_DECODE;
+	order_set_desired(&f->orders, f->desired, f->n);
+	for (int i = 0; i < 60; i++) {
+		f->now_us += S;
+		report_all(f);
+		assert_false(order_next(&f->orders, f->now_us, &action));
+	}
+	run(f, 10);
+	assert_int_equal(f->sent[ORDER_ROLE], 1);
+}
+
 /* A new version reaches every engine within a bounded number of loads at a time,
  * although a repeated order starts the load of 20 s anew.
  */
@@ -211,6 +240,7 @@
 			order_done(&f->orders, str_from(action.name), f->now_us,
 				   ORDER_APPLIED);
 		}
+		publish(f);
 		for (size_t i = 0; i < f->n; i++) {
 			loading += open[i] > 0;
 			if (open[i] > 0 && --open[i] == 0)
@@ -283,6 +313,7 @@
 		order_set_desired(&f->orders, f->desired, f->n);
 		report_all(f);
 		while (!order_next(&f->orders, f->now_us, &action)) {
+			publish(f);
 			f->now_us += S;
 			report_all(f);
 		}
@@ -377,9 +408,8 @@
 	order_finish(&f->orders);
 	order_init(&f->orders);
 	order_set_desired(&f->orders, f->desired, f->n);
-	order_read_note(&f->orders, str_from_gstring(note), f->now_us);
-	order_read_note(&f->orders, STR("lent\nx\nlent e9 decode\n\n "),
-			f->now_us);
+	order_read_note(&f->orders, str_from_gstring(note));
+	order_read_note(&f->orders, STR("lent\nx\nlent e9 decode\n\n "));
 	run(f, 30);
 	assert_int_equal(serving(f, ROLE_PREFILL), 3);
 	assert_true(order_find(&f->orders, STR("e0"))->draining);
@@ -395,11 +425,11 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		TEST(test_nothing_to_do), TEST(test_role),
-		TEST(test_version),	  TEST(test_version_of_last),
-		TEST(test_adapters),	  TEST(test_answers),
-		TEST(test_no_orders),	  TEST(test_demand),
-		TEST(test_note),
+		TEST(test_nothing_to_do),   TEST(test_role),
+		TEST(test_unpublished),	    TEST(test_version),
+		TEST(test_version_of_last), TEST(test_adapters),
+		TEST(test_answers),	    TEST(test_no_orders),
+		TEST(test_demand),	    TEST(test_note),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_order_trace.c
+++ b/tests/test_order_trace.c
@@ -248,6 +248,15 @@
 	}
 }
 
+static void publish(process_t *p)
+{
+	GString *note = g_string_new(NULL);
+
+	order_print_note(&p->orders, note);
+	order_published(&p->orders, str_from_gstring(note), sim.now_us);
+	g_string_free(note, TRUE);
+}
+
 static void step_process(process_t *p)
 {
 	lease_action_t call;
@@ -265,6 +274,7 @@
 			start_call(p, &call);
 	}
 	report(p);
+	publish(p);
 	while (lease_may_send(&p->lease, sim.now_us) &&
 	       sim.now_us >= p->paused_until_us) {
 		if (p->token != p->lease.token || p->orders.stale)
