--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -1,7 +1,6 @@
 #include <argtable2.h>
 #include <glib-unix.h>
 #include <signal.h>
-#include <xxhash.h>
 
 #include "connection/listener.h"
 #include "process/cmd.h"
@@ -15,6 +14,9 @@
 
 #define DRAIN_POLL_MS 20
 
+/* Time for the last responses and cancels after all requests have ended. */
+#define FLUSH_LIMIT_US (3 * CLOCK_US_PER_S)
+
 typedef struct {
 	settings_t settings;
 	router_t router;
@@ -23,6 +25,7 @@
 	FILE *log_file;
 	int64_t notice_until_us; /* still accepting after SIGTERM */
 	int64_t shutdown_until_us; /* requests still open then are aborted */
+	int64_t flush_until_us; /* for responses and cancels; 0: not begun */
 	int signals;
 } server_t;
 
@@ -131,24 +134,12 @@
 	}
 }
 
-static void set_state(server_t *server, state_t *state)
-{
-	if (server->router.state)
-		state_unref(server->router.state);
-	server->router.state = state;
-	counters_set(GAUGE_STATE_VERSION, (int64_t)state->version);
-	backends_apply(&server->router.backends, state);
-	scheduler_apply(&server->router.scheduler, state);
-	log_event(LOG_INFO, "state_in_effect",
-		  LOG_UINT("version", state->version),
-		  LOG_UINT("backends", state->n_backends));
-}
-
 static gboolean on_drain(gpointer data)
 {
 	server_t *server = data;
 	int64_t now_us = clock_now(&server->router.clock);
-	bool idle = g_queue_is_empty(&server->router.requests);
+	bool idle = g_queue_is_empty(&server->router.requests) &&
+		    g_queue_is_empty(&server->router.forwards);
 
 	if (now_us < server->notice_until_us && server->signals < 2)
 		return G_SOURCE_CONTINUE;
@@ -156,8 +147,18 @@
 	if (!idle && now_us < server->shutdown_until_us && server->signals < 2)
 		return G_SOURCE_CONTINUE;
 	while (!g_queue_is_empty(&server->router.requests))
-		request_abort(g_queue_peek_head(&server->router.requests),
-			      VERDICT_SHUTTING_DOWN);
+		request_abort(g_queue_peek_head(&server->router.requests));
+	while (!g_queue_is_empty(&server->router.forwards))
+		forward_abort(g_queue_peek_head(&server->router.forwards));
+	/* Last responses are still being written, and engines may still hold
+	 * memory of the requests that were ended.
+	 */
+	if (!server->flush_until_us)
+		server->flush_until_us = now_us + FLUSH_LIMIT_US;
+	if (now_us < server->flush_until_us &&
+	    (listener_open_requests(&server->callers) > 0 ||
+	     !canceller_is_idle(&server->router.canceller)))
+		return G_SOURCE_CONTINUE;
 	g_main_loop_quit(server->router.loop);
 	return G_SOURCE_REMOVE;
 }
@@ -175,7 +176,7 @@
 	server->signals++;
 	if (server->signals > 1)
 		return G_SOURCE_CONTINUE;
-	server->router.draining = true;
+	router_drain(&server->router);
 	server->notice_until_us =
 		now_us + server->settings.drain_notice_ms * CLOCK_US_PER_MS;
 	server->shutdown_until_us =
@@ -187,6 +188,15 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/* A newer process has this VM's name: this one ends gracefully. */
+static void on_superseded(void *context)
+{
+	server_t *server = context;
+
+	if (!server->signals)
+		on_signal(server);
+}
+
 static bool load_state_file(server_t *server, diag_t *diag)
 {
 	const char *path = server->settings.state_file;
@@ -204,7 +214,7 @@
 	ok = state_parse(text, len, path, &state, diag);
 	g_free(text);
 	if (ok)
-		set_state(server, state);
+		router_set_state(&server->router, state);
 	return ok;
 }
 
@@ -238,62 +248,6 @@
 	return false;
 }
 
-static void on_backend_changed(void *context, backend_entry_t *entry,
-			       bool reported)
-{
-	router_t *router = context;
-
-	scheduler_backend_changed(&router->scheduler, entry, reported);
-}
-
-static void on_cache_event(void *context, backend_entry_t *entry,
-			   const engine_cache_event_t *event)
-{
-	router_t *router = context;
-
-	if (entry->engine)
-		prefix_event(&router->scheduler.prefix,
-			     entry->engine->config.id, event->seq, event->store,
-			     event->prefix);
-}
-
-static void router_init(router_t *router, const settings_t *settings)
-{
-	route_policy_t policy;
-	clock_source_t wall = clock_realtime();
-
-	router->settings = settings;
-	router->clock = clock_boottime();
-	hlc_init(&router->hlc, wall);
-	router->incarnation = (uint64_t)clock_now(&wall);
-	router->id_prefix =
-		XXH64(settings->vm, strlen(settings->vm), router->incarnation);
-	g_queue_init(&router->requests);
-	client_init(&router->client, router->clock);
-	backends_init(&router->backends, &router->client, router->clock);
-	if (!route_policy_parse(str_from(settings->routing_policy), &policy))
-		policy = ROUTE_LEDGER;
-	reserve_init(&router->reserve, policy, settings->peers->len + 1,
-		     router->clock);
-	scheduler_init(&router->scheduler, &router->backends, &router->reserve,
-		       router->clock, settings, router->id_prefix);
-	router->backends.on_changed = on_backend_changed;
-	router->backends.on_cache = on_cache_event;
-	router->backends.context = router;
-	router->loop = g_main_loop_new(NULL, FALSE);
-}
-
-static void router_finish(router_t *router)
-{
-	backends_finish(&router->backends);
-	scheduler_finish(&router->scheduler);
-	reserve_finish(&router->reserve);
-	client_finish(&router->client);
-	if (router->state)
-		state_unref(router->state);
-	g_main_loop_unref(router->loop);
-}
-
 /* Prints the addresses in use, which tests and the demo wait for. */
 static void print_ready(server_t *server)
 {
@@ -320,6 +274,11 @@
 	log_init(server->log_file ? server->log_file : stderr,
 		 server->settings.log_level, str_from(server->settings.vm),
 		 str_from(server->settings.zone), &server->router.hlc);
+	if (!router_join(&server->router, on_superseded, server, &error)) {
+		diag_add(&diag, "rpc_address", 0, "", "%s", error->message);
+		g_clear_error(&error);
+		goto out;
+	}
 	if (!load_state_file(server, &diag))
 		goto out;
 	if (!start_listeners(server, &error)) {
