--- a/src/process/owner.c
+++ b/src/process/owner.c
@@ -22,6 +22,7 @@
 	uint64_t key;
 	char *address;
 	ledger_t ledger;
+	bool standby; /* another VM owns the engine; see owner_renew() */
 	GQueue waiting; /* of waiter_t, first served first */
 } engine_ledger_t;
 
@@ -82,27 +83,44 @@
 	return entry->present && *entry->pool && !entry->prefill;
 }
 
-static engine_ledger_t *add_ledger(owner_t *owner, const backend_entry_t *entry)
+/* Unique also when an engine is lost and gained again. */
+static uint64_t next_incarnation(owner_t *owner)
 {
-	engine_ledger_t *engine = g_new0(engine_ledger_t, 1);
 	clock_source_t wall = clock_realtime();
-	int64_t now_us = clock_now(&owner->clock);
 
-	/* Unique also when an engine is lost and gained again. */
 	owner->last_incarnation =
 		MAX(owner->last_incarnation + 1, (uint64_t)clock_now(&wall));
+	return owner->last_incarnation;
+}
+
+static engine_ledger_t *add_ledger(owner_t *owner, const backend_entry_t *entry)
+{
+	engine_ledger_t *engine = g_new0(engine_ledger_t, 1);
+
 	engine->key = entry->key;
 	engine->address = g_strdup(entry->address);
-	ledger_init(&engine->ledger, entry->kv_total, owner->max_transfers,
-		    owner->last_incarnation, now_us + RECOVERY_US);
+	engine->standby = true;
+	ledger_init(&engine->ledger, entry->kv_total, owner->max_transfers, 0,
+		    0);
 	g_hash_table_insert(owner->engines, &engine->key, engine);
-	log_event(LOG_INFO, "ledger_gained", LOG_CSTR("engine", entry->name),
-		  LOG_UINT("incarnation", engine->ledger.incarnation));
 	return engine;
 }
 
-/* Returns the ledger of an engine that this VM owns, or NULL. */
-static engine_ledger_t *find_ledger(owner_t *owner, uint64_t key)
+static void become_owner(owner_t *owner, engine_ledger_t *engine)
+{
+	engine->standby = false;
+	engine->ledger.incarnation = next_incarnation(owner);
+	engine->ledger.recovery_until_us =
+		clock_now(&owner->clock) + RECOVERY_US;
+	log_event(LOG_INFO, "ledger_gained",
+		  LOG_CSTR("engine", engine->address),
+		  LOG_UINT("incarnation", engine->ledger.incarnation));
+}
+
+/* Returns the ledger of an engine, owned or on standby; NULL if the engine is
+ * not known.
+ */
+static engine_ledger_t *get_ledger(owner_t *owner, uint64_t key)
 {
 	engine_ledger_t *engine = g_hash_table_lookup(owner->engines, &key);
 	backend_entry_t *entry;
@@ -110,9 +128,20 @@
 	if (engine)
 		return engine;
 	entry = find_backend(owner, key);
-	if (!entry || !has_ledger(entry) || !owner_is_self(owner, entry))
+	if (!entry || !has_ledger(entry))
 		return NULL;
-	return add_ledger(owner, entry);
+	engine = add_ledger(owner, entry);
+	if (owner_is_self(owner, entry))
+		become_owner(owner, engine);
+	return engine;
+}
+
+/* Returns the ledger of an engine that this VM owns, or NULL. */
+static engine_ledger_t *find_ledger(owner_t *owner, uint64_t key)
+{
+	engine_ledger_t *engine = g_hash_table_lookup(owner->engines, &key);
+
+	return engine && !engine->standby ? engine : NULL;
 }
 
 static peer_reserve_result result_of(const engine_ledger_t *engine,
@@ -139,48 +168,52 @@
 	waiter_free(waiter);
 }
 
-static gboolean is_lost(gpointer key, gpointer value, gpointer data)
+/* Another VM owns the engine now; what is known here stays on standby. */
+static void stand_by(engine_ledger_t *engine)
 {
-	engine_ledger_t *engine = value;
-	const owner_t *owner = data;
-	const backend_entry_t *entry = find_backend(owner, engine->key);
-	bool lost = !entry || !has_ledger(entry) ||
-		    !owner_is_self(owner, entry);
-
-	if (!lost)
-		return FALSE;
+	engine->standby = true;
 	log_event(LOG_INFO, "ledger_lost", LOG_CSTR("engine", engine->address));
 	while (engine->waiting.head)
 		answer_waiter(engine, engine->waiting.head, PEER_NOT_OWNER);
-	return TRUE;
+}
+
+static gboolean is_unused(gpointer key, gpointer value, gpointer data)
+{
+	engine_ledger_t *engine = value;
+	const backend_entry_t *entry = find_backend(data, engine->key);
+
+	return engine->standby &&
+	       (!entry || !has_ledger(entry) ||
+		g_hash_table_size(engine->ledger.grants) == 0);
 }
 
 /*
- * Adds and drops ledgers after a change of the members or of the state.
- * Ledgers of engines gained are set up at once, so that their recovery is
- * over when the first request asks.
+ * Takes over and hands over ledgers after a change of the members or of the
+ * state. Ledgers of engines gained are set up at once, so that their recovery
+ * is over when the first request asks.
  */
 void owner_update(owner_t *owner)
 {
 	GPtrArray *entries = owner->backends->entries;
 
-	g_hash_table_foreach_remove(owner->engines, is_lost, owner);
 	for (guint i = 0; i < entries->len; i++) {
 		backend_entry_t *entry = g_ptr_array_index(entries, i);
-
-		if (has_ledger(entry))
-			find_ledger(owner, entry->key);
+		engine_ledger_t *engine =
+			g_hash_table_lookup(owner->engines, &entry->key);
+		bool own = has_ledger(entry) && owner_is_self(owner, entry);
+
+		if (own && !engine)
+			engine = add_ledger(owner, entry);
+		if (own && engine->standby)
+			become_owner(owner, engine);
+		else if (!own && engine && !engine->standby)
+			stand_by(engine);
 	}
+	g_hash_table_foreach_remove(owner->engines, is_unused, owner);
 }
 
 static void serve_waiting(owner_t *owner, engine_ledger_t *engine);
 
-static void to_hex(const uint8_t request[LEDGER_ID_BYTES], char text[33])
-{
-	for (size_t i = 0; i < LEDGER_ID_BYTES; i++)
-		g_snprintf(text + 2 * i, 3, "%02x", request[i]);
-}
-
 typedef struct {
 	owner_t *owner;
 	engine_ledger_t *engine;
@@ -189,16 +222,16 @@
 static void cancel_orphan(const ledger_grant_t *grant, void *context)
 {
 	orphan_context_t *orphan = context;
-	char request[33];
 
-	to_hex(grant->key.request, request);
-	log_event(LOG_INFO, "orphan_cancelled", LOG_CSTR("request", request),
-		  LOG_UINT("attempt", grant->key.attempt),
-		  LOG_CSTR("engine", orphan->engine->address),
-		  LOG_STR("dead_vm", grant->vm.name));
-	canceller_add(orphan->owner->canceller,
-		      str_from(orphan->engine->address), str_from(request),
-		      grant->key.attempt);
+	orphan_cancel(&orphan->owner->orphans, orphan->engine->address,
+		      grant->vm.name, &grant->key);
+}
+
+static void keep_lapsed(const ledger_grant_t *grant, void *context)
+{
+	orphan_context_t *orphan = context;
+
+	orphan_keep(&orphan->owner->orphans, orphan->engine->address, grant);
 }
 
 /*
@@ -220,6 +253,7 @@
 			       clock_now(&owner->clock), cancel_orphan,
 			       &context);
 	}
+	orphan_vm_dead(&owner->orphans, dead);
 }
 
 /* Frees the grant of a dead VM once the engine holds nothing for it. */
@@ -406,21 +440,26 @@
 	return result;
 }
 
-/* Answers PEER_RENEW. */
+/*
+ * Answers PEER_RENEW. A VM that does not own the engine records the grants on
+ * standby: the owner of an engine sends its own grants to its successor, so
+ * that they are cancelled if it dies.
+ */
 void owner_renew(owner_t *owner, ledger_vm_t from, const peer_renew *call,
 		 peer_renew_result *result)
 {
-	engine_ledger_t *engine = find_ledger(owner, call->engine);
+	engine_ledger_t *engine = get_ledger(owner, call->engine);
 
 	memset(result, 0, sizeof(*result));
-	if (!engine) {
-		result->code = PEER_NOT_OWNER;
+	result->code = PEER_NOT_OWNER;
+	if (!engine)
 		return;
-	}
 	for (u_int i = 0; i < call->holds.holds_len; i++)
 		if (renew_one(owner, &engine->ledger, from,
 			      &call->holds.holds_val[i]) != LEDGER_OK)
 			result->refused |= 1U << i;
+	if (engine->standby)
+		return;
 	result->code = PEER_GRANTED;
 	result->owner = engine->ledger.incarnation;
 	result->valid_ms = OWNER_GRANT_MS;
@@ -431,7 +470,7 @@
 void owner_release(owner_t *owner, ledger_vm_t from, const peer_release *call,
 		   peer_release_result *result)
 {
-	engine_ledger_t *engine = find_ledger(owner, call->engine);
+	engine_ledger_t *engine = get_ledger(owner, call->engine);
 
 	memset(result, 0, sizeof(*result));
 	if (!engine) {
@@ -447,77 +486,10 @@
 		ledger_release(&engine->ledger, &held.key, from);
 	}
 	serve_waiting(owner, engine);
-	result->code = PEER_GRANTED;
+	result->code = engine->standby ? PEER_NOT_OWNER : PEER_GRANTED;
 	result->free_tokens = (u_int)ledger_free(&engine->ledger);
 }
 
-static ledger_vm_t sender_of(const rpc_request_t *request)
-{
-	return (ledger_vm_t){
-		.name = str_from(request->from->vm),
-		.incarnation = request->from->incarnation,
-	};
-}
-
-/* Each handler decodes the arguments, calls the function and answers. */
-#define OWNER_HANDLER(name)                                                   \
-	static void on_##name(void *context, const rpc_request_t *request)    \
-	{                                                                     \
-		owner_t *owner = context;                                     \
-		peer_##name call;                                             \
-		peer_##name##_result result;                                  \
-		wire_buffer_t body;                                           \
-                                                                              \
-		if (!rpc_decode(peer_##name, request->body, &call)) {         \
-			rpc_reject(owner->rpc, request->token,                \
-				   WIRE_BAD_ARGUMENTS);                       \
-		} else {                                                      \
-			owner_##name(owner, sender_of(request), &call,        \
-				     &result);                                \
-			if (rpc_encode(peer_##name##_result, &result, &body)) \
-				rpc_answer(owner->rpc, request->token,        \
-					   rpc_body(&body));                  \
-		}                                                             \
-		rpc_free(peer_##name, &call);                                 \
-	}
-
-OWNER_HANDLER(renew)
-OWNER_HANDLER(release)
-
-typedef struct {
-	owner_t *owner;
-	uint64_t token;
-} rpc_waiter_t;
-
-static void answer_rpc(void *context, const peer_reserve_result *result)
-{
-	rpc_waiter_t *waiter = context;
-	/* The encoder of XDR takes no pointer to const. */
-	peer_reserve_result *copy = (peer_reserve_result *)result;
-	wire_buffer_t body;
-
-	if (copy && rpc_encode(peer_reserve_result, copy, &body))
-		rpc_answer(waiter->owner->rpc, waiter->token, rpc_body(&body));
-	g_free(waiter);
-}
-
-static void on_reserve(void *context, const rpc_request_t *request)
-{
-	owner_t *owner = context;
-	rpc_waiter_t *waiter;
-	peer_reserve call;
-
-	if (!rpc_decode(peer_reserve, request->body, &call)) {
-		rpc_reject(owner->rpc, request->token, WIRE_BAD_ARGUMENTS);
-	} else {
-		waiter = g_new0(rpc_waiter_t, 1);
-		waiter->owner = owner;
-		waiter->token = request->token;
-		owner_ask(owner, sender_of(request), &call, answer_rpc, waiter);
-	}
-	rpc_free(peer_reserve, &call);
-}
-
 static gboolean on_expire(gpointer data)
 {
 	owner_t *owner = data;
@@ -526,16 +498,18 @@
 
 	g_hash_table_iter_init(&iter, owner->engines);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		engine_ledger_t *engine = value;
+		orphan_context_t context = {owner, value};
 
-		ledger_expire(&engine->ledger, clock_now(&owner->clock), NULL,
-			      NULL);
-		serve_waiting(owner, engine);
+		ledger_expire(&context.engine->ledger, clock_now(&owner->clock),
+			      keep_lapsed, &context);
+		serve_waiting(owner, context.engine);
 	}
+	g_hash_table_foreach_remove(owner->engines, is_unused, owner);
+	orphan_expire(&owner->orphans);
 	return G_SOURCE_CONTINUE;
 }
 
-/* Starts to answer; what it is given must outlive owner_finish(). */
+/* Sets up without ledgers; what it is given must outlive owner_finish(). */
 void owner_init(owner_t *owner, rpc_t *rpc, fleet_t *fleet,
 		backends_t *backends, canceller_t *canceller,
 		clock_source_t clock, unsigned routers)
@@ -544,23 +518,18 @@
 	owner->rpc = rpc;
 	owner->fleet = fleet;
 	owner->backends = backends;
-	owner->canceller = canceller;
 	owner->clock = clock;
 	owner->routers = routers;
 	owner->engines = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, engine_free);
+	orphan_init(&owner->orphans, canceller, clock);
 	owner->timer = g_timeout_add(EXPIRE_INTERVAL_MS, on_expire, owner);
-	rpc_handle(rpc, PEER_RESERVE, on_reserve, owner);
-	rpc_handle(rpc, PEER_RENEW, on_renew, owner);
-	rpc_handle(rpc, PEER_RELEASE, on_release, owner);
 }
 
-/* Stops answering and drops all ledgers. */
+/* Drops all ledgers. */
 void owner_finish(owner_t *owner)
 {
-	rpc_handle(owner->rpc, PEER_RESERVE, NULL, NULL);
-	rpc_handle(owner->rpc, PEER_RENEW, NULL, NULL);
-	rpc_handle(owner->rpc, PEER_RELEASE, NULL, NULL);
 	g_source_remove(owner->timer);
+	orphan_finish(&owner->orphans);
 	g_hash_table_unref(owner->engines);
 }
--- a/src/process/router.c
+++ b/src/process/router.c
@@ -5,6 +5,7 @@
 
 #include "process/counters.h"
 #include "process/log.h"
+#include "process/pace.h"
 
 /* Retries at once after a quiet time: one process's part of the requests that
  * the loss of one decode engine (about 20 requests) interrupts.
@@ -96,6 +97,7 @@
 	router->backends.context = router;
 	router->canceller.on_confirmed = on_cancel_confirmed;
 	router->canceller.context = router;
+	pace_init(g_main_context_default());
 	router->loop = g_main_loop_new(NULL, FALSE);
 }
 
@@ -119,6 +121,18 @@
 	router->on_superseded(router->superseded_context);
 }
 
+static void start_platform(router_t *router)
+{
+	platform_budget_t budget = PLATFORM_SERVE_BUDGET;
+
+	router->has_platform = true;
+	platform_init(&router->platform, &router->client,
+		      router->settings->platform_address, &budget,
+		      router->id_prefix);
+	vms_init(&router->vms, &router->platform, &router->fleet,
+		 &router->backends, router->clock, router->id_prefix);
+}
+
 /*
  * Joins the other serve processes. The callback is called if a newer process
  * has this VM's name. On failure the error is set.
@@ -145,6 +159,11 @@
 	owner_init(&router->owner, &router->rpc, &router->fleet,
 		   &router->backends, &router->canceller, router->clock,
 		   settings->peers->len + 1);
+	owner_listen(&router->owner);
+	limits_init(&router->limits, &router->scheduler.limit, &router->rpc,
+		    &router->fleet, settings, router->clock);
+	if (settings->platform_address)
+		start_platform(router);
 	reserve_attach(&router->reserve, &router->rpc, &router->fleet,
 		       &router->owner, self);
 	router->joined = true;
@@ -184,10 +203,17 @@
 {
 	if (router->joined)
 		fleet_leave(&router->fleet, MEMBER_LEFT);
+	if (router->has_platform) {
+		vms_finish(&router->vms);
+		platform_finish(&router->platform);
+	}
+	if (router->joined)
+		limits_finish(&router->limits);
 	backends_finish(&router->backends);
 	scheduler_finish(&router->scheduler);
 	reserve_finish(&router->reserve);
 	if (router->joined) {
+		owner_unlisten(&router->owner);
 		owner_finish(&router->owner);
 		fleet_finish(&router->fleet);
 		rpc_finish(&router->rpc);
