Record unrepeatable calls in the platform's table

Cause: a call that must not run twice was only protected within one process. Change: src/request/once_call.c writes a row before the call is sent and its outcome afterwards; forward.c uses it for unrepeatable routes with an Idempotency-Key. A recorded call goes on when its caller leaves, so that the outcome is there for the next one. Unrepeatable calls of any method open a new connection, because the library resends some methods on reused ones. Conclusion: a row that was written for a call that was then refused is only given back if the caller left; it stays "may have run" otherwise.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -211,6 +211,8 @@
 		return NULL;
 	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
 	add_connection_flags(request, message);
+	if (request->new_connection)
+		soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
 	if (request->headers)
 		soup_message_headers_foreach(
 			request->headers, copy_header,
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -40,6 +40,7 @@
 	const char *content_type; /* may be NULL without a body */
 	GBytes *body; /* may be NULL */
 	bool reuse_connection; /* POST only; see client_send() */
+	bool new_connection; /* any method: never sent twice */
 	bool single_send; /* GET only; see client_send() */
 	int64_t deadline_us; /* of the whole call */
 	int64_t idle_limit_us; /* longest silence of a stream; 0: none */
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -12,6 +12,7 @@
 #include "process/settings.h"
 #include "process/vms.h"
 #include "request/canceller.h"
+#include "request/once_call.h"
 #include "request/retry.h"
 #include "version/state.h"
 
@@ -39,6 +40,7 @@
 	owner_t owner;
 	limits_t limits;
 	platform_t platform;
+	once_calls_t once_calls;
 	bool has_platform; /* its address is in the settings */
 	vms_t vms;
 	bool joined; /* rpc, fleet and owner are set up */
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -157,7 +157,8 @@
 		server->flush_until_us = now_us + FLUSH_LIMIT_US;
 	if (now_us < server->flush_until_us &&
 	    (listener_open_requests(&server->callers) > 0 ||
-	     !canceller_is_idle(&server->router.canceller)))
+	     !canceller_is_idle(&server->router.canceller) ||
+	     !once_calls_are_idle(&server->router.once_calls)))
 		return G_SOURCE_CONTINUE;
 	g_main_loop_quit(server->router.loop);
 	return G_SOURCE_REMOVE;
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -37,6 +37,10 @@
 	g_free(call->method);
 	g_free(call->target);
 	g_free(call->content_type);
+	g_free(call->key);
+	g_free(call->outcome.content_type);
+	if (call->outcome.body)
+		g_bytes_unref(call->outcome.body);
 	if (call->headers)
 		soup_message_headers_unref(call->headers);
 	if (call->body)
@@ -123,6 +127,10 @@
 		.body = g_bytes_get_size(call->body) ? call->body : NULL,
 		.deadline_us = call->plain.config.deadline_us,
 		.on_done = on_response,
+		/* The library resends some methods when a kept-alive
+		 * connection is closed.
+		 */
+		.new_connection = !call->plain.config.repeatable,
 		.context = call,
 	};
 
@@ -167,6 +175,13 @@
 	reply_whole(&call->reply, response->status, RUN_RAN,
 		    type ? type : "application/octet-stream",
 		    (str_t){data, len});
+	if (!call->once)
+		return;
+	call->outcome = (once_outcome_t){
+		.status = response->status,
+		.content_type = g_strdup(type),
+		.body = g_bytes_ref(response->body),
+	};
 }
 
 static void execute(forward_t *call, const plain_action_t *action)
@@ -192,10 +207,37 @@
 	}
 }
 
+static once_result_t once_result(const verdict_t *verdict)
+{
+	switch (verdict->run) {
+	case RUN_NOT_RUN:
+		return ONCE_CALL_NOT_RUN;
+	case RUN_RAN:
+		return ONCE_CALL_ANSWERED;
+	case RUN_MAY_HAVE_RUN:
+		break;
+	}
+	return ONCE_CALL_UNKNOWN;
+}
+
+/* Closes the record of the call, if it has one. */
+static void end_once(forward_t *call)
+{
+	if (!call->once)
+		return;
+	if (call->plain.attempt == 0)
+		once_call_abandon(call->once);
+	else
+		once_call_end(call->once, once_result(&call->plain.verdict),
+			      &call->outcome);
+	call->once = NULL;
+}
+
 static void end(forward_t *call)
 {
 	const verdict_t *verdict = &call->plain.verdict;
 
+	end_once(call);
 	if (verdict->code != VERDICT_OK && verdict->code != VERDICT_CALLER_GONE)
 		reply_verdict(&call->reply, verdict);
 	count_end(call);
@@ -238,7 +280,14 @@
 
 static void on_caller_gone(void *context)
 {
-	feed(context, PLAIN_EVENT_CALLER_GONE, NULL);
+	forward_t *call = context;
+
+	/* A recorded call goes on, so that its outcome is there when the
+	 * caller comes back with the same key.
+	 */
+	if (call->once && call->plain.state == PLAIN_SENT)
+		return;
+	feed(call, PLAIN_EVENT_CALLER_GONE, NULL);
 }
 
 static gboolean on_deadline(gpointer data)
@@ -328,6 +377,9 @@
 	call->body = soup_message_body_flatten(
 		soup_server_message_get_request_body(message));
 	copy_header(call->headers, from, "Idempotency-Key");
+	if (!call->rule->repeatable)
+		call->key = g_strdup(
+			soup_message_headers_get_one(from, "Idempotency-Key"));
 	copy_header(call->headers, from, "traceparent");
 	copy_header(call->headers, from, "Accept");
 	soup_message_headers_replace(call->headers, "X-Request-Id", call->id);
@@ -349,6 +401,72 @@
 		on_deadline, call);
 }
 
+/* Ends a call that was not sent, with what the table says of its key. */
+static void end_unsent(forward_t *call, verdict_t verdict)
+{
+	call->once = NULL;
+	call->plain.state = PLAIN_FINISHED;
+	call->plain.verdict = verdict;
+	end(call);
+}
+
+static void on_once(void *context, const once_step_t *step,
+		    const once_outcome_t *outcome)
+{
+	forward_t *call = context;
+	const char *type = outcome ? outcome->content_type : NULL;
+	gsize len;
+	const char *data;
+
+	if (step->kind == ONCE_DISPATCH) {
+		feed(call, PLAIN_EVENT_ADMITTED, NULL);
+		return;
+	}
+	if (step->kind == ONCE_ANSWER) {
+		end_unsent(call, step->verdict);
+		return;
+	}
+	data = g_bytes_get_data(outcome->body, &len);
+	reply_whole(&call->reply, outcome->status, RUN_RAN,
+		    type ? type : "application/octet-stream",
+		    (str_t){data, len});
+	end_unsent(call, verdict_make(RUN_RAN, VERDICT_OK, "replayed"));
+}
+
+/* An unrepeatable call with a key is recorded before it is sent. */
+static void start_once(forward_t *call)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(call->body, &len);
+	char *hash = once_call_hash(call->service->name, str_from(call->method),
+				    str_from(call->target), (str_t){data, len});
+	once_want_t want = {
+		.customer = call->customer->name,
+		.key = str_from(call->key),
+		.call_hash = str_from(hash),
+		.attempt = str_from(call->id),
+		.give_up_us = call->plain.config.deadline_us,
+	};
+
+	call->once = once_call_start(&call->router->once_calls, &want, on_once,
+				     call);
+	g_free(hash);
+}
+
+static void start_admitted(forward_t *call)
+{
+	verdict_t verdict = verdict_make(
+		RUN_NOT_RUN, VERDICT_BAD_REQUEST,
+		"Idempotency-Key: expected 1 to 255 visible characters");
+
+	if (!call->key)
+		feed(call, PLAIN_EVENT_ADMITTED, NULL);
+	else if (once_key_is_valid(str_from(call->key)))
+		start_once(call);
+	else
+		feed(call, PLAIN_EVENT_REFUSED, &verdict);
+}
+
 /* Takes over a call whose path is /svc/NAME/... */
 void forward_start(router_t *router, SoupServerMessage *message, str_t path)
 {
@@ -376,7 +494,7 @@
 	call->limited = scheduler_customer_begin(&router->scheduler,
 						 call->customer, &verdict);
 	if (call->limited)
-		feed(call, PLAIN_EVENT_ADMITTED, NULL);
+		start_admitted(call);
 	else
 		feed(call, PLAIN_EVENT_REFUSED, &verdict);
 }
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -4,6 +4,7 @@
 
 #include "connection/reply.h"
 #include "process/router.h"
+#include "request/once_call.h"
 #include "request/plain.h"
 
 typedef struct {
@@ -24,6 +25,10 @@
 	SoupMessageHeaders *headers;
 	GBytes *body;
 
+	char *key; /* Idempotency-Key of an unrepeatable call, or NULL */
+	once_call_t *once; /* record in the table; NULL without a key */
+	once_outcome_t outcome; /* to be stored in that record */
+
 	plain_t plain;
 	backend_entry_t *backend; /* of the current send */
 	client_call_t *http; /* in progress */
--- a/src/request/once.c
+++ b/src/request/once.c
@@ -204,7 +204,7 @@
 }
 
 /* State of the row after the call to the backend server has ended. */
-once_state_t once_state_after(once_call_t result)
+once_state_t once_state_after(once_result_t result)
 {
 	switch (result) {
 	case ONCE_CALL_ANSWERED:
--- a/src/request/once.h
+++ b/src/request/once.h
@@ -54,7 +54,7 @@
 	ONCE_CALL_ANSWERED,
 	ONCE_CALL_NOT_RUN,
 	ONCE_CALL_UNKNOWN,
-} once_call_t;
+} once_result_t;
 
 typedef enum {
 	ONCE_INSERT, /* write the row if absent */
@@ -92,7 +92,7 @@
 once_step_t once_after_write(once_t *call, once_write_t result, int64_t now_us);
 once_step_t once_after_read(once_t *call, once_read_t result,
 			    const once_row_t *row, int64_t now_us);
-once_state_t once_state_after(once_call_t result);
+once_state_t once_state_after(once_result_t result);
 char *once_row_text(const once_t *call, once_state_t state,
 		    const once_outcome_t *outcome, int64_t now_ms);
 bool once_row_parse(const char *text, size_t len, once_row_t *row);
--- a/tests/test_once.c
+++ b/tests/test_once.c
@@ -268,7 +268,7 @@
 /* One step of one racer. Returns the number of runs at the backend server. */
 static unsigned racer_step(racer_t *racer, table_t *table)
 {
-	once_call_t result;
+	once_result_t result;
 	bool insert;
 
 	switch (racer->step.kind) {
@@ -287,7 +287,7 @@
 		return 0;
 	case ONCE_DISPATCH:
 		racer->over = true;
-		result = (once_call_t)(retry_random(&table->seed) % 3);
+		result = (once_result_t)(retry_random(&table->seed) % 3);
 		/* Only the owner writes the end, at the version it wrote. */
 		if (result != ONCE_CALL_UNKNOWN)
 			table_write(
