Find backend servers by address in a hash table

Cause: applying a state and reading the VM list searched all entries for each entry, so both grew with the square of the engines: at 8,000 engines 1.3e9 instructions for each, the latter every 1.5 s. Change: the entries are also kept in a hash table by their address.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -150,6 +150,7 @@
 	backends->client = client;
 	backends->clock = clock;
 	backends->entries = g_ptr_array_new_with_free_func(entry_free);
+	backends->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	backends->next = 0;
 	backends->on_changed = NULL;
 	backends->on_cache = NULL;
@@ -163,20 +164,18 @@
 void backends_finish(backends_t *backends)
 {
 	g_source_remove(backends->poll_timer);
+	g_hash_table_unref(backends->by_address);
 	g_ptr_array_unref(backends->entries);
 }
 
 /* Returns the entry with an address, or NULL. */
 backend_entry_t *backends_find(backends_t *backends, str_t address)
 {
-	for (guint i = 0; i < backends->entries->len; i++) {
-		backend_entry_t *entry =
-			g_ptr_array_index(backends->entries, i);
+	char *key = str_dup(address);
+	backend_entry_t *entry = g_hash_table_lookup(backends->by_address, key);
 
-		if (str_equal(str_from(entry->address), address))
-			return entry;
-	}
-	return NULL;
+	g_free(key);
+	return entry;
 }
 
 static void set_text(char **field, str_t value)
@@ -195,6 +194,8 @@
 		entry->address = str_dup(backend->address);
 		entry->key = member_key(backend->address);
 		g_ptr_array_add(backends->entries, entry);
+		g_hash_table_insert(backends->by_address, entry->address,
+				    entry);
 	}
 	set_text(&entry->name, backend->name);
 	set_text(&entry->zone, backend->zone);
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -64,6 +64,7 @@
 	client_t *client;
 	clock_source_t clock;
 	GPtrArray *entries; /* of backend_entry_t */
+	GHashTable *by_address; /* the same entries; keys are theirs */
 	guint poll_timer;
 	guint next; /* round-robin position */
 	backends_changed_fn_t on_changed; /* may be NULL */
