--- a/src/process/lease.c
+++ b/src/process/lease.c
@@ -146,6 +146,13 @@
 	lease->next_us = now_us;
 }
 
+/* Writes the row soon, as after a change of the note. */
+void lease_renew(lease_t *lease, int64_t now_us)
+{
+	if (lease->holding)
+		lease->next_us = MIN(lease->next_us, now_us);
+}
+
 static bool is_own(const lease_t *lease, const lease_row_t *row)
 {
 	return row->incarnation == lease->incarnation &&
@@ -266,7 +273,8 @@
 		return read_row(lease);
 	if (lease->holding)
 		return write_row(lease, now_us, lease->token, true);
-	if (is_own(lease, &lease->row) || now_us >= free_us(lease))
+	if (!lease->blocked &&
+	    (is_own(lease, &lease->row) || now_us >= free_us(lease)))
 		return take(lease, now_us);
 	return read_row(lease);
 }
--- a/src/process/lease.h
+++ b/src/process/lease.h
@@ -84,6 +84,7 @@
 	GString *value; /* text of the last write */
 	char vm[LEASE_NAME_SIZE];
 	bool wanted; /* this process is to hold the lease */
+	bool blocked; /* the row is read, but not taken; set by the caller */
 	bool busy; /* a call is in progress */
 	bool holding; /* until deadline_us */
 	bool releasing; /* the last write gives the lease back */
@@ -103,6 +104,7 @@
 		   uint64_t version, str_t value);
 void lease_on_write(lease_t *lease, int64_t now_us, lease_call_t outcome,
 		    uint64_t version);
+void lease_renew(lease_t *lease, int64_t now_us);
 void lease_doubt(lease_t *lease, int64_t now_us);
 bool lease_may_send(const lease_t *lease, int64_t now_us);
 bool lease_row_parse(str_t text, lease_row_t *row);
--- a/src/process/order_demand.c
+++ b/src/process/order_demand.c
@@ -171,14 +171,20 @@
 	}
 }
 
-/* Takes over the previous holder's loans and drains; unknown lines and engines
- * are skipped.
+/* Takes over the previous holder's loans and drains in place of the own ones;
+ * unknown lines and engines are skipped.
  */
 void order_read_note(orders_t *orders, str_t note)
 {
 	char *text = str_dup(note);
 	char **lines = g_strsplit(text, "\n", -1);
 
+	for (guint i = 0; i < orders->engines->len; i++) {
+		order_engine_t *engine = orders->engines->pdata[i];
+
+		engine->role = engine->base_role;
+		engine->draining = false;
+	}
 	for (char **line = lines; *line; line++) {
 		char **words = g_strsplit(*line, " ", 4);
 
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -408,8 +408,8 @@
 	order_finish(&f->orders);
 	order_init(&f->orders);
 	order_set_desired(&f->orders, f->desired, f->n);
-	order_read_note(&f->orders, str_from_gstring(note));
 	order_read_note(&f->orders, STR("lent\nx\nlent e9 decode\n\n "));
+	order_read_note(&f->orders, str_from_gstring(note));
 	run(f, 30);
 	assert_int_equal(serving(f, ROLE_PREFILL), 3);
 	assert_true(order_find(&f->orders, STR("e0"))->draining);
