--- a/src/process/router.c
+++ b/src/process/router.c
@@ -84,6 +84,7 @@
 	canceller_init(&router->canceller, &router->client, router->clock,
 		       router->id_prefix);
 	retry_budget_init(&router->retry_budget, 0, RETRY_BURST);
+	once_calls_init(&router->once_calls, NULL, router->clock);
 	backends_init(&router->backends, &router->client, router->clock);
 	if (!route_policy_parse(str_from(settings->routing_policy), &policy))
 		policy = ROUTE_LEDGER;
@@ -129,6 +130,7 @@
 	platform_init(&router->platform, &router->client,
 		      router->settings->platform_address, &budget,
 		      router->id_prefix);
+	router->once_calls.platform = &router->platform;
 	vms_init(&router->vms, &router->platform, &router->fleet,
 		 &router->backends, router->clock, router->id_prefix);
 }
@@ -159,6 +161,7 @@
 	owner_init(&router->owner, &router->rpc, &router->fleet,
 		   &router->backends, &router->canceller, router->clock,
 		   settings->peers->len + 1);
+	owner_listen(&router->owner);
 	limits_init(&router->limits, &router->scheduler.limit, &router->rpc,
 		    &router->fleet, settings, router->clock);
 	if (settings->platform_address)
@@ -202,6 +205,7 @@
 {
 	if (router->joined)
 		fleet_leave(&router->fleet, MEMBER_LEFT);
+	once_calls_finish(&router->once_calls);
 	if (router->has_platform) {
 		vms_finish(&router->vms);
 		platform_finish(&router->platform);
@@ -212,6 +216,7 @@
 	scheduler_finish(&router->scheduler);
 	reserve_finish(&router->reserve);
 	if (router->joined) {
+		owner_unlisten(&router->owner);
 		owner_finish(&router->owner);
 		fleet_finish(&router->fleet);
 		rpc_finish(&router->rpc);
