Use what cached prefixes save, and the prefill margin once

The placement passed no saved tokens for a prefix, so a holder was never preferred. The number of tokens that the last hit of a prefix saved is now learned from the responses and used; the expected time of a prefill no longer includes what the cache saved, which made engines look faster than they are. The queue's check whether a request could be placed subtracted the learned margin twice.

The effect on real processes was not measured.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -46,19 +46,25 @@
 {
 	int64_t now_us = now_of(ticket->scheduler);
 	scheduler_request_t *request = &ticket->request;
+	int64_t cached_tokens =
+		MAX(request->prompt_tokens - computed_tokens, 0);
+	int64_t expected_us = ticket->prefill_expected_us;
 
 	if (ticket->prefill != engine || !engine)
 		return;
 	ticket->prefill = NULL;
 	route_end(engine->route, engine->engine, request->prompt_tokens);
+	/* What the cache saved was expected to be computed. */
+	expected_us -= route_prefill_us(engine->route, engine->engine,
+					cached_tokens, now_us);
 	if (ok && computed_tokens > 0)
 		route_prefilled(engine->route, engine->engine, computed_tokens,
-				ticket->prefill_expected_us,
+				MAX(expected_us, 1),
 				now_us - ticket->prefill_started_us, now_us);
 	if (ok && request->prefix)
 		prefix_used(&ticket->scheduler->prefix,
 			    engine->engine->config.id, request->prefix,
-			    computed_tokens < request->prompt_tokens);
+			    cached_tokens);
 	note_result(ticket->scheduler, engine, ok);
 }
 
--- a/src/process/prefix.c
+++ b/src/process/prefix.c
@@ -14,6 +14,7 @@
 	uint64_t id; /* key of the table */
 	holder_t holders[PREFIX_HOLDERS]; /* most recent first */
 	unsigned n_holders;
+	int64_t tokens; /* saved by the last hit */
 	GList link; /* in prefix_t.recent */
 } entry_t;
 
@@ -148,15 +149,20 @@
  * certain than the events: after it the engine holds the prefix. A miss where
  * the engine should have held it counts as a gap in its events.
  */
-void prefix_used(prefix_t *prefix, uint32_t engine, uint64_t id, bool hit)
+void prefix_used(prefix_t *prefix, uint32_t engine, uint64_t id,
+		 int64_t cached_tokens)
 {
-	const entry_t *entry = g_hash_table_lookup(prefix->entries, &id);
+	entry_t *entry = g_hash_table_lookup(prefix->entries, &id);
+	bool hit = cached_tokens > 0;
 
 	for (unsigned i = 0; !hit && entry && i < entry->n_holders; i++) {
 		if (entry->holders[i].engine == engine)
 			position_of(prefix, engine)->epoch++;
 	}
 	store(prefix, engine, id);
+	entry = g_hash_table_lookup(prefix->entries, &id);
+	if (hit)
+		entry->tokens = cached_tokens;
 }
 
 /* Forgets what an engine holds and its position, after it has restarted (its
@@ -192,6 +198,7 @@
 			continue;
 		}
 		hits[n].engine = holder->engine;
+		hits[n].tokens = entry->tokens;
 		hits[n++].confidence = 1.0 / (1u << gaps);
 	}
 	if (entry->n_holders == 0)
--- a/src/process/prefix.h
+++ b/src/process/prefix.h
@@ -13,6 +13,7 @@
 typedef struct {
 	uint32_t engine;
 	double confidence; /* above 0, at most 1 */
+	int64_t tokens; /* saved by the last hit; 0: not known */
 } prefix_hit_t;
 
 typedef struct {
@@ -26,7 +27,8 @@
 void prefix_finish(prefix_t *prefix);
 void prefix_event(prefix_t *prefix, uint32_t engine, uint64_t seq, bool stored,
 		  uint64_t id);
-void prefix_used(prefix_t *prefix, uint32_t engine, uint64_t id, bool hit);
+void prefix_used(prefix_t *prefix, uint32_t engine, uint64_t id,
+		 int64_t cached_tokens);
 void prefix_forget_engine(prefix_t *prefix, uint32_t engine);
 size_t prefix_find(prefix_t *prefix, uint64_t id,
 		   prefix_hit_t hits[static PREFIX_HOLDERS]);
--- a/src/process/route.h
+++ b/src/process/route.h
@@ -93,7 +93,7 @@
 
 typedef struct {
 	int64_t prompt_tokens;
-	int64_t prefix_tokens; /* saved by a cached prefix */
+	int64_t prefix_tokens; /* saved by a cached prefix, at least */
 	uint64_t prefix; /* ID; 0: none */
 	int64_t finish_by_us; /* an engine that is slower is not chosen */
 	str_t decode_zone; /* where the result goes; empty: not known */
--- a/src/process/route_pick.c
+++ b/src/process/route_pick.c
@@ -49,11 +49,10 @@
 	return NULL;
 }
 
-/* Expected end of a prefill. An engine with the prefix computes less. */
+/* Expected end of a prefill of which an engine has saved tokens cached. */
 static int64_t finish_us(const route_t *route, const route_engine_t *engine,
-			 const route_prefill_t *want, double confidence)
+			 const route_prefill_t *want, double saved)
 {
-	double saved = confidence * (double)want->prefix_tokens;
 	int64_t tokens = MAX(want->prompt_tokens - (int64_t)saved, 1);
 	int64_t end = route->now_us +
 		      route_expected_us(route, engine, tokens, route->now_us);
@@ -73,7 +72,7 @@
 } best_t;
 
 static void consider_prefill(const route_t *route, route_engine_t *engine,
-			     const route_prefill_t *want, double confidence,
+			     const route_prefill_t *want, double saved,
 			     best_t *best)
 {
 	int64_t end;
@@ -84,7 +83,7 @@
 	    route_requests(route, engine) >=
 		    (double)engine->config.max_prefills)
 		return;
-	end = finish_us(route, engine, want, confidence);
+	end = finish_us(route, engine, want, saved);
 	if (end > want->finish_by_us - route_margin_us(route))
 		return;
 	if (best->engine && end >= best->finish_us)
@@ -115,9 +114,12 @@
 
 	if (route->prefix && want->prefix)
 		n = prefix_find(route->prefix, want->prefix, hits);
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; i < n; i++) {
+		int64_t tokens = MAX(want->prefix_tokens, hits[i].tokens);
+
 		consider_prefill(route, route_find(route, hits[i].engine), want,
-				 hits[i].confidence, best);
+				 hits[i].confidence * (double)tokens, best);
+	}
 }
 
 /*
--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -115,11 +115,12 @@
 	       now_of(ticket->scheduler) < ticket->request.start_by_us;
 }
 
-/* Latest end of the prefill with which the first token is in time. */
+/* Latest end of the prefill with which the first token is in time, without the
+ * margin that route_pick_prefill() keeps from it.
+ */
 static int64_t prefill_due(const scheduler_ticket_t *ticket)
 {
-	return ticket->first_token_due_us - FIRST_TOKEN_ALLOWANCE_US -
-	       route_margin_us(&ticket->prefill_pool->route);
+	return ticket->first_token_due_us - FIRST_TOKEN_ALLOWANCE_US;
 }
 
 /* Tells whether a request at the head of the queue could be placed now. */
@@ -206,7 +207,7 @@
 					  ticket->request.prompt_tokens, now_us)
 		       : 0;
 
-	return prefill_due(ticket) - prefill_us;
+	return prefill_due(ticket) - prefill_us - route_margin_us(route);
 }
 
 static void enqueue(scheduler_ticket_t *ticket)
--- a/tests/test_estimate.c
+++ b/tests/test_estimate.c
@@ -105,6 +105,24 @@
 	prefix_finish(&prefix);
 }
 
+/* Guards against losing what the responses tell: how much a hit saved. */
+static void test_learns_saved_tokens(void **state)
+{
+	prefix_t prefix;
+	prefix_hit_t hits[PREFIX_HOLDERS];
+
+	prefix_init(&prefix, 10);
+	prefix_used(&prefix, 1, 7, 0);
+	assert_int_equal(prefix_find(&prefix, 7, hits), 1);
+	assert_int_equal(hits[0].tokens, 0);
+	prefix_used(&prefix, 1, 7, 640);
+	prefix_used(&prefix, 2, 7, 0);
+	assert_int_equal(prefix_find(&prefix, 7, hits), 2);
+	assert_int_equal(hits[0].tokens, 640);
+	assert_int_equal(hits[1].tokens, 640);
+	prefix_finish(&prefix);
+}
+
 /* Guards against memory that grows with the number of prompts or engines. */
 static void test_hints_are_bounded(void **state)
 {
@@ -113,7 +131,7 @@
 	prefix_init(&prefix, 100);
 	for (uint64_t id = 0; id < 10000; id++) {
 		for (uint32_t engine = 0; engine < 10; engine++)
-			prefix_used(&prefix, engine, id, false);
+			prefix_used(&prefix, engine, id, 0);
 		assert_true(find(&prefix, id) <= PREFIX_HOLDERS);
 		assert_true(find(&prefix, id) > 0);
 		find(&prefix, 0);
@@ -131,6 +149,7 @@
 		cmocka_unit_test(test_outlier_shifts_little),
 		cmocka_unit_test(test_slow_engine_changes_gradually),
 		cmocka_unit_test(test_hints_follow_events),
+		cmocka_unit_test(test_learns_saved_tokens),
 		cmocka_unit_test(test_hints_are_bounded),
 	};
 
