Split the serving side off the RPC file

Change: handlers, duplicate calls and answers move to rpc_serve.c; no change of behaviour. Measured: test_rpc and test_fleet pass.

--- a/src/connection/rpc.c
+++ b/src/connection/rpc.c
@@ -1,4 +1,4 @@
-#include "connection/rpc.h"
+#include "connection/rpc_serve.h"
 
 #include "connection/address.h"
 #include "process/counters.h"
@@ -45,17 +45,18 @@
 	g_free(call);
 }
 
-static void fill_sender(rpc_t *rpc, wire_sender_t *sender)
+/* Fills in the own side of a message. */
+void rpc_fill_sender(rpc_t *rpc, wire_sender_t *sender)
 {
 	g_strlcpy(sender->vm, rpc->settings->vm, sizeof(sender->vm));
 	sender->incarnation = rpc->incarnation;
 	sender->time = hlc_now(rpc->hlc);
 }
 
-static void send_datagram(rpc_t *rpc, GSocketAddress *destination,
-			  const void *data, size_t len)
+/* Sends a datagram. One that cannot be sent counts as lost in the network. */
+void rpc_send_datagram(rpc_t *rpc, GSocketAddress *destination,
+		       const void *data, size_t len)
 {
-	/* A datagram that is not sent counts as lost in the network. */
 	if (g_socket_send_to(rpc->socket, destination, data, len, NULL, NULL) <
 	    0)
 		return;
@@ -122,8 +123,8 @@
 					      1 + RETRANSMIT_JITTER);
 	int64_t next_us = now_us + (int64_t)((double)call->wait_us * spread);
 
-	send_datagram(rpc, call->destination, call->datagram.data,
-		      call->datagram.len);
+	rpc_send_datagram(rpc, call->destination, call->datagram.data,
+			  call->datagram.len);
 	call->sent = true;
 	call->wait_us = MIN(call->wait_us * 2, RETRANSMIT_MAX_US);
 	call->due_us = MIN(next_us, call->deadline_us);
@@ -152,7 +153,8 @@
 	arm_alarm(rpc);
 }
 
-static void count_dropped(wire_status_t status, const char *address)
+/* Counts a datagram that is not accepted. */
+void rpc_count_dropped(wire_status_t status, const char *address)
 {
 	switch (status) {
 	case WIRE_MALFORMED:
@@ -206,7 +208,7 @@
 	 */
 	status = wire_get_reply(&rpc->keys, call->mac, datagram, &reply);
 	if (status != WIRE_OK) {
-		count_dropped(status, address);
+		rpc_count_dropped(status, address);
 		return;
 	}
 	hlc_receive(rpc->hlc, reply.sender.time);
@@ -227,89 +229,6 @@
 			 (str_t){NULL, 0}, &reply.sender);
 }
 
-static void run_handler(rpc_t *rpc, const wire_call_t *call,
-			const replay_entry_t *entry)
-{
-	rpc_request_t request = {
-		.token = entry->token,
-		.procedure = call->procedure,
-		.from = &call->sender,
-		.address = entry->address,
-		.body = call->body,
-	};
-	const rpc_handler_t *handler = call->procedure < RPC_PROCEDURES
-					       ? &rpc->handlers[call->procedure]
-					       : NULL;
-
-	if (handler && handler->fn)
-		handler->fn(handler->context, &request);
-	else
-		rpc_reject(rpc, entry->token, WIRE_NO_PROCEDURE);
-}
-
-static void send_answer(rpc_t *rpc, const replay_entry_t *entry)
-{
-	GSocketAddress *destination = address_parse(entry->address);
-	gsize len;
-	const void *data = g_bytes_get_data(entry->answer, &len);
-
-	if (destination)
-		send_datagram(rpc, destination, data, len);
-	g_clear_object(&destination);
-}
-
-/* Tells a sender which incarnation it has to exceed. */
-static void send_stale(rpc_t *rpc, const char *address, const wire_call_t *call)
-{
-	uint64_t incarnation = GUINT64_TO_BE(
-		replay_incarnation(&rpc->replay, call->sender.vm));
-	wire_reply_t reply = {.xid = call->xid, .result = WIRE_STALE};
-	GSocketAddress *destination = address_parse(address);
-	wire_buffer_t datagram;
-
-	reply.body = (str_t){(const char *)&incarnation, sizeof(incarnation)};
-	fill_sender(rpc, &reply.sender);
-	if (destination &&
-	    wire_put_reply(&rpc->keys, call->mac, &reply, &datagram))
-		send_datagram(rpc, destination, datagram.data, datagram.len);
-	g_clear_object(&destination);
-}
-
-static void receive_call(rpc_t *rpc, const char *address, str_t datagram)
-{
-	wire_call_t call;
-	replay_entry_t *entry;
-	wire_status_t status =
-		wire_get_call(&rpc->keys, rpc->address, datagram, &call);
-
-	if (status != WIRE_OK) {
-		count_dropped(status, address);
-		return;
-	}
-	switch (replay_check(&rpc->replay, &call, address, hlc_now(rpc->hlc),
-			     &entry)) {
-	case REPLAY_NEW:
-		hlc_receive(rpc->hlc, call.sender.time);
-		run_handler(rpc, &call, entry);
-		break;
-	case REPLAY_ANSWERED:
-		send_answer(rpc, entry);
-		break;
-	case REPLAY_IN_PROGRESS:
-		break;
-	case REPLAY_STALE:
-		send_stale(rpc, address, &call);
-		counters_add(COUNTER_RPC_REPLAYED, 1);
-		break;
-	case REPLAY_REFUSED:
-		counters_add(COUNTER_RPC_REPLAYED, 1);
-		log_event(LOG_DEBUG, "rpc_replayed",
-			  LOG_CSTR("address", address),
-			  LOG_CSTR("from", call.sender.vm));
-		break;
-	}
-}
-
 static void receive_datagram(rpc_t *rpc, const char *address, str_t datagram)
 {
 	uint32_t xid;
@@ -317,11 +236,11 @@
 	counters_add(COUNTER_RPC_RECEIVED, 1);
 	counters_add(COUNTER_RPC_RECEIVED_BYTES, (int64_t)datagram.len);
 	if (datagram.len > PEER_DATAGRAM_MAX)
-		count_dropped(WIRE_MALFORMED, address);
+		rpc_count_dropped(WIRE_MALFORMED, address);
 	else if (wire_is_reply(datagram, &xid))
 		receive_reply(rpc, address, datagram, xid);
 	else
-		receive_call(rpc, address, datagram);
+		rpc_receive_call(rpc, address, datagram);
 }
 
 static gboolean receive(GSocket *socket, GIOCondition condition, gpointer data)
@@ -451,7 +370,7 @@
 		.body = body,
 	};
 
-	fill_sender(rpc, &message.sender);
+	rpc_fill_sender(rpc, &message.sender);
 	if (!call->destination || !wire_put_call(&rpc->keys, call->address,
 						 &message, &call->datagram))
 		call->datagram.len = 0;
@@ -499,49 +418,6 @@
 	g_hash_table_remove(rpc->calls, &call);
 }
 
-/* Sets the handler of a procedure; NULL removes it. */
-void rpc_handle(rpc_t *rpc, uint32_t procedure, rpc_handler_fn_t handler,
-		void *context)
-{
-	g_return_if_fail(procedure < RPC_PROCEDURES);
-	rpc->handlers[procedure] = (rpc_handler_t){handler, context};
-}
-
-static void finish_request(rpc_t *rpc, uint64_t token, wire_result_t result,
-			   str_t body)
-{
-	replay_entry_t *entry = replay_find(&rpc->replay, token);
-	wire_reply_t reply = {.result = result, .body = body};
-	wire_buffer_t datagram;
-
-	/* Only the first answer counts. */
-	if (!entry || entry->answered)
-		return;
-	entry->answered = true;
-	reply.xid = entry->xid;
-	fill_sender(rpc, &reply.sender);
-	if (!wire_put_reply(&rpc->keys, entry->call_mac, &reply, &datagram))
-		return;
-	entry->answer = g_bytes_new(datagram.data, datagram.len);
-	send_answer(rpc, entry);
-}
-
-/*
- * Answers a received call, in its handler or later. Nothing is sent when the
- * call has been answered or has left the cache; the caller then repeats or
- * gives up.
- */
-void rpc_answer(rpc_t *rpc, uint64_t token, str_t body)
-{
-	finish_request(rpc, token, WIRE_SUCCESS, body);
-}
-
-/* Answers a received call with an error and no body. */
-void rpc_reject(rpc_t *rpc, uint64_t token, wire_result_t result)
-{
-	finish_request(rpc, token, result, (str_t){NULL, 0});
-}
-
 /* Raises the incarnation that calls and answers carry; it is never lowered. */
 void rpc_set_incarnation(rpc_t *rpc, uint64_t incarnation)
 {
