--- a/src/process/router.c
+++ b/src/process/router.c
@@ -110,11 +110,20 @@
 	if (!router->joined)
 		return;
 	owner_update(&router->owner);
+	router_config_members(router);
 	if (member->info.state == MEMBER_DEAD)
 		owner_vm_dead(&router->owner, str_from(member->info.vm),
 			      member->info.incarnation);
 }
 
+static void on_member_heard(void *context, const member_t *member)
+{
+	router_t *router = context;
+
+	if (router->joined)
+		router_config_hear(router, member);
+}
+
 static void on_superseded(void *context)
 {
 	router_t *router = context;
@@ -145,6 +154,7 @@
 	const settings_t *settings = router->settings;
 	fleet_callbacks_t callbacks = {
 		.changed = on_member_changed,
+		.heard = on_member_heard,
 		.superseded = on_superseded,
 		.context = router,
 	};
@@ -169,6 +179,8 @@
 	reserve_attach(&router->reserve, &router->rpc, &router->fleet,
 		       &router->owner, self);
 	router->joined = true;
+	if (router->has_platform)
+		router_config_start(router);
 	return true;
 }
 
@@ -207,6 +219,7 @@
 		fleet_leave(&router->fleet, MEMBER_LEFT);
 	once_calls_finish(&router->once_calls);
 	if (router->has_platform) {
+		router_config_finish(router);
 		vms_finish(&router->vms);
 		platform_finish(&router->platform);
 	}
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -4,9 +4,12 @@
 
 #include "connection/client.h"
 #include "process/backends.h"
+#include "process/config.h"
+#include "process/control.h"
 #include "process/fleet.h"
 #include "process/limits.h"
 #include "process/owner.h"
+#include "process/parts.h"
 #include "process/platform.h"
 #include "process/scheduler.h"
 #include "process/settings.h"
@@ -42,7 +45,10 @@
 	platform_t platform;
 	once_calls_t once_calls;
 	bool has_platform; /* its address is in the settings */
-	vms_t vms;
+	vms_t vms; /* with a platform only, as the next three */
+	parts_t parts;
+	config_t config;
+	control_t control;
 	bool joined; /* rpc, fleet and owner are set up */
 	router_superseded_fn_t on_superseded;
 	void *superseded_context;
@@ -55,7 +61,14 @@
 		 void *context, GError **error);
 void router_finish(router_t *router);
 void router_set_state(router_t *router, state_t *state);
+void router_update_gauges(router_t *router);
 void router_drain(router_t *router);
 void router_make_id(router_t *router, char id[33]);
 
+/* Of router_config.c */
+void router_config_start(router_t *router);
+void router_config_finish(router_t *router);
+void router_config_hear(router_t *router, const member_t *member);
+void router_config_members(router_t *router);
+
 #endif
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -36,10 +36,11 @@
 			 str_from(text));
 }
 
-static void respond_metrics(SoupServerMessage *message)
+static void respond_metrics(server_t *server, SoupServerMessage *message)
 {
 	GString *text = g_string_new(NULL);
 
+	router_update_gauges(&server->router);
 	counters_print(text);
 	listener_respond(message, 200, "text/plain; version=0.0.4",
 			 str_from_gstring(text));
@@ -80,7 +81,7 @@
 	server_t *server = context;
 
 	if (str_equal(path, STR("/metrics"))) {
-		respond_metrics(message);
+		respond_metrics(server, message);
 	} else if (str_equal(path, STR("/healthz"))) {
 		respond_text(message, 200, "ok\n");
 	} else if (str_equal(path, STR("/readyz"))) {
--- a/tests/support_deployment.c
+++ b/tests/support_deployment.c
@@ -8,8 +8,11 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include "support_http.h"
+
 #define READY_TIMEOUT_MS 20000
 #define RPC_SECRET "000102030405060708090a0b0c0d0e0f"
 
@@ -261,6 +264,47 @@
 	process_finish(process);
 }
 
+/* Runs the apply command and returns its exit code; base may be NULL. */
+int deployment_apply(const deployment_t *deployment, const char *path,
+		     const char *base)
+{
+	const char *const args[] = {"apply",
+				    path,
+				    "--platform",
+				    deployment->platform_address,
+				    base ? "--base" : NULL,
+				    base,
+				    NULL};
+	process_t process;
+	int code = -1;
+
+	if (!process_start(&process, "gooseberryspur", args, NULL))
+		give_up("gooseberryspur cannot be started");
+	if (process_wait_end(&process, READY_TIMEOUT_MS) &&
+	    WIFEXITED(process.status))
+		code = WEXITSTATUS(process.status);
+	process_finish(&process);
+	return code;
+}
+
+/* Waits until a serve process has a configuration in effect. */
+void deployment_wait_ready(const deployment_t *deployment, unsigned index)
+{
+	gint64 end_us =
+		g_get_monotonic_time() + (gint64)READY_TIMEOUT_MS * 1000;
+	unsigned status = 0;
+
+	while (status != 200) {
+		http_answer_t answer = http_get(
+			deployment->operators_address[index], "/readyz");
+
+		status = answer.status;
+		http_answer_finish(&answer);
+		if (g_get_monotonic_time() > end_us)
+			give_up("gooseberryspur has no configuration");
+	}
+}
+
 static void start_fakes(deployment_t *deployment)
 {
 	const deployment_config_t *config = &deployment->config;
@@ -304,6 +348,9 @@
 	text = make_state(deployment);
 	write_file(deployment->state_path, text);
 	g_free(text);
+	if (config->platform && !config->state_file_too &&
+	    deployment_apply(deployment, deployment->state_path, "0") != 0)
+		give_up("the state was not accepted");
 	for (unsigned i = 0; i < deployment->config.routers; i++) {
 		deployment->callers_address[i] = free_address(SOCK_STREAM);
 		deployment->operators_address[i] = free_address(SOCK_STREAM);
@@ -313,6 +360,8 @@
 		write_settings(deployment, i);
 		deployment_start_router(deployment, i);
 	}
+	for (unsigned i = 0; i < deployment->config.routers; i++)
+		deployment_wait_ready(deployment, i);
 }
 
 static void stop_process(process_t *process)
--- a/tests/support_deployment.h
+++ b/tests/support_deployment.h
@@ -50,6 +50,9 @@
 void deployment_finish(deployment_t *deployment);
 void deployment_start_router(deployment_t *deployment, unsigned index);
 void deployment_stop_router(deployment_t *deployment, unsigned index);
+int deployment_apply(const deployment_t *deployment, const char *path,
+		     const char *base);
+void deployment_wait_ready(const deployment_t *deployment, unsigned index);
 char *deployment_log(const deployment_t *deployment, unsigned index);
 char *deployment_log_path(const deployment_t *deployment, unsigned index);
 
--- a/tests/tool_capacity.c
+++ b/tests/tool_capacity.c
@@ -91,8 +91,8 @@
 	manifest_split(manifest, state);
 }
 
-OPERATION bool measure_assemble(const manifest_t *manifest, state_t **state);
-bool measure_assemble(const manifest_t *manifest, state_t **state)
+OPERATION bool measure_assemble(manifest_t *manifest, state_t **state);
+bool measure_assemble(manifest_t *manifest, state_t **state)
 {
 	diag_t diag;
 	bool ok;
