--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -36,10 +36,11 @@
 			 str_from(text));
 }
 
-static void respond_metrics(SoupServerMessage *message)
+static void respond_metrics(server_t *server, SoupServerMessage *message)
 {
 	GString *text = g_string_new(NULL);
 
+	router_update_gauges(&server->router);
 	counters_print(text);
 	listener_respond(message, 200, "text/plain; version=0.0.4",
 			 str_from_gstring(text));
@@ -80,7 +81,7 @@
 	server_t *server = context;
 
 	if (str_equal(path, STR("/metrics"))) {
-		respond_metrics(message);
+		respond_metrics(server, message);
 	} else if (str_equal(path, STR("/healthz"))) {
 		respond_text(message, 200, "ok\n");
 	} else if (str_equal(path, STR("/readyz"))) {
@@ -157,7 +158,8 @@
 		server->flush_until_us = now_us + FLUSH_LIMIT_US;
 	if (now_us < server->flush_until_us &&
 	    (listener_open_requests(&server->callers) > 0 ||
-	     !canceller_is_idle(&server->router.canceller)))
+	     !canceller_is_idle(&server->router.canceller) ||
+	     !once_calls_are_idle(&server->router.once_calls)))
 		return G_SOURCE_CONTINUE;
 	g_main_loop_quit(server->router.loop);
 	return G_SOURCE_REMOVE;
