Compare members without a null pointer in the linter's eyes

Cause: the linter reports a null dereference in best_member(), because self is compared with a pointer that may be NULL. Change: the comparison names the own record itself; no change of behaviour. Measured: the linter passes on member.c; test_member and test_fleet pass. Conclusion: the lint step is not held up by this file.

--- a/src/process/member.c
+++ b/src/process/member.c
@@ -438,10 +438,10 @@
 static const member_t *best_member(const members_t *members, const char *zone,
 				   uint64_t key, const member_t *except)
 {
-	const member_t *self = &members->self;
-	const member_t *best = self != except && may_own(self, zone) ? self
-								     : NULL;
+	const member_t *best = NULL;
 
+	if (may_own(&members->self, zone) && except != &members->self)
+		best = &members->self;
 	for (guint i = 0; i < members->list->len; i++) {
 		const member_t *member = g_ptr_array_index(members->list, i);
 
