--- a/src/process/cmd_status.c
+++ b/src/process/cmd_status.c
@@ -64,8 +64,8 @@
 	if (!JSON_NODE_HOLDS_OBJECT(node))
 		return;
 	l = json_node_get_object(node);
-	printf("lease pool=%s held=%d fence=%" G_GINT64_FORMAT "\n",
-	       get_string(l, "pool"), get_bool(l, "held"), get_int(l, "fence"));
+	printf("lease zone=%s held=%d fence=%" G_GINT64_FORMAT "\n",
+	       get_string(l, "zone"), get_bool(l, "held"), get_int(l, "fence"));
 }
 
 static void print_array(JsonObject *status, const char *key,
--- a/src/process/status.c
+++ b/src/process/status.c
@@ -40,6 +40,49 @@
 	json_builder_end_object(builder);
 }
 
+static const char *const member_states[] = {
+	[MEMBER_ALIVE] = "alive",     [MEMBER_LEAVING] = "leaving",
+	[MEMBER_SUSPECT] = "suspect", [MEMBER_DEAD] = "dead",
+	[MEMBER_LEFT] = "left",
+};
+
+static void add_member(JsonBuilder *builder, const member_t *member)
+{
+	json_builder_begin_object(builder);
+	add_string(builder, "vm", member->info.vm);
+	add_string(builder, "zone", member->info.zone);
+	add_string(builder, "address", member->info.address);
+	add_string(builder, "state", member_states[member->info.state]);
+	add_int(builder, "version", (int64_t)member->config_version);
+	json_builder_end_object(builder);
+}
+
+static void add_members(JsonBuilder *builder, const router_t *router)
+{
+	const members_t *members = &router->fleet.members;
+
+	json_builder_set_member_name(builder, "members");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < members->list->len; i++)
+		add_member(builder, g_ptr_array_index(members->list, i));
+	json_builder_end_array(builder);
+}
+
+static void add_leases(JsonBuilder *builder, const router_t *router)
+{
+	const lease_t *lease = &router->control.lease;
+	int64_t now_us = clock_now(&router->clock);
+
+	json_builder_set_member_name(builder, "leases");
+	json_builder_begin_array(builder);
+	json_builder_begin_object(builder);
+	add_string(builder, "zone", router->settings->zone);
+	add_bool(builder, "held", lease_may_send(lease, now_us));
+	add_int(builder, "fence", (int64_t)lease->token);
+	json_builder_end_object(builder);
+	json_builder_end_array(builder);
+}
+
 /* Appends the members of the status object. */
 void status_append(JsonBuilder *builder, router_t *router)
 {
@@ -54,6 +97,13 @@
 	add_int(builder, "version",
 		router->state ? (int64_t)router->state->version : -1);
 	add_int(builder, "requests", g_queue_get_length(&router->requests));
+	if (router->joined)
+		add_members(builder, router);
+	if (router->has_platform) {
+		add_int(builder, "version_age_ms",
+			config_age_ms(&router->config));
+		add_leases(builder, router);
+	}
 	json_builder_set_member_name(builder, "backends");
 	json_builder_begin_array(builder);
 	for (guint i = 0; i < entries->len; i++)
