--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -196,7 +196,8 @@
 static void add_connection_flags(const client_request_t *request,
 				 SoupMessage *message)
 {
-	if (!strcmp(request->method, "POST") && request->reuse_connection) {
+	if (!strcmp(request->method, "POST") && request->reuse_connection &&
+	    !request->new_connection) {
 		soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
 		return;
 	}
--- a/src/process/route_pick.c
+++ b/src/process/route_pick.c
@@ -32,14 +32,16 @@
 	return n ? route->engines->pdata[random_below(route, n)] : NULL;
 }
 
-/* Returns the next engine in turn that is available, NULL if none is. */
-static route_engine_t *next_in_turn(route_t *route,
+/* Returns the next engine in turn that is available, NULL if none is. The turn
+ * passes on in route_begin(), so asking without starting changes nothing.
+ */
+static route_engine_t *next_in_turn(const route_t *route,
 				    const route_engine_t *except)
 {
 	for (guint i = 0; i < route->engines->len; i++) {
 		route_engine_t *engine =
-			route->engines
-				->pdata[route->next++ % route->engines->len];
+			route->engines->pdata[(route->next + i) %
+					      route->engines->len];
 
 		if (route_is_available(engine) && engine != except)
 			return engine;
@@ -47,11 +49,10 @@
 	return NULL;
 }
 
-/* Expected end of a prefill. An engine with the prefix computes less. */
+/* Expected end of a prefill of which an engine has saved tokens cached. */
 static int64_t finish_us(const route_t *route, const route_engine_t *engine,
-			 const route_prefill_t *want, double confidence)
+			 const route_prefill_t *want, double saved)
 {
-	double saved = confidence * (double)want->prefix_tokens;
 	int64_t tokens = MAX(want->prompt_tokens - (int64_t)saved, 1);
 	int64_t end = route->now_us +
 		      route_expected_us(route, engine, tokens, route->now_us);
@@ -71,7 +72,7 @@
 } best_t;
 
 static void consider_prefill(const route_t *route, route_engine_t *engine,
-			     const route_prefill_t *want, double confidence,
+			     const route_prefill_t *want, double saved,
 			     best_t *best)
 {
 	int64_t end;
@@ -82,7 +83,7 @@
 	    route_requests(route, engine) >=
 		    (double)engine->config.max_prefills)
 		return;
-	end = finish_us(route, engine, want, confidence);
+	end = finish_us(route, engine, want, saved);
 	if (end > want->finish_by_us - route_margin_us(route))
 		return;
 	if (best->engine && end >= best->finish_us)
@@ -113,9 +114,12 @@
 
 	if (route->prefix && want->prefix)
 		n = prefix_find(route->prefix, want->prefix, hits);
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; i < n; i++) {
+		int64_t tokens = MAX(want->prefix_tokens, hits[i].tokens);
+
 		consider_prefill(route, route_find(route, hits[i].engine), want,
-				 hits[i].confidence, best);
+				 hits[i].confidence * (double)tokens, best);
+	}
 }
 
 /*
--- a/src/process/router.c
+++ b/src/process/router.c
@@ -84,6 +84,7 @@
 	canceller_init(&router->canceller, &router->client, router->clock,
 		       router->id_prefix);
 	retry_budget_init(&router->retry_budget, 0, RETRY_BURST);
+	once_calls_init(&router->once_calls, NULL, router->clock);
 	backends_init(&router->backends, &router->client, router->clock);
 	if (!route_policy_parse(str_from(settings->routing_policy), &policy))
 		policy = ROUTE_LEDGER;
@@ -109,11 +110,20 @@
 	if (!router->joined)
 		return;
 	owner_update(&router->owner);
+	router_config_members(router);
 	if (member->info.state == MEMBER_DEAD)
 		owner_vm_dead(&router->owner, str_from(member->info.vm),
 			      member->info.incarnation);
 }
 
+static void on_member_heard(void *context, const member_t *member)
+{
+	router_t *router = context;
+
+	if (router->joined)
+		router_config_hear(router, member);
+}
+
 static void on_superseded(void *context)
 {
 	router_t *router = context;
@@ -129,6 +139,7 @@
 	platform_init(&router->platform, &router->client,
 		      router->settings->platform_address, &budget,
 		      router->id_prefix);
+	router->once_calls.platform = &router->platform;
 	vms_init(&router->vms, &router->platform, &router->fleet,
 		 &router->backends, router->clock, router->id_prefix);
 }
@@ -143,6 +154,7 @@
 	const settings_t *settings = router->settings;
 	fleet_callbacks_t callbacks = {
 		.changed = on_member_changed,
+		.heard = on_member_heard,
 		.superseded = on_superseded,
 		.context = router,
 	};
@@ -167,6 +179,8 @@
 	reserve_attach(&router->reserve, &router->rpc, &router->fleet,
 		       &router->owner, self);
 	router->joined = true;
+	if (router->has_platform)
+		router_config_start(router);
 	return true;
 }
 
@@ -203,7 +217,9 @@
 {
 	if (router->joined)
 		fleet_leave(&router->fleet, MEMBER_LEFT);
+	once_calls_finish(&router->once_calls);
 	if (router->has_platform) {
+		router_config_finish(router);
 		vms_finish(&router->vms);
 		platform_finish(&router->platform);
 	}
