--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -41,7 +41,6 @@
 	GBytes *body; /* may be NULL */
 	bool reuse_connection; /* POST only; see client_send() */
 	bool new_connection; /* any method: never sent twice */
-	bool single_send; /* GET only; see client_send() */
 	int64_t deadline_us; /* of the whole call */
 	int64_t idle_limit_us; /* longest silence of a stream; 0: none */
 	client_data_fn_t on_data; /* streams the body of a 200 response */
