Test pauses in suspicions, dead senders and indirect probes by themselves

Cause: in trials, leaving out the pause check, the distrust of dead senders or the indirect probes made no membership test fail, as other mechanisms covered for them. Change: two cases for the first two, and the case of a cut pair also counts suspicions. Conclusion: each of the three mechanisms has a test that guards it.

--- a/tests/support_members.h
+++ b/tests/support_members.h
@@ -48,6 +48,7 @@
 	int64_t paused_until_us;
 	int64_t messages;
 	int64_t bytes;
+	int suspicions; /* times that it held another member for suspect */
 	int removals; /* times that it held another member for dead */
 	int64_t last_removal_us;
 } memsim_node_t;
@@ -84,6 +85,8 @@
 {
 	memsim_node_t *node = context;
 
+	if (member->info.state == MEMBER_SUSPECT)
+		node->suspicions++;
 	if (member->info.state != MEMBER_DEAD || before >= MEMBER_DEAD)
 		return;
 	node->removals++;
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -130,11 +130,57 @@
 	}
 }
 
+/* Indirect probes keep a pair that is cut from suspecting each other. */
 static void test_one_way_pair(void **state)
 {
 	cut(2, 6, true);
 	memsim_run_for(&sim, 60);
 	assert_int_equal(removals(), 0);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(sim.nodes[i].suspicions, 0);
+}
+
+/* Makes one node hear of another from a third. */
+static void tell(int who, int teller, int whom, member_state_t state)
+{
+	member_message_t message = {.n_updates = 1};
+
+	message.self = sim.nodes[teller].members.self.info;
+	message.updates[0] = sim.nodes[whom].members.self.info;
+	message.updates[0].state = state;
+	member_receive(&sim.nodes[who].members, sim.now_us, &message);
+}
+
+/* A process that was paused does not end a suspicion that ran out meanwhile,
+ * because it may have missed the refutation.
+ */
+static void test_pause_in_suspicion(void **state)
+{
+	member_action_t actions[MEMBER_ACTIONS_MAX];
+	members_t *members = &sim.nodes[0].members;
+	int64_t later_us = sim.now_us + 30 * CLOCK_US_PER_S;
+
+	tell(0, 1, 5, MEMBER_SUSPECT);
+	assert_int_equal(memsim_view(&sim, 0, 5), MEMBER_SUSPECT);
+	member_tick(members, later_us, actions);
+	assert_int_equal(memsim_view(&sim, 0, 5), MEMBER_SUSPECT);
+	for (int i = 0; i < 100; i++) {
+		later_us += MEMBER_DIRECT_US;
+		member_tick(members, later_us, actions);
+	}
+	assert_int_equal(memsim_view(&sim, 0, 5), MEMBER_DEAD);
+}
+
+/* What a member that is held for dead says of others is not heard. */
+static void test_dead_sender(void **state)
+{
+	tell(0, 1, 5, MEMBER_DEAD);
+	tell(0, 5, 2, MEMBER_SUSPECT);
+	assert_int_equal(memsim_view(&sim, 0, 2), MEMBER_ALIVE);
+	tell(0, 5, 0, MEMBER_SUSPECT);
+	assert_int_equal(sim.nodes[0].members.self.info.refutation, 1);
+	tell(0, 1, 2, MEMBER_SUSPECT);
+	assert_int_equal(memsim_view(&sim, 0, 2), MEMBER_SUSPECT);
 }
 
 /* A node that cannot send, or cannot receive, is removed; what it thinks of
@@ -359,14 +405,24 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		TEST(test_join),	   TEST(test_join_by_list),
-		TEST(test_crash),	   TEST(test_zone_crash),
-		TEST(test_freeze),	   TEST(test_one_way_pair),
-		TEST(test_one_way_node),   TEST(test_partition),
-		TEST(test_loss),	   TEST(test_leaving),
-		TEST(test_listed_leaving), TEST(test_address_reused),
-		TEST(test_restart),	   TEST(test_precedence),
-		TEST(test_owner),	   TEST(test_scale),
+		TEST(test_join),
+		TEST(test_join_by_list),
+		TEST(test_crash),
+		TEST(test_zone_crash),
+		TEST(test_freeze),
+		TEST(test_one_way_pair),
+		TEST(test_pause_in_suspicion),
+		TEST(test_dead_sender),
+		TEST(test_one_way_node),
+		TEST(test_partition),
+		TEST(test_loss),
+		TEST(test_leaving),
+		TEST(test_listed_leaving),
+		TEST(test_address_reused),
+		TEST(test_restart),
+		TEST(test_precedence),
+		TEST(test_owner),
+		TEST(test_scale),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
