Keep zone names of backend servers while placement uses them

Cause: test_versions failed with the sanitizers. A new configuration version freed the zone names of all entries, and placement still compared them (use after free in reindex()); it also kept the zone from when an engine was added. Change: zone names are interned, and a changed zone reaches the engine. Measured: test_versions failed before and passes now with the sanitizers, as do test_config, test_apply, test_platform and test_route. Conclusion: a serve process no longer crashes when a second version arrives.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -23,7 +23,6 @@
 	engine_abort(entry->cache_poll);
 	g_free(entry->name);
 	g_free(entry->address);
-	g_free(entry->zone);
 	g_free(entry->pool);
 	g_free(entry->service);
 	g_free(entry);
@@ -184,6 +183,16 @@
 	*field = str_dup(value);
 }
 
+/* Zones are few, so that keeping their names for ever is no leak. */
+static const char *intern(str_t value)
+{
+	char *copy = str_dup(value);
+	const char *text = g_intern_string(copy);
+
+	g_free(copy);
+	return text;
+}
+
 static void apply_one(backends_t *backends, const backend_t *backend)
 {
 	backend_entry_t *entry = backends_find(backends, backend->address);
@@ -198,7 +207,7 @@
 				    entry);
 	}
 	set_text(&entry->name, backend->name);
-	set_text(&entry->zone, backend->zone);
+	entry->zone = intern(backend->zone);
 	set_text(&entry->pool, backend->pool ? backend->pool->name : STR(""));
 	set_text(&entry->service,
 		 backend->service ? backend->service->name : STR(""));
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -23,7 +23,7 @@
 	char *name;
 	char *address;
 	uint64_t key; /* hash of the address, as in RPC messages */
-	char *zone;
+	const char *zone; /* interned, as placement keeps pointing to it */
 	char *pool; /* name, or empty for a plain service */
 	char *service; /* name, or empty for an engine */
 	bool prefill; /* in a prefill pool */
--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -198,6 +198,7 @@
 	place_entry(scheduler, entry);
 	if (!entry->engine)
 		return;
+	entry->engine->config.zone = str_from(entry->zone);
 	route_set_state(entry->route, entry->engine, healthy, entry->leaving);
 	if (reported) {
 		route_load_t load = {
