--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -135,6 +135,24 @@
 	return true;
 }
 
+/*
+ * Tells whether the end of the body is known. Without a length or chunks the
+ * end is where the connection closes, which cannot be told from a response
+ * that was cut, even in its head.
+ */
+static bool has_known_end(const client_call_t *call)
+{
+	unsigned status = soup_message_get_status(call->message);
+
+	if (status == SOUP_STATUS_NO_CONTENT ||
+	    status == SOUP_STATUS_NOT_MODIFIED ||
+	    strcmp(soup_message_get_method(call->message), "HEAD") == 0)
+		return true;
+	return soup_message_headers_get_encoding(
+		       soup_message_get_response_headers(call->message)) !=
+	       SOUP_ENCODING_EOF;
+}
+
 static void on_read(GObject *source, GAsyncResult *result, gpointer data)
 {
 	client_call_t *call = data;
@@ -142,7 +160,7 @@
 
 	touch(call);
 	if (n <= 0 || !call->on_done) {
-		call_end(call, n == 0);
+		call_end(call, n == 0 && has_known_end(call));
 		return;
 	}
 	if (!take_data(call, (size_t)n)) {
--- a/src/connection/reply.c
+++ b/src/connection/reply.c
@@ -56,7 +56,8 @@
 		reply->done = true;
 		soup_message_body_complete(
 			soup_server_message_get_response_body(reply->message));
-		soup_server_message_unpause(reply->message);
+		if (!reply->finished)
+			soup_server_message_unpause(reply->message);
 	}
 }
 
@@ -98,7 +99,10 @@
 
 static void on_message_finished(SoupServerMessage *message, gpointer data)
 {
-	report_gone(data);
+	reply_t *reply = data;
+
+	reply->finished = true;
+	report_gone(reply);
 }
 
 static void set_common_headers(reply_t *reply)
--- a/src/connection/reply.h
+++ b/src/connection/reply.h
@@ -23,6 +23,7 @@
 	char id[33]; /* request ID, 32 hex digits */
 	bool streaming;
 	bool done;
+	bool finished; /* the library has finished with the message */
 } reply_t;
 
 void reply_init(reply_t *reply, SoupServerMessage *message, str_t id,
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -410,29 +410,31 @@
 	end(call);
 }
 
-static void on_once(void *context, const once_step_t *step,
-		    const once_outcome_t *outcome)
+static void replay(forward_t *call, const once_outcome_t *outcome)
 {
-	forward_t *call = context;
-	const char *type = outcome ? outcome->content_type : NULL;
+	const char *type = outcome->content_type;
 	gsize len;
-	const char *data;
+	const char *data = g_bytes_get_data(outcome->body, &len);
 
-	if (step->kind == ONCE_DISPATCH) {
-		feed(call, PLAIN_EVENT_ADMITTED, NULL);
-		return;
-	}
-	if (step->kind == ONCE_ANSWER) {
-		end_unsent(call, step->verdict);
-		return;
-	}
-	data = g_bytes_get_data(outcome->body, &len);
 	reply_whole(&call->reply, outcome->status, RUN_RAN,
 		    type ? type : "application/octet-stream",
 		    (str_t){data, len});
 	end_unsent(call, verdict_make(RUN_RAN, VERDICT_OK, "replayed"));
 }
 
+static void on_once(void *context, const once_step_t *step,
+		    const once_outcome_t *outcome)
+{
+	forward_t *call = context;
+
+	if (step->kind == ONCE_DISPATCH)
+		feed(call, PLAIN_EVENT_ADMITTED, NULL);
+	else if (step->kind == ONCE_REPLAY && outcome)
+		replay(call, outcome);
+	else
+		end_unsent(call, step->verdict);
+}
+
 /* An unrepeatable call with a key is recorded before it is sent. */
 static void start_once(forward_t *call)
 {
--- a/tests/support_caller.h
+++ b/tests/support_caller.h
@@ -12,31 +12,30 @@
 	/* Set before caller_start(). */
 	const char *address;
 	const char *token;
+	int64_t leave_after_us; /* from the send; CALLER_STAYS: not by time */
+	gint *all_tokens; /* counts the tokens of all callers; may be NULL */
+	int leave_after_tokens; /* CALLER_STAYS: reads to the end */
 	int number; /* makes the prompt and the trace unique */
 	int prompt_words;
 	int max_tokens;
-	int leave_after_tokens; /* CALLER_STAYS: reads to the end */
-	int64_t leave_after_us; /* from the send; CALLER_STAYS: not by time */
-	bool reset; /* leaves with a reset instead of a close */
-	gint *all_tokens; /* counts the tokens of all callers; may be NULL */
 
-	/* Set once caller_join() has returned. */
-	unsigned status; /* 0: no response */
+	/* Set once caller_join() has returned; tokens can be read before. */
 	char *verdict; /* of the head, or of the error that ended the stream */
 	char *code; /* of the error, or NULL */
 	char *message; /* of the error, or NULL */
-	bool retry_after; /* the error names a time to come back */
-	int tokens;
-	bool complete; /* all tokens, the end event and the end of the body */
 	char *fault; /* what was wrong with the response, or NULL */
-	char trace[56];
-	int64_t left_us; /* CLOCK_BOOTTIME; 0: it stayed */
-
-	GThread *thread;
 	char *hash; /* of the prompt, as it appears in the tokens */
+	GThread *thread;
+	int64_t left_us; /* CLOCK_BOOTTIME; 0: it stayed */
+	char trace[56];
+	unsigned status; /* 0: no response */
+	gint tokens;
+	bool reset; /* set before: leaves with a reset instead of a close */
+	bool retry_after; /* the error names a time to come back */
 	bool stopped; /* saw the event that ends the answer */
 	bool done; /* saw [DONE] */
 	bool ended; /* saw the last chunk */
+	bool complete; /* all tokens, and all of these ends */
 } caller_t;
 
 void caller_start(caller_t *caller);
--- a/tests/test_once_calls.c
+++ b/tests/test_once_calls.c
@@ -27,8 +27,8 @@
 static http_answer_t reserve(const deployment_t *deployment, unsigned router,
 			     const char *key, const char *body)
 {
-	const char *const headers[] = {"Authorization",
-				       "Bearer " DEPLOYMENT_TOKEN,
+	const char *const bearer = "Bearer " DEPLOYMENT_TOKEN;
+	const char *const headers[] = {"Authorization", bearer,
 				       "Idempotency-Key", key, NULL};
 
 	return http_call("POST", deployment->callers_address[router], PATH,
