--- a/tests/tool_capacity.c
+++ b/tests/tool_capacity.c
@@ -348,7 +348,7 @@
 			    .sender = {.vm = "vm-1"}};
 	peer_reserve reserve = {0};
 	wire_buffer_t body;
-	wire_buffer_t datagram;
+	wire_buffer_t datagram = {.len = 0};
 
 	g_array_append_val(list, key);
 	if (!rpc_encode(peer_reserve, &reserve, &body))
