--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -23,7 +23,6 @@
 	engine_abort(entry->cache_poll);
 	g_free(entry->name);
 	g_free(entry->address);
-	g_free(entry->zone);
 	g_free(entry->pool);
 	g_free(entry->service);
 	g_free(entry);
@@ -150,6 +149,7 @@
 	backends->client = client;
 	backends->clock = clock;
 	backends->entries = g_ptr_array_new_with_free_func(entry_free);
+	backends->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	backends->next = 0;
 	backends->on_changed = NULL;
 	backends->on_cache = NULL;
@@ -163,20 +163,18 @@
 void backends_finish(backends_t *backends)
 {
 	g_source_remove(backends->poll_timer);
+	g_hash_table_unref(backends->by_address);
 	g_ptr_array_unref(backends->entries);
 }
 
 /* Returns the entry with an address, or NULL. */
 backend_entry_t *backends_find(backends_t *backends, str_t address)
 {
-	for (guint i = 0; i < backends->entries->len; i++) {
-		backend_entry_t *entry =
-			g_ptr_array_index(backends->entries, i);
+	char *key = str_dup(address);
+	backend_entry_t *entry = g_hash_table_lookup(backends->by_address, key);
 
-		if (str_equal(str_from(entry->address), address))
-			return entry;
-	}
-	return NULL;
+	g_free(key);
+	return entry;
 }
 
 static void set_text(char **field, str_t value)
@@ -185,6 +183,16 @@
 	*field = str_dup(value);
 }
 
+/* Zones are few, so that keeping their names for ever is no leak. */
+static const char *intern(str_t value)
+{
+	char *copy = str_dup(value);
+	const char *text = g_intern_string(copy);
+
+	g_free(copy);
+	return text;
+}
+
 static void apply_one(backends_t *backends, const backend_t *backend)
 {
 	backend_entry_t *entry = backends_find(backends, backend->address);
@@ -195,9 +203,11 @@
 		entry->address = str_dup(backend->address);
 		entry->key = member_key(backend->address);
 		g_ptr_array_add(backends->entries, entry);
+		g_hash_table_insert(backends->by_address, entry->address,
+				    entry);
 	}
 	set_text(&entry->name, backend->name);
-	set_text(&entry->zone, backend->zone);
+	entry->zone = intern(backend->zone);
 	set_text(&entry->pool, backend->pool ? backend->pool->name : STR(""));
 	set_text(&entry->service,
 		 backend->service ? backend->service->name : STR(""));
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -23,7 +23,7 @@
 	char *name;
 	char *address;
 	uint64_t key; /* hash of the address, as in RPC messages */
-	char *zone;
+	const char *zone; /* interned, as placement keeps pointing to it */
 	char *pool; /* name, or empty for a plain service */
 	char *service; /* name, or empty for an engine */
 	bool prefill; /* in a prefill pool */
@@ -64,6 +64,7 @@
 	client_t *client;
 	clock_source_t clock;
 	GPtrArray *entries; /* of backend_entry_t */
+	GHashTable *by_address; /* the same entries; keys are theirs */
 	guint poll_timer;
 	guint next; /* round-robin position */
 	backends_changed_fn_t on_changed; /* may be NULL */
