--- a/tests/support_load.c
+++ b/tests/support_load.c
@@ -10,8 +10,6 @@
 #define DRAIN_S "20"
 #define JOIN_TIMEOUT_MS 60000
 #define POLL_US 50000
-/* NAME:TOKEN:WORTH:SHARE */
-#define CUSTOMER "tenant:" DEPLOYMENT_TOKEN ":1:1"
 
 static G_NORETURN void give_up(const char *what)
 {
@@ -25,10 +23,13 @@
 	g_ptr_array_add(args, g_strdup_printf("%g", value));
 }
 
+/* NAME:TOKEN:WORTH:SHARE */
+static const char customer[] = "tenant:" DEPLOYMENT_TOKEN ":1:1";
+
 static GPtrArray *make_args(const load_run_t *run)
 {
 	static const char *const fixed[] = {
-		"--customer",	 CUSTOMER,
+		"--customer",	 customer,
 		"--mix",	 "skladnik",
 		"--model",	 "summaries",
 		"--book-path",	 "/svc/listing/reservations",
