Prefill only what can be in time, near its decode engine

Cause: a review of the placement found that an admitted request could start a prefill that misses the first-token target, that the decode engine's zone was not passed on, that limits of removed customers stayed, and that each router used the whole bound of transfers to one engine. Change: the first prefill has to end in time; repeated ones have until the deadline; routers bound their part of the transfers; limits of former customers are removed.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -6,14 +6,28 @@
 	return clock_now(&scheduler->clock);
 }
 
+/* A first prefill that ends too late for the first token is not started; one
+ * that is repeated after a failure only has to meet the deadline.
+ */
+static int64_t finish_by(const scheduler_ticket_t *ticket)
+{
+	return ticket->prefilled ? ticket->request.deadline_us
+				 : ticket_prefill_due(ticket);
+}
+
 /* Returns a prefill engine, not `avoid` if there is a choice, or NULL. */
 backend_entry_t *scheduler_pick_prefill(scheduler_ticket_t *ticket,
 					const backend_entry_t *avoid)
 {
+	const holding_t *held =
+		ticket->holdings->len
+			? &g_array_index(ticket->holdings, holding_t, 0)
+			: NULL;
 	route_prefill_t want = {
 		.prompt_tokens = ticket->request.prompt_tokens,
 		.prefix = ticket->request.prefix,
-		.finish_by_us = ticket->request.deadline_us,
+		.finish_by_us = finish_by(ticket),
+		.decode_zone = held ? str_from(held->entry->zone) : STR(""),
 		.except = avoid ? avoid->engine : NULL,
 	};
 	int64_t now_us = now_of(ticket->scheduler);
@@ -22,6 +36,7 @@
 
 	if (!engine)
 		return NULL;
+	ticket->prefilled = true;
 	ticket->prefill = engine->config.context;
 	ticket->prefill_started_us = now_us;
 	ticket->prefill_expected_us =
--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -84,6 +84,7 @@
 void scheduler_finish(scheduler_t *scheduler)
 {
 	g_hash_table_unref(scheduler->pools);
+	g_hash_table_unref(scheduler->limit_ids);
 	limit_finish(&scheduler->limit);
 	prefix_finish(&scheduler->prefix);
 	g_free(scheduler->zone);
@@ -111,7 +112,11 @@
 	pool->scheduler = scheduler;
 	pool->name = str_dup(from->name);
 	g_queue_init(&pool->waiting);
-	scheduler->config.max_transfers = state->limits.transfers_per_link;
+	/* Each router bounds its own part of an engine's transfers. */
+	scheduler->config.max_transfers =
+		MAX(state->limits.transfers_per_link /
+			    (int64_t)scheduler->config.routers,
+		    1);
 	route_init(&pool->route,
 		   prefill ? ROUTE_PREFILL_POOL : ROUTE_DECODE_POOL,
 		   &scheduler->config, prefill ? &scheduler->prefix : NULL);
@@ -124,18 +129,35 @@
 	return limit_id(customer->name, STR(""));
 }
 
+static gboolean is_removed(gpointer key, gpointer value, gpointer context)
+{
+	scheduler_t *scheduler = context;
+	bool removed = value != GUINT_TO_POINTER(scheduler->states);
+
+	if (removed)
+		limit_remove(&scheduler->limit, *(uint64_t *)key);
+	return removed;
+}
+
+/* Sets the limits of all customers and removes those of former ones. */
 static void apply_limits(scheduler_t *scheduler, const state_t *state)
 {
+	scheduler->states++;
 	for (size_t i = 0; i < state->n_customers; i++) {
 		const customer_t *customer = &state->customers[i];
+		uint64_t id = customer_limit_id(customer);
 		limit_values_t values = {
 			.requests_s = customer->requests_s,
 			.concurrency = customer->concurrency,
 		};
 
-		limit_set(&scheduler->limit, customer_limit_id(customer),
-			  values, now_of(scheduler));
+		limit_set(&scheduler->limit, id, values, now_of(scheduler));
+		g_hash_table_insert(scheduler->limit_ids,
+				    g_memdup2(&id, sizeof(id)),
+				    GUINT_TO_POINTER(scheduler->states));
 	}
+	g_hash_table_foreach_remove(scheduler->limit_ids, is_removed,
+				    scheduler);
 }
 
 /* Takes over the pools and limits of a state, after backends_apply(). */
--- a/src/process/scheduler.h
+++ b/src/process/scheduler.h
@@ -61,6 +61,8 @@
 	size_t max_queue;
 	prefix_t prefix;
 	limit_t limit;
+	GHashTable *limit_ids; /* of the limits set, to the state's number */
+	guint states; /* taken over so far */
 	GHashTable *pools; /* name to scheduler_pool_t */
 	uint32_t next_engine;
 	uint64_t random_state;
--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -118,7 +118,7 @@
 /* Latest end of the prefill with which the first token is in time, without the
  * margin that route_pick_prefill() keeps from it.
  */
-static int64_t prefill_due(const scheduler_ticket_t *ticket)
+int64_t ticket_prefill_due(const scheduler_ticket_t *ticket)
 {
 	return ticket->first_token_due_us - FIRST_TOKEN_ALLOWANCE_US;
 }
@@ -129,7 +129,7 @@
 	route_decode_t decode = {.tokens = decode_tokens(ticket)};
 	route_prefill_t prefill = {
 		.prompt_tokens = ticket->request.prompt_tokens,
-		.finish_by_us = prefill_due(ticket),
+		.finish_by_us = ticket_prefill_due(ticket),
 	};
 	int64_t now_us = now_of(ticket->scheduler);
 
@@ -207,7 +207,7 @@
 					  ticket->request.prompt_tokens, now_us)
 		       : 0;
 
-	return prefill_due(ticket) - prefill_us - route_margin_us(route);
+	return ticket_prefill_due(ticket) - prefill_us - route_margin_us(route);
 }
 
 static void enqueue(scheduler_ticket_t *ticket)
--- a/src/process/ticket.h
+++ b/src/process/ticket.h
@@ -32,6 +32,7 @@
 	bool waiting; /* in the pool's list */
 	GArray *holdings;
 
+	bool prefilled; /* a prefill was started */
 	backend_entry_t *prefill; /* in progress, or NULL */
 	int64_t prefill_started_us;
 	int64_t prefill_expected_us;
@@ -39,4 +40,6 @@
 	backend_entry_t *import; /* in progress, or NULL */
 };
 
+int64_t ticket_prefill_due(const scheduler_ticket_t *ticket);
+
 #endif
