Count the whole traffic of polls

Cause: bytes of a connection were read before its response was written, which left out the response now that each poll has a connection of its own.

--- a/tests/tool_capacity.c
+++ b/tests/tool_capacity.c
@@ -389,15 +389,27 @@
 
 static traffic_t traffic;
 
-static void count_connection(SoupServerMessage *message)
+/* Segments that end a connection after the response was sent. */
+#define CLOSE_SEGMENTS 3
+
+static bool closes_connection(SoupServerMessage *message)
+{
+	return soup_message_headers_header_contains(
+		soup_server_message_get_request_headers(message), "Connection",
+		"close");
+}
+
+/* Called when the response has been written. */
+static void on_finished(SoupServer *server, SoupServerMessage *message,
+			gpointer data)
 {
 	GSocket *socket = soup_server_message_get_socket(message);
 	struct tcp_info info = {0};
 	socklen_t len = sizeof(info);
 	traffic_t *seen;
 
-	if (getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info,
-		       &len))
+	if (!socket || getsockopt(g_socket_get_fd(socket), IPPROTO_TCP,
+				  TCP_INFO, &info, &len))
 		return;
 	seen = g_object_get_data(G_OBJECT(socket), "traffic");
 	if (!seen) {
@@ -407,13 +419,15 @@
 	}
 	traffic.calls++;
 	traffic.bytes +=
-		(int64_t)(info.tcpi_bytes_received + info.tcpi_bytes_acked) -
+		(int64_t)(info.tcpi_bytes_received + info.tcpi_bytes_sent) -
 		seen->bytes;
 	traffic.segments += (int64_t)info.tcpi_segs_in + info.tcpi_segs_out -
 			    seen->segments;
 	seen->bytes =
-		(int64_t)(info.tcpi_bytes_received + info.tcpi_bytes_acked);
+		(int64_t)(info.tcpi_bytes_received + info.tcpi_bytes_sent);
 	seen->segments = (int64_t)info.tcpi_segs_in + info.tcpi_segs_out;
+	if (closes_connection(message))
+		traffic.segments += CLOSE_SEGMENTS;
 }
 
 static void on_call(SoupServer *server, SoupServerMessage *message,
@@ -433,8 +447,6 @@
 			   ",\"segments\":%" PRId64 "}",
 			   traffic.calls, traffic.bytes, traffic.segments);
 		text = counts;
-	} else {
-		count_connection(message);
 	}
 	fake_reply_text(message, 200, "application/json", text, strlen(text));
 }
@@ -445,6 +457,8 @@
 	SoupServer *server = soup_server_new(NULL, NULL);
 
 	soup_server_add_handler(server, NULL, on_call, NULL, NULL);
+	g_signal_connect(server, "request-finished", G_CALLBACK(on_finished),
+			 NULL);
 	for (unsigned i = 0; i < count; i++) {
 		GInetAddress *ip =
 			g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
