--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -12,6 +12,7 @@
 	GCancellable *cancellable;
 	GInputStream *input;
 	GByteArray *body;
+	goffset received; /* bytes of the body */
 	client_data_fn_t on_data;
 	client_done_fn_t on_done; /* NULL once aborted */
 	void *context;
@@ -136,21 +137,29 @@
 }
 
 /*
- * Tells whether the end of the body is known. Without a length or chunks the
- * end is where the connection closes, which cannot be told from a response
- * that was cut, even in its head.
+ * Tells whether the body that ended is whole. The library takes a body that was
+ * cut for a whole one on connections that are not kept alive. Without a length
+ * or chunks, an end cannot be told from a cut, even in the head.
  */
-static bool has_known_end(const client_call_t *call)
+static bool is_whole(const client_call_t *call)
 {
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(call->message);
 	unsigned status = soup_message_get_status(call->message);
 
 	if (status == SOUP_STATUS_NO_CONTENT ||
 	    status == SOUP_STATUS_NOT_MODIFIED ||
 	    strcmp(soup_message_get_method(call->message), "HEAD") == 0)
 		return true;
-	return soup_message_headers_get_encoding(
-		       soup_message_get_response_headers(call->message)) !=
-	       SOUP_ENCODING_EOF;
+	switch (soup_message_headers_get_encoding(headers)) {
+	case SOUP_ENCODING_CONTENT_LENGTH:
+		return call->received ==
+		       soup_message_headers_get_content_length(headers);
+	case SOUP_ENCODING_EOF:
+		return false;
+	default:
+		return true;
+	}
 }
 
 static void on_read(GObject *source, GAsyncResult *result, gpointer data)
@@ -160,9 +169,10 @@
 
 	touch(call);
 	if (n <= 0 || !call->on_done) {
-		call_end(call, n == 0 && has_known_end(call));
+		call_end(call, n == 0 && is_whole(call));
 		return;
 	}
+	call->received += n;
 	if (!take_data(call, (size_t)n)) {
 		call_end(call, false);
 		return;
--- a/tests/support_raw.c
+++ b/tests/support_raw.c
@@ -87,6 +87,14 @@
 		send_text(connection, "HTTP/1.1 200 OK\r\n"
 				      "Content-Length: 100\r\n\r\n{\"ro");
 		break;
+	case RAW_CLOSE_IN_CHUNK:
+		send_text(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+				      "chunked\r\n\r\n10\r\n{\"ro");
+		break;
+	case RAW_CLOSE_BEFORE_LAST_CHUNK:
+		send_text(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+				      "chunked\r\n\r\n2\r\n{}\r\n");
+		break;
 	default:
 		break;
 	}
--- a/tests/support_raw.h
+++ b/tests/support_raw.h
@@ -16,7 +16,9 @@
 	RAW_CLOSE_IN_STATUS_LINE, /* after part of it was sent */
 	RAW_CLOSE_AFTER_STATUS_LINE,
 	RAW_CLOSE_IN_BODY, /* of the response */
+	RAW_CLOSE_IN_CHUNK,
 	RAW_MODES_N,
+	RAW_CLOSE_BEFORE_LAST_CHUNK, /* tested in test_cut_chunks.c */
 } raw_mode_t;
 
 typedef struct {
