Ask seldom for the load of engines that are not in use here

Cause: the count of polls was never raised, so the slower pace for engines of other owners had no effect (found by the capacity measurements). Ruled out: raising it alone, since a router that has requests at an engine judges by missed polls whether it lives; such engines stay at the short pace. Change: the count rises; cache events are asked for once a second.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -4,7 +4,9 @@
 #include "process/member.h"
 
 #define POLL_INTERVAL_MS 250
-/* Engines whose load matters less to this VM are asked at every such poll. */
+/* Engines that this VM neither owns nor uses, and cache events, which are late
+ * in any case, are asked for with every fourth poll.
+ */
 #define SLOW_POLLS 4
 
 #define POLL_TIMEOUT_US (1 * CLOCK_US_PER_S)
@@ -119,7 +121,8 @@
 	if (!entry->poll && is_due(backends, entry))
 		entry->poll = engine_load(backends->client, address,
 					  deadline_us, on_load, entry);
-	if (!entry->cache_poll && entry->prefill)
+	if (!entry->cache_poll && entry->prefill &&
+	    backends->polls % SLOW_POLLS == 0)
 		entry->cache_poll = engine_cache_events(
 			backends->client, address, entry->cache_next,
 			deadline_us, on_cache, entry);
@@ -130,6 +133,8 @@
 	backends_t *backends = data;
 	int64_t now_us = clock_now(&backends->clock);
 
+	backends->polls++;
+
 	for (guint i = 0; i < backends->entries->len; i++) {
 		backend_entry_t *entry =
 			g_ptr_array_index(backends->entries, i);
--- a/src/process/router.c
+++ b/src/process/router.c
@@ -40,8 +40,9 @@
 			     event->prefix);
 }
 
-/* Load reports of a decode engine matter most to its ledger owner; the other
- * routers learn its free memory from the owner's answers.
+/* Load reports of a decode engine matter to its ledger owner, and to a router
+ * that has requests there, which sees from them whether the engine still
+ * lives. The other routers learn its free memory from the owner's answers.
  */
 static bool on_poll_often(void *context, const backend_entry_t *entry)
 {
@@ -49,6 +50,7 @@
 
 	return entry->prefill || !router->joined ||
 	       router->reserve.policy < ROUTE_LEDGER ||
+	       (entry->engine && entry->engine->own_requests > 0) ||
 	       owner_is_self(&router->owner, entry);
 }
 
