--- a/tests/support_deployment.h
+++ b/tests/support_deployment.h
@@ -25,6 +25,7 @@
 	int64_t kv_tokens; /* of each engine; 0: 60000 */
 	int64_t first_token_ms; /* target; 0: 5000 */
 	int64_t shutdown_limit_ms; /* 0: 5000 */
+	int64_t drain_notice_ms; /* 0: 100 */
 } deployment_config_t;
 
 typedef struct {
@@ -45,6 +46,12 @@
 	char *state_path;
 } deployment_t;
 
+typedef enum {
+	DEPLOYMENT_PREFILL,
+	DEPLOYMENT_DECODE,
+	DEPLOYMENT_SERVICE,
+} deployment_role_t;
+
 void deployment_start(deployment_t *deployment,
 		      const deployment_config_t *config);
 void deployment_finish(deployment_t *deployment);
@@ -53,6 +60,10 @@
 int deployment_apply(const deployment_t *deployment, const char *path,
 		     const char *base);
 void deployment_wait_ready(const deployment_t *deployment, unsigned index);
+void deployment_restart_backend(deployment_t *deployment,
+				deployment_role_t role, unsigned index);
+char *deployment_record_path(const deployment_t *deployment, const char *role,
+			     unsigned index);
 char *deployment_log(const deployment_t *deployment, unsigned index);
 char *deployment_log_path(const deployment_t *deployment, unsigned index);
 
