--- a/src/process/scheduler.c
+++ b/src/process/scheduler.c
@@ -76,6 +76,8 @@
 	limit_init(&scheduler->limit, routers,
 		   MIN(own_index(settings), MAX_ROUTERS - 1),
 		   now_of(scheduler));
+	scheduler->limit_ids = g_hash_table_new_full(
+		g_int64_hash, g_int64_equal, g_free, NULL);
 	scheduler->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 }
