Share what prefill and import calls have in common

Cause: both built the same request by hand. Change: send_result_call(); the body text comes from json_to_string(). Conclusion: no change of behaviour.

--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -318,19 +318,15 @@
 
 static GBytes *end_body(JsonBuilder *builder)
 {
-	JsonGenerator *generator = json_generator_new();
 	JsonNode *root;
-	gsize len;
 	char *text;
 
 	json_builder_end_object(builder);
 	root = json_builder_get_root(builder);
-	json_generator_set_root(generator, root);
-	text = json_generator_to_data(generator, &len);
+	text = json_to_string(root, FALSE);
 	json_node_unref(root);
-	g_object_unref(generator);
 	g_object_unref(builder);
-	return g_bytes_new_take(text, len);
+	return g_bytes_new_take(text, strlen(text));
 }
 
 /*
@@ -354,33 +350,43 @@
 	return NULL;
 }
 
-/*
- * Starts a prefill. The callback is called once unless the call is aborted.
- * All strings are copied. NULL is returned if the address is no IP:port.
- */
-engine_call_t *engine_prefill(client_t *client, str_t address,
-			      const engine_prefill_t *args, int64_t deadline_us,
-			      engine_result_fn_t fn, void *context)
+static engine_call_t *send_result_call(client_t *client, str_t address,
+				       const char *path, JsonBuilder *builder,
+				       int64_t deadline_us,
+				       engine_result_fn_t fn, void *context)
 {
 	engine_call_t *call = g_new0(engine_call_t, 1);
-	JsonBuilder *builder = begin_body(&args->id);
 	client_request_t request = {
 		.method = "POST",
 		.address = address,
-		.path = "/v1/prefill",
+		.path = path,
+		.body = end_body(builder),
 		.deadline_us = deadline_us,
 		.on_done = on_result_response,
 	};
 
 	call->on_result = fn;
 	call->context = context;
+	return send_call(client, call, &request);
+}
+
+/*
+ * Starts a prefill. The callback is called once unless the call is aborted.
+ * All strings are copied. NULL is returned if the address is no IP:port.
+ */
+engine_call_t *engine_prefill(client_t *client, str_t address,
+			      const engine_prefill_t *args, int64_t deadline_us,
+			      engine_result_fn_t fn, void *context)
+{
+	JsonBuilder *builder = begin_body(&args->id);
+
 	add_str(builder, "model", args->model);
 	add_str(builder, "adapter", args->adapter);
 	add_str(builder, "prompt", args->prompt);
 	add_int(builder, "prompt_tokens", args->prompt_tokens);
 	add_int(builder, "priority", args->priority);
-	request.body = end_body(builder);
-	return send_call(client, call, &request);
+	return send_result_call(client, address, "/v1/prefill", builder,
+				deadline_us, fn, context);
 }
 
 /* Makes a decode engine import a prefill result; as engine_prefill(). */
@@ -388,24 +394,14 @@
 			     const engine_import_t *args, int64_t deadline_us,
 			     engine_result_fn_t fn, void *context)
 {
-	engine_call_t *call = g_new0(engine_call_t, 1);
 	JsonBuilder *builder = begin_body(&args->id);
-	client_request_t request = {
-		.method = "POST",
-		.address = address,
-		.path = "/v1/kv/import",
-		.deadline_us = deadline_us,
-		.on_done = on_result_response,
-	};
 
-	call->on_result = fn;
-	call->context = context;
 	add_str(builder, "source", args->source);
 	add_str(builder, "kv", args->kv);
 	add_int(builder, "tokens", args->tokens);
 	add_int(builder, "reserve_tokens", args->reserve_tokens);
-	request.body = end_body(builder);
-	return send_call(client, call, &request);
+	return send_result_call(client, address, "/v1/kv/import", builder,
+				deadline_us, fn, context);
 }
 
 /*
