--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,10 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = libsoup-3.0-dev libtirpc-dev rpcsvc-proto libargtable2-dev \
-	libcmocka-dev libjson-glib-dev libtomlplusplus-dev libxxhash-dev \
+	libcmocka-dev libjson-glib-dev libtomlplusplus-dev libxxhash-dev libhttp-parser-dev \
 	pkg-config ninja-build curl
 SOURCES = $(shell git ls-files 'src/*.c' 'src/*.h' 'src/*.cc' 'tests/*.c' \
-	'tests/*.h' | grep -v -E '/peer(_xdr)?\.[ch]$$')
+	'tests/*.h' 'platform/*.c' 'platform/*.h' | grep -v -E '/peer(_xdr)?\.[ch]$$')
 
 # Tests that fail because of a fault that is not fixed yet are passed over.
 KNOWN_RED = $(shell sed -n 's/^\(test_[a-z_]*\):.*/\1/p' KNOWN-RED.txt \
--- /dev/null
+++ b/src/connection/announce.c
@@ -0,0 +1,354 @@
+#include "connection/announce.h"
+
+#include <rpc/rpc.h>
+
+#include "connection/address.h"
+
+/* Numbers of the one-way call; the program number is from the range that RFC
+ * 5531 leaves to users.
+ */
+#define ANNOUNCE_PROGRAM 0x20a00b02
+#define ANNOUNCE_VERSION 1
+#define ANNOUNCE_PROCEDURE 1
+
+#define MAX_DATAGRAM_BYTES 8192
+#define MAX_NAME_BYTES 200
+#define MAX_SERVERS 256
+
+/* Changes within this time go out together. */
+#define COALESCE_US (1 * CLOCK_US_PER_MS)
+
+/* Repeated without a change, because datagrams are lost and silence means
+ * death.
+ */
+#define REPEAT_US (400 * CLOCK_US_PER_MS)
+
+/* A peer that was never heard, or not for long, is told less often. */
+#define SILENT_REPEAT_US (2 * CLOCK_US_PER_S)
+#define SILENT_AFTER_US (5 * CLOCK_US_PER_S)
+
+typedef struct {
+	char *vm;
+	GSocketAddress *address;
+	int64_t known_us;
+	int64_t told_us;
+} announce_peer_t;
+
+static void free_peer(gpointer data)
+{
+	announce_peer_t *peer = data;
+
+	g_free(peer->vm);
+	g_object_unref(peer->address);
+	g_free(peer);
+}
+
+static bool code_call(XDR *xdrs, struct rpc_msg *call, uint32_t xid)
+{
+	static char credentials[2][MAX_AUTH_BYTES];
+
+	memset(call, 0, sizeof(*call));
+	call->rm_xid = xid;
+	call->rm_direction = CALL;
+	call->rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call->rm_call.cb_prog = ANNOUNCE_PROGRAM;
+	call->rm_call.cb_vers = ANNOUNCE_VERSION;
+	call->rm_call.cb_proc = ANNOUNCE_PROCEDURE;
+	call->rm_call.cb_cred.oa_base = credentials[0];
+	call->rm_call.cb_verf.oa_base = credentials[1];
+	return xdr_callmsg(xdrs, call);
+}
+
+static bool code_name(XDR *xdrs, char *name)
+{
+	return xdr_string(xdrs, &name, MAX_NAME_BYTES);
+}
+
+static bool code_use(XDR *xdrs, char *server, occupancy_use_t *use)
+{
+	return code_name(xdrs, server) && xdr_int64_t(xdrs, &use->streams) &&
+	       xdr_int64_t(xdrs, &use->kv_tokens) &&
+	       xdr_int64_t(xdrs, &use->prefill_tokens);
+}
+
+/* A claim's due time travels as what is left of it. */
+static bool code_claim(XDR *xdrs, occupancy_claim_t *claim, int64_t now_us)
+{
+	bool_t late = claim->late;
+	int32_t left_ms = (int32_t)CLAMP((claim->due_us - now_us) /
+						 CLOCK_US_PER_MS,
+					 INT32_MIN, INT32_MAX);
+
+	if (!xdr_bool(xdrs, &late) || !xdr_int32_t(xdrs, &left_ms))
+		return false;
+	claim->late = late;
+	claim->due_us = now_us + left_ms * CLOCK_US_PER_MS;
+	return true;
+}
+
+static bool encode_uses(XDR *xdrs, GHashTable *own)
+{
+	uint32_t n = MIN(g_hash_table_size(own), MAX_SERVERS);
+	GHashTableIter iter;
+	gpointer server, use;
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	g_hash_table_iter_init(&iter, own);
+	while (n-- > 0 && g_hash_table_iter_next(&iter, &server, &use)) {
+		if (!code_use(xdrs, server, use))
+			return false;
+	}
+	return true;
+}
+
+static bool encode_claims(XDR *xdrs, const GArray *waiters, int64_t now_us)
+{
+	uint32_t n = MIN(waiters->len, OCCUPANCY_MAX_WAITERS);
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		occupancy_claim_t claim =
+			g_array_index(waiters, occupancy_claim_t, i);
+
+		if (!code_claim(xdrs, &claim, now_us))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes this router's own use and waiting requests. */
+bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
+		     size_t size, size_t *len)
+{
+	uint64_t incarnation = announce->incarnation;
+	uint32_t sequence = announce->sequence;
+	struct rpc_msg call;
+	bool ok;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, out, (u_int)size, XDR_ENCODE);
+	ok = code_call(&xdrs, &call, sequence) &&
+	     code_name(&xdrs, (char *)announce->vm) &&
+	     xdr_uint64_t(&xdrs, &incarnation) &&
+	     xdr_uint32_t(&xdrs, &sequence) &&
+	     encode_uses(&xdrs, announce->occupancy->own) &&
+	     encode_claims(&xdrs, announce->occupancy->waiters, now_us);
+	*len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	return ok;
+}
+
+static bool is_announcement(const struct rpc_msg *call)
+{
+	return call->rm_direction == CALL &&
+	       call->rm_call.cb_rpcvers == RPC_MSG_VERSION &&
+	       call->rm_call.cb_prog == ANNOUNCE_PROGRAM &&
+	       call->rm_call.cb_vers == ANNOUNCE_VERSION &&
+	       call->rm_call.cb_proc == ANNOUNCE_PROCEDURE;
+}
+
+static bool decode_uses(XDR *xdrs, GHashTable *uses)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > MAX_SERVERS)
+		return false;
+	while (n-- > 0) {
+		char server[MAX_NAME_BYTES + 1] = "";
+		occupancy_use_t use;
+
+		if (!code_use(xdrs, server, &use))
+			return false;
+		g_hash_table_insert(uses, g_strdup(server),
+				    g_memdup2(&use, sizeof(use)));
+	}
+	return true;
+}
+
+static bool decode_claims(XDR *xdrs, GArray *waiters, int64_t now_us)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_WAITERS)
+		return false;
+	while (n-- > 0) {
+		occupancy_claim_t claim = {.due_us = now_us};
+
+		if (!code_claim(xdrs, &claim, now_us))
+			return false;
+		g_array_append_val(waiters, claim);
+	}
+	return true;
+}
+
+/* Takes in a peer's announcement. False when it is malformed. */
+bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
+		     int64_t now_us)
+{
+	char vm[MAX_NAME_BYTES + 1] = "";
+	uint64_t incarnation;
+	uint32_t sequence;
+	occupancy_peer_t *peer;
+	struct rpc_msg call;
+	bool ok;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, (char *)data, (u_int)len, XDR_DECODE);
+	ok = code_call(&xdrs, &call, 0) && is_announcement(&call) &&
+	     code_name(&xdrs, vm) && xdr_uint64_t(&xdrs, &incarnation) &&
+	     xdr_uint32_t(&xdrs, &sequence);
+	if (ok) {
+		peer = occupancy_begin_peer(occupancy, vm, incarnation,
+					    sequence, now_us);
+		ok = !peer || (decode_uses(&xdrs, peer->use) &&
+			       decode_claims(&xdrs, peer->waiters, now_us));
+	}
+	xdr_destroy(&xdrs);
+	return ok;
+}
+
+static gboolean on_readable(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	announce_t *announce = data;
+	char buffer[MAX_DATAGRAM_BYTES];
+	bool news = false;
+	gssize n;
+
+	while ((n = g_socket_receive_from(socket, NULL, buffer, sizeof(buffer),
+					  NULL, NULL)) >= 0) {
+		announce->received++;
+		if (announce_decode(announce->occupancy, buffer, (size_t)n,
+				    clock_now(&announce->clock)))
+			news = true;
+		else
+			announce->malformed++;
+	}
+	if (news && announce->on_news)
+		announce->on_news(announce->context);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Tells whether a peer has been silent for so long that it is likely gone. */
+static bool is_silent(const announce_t *announce, const announce_peer_t *peer,
+		      int64_t now_us)
+{
+	const occupancy_peer_t *heard =
+		g_hash_table_lookup(announce->occupancy->peers, peer->vm);
+	int64_t heard_us = heard ? heard->heard_us : peer->known_us;
+
+	return now_us - MAX(heard_us, peer->known_us) > SILENT_AFTER_US;
+}
+
+static void on_flush(void *context)
+{
+	announce_t *announce = context;
+	int64_t now_us = clock_now(&announce->clock);
+	char buffer[MAX_DATAGRAM_BYTES];
+	GHashTableIter iter;
+	gpointer value;
+	size_t len;
+
+	alarm_set(&announce->flush, now_us + REPEAT_US);
+	announce->sequence++;
+	if (!announce_encode(announce, now_us, buffer, sizeof(buffer), &len))
+		return;
+	g_hash_table_iter_init(&iter, announce->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		announce_peer_t *peer = value;
+
+		if (is_silent(announce, peer, now_us) &&
+		    now_us - peer->told_us < SILENT_REPEAT_US)
+			continue;
+		peer->told_us = now_us;
+		/* A lost announcement is followed by another one. */
+		(void)g_socket_send_to(announce->socket, peer->address, buffer,
+				       len, NULL, NULL);
+		announce->sent++;
+	}
+}
+
+/* Opens the socket. False when the address cannot be used. */
+bool announce_init(announce_t *announce, const char *address,
+		   clock_source_t clock, const char *vm, uint64_t incarnation,
+		   occupancy_t *occupancy)
+{
+	GSocketAddress *own = address_parse(address);
+
+	*announce = (announce_t){
+		.vm = vm,
+		.incarnation = incarnation,
+		.clock = clock,
+		.occupancy = occupancy,
+		.peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       free_peer),
+	};
+	if (own)
+		announce->socket = g_socket_new(g_socket_address_get_family(own),
+						G_SOCKET_TYPE_DATAGRAM,
+						G_SOCKET_PROTOCOL_UDP, NULL);
+	if (!announce->socket ||
+	    !g_socket_bind(announce->socket, own, TRUE, NULL)) {
+		g_clear_object(&own);
+		return false;
+	}
+	g_object_unref(own);
+	g_socket_set_blocking(announce->socket, FALSE);
+	announce->source =
+		g_socket_create_source(announce->socket, G_IO_IN, NULL);
+	g_source_set_callback(announce->source, G_SOURCE_FUNC(on_readable),
+			      announce, NULL);
+	g_source_attach(announce->source, g_main_context_get_thread_default());
+	alarm_init(&announce->flush, clock, on_flush, announce);
+	alarm_set(&announce->flush, clock_now(&clock) + COALESCE_US);
+	return true;
+}
+
+/* Closes the socket. */
+void announce_finish(announce_t *announce)
+{
+	if (announce->source) {
+		g_source_destroy(announce->source);
+		g_source_unref(announce->source);
+		alarm_finish(&announce->flush);
+	}
+	g_clear_object(&announce->socket);
+	g_clear_pointer(&announce->peers, g_hash_table_unref);
+}
+
+/* Adds a peer, or changes its address. This VM itself is no peer. */
+void announce_set_peer(announce_t *announce, const char *vm,
+		       const char *address)
+{
+	GSocketAddress *parsed;
+	announce_peer_t *peer;
+
+	if (g_str_equal(vm, announce->vm))
+		return;
+	parsed = address_parse(address);
+	if (!parsed)
+		return;
+	peer = g_new0(announce_peer_t, 1);
+	peer->vm = g_strdup(vm);
+	peer->address = parsed;
+	peer->known_us = clock_now(&announce->clock);
+	g_hash_table_replace(announce->peers, peer->vm, peer);
+	announce_changed(announce);
+}
+
+/* Removes a peer. */
+void announce_remove_peer(announce_t *announce, const char *vm)
+{
+	g_hash_table_remove(announce->peers, vm);
+}
+
+/* Announces a change soon, together with others that follow at once. */
+void announce_changed(announce_t *announce)
+{
+	int64_t at_us = clock_now(&announce->clock) + COALESCE_US;
+
+	if (announce->flush.at_us > at_us)
+		alarm_set(&announce->flush, at_us);
+}
--- /dev/null
+++ b/src/connection/announce.h
@@ -0,0 +1,42 @@
+/* Announcements of occupancy between routers: one-way ONC RPC calls over UDP.
+ */
+#ifndef CONNECTION_ANNOUNCE_H
+#define CONNECTION_ANNOUNCE_H
+
+#include <gio/gio.h>
+
+#include "process/alarm.h"
+#include "process/occupancy.h"
+
+typedef struct {
+	const char *vm;
+	uint64_t incarnation; /* greater in each later process */
+	clock_source_t clock;
+	occupancy_t *occupancy;
+	void (*on_news)(void *context); /* a peer's announcement came */
+	void *context;
+	GSocket *socket;
+	GSource *source;
+	GHashTable *peers; /* VM name to announce_peer_t */
+	alarm_t flush; /* next announcement */
+	uint32_t sequence;
+	uint64_t sent;
+	uint64_t received;
+	uint64_t malformed;
+} announce_t;
+
+bool announce_init(announce_t *announce, const char *address,
+		   clock_source_t clock, const char *vm, uint64_t incarnation,
+		   occupancy_t *occupancy);
+void announce_finish(announce_t *announce);
+void announce_set_peer(announce_t *announce, const char *vm,
+		       const char *address);
+void announce_remove_peer(announce_t *announce, const char *vm);
+void announce_changed(announce_t *announce);
+
+bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
+		     size_t size, size_t *len);
+bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
+		     int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/connection/http_message.c
@@ -0,0 +1,198 @@
+#include "connection/http_message.h"
+
+#include <limits.h>
+
+#define DEFAULT_MAX_HEAD_BYTES 65536
+
+/* Counts bytes of the head; true while they are within the limit. */
+static bool count_head(http_message_t *message, size_t len)
+{
+	message->head_bytes += len;
+	if (message->head_bytes > message->max_head_bytes)
+		message->too_large = true;
+	return !message->too_large;
+}
+
+static void end_field(http_message_t *message)
+{
+	if (message->in_value)
+		http_headers_add(&message->head.headers,
+				 str_from_gstring(message->name),
+				 str_from_gstring(message->value));
+	message->in_value = false;
+	g_string_truncate(message->name, 0);
+	g_string_truncate(message->value, 0);
+}
+
+static int on_begin(http_parser *parser)
+{
+	http_message_t *message = parser->data;
+
+	message->started = true;
+	return 0;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t len)
+{
+	http_message_t *message = parser->data;
+
+	g_string_append_len(message->head.target, at, (gssize)len);
+	return !count_head(message, len);
+}
+
+static int on_field(http_parser *parser, const char *at, size_t len)
+{
+	http_message_t *message = parser->data;
+
+	if (message->head_done)
+		return 0; /* a trailer */
+	if (message->in_value)
+		end_field(message);
+	g_string_append_len(message->name, at, (gssize)len);
+	return !count_head(message, len);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t len)
+{
+	http_message_t *message = parser->data;
+
+	if (message->head_done)
+		return 0;
+	message->in_value = true;
+	g_string_append_len(message->value, at, (gssize)len);
+	return !count_head(message, len);
+}
+
+/* Tells whether the body of a response ends with the connection. */
+static bool ends_with_connection(const http_message_t *message)
+{
+	const http_parser *parser = &message->parser;
+	unsigned status = parser->status_code;
+
+	if (message->no_body || status / 100 == 1 || status == 204 ||
+	    status == 304)
+		return false;
+	return !(parser->flags & F_CHUNKED) &&
+	       parser->content_length == ULLONG_MAX;
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	http_message_t *message = parser->data;
+
+	end_field(message);
+	message->head_done = true;
+	/* A switch of protocols is not offered; the message is read as HTTP. */
+	parser->upgrade = 0;
+	message->head.status = message->is_request ? 0 : parser->status_code;
+	message->head.keep_alive = http_should_keep_alive(parser);
+	if (message->is_request)
+		g_string_assign(message->head.method,
+				http_method_str(parser->method));
+	else
+		message->until_eof = ends_with_connection(message);
+	if (!message->handler->on_head(message->context, &message->head)) {
+		message->refused = true;
+		return -1;
+	}
+	return message->no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t len)
+{
+	http_message_t *message = parser->data;
+
+	message->handler->on_body(message->context, at, len);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	http_message_t *message = parser->data;
+
+	message->done = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* Sets up a parser of requests or of responses. */
+void http_message_init(http_message_t *message, bool is_request,
+		       const http_message_handler_t *handler, void *context)
+{
+	memset(message, 0, sizeof(*message));
+	message->is_request = is_request;
+	message->handler = handler;
+	message->context = context;
+	message->max_head_bytes = DEFAULT_MAX_HEAD_BYTES;
+	message->name = g_string_new(NULL);
+	message->value = g_string_new(NULL);
+	http_head_init(&message->head);
+	http_message_restart(message);
+}
+
+/* Frees a parser. */
+void http_message_finish(http_message_t *message)
+{
+	g_string_free(message->name, TRUE);
+	g_string_free(message->value, TRUE);
+	http_head_finish(&message->head);
+}
+
+/* Gets ready for the next message on the connection. */
+void http_message_restart(http_message_t *message)
+{
+	http_parser_init(&message->parser,
+			 message->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
+	message->parser.data = message;
+	http_head_clear(&message->head);
+	g_string_truncate(message->name, 0);
+	g_string_truncate(message->value, 0);
+	message->head_bytes = 0;
+	message->in_value = false;
+	message->started = false;
+	message->head_done = false;
+	message->done = false;
+	message->refused = false;
+	message->too_large = false;
+	message->no_body = false;
+	message->until_eof = false;
+}
+
+/* Reads bytes up to the end of the message; `used` is how many. */
+http_feed_t http_message_feed(http_message_t *message, const char *data,
+			      size_t len, size_t *used)
+{
+	*used = http_parser_execute(&message->parser, &parser_settings, data,
+				    len);
+	if (message->done)
+		return HTTP_FEED_DONE;
+	if (message->refused)
+		return HTTP_FEED_REFUSED;
+	if (message->too_large ||
+	    HTTP_PARSER_ERRNO(&message->parser) == HPE_HEADER_OVERFLOW)
+		return HTTP_FEED_HEAD_TOO_LARGE;
+	if (HTTP_PARSER_ERRNO(&message->parser) != HPE_OK)
+		return HTTP_FEED_BAD;
+	return HTTP_FEED_MORE;
+}
+
+/* Tells the parser that the peer closed in order. True when this is the end
+ * of a message whose body has no length.
+ */
+bool http_message_eof(http_message_t *message)
+{
+	if (!message->head_done || !message->until_eof)
+		return false;
+	(void)http_parser_execute(&message->parser, &parser_settings, NULL, 0);
+	return message->done;
+}
--- /dev/null
+++ b/src/connection/ingress.h
@@ -0,0 +1,65 @@
+/* HTTP/1.1 server: reads requests from kept connections, one at a time on
+ * each, and writes their responses.
+ */
+#ifndef CONNECTION_INGRESS_H
+#define CONNECTION_INGRESS_H
+
+#include "connection/http_head.h"
+#include "process/clock.h"
+
+/* One request and its response. It exists from on_request until
+ * exchange_end(), exchange_abort() or on_gone.
+ */
+typedef struct exchange exchange_t;
+
+/* What callers may send, and how long they may take. */
+typedef struct {
+	int64_t max_head_bytes;
+	int64_t max_body_bytes;
+	int64_t head_timeout_us; /* from the first byte to the end */
+	int64_t idle_timeout_us; /* between requests */
+} ingress_limits_t;
+
+typedef struct {
+	void (*on_request)(void *context, exchange_t *exchange);
+	/* The caller has left; the exchange ends with the return. */
+	void (*on_gone)(void *context, exchange_t *exchange);
+} ingress_handler_t;
+
+typedef struct {
+	clock_source_t clock;
+	ingress_limits_t limits;
+	const ingress_handler_t *handler;
+	void *context;
+	GSource *source; /* NULL: not accepting */
+	int fd;
+	GQueue connections; /* of ingress_connection_t */
+	unsigned active; /* exchanges in progress */
+	bool closing; /* each response ends its connection */
+} ingress_t;
+
+bool ingress_init(ingress_t *ingress, const char *address, clock_source_t clock,
+		  const ingress_limits_t *limits,
+		  const ingress_handler_t *handler, void *context);
+void ingress_finish(ingress_t *ingress);
+void ingress_set_limits(ingress_t *ingress, const ingress_limits_t *limits);
+void ingress_set_closing(ingress_t *ingress);
+void ingress_close_idle(ingress_t *ingress);
+
+const http_head_t *exchange_head(const exchange_t *exchange);
+str_t exchange_body(const exchange_t *exchange);
+int64_t exchange_arrived_us(const exchange_t *exchange);
+void exchange_set_context(exchange_t *exchange, void *context);
+void *exchange_context(const exchange_t *exchange);
+
+void exchange_reply(exchange_t *exchange, unsigned status,
+		    const http_headers_t *headers, str_t body);
+void exchange_reply_own(exchange_t *exchange, unsigned status,
+			int64_t retry_after_us, const char *text);
+void exchange_start_stream(exchange_t *exchange, unsigned status,
+			   const http_headers_t *headers);
+void exchange_write(exchange_t *exchange, const char *data, size_t len);
+void exchange_end_stream(exchange_t *exchange);
+void exchange_abort(exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/src/process/admission.c
@@ -0,0 +1,242 @@
+#include "process/admission.h"
+
+/* Engines keep a short queue, so that a place that becomes free while a prompt
+ * is read is not left empty.
+ */
+#define OVERBOOKED_SLOTS 1
+
+/* A stream's memory grows with its output. At a random moment a stream has
+ * made half of it, and streams of one engine are at different points.
+ */
+#define OUTPUT_SHARE 0.55
+
+/* Fixed parts of a first event: both calls, transfer, first step. */
+#define FIRST_EVENT_US INT64_C(45000)
+
+/* Share of all places that late requests leave free for requests that can
+ * still be on time: a late answer is worth a fraction, and occupies its place
+ * for as long.
+ */
+#define LATE_HEADROOM 0.08
+
+/* Late requests that may wait, as a share of all places. */
+#define LATE_QUEUE_SHARE 0.25
+
+/* Cost of an engine in another zone, as a share of its memory or, for prefill,
+ * in time.
+ */
+#define FAR_LOAD 0.04
+#define FAR_PREFILL_US INT64_C(10000)
+
+/* Decode memory, in tokens, to count on for a stream. */
+int64_t admission_kv_need(int64_t prompt_tokens, int64_t output_tokens)
+{
+	return prompt_tokens + (int64_t)((double)output_tokens * OUTPUT_SHARE);
+}
+
+static int64_t free_slots(const admission_decode_t *decode)
+{
+	return decode->slots + OVERBOOKED_SLOTS - decode->use.streams;
+}
+
+static bool has_room(const admission_decode_t *decode, int64_t kv_tokens)
+{
+	return decode->usable && free_slots(decode) > 0 &&
+	       decode->use.kv_tokens + kv_tokens <= decode->kv_tokens;
+}
+
+/* Load of a decode engine if it took the request, lower is better. */
+static double decode_load(const admission_decode_t *decode, int64_t kv_tokens)
+{
+	double memory = (double)(decode->use.kv_tokens + kv_tokens) /
+			(double)MAX(decode->kv_tokens, 1);
+	double places = (double)(decode->use.streams + 1) /
+			(double)MAX(decode->slots, 1);
+
+	return MAX(memory, places) + (decode->near ? 0 : FAR_LOAD);
+}
+
+static bool pick_decode(const admission_view_t *view, int64_t kv_tokens,
+			size_t *index)
+{
+	double best = 0;
+	bool found = false;
+
+	for (size_t i = 0; i < view->n_decodes; i++) {
+		double load = decode_load(&view->decodes[i], kv_tokens);
+
+		if (has_room(&view->decodes[i], kv_tokens) &&
+		    (!found || load < best)) {
+			found = true;
+			best = load;
+			*index = i;
+		}
+	}
+	return found;
+}
+
+static int64_t prefill_us(const admission_prefill_t *prefill, int64_t tokens)
+{
+	return (int64_t)((double)(prefill->backlog_tokens + tokens) *
+			 prefill->us_per_token);
+}
+
+static bool pick_prefill(const admission_view_t *view, int64_t tokens,
+			 size_t *index, int64_t *duration_us)
+{
+	int64_t best = INT64_MAX;
+
+	for (size_t i = 0; i < view->n_prefills; i++) {
+		const admission_prefill_t *prefill = &view->prefills[i];
+		int64_t us = prefill_us(prefill, tokens);
+		int64_t cost = us + (prefill->near ? 0 : FAR_PREFILL_US);
+
+		if (prefill->usable && cost < best) {
+			best = cost;
+			*index = i;
+			*duration_us = us;
+		}
+	}
+	return best != INT64_MAX;
+}
+
+/* Places of all engines, and those that a request of this size would find. */
+static void count_places(const admission_view_t *view, int64_t kv_tokens,
+			 int64_t *all, int64_t *taken, int64_t *open)
+{
+	*all = 0;
+	*taken = 0;
+	*open = 0;
+	for (size_t i = 0; i < view->n_decodes; i++) {
+		const admission_decode_t *decode = &view->decodes[i];
+		int64_t by_memory;
+
+		if (!decode->usable)
+			continue;
+		*all += decode->slots;
+		*taken += decode->use.streams;
+		by_memory = (decode->kv_tokens - decode->use.kv_tokens) /
+			    MAX(kv_tokens, 1);
+		*open += MAX(MIN(free_slots(decode), by_memory), 0);
+	}
+}
+
+/* Time until as many places have become free as requests are ahead. */
+static int64_t wait_us(const admission_view_t *view, int64_t taken,
+		       int64_t missing)
+{
+	if (missing <= 0)
+		return 0;
+	if (taken <= 0)
+		return INT64_MAX / 4;
+	return (int64_t)((double)missing * view->stream_us / (double)taken);
+}
+
+static bool fits_anywhere(const admission_view_t *view, int64_t kv_tokens)
+{
+	for (size_t i = 0; i < view->n_decodes; i++) {
+		if (view->decodes[i].usable &&
+		    view->decodes[i].kv_tokens >= kv_tokens)
+			return true;
+	}
+	return false;
+}
+
+static admission_decision_t refuse(admission_decision_t decision,
+				   admission_reason_t reason)
+{
+	decision.action = ADMISSION_REFUSE;
+	decision.reason = reason;
+	return decision;
+}
+
+/* Decides on a request that can no longer be on time. It takes a place only
+ * when enough are open, and waits for that in a short queue.
+ */
+static admission_decision_t decide_late(const admission_request_t *request,
+					admission_decision_t decision,
+					int64_t all, int64_t open, bool room,
+					int64_t now_us)
+{
+	int64_t kept = 1 + (int64_t)((double)all * LATE_HEADROOM);
+
+	if (room && open > (int64_t)request->ahead + kept) {
+		decision.action = ADMISSION_START;
+		return decision;
+	}
+	if ((double)request->ahead > (double)all * LATE_QUEUE_SHARE)
+		return refuse(decision, ADMISSION_FULL);
+	if (now_us >= request->give_up_us)
+		return refuse(decision, ADMISSION_LATE);
+	decision.action = ADMISSION_WAIT;
+	return decision;
+}
+
+/* Decides on a request that can be on time. */
+static admission_decision_t decide_on_time(const admission_request_t *request,
+					   admission_decision_t decision,
+					   int64_t open, bool room,
+					   int64_t now_us)
+{
+	int64_t first_event_us = now_us + decision.wait_us +
+				 decision.prefill_us + FIRST_EVENT_US;
+
+	if (room && open > (int64_t)request->ahead) {
+		decision.action = ADMISSION_START;
+		return decision;
+	}
+	if (first_event_us > request->claim.due_us)
+		return refuse(decision, ADMISSION_FULL);
+	decision.action = ADMISSION_WAIT;
+	return decision;
+}
+
+/*
+ * Decides on one request. An open place goes to those that are ahead first, so
+ * a request starts only when more places are open than requests are ahead. One
+ * that could not start in time for its target is refused at once, before any
+ * prompt is read for it.
+ */
+admission_decision_t admission_decide(const admission_view_t *view,
+				      const admission_request_t *request,
+				      int64_t now_us)
+{
+	admission_decision_t decision = {.reason = ADMISSION_OK};
+	int64_t all, taken, open;
+	bool room;
+
+	if (!pick_prefill(view, request->prompt_tokens, &decision.prefill,
+			  &decision.prefill_us))
+		return refuse(decision, ADMISSION_NO_ENGINE);
+	count_places(view, request->kv_tokens, &all, &taken, &open);
+	if (all == 0)
+		return refuse(decision, ADMISSION_NO_ENGINE);
+	if (!fits_anywhere(view, request->kv_tokens))
+		return refuse(decision, ADMISSION_TOO_LARGE);
+	room = pick_decode(view, request->kv_tokens, &decision.decode);
+	decision.wait_us =
+		wait_us(view, taken, (int64_t)request->ahead + 1 - open);
+	if (request->claim.late)
+		return decide_late(request, decision, all, open, room, now_us);
+	return decide_on_time(request, decision, open, room, now_us);
+}
+
+/* Estimated time from a start to the first event. */
+int64_t admission_first_event_us(const admission_view_t *view,
+				 int64_t prompt_tokens)
+{
+	int64_t duration_us = 0;
+	size_t index;
+
+	(void)pick_prefill(view, prompt_tokens, &index, &duration_us);
+	return duration_us + FIRST_EVENT_US;
+}
+
+/* Name of a reason, for the log. */
+const char *admission_reason_text(admission_reason_t reason)
+{
+	static const char *const texts[] = {"ok", "no_engine", "full", "late",
+					    "too_large"};
+
+	return texts[reason];
+}
--- /dev/null
+++ b/src/process/admission.h
@@ -0,0 +1,73 @@
+/* Decides which stream starts, waits or is refused. Pure: no clock, no I/O. */
+#ifndef PROCESS_ADMISSION_H
+#define PROCESS_ADMISSION_H
+
+#include <stdint.h>
+
+#include "process/occupancy.h"
+
+/* A decode engine as all routers use it. */
+typedef struct {
+	int64_t slots; /* requests at once */
+	int64_t kv_tokens; /* memory */
+	occupancy_use_t use;
+	bool usable;
+	bool near; /* in this router's availability zone */
+} admission_decode_t;
+
+/* A prefill engine as all routers use it. */
+typedef struct {
+	int64_t backlog_tokens; /* prompts that are being read or wait */
+	double us_per_token;
+	bool usable;
+	bool near;
+} admission_prefill_t;
+
+typedef struct {
+	const admission_decode_t *decodes;
+	size_t n_decodes;
+	const admission_prefill_t *prefills;
+	size_t n_prefills;
+	double stream_us; /* mean duration of a stream */
+} admission_view_t;
+
+typedef struct {
+	int64_t prompt_tokens;
+	int64_t kv_tokens; /* decode memory that it is expected to need */
+	occupancy_claim_t claim;
+	unsigned ahead; /* waiting requests that come before it, everywhere */
+	int64_t give_up_us; /* it does not wait longer */
+} admission_request_t;
+
+typedef enum {
+	ADMISSION_START,
+	ADMISSION_WAIT,
+	ADMISSION_REFUSE,
+} admission_action_t;
+
+typedef enum {
+	ADMISSION_OK,
+	ADMISSION_NO_ENGINE, /* no usable engine of a stage */
+	ADMISSION_FULL, /* more wait than can be started in time */
+	ADMISSION_LATE, /* waited for as long as it may */
+	ADMISSION_TOO_LARGE, /* for the memory of any engine */
+} admission_reason_t;
+
+typedef struct {
+	admission_action_t action;
+	admission_reason_t reason;
+	size_t decode; /* index, when started */
+	size_t prefill; /* index, when started */
+	int64_t wait_us; /* estimated until a place is free */
+	int64_t prefill_us; /* estimated duration at the best engine */
+} admission_decision_t;
+
+int64_t admission_kv_need(int64_t prompt_tokens, int64_t output_tokens);
+admission_decision_t admission_decide(const admission_view_t *view,
+				      const admission_request_t *request,
+				      int64_t now_us);
+int64_t admission_first_event_us(const admission_view_t *view,
+				 int64_t prompt_tokens);
+const char *admission_reason_text(admission_reason_t reason);
+
+#endif
--- /dev/null
+++ b/src/process/balance.h
@@ -0,0 +1,20 @@
+/* Chooses a backend server of a plain service. Pure. */
+#ifndef PROCESS_BALANCE_H
+#define PROCESS_BALANCE_H
+
+#include <stdint.h>
+
+#include "process/server_set.h"
+
+typedef struct {
+	const char *service;
+	const char *zone; /* of this router */
+	const server_t *const *except; /* tried before */
+	size_t n_except;
+	int64_t now_us;
+} balance_request_t;
+
+server_t *balance_pick(const server_set_t *set,
+		       const balance_request_t *request);
+
+#endif
--- a/src/process/cmd.h
+++ b/src/process/cmd.h
@@ -14,6 +14,7 @@
 /* Each takes its own name as argv[0] and returns an exit_code_t. */
 int cmd_apply(int argc, char **argv);
 int cmd_check(int argc, char **argv);
+int cmd_entry(int argc, char **argv);
 int cmd_serve(int argc, char **argv);
 int cmd_show(int argc, char **argv);
 int cmd_status(int argc, char **argv);
--- /dev/null
+++ b/src/process/entry.h
@@ -0,0 +1,49 @@
+/* The process of an entry VM on the users' platform: takes callers' requests
+ * and passes them on to the platform's backend servers.
+ */
+#ifndef PROCESS_ENTRY_H
+#define PROCESS_ENTRY_H
+
+#include "connection/announce.h"
+#include "connection/ingress.h"
+#include "process/entry_settings.h"
+#include "process/store_rows.h"
+#include "request/relay.h"
+
+typedef enum {
+	ENTRY_RUNNING,
+	ENTRY_DRAINING, /* SIGTERM came: finishes its requests */
+	ENTRY_STOPPED,
+} entry_state_t;
+
+typedef struct {
+	const char *settings_path;
+	int64_t settings_mtime_us;
+	entry_settings_t settings;
+	clock_source_t clock;
+	GMainLoop *loop;
+	entry_state_t state;
+	int64_t drain_started_us;
+	ingress_t callers;
+	ingress_t ready;
+	ingress_t metrics;
+	http_pool_t server_pool;
+	http_pool_t store_pool;
+	server_set_t servers;
+	occupancy_t occupancy;
+	announce_t announce;
+	store_rows_t rows;
+	relay_t relay;
+	route_table_t *table; /* NULL: no configuration is known yet */
+	alarm_t tick;
+	alarm_t admit;
+	unsigned routers; /* known in the store */
+	bool was_ready;
+} entry_t;
+
+bool entry_init(entry_t *entry, const char *settings_path,
+		entry_settings_t *settings, clock_source_t clock);
+void entry_run(entry_t *entry);
+void entry_finish(entry_t *entry);
+
+#endif
--- /dev/null
+++ b/src/process/entry_settings.h
@@ -0,0 +1,30 @@
+/* Settings of the process of an entry VM on the users' platform. */
+#ifndef PROCESS_ENTRY_SETTINGS_H
+#define PROCESS_ENTRY_SETTINGS_H
+
+#include <stdint.h>
+
+#include "process/diag.h"
+#include "process/log.h"
+
+typedef struct {
+	char *vm;
+	char *zone;
+	char *callers_address; /* IP:port of the callers' listener */
+	char *ready_address; /* IP:port where the balancer asks */
+	char *metrics_address; /* IP:port */
+	char *peer_address; /* IP:port, UDP, for other entry VMs */
+	char *store_address; /* IP:port of the platform's store */
+	log_level_t log_level;
+	double shutdown_limit_s; /* after SIGTERM */
+	double retry_share; /* second sends of all VMs for each request */
+	double retry_slack; /* second sends of all VMs in a window, besides */
+} entry_settings_t;
+
+bool entry_settings_parse(const char *text, size_t len, const char *name,
+			  entry_settings_t *settings, diag_t *diag);
+bool entry_settings_load(const char *path, entry_settings_t *settings,
+			 diag_t *diag);
+void entry_settings_finish(entry_settings_t *settings);
+
+#endif
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -1,6 +1,21 @@
 #include "process/log.h"
 
 #include <inttypes.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include "process/alarm.h"
+
+/* Lines that wait for a reader of the log; further ones are counted. */
+#define BUFFER_BYTES (256 * 1024)
+
+/* Lines within this time are written together. */
+#define FLUSH_US (20 * CLOCK_US_PER_MS)
+
+/* A write to a pipe that polls writable takes at least this much (PIPE_BUF)
+ * without blocking.
+ */
+#define WRITE_BYTES 4096
 
 /* The process has one logger; it lives from log_init() to log_finish(). */
 static struct {
@@ -8,6 +23,10 @@
 	log_level_t threshold;
 	GString *origin; /* " vm=... zone=..." */
 	hlc_t *hlc;
+	GString *buffer; /* NULL: lines are written at once */
+	uint64_t dropped; /* lines that did not fit since the last one */
+	alarm_t flush;
+	int fd;
 } logger = {.threshold = LOG_INFO};
 
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
@@ -83,11 +102,72 @@
 	log_append_value(logger.origin, zone);
 }
 
+/* Writes what the reader takes without waiting for it. */
+static void flush_buffer(void)
+{
+	struct pollfd poll_fd = {.fd = logger.fd, .events = POLLOUT};
+
+	while (logger.buffer->len > 0 && poll(&poll_fd, 1, 0) == 1 &&
+	       poll_fd.revents & POLLOUT) {
+		ssize_t n = write(logger.fd, logger.buffer->str,
+				  MIN(logger.buffer->len, WRITE_BYTES));
+
+		if (n <= 0)
+			return;
+		g_string_erase(logger.buffer, 0, n);
+	}
+}
+
+static void on_flush(void *context)
+{
+	flush_buffer();
+	if (logger.buffer->len > 0)
+		alarm_set(&logger.flush,
+			  clock_now(&logger.flush.clock) + FLUSH_US);
+}
+
+/*
+ * From now on lines go to a buffer that is written to the descriptor by the
+ * main loop, so that a reader that stops delays nothing. Lines that do not fit
+ * are counted, and the count is logged.
+ */
+void log_buffer(int fd, clock_source_t clock)
+{
+	logger.buffer = g_string_sized_new(WRITE_BYTES);
+	logger.fd = fd;
+	alarm_init(&logger.flush, clock, on_flush, NULL);
+}
+
+static void append_to_buffer(const GString *line)
+{
+	if (logger.buffer->len + line->len > BUFFER_BYTES) {
+		logger.dropped++;
+		return;
+	}
+	g_string_append_len(logger.buffer, line->str, (gssize)line->len);
+	if (logger.dropped > 0) {
+		uint64_t dropped = logger.dropped;
+
+		logger.dropped = 0;
+		log_event(LOG_WARN, "log_lines_dropped",
+			  LOG_UINT("lines", dropped));
+	}
+	if (logger.flush.at_us < 0)
+		alarm_set(&logger.flush,
+			  clock_now(&logger.flush.clock) + FLUSH_US);
+}
+
 /* Releases the logger; later events are dropped. */
 void log_finish(void)
 {
 	if (!logger.origin)
 		return;
+	if (logger.buffer) {
+		flush_buffer();
+		alarm_finish(&logger.flush);
+		g_string_free(logger.buffer, TRUE);
+		logger.buffer = NULL;
+	}
 	fflush(logger.out);
 	g_string_free(logger.origin, TRUE);
 	logger.origin = NULL;
@@ -117,6 +197,11 @@
 	for (; fields->kind != LOG_FIELD_END; fields++)
 		append_field(line, fields);
 	g_string_append_c(line, '\n');
+	if (logger.buffer) {
+		append_to_buffer(line);
+		g_string_free(line, TRUE);
+		return;
+	}
 	/* One fwrite and flush a line, so that lines of a killed process are
 	 * whole and none is lost.
 	 */
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -13,6 +13,7 @@
 static const command_t commands[] = {
 	{"apply", cmd_apply, "submit a desired state as the next version"},
 	{"check", cmd_check, "check a settings file or a desired state"},
+	{"entry", cmd_entry, "run an entry VM on the users' platform"},
 	{"serve", cmd_serve, "run the process of an entry VM"},
 	{"show", cmd_show, "show the version in effect"},
 	{"status", cmd_status, "show what a VM knows"},
--- /dev/null
+++ b/src/process/occupancy.c
@@ -0,0 +1,171 @@
+#include "process/occupancy.h"
+
+/* A router that has not announced anything for this long is taken for dead:
+ * its connections are closed and its requests have ended. Announcements come
+ * at least every 400 ms and single datagrams are lost.
+ */
+#define PEER_TTL_US INT64_C(1500000)
+
+static void free_peer(gpointer data)
+{
+	occupancy_peer_t *peer = data;
+
+	g_free(peer->vm);
+	g_hash_table_unref(peer->use);
+	g_array_unref(peer->waiters);
+	g_free(peer);
+}
+
+static GHashTable *new_use_table(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* Sets up an account without use. */
+void occupancy_init(occupancy_t *occupancy)
+{
+	occupancy->own = new_use_table();
+	occupancy->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 free_peer);
+	occupancy->waiters =
+		g_array_new(FALSE, FALSE, sizeof(occupancy_claim_t));
+}
+
+/* Frees an account. */
+void occupancy_finish(occupancy_t *occupancy)
+{
+	g_hash_table_unref(occupancy->own);
+	g_hash_table_unref(occupancy->peers);
+	g_array_unref(occupancy->waiters);
+}
+
+static bool is_zero(const occupancy_use_t *use)
+{
+	return use->streams == 0 && use->kv_tokens == 0 &&
+	       use->prefill_tokens == 0;
+}
+
+static void add(occupancy_use_t *use, const occupancy_use_t *change)
+{
+	use->streams += change->streams;
+	use->kv_tokens += change->kv_tokens;
+	use->prefill_tokens += change->prefill_tokens;
+}
+
+/* Changes this router's own use of a server. */
+void occupancy_add(occupancy_t *occupancy, const char *server,
+		   const occupancy_use_t *change)
+{
+	occupancy_use_t *use = g_hash_table_lookup(occupancy->own, server);
+
+	if (!use) {
+		use = g_new0(occupancy_use_t, 1);
+		g_hash_table_insert(occupancy->own, g_strdup(server), use);
+	}
+	add(use, change);
+	if (is_zero(use))
+		g_hash_table_remove(occupancy->own, server);
+}
+
+static bool is_live(const occupancy_peer_t *peer, int64_t now_us)
+{
+	return now_us - peer->heard_us < PEER_TTL_US;
+}
+
+/* What all routers use of a server, as far as it is known here. */
+occupancy_use_t occupancy_total(const occupancy_t *occupancy,
+				const char *server, int64_t now_us)
+{
+	occupancy_use_t total = {0};
+	const occupancy_use_t *use;
+	GHashTableIter iter;
+	gpointer value;
+
+	use = g_hash_table_lookup(occupancy->own, server);
+	if (use)
+		add(&total, use);
+	g_hash_table_iter_init(&iter, occupancy->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const occupancy_peer_t *peer = value;
+
+		use = g_hash_table_lookup(peer->use, server);
+		if (use && is_live(peer, now_us))
+			add(&total, use);
+	}
+	return total;
+}
+
+/* Order of claims. */
+bool occupancy_claim_precedes(const occupancy_claim_t *a,
+			      const occupancy_claim_t *b)
+{
+	if (a->late != b->late)
+		return b->late;
+	return a->due_us < b->due_us;
+}
+
+/* Number of other routers' waiting requests that come before a claim. */
+unsigned occupancy_ahead(const occupancy_t *occupancy,
+			 const occupancy_claim_t *claim, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, occupancy->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const occupancy_peer_t *peer = value;
+
+		for (guint i = 0;
+		     is_live(peer, now_us) && i < peer->waiters->len; i++) {
+			const occupancy_claim_t *other = &g_array_index(
+				peer->waiters, occupancy_claim_t, i);
+
+			n += occupancy_claim_precedes(other, claim) ? 1 : 0;
+		}
+	}
+	return n;
+}
+
+/* Number of other routers that announced something lately. */
+unsigned occupancy_live_peers(const occupancy_t *occupancy, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer peer;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, occupancy->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &peer))
+		n += is_live(peer, now_us) ? 1 : 0;
+	return n;
+}
+
+/*
+ * Starts to take in a peer's announcement, which replaces what was known of
+ * it. NULL when a later one, or one of a later process, was taken in before.
+ */
+occupancy_peer_t *occupancy_begin_peer(occupancy_t *occupancy, const char *vm,
+				       uint64_t incarnation, uint32_t sequence,
+				       int64_t now_us)
+{
+	occupancy_peer_t *peer = g_hash_table_lookup(occupancy->peers, vm);
+
+	if (!peer) {
+		peer = g_new0(occupancy_peer_t, 1);
+		peer->vm = g_strdup(vm);
+		peer->use = new_use_table();
+		peer->waiters =
+			g_array_new(FALSE, FALSE, sizeof(occupancy_claim_t));
+		g_hash_table_insert(occupancy->peers, peer->vm, peer);
+	} else if (incarnation < peer->incarnation ||
+		   (incarnation == peer->incarnation &&
+		    (int32_t)(sequence - peer->sequence) <= 0)) {
+		return NULL;
+	}
+	peer->incarnation = incarnation;
+	peer->sequence = sequence;
+	peer->heard_us = now_us;
+	g_hash_table_remove_all(peer->use);
+	g_array_set_size(peer->waiters, 0);
+	return peer;
+}
--- /dev/null
+++ b/src/process/occupancy.h
@@ -0,0 +1,62 @@
+/* What all routers together occupy of each backend server, and who waits.
+ *
+ * Each router announces its own use and its own waiting requests to the others
+ * at each change. From that every router computes the same order of waiting
+ * requests, so that a place that becomes free is taken by one of them. Pure.
+ */
+#ifndef PROCESS_OCCUPANCY_H
+#define PROCESS_OCCUPANCY_H
+
+#include <stdint.h>
+
+#include "process/str.h"
+
+/* Waiting requests that one announcement describes; more are only counted. */
+#define OCCUPANCY_MAX_WAITERS 24
+
+/* What requests in progress use of one backend server. */
+typedef struct {
+	int64_t streams; /* places in the batch of a decode engine */
+	int64_t kv_tokens; /* decode memory */
+	int64_t prefill_tokens; /* prompts that are being read */
+} occupancy_use_t;
+
+/* A waiting request's claim. Requests that can be on time come first, then
+ * those whose first event is due soonest.
+ */
+typedef struct {
+	bool late;
+	int64_t due_us; /* first event, for the target */
+} occupancy_claim_t;
+
+typedef struct {
+	char *vm;
+	uint64_t incarnation;
+	uint32_t sequence; /* of its latest announcement */
+	int64_t heard_us;
+	GHashTable *use; /* server ID to occupancy_use_t */
+	GArray *waiters; /* of occupancy_claim_t */
+} occupancy_peer_t;
+
+typedef struct {
+	GHashTable *own; /* server ID to occupancy_use_t */
+	GHashTable *peers; /* VM name to occupancy_peer_t */
+	GArray *waiters; /* own, of occupancy_claim_t; set by the owner */
+} occupancy_t;
+
+void occupancy_init(occupancy_t *occupancy);
+void occupancy_finish(occupancy_t *occupancy);
+void occupancy_add(occupancy_t *occupancy, const char *server,
+		   const occupancy_use_t *change);
+occupancy_use_t occupancy_total(const occupancy_t *occupancy,
+				const char *server, int64_t now_us);
+unsigned occupancy_ahead(const occupancy_t *occupancy,
+			 const occupancy_claim_t *claim, int64_t now_us);
+unsigned occupancy_live_peers(const occupancy_t *occupancy, int64_t now_us);
+bool occupancy_claim_precedes(const occupancy_claim_t *a,
+			      const occupancy_claim_t *b);
+occupancy_peer_t *occupancy_begin_peer(occupancy_t *occupancy, const char *vm,
+				       uint64_t incarnation, uint32_t sequence,
+				       int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/process/server_probe.c
@@ -0,0 +1,115 @@
+#include "process/server_probe.h"
+
+#include "wire_fields.h"
+#include "process/alarm.h"
+#include "process/log.h"
+
+/* Pause between two probes of one server, and how long one may take. */
+#define PROBE_PAUSE_US (800 * CLOCK_US_PER_MS)
+#define PROBE_TIMEOUT_US (500 * CLOCK_US_PER_MS)
+
+typedef struct {
+	server_t *server;
+	http_call_t *call;
+	clock_source_t clock;
+	alarm_t deadline;
+} probe_t;
+
+static void finish(probe_t *probe)
+{
+	alarm_finish(&probe->deadline);
+	server_unref(probe->server);
+	g_free(probe);
+}
+
+static void on_head(void *context, const http_head_t *head)
+{
+	probe_t *probe = context;
+
+	server_heard(probe->server, clock_now(&probe->clock));
+	log_event(LOG_INFO, "server_back",
+		  LOG_CSTR("server", probe->server->entry.id));
+}
+
+static void on_body(void *context, const char *data, size_t len)
+{
+}
+
+static void on_end(void *context, call_end_t end)
+{
+	finish(context);
+}
+
+static const call_handler_t handler = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static void on_deadline(void *context)
+{
+	probe_t *probe = context;
+
+	http_call_cancel(probe->call);
+	finish(probe);
+}
+
+static void append_request(GString *message, const server_t *server,
+			   const route_table_t *table)
+{
+	const table_service_t *service =
+		route_table_service(table, server->entry.service);
+
+	if (server->entry.stage != STAGE_NONE || !service ||
+	    !service->health_path) {
+		report_request(message, server->entry.address);
+		return;
+	}
+	g_string_append_printf(message, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+			       service->health_path, server->entry.address);
+}
+
+static void probe(server_t *server, http_pool_t *pool,
+		  const route_table_t *table, int64_t now_us)
+{
+	GString *message = g_string_new(NULL);
+	probe_t *probe = g_new0(probe_t, 1);
+	http_call_options_t options = {
+		.address = server->entry.address,
+		.message = message,
+		.handler = &handler,
+		.context = probe,
+	};
+
+	server->next_probe_us = now_us + PROBE_PAUSE_US;
+	/* Connections from before the silence may never answer. */
+	http_pool_forget(pool, server->entry.address);
+	append_request(message, server, table);
+	probe->server = server_ref(server);
+	probe->clock = pool->clock;
+	alarm_init(&probe->deadline, pool->clock, on_deadline, probe);
+	alarm_set(&probe->deadline, now_us + PROBE_TIMEOUT_US);
+	probe->call = http_pool_call(pool, &options);
+	if (!probe->call)
+		finish(probe);
+	g_string_free(message, TRUE);
+}
+
+/* Probes the silent servers whose time has come. */
+void server_probe_due(server_set_t *servers, http_pool_t *pool,
+		      const route_table_t *table, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!table)
+		return;
+	g_hash_table_iter_init(&iter, servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server_t *server = value;
+
+		if (server_is_suspect(server) &&
+		    server->next_probe_us <= now_us)
+			probe(server, pool, table, now_us);
+	}
+}
--- /dev/null
+++ b/src/process/server_set.c
@@ -0,0 +1,234 @@
+#include "process/server_set.h"
+
+/* Weight of the latest request in the moving averages. */
+#define FAILURE_WEIGHT 0.08
+#define PREFILL_WEIGHT 0.2
+
+/* Frees what an entry owns. */
+void server_entry_clear(server_entry_t *entry)
+{
+	g_free(entry->id);
+	g_free(entry->service);
+	g_free(entry->address);
+	g_free(entry->zone);
+	memset(entry, 0, sizeof(*entry));
+}
+
+/* Takes a reference for a request in progress. */
+server_t *server_ref(server_t *server)
+{
+	server->refs++;
+	return server;
+}
+
+/* Drops a reference; the last one frees the server. */
+void server_unref(server_t *server)
+{
+	if (--server->refs > 0)
+		return;
+	server_entry_clear(&server->entry);
+	g_free(server);
+}
+
+static void drop(gpointer data)
+{
+	server_t *server = data;
+
+	server->listed = false;
+	server_unref(server);
+}
+
+/* Sets up an empty set. */
+void server_set_init(server_set_t *set)
+{
+	set->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, drop);
+	set->generation = 1;
+}
+
+/* Frees the set; servers with requests in progress live on until they end. */
+void server_set_finish(server_set_t *set)
+{
+	g_clear_pointer(&set->by_id, g_hash_table_unref);
+}
+
+/* Tells whether an entry describes another life of a server. */
+static bool is_other_life(const server_t *server, const server_entry_t *entry)
+{
+	return server->entry.born_ms != entry->born_ms ||
+	       !g_str_equal(server->entry.address, entry->address) ||
+	       !g_str_equal(server->entry.service, entry->service);
+}
+
+/*
+ * Takes in an entry, which is emptied. A server that started again under its
+ * old ID is a new one: nothing that was seen of the old one holds.
+ */
+server_t *server_set_put(server_set_t *set, server_entry_t *entry)
+{
+	server_t *server = g_hash_table_lookup(set->by_id, entry->id);
+
+	if (server && is_other_life(server, entry)) {
+		g_hash_table_remove(set->by_id, entry->id);
+		server = NULL;
+	}
+	if (!server) {
+		server = g_new0(server_t, 1);
+		server->refs = 1;
+		server->entry = *entry;
+		g_hash_table_insert(set->by_id, server->entry.id, server);
+		set->generation++;
+	} else {
+		if (server->entry.stage != entry->stage ||
+		    server->entry.leaving != entry->leaving)
+			set->generation++;
+		server->entry.stage = entry->stage;
+		server->entry.slots = entry->slots;
+		server->entry.leaving = entry->leaving;
+		server_entry_clear(entry);
+	}
+	memset(entry, 0, sizeof(*entry));
+	server->listed = true;
+	server->doubtful_until_us = 0;
+	return server;
+}
+
+/* Removes the server whose entry was removed. */
+void server_set_remove(server_set_t *set, const char *id)
+{
+	if (g_hash_table_remove(set->by_id, id))
+		set->generation++;
+}
+
+/* Starts a full read of the list. */
+void server_set_begin_sync(server_set_t *set)
+{
+	GHashTableIter iter;
+	gpointer server;
+
+	g_hash_table_iter_init(&iter, set->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &server))
+		((server_t *)server)->listed = false;
+}
+
+/*
+ * Ends a full read. Servers that it did not name are removed at the deadline
+ * unless they come back: after an outage of the store, live servers take a
+ * moment to enter themselves again.
+ */
+void server_set_end_sync(server_set_t *set, int64_t keep_until_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, set->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server_t *server = value;
+
+		if (!server->listed && server->doubtful_until_us == 0)
+			server->doubtful_until_us = keep_until_us;
+	}
+	set->generation++;
+}
+
+/* Removes servers that did not come back. True when there were any. */
+bool server_set_expire(server_set_t *set, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool removed = false;
+
+	g_hash_table_iter_init(&iter, set->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server_t *server = value;
+
+		if (server->doubtful_until_us != 0 &&
+		    server->doubtful_until_us <= now_us) {
+			g_hash_table_iter_remove(&iter);
+			removed = true;
+		}
+	}
+	if (removed)
+		set->generation++;
+	return removed;
+}
+
+/* Finds a server by its ID, or NULL. */
+server_t *server_set_find(const server_set_t *set, const char *id)
+{
+	return g_hash_table_lookup(set->by_id, id);
+}
+
+/* Number of servers that may be given work. */
+unsigned server_set_usable(const server_set_t *set)
+{
+	GHashTableIter iter;
+	gpointer server;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, set->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &server))
+		n += server_takes_work(server) ? 1 : 0;
+	return n;
+}
+
+/* Tells whether new requests may be sent to a server. */
+bool server_takes_work(const server_t *server)
+{
+	return (server->listed || server->doubtful_until_us != 0) &&
+	       !server->entry.leaving && !server->misdirected;
+}
+
+/* Tells whether a server should have answered and did not. */
+bool server_is_suspect(const server_t *server)
+{
+	return server->suspect_us != 0;
+}
+
+/* Records that a request is sent. */
+void server_sent(server_t *server, int64_t now_us)
+{
+	server->in_flight++;
+	server->last_sent_us = now_us;
+}
+
+/* Records that a request has left the server, whatever its result. */
+void server_ended(server_t *server)
+{
+	server->in_flight--;
+}
+
+/* Records a sign of life. */
+void server_heard(server_t *server, int64_t now_us)
+{
+	server->last_heard_us = now_us;
+	server->suspect_us = 0;
+}
+
+/* Records that an answer is overdue. */
+void server_silent(server_t *server, int64_t now_us)
+{
+	if (server->suspect_us == 0) {
+		server->suspect_us = now_us;
+		server->next_probe_us = now_us;
+	}
+}
+
+/* Records the result of a request. */
+void server_result(server_t *server, bool failed)
+{
+	server->failure_share += FAILURE_WEIGHT *
+				 ((failed ? 1.0 : 0.0) - server->failure_share);
+}
+
+/* Learns how fast a server reads prompts, waiting included. */
+void server_prefilled(server_t *server, int64_t elapsed_us, int64_t tokens)
+{
+	double sample = (double)elapsed_us / (double)MAX(tokens, 1);
+
+	if (server->prefill_us_per_token == 0)
+		server->prefill_us_per_token = sample;
+	else
+		server->prefill_us_per_token +=
+			PREFILL_WEIGHT *
+			(sample - server->prefill_us_per_token);
+}
--- /dev/null
+++ b/src/process/server_set.h
@@ -0,0 +1,77 @@
+/* Backend servers as the platform lists them, and what this VM has seen of
+ * each: requests in progress, load, failures and silence. Pure.
+ */
+#ifndef PROCESS_SERVER_SET_H
+#define PROCESS_SERVER_SET_H
+
+#include <stdint.h>
+
+#include "process/str.h"
+
+typedef enum {
+	STAGE_NONE, /* a plain service */
+	STAGE_PREFILL,
+	STAGE_DECODE,
+} stage_t;
+
+/* One backend server's own entry in the platform's list. */
+typedef struct {
+	char *id; /* new for each address; may survive a restart */
+	char *service;
+	char *address; /* IP:port */
+	char *zone;
+	stage_t stage;
+	int64_t slots; /* requests at once */
+	int64_t born_ms; /* time of day of its start; 0: not told */
+	bool leaving; /* finishes its work and exits */
+} server_entry_t;
+
+/* What this VM knows of a backend server beyond its entry. */
+typedef struct {
+	server_entry_t entry;
+	bool listed; /* the platform's list has it now */
+	bool misdirected; /* its address answered as another server */
+	int64_t doubtful_until_us; /* missing from the list since an outage */
+	int64_t suspect_us; /* since when it is silent; 0: it is not */
+	int64_t next_probe_us; /* while it is suspect */
+	unsigned in_flight; /* own requests */
+	int64_t reported_load; /* running and waiting, as last answered */
+	int64_t reported_slots;
+	int64_t reported_us;
+	double failure_share; /* moving average over own requests */
+	int64_t last_heard_us; /* any byte of an answer */
+	int64_t last_sent_us;
+	double prefill_us_per_token; /* moving average; 0: not known */
+	void *context; /* of the owner */
+	int refs; /* the set and requests in progress */
+} server_t;
+
+typedef struct {
+	GHashTable *by_id; /* of server_t */
+	uint64_t generation; /* changes when an entry does */
+} server_set_t;
+
+void server_entry_clear(server_entry_t *entry);
+
+void server_set_init(server_set_t *set);
+void server_set_finish(server_set_t *set);
+server_t *server_set_put(server_set_t *set, server_entry_t *entry);
+void server_set_remove(server_set_t *set, const char *id);
+void server_set_begin_sync(server_set_t *set);
+void server_set_end_sync(server_set_t *set, int64_t keep_until_us);
+bool server_set_expire(server_set_t *set, int64_t now_us);
+server_t *server_set_find(const server_set_t *set, const char *id);
+unsigned server_set_usable(const server_set_t *set);
+
+server_t *server_ref(server_t *server);
+void server_unref(server_t *server);
+bool server_takes_work(const server_t *server);
+bool server_is_suspect(const server_t *server);
+void server_sent(server_t *server, int64_t now_us);
+void server_ended(server_t *server);
+void server_heard(server_t *server, int64_t now_us);
+void server_silent(server_t *server, int64_t now_us);
+void server_result(server_t *server, bool failed);
+void server_prefilled(server_t *server, int64_t elapsed_us, int64_t tokens);
+
+#endif
--- /dev/null
+++ b/src/process/store.c
@@ -0,0 +1,109 @@
+#include "process/store.h"
+
+static void end(store_call_t *call, store_result_t result)
+{
+	call->call = NULL;
+	alarm_set(&call->deadline, -1);
+	call->done(call->context, result, str_from_gstring(call->body));
+}
+
+static void on_head(void *context, const http_head_t *head)
+{
+	store_call_t *call = context;
+
+	call->status = head->status;
+}
+
+static void on_body(void *context, const char *data, size_t len)
+{
+	store_call_t *call = context;
+
+	g_string_append_len(call->body, data, (gssize)len);
+}
+
+static store_result_t result_of(unsigned status)
+{
+	if (status == 200)
+		return STORE_OK;
+	if (status == 410)
+		return STORE_HISTORY_GONE;
+	return STORE_REFUSED;
+}
+
+static void on_end(void *context, call_end_t reason)
+{
+	store_call_t *call = context;
+
+	if (reason == CALL_ANSWERED)
+		end(call, result_of(call->status));
+	else if (reason == CALL_NOT_SENT)
+		end(call, STORE_REFUSED);
+	else
+		end(call, STORE_UNKNOWN);
+}
+
+static const call_handler_t handler = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static void on_deadline(void *context)
+{
+	store_call_t *call = context;
+
+	if (call->call)
+		http_call_cancel(call->call);
+	end(call, STORE_UNKNOWN);
+}
+
+/* Sets up a call that is not in progress. */
+void store_call_init(store_call_t *call, http_pool_t *pool)
+{
+	*call = (store_call_t){.pool = pool, .body = g_string_new(NULL)};
+	alarm_init(&call->deadline, pool->clock, on_deadline, call);
+}
+
+/* Gives up a call in progress and frees what it owns. */
+void store_call_finish(store_call_t *call)
+{
+	store_call_cancel(call);
+	alarm_finish(&call->deadline);
+	g_string_free(call->body, TRUE);
+}
+
+/* Sends a request; `done` is called in a later turn of the loop. */
+void store_call_send(store_call_t *call, const char *address,
+		     const GString *message, int64_t deadline_us,
+		     store_done_fn_t done, void *context)
+{
+	http_call_options_t options = {
+		.address = address,
+		.message = message,
+		.handler = &handler,
+		.context = call,
+	};
+
+	call->done = done;
+	call->context = context;
+	call->status = 0;
+	g_string_truncate(call->body, 0);
+	call->call = http_pool_call(call->pool, &options);
+	/* Without a connection the deadline's alarm reports the failure. */
+	alarm_set(&call->deadline, deadline_us);
+}
+
+/* Gives up a call in progress; `done` is not called. */
+void store_call_cancel(store_call_t *call)
+{
+	if (call->call)
+		http_call_cancel(call->call);
+	call->call = NULL;
+	alarm_set(&call->deadline, -1);
+}
+
+/* Tells whether a call is in progress. */
+bool store_call_is_busy(const store_call_t *call)
+{
+	return call->deadline.at_us >= 0;
+}
--- /dev/null
+++ b/src/process/store_watch.c
@@ -0,0 +1,179 @@
+#include "process/store_watch.h"
+
+/* A read answers within this time beyond its own wait. */
+#define READ_TIMEOUT_US (1500 * CLOCK_US_PER_MS)
+
+/* Pause after a failed read. The store may turn this VM away for seconds, and
+ * a new configuration has to be in force two seconds after that ends.
+ */
+#define RETRY_US (250 * CLOCK_US_PER_MS)
+
+/* After this long without an answer, the list of servers may have lost entries
+ * of servers that live; three of their heartbeats.
+ */
+#define OUTAGE_US (2500 * CLOCK_US_PER_MS)
+
+static void read_table(store_watch_t *watch);
+
+static void set_reachable(store_watch_t *watch, bool reachable)
+{
+	if (watch->reachable == reachable)
+		return;
+	watch->reachable = reachable;
+	watch->options.handler->on_reach(watch->options.context, reachable);
+}
+
+static void failed(store_watch_t *watch)
+{
+	int64_t now_us = clock_now(&watch->clock);
+
+	watch->failures++;
+	if (now_us - watch->last_ok_us > OUTAGE_US)
+		watch->outage = true;
+	set_reachable(watch, false);
+	alarm_set(&watch->next, now_us + RETRY_US);
+}
+
+static void start_over(store_watch_t *watch)
+{
+	watch->synced = false;
+	g_clear_pointer(&watch->from_key, g_free);
+}
+
+static void apply_rows(store_watch_t *watch, const store_page_t *page)
+{
+	for (guint i = 0; i < page->rows->len; i++)
+		watch->options.handler->on_row(
+			watch->options.context,
+			&g_array_index(page->rows, store_row_t, i));
+}
+
+static void begin_sync(store_watch_t *watch, const store_page_t *page)
+{
+	if (watch->from_key)
+		return;
+	watch->sync_version = page->version;
+	watch->options.handler->on_begin(watch->options.context);
+}
+
+/* One page of a full read. The next one starts behind its last key. */
+static void take_page(store_watch_t *watch, const store_page_t *page)
+{
+	begin_sync(watch, page);
+	apply_rows(watch, page);
+	g_clear_pointer(&watch->from_key, g_free);
+	if (page->has_more && page->rows->len > 0) {
+		const store_row_t *last = &g_array_index(
+			page->rows, store_row_t, page->rows->len - 1);
+
+		watch->from_key = g_strconcat(last->key, "\x01", NULL);
+		return;
+	}
+	/* Changes made while the pages were read come with the feed. */
+	watch->version = watch->sync_version;
+	watch->synced = true;
+	watch->options.handler->on_synced(watch->options.context,
+					  watch->outage);
+	watch->outage = false;
+}
+
+static void take_changes(store_watch_t *watch, const store_page_t *page)
+{
+	apply_rows(watch, page);
+	watch->version = MAX(watch->version, page->version);
+}
+
+static void on_read(void *context, store_result_t result, str_t body)
+{
+	store_watch_t *watch = context;
+	int64_t now_us = clock_now(&watch->clock);
+	store_page_t page;
+
+	if (result == STORE_HISTORY_GONE && watch->synced) {
+		start_over(watch);
+		read_table(watch);
+		return;
+	}
+	if (result != STORE_OK) {
+		failed(watch);
+		return;
+	}
+	if (!store_page_read(body, &page)) {
+		store_page_finish(&page);
+		failed(watch);
+		return;
+	}
+	watch->failures = 0;
+	watch->last_ok_us = now_us;
+	if (watch->synced && watch->outage) {
+		/* Entries may have lapsed and come back unseen. */
+		start_over(watch);
+		alarm_set(&watch->next, now_us);
+	} else {
+		bool was_synced = watch->synced;
+
+		if (was_synced)
+			take_changes(watch, &page);
+		else
+			take_page(watch, &page);
+		alarm_set(&watch->next, was_synced ? now_us +
+							     watch->options
+								     .pause_us
+						   : now_us);
+	}
+	store_page_finish(&page);
+	set_reachable(watch, true);
+}
+
+static void read_table(store_watch_t *watch)
+{
+	const store_watch_options_t *options = &watch->options;
+	int64_t deadline_us = clock_now(&watch->clock) + READ_TIMEOUT_US;
+	/* After a failure the first read does not wait, to see soon whether
+	 * the store is back.
+	 */
+	int64_t wait_us = watch->failures ? 0 : options->wait_us;
+
+	g_string_truncate(watch->message, 0);
+	if (watch->synced) {
+		store_feed_request(watch->message, options->address,
+				   options->table, watch->version, wait_us);
+		deadline_us += wait_us;
+	} else {
+		store_get_request(watch->message, options->address,
+				  options->table, watch->from_key);
+	}
+	watch->calls++;
+	store_call_send(&watch->call, options->address, watch->message,
+			deadline_us, on_read, watch);
+}
+
+static void on_next(void *context)
+{
+	read_table(context);
+}
+
+/* Starts to follow a table. */
+void store_watch_init(store_watch_t *watch, http_pool_t *pool,
+		      clock_source_t clock,
+		      const store_watch_options_t *options)
+{
+	*watch = (store_watch_t){
+		.options = *options,
+		.clock = clock,
+		.message = g_string_new(NULL),
+		.last_ok_us = clock_now(&clock),
+	};
+	store_call_init(&watch->call, pool);
+	alarm_init(&watch->next, clock, on_next, watch);
+	alarm_set(&watch->next, clock_now(&clock));
+}
+
+/* Stops following. */
+void store_watch_finish(store_watch_t *watch)
+{
+	store_call_finish(&watch->call);
+	alarm_finish(&watch->next);
+	g_free(watch->from_key);
+	g_string_free(watch->message, TRUE);
+}
--- /dev/null
+++ b/src/process/store_watch.h
@@ -0,0 +1,53 @@
+/* Follows one table of the platform's store: a full read, then its feed, and a
+ * full read again when the feed's history is gone or the store was away.
+ */
+#ifndef PROCESS_STORE_WATCH_H
+#define PROCESS_STORE_WATCH_H
+
+#include "process/store.h"
+#include "store_call.h"
+
+typedef struct {
+	/* A full read begins; rows that it does not bring are gone. */
+	void (*on_begin)(void *context);
+	void (*on_row)(void *context, const store_row_t *row);
+	/* A full read has ended. `outage` tells that the store had been out of
+	 * reach before it.
+	 */
+	void (*on_synced)(void *context, bool outage);
+	/* The store was lost or came back. */
+	void (*on_reach)(void *context, bool reachable);
+} store_watch_handler_t;
+
+typedef struct {
+	const char *table;
+	const char *address; /* of the store; borrowed */
+	int64_t pause_us; /* between reads of the feed */
+	int64_t wait_us; /* longest wait of one read for a change */
+	const store_watch_handler_t *handler;
+	void *context;
+} store_watch_options_t;
+
+typedef struct {
+	store_watch_options_t options;
+	store_call_t call;
+	alarm_t next;
+	clock_source_t clock;
+	GString *message;
+	char *from_key; /* where a full read in pages goes on */
+	int64_t version; /* the feed goes on from it */
+	int64_t sync_version; /* of the first page of a full read */
+	int64_t last_ok_us;
+	unsigned failures; /* in a row */
+	uint64_t calls;
+	bool synced; /* a full read has ended */
+	bool outage; /* since the last full read */
+	bool reachable;
+} store_watch_t;
+
+void store_watch_init(store_watch_t *watch, http_pool_t *pool,
+		      clock_source_t clock,
+		      const store_watch_options_t *options);
+void store_watch_finish(store_watch_t *watch);
+
+#endif
--- /dev/null
+++ b/src/request/relay.c
@@ -0,0 +1,344 @@
+#include "request/relay.h"
+
+#include "process/counters.h"
+#include "process/log.h"
+
+/* Duration of a stream until some have been seen. */
+#define INITIAL_STREAM_US (3500 * CLOCK_US_PER_MS)
+
+/* A request that tells no time is given up after this time. */
+#define DEFAULT_TIME_LEFT_US (30 * CLOCK_US_PER_S)
+
+/* Every how many successes one is logged; failures always are. */
+#define SUCCESS_LOG_RATE 8
+
+static void free_budget(gpointer data)
+{
+	g_free(data);
+}
+
+/* Sets up what requests share. */
+void relay_init(relay_t *relay, clock_source_t clock, http_pool_t *pool,
+		server_set_t *servers, occupancy_t *occupancy, const char *zone)
+{
+	*relay = (relay_t){
+		.clock = clock,
+		.pool = pool,
+		.servers = servers,
+		.occupancy = occupancy,
+		.zone = zone,
+		.stream_us = (double)INITIAL_STREAM_US,
+		.seed = (uint64_t)clock_now(&clock),
+	};
+	relay->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_budget);
+	relay->patience = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						g_free);
+	g_queue_init(&relay->streams);
+	g_queue_init(&relay->waiting);
+}
+
+/* Frees what requests share; none may be in progress. */
+void relay_finish(relay_t *relay)
+{
+	g_hash_table_unref(relay->budgets);
+	g_hash_table_unref(relay->patience);
+}
+
+/* Bounds second sends: a share of the requests, and a few more at any time. */
+void relay_set_retries(relay_t *relay, double share, double slack)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	relay->retry_share = share;
+	relay->retry_slack = slack;
+	g_hash_table_iter_init(&iter, relay->budgets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		retry_budget_t *budget = value;
+
+		budget->share = share;
+		budget->capacity = slack;
+		budget->tokens = MIN(budget->tokens, slack);
+	}
+}
+
+static retry_budget_t *budget_of(relay_t *relay, const char *service)
+{
+	retry_budget_t *budget = g_hash_table_lookup(relay->budgets, service);
+
+	if (!budget) {
+		budget = g_new(retry_budget_t, 1);
+		retry_budget_init(budget, relay->retry_share,
+				  relay->retry_slack);
+		g_hash_table_insert(relay->budgets, g_strdup(service), budget);
+	}
+	return budget;
+}
+
+/* Time that a caller has already waited in earlier attempts: callers of a
+ * route begin with the same patience, and a retry has less of it left.
+ */
+static int64_t waited_before(relay_t *relay, const table_route_t *route,
+			     int64_t time_left_us)
+{
+	char *key = g_strconcat(route->host, route->path_prefix, NULL);
+	int64_t *most = g_hash_table_lookup(relay->patience, key);
+
+	if (!most) {
+		most = g_new0(int64_t, 1);
+		g_hash_table_insert(relay->patience, key, most);
+	} else {
+		g_free(key);
+	}
+	*most = MAX(*most, time_left_us);
+	return *most - time_left_us;
+}
+
+/*
+ * Takes in a request. False when its route names no service; the request must
+ * then not be used.
+ */
+bool relay_request_init(relay_request_t *request, relay_t *relay,
+			exchange_t *exchange, route_table_t *table,
+			const table_route_t *route)
+{
+	const char *service =
+		table_route_pick(route, retry_random(&relay->seed));
+	int64_t time_left_us;
+
+	memset(request, 0, sizeof(*request));
+	if (!service)
+		return false;
+	request->service = route_table_service(table, service);
+	if (!request->service)
+		return false;
+	request->relay = relay;
+	request->exchange = exchange;
+	request->table = route_table_ref(table);
+	exchange_set_context(exchange, request);
+	request->route = route;
+	request->arrived_us = exchange_arrived_us(exchange);
+	request_fields_read(exchange_head(exchange), &request->fields);
+	time_left_us = request->fields.time_left_us;
+	if (time_left_us <= 0)
+		time_left_us = DEFAULT_TIME_LEFT_US;
+	request->deadline_us = request->arrived_us +
+			       MIN(time_left_us, route->timeout_us);
+	request->target_us = request->arrived_us + route->target_us -
+			     waited_before(relay, route, time_left_us);
+	retry_budget_add_first_send(budget_of(relay, service));
+	relay->active++;
+	return true;
+}
+
+/* Releases a request whose exchange has ended. */
+void relay_request_finish(relay_request_t *request)
+{
+	route_table_unref(request->table);
+	request->relay->active--;
+}
+
+/* Takes a second send out of the service's budget. */
+bool relay_take_retry(const relay_request_t *request)
+{
+	bool taken = retry_budget_take(
+		budget_of(request->relay, request->service->name));
+
+	counters_add(taken ? COUNTER_RETRIES : COUNTER_RETRIES_DENIED, 1);
+	return taken;
+}
+
+/* Answers that the request has not run and never will. */
+void relay_refuse(const relay_request_t *request, int64_t retry_after_us,
+		  const char *reason)
+{
+	counters_add(COUNTER_REQUESTS_REFUSED, 1);
+	log_event(LOG_INFO, "request_refused",
+		  LOG_STR("request", request->fields.id),
+		  LOG_CSTR("route", request->route->name),
+		  LOG_CSTR("reason", reason),
+		  LOG_INT("after_ms",
+			  (clock_now(&request->relay->clock) -
+			   request->arrived_us) /
+				  CLOCK_US_PER_MS),
+		  LOG_INT("retry_after_ms", retry_after_us / CLOCK_US_PER_MS));
+	exchange_reply_own(request->exchange, 503, retry_after_us, reason);
+}
+
+/* Answers that it is not known whether the request has run. */
+void relay_fail(const relay_request_t *request, unsigned status,
+		const char *reason)
+{
+	counters_add(COUNTER_REQUESTS_FAILED, 1);
+	log_event(LOG_WARN, "request_failed",
+		  LOG_STR("request", request->fields.id),
+		  LOG_CSTR("route", request->route->name),
+		  LOG_UINT("status", status), LOG_CSTR("reason", reason),
+		  LOG_INT("after_ms", (clock_now(&request->relay->clock) -
+				       request->arrived_us) /
+					      CLOCK_US_PER_MS));
+	exchange_reply_own(request->exchange, status, 0, reason);
+}
+
+static bool is_sampled(const relay_request_t *request)
+{
+	guint hash = 0;
+
+	for (size_t i = 0; i < request->fields.id.len; i++)
+		hash = hash * 31 + (guchar)request->fields.id.data[i];
+	return hash % SUCCESS_LOG_RATE == 0;
+}
+
+/* Logs where a request is sent; a sample of the first sends, all others. */
+void relay_log_send(const relay_request_t *request, const server_t *server,
+		    const char *stage)
+{
+	if (request->sends <= 1 && !is_sampled(request))
+		return;
+	log_event(LOG_INFO, "request_sent",
+		  LOG_STR("request", request->fields.id),
+		  LOG_CSTR("stage", stage),
+		  LOG_CSTR("server", server->entry.id),
+		  LOG_UINT("sends", request->sends),
+		  LOG_UINT("server_in_flight", server->in_flight),
+		  LOG_INT("left_ms", (request->deadline_us -
+				      clock_now(&request->relay->clock)) /
+					     CLOCK_US_PER_MS));
+}
+
+/* Logs the end of a request; successes are sampled. */
+void relay_log_end(const relay_request_t *request, const server_t *server,
+		   unsigned status, const char *result)
+{
+	bool ok = status / 100 == 2 && g_str_equal(result, "complete");
+
+	if (ok && !is_sampled(request))
+		return;
+	log_event(LOG_INFO, "request_ended",
+		  LOG_STR("request", request->fields.id),
+		  LOG_CSTR("route", request->route->name),
+		  LOG_CSTR("server", server ? server->entry.id : ""),
+		  LOG_UINT("status", status), LOG_CSTR("result", result),
+		  LOG_INT("after_ms", (clock_now(&request->relay->clock) -
+				       request->arrived_us) /
+					      CLOCK_US_PER_MS),
+		  LOG_INT("sample", ok ? SUCCESS_LOG_RATE : 1));
+}
+
+/* Sets up a send that has not begun. */
+void relay_send_init(relay_send_t *send, relay_t *relay)
+{
+	memset(send, 0, sizeof(*send));
+	send->relay = relay;
+	send->body = g_string_new(NULL);
+	http_headers_init(&send->headers);
+}
+
+/* Gives up a send in progress and frees what it owns. */
+void relay_send_finish(relay_send_t *send)
+{
+	relay_send_cancel(send);
+	g_string_free(send->body, TRUE);
+	http_headers_finish(&send->headers);
+}
+
+/* Sends a request to a server. False when no connection could be made. */
+bool relay_send_start(relay_send_t *send, const relay_request_t *request,
+		      server_t *server, const forward_fields_t *fields,
+		      const call_handler_t *handler, void *context)
+{
+	const http_head_t *head = exchange_head(request->exchange);
+	GString *message = g_string_sized_new(1024);
+	http_call_options_t options = {
+		.address = server->entry.address,
+		.message = message,
+		.is_head = g_str_equal(head->method->str, "HEAD"),
+		.id_header = "x-request-id",
+		.id = request->fields.id,
+		.handler = handler,
+		.context = context,
+	};
+
+	send->status = 0;
+	memset(&send->fields, 0, sizeof(send->fields));
+	g_string_truncate(send->body, 0);
+	http_headers_clear(&send->headers);
+	send->sent_us = clock_now(&send->relay->clock);
+	forward_request(message, head, exchange_body(request->exchange),
+			fields);
+	send->call = http_pool_call(send->relay->pool, &options);
+	g_string_free(message, TRUE);
+	if (!send->call)
+		return false;
+	send->server = server_ref(server);
+	server_sent(server, send->sent_us);
+	return true;
+}
+
+static void copy_headers(http_headers_t *to, const http_headers_t *from)
+{
+	http_headers_clear(to);
+	for (size_t i = 0; i < http_headers_count(from); i++) {
+		http_field_t field = http_headers_at(from, i);
+
+		http_headers_add(to, field.name, field.value);
+	}
+}
+
+/* Takes in the head of the response and the load that it reports. */
+void relay_send_take_head(relay_send_t *send, const http_head_t *head)
+{
+	int64_t now_us = clock_now(&send->relay->clock);
+
+	send->status = head->status;
+	copy_headers(&send->headers, &head->headers);
+	response_fields_read(head, &send->fields);
+	server_heard(send->server, now_us);
+	if (send->fields.has_load) {
+		send->server->reported_load =
+			send->fields.running + send->fields.waiting;
+		send->server->reported_slots = send->fields.slots;
+		send->server->reported_us = now_us;
+	}
+}
+
+/* The call has ended by itself. */
+void relay_send_ended(relay_send_t *send)
+{
+	send->call = NULL;
+	if (!send->server)
+		return;
+	server_ended(send->server);
+	server_unref(send->server);
+	send->server = NULL;
+}
+
+/* Gives a send up: the server sees its connection close. */
+void relay_send_cancel(relay_send_t *send)
+{
+	if (send->call)
+		http_call_cancel(send->call);
+	relay_send_ended(send);
+}
+
+/* Judges a send that has ended or timed out, and notes it for the server. */
+outcome_t relay_send_judge(relay_send_t *send, call_end_t end, bool timed_out,
+			   bool repeatable)
+{
+	outcome_input_t input = {
+		.end = end,
+		.timed_out = timed_out,
+		.status = send->status,
+		.not_run = send->fields.not_run,
+		.has_signature = send->fields.has_signature,
+	};
+	outcome_t outcome = outcome_of(&input, repeatable);
+
+	if (send->server) {
+		server_result(send->server, outcome.failed);
+		if (send->status == 421)
+			send->server->misdirected = true;
+	}
+	return outcome;
+}
--- /dev/null
+++ b/src/request/stream_call.h
@@ -0,0 +1,15 @@
+/* A request that streams from a model engine: it waits for decode memory, has
+ * its prompt read by a prefill engine, and streams from a decode engine that
+ * fetches the result.
+ */
+#ifndef REQUEST_STREAM_CALL_H
+#define REQUEST_STREAM_CALL_H
+
+#include "request/relay.h"
+
+bool stream_call_start(relay_t *relay, exchange_t *exchange,
+		       route_table_t *table, const table_route_t *route);
+void stream_calls_admit(relay_t *relay);
+void stream_calls_check(relay_t *relay);
+
+#endif
