Refuse streams that would be cut by the end of a stopping process

Change: drain.c decides what is still taken on. A stream that begins after the balancer has left is refused as not run.

--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -14,11 +14,8 @@
 /* Unacknowledged data ends a connection to a server or the store. */
 #define USER_TIMEOUT_MS 1500
 
-/* The balancer asks once a second and leaves after two misses. */
-#define BALANCER_LEAVES_US (2600 * CLOCK_US_PER_MS)
-
-/* Left of the shutdown limit for the end of the process itself. */
-#define STOP_MARGIN_US (400 * CLOCK_US_PER_MS)
+/* Time to come back to another VM while this one is stopping. */
+#define STOPPING_RETRY_US (50 * CLOCK_US_PER_MS)
 
 /* Time to come back while nothing is known yet. */
 #define UNKNOWN_RETRY_US (500 * CLOCK_US_PER_MS)
@@ -45,7 +42,7 @@
 
 static bool is_ready(entry_t *entry)
 {
-	return entry->state == ENTRY_RUNNING && entry->table &&
+	return !drain_is_on(&entry->drain) && entry->table &&
 	       server_set_usable(&entry->servers) > 0;
 }
 
@@ -104,10 +101,11 @@
 
 /* --- requests ---------------------------------------------------------- */
 
-static void refuse_unknown(exchange_t *exchange, const char *text)
+static void refuse(exchange_t *exchange, int64_t retry_after_us,
+		   const char *text)
 {
 	counters_add(COUNTER_REQUESTS_REFUSED, 1);
-	exchange_reply_own(exchange, 503, UNKNOWN_RETRY_US, text);
+	exchange_reply_own(exchange, 503, retry_after_us, text);
 }
 
 static bool start_call(entry_t *entry, exchange_t *exchange,
@@ -128,7 +126,8 @@
 
 	counters_add(COUNTER_REQUESTS, 1);
 	if (!entry->table) {
-		refuse_unknown(exchange, "no configuration is known yet");
+		refuse(exchange, UNKNOWN_RETRY_US,
+		       "no configuration is known yet");
 		return;
 	}
 	route = route_table_match(entry->table,
@@ -143,8 +142,11 @@
 		exchange_reply_own(exchange, 404, 0, "no route");
 		return;
 	}
-	if (!start_call(entry, exchange, route))
-		refuse_unknown(exchange, "the route leads to no service");
+	if (!drain_accepts(&entry->drain, route, clock_now(&entry->clock)))
+		refuse(exchange, STOPPING_RETRY_US, "the process is stopping");
+	else if (!start_call(entry, exchange, route))
+		refuse(exchange, UNKNOWN_RETRY_US,
+		       "the route leads to no service");
 }
 
 static void caller_gone(void *context, exchange_t *exchange)
@@ -247,42 +249,32 @@
 
 /* --- shutdown and reload ----------------------------------------------- */
 
-static void stop(entry_t *entry)
-{
-	entry->state = ENTRY_STOPPED;
-	g_main_loop_quit(entry->loop);
-}
-
-/* Ends the process when the balancer has left and nothing runs, or when the
- * limit is near.
- */
 static void check_drain(entry_t *entry, int64_t now_us)
 {
-	int64_t limit_us = (int64_t)(entry->settings.shutdown_limit_s *
-				     (double)CLOCK_US_PER_S);
-	int64_t draining_us = now_us - entry->drain_started_us;
-
-	if (draining_us >= limit_us - STOP_MARGIN_US) {
-		log_event(LOG_WARN, "stopped_at_limit",
+	switch (drain_next(&entry->drain, entry->callers.active, now_us)) {
+	case DRAIN_GO_ON:
+		break;
+	case DRAIN_CLOSE_IDLE:
+		ingress_close_idle(&entry->callers);
+		break;
+	case DRAIN_STOP:
+		log_event(LOG_INFO, "drained",
 			  LOG_UINT("active", entry->callers.active));
-		stop(entry);
-		return;
+		g_main_loop_quit(entry->loop);
+		break;
 	}
-	if (draining_us < BALANCER_LEAVES_US)
-		return;
-	ingress_close_idle(&entry->callers);
-	if (entry->callers.active == 0)
-		stop(entry);
 }
 
 static gboolean on_sigterm(gpointer data)
 {
 	entry_t *entry = data;
+	int64_t now_us = clock_now(&entry->clock);
+	int64_t limit_us = (int64_t)(entry->settings.shutdown_limit_s *
+				     (double)CLOCK_US_PER_S);
 
-	if (entry->state != ENTRY_RUNNING)
+	if (drain_is_on(&entry->drain))
 		return G_SOURCE_CONTINUE;
-	entry->state = ENTRY_DRAINING;
-	entry->drain_started_us = clock_now(&entry->clock);
+	drain_start(&entry->drain, now_us, now_us + limit_us);
 	ingress_set_closing(&entry->callers);
 	log_event(LOG_INFO, "draining",
 		  LOG_UINT("active", entry->callers.active));
@@ -371,8 +363,7 @@
 	stream_calls_check(&entry->relay);
 	server_probe_due(&entry->servers, &entry->server_pool, entry->table,
 			 now_us);
-	if (entry->state == ENTRY_DRAINING)
-		check_drain(entry, now_us);
+	check_drain(entry, now_us);
 	if (modified_us(entry->settings_path) != entry->settings_mtime_us)
 		reload(entry);
 }
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -6,24 +6,18 @@
 
 #include "connection/announce.h"
 #include "connection/ingress.h"
+#include "process/drain.h"
 #include "process/entry_settings.h"
 #include "process/store_rows.h"
 #include "request/relay.h"
 
-typedef enum {
-	ENTRY_RUNNING,
-	ENTRY_DRAINING, /* SIGTERM came: finishes its requests */
-	ENTRY_STOPPED,
-} entry_state_t;
-
 typedef struct {
 	const char *settings_path;
 	int64_t settings_mtime_us;
 	entry_settings_t settings;
 	clock_source_t clock;
 	GMainLoop *loop;
-	entry_state_t state;
-	int64_t drain_started_us;
+	drain_t drain;
 	ingress_t callers;
 	ingress_t ready;
 	ingress_t metrics;
