Take work away from engines that are gone, and hand kept prefill results on

A probe that any process at the address answered cleared the suspicion of a dead engine, whose successor then answered 421. Change: a lost connection makes an engine suspect until a probe is answered; probes name the server; announcements carry suspicions; a prefill result whose decode engine never got the request goes to another one.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -118,7 +118,20 @@
 	return true;
 }
 
-/* Encodes this router's own use and waiting requests. */
+static bool encode_suspects(XDR *xdrs, const GPtrArray *suspects)
+{
+	uint32_t n = MIN(suspects->len, OCCUPANCY_MAX_SUSPECTS);
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		if (!code_name(xdrs, g_ptr_array_index(suspects, i)))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes this router's own use, waiting requests and suspicions. */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len)
 {
@@ -134,7 +147,8 @@
 	     xdr_uint64_t(&xdrs, &incarnation) &&
 	     xdr_uint32_t(&xdrs, &sequence) &&
 	     encode_uses(&xdrs, announce->occupancy->own) &&
-	     encode_claims(&xdrs, announce->occupancy->waiters, now_us);
+	     encode_claims(&xdrs, announce->occupancy->waiters, now_us) &&
+	     encode_suspects(&xdrs, announce->occupancy->suspects);
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
@@ -183,6 +197,23 @@
 	return true;
 }
 
+static bool decode_suspects(XDR *xdrs, const occupancy_t *occupancy)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_SUSPECTS)
+		return false;
+	while (n-- > 0) {
+		char server[MAX_NAME_BYTES + 1] = "";
+
+		if (!code_name(xdrs, server))
+			return false;
+		if (occupancy->on_suspect)
+			occupancy->on_suspect(occupancy->context, server);
+	}
+	return true;
+}
+
 /* Takes in a peer's announcement. False when it is malformed. */
 bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
 		     int64_t now_us)
@@ -203,7 +234,8 @@
 		peer = occupancy_begin_peer(occupancy, vm, incarnation,
 					    sequence, now_us);
 		ok = !peer || (decode_uses(&xdrs, peer->use) &&
-			       decode_claims(&xdrs, peer->waiters, now_us));
+			       decode_claims(&xdrs, peer->waiters, now_us) &&
+			       decode_suspects(&xdrs, occupancy));
 	}
 	xdr_destroy(&xdrs);
 	return ok;
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -56,8 +56,9 @@
 	return MAX(memory, places) + (decode->near ? 0 : FAR_LOAD);
 }
 
-static bool pick_decode(const admission_view_t *view, int64_t kv_tokens,
-			size_t *index)
+/* Chooses the least loaded decode engine that has room; false: none has. */
+bool admission_pick_decode(const admission_view_t *view, int64_t kv_tokens,
+			   size_t *index)
 {
 	double best = 0;
 	bool found = false;
@@ -213,7 +214,7 @@
 		return refuse(decision, ADMISSION_NO_ENGINE);
 	if (!fits_anywhere(view, request->kv_tokens))
 		return refuse(decision, ADMISSION_TOO_LARGE);
-	room = pick_decode(view, request->kv_tokens, &decision.decode);
+	room = admission_pick_decode(view, request->kv_tokens, &decision.decode);
 	decision.wait_us =
 		wait_us(view, taken, (int64_t)request->ahead + 1 - open);
 	if (request->claim.late)
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -66,6 +66,8 @@
 admission_decision_t admission_decide(const admission_view_t *view,
 				      const admission_request_t *request,
 				      int64_t now_us);
+bool admission_pick_decode(const admission_view_t *view, int64_t kv_tokens,
+			   size_t *index);
 int64_t admission_first_event_us(const admission_view_t *view,
 				 int64_t prompt_tokens);
 const char *admission_reason_text(admission_reason_t reason);
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -22,8 +22,9 @@
 
 /* Housekeeping, and decisions on waiting streams beside those that news bring.
  */
-#define TICK_US (100 * CLOCK_US_PER_MS)
+#define TICK_US (50 * CLOCK_US_PER_MS)
 #define WAITING_TICK_US (20 * CLOCK_US_PER_MS)
+#define SETTINGS_CHECK_US (1 * CLOCK_US_PER_S)
 
 /* Share of the allowed second sends that is used. Other VMs count requests in
  * other windows than the backend servers do.
@@ -247,6 +248,35 @@
 	stream_calls_admit(&entry->relay);
 }
 
+static void on_peer_suspects(void *context, const char *id)
+{
+	entry_t *entry = context;
+	server_t *server = server_set_find(&entry->servers, id);
+
+	if (server)
+		server_suspected_by_peer(server, clock_now(&entry->clock));
+}
+
+/* Tells peers which servers are out of reach; at once when that changes. */
+static void publish_suspects(entry_t *entry)
+{
+	GPtrArray *suspects = entry->occupancy.suspects;
+	guint before = suspects->len;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_ptr_array_set_size(suspects, 0);
+	g_hash_table_iter_init(&iter, entry->servers.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const server_t *server = value;
+
+		if (server_is_suspect(server) || server->misdirected)
+			g_ptr_array_add(suspects, g_strdup(server->entry.id));
+	}
+	if (suspects->len > before)
+		announce_changed(&entry->announce);
+}
+
 /* --- shutdown and reload ----------------------------------------------- */
 
 static void check_drain(entry_t *entry, int64_t now_us)
@@ -345,6 +375,16 @@
 	diag_finish(&diag);
 }
 
+/* The file may change without a signal. */
+static void check_settings(entry_t *entry, int64_t now_us)
+{
+	if (now_us < entry->next_settings_check_us)
+		return;
+	entry->next_settings_check_us = now_us + SETTINGS_CHECK_US;
+	if (modified_us(entry->settings_path) != entry->settings_mtime_us)
+		reload(entry);
+}
+
 static gboolean on_sighup(gpointer data)
 {
 	reload(data);
@@ -361,11 +401,11 @@
 	if (waiting)
 		stream_calls_admit(&entry->relay);
 	stream_calls_check(&entry->relay);
+	publish_suspects(entry);
 	server_probe_due(&entry->servers, &entry->server_pool, entry->table,
 			 now_us);
 	check_drain(entry, now_us);
-	if (modified_us(entry->settings_path) != entry->settings_mtime_us)
-		reload(entry);
+	check_settings(entry, now_us);
 }
 
 /* --- start and end ----------------------------------------------------- */
@@ -417,6 +457,8 @@
 	alarm_init(&entry->admit, clock, on_admit, entry);
 	if (!listen_all(entry))
 		return false;
+	entry->occupancy.on_suspect = on_peer_suspects;
+	entry->occupancy.context = entry;
 	entry->announce.on_news = on_peer_news;
 	entry->announce.context = entry;
 	follow_store(entry);
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -14,6 +14,7 @@
 typedef struct {
 	const char *settings_path;
 	int64_t settings_mtime_us;
+	int64_t next_settings_check_us;
 	entry_settings_t settings;
 	clock_source_t clock;
 	GMainLoop *loop;
--- a/src/process/occupancy.c
+++ b/src/process/occupancy.c
@@ -24,7 +24,9 @@
 /* Sets up an account without use. */
 void occupancy_init(occupancy_t *occupancy)
 {
+	memset(occupancy, 0, sizeof(*occupancy));
 	occupancy->own = new_use_table();
+	occupancy->suspects = g_ptr_array_new_with_free_func(g_free);
 	occupancy->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_peer);
 	occupancy->waiters =
@@ -37,6 +39,7 @@
 	g_hash_table_unref(occupancy->own);
 	g_hash_table_unref(occupancy->peers);
 	g_array_unref(occupancy->waiters);
+	g_ptr_array_unref(occupancy->suspects);
 }
 
 static bool is_zero(const occupancy_use_t *use)
--- a/src/process/occupancy.h
+++ b/src/process/occupancy.h
@@ -14,6 +14,9 @@
 /* Waiting requests that one announcement describes; more are only counted. */
 #define OCCUPANCY_MAX_WAITERS 24
 
+/* Suspect servers that one announcement names. */
+#define OCCUPANCY_MAX_SUSPECTS 32
+
 /* What requests in progress use of one backend server. */
 typedef struct {
 	int64_t streams; /* places in the batch of a decode engine */
@@ -42,6 +45,10 @@
 	GHashTable *own; /* server ID to occupancy_use_t */
 	GHashTable *peers; /* VM name to occupancy_peer_t */
 	GArray *waiters; /* own, of occupancy_claim_t; set by the owner */
+	GPtrArray *suspects; /* own, server IDs; set by the owner */
+	/* A peer suspects a server. */
+	void (*on_suspect)(void *context, const char *server);
+	void *context;
 } occupancy_t;
 
 void occupancy_init(occupancy_t *occupancy);
--- a/src/process/server_probe.c
+++ b/src/process/server_probe.c
@@ -26,9 +26,14 @@
 {
 	probe_t *probe = context;
 
-	server_heard(probe->server, clock_now(&probe->clock));
-	log_event(LOG_INFO, "server_back",
-		  LOG_CSTR("server", probe->server->entry.id));
+	/* Another server has the address now. */
+	if (head->status == 421)
+		probe->server->misdirected = true;
+	else
+		server_heard(probe->server, clock_now(&probe->clock));
+	log_event(LOG_INFO, "server_probed",
+		  LOG_CSTR("server", probe->server->entry.id),
+		  LOG_UINT("status", head->status));
 }
 
 static void on_body(void *context, const char *data, size_t len)
@@ -59,14 +64,12 @@
 {
 	const table_service_t *service =
 		route_table_service(table, server->entry.service);
+	const char *path = NULL;
 
-	if (server->entry.stage != STAGE_NONE || !service ||
-	    !service->health_path) {
-		report_request(message, server->entry.address);
-		return;
-	}
-	g_string_append_printf(message, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
-			       service->health_path, server->entry.address);
+	if (server->entry.stage == STAGE_NONE && service)
+		path = service->health_path;
+	probe_request(message, path, server->entry.address,
+		      str_from(server->entry.id));
 }
 
 static void probe(server_t *server, http_pool_t *pool,
@@ -103,12 +106,12 @@
 	gpointer value;
 
 	if (!table)
-		return;
+		return; /* the paths of health checks are not known yet */
 	g_hash_table_iter_init(&iter, servers->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		server_t *server = value;
 
-		if (server_is_suspect(server) &&
+		if (server_is_suspect(server) && !server->misdirected &&
 		    server->next_probe_us <= now_us)
 			probe(server, pool, table, now_us);
 	}
--- a/src/process/server_set.c
+++ b/src/process/server_set.c
@@ -2,6 +2,15 @@
 
 /* Weight of the latest request in the moving averages. */
 #define FAILURE_WEIGHT 0.08
+
+/* A server that was heard this lately is not suspected on a peer's word: it
+ * may be out of reach for the peer only.
+ */
+#define HEARD_LATELY_US INT64_C(150000)
+
+/* After a probe was answered, peers' suspicions are ignored for this long. */
+#define CLEARED_US INT64_C(1000000)
+
 #define PREFILL_WEIGHT 0.2
 
 /* Frees what an entry owns. */
@@ -201,6 +210,8 @@
 void server_heard(server_t *server, int64_t now_us)
 {
 	server->last_heard_us = now_us;
+	if (server->suspect_us != 0)
+		server->cleared_us = now_us;
 	server->suspect_us = 0;
 }
 
@@ -213,6 +224,17 @@
 	}
 }
 
+/* Another router suspects the server: it gets no work until a probe of our own
+ * has been answered.
+ */
+void server_suspected_by_peer(server_t *server, int64_t now_us)
+{
+	if (now_us - server->last_heard_us < HEARD_LATELY_US ||
+	    now_us - server->cleared_us < CLEARED_US)
+		return;
+	server_silent(server, now_us);
+}
+
 /* Records the result of a request. */
 void server_result(server_t *server, bool failed)
 {
--- a/src/process/server_set.h
+++ b/src/process/server_set.h
@@ -34,6 +34,7 @@
 	int64_t doubtful_until_us; /* missing from the list since an outage */
 	int64_t suspect_us; /* since when it is silent; 0: it is not */
 	int64_t next_probe_us; /* while it is suspect */
+	int64_t cleared_us; /* when suspicion last ended */
 	unsigned in_flight; /* own requests */
 	int64_t reported_load; /* running and waiting, as last answered */
 	int64_t reported_slots;
@@ -71,6 +72,7 @@
 void server_ended(server_t *server);
 void server_heard(server_t *server, int64_t now_us);
 void server_silent(server_t *server, int64_t now_us);
+void server_suspected_by_peer(server_t *server, int64_t now_us);
 void server_result(server_t *server, bool failed);
 void server_prefilled(server_t *server, int64_t elapsed_us, int64_t tokens);
 
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -26,7 +26,7 @@
 /* Engines make an event about every 50 ms. Without a byte from one for this
  * long, although it has work, it counts as silent.
  */
-#define SILENCE_US (450 * CLOCK_US_PER_MS)
+#define SILENCE_US (300 * CLOCK_US_PER_MS)
 
 /* A prefill is overdue after this multiple of its estimate, and this time. */
 #define PREFILL_OVERDUE_FACTOR 4
@@ -54,6 +54,7 @@
 	int64_t give_up_us; /* waiting */
 	int64_t prefill_due_us; /* overdue after it */
 	int64_t prefill_backlog; /* tokens before and with this one */
+	int64_t prefilled_us;
 	int64_t decode_started_us;
 	int64_t last_event_us;
 	server_t *prefill; /* NULL: none is counted for this stream */
@@ -280,6 +281,7 @@
 }
 
 static bool send_decode(stream_t *stream);
+static server_t *pick_decode(const stream_t *stream);
 
 /* Goes on with a broken stream at another engine, where the route allows it.
  * The engine reads the prompt itself.
@@ -288,26 +290,13 @@
 {
 	relay_request_t *request = &stream->request;
 	relay_t *relay = request->relay;
-	server_t *next = NULL;
-	GHashTableIter iter;
-	gpointer value;
+	server_t *next;
 
 	if (!request->route->resumable ||
 	    request->sends >= (unsigned)request->route->max_servers ||
 	    clock_now(&relay->clock) >= request->deadline_us)
 		return false;
-	g_hash_table_iter_init(&iter, relay->servers->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		server_t *server = value;
-
-		if (server != stream->decode && server_takes_work(server) &&
-		    !server_is_suspect(server) &&
-		    server->entry.stage == STAGE_DECODE &&
-		    g_str_equal(server->entry.service,
-				request->service->name) &&
-		    (!next || server->in_flight < next->in_flight))
-			next = server;
-	}
+	next = pick_decode(stream);
 	if (!next || !relay_take_retry(request))
 		return false;
 	event_split_drop_rest(&stream->split);
@@ -320,14 +309,57 @@
 	return send_decode(stream);
 }
 
+/*
+ * Hands the kept prefill result to another decode engine when the chosen one
+ * never got the request: no connection could be made, or another server has
+ * its address. An engine that refused counts as one that it was sent to.
+ */
+static bool decode_elsewhere(stream_t *stream)
+{
+	relay_request_t *request = &stream->request;
+	relay_t *relay = request->relay;
+	bool reached = stream->send.status != 0 && stream->send.status != 421;
+	server_t *next;
+
+	if (stream->head_sent || !stream->kv_source ||
+	    (reached && request->sends >= (unsigned)request->route->max_servers))
+		return false;
+	next = pick_decode(stream);
+	if (!next || !relay_take_retry(request))
+		return false;
+	if (!reached && request->sends > 0)
+		request->sends--;
+	release_decode(stream);
+	use_decode(stream, next);
+	if (send_decode(stream))
+		return true;
+	server_silent(next, clock_now(&relay->clock));
+	return false;
+}
+
 static void decode_rejected(stream_t *stream)
 {
+	occupancy_use_t use =
+		occupancy_total(stream->request.relay->occupancy,
+				stream->decode->entry.id,
+				clock_now(&stream->request.relay->clock));
+
 	log_event(LOG_WARN, "decode_rejected",
 		  LOG_STR("request", stream->request.fields.id),
 		  LOG_CSTR("server", stream->decode->entry.id),
 		  LOG_UINT("status", stream->send.status),
-		  LOG_INT("kv_tokens", stream->kv_tokens));
+		  LOG_INT("running", stream->send.fields.running),
+		  LOG_INT("waiting", stream->send.fields.waiting),
+		  LOG_INT("streams_counted", use.streams),
+		  LOG_INT("kv_tokens_counted", use.kv_tokens),
+		  LOG_INT("kv_tokens", stream->kv_tokens),
+		  LOG_INT("handle_age_ms",
+			  (clock_now(&stream->request.relay->clock) -
+			   stream->prefilled_us) /
+				  CLOCK_US_PER_MS));
 	counters_add(COUNTER_IMPORTS_FAILED, 1);
+	if (decode_elsewhere(stream))
+		return;
 	if (stream->head_sent)
 		cut(stream, 502, "the stream could not be resumed");
 	else
@@ -348,7 +380,8 @@
 		complete(stream);
 		return;
 	}
-	if (end == CALL_NOT_SENT)
+	/* A probe tells soon whether the engine is still there. */
+	if (end != CALL_ANSWERED)
 		server_silent(stream->decode,
 			      clock_now(&stream->request.relay->clock));
 	if (outcome.run == RUN_NOT_RUN) {
@@ -390,14 +423,16 @@
 
 	if (!request->route->resumable)
 		fields.last_event = (str_t){NULL, 0};
-	request->sends++;
 	stream->state = STREAM_DECODING;
 	stream->decode_started_us = now_us;
 	stream->passes_error = false;
+	if (!relay_send_start(&stream->send, request, stream->decode, &fields,
+			      &decode_handler, stream))
+		return false;
+	request->sends++;
 	counters_add(COUNTER_DECODES, 1);
 	relay_log_send(request, stream->decode, "decode");
-	return relay_send_start(&stream->send, request, stream->decode, &fields,
-				&decode_handler, stream);
+	return true;
 }
 
 /* --- prefill ----------------------------------------------------------- */
@@ -423,13 +458,15 @@
 	server_prefilled(stream->prefill,
 			 clock_now(&relay->clock) - stream->send.sent_us,
 			 stream->prefill_backlog);
+	stream->prefilled_us = clock_now(&relay->clock);
 	stream->kv_source = kv_source_format(stream->prefill->entry.address,
 					     stream->handle);
 	release_prefill(stream);
-	if (!send_decode(stream)) {
+	if (!server_takes_work(stream->decode) ||
+	    server_is_suspect(stream->decode) || !send_decode(stream)) {
 		server_silent(stream->decode, clock_now(&relay->clock));
-		refuse(stream, REJECTED_RETRY_US,
-		       "no connection to the decode engine could be made");
+		stream->send.status = 0; /* nothing came back from it */
+		decode_rejected(stream);
 		return;
 	}
 	relay->on_occupancy(relay->context);
@@ -459,6 +496,9 @@
 		return;
 	}
 	relay_send_ended(&stream->send);
+	if (end != CALL_ANSWERED)
+		server_silent(stream->prefill,
+			      clock_now(&stream->request.relay->clock));
 	prefill_failed(stream, end == CALL_ANSWERED ? "refused" : "lost");
 }
 
@@ -579,6 +619,23 @@
 	}
 }
 
+/* Chooses another decode engine than the one that a stream had. */
+static server_t *pick_decode(const stream_t *stream)
+{
+	static engines_t engines;
+	relay_t *relay = stream->request.relay;
+	size_t index;
+
+	view_engines(&engines, &stream->request, clock_now(&relay->clock));
+	for (size_t i = 0; i < engines.view.n_decodes; i++) {
+		if (engines.decode_servers[i] == stream->decode)
+			engines.decodes[i].usable = false;
+	}
+	if (!admission_pick_decode(&engines.view, stream->kv_tokens, &index))
+		return NULL;
+	return engines.decode_servers[index];
+}
+
 static void log_refusal(const stream_t *stream, const engines_t *engines,
 			const admission_decision_t *decision,
 			const admission_request_t *wanted)
