Order engines from prefill to decode before the traffic begins

Change: stage_balance.c says how many engines should change, stage_orders.c gives the orders in rounds: a conditional write to the store names the holder, its fencing token and the engines, every VM follows that row, and rounds are 20 s apart. The order's expected count comes from the engine's report; an entry's field of the same name counts heartbeats (first try: 409). Engines whose hand-over fails without being full are avoided for a moment.

--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -218,10 +218,19 @@
 	share_retries(entry);
 }
 
+static void on_round(void *context, str_t value)
+{
+	entry_t *entry = context;
+
+	log_event(LOG_INFO, "round_seen", LOG_STR("round", value));
+	stage_orders_round_seen(&entry->orders, value, entry->table);
+}
+
 static const store_rows_handler_t rows_handler = {
 	.on_config = on_config,
 	.on_servers = on_servers,
 	.on_router = on_router,
+	.on_round = on_round,
 };
 
 static void on_peer_news(void *context)
@@ -349,6 +358,11 @@
 		now->store_address = next->store_address;
 		next->store_address = address;
 		store_rows_finish(&entry->rows);
+		stage_orders_finish(&entry->orders);
+		stage_orders_init(&entry->orders, entry->clock,
+				  &entry->store_pool, &entry->server_pool,
+				  &entry->servers, now->vm,
+				  now->store_address);
 		follow_store(entry);
 	}
 }
@@ -391,6 +405,27 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/* Looks at the stages of all model services. */
+static void consider_stages(entry_t *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!entry->table || drain_is_on(&entry->drain))
+		return;
+	g_hash_table_iter_init(&iter, entry->table->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const table_service_t *service = value;
+		stage_balance_t work =
+			stream_calls_work(&entry->relay, service);
+
+		if (service->is_engine)
+			stage_orders_consider(&entry->orders, service, &work,
+					      counters_get(COUNTER_REQUESTS) ==
+						      0);
+	}
+}
+
 static void on_tick(void *context)
 {
 	entry_t *entry = context;
@@ -404,6 +439,7 @@
 	publish_suspects(entry);
 	server_probe_due(&entry->servers, &entry->server_pool, entry->table,
 			 now_us);
+	consider_stages(entry);
 	check_drain(entry, now_us);
 	check_settings(entry, now_us);
 }
@@ -461,6 +497,9 @@
 	entry->occupancy.context = entry;
 	entry->announce.on_news = on_peer_news;
 	entry->announce.context = entry;
+	stage_orders_init(&entry->orders, clock, &entry->store_pool,
+			  &entry->server_pool, &entry->servers,
+			  entry->settings.vm, entry->settings.store_address);
 	follow_store(entry);
 	alarm_set(&entry->tick, clock_now(&clock) + TICK_US);
 	return true;
@@ -488,8 +527,10 @@
  */
 void entry_finish(entry_t *entry)
 {
-	if (entry->rows.address)
+	if (entry->rows.address) {
 		store_rows_finish(&entry->rows);
+		stage_orders_finish(&entry->orders);
+	}
 	alarm_finish(&entry->tick);
 	alarm_finish(&entry->admit);
 	announce_finish(&entry->announce);
--- a/src/process/entry.h
+++ b/src/process/entry.h
@@ -8,6 +8,7 @@
 #include "connection/ingress.h"
 #include "process/drain.h"
 #include "process/entry_settings.h"
+#include "process/stage_orders.h"
 #include "process/store_rows.h"
 #include "request/relay.h"
 
@@ -29,6 +30,7 @@
 	announce_t announce;
 	store_rows_t rows;
 	relay_t relay;
+	stage_orders_t orders;
 	route_table_t *table; /* NULL: no configuration is known yet */
 	alarm_t tick;
 	alarm_t admit;
--- a/src/process/server_set.c
+++ b/src/process/server_set.c
@@ -8,6 +8,12 @@
  */
 #define HEARD_LATELY_US INT64_C(150000)
 
+/* First time without work after a refusal by a server that is not full; it
+ * doubles with each further one.
+ */
+#define AVOID_US INT64_C(200000)
+#define AVOID_MAX_DOUBLINGS 4
+
 /* After a probe was answered, peers' suspicions are ignored for this long. */
 #define CLEARED_US INT64_C(1000000)
 
@@ -90,6 +96,8 @@
 		if (server->entry.stage != entry->stage ||
 		    server->entry.leaving != entry->leaving)
 			set->generation++;
+		if (server->entry.stage != entry->stage)
+			server->changing_until_us = 0;
 		server->entry.stage = entry->stage;
 		server->entry.slots = entry->slots;
 		server->entry.leaving = entry->leaving;
@@ -235,6 +243,25 @@
 	server_silent(server, now_us);
 }
 
+/* Records that a server took part in a hand-over that failed although it has
+ * places free. Either side may be at fault: the one that works with others is
+ * used again soon.
+ */
+void server_refused(server_t *server, int64_t now_us)
+{
+	unsigned doublings = MIN(server->refusals, AVOID_MAX_DOUBLINGS);
+
+	server->avoided_until_us = now_us + (AVOID_US << doublings);
+	server->refusals++;
+}
+
+/* Records that a hand-over worked. */
+void server_accepted(server_t *server)
+{
+	server->refusals = 0;
+	server->avoided_until_us = 0;
+}
+
 /* Records the result of a request. */
 void server_result(server_t *server, bool failed)
 {
--- a/src/process/server_set.h
+++ b/src/process/server_set.h
@@ -34,6 +34,9 @@
 	int64_t doubtful_until_us; /* missing from the list since an outage */
 	int64_t suspect_us; /* since when it is silent; 0: it is not */
 	int64_t next_probe_us; /* while it is suspect */
+	int64_t changing_until_us; /* was ordered to change its stage */
+	int64_t avoided_until_us; /* refused work without being full */
+	unsigned refusals; /* of that kind, in a row */
 	int64_t cleared_us; /* when suspicion last ended */
 	unsigned in_flight; /* own requests */
 	int64_t reported_load; /* running and waiting, as last answered */
@@ -73,6 +76,8 @@
 void server_heard(server_t *server, int64_t now_us);
 void server_silent(server_t *server, int64_t now_us);
 void server_suspected_by_peer(server_t *server, int64_t now_us);
+void server_refused(server_t *server, int64_t now_us);
+void server_accepted(server_t *server);
 void server_result(server_t *server, bool failed);
 void server_prefilled(server_t *server, int64_t elapsed_us, int64_t tokens);
 
--- /dev/null
+++ b/src/process/stage_orders.c
@@ -0,0 +1,486 @@
+#include "process/stage_orders.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "names.h"
+#include "process/log.h"
+#include "request/retry.h"
+#include "store_call.h"
+#include "wire_fields.h"
+
+/* Between two rounds. Orders of two holders must be further apart than their
+ * leases, and an order may be carried out many seconds after it was sent.
+ */
+#define ROUND_US (20 * CLOCK_US_PER_S)
+
+/* After its write was sent, a holder gives orders only within this time. */
+#define HOLD_US (1500 * CLOCK_US_PER_MS)
+
+#define CALL_TIMEOUT_US (1000 * CLOCK_US_PER_MS)
+
+/* How long the stages must have been out of balance. Servers crash and come
+ * back; before there is any traffic, only the list has to be complete.
+ */
+#define SETTLED_US (6 * CLOCK_US_PER_S)
+#define SETTLED_IDLE_US (1600 * CLOCK_US_PER_MS)
+
+/* Spreads the VMs' attempts, so that one finds the others' round. */
+#define JITTER_US (400 * CLOCK_US_PER_MS)
+
+/* Engines ordered in one round under load. */
+#define MOST_UNDER_LOAD 1
+
+/* An engine first ends its running streams. After this much more than the
+ * change takes, one that has not changed is used again as it is.
+ */
+#define CHANGE_MARGIN_US (10 * CLOCK_US_PER_S)
+
+/* What a row of a round says. */
+typedef struct {
+	int64_t fence;
+	int64_t at_ms; /* on the store's clock */
+	stage_t to_stage;
+	char **words; /* owns the texts */
+	char **servers; /* NULL-terminated, in words */
+} round_t;
+
+enum { WORD_HOLDER, WORD_FENCE, WORD_AT, WORD_STAGE, WORDS_N };
+
+/* --- order calls ------------------------------------------------------- */
+
+/* One engine's order: its report is read first, for the number of orders that
+ * it has accepted, so that an order which is carried out late does no harm.
+ */
+typedef struct {
+	http_pool_t *pool;
+	server_t *server;
+	char *vm;
+	GString *body;
+	int64_t fence;
+	int64_t valid_until_us; /* the holder's time is over then */
+	bool to_prefill;
+	bool ordered; /* the call in progress is the order itself */
+	unsigned status;
+} order_t;
+
+static bool call_engine(order_t *order, const GString *message);
+
+static void finish_order(order_t *order, const char *result)
+{
+	log_event(LOG_INFO, "order_ended",
+		  LOG_CSTR("server", order->server->entry.id),
+		  LOG_CSTR("result", result), LOG_UINT("status", order->status),
+		  LOG_INT("fence", order->fence));
+	server_unref(order->server);
+	g_string_free(order->body, TRUE);
+	g_free(order->vm);
+	g_free(order);
+}
+
+static void give_order(order_t *order, const engine_report_t *report)
+{
+	GString *message = g_string_new(NULL);
+	stage_order_t fields = {
+		.address = order->server->entry.address,
+		.server_id = str_from(order->server->entry.id),
+		.prefill = order->to_prefill,
+		.holder = order->vm,
+		.fence = order->fence,
+		.orders = report->orders,
+	};
+
+	order->ordered = true;
+	stage_order_request(message, &fields);
+	if (!call_engine(order, message))
+		finish_order(order, "no connection");
+	g_string_free(message, TRUE);
+}
+
+static void order_head(void *context, const http_head_t *head)
+{
+	order_t *order = context;
+
+	order->status = head->status;
+}
+
+static void order_body(void *context, const char *data, size_t len)
+{
+	order_t *order = context;
+
+	g_string_append_len(order->body, data, (gssize)len);
+}
+
+static void order_end(void *context, call_end_t end)
+{
+	order_t *order = context;
+	engine_report_t report;
+
+	if (end != CALL_ANSWERED)
+		finish_order(order, "unanswered");
+	else if (order->ordered)
+		finish_order(order, "answered");
+	else if (order->status != 200 ||
+		 !engine_report_read(str_from_gstring(order->body), &report))
+		finish_order(order, "no report");
+	else if (report.busy)
+		finish_order(order, "busy");
+	else if (clock_now(&order->pool->clock) >= order->valid_until_us)
+		finish_order(order, "too late");
+	else
+		give_order(order, &report);
+}
+
+static const call_handler_t order_handler = {
+	.on_head = order_head,
+	.on_body = order_body,
+	.on_end = order_end,
+};
+
+static bool call_engine(order_t *order, const GString *message)
+{
+	http_call_options_t options = {
+		.address = order->server->entry.address,
+		.message = message,
+		.handler = &order_handler,
+		.context = order,
+	};
+
+	g_string_truncate(order->body, 0);
+	return http_pool_call(order->pool, &options) != NULL;
+}
+
+static void start_order(const stage_orders_t *orders, server_t *server)
+{
+	GString *message = g_string_new(NULL);
+	order_t *order = g_new0(order_t, 1);
+
+	order->pool = orders->server_pool;
+	order->server = server_ref(server);
+	order->vm = g_strdup(orders->vm);
+	order->body = g_string_new(NULL);
+	order->fence = orders->fence;
+	order->valid_until_us = orders->write_sent_us + HOLD_US;
+	order->to_prefill = orders->to_stage == STAGE_PREFILL;
+	probe_request(message, NULL, server->entry.address,
+		      str_from(server->entry.id));
+	if (!call_engine(order, message))
+		finish_order(order, "no connection");
+	g_string_free(message, TRUE);
+}
+
+/* --- rounds ------------------------------------------------------------ */
+
+static bool read_round(str_t value, round_t *round)
+{
+	char *text = str_dup(value);
+
+	round->words = g_strsplit(text, " ", -1);
+	g_free(text);
+	if (g_strv_length(round->words) < WORDS_N) {
+		g_strfreev(round->words);
+		return false;
+	}
+	round->fence = g_ascii_strtoll(round->words[WORD_FENCE], NULL, 10);
+	round->at_ms = g_ascii_strtoll(round->words[WORD_AT], NULL, 10);
+	round->to_stage = g_str_equal(round->words[WORD_STAGE], "prefill")
+				  ? STAGE_PREFILL
+				  : STAGE_DECODE;
+	round->servers = round->words + WORDS_N;
+	return true;
+}
+
+static GString *write_round(const stage_orders_t *orders, int64_t now_ms)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "%s %" PRId64 " %" PRId64 " %s", orders->vm,
+			orders->fence, now_ms,
+			orders->to_stage == STAGE_PREFILL ? "prefill"
+							  : "decode");
+	for (guint i = 0; i < orders->chosen->len; i++) {
+		const server_t *server = g_ptr_array_index(orders->chosen, i);
+
+		g_string_append_printf(text, " %s", server->entry.id);
+	}
+	return text;
+}
+
+static void drop_round(stage_orders_t *orders)
+{
+	g_clear_pointer(&orders->service, g_free);
+	g_ptr_array_set_size(orders->chosen, 0);
+}
+
+/* The row is written: this VM is the holder for a moment. A VM that was frozen
+ * since then no longer is, and the orders are not given.
+ */
+static void on_written(void *context, store_result_t result, str_t body)
+{
+	stage_orders_t *orders = context;
+	int64_t now_us = clock_now(&orders->clock);
+
+	orders->next_round_us = now_us + ROUND_US;
+	log_event(LOG_INFO, "round_written", LOG_INT("result", result),
+		  LOG_INT("fence", orders->fence));
+	if (result == STORE_OK && now_us - orders->write_sent_us < HOLD_US) {
+		for (guint i = 0; i < orders->chosen->len; i++)
+			start_order(orders,
+				    g_ptr_array_index(orders->chosen, i));
+	}
+	drop_round(orders);
+}
+
+static char *round_key(const stage_orders_t *orders)
+{
+	return g_strconcat(STAGE_ROUND_PREFIX, orders->service, NULL);
+}
+
+static void write_row(stage_orders_t *orders, int64_t row_version,
+		      int64_t now_ms)
+{
+	GString *message = g_string_new(NULL);
+	GString *value = write_round(orders, now_ms);
+	char *key = round_key(orders);
+
+	store_put_if_request(message, orders->store_address, TABLE_OWN, key,
+			     str_from_gstring(value), row_version);
+	orders->write_sent_us = clock_now(&orders->clock);
+	store_call_send(&orders->call, orders->store_address, message,
+			orders->write_sent_us + CALL_TIMEOUT_US, on_written,
+			orders);
+	g_free(key);
+	g_string_free(value, TRUE);
+	g_string_free(message, TRUE);
+}
+
+static const store_row_t *find_row(const store_page_t *page, const char *key)
+{
+	for (guint i = 0; i < page->rows->len; i++) {
+		const store_row_t *row =
+			&g_array_index(page->rows, store_row_t, i);
+
+		if (g_str_equal(row->key, key) && row->value)
+			return row;
+	}
+	return NULL;
+}
+
+/* The last round was read. Another one begins only when that is long past. */
+static void on_read(void *context, store_result_t result, str_t body)
+{
+	stage_orders_t *orders = context;
+	char *key = round_key(orders);
+	const store_row_t *row = NULL;
+	int64_t version = 0;
+	bool recent = false;
+	store_page_t page;
+	round_t round;
+	bool ok;
+
+	orders->fence = 1;
+	ok = store_page_read(body, &page) && result == STORE_OK;
+	if (ok)
+		row = find_row(&page, key);
+	if (row && read_round(str_from_gstring(row->value), &round)) {
+		recent = page.now_ms - round.at_ms < ROUND_US / CLOCK_US_PER_MS;
+		orders->fence = round.fence + 1;
+		g_strfreev(round.words);
+	}
+	if (row)
+		version = row->version;
+	if (ok && !recent)
+		write_row(orders, version, page.now_ms);
+	else
+		drop_round(orders);
+	store_page_finish(&page);
+	g_free(key);
+}
+
+/* Engines of the stage, in all zones and in one. */
+static unsigned count_stage(const stage_orders_t *orders, const char *service,
+			    stage_t stage, const char *zone)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, orders->servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const server_t *server = value;
+
+		n += server->entry.stage == stage &&
+				     server_takes_work(server) &&
+				     g_str_equal(server->entry.service,
+						 service) &&
+				     (!zone || g_str_equal(server->entry.zone,
+							   zone))
+			     ? 1
+			     : 0;
+	}
+	return n;
+}
+
+static bool is_chosen(const stage_orders_t *orders, const server_t *server)
+{
+	return g_ptr_array_find(orders->chosen, server, NULL);
+}
+
+/* Chooses an engine from the zone that has the most of its stage, so that each
+ * zone keeps engines of both stages if it can.
+ */
+static server_t *choose(const stage_orders_t *orders, stage_t from)
+{
+	server_t *best = NULL;
+	int best_score = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, orders->servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server_t *server = value;
+		int score;
+
+		if (server->entry.stage != from || !server_takes_work(server) ||
+		    server_is_suspect(server) || is_chosen(orders, server) ||
+		    !g_str_equal(server->entry.service, orders->service))
+			continue;
+		score = 100 + 10 * (int)count_stage(orders, orders->service,
+						    from, server->entry.zone) -
+			(int)server->in_flight;
+		for (guint i = 0; i < orders->chosen->len; i++) {
+			const server_t *other =
+				g_ptr_array_index(orders->chosen, i);
+
+			if (g_str_equal(other->entry.zone, server->entry.zone))
+				score -= 10;
+		}
+		if (!best || score > best_score) {
+			best = server;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+static void read_row_of_round(stage_orders_t *orders)
+{
+	GString *message = g_string_new(NULL);
+	char *key = round_key(orders);
+
+	store_get_request(message, orders->store_address, TABLE_OWN, key);
+	store_call_send(&orders->call, orders->store_address, message,
+			clock_now(&orders->clock) + CALL_TIMEOUT_US, on_read,
+			orders);
+	g_free(key);
+	g_string_free(message, TRUE);
+}
+
+/* Tells whether the time has come for a round that would move engines. */
+static bool is_due(stage_orders_t *orders, int moves, bool idle)
+{
+	int64_t now_us = clock_now(&orders->clock);
+	int64_t settled_us = idle ? SETTLED_IDLE_US : SETTLED_US;
+
+	if (moves == 0) {
+		orders->wanted_since_us = 0;
+		return false;
+	}
+	if (orders->wanted_since_us == 0)
+		orders->wanted_since_us =
+			now_us + (int64_t)(retry_random(&orders->seed) %
+					   (uint64_t)JITTER_US);
+	return now_us >= orders->wanted_since_us + settled_us &&
+	       now_us >= orders->next_round_us &&
+	       !store_call_is_busy(&orders->call);
+}
+
+/*
+ * Begins a round of orders if the stages of a service are out of balance and
+ * no round was begun lately. `idle` tells that there is no traffic yet.
+ */
+void stage_orders_consider(stage_orders_t *orders,
+			   const table_service_t *service,
+			   const stage_balance_t *work, bool idle)
+{
+	stage_balance_t balance = *work;
+	stage_t from;
+	int moves;
+
+	balance.prefills = count_stage(orders, service->name, STAGE_PREFILL,
+				       NULL);
+	balance.decodes =
+		count_stage(orders, service->name, STAGE_DECODE, NULL);
+	balance.loaded = !idle;
+	moves = stage_balance_moves(&balance);
+	if (!is_due(orders, moves, idle))
+		return;
+	orders->wanted_since_us = 0;
+	orders->service = g_strdup(service->name);
+	from = moves > 0 ? STAGE_PREFILL : STAGE_DECODE;
+	orders->to_stage = moves > 0 ? STAGE_DECODE : STAGE_PREFILL;
+	moves = idle ? abs(moves) : MIN(abs(moves), MOST_UNDER_LOAD);
+	while (moves-- > 0) {
+		server_t *server = choose(orders, from);
+
+		if (server)
+			g_ptr_array_add(orders->chosen, server_ref(server));
+	}
+	if (orders->chosen->len > 0)
+		read_row_of_round(orders);
+	else
+		drop_round(orders);
+}
+
+/* Takes in the row of a round: its engines get no work until they are done. */
+void stage_orders_round_seen(stage_orders_t *orders, str_t value,
+			     const route_table_t *table)
+{
+	int64_t now_us = clock_now(&orders->clock);
+	round_t round;
+
+	if (!read_round(value, &round))
+		return;
+	for (char **id = round.servers; *id; id++) {
+		server_t *server = server_set_find(orders->servers, *id);
+		const table_service_t *service =
+			server && table ? route_table_service(
+						  table, server->entry.service)
+					: NULL;
+
+		if (service && server->entry.stage != round.to_stage)
+			server->changing_until_us =
+				now_us + service->engine.stage_change_us +
+				CHANGE_MARGIN_US;
+	}
+	orders->next_round_us = now_us + ROUND_US;
+	g_strfreev(round.words);
+}
+
+/* Sets up the orders of one VM. */
+void stage_orders_init(stage_orders_t *orders, clock_source_t clock,
+		       http_pool_t *store_pool, http_pool_t *server_pool,
+		       server_set_t *servers, const char *vm,
+		       const char *store_address)
+{
+	*orders = (stage_orders_t){
+		.clock = clock,
+		.server_pool = server_pool,
+		.servers = servers,
+		.vm = vm,
+		.store_address = g_strdup(store_address),
+		.seed = g_str_hash(vm) + (uint64_t)clock_now(&clock),
+	};
+	orders->chosen = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)server_unref);
+	store_call_init(&orders->call, store_pool);
+}
+
+/* Gives up a round that is being prepared. */
+void stage_orders_finish(stage_orders_t *orders)
+{
+	store_call_finish(&orders->call);
+	g_ptr_array_unref(orders->chosen);
+	g_free(orders->service);
+	g_free(orders->store_address);
+}
--- /dev/null
+++ b/src/process/stage_orders.h
@@ -0,0 +1,47 @@
+/* Orders to model engines to change their stage, given by one VM at a time.
+ *
+ * A round of orders begins with a conditional write to the store that names
+ * the holder, its fencing token and the engines. All VMs follow that row: they
+ * leave the engines alone until the change is done, and none begins another
+ * round before the holder's orders are long past.
+ */
+#ifndef PROCESS_STAGE_ORDERS_H
+#define PROCESS_STAGE_ORDERS_H
+
+#include "process/stage_balance.h"
+#include "process/store.h"
+#include "process/server_set.h"
+#include "version/route_table.h"
+
+/* Keys of the rows of rounds begin so. */
+#define STAGE_ROUND_PREFIX "stage/"
+
+typedef struct {
+	clock_source_t clock;
+	http_pool_t *server_pool;
+	server_set_t *servers;
+	const char *vm;
+	char *store_address;
+	store_call_t call;
+	char *service; /* of the round that is being prepared */
+	GPtrArray *chosen; /* of server_t, to be ordered */
+	stage_t to_stage;
+	int64_t fence; /* of the round being prepared */
+	int64_t write_sent_us;
+	int64_t wanted_since_us; /* the stages have been out of balance */
+	int64_t next_round_us; /* none begins earlier */
+	uint64_t seed;
+} stage_orders_t;
+
+void stage_orders_init(stage_orders_t *orders, clock_source_t clock,
+		       http_pool_t *store_pool, http_pool_t *server_pool,
+		       server_set_t *servers, const char *vm,
+		       const char *store_address);
+void stage_orders_finish(stage_orders_t *orders);
+void stage_orders_consider(stage_orders_t *orders,
+			   const table_service_t *service,
+			   const stage_balance_t *work, bool idle);
+void stage_orders_round_seen(stage_orders_t *orders, str_t value,
+			     const route_table_t *table);
+
+#endif
--- a/src/process/store_rows.c
+++ b/src/process/store_rows.c
@@ -2,8 +2,12 @@
 
 #include "names.h"
 #include "process/log.h"
+#include "process/stage_orders.h"
 #include "rows.h"
 
+/* Keys of the rows in which VMs say where they are reached begin so. */
+#define ROUTER_PREFIX "vm/"
+
 /* The store holds a read until something changes, at most this long. */
 #define LONG_WAIT_US (15 * CLOCK_US_PER_S)
 
@@ -147,28 +151,33 @@
 	.on_reach = servers_reach,
 };
 
-/* --- entry VMs --------------------------------------------------------- */
+/* --- own rows --------------------------------------------------------- */
 
-static void routers_row(void *context, const store_row_t *row)
+static void own_row(void *context, const store_row_t *row)
 {
 	store_rows_t *rows = context;
-	str_t address = {NULL, 0};
+	str_t value = {NULL, 0};
 
 	if (row->value)
-		address = str_from_gstring(row->value);
-	rows->handler->on_router(rows->context, row->key, address);
+		value = str_from_gstring(row->value);
+	if (g_str_has_prefix(row->key, ROUTER_PREFIX))
+		rows->handler->on_router(rows->context,
+					 row->key + strlen(ROUTER_PREFIX),
+					 value);
+	else if (value.len && g_str_has_prefix(row->key, STAGE_ROUND_PREFIX))
+		rows->handler->on_round(rows->context, value);
 }
 
-static void routers_reach(void *context, bool reachable)
+static void own_reach(void *context, bool reachable)
 {
-	log_reach(TABLE_ROUTERS, reachable);
+	log_reach(TABLE_OWN, reachable);
 }
 
-static const store_watch_handler_t routers_handler = {
+static const store_watch_handler_t own_handler = {
 	.on_begin = ignore_begin,
-	.on_row = routers_row,
+	.on_row = own_row,
 	.on_synced = ignore_synced,
-	.on_reach = routers_reach,
+	.on_reach = own_reach,
 };
 
 static void enter(void *context);
@@ -190,12 +199,14 @@
 {
 	store_rows_t *rows = context;
 	GString *message = g_string_new(NULL);
+	char *key = g_strconcat(ROUTER_PREFIX, rows->vm, NULL);
 
-	store_put_request(message, rows->address, TABLE_ROUTERS, rows->vm,
+	store_put_request(message, rows->address, TABLE_OWN, key,
 			  str_from(rows->own_address));
 	store_call_send(&rows->entering, rows->address, message,
 			clock_now(&rows->clock) + ENTER_TIMEOUT_US, on_entered,
 			rows);
+	g_free(key);
 	g_string_free(message, TRUE);
 }
 
@@ -237,7 +248,7 @@
 	follow(rows, &rows->config, TABLE_CONFIG, &config_handler, 0);
 	follow(rows, &rows->server_list, TABLE_SERVERS, &servers_handler,
 	       SERVERS_PAUSE_US);
-	follow(rows, &rows->routers, TABLE_ROUTERS, &routers_handler, 0);
+	follow(rows, &rows->own, TABLE_OWN, &own_handler, 0);
 	enter(rows);
 }
 
@@ -246,7 +257,7 @@
 {
 	store_watch_finish(&rows->config);
 	store_watch_finish(&rows->server_list);
-	store_watch_finish(&rows->routers);
+	store_watch_finish(&rows->own);
 	store_call_finish(&rows->entering);
 	alarm_finish(&rows->enter_again);
 	alarm_finish(&rows->expiry);
@@ -258,5 +269,5 @@
 uint64_t store_rows_calls(const store_rows_t *rows)
 {
 	return rows->config.calls + rows->server_list.calls +
-	       rows->routers.calls;
+	       rows->own.calls;
 }
--- a/src/process/store_rows.h
+++ b/src/process/store_rows.h
@@ -13,6 +13,8 @@
 	void (*on_servers)(void *context); /* an entry changed */
 	/* `address` is empty when the VM's row was removed. */
 	void (*on_router)(void *context, const char *vm, str_t address);
+	/* A round of stage orders was begun. */
+	void (*on_round)(void *context, str_t value);
 } store_rows_handler_t;
 
 typedef struct {
@@ -27,7 +29,7 @@
 	int64_t version; /* of the configuration, never lower than before */
 	store_watch_t config;
 	store_watch_t server_list;
-	store_watch_t routers;
+	store_watch_t own; /* rows of this project */
 	store_call_t entering;
 	alarm_t enter_again;
 	alarm_t expiry; /* of servers that did not come back */
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -6,6 +6,10 @@
 /* Duration of a stream until some have been seen. */
 #define INITIAL_STREAM_US (3500 * CLOCK_US_PER_MS)
 
+/* Sizes of a request until some have been seen. */
+#define INITIAL_PROMPT_TOKENS 5000
+#define INITIAL_OUTPUT_TOKENS 4000
+
 /* A request that tells no time is given up after this time. */
 #define DEFAULT_TIME_LEFT_US (30 * CLOCK_US_PER_S)
 
@@ -28,6 +32,8 @@
 		.occupancy = occupancy,
 		.zone = zone,
 		.stream_us = (double)INITIAL_STREAM_US,
+		.prompt_tokens = INITIAL_PROMPT_TOKENS,
+		.output_tokens = INITIAL_OUTPUT_TOKENS,
 		.seed = (uint64_t)clock_now(&clock),
 	};
 	relay->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -27,6 +27,8 @@
 	GQueue streams; /* of stream_t, in progress */
 	GQueue waiting; /* of stream_t, in the order of their claims */
 	double stream_us; /* mean duration of a decode */
+	double prompt_tokens; /* mean, and of the expected output */
+	double output_tokens;
 	uint64_t seed;
 	unsigned active;
 } relay_t;
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -35,6 +35,9 @@
 /* Weight of the latest stream in the mean duration. */
 #define DURATION_WEIGHT 0.05
 
+/* Weight of the latest request in the mean sizes. */
+#define SIZE_WEIGHT 0.01
+
 #define MAX_ENGINES 512
 
 typedef enum {
@@ -59,6 +62,7 @@
 	int64_t last_event_us;
 	server_t *prefill; /* NULL: none is counted for this stream */
 	server_t *decode;
+	server_t *prefilled_by; /* made the prefill result, or NULL */
 	char *kv_source; /* prefill result that has not been fetched */
 	char *handle;
 	event_split_t split;
@@ -173,6 +177,8 @@
 	relay_send_finish(&stream->send);
 	release_prefill(stream);
 	release_decode(stream);
+	if (stream->prefilled_by)
+		server_unref(stream->prefilled_by);
 	drop_handle(stream);
 	clear_handle(stream);
 	event_split_finish(&stream->split);
@@ -228,13 +234,38 @@
 	finish(stream);
 }
 
+/* The decode engine has fetched the prefill result. */
+static void handed_over(stream_t *stream)
+{
+	clear_handle(stream);
+	server_accepted(stream->send.server);
+	if (stream->prefilled_by)
+		server_accepted(stream->prefilled_by);
+}
+
+/* A decode engine with free places refused: it changes its stage, or the
+ * prefill result was gone.
+ */
+static void note_refusal(stream_t *stream)
+{
+	const response_fields_t *fields = &stream->send.fields;
+	int64_t now_us = clock_now(&stream->request.relay->clock);
+
+	if (stream->send.status != 503 || !fields->has_load ||
+	    fields->running + fields->waiting >= fields->slots)
+		return;
+	server_refused(stream->decode, now_us);
+	if (stream->prefilled_by)
+		server_refused(stream->prefilled_by, now_us);
+}
+
 static void decode_head(void *context, const http_head_t *head)
 {
 	stream_t *stream = context;
 
 	relay_send_take_head(&stream->send, head);
 	if (head->status / 100 == 2)
-		clear_handle(stream); /* the engine has fetched the result */
+		handed_over(stream);
 	stream->passes_error = head->status / 100 != 2 ||
 			       !stream->send.fields.has_signature;
 	if (stream->passes_error || stream->head_sent)
@@ -358,6 +389,7 @@
 			   stream->prefilled_us) /
 				  CLOCK_US_PER_MS));
 	counters_add(COUNTER_IMPORTS_FAILED, 1);
+	note_refusal(stream);
 	if (decode_elsewhere(stream))
 		return;
 	if (stream->head_sent)
@@ -458,6 +490,7 @@
 	server_prefilled(stream->prefill,
 			 clock_now(&relay->clock) - stream->send.sent_us,
 			 stream->prefill_backlog);
+	stream->prefilled_by = server_ref(stream->prefill);
 	stream->prefilled_us = clock_now(&relay->clock);
 	stream->kv_source = kv_source_format(stream->prefill->entry.address,
 					     stream->handle);
@@ -553,13 +586,16 @@
 	server_t *prefill_servers[MAX_ENGINES];
 } engines_t;
 
-static bool is_usable(const server_t *server)
+static bool is_usable(const server_t *server, int64_t now_us)
 {
-	return server_takes_work(server) && !server_is_suspect(server);
+	return server_takes_work(server) && !server_is_suspect(server) &&
+	       server->changing_until_us <= now_us &&
+	       server->avoided_until_us <= now_us;
 }
 
 static void add_decode(engines_t *engines, const relay_request_t *request,
-		       server_t *server, const occupancy_use_t *use)
+		       server_t *server, const occupancy_use_t *use,
+		       int64_t now_us)
 {
 	size_t i = engines->view.n_decodes++;
 
@@ -568,13 +604,14 @@
 		.slots = request->service->engine.slots,
 		.kv_tokens = request->service->engine.kv_tokens,
 		.use = *use,
-		.usable = is_usable(server),
+		.usable = is_usable(server, now_us),
 		.near = g_str_equal(server->entry.zone, request->relay->zone),
 	};
 }
 
 static void add_prefill(engines_t *engines, const relay_request_t *request,
-			server_t *server, const occupancy_use_t *use)
+			server_t *server, const occupancy_use_t *use,
+			int64_t now_us)
 {
 	size_t i = engines->view.n_prefills++;
 
@@ -584,7 +621,7 @@
 		.us_per_token = server->prefill_us_per_token > 0
 					? server->prefill_us_per_token
 					: INITIAL_PREFILL_US_PER_TOKEN,
-		.usable = is_usable(server),
+		.usable = is_usable(server, now_us),
 		.near = g_str_equal(server->entry.zone, request->relay->zone),
 	};
 }
@@ -612,10 +649,10 @@
 				      now_us);
 		if (server->entry.stage == STAGE_PREFILL &&
 		    engines->view.n_prefills < MAX_ENGINES)
-			add_prefill(engines, request, server, &use);
+			add_prefill(engines, request, server, &use, now_us);
 		else if (server->entry.stage == STAGE_DECODE &&
 			 engines->view.n_decodes < MAX_ENGINES)
-			add_decode(engines, request, server, &use);
+			add_decode(engines, request, server, &use, now_us);
 	}
 }
 
@@ -777,6 +814,33 @@
 	return DEFAULT_OUTPUT_TOKENS;
 }
 
+static void note_size(relay_t *relay, const relay_request_t *request,
+		      int64_t output_tokens)
+{
+	double prompt = (double)request->fields.prompt_tokens;
+
+	relay->prompt_tokens += SIZE_WEIGHT * (prompt - relay->prompt_tokens);
+	relay->output_tokens +=
+		SIZE_WEIGHT * ((double)output_tokens - relay->output_tokens);
+}
+
+/* What one request costs the engines of a service, on average. */
+stage_balance_t stream_calls_work(const relay_t *relay,
+				  const table_service_t *service)
+{
+	const table_engine_t *engine = &service->engine;
+	double kv_tokens = (double)admission_kv_need(
+		(int64_t)relay->prompt_tokens, (int64_t)relay->output_tokens);
+	double part = MAX(1.0 / (double)MAX(engine->slots, 1),
+			  kv_tokens / (double)MAX(engine->kv_tokens, 1));
+
+	return (stage_balance_t){
+		.prefill_us =
+			relay->prompt_tokens * INITIAL_PREFILL_US_PER_TOKEN,
+		.decode_us = relay->stream_us * part,
+	};
+}
+
 /* Takes in a stream. False when its route leads to no service. */
 bool stream_call_start(relay_t *relay, exchange_t *exchange,
 		       route_table_t *table, const table_route_t *route)
@@ -794,6 +858,7 @@
 	event_split_init(&stream->split);
 	alarm_init(&stream->deadline, relay->clock, on_deadline, stream);
 	alarm_set(&stream->deadline, request->deadline_us);
+	note_size(relay, request, expected_output(request));
 	stream->kv_tokens = admission_kv_need(request->fields.prompt_tokens,
 					      expected_output(request));
 	stream->claim.due_us = request->target_us;
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -40,6 +40,7 @@
 	int64_t slots; /* requests at once */
 	int64_t kv_tokens; /* memory for running requests and cached parts */
 	int64_t tokens_per_event;
+	int64_t stage_change_us; /* from prefill to decode or back */
 	int64_t handle_ttl_us; /* how long a prefill result is kept */
 } table_engine_t;
 
