React at once to engines that leave; keep late requests off long prompt queues

Change: a planned departure is answered after 0.4 s; a late request starts only while the prompt queue is under 80 ms.

--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -22,6 +22,11 @@
 /* Late requests that may wait, as a share of all places. */
 #define LATE_QUEUE_SHARE 0.25
 
+/* Late requests do not add to a queue of prompts that is longer than this: it
+ * would make those late that can still be on time.
+ */
+#define LATE_PREFILL_WAIT_US INT64_C(80000)
+
 /* Cost of an engine in another zone, as a share of its memory or, for prefill,
  * in time.
  */
@@ -83,7 +88,7 @@
 }
 
 static bool pick_prefill(const admission_view_t *view, int64_t tokens,
-			 size_t *index, int64_t *duration_us)
+			 admission_decision_t *decision)
 {
 	int64_t best = INT64_MAX;
 
@@ -94,8 +99,9 @@
 
 		if (prefill->usable && cost < best) {
 			best = cost;
-			*index = i;
-			*duration_us = us;
+			decision->prefill = i;
+			decision->prefill_us = us;
+			decision->prefill_wait_us = prefill_us(prefill, 0);
 		}
 	}
 	return best != INT64_MAX;
@@ -161,7 +167,8 @@
 {
 	int64_t kept = 1 + (int64_t)((double)all * LATE_HEADROOM);
 
-	if (room && open > (int64_t)request->ahead + kept) {
+	if (room && open > (int64_t)request->ahead + kept &&
+	    decision.prefill_wait_us <= LATE_PREFILL_WAIT_US) {
 		decision.action = ADMISSION_START;
 		return decision;
 	}
@@ -206,8 +213,7 @@
 	int64_t all, taken, open;
 	bool room;
 
-	if (!pick_prefill(view, request->prompt_tokens, &decision.prefill,
-			  &decision.prefill_us))
+	if (!pick_prefill(view, request->prompt_tokens, &decision))
 		return refuse(decision, ADMISSION_NO_ENGINE);
 	count_places(view, request->kv_tokens, &all, &taken, &open);
 	if (all == 0)
@@ -226,11 +232,10 @@
 int64_t admission_first_event_us(const admission_view_t *view,
 				 int64_t prompt_tokens)
 {
-	int64_t duration_us = 0;
-	size_t index;
+	admission_decision_t decision = {0};
 
-	(void)pick_prefill(view, prompt_tokens, &index, &duration_us);
-	return duration_us + FIRST_EVENT_US;
+	(void)pick_prefill(view, prompt_tokens, &decision);
+	return decision.prefill_us + FIRST_EVENT_US;
 }
 
 /* Name of a reason, for the log. */
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -60,6 +60,7 @@
 	size_t prefill; /* index, when started */
 	int64_t wait_us; /* estimated until a place is free */
 	int64_t prefill_us; /* estimated duration at the best engine */
+	int64_t prefill_wait_us; /* of it, for prompts that came before */
 } admission_decision_t;
 
 int64_t admission_kv_need(int64_t prompt_tokens, int64_t output_tokens);
--- a/src/process/server_set.c
+++ b/src/process/server_set.c
@@ -78,7 +78,8 @@
  * Takes in an entry, which is emptied. A server that started again under its
  * old ID is a new one: nothing that was seen of the old one holds.
  */
-server_t *server_set_put(server_set_t *set, server_entry_t *entry)
+server_t *server_set_put(server_set_t *set, server_entry_t *entry,
+			 int64_t now_us)
 {
 	server_t *server = g_hash_table_lookup(set->by_id, entry->id);
 
@@ -86,6 +87,8 @@
 		g_hash_table_remove(set->by_id, entry->id);
 		server = NULL;
 	}
+	if (entry->leaving && server && !server->entry.leaving)
+		set->left_us = now_us;
 	if (!server) {
 		server = g_new0(server_t, 1);
 		server->refs = 1;
--- a/src/process/server_set.h
+++ b/src/process/server_set.h
@@ -53,13 +53,15 @@
 typedef struct {
 	GHashTable *by_id; /* of server_t */
 	uint64_t generation; /* changes when an entry does */
+	int64_t left_us; /* when a server was last seen to be leaving */
 } server_set_t;
 
 void server_entry_clear(server_entry_t *entry);
 
 void server_set_init(server_set_t *set);
 void server_set_finish(server_set_t *set);
-server_t *server_set_put(server_set_t *set, server_entry_t *entry);
+server_t *server_set_put(server_set_t *set, server_entry_t *entry,
+			 int64_t now_us);
 void server_set_remove(server_set_t *set, const char *id);
 void server_set_begin_sync(server_set_t *set);
 void server_set_end_sync(server_set_t *set, int64_t keep_until_us);
--- a/src/process/stage_orders.c
+++ b/src/process/stage_orders.c
@@ -25,6 +25,12 @@
 #define SETTLED_US (6 * CLOCK_US_PER_S)
 #define SETTLED_IDLE_US (1600 * CLOCK_US_PER_MS)
 
+/* A server that leaves as planned does not come back, so that there is nothing
+ * to wait for but its fellows.
+ */
+#define SETTLED_LEAVING_US (400 * CLOCK_US_PER_MS)
+#define LEFT_LATELY_US (10 * CLOCK_US_PER_S)
+
 /* Spreads the VMs' attempts, so that one finds the others' round. */
 #define JITTER_US (400 * CLOCK_US_PER_MS)
 
@@ -382,6 +388,10 @@
 	int64_t now_us = clock_now(&orders->clock);
 	int64_t settled_us = idle ? SETTLED_IDLE_US : SETTLED_US;
 
+	if (orders->servers->left_us != 0 &&
+	    now_us - orders->servers->left_us < LEFT_LATELY_US)
+		settled_us = SETTLED_LEAVING_US;
+
 	if (moves == 0) {
 		orders->wanted_since_us = 0;
 		return false;
--- a/src/process/store_rows.c
+++ b/src/process/store_rows.c
@@ -109,7 +109,8 @@
 			  LOG_CSTR("server", row->key));
 		return;
 	}
-	server = server_set_put(rows->servers, &entry);
+	server = server_set_put(rows->servers, &entry,
+				clock_now(&rows->clock));
 	if (server->entry.leaving && !was_leaving)
 		log_server(&server->entry, "leaving");
 	else if (server->entry.stage != stage)
