--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -12,7 +12,6 @@
 #define ANNOUNCE_PROCEDURE 1
 
 #define MAX_DATAGRAM_BYTES 8192
-#define MAX_NAME_BYTES 200
 #define MAX_SERVERS 256
 
 /* Changes within this time go out together. */
@@ -61,7 +60,7 @@
 
 static bool code_name(XDR *xdrs, char *name)
 {
-	return xdr_string(xdrs, &name, MAX_NAME_BYTES);
+	return xdr_string(xdrs, &name, OCCUPANCY_NAME_BYTES);
 }
 
 static bool code_use(XDR *xdrs, char *server, occupancy_use_t *use)
@@ -71,18 +70,26 @@
 	       xdr_int64_t(xdrs, &use->prefill_tokens);
 }
 
-/* A claim's due time travels as what is left of it. */
+/* A deadline travels as what is left of it: clocks of VMs differ. */
+static bool code_deadline(XDR *xdrs, int64_t *at_us, int64_t now_us)
+{
+	int32_t left_ms = (int32_t)CLAMP((*at_us - now_us) / CLOCK_US_PER_MS,
+					 INT32_MIN, INT32_MAX);
+
+	if (!xdr_int32_t(xdrs, &left_ms))
+		return false;
+	*at_us = now_us + left_ms * CLOCK_US_PER_MS;
+	return true;
+}
+
 static bool code_claim(XDR *xdrs, occupancy_claim_t *claim, int64_t now_us)
 {
 	bool_t late = claim->late;
-	int32_t left_ms = (int32_t)CLAMP((claim->due_us - now_us) /
-						 CLOCK_US_PER_MS,
-					 INT32_MIN, INT32_MAX);
 
-	if (!xdr_bool(xdrs, &late) || !xdr_int32_t(xdrs, &left_ms))
+	if (!xdr_bool(xdrs, &late) ||
+	    !code_deadline(xdrs, &claim->due_us, now_us))
 		return false;
 	claim->late = late;
-	claim->due_us = now_us + left_ms * CLOCK_US_PER_MS;
 	return true;
 }
 
@@ -131,7 +138,26 @@
 	return true;
 }
 
-/* Encodes this router's own use, waiting requests and suspicions. */
+static bool encode_changing(XDR *xdrs, const GArray *changing, int64_t now_us)
+{
+	uint32_t n = MIN(changing->len, OCCUPANCY_MAX_SUSPECTS);
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		occupancy_change_t change =
+			g_array_index(changing, occupancy_change_t, i);
+
+		if (!code_name(xdrs, change.server) ||
+		    !code_deadline(xdrs, &change.until_us, now_us))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes this router's own use, waiting requests, and what it knows of
+ * servers that peers may not know yet.
+ */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len)
 {
@@ -148,7 +174,8 @@
 	     xdr_uint32_t(&xdrs, &sequence) &&
 	     encode_uses(&xdrs, announce->occupancy->own) &&
 	     encode_claims(&xdrs, announce->occupancy->waiters, now_us) &&
-	     encode_suspects(&xdrs, announce->occupancy->suspects);
+	     encode_suspects(&xdrs, announce->occupancy->suspects) &&
+	     encode_changing(&xdrs, announce->occupancy->changing, now_us);
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
@@ -170,7 +197,7 @@
 	if (!xdr_uint32_t(xdrs, &n) || n > MAX_SERVERS)
 		return false;
 	while (n-- > 0) {
-		char server[MAX_NAME_BYTES + 1] = "";
+		char server[OCCUPANCY_NAME_BYTES + 1] = "";
 		occupancy_use_t use;
 
 		if (!code_use(xdrs, server, &use))
@@ -197,47 +224,70 @@
 	return true;
 }
 
-static bool decode_suspects(XDR *xdrs, const occupancy_t *occupancy)
+static bool decode_suspects(XDR *xdrs, GPtrArray *suspects)
 {
 	uint32_t n;
 
 	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_SUSPECTS)
 		return false;
 	while (n-- > 0) {
-		char server[MAX_NAME_BYTES + 1] = "";
+		char server[OCCUPANCY_NAME_BYTES + 1] = "";
 
 		if (!code_name(xdrs, server))
 			return false;
-		if (occupancy->on_suspect)
-			occupancy->on_suspect(occupancy->context, server);
+		g_ptr_array_add(suspects, g_strdup(server));
 	}
 	return true;
 }
 
-/* Takes in a peer's announcement. False when it is malformed. */
+static bool decode_changing(XDR *xdrs, GArray *changing, int64_t now_us)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_SUSPECTS)
+		return false;
+	while (n-- > 0) {
+		occupancy_change_t change = {.until_us = now_us};
+
+		if (!code_name(xdrs, change.server) ||
+		    !code_deadline(xdrs, &change.until_us, now_us))
+			return false;
+		g_array_append_val(changing, change);
+	}
+	return true;
+}
+
+static bool decode_news(XDR *xdrs, occupancy_news_t *news, int64_t now_us)
+{
+	struct rpc_msg call;
+
+	return code_call(xdrs, &call, 0) && is_announcement(&call) &&
+	       code_name(xdrs, news->vm) &&
+	       xdr_uint64_t(xdrs, &news->incarnation) &&
+	       xdr_uint32_t(xdrs, &news->sequence) &&
+	       decode_uses(xdrs, news->use) &&
+	       decode_claims(xdrs, news->waiters, now_us) &&
+	       decode_suspects(xdrs, news->suspects) &&
+	       decode_changing(xdrs, news->changing, now_us);
+}
+
+/* Takes in a peer's announcement; nothing of it when it is malformed, which is
+ * told by false.
+ */
 bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
 		     int64_t now_us)
 {
-	char vm[MAX_NAME_BYTES + 1] = "";
-	uint64_t incarnation;
-	uint32_t sequence;
-	occupancy_peer_t *peer;
-	struct rpc_msg call;
+	occupancy_news_t news;
 	bool ok;
 	XDR xdrs;
 
+	occupancy_news_init(&news);
 	xdrmem_create(&xdrs, (char *)data, (u_int)len, XDR_DECODE);
-	ok = code_call(&xdrs, &call, 0) && is_announcement(&call) &&
-	     code_name(&xdrs, vm) && xdr_uint64_t(&xdrs, &incarnation) &&
-	     xdr_uint32_t(&xdrs, &sequence);
-	if (ok) {
-		peer = occupancy_begin_peer(occupancy, vm, incarnation,
-					    sequence, now_us);
-		ok = !peer || (decode_uses(&xdrs, peer->use) &&
-			       decode_claims(&xdrs, peer->waiters, now_us) &&
-			       decode_suspects(&xdrs, occupancy));
-	}
+	ok = decode_news(&xdrs, &news, now_us);
 	xdr_destroy(&xdrs);
+	if (ok)
+		occupancy_take_news(occupancy, &news, now_us);
+	occupancy_news_finish(&news);
 	return ok;
 }
 
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -87,8 +87,10 @@
 			 prefill->us_per_token);
 }
 
-static bool pick_prefill(const admission_view_t *view, int64_t tokens,
-			 admission_decision_t *decision)
+/* Chooses the prefill engine that would be done first; false: none is usable.
+ */
+bool admission_pick_prefill(const admission_view_t *view, int64_t tokens,
+			    admission_prefill_choice_t *choice)
 {
 	int64_t best = INT64_MAX;
 
@@ -99,9 +101,9 @@
 
 		if (prefill->usable && cost < best) {
 			best = cost;
-			decision->prefill = i;
-			decision->prefill_us = us;
-			decision->prefill_wait_us = prefill_us(prefill, 0);
+			choice->index = i;
+			choice->duration_us = us;
+			choice->wait_us = prefill_us(prefill, 0);
 		}
 	}
 	return best != INT64_MAX;
@@ -168,7 +170,7 @@
 	int64_t kept = 1 + (int64_t)((double)all * LATE_HEADROOM);
 
 	if (room && open > (int64_t)request->ahead + kept &&
-	    decision.prefill_wait_us <= LATE_PREFILL_WAIT_US) {
+	    decision.prefill.wait_us <= LATE_PREFILL_WAIT_US) {
 		decision.action = ADMISSION_START;
 		return decision;
 	}
@@ -187,7 +189,7 @@
 					   int64_t now_us)
 {
 	int64_t first_event_us = now_us + decision.wait_us +
-				 decision.prefill_us + FIRST_EVENT_US;
+				 decision.prefill.duration_us + FIRST_EVENT_US;
 
 	if (room && open > (int64_t)request->ahead) {
 		decision.action = ADMISSION_START;
@@ -213,7 +215,8 @@
 	int64_t all, taken, open;
 	bool room;
 
-	if (!pick_prefill(view, request->prompt_tokens, &decision))
+	if (!admission_pick_prefill(view, request->prompt_tokens,
+				    &decision.prefill))
 		return refuse(decision, ADMISSION_NO_ENGINE);
 	count_places(view, request->kv_tokens, &all, &taken, &open);
 	if (all == 0)
@@ -232,10 +235,10 @@
 int64_t admission_first_event_us(const admission_view_t *view,
 				 int64_t prompt_tokens)
 {
-	admission_decision_t decision = {0};
+	admission_prefill_choice_t choice = {0};
 
-	(void)pick_prefill(view, prompt_tokens, &decision);
-	return decision.prefill_us + FIRST_EVENT_US;
+	(void)admission_pick_prefill(view, prompt_tokens, &choice);
+	return choice.duration_us + FIRST_EVENT_US;
 }
 
 /* Name of a reason, for the log. */
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -53,14 +53,19 @@
 	ADMISSION_TOO_LARGE, /* for the memory of any engine */
 } admission_reason_t;
 
+/* The best prefill engine for a prompt. */
+typedef struct {
+	size_t index;
+	int64_t duration_us; /* estimated */
+	int64_t wait_us; /* of it, for prompts that came before */
+} admission_prefill_choice_t;
+
 typedef struct {
 	admission_action_t action;
 	admission_reason_t reason;
 	size_t decode; /* index, when started */
-	size_t prefill; /* index, when started */
+	admission_prefill_choice_t prefill;
 	int64_t wait_us; /* estimated until a place is free */
-	int64_t prefill_us; /* estimated duration at the best engine */
-	int64_t prefill_wait_us; /* of it, for prompts that came before */
 } admission_decision_t;
 
 int64_t admission_kv_need(int64_t prompt_tokens, int64_t output_tokens);
@@ -69,6 +74,8 @@
 				      int64_t now_us);
 bool admission_pick_decode(const admission_view_t *view, int64_t kv_tokens,
 			   size_t *index);
+bool admission_pick_prefill(const admission_view_t *view, int64_t tokens,
+			    admission_prefill_choice_t *choice);
 int64_t admission_first_event_us(const admission_view_t *view,
 				 int64_t prompt_tokens);
 const char *admission_reason_text(admission_reason_t reason);
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -266,23 +266,45 @@
 		server_suspected_by_peer(server, clock_now(&entry->clock));
 }
 
-/* Tells peers which servers are out of reach; at once when that changes. */
-static void publish_suspects(entry_t *entry)
+/* A peer that reaches the store knows of a change that this VM may not. */
+static void on_peer_changing(void *context, const char *id, int64_t until_us)
+{
+	entry_t *entry = context;
+	server_t *server = server_set_find(&entry->servers, id);
+
+	if (server && server->changing_until_us == 0)
+		server->changing_until_us = until_us;
+}
+
+/* Tells peers which servers are out of reach or change their stage; at once
+ * when there are more than before.
+ */
+static void publish_servers(entry_t *entry, int64_t now_us)
 {
 	GPtrArray *suspects = entry->occupancy.suspects;
-	guint before = suspects->len;
+	GArray *changing = entry->occupancy.changing;
+	guint before = suspects->len + changing->len;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_ptr_array_set_size(suspects, 0);
+	g_array_set_size(changing, 0);
 	g_hash_table_iter_init(&iter, entry->servers.by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const server_t *server = value;
 
 		if (server_is_suspect(server) || server->misdirected)
 			g_ptr_array_add(suspects, g_strdup(server->entry.id));
+		if (server->changing_until_us > now_us) {
+			occupancy_change_t change = {
+				.until_us = server->changing_until_us};
+
+			g_strlcpy(change.server, server->entry.id,
+				  sizeof(change.server));
+			g_array_append_val(changing, change);
+		}
 	}
-	if (suspects->len > before)
+	if (suspects->len + changing->len > before)
 		announce_changed(&entry->announce);
 }
 
@@ -436,7 +458,7 @@
 	if (waiting)
 		stream_calls_admit(&entry->relay);
 	stream_calls_check(&entry->relay);
-	publish_suspects(entry);
+	publish_servers(entry, now_us);
 	server_probe_due(&entry->servers, &entry->server_pool, entry->table,
 			 now_us);
 	consider_stages(entry);
@@ -494,6 +516,7 @@
 	if (!listen_all(entry))
 		return false;
 	entry->occupancy.on_suspect = on_peer_suspects;
+	entry->occupancy.on_changing = on_peer_changing;
 	entry->occupancy.context = entry;
 	entry->announce.on_news = on_peer_news;
 	entry->announce.context = entry;
--- a/src/process/occupancy.c
+++ b/src/process/occupancy.c
@@ -26,6 +26,8 @@
 {
 	memset(occupancy, 0, sizeof(*occupancy));
 	occupancy->own = new_use_table();
+	occupancy->changing =
+		g_array_new(FALSE, FALSE, sizeof(occupancy_change_t));
 	occupancy->suspects = g_ptr_array_new_with_free_func(g_free);
 	occupancy->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 free_peer);
@@ -40,6 +42,7 @@
 	g_hash_table_unref(occupancy->peers);
 	g_array_unref(occupancy->waiters);
 	g_ptr_array_unref(occupancy->suspects);
+	g_array_unref(occupancy->changing);
 }
 
 static bool is_zero(const occupancy_use_t *use)
@@ -143,32 +146,72 @@
 	return n;
 }
 
+/* Sets up an empty announcement. */
+void occupancy_news_init(occupancy_news_t *news)
+{
+	memset(news, 0, sizeof(*news));
+	news->use = new_use_table();
+	news->waiters = g_array_new(FALSE, FALSE, sizeof(occupancy_claim_t));
+	news->suspects = g_ptr_array_new_with_free_func(g_free);
+	news->changing = g_array_new(FALSE, FALSE, sizeof(occupancy_change_t));
+}
+
+/* Frees an announcement. */
+void occupancy_news_finish(occupancy_news_t *news)
+{
+	g_hash_table_unref(news->use);
+	g_array_unref(news->waiters);
+	g_ptr_array_unref(news->suspects);
+	g_array_unref(news->changing);
+}
+
+static bool is_news(const occupancy_peer_t *peer, const occupancy_news_t *news)
+{
+	if (news->incarnation != peer->incarnation)
+		return news->incarnation > peer->incarnation;
+	return (int32_t)(news->sequence - peer->sequence) > 0;
+}
+
+static void tell_of_servers(const occupancy_t *occupancy,
+			    const occupancy_news_t *news)
+{
+	for (guint i = 0; occupancy->on_suspect && i < news->suspects->len; i++)
+		occupancy->on_suspect(occupancy->context,
+				      g_ptr_array_index(news->suspects, i));
+	for (guint i = 0; occupancy->on_changing && i < news->changing->len;
+	     i++) {
+		const occupancy_change_t *change = &g_array_index(
+			news->changing, occupancy_change_t, i);
+
+		occupancy->on_changing(occupancy->context, change->server,
+				       change->until_us);
+	}
+}
+
 /*
- * Starts to take in a peer's announcement, which replaces what was known of
- * it. NULL when a later one, or one of a later process, was taken in before.
+ * Takes in a peer's announcement, which replaces what was known of it. One that
+ * was overtaken by a later one, or is of an earlier process, is dropped.
  */
-occupancy_peer_t *occupancy_begin_peer(occupancy_t *occupancy, const char *vm,
-				       uint64_t incarnation, uint32_t sequence,
-				       int64_t now_us)
+void occupancy_take_news(occupancy_t *occupancy, occupancy_news_t *news,
+			 int64_t now_us)
 {
-	occupancy_peer_t *peer = g_hash_table_lookup(occupancy->peers, vm);
+	occupancy_peer_t *peer =
+		g_hash_table_lookup(occupancy->peers, news->vm);
 
+	if (peer && !is_news(peer, news))
+		return;
 	if (!peer) {
 		peer = g_new0(occupancy_peer_t, 1);
-		peer->vm = g_strdup(vm);
-		peer->use = new_use_table();
-		peer->waiters =
-			g_array_new(FALSE, FALSE, sizeof(occupancy_claim_t));
+		peer->vm = g_strdup(news->vm);
 		g_hash_table_insert(occupancy->peers, peer->vm, peer);
-	} else if (incarnation < peer->incarnation ||
-		   (incarnation == peer->incarnation &&
-		    (int32_t)(sequence - peer->sequence) <= 0)) {
-		return NULL;
+	} else {
+		g_hash_table_unref(peer->use);
+		g_array_unref(peer->waiters);
 	}
-	peer->incarnation = incarnation;
-	peer->sequence = sequence;
+	peer->use = g_hash_table_ref(news->use);
+	peer->waiters = g_array_ref(news->waiters);
+	peer->incarnation = news->incarnation;
+	peer->sequence = news->sequence;
 	peer->heard_us = now_us;
-	g_hash_table_remove_all(peer->use);
-	g_array_set_size(peer->waiters, 0);
-	return peer;
+	tell_of_servers(occupancy, news);
 }
--- a/src/process/occupancy.h
+++ b/src/process/occupancy.h
@@ -14,6 +14,9 @@
 /* Waiting requests that one announcement describes; more are only counted. */
 #define OCCUPANCY_MAX_WAITERS 24
 
+/* Longest name of a VM or server. */
+#define OCCUPANCY_NAME_BYTES 200
+
 /* Suspect servers that one announcement names. */
 #define OCCUPANCY_MAX_SUSPECTS 32
 
@@ -24,6 +27,12 @@
 	int64_t prefill_tokens; /* prompts that are being read */
 } occupancy_use_t;
 
+/* A server that changes its stage and takes no work meanwhile. */
+typedef struct {
+	char server[OCCUPANCY_NAME_BYTES + 1];
+	int64_t until_us;
+} occupancy_change_t;
+
 /* A waiting request's claim. Requests that can be on time come first, then
  * those whose first event is due soonest.
  */
@@ -32,6 +41,17 @@
 	int64_t due_us; /* first event, for the target */
 } occupancy_claim_t;
 
+/* One router's announcement. */
+typedef struct {
+	char vm[OCCUPANCY_NAME_BYTES + 1];
+	uint64_t incarnation; /* greater in each later process */
+	uint32_t sequence;
+	GHashTable *use; /* server ID to occupancy_use_t */
+	GArray *waiters; /* of occupancy_claim_t */
+	GPtrArray *suspects; /* server IDs */
+	GArray *changing; /* of occupancy_change_t */
+} occupancy_news_t;
+
 typedef struct {
 	char *vm;
 	uint64_t incarnation;
@@ -46,8 +66,12 @@
 	GHashTable *peers; /* VM name to occupancy_peer_t */
 	GArray *waiters; /* own, of occupancy_claim_t; set by the owner */
 	GPtrArray *suspects; /* own, server IDs; set by the owner */
+	GArray *changing; /* own, of occupancy_change_t; set by the owner */
 	/* A peer suspects a server. */
 	void (*on_suspect)(void *context, const char *server);
+	/* A peer knows of a server that changes its stage. */
+	void (*on_changing)(void *context, const char *server,
+			    int64_t until_us);
 	void *context;
 } occupancy_t;
 
@@ -62,8 +86,9 @@
 unsigned occupancy_live_peers(const occupancy_t *occupancy, int64_t now_us);
 bool occupancy_claim_precedes(const occupancy_claim_t *a,
 			      const occupancy_claim_t *b);
-occupancy_peer_t *occupancy_begin_peer(occupancy_t *occupancy, const char *vm,
-				       uint64_t incarnation, uint32_t sequence,
-				       int64_t now_us);
+void occupancy_news_init(occupancy_news_t *news);
+void occupancy_news_finish(occupancy_news_t *news);
+void occupancy_take_news(occupancy_t *occupancy, occupancy_news_t *news,
+			 int64_t now_us);
 
 #endif
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -66,11 +66,19 @@
 	char *kv_source; /* prefill result that has not been fetched */
 	char *handle;
 	event_split_t split;
+	bool prefill_retried;
 	bool head_sent; /* the caller has the head of the response */
 	bool passes_error; /* the response is an error that is kept whole */
 } stream_t;
 
-static void on_deadline(void *context);
+/* Engines of one service as admission sees them. */
+typedef struct {
+	admission_view_t view;
+	admission_decode_t decodes[MAX_ENGINES];
+	admission_prefill_t prefills[MAX_ENGINES];
+	server_t *decode_servers[MAX_ENGINES];
+	server_t *prefill_servers[MAX_ENGINES];
+} engines_t;
 
 /* --- use of engines ---------------------------------------------------- */
 
@@ -313,6 +321,11 @@
 
 static bool send_decode(stream_t *stream);
 static server_t *pick_decode(const stream_t *stream);
+static bool is_usable(const server_t *server, int64_t now_us);
+static void view_engines(engines_t *engines, const relay_request_t *request,
+			 int64_t now_us);
+static void send_prefill(stream_t *stream, server_t *prefill, int64_t backlog,
+			 int64_t estimate_us);
 
 /* Goes on with a broken stream at another engine, where the route allows it.
  * The engine reads the prompt itself.
@@ -495,9 +508,8 @@
 	stream->kv_source = kv_source_format(stream->prefill->entry.address,
 					     stream->handle);
 	release_prefill(stream);
-	if (!server_takes_work(stream->decode) ||
-	    server_is_suspect(stream->decode) || !send_decode(stream)) {
-		server_silent(stream->decode, clock_now(&relay->clock));
+	if (!is_usable(stream->decode, clock_now(&relay->clock)) ||
+	    !send_decode(stream)) {
 		stream->send.status = 0; /* nothing came back from it */
 		decode_rejected(stream);
 		return;
@@ -505,6 +517,36 @@
 	relay->on_occupancy(relay->context);
 }
 
+/* Has the prompt read by another engine: reading it is no run and may be
+ * repeated. False when there is none, or it would take too long.
+ */
+static bool prefill_elsewhere(stream_t *stream)
+{
+	static engines_t engines;
+	relay_request_t *request = &stream->request;
+	int64_t now_us = clock_now(&request->relay->clock);
+	admission_prefill_choice_t choice;
+
+	if (stream->prefill_retried || stream->send.status != 0)
+		return false;
+	view_engines(&engines, request, now_us);
+	for (size_t i = 0; i < engines.view.n_prefills; i++) {
+		if (engines.prefill_servers[i] == stream->prefill)
+			engines.prefills[i].usable = false;
+	}
+	if (!admission_pick_prefill(&engines.view,
+				    request->fields.prompt_tokens, &choice) ||
+	    now_us + choice.duration_us >= request->deadline_us ||
+	    !is_usable(stream->decode, now_us) || !relay_take_retry(request))
+		return false;
+	stream->prefill_retried = true;
+	release_prefill(stream);
+	send_prefill(stream, engines.prefill_servers[choice.index],
+		     engines.prefills[choice.index].backlog_tokens,
+		     choice.duration_us);
+	return true;
+}
+
 static void prefill_failed(stream_t *stream, const char *reason)
 {
 	log_event(LOG_WARN, "prefill_failed",
@@ -512,6 +554,8 @@
 		  LOG_CSTR("server", stream->prefill->entry.id),
 		  LOG_UINT("status", stream->send.status),
 		  LOG_CSTR("reason", reason));
+	if (prefill_elsewhere(stream))
+		return;
 	/* A prompt that was only read has not run. */
 	refuse(stream, REJECTED_RETRY_US, "the prompt could not be read");
 }
@@ -541,8 +585,8 @@
 	.on_end = prefill_end,
 };
 
-static void start_prefill(stream_t *stream, server_t *prefill, server_t *decode,
-			  int64_t backlog, int64_t estimate_us)
+static void send_prefill(stream_t *stream, server_t *prefill, int64_t backlog,
+			 int64_t estimate_us)
 {
 	relay_request_t *request = &stream->request;
 	relay_t *relay = request->relay;
@@ -553,18 +597,12 @@
 		.prefill_only = true,
 	};
 
-	g_queue_remove(&relay->waiting, stream);
-	stream->state = STREAM_PREFILLING;
 	stream->prefill_backlog = backlog + request->fields.prompt_tokens;
 	stream->prefill_due_us = now_us + PREFILL_OVERDUE_US +
 				 PREFILL_OVERDUE_FACTOR * estimate_us;
 	use_prefill(stream, prefill);
-	use_decode(stream, decode);
 	counters_add(COUNTER_PREFILLS, 1);
 	counters_add(COUNTER_PREFILL_TOKENS, request->fields.prompt_tokens);
-	counters_observe(HISTOGRAM_QUEUE_MS,
-			 (double)(now_us - request->arrived_us) /
-				 (double)CLOCK_US_PER_MS);
 	relay_log_send(request, prefill, "prefill");
 	if (!relay_send_start(&stream->send, request, prefill, &fields,
 			      &prefill_handler, stream)) {
@@ -575,16 +613,23 @@
 	relay->on_occupancy(relay->context);
 }
 
-/* --- admission --------------------------------------------------------- */
+/* Takes the places that admission found for a stream. */
+static void start_prefill(stream_t *stream, server_t *prefill, server_t *decode,
+			  int64_t backlog, int64_t estimate_us)
+{
+	relay_t *relay = stream->request.relay;
 
-/* Engines of one service as admission sees them. */
-typedef struct {
-	admission_view_t view;
-	admission_decode_t decodes[MAX_ENGINES];
-	admission_prefill_t prefills[MAX_ENGINES];
-	server_t *decode_servers[MAX_ENGINES];
-	server_t *prefill_servers[MAX_ENGINES];
-} engines_t;
+	g_queue_remove(&relay->waiting, stream);
+	stream->state = STREAM_PREFILLING;
+	use_decode(stream, decode);
+	counters_observe(HISTOGRAM_QUEUE_MS,
+			 (double)(clock_now(&relay->clock) -
+				  stream->request.arrived_us) /
+				 (double)CLOCK_US_PER_MS);
+	send_prefill(stream, prefill, backlog, estimate_us);
+}
+
+/* --- admission --------------------------------------------------------- */
 
 static bool is_usable(const server_t *server, int64_t now_us)
 {
@@ -690,7 +735,7 @@
 		  LOG_UINT("ahead", wanted->ahead), LOG_INT("taken", taken),
 		  LOG_INT("places", places),
 		  LOG_INT("wait_ms", decision->wait_us / CLOCK_US_PER_MS),
-		  LOG_INT("prefill_ms", decision->prefill_us / CLOCK_US_PER_MS),
+		  LOG_INT("prefill_ms", decision->prefill.duration_us / CLOCK_US_PER_MS),
 		  LOG_INT("late", stream->claim.late));
 }
 
@@ -732,10 +777,10 @@
 		       admission_reason_text(decision.reason));
 		return true;
 	}
-	start_prefill(stream, engines.prefill_servers[decision.prefill],
+	start_prefill(stream, engines.prefill_servers[decision.prefill.index],
 		      engines.decode_servers[decision.decode],
-		      engines.prefills[decision.prefill].backlog_tokens,
-		      decision.prefill_us);
+		      engines.prefills[decision.prefill.index].backlog_tokens,
+		      decision.prefill.duration_us);
 	return true;
 }
 
--- /dev/null
+++ b/tests/test_admission.c
@@ -0,0 +1,234 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "process/admission.h"
+
+#define MS INT64_C(1000)
+#define NOW (1000 * MS)
+#define ENGINES 5
+#define PREFILLS 3
+
+typedef struct {
+	admission_decode_t decodes[ENGINES];
+	admission_prefill_t prefills[PREFILLS];
+	admission_view_t view;
+} fleet_t;
+
+/* A fleet in which each decode engine runs `streams` streams. */
+static void init(fleet_t *fleet, int64_t streams)
+{
+	*fleet = (fleet_t){0};
+	for (size_t i = 0; i < ENGINES; i++)
+		fleet->decodes[i] = (admission_decode_t){
+			.slots = 12,
+			.kv_tokens = 100000,
+			.use = {.streams = streams,
+				.kv_tokens = streams * 7000},
+			.usable = true,
+		};
+	for (size_t i = 0; i < PREFILLS; i++)
+		fleet->prefills[i] = (admission_prefill_t){
+			.us_per_token = 20,
+			.usable = true,
+		};
+	fleet->view = (admission_view_t){
+		.decodes = fleet->decodes,
+		.n_decodes = ENGINES,
+		.prefills = fleet->prefills,
+		.n_prefills = PREFILLS,
+		.stream_us = 3500.0 * MS,
+	};
+}
+
+static admission_request_t on_time(unsigned ahead)
+{
+	return (admission_request_t){
+		.prompt_tokens = 5000,
+		.kv_tokens = 7000,
+		.claim = {.due_us = NOW + 900 * MS},
+		.ahead = ahead,
+		.give_up_us = NOW + 2500 * MS,
+	};
+}
+
+static admission_request_t late(unsigned ahead)
+{
+	admission_request_t request = on_time(ahead);
+
+	request.claim.late = true;
+	return request;
+}
+
+/* Pattern: calm. Guards against waiting while places are open, and against
+ * the choice of a loaded engine.
+ */
+static void test_calm(void **state)
+{
+	admission_request_t request = on_time(0);
+	admission_decision_t decision;
+	fleet_t fleet;
+
+	init(&fleet, 6);
+	fleet.decodes[3].use = (occupancy_use_t){.streams = 2,
+						 .kv_tokens = 14000};
+	fleet.prefills[0].backlog_tokens = 20000;
+	fleet.prefills[1].backlog_tokens = 10000;
+	decision = admission_decide(&fleet.view, &request, NOW);
+	assert_int_equal(decision.action, ADMISSION_START);
+	assert_int_equal(decision.decode, 3);
+	assert_int_equal(decision.prefill.index, 2);
+}
+
+/* Pattern: surge, all places taken. Guards against starting prefills whose
+ * decode has no place, and against holding requests that cannot be on time.
+ */
+static void test_surge(void **state)
+{
+	static const struct {
+		unsigned ahead;
+		admission_action_t action;
+	} cases[] = {
+		/* 65 streams end in 3.5 s, so a place is free each 54 ms. */
+		{0, ADMISSION_WAIT},
+		{5, ADMISSION_WAIT},
+		{12, ADMISSION_WAIT},
+		{15, ADMISSION_REFUSE},
+		{40, ADMISSION_REFUSE},
+	};
+	fleet_t fleet;
+
+	init(&fleet, 13);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		admission_request_t request = on_time(cases[i].ahead);
+		admission_decision_t decision =
+			admission_decide(&fleet.view, &request, NOW);
+
+		assert_int_equal(decision.action, cases[i].action);
+		if (decision.action == ADMISSION_REFUSE)
+			assert_int_equal(decision.reason, ADMISSION_FULL);
+	}
+}
+
+/* Pattern: several routers see one place become free. Guards against two of
+ * them taking it: only the first claim starts.
+ */
+static void test_one_place_for_many(void **state)
+{
+	unsigned started = 0;
+	fleet_t fleet;
+
+	init(&fleet, 13);
+	fleet.decodes[1].use.streams = 12;
+	fleet.decodes[1].use.kv_tokens = 80000;
+	for (unsigned ahead = 0; ahead < 8; ahead++) {
+		admission_request_t request = on_time(ahead);
+
+		if (admission_decide(&fleet.view, &request, NOW).action ==
+		    ADMISSION_START)
+			started++;
+	}
+	assert_int_equal(started, 1);
+}
+
+/* Pattern: long prompts. Guards against more memory than an engine has: runs
+ * would be preempted and their prompts read again.
+ */
+static void test_memory_binds(void **state)
+{
+	admission_request_t request = on_time(0);
+	fleet_t fleet;
+
+	init(&fleet, 8);
+	for (size_t i = 0; i < ENGINES; i++)
+		fleet.decodes[i].use.kv_tokens = 95000;
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).action,
+			 ADMISSION_WAIT);
+	request.kv_tokens = 4000;
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).action,
+			 ADMISSION_START);
+	request.kv_tokens = 200000;
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).reason,
+			 ADMISSION_TOO_LARGE);
+}
+
+/* Pattern: callers come back after a refusal while the surge goes on. Guards
+ * against late answers that take places from answers on time, and against an
+ * endless queue of late requests.
+ */
+static void test_late_requests_leave_room(void **state)
+{
+	admission_request_t request = late(0);
+	fleet_t fleet;
+
+	init(&fleet, 6);
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).action,
+			 ADMISSION_START);
+	init(&fleet, 12);
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).action,
+			 ADMISSION_WAIT);
+	request = late(30);
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).reason,
+			 ADMISSION_FULL);
+	request = late(0);
+	assert_int_equal(admission_decide(&fleet.view, &request,
+					  request.give_up_us)
+				 .reason,
+			 ADMISSION_LATE);
+}
+
+/* Pattern: prefill engines left, prompts queue. Guards against late requests
+ * that lengthen the queue until none is on time.
+ */
+static void test_prefill_binds(void **state)
+{
+	admission_request_t request = late(0);
+	fleet_t fleet;
+
+	init(&fleet, 3);
+	fleet.view.n_prefills = 1;
+	fleet.prefills[0].backlog_tokens = 15000;
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).action,
+			 ADMISSION_WAIT);
+	request = on_time(0);
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).action,
+			 ADMISSION_START);
+	fleet.prefills[0].backlog_tokens = 1000;
+	request = late(0);
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).action,
+			 ADMISSION_START);
+}
+
+/* Guards against waiting for engines that are not there. */
+static void test_no_engine(void **state)
+{
+	admission_request_t request = on_time(0);
+	fleet_t fleet;
+
+	init(&fleet, 0);
+	fleet.view.n_prefills = 0;
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).reason,
+			 ADMISSION_NO_ENGINE);
+	init(&fleet, 0);
+	for (size_t i = 0; i < ENGINES; i++)
+		fleet.decodes[i].usable = false;
+	assert_int_equal(admission_decide(&fleet.view, &request, NOW).reason,
+			 ADMISSION_NO_ENGINE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_calm),
+		cmocka_unit_test(test_surge),
+		cmocka_unit_test(test_one_place_for_many),
+		cmocka_unit_test(test_memory_binds),
+		cmocka_unit_test(test_late_requests_leave_room),
+		cmocka_unit_test(test_prefill_binds),
+		cmocka_unit_test(test_no_engine),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_occupancy.c
@@ -0,0 +1,203 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "connection/announce.h"
+
+#define MS INT64_C(1000)
+#define NOW (5000 * MS)
+
+typedef struct {
+	occupancy_t occupancy;
+	announce_t announce; /* only encodes */
+	char suspected[64];
+	char changing[64];
+	int64_t changing_until_us;
+} router_t;
+
+static void on_suspect(void *context, const char *server)
+{
+	router_t *router = context;
+
+	g_strlcpy(router->suspected, server, sizeof(router->suspected));
+}
+
+static void on_changing(void *context, const char *server, int64_t until_us)
+{
+	router_t *router = context;
+
+	router->changing_until_us = until_us;
+	g_strlcpy(router->changing, server, sizeof(router->changing));
+}
+
+static void init(router_t *router, const char *vm, uint64_t incarnation)
+{
+	memset(router, 0, sizeof(*router));
+	occupancy_init(&router->occupancy);
+	router->occupancy.on_suspect = on_suspect;
+	router->occupancy.on_changing = on_changing;
+	router->occupancy.context = router;
+	router->announce.vm = vm;
+	router->announce.incarnation = incarnation;
+	router->announce.occupancy = &router->occupancy;
+}
+
+static void use(router_t *router, const char *server, int64_t streams)
+{
+	occupancy_use_t change = {.streams = streams,
+				  .kv_tokens = streams * 1000};
+
+	occupancy_add(&router->occupancy, server, &change);
+}
+
+static bool tell(router_t *from, router_t *to, uint32_t sequence,
+		 int64_t now_us)
+{
+	char data[4096];
+	size_t len;
+
+	from->announce.sequence = sequence;
+	assert_true(announce_encode(&from->announce, now_us, data,
+				    sizeof(data), &len));
+	return announce_decode(&to->occupancy, data, len, now_us);
+}
+
+static int64_t streams(const router_t *router, const char *server,
+		       int64_t now_us)
+{
+	return occupancy_total(&router->occupancy, server, now_us).streams;
+}
+
+/* Guards against use that is counted twice, kept after its end, or taken from
+ * an announcement that was overtaken.
+ */
+static void test_totals(void **state)
+{
+	router_t a, b;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	use(&a, "s1", 2);
+	use(&b, "s1", 3);
+	assert_true(tell(&b, &a, 5, NOW));
+	assert_int_equal(streams(&a, "s1", NOW), 5);
+	use(&b, "s1", -3);
+	assert_true(tell(&b, &a, 7, NOW));
+	assert_int_equal(streams(&a, "s1", NOW), 2);
+	use(&b, "s1", 9);
+	assert_true(tell(&b, &a, 6, NOW));
+	assert_int_equal(streams(&a, "s1", NOW), 2);
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+}
+
+/* Guards against places that a dead router holds, and against an announcement
+ * of its earlier process.
+ */
+static void test_dead_peer(void **state)
+{
+	router_t a, b, again;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	init(&again, "b", 2);
+	use(&b, "s1", 4);
+	assert_true(tell(&b, &a, 1, NOW));
+	assert_int_equal(occupancy_live_peers(&a.occupancy, NOW), 1);
+	assert_int_equal(streams(&a, "s1", NOW + 1400 * MS), 4);
+	assert_int_equal(streams(&a, "s1", NOW + 1600 * MS), 0);
+	assert_true(tell(&again, &a, 1, NOW));
+	assert_true(tell(&b, &a, 9, NOW));
+	assert_int_equal(streams(&a, "s1", NOW), 0);
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+	occupancy_finish(&again.occupancy);
+}
+
+/* Guards against two routers that both think they come first. */
+static void test_one_order(void **state)
+{
+	occupancy_claim_t early = {.due_us = NOW + 100 * MS};
+	occupancy_claim_t later = {.due_us = NOW + 200 * MS};
+	occupancy_claim_t late = {.late = true, .due_us = NOW - 100 * MS};
+	router_t a, b;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	g_array_append_val(a.occupancy.waiters, early);
+	g_array_append_val(a.occupancy.waiters, late);
+	g_array_append_val(b.occupancy.waiters, later);
+	assert_true(tell(&a, &b, 1, NOW));
+	assert_true(tell(&b, &a, 1, NOW));
+	assert_int_equal(occupancy_ahead(&a.occupancy, &early, NOW), 0);
+	assert_int_equal(occupancy_ahead(&b.occupancy, &later, NOW), 1);
+	assert_int_equal(occupancy_ahead(&a.occupancy, &late, NOW), 1);
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+}
+
+/* Guards against a suspicion or a stage change that peers do not learn of. */
+static void test_news_of_servers(void **state)
+{
+	occupancy_change_t change = {.server = "s3",
+				     .until_us = NOW + 9000 * MS};
+	router_t a, b;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	g_ptr_array_add(a.occupancy.suspects, g_strdup("s2"));
+	g_array_append_val(a.occupancy.changing, change);
+	assert_true(tell(&a, &b, 1, NOW));
+	assert_string_equal(b.suspected, "s2");
+	assert_string_equal(b.changing, "s3");
+	assert_int_equal(b.changing_until_us, NOW + 9000 * MS);
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+}
+
+/* Guards against a datagram that is cut or forged and is taken for whole, or
+ * read beyond its end.
+ */
+static void test_malformed(void **state)
+{
+	uint32_t seed = 7;
+	char data[4096];
+	router_t a, b;
+	size_t len;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	use(&a, "server-1", 2);
+	g_ptr_array_add(a.occupancy.suspects, g_strdup("s2"));
+	assert_true(
+		announce_encode(&a.announce, NOW, data, sizeof(data), &len));
+	for (size_t cut = 0; cut < len; cut++)
+		assert_false(announce_decode(&b.occupancy, data, cut, NOW));
+	for (int i = 0; i < 20000; i++) {
+		char copy[4096];
+
+		memcpy(copy, data, len);
+		for (int k = 0; k < 4; k++) {
+			seed = seed * 1664525 + 1013904223;
+			copy[(seed >> 8) % len] = (char)(seed >> 24);
+		}
+		(void)announce_decode(&b.occupancy, copy, len, NOW);
+	}
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_totals),
+		cmocka_unit_test(test_dead_peer),
+		cmocka_unit_test(test_one_order),
+		cmocka_unit_test(test_news_of_servers),
+		cmocka_unit_test(test_malformed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_outcome.c
@@ -0,0 +1,78 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "request/outcome.h"
+
+typedef struct {
+	const char *name;
+	outcome_input_t input;
+	run_t run;
+	bool resend_once; /* of a request that may run at most once */
+	bool resend_repeatable;
+	outcome_answer_t answer;
+} case_t;
+
+static const case_t cases[] = {
+	{"no connection", {.end = CALL_NOT_SENT}, RUN_NOT_RUN, true, true,
+	 OUTCOME_NOT_RUN},
+	{"reset, or closed without an answer", {.end = CALL_LOST},
+	 RUN_MAY_HAVE_RUN, false, true, OUTCOME_LOST},
+	{"cut answer", {.end = CALL_LOST, .status = 200, .has_signature = true},
+	 RUN_MAY_HAVE_RUN, false, true, OUTCOME_LOST},
+	{"not HTTP", {.end = CALL_GARBLED}, RUN_MAY_HAVE_RUN, false, true,
+	 OUTCOME_LOST},
+	{"silence", {.timed_out = true}, RUN_MAY_HAVE_RUN, false, true,
+	 OUTCOME_TIMED_OUT},
+	{"503 as not run", {.status = 503, .not_run = true}, RUN_NOT_RUN, true,
+	 true, OUTCOME_NOT_RUN},
+	{"429 as not run", {.status = 429, .not_run = true}, RUN_NOT_RUN, true,
+	 true, OUTCOME_NOT_RUN},
+	{"421", {.status = 421, .not_run = true}, RUN_NOT_RUN, true, true,
+	 OUTCOME_NOT_RUN},
+	{"503 without a word", {.status = 503}, RUN_RAN, false, true,
+	 OUTCOME_PASS_ON},
+	{"500", {.status = 500, .has_signature = true}, RUN_RAN, false, true,
+	 OUTCOME_PASS_ON},
+	{"504", {.status = 504, .has_signature = true}, RUN_RAN, false, true,
+	 OUTCOME_PASS_ON},
+	{"404 of the server", {.status = 404, .has_signature = true}, RUN_RAN,
+	 false, false, OUTCOME_PASS_ON},
+	{"200", {.status = 200, .has_signature = true}, RUN_RAN, false, false,
+	 OUTCOME_PASS_ON},
+	{"200 without signature", {.status = 200}, RUN_MAY_HAVE_RUN, false,
+	 true, OUTCOME_LOST},
+};
+
+/* Guards against a second run of a request that may run once, and against a
+ * "not run" that is not certain.
+ */
+static void test_table(void **state)
+{
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const case_t *c = &cases[i];
+		outcome_t once = outcome_of(&c->input, false);
+		outcome_t repeatable = outcome_of(&c->input, true);
+
+		print_message("%s\n", c->name);
+		assert_int_equal(once.run, c->run);
+		assert_int_equal(once.may_resend, c->resend_once);
+		assert_int_equal(repeatable.may_resend, c->resend_repeatable);
+		assert_int_equal(once.answer, c->answer);
+		assert_int_equal(repeatable.answer, c->answer);
+		/* "Not run" is said only where it is certain. */
+		if (once.answer == OUTCOME_NOT_RUN)
+			assert_int_equal(once.run, RUN_NOT_RUN);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_table),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_platform_wire.c
@@ -0,0 +1,268 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "process/clock.h"
+#include "rows.h"
+#include "store_call.h"
+#include "wire_fields.h"
+
+static void add(http_head_t *head, const char *name, const char *value)
+{
+	http_headers_add(&head->headers, str_from(name), str_from(value));
+}
+
+static void init_request(http_head_t *head)
+{
+	http_head_init(head);
+	g_string_assign(head->method, "POST");
+	g_string_assign(head->target, "/a/b?c=d");
+	add(head, "Host", "x.example");
+	add(head, "X-Request-Id", "9c41");
+	add(head, "X-Deadline-Ms", "14000");
+	add(head, "X-Token-Count", "1460,80");
+	add(head, "X-Length-Hint", "70");
+}
+
+/* Guards against sizes and times that are read wrongly, or taken from fields
+ * that do not hold them.
+ */
+static void test_request_fields(void **state)
+{
+	request_fields_t fields;
+	http_head_t head;
+
+	init_request(&head);
+	request_fields_read(&head, &fields);
+	assert_true(str_equal(fields.id, STR("9c41")));
+	assert_int_equal(fields.time_left_us, 14000 * CLOCK_US_PER_MS);
+	assert_int_equal(fields.prompt_tokens, 1460);
+	assert_int_equal(fields.max_output_tokens, 80);
+	assert_int_equal(fields.output_estimate_tokens, 70);
+	http_head_clear(&head);
+	add(&head, "X-Token-Count", "12,");
+	add(&head, "X-Deadline-Ms", "-5");
+	request_fields_read(&head, &fields);
+	assert_int_equal(fields.prompt_tokens, 0);
+	assert_int_equal(fields.time_left_us, 0);
+	http_head_finish(&head);
+}
+
+/* Guards against fields of the caller that only the router may set, against
+ * fields of one connection, and against a body of another length.
+ */
+static void test_forwarded_request(void **state)
+{
+	static const char *const dropped[] = {
+		"x-kv-hold",	     "x-pin-ms",      "X-Kv-Backup",
+		"X-Kv-Source",	     "Kv-Fetch",      "X-Serving-Stage",
+		"X-Expect-Version",  "Keep-Alive",    "Transfer-Encoding",
+		"X-Request-Priority", "Last-Event-Id", "X-Mine",
+	};
+	forward_fields_t fields = {
+		.server_id = STR("i-7f"),
+		.time_left_us = 900 * CLOCK_US_PER_MS,
+		.kv_source = "10.0.0.1:80/abc",
+	};
+	GString *out = g_string_new(NULL);
+	http_head_t head;
+
+	init_request(&head);
+	for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++)
+		add(&head, dropped[i], "forged");
+	add(&head, "Connection", "close, x-mine");
+	forward_request(out, &head, STR("body"), &fields);
+	assert_true(g_str_has_prefix(out->str, "POST /a/b?c=d HTTP/1.1\r\n"));
+	assert_null(strstr(out->str, "forged"));
+	assert_null(strstr(out->str, "14000"));
+	assert_non_null(strstr(out->str, "X-Request-Id: 9c41\r\n"));
+	assert_non_null(strstr(out->str, "X-Token-Count: 1460,80\r\n"));
+	assert_non_null(strstr(out->str, "X-Expect-Instance: i-7f\r\n"));
+	assert_non_null(strstr(out->str, "X-Deadline-Ms: 900\r\n"));
+	assert_non_null(strstr(out->str, "X-Kv-Source: 10.0.0.1:80/abc\r\n"));
+	assert_non_null(
+		strstr(out->str, "Content-Length: 4\r\n\r\nbody"));
+	g_string_free(out, TRUE);
+	http_head_finish(&head);
+}
+
+/* Guards against a prefill result whose handle would become part of a path or
+ * of another field.
+ */
+static void test_prefill_result(void **state)
+{
+	static const struct {
+		const char *body;
+		bool ok;
+	} cases[] = {
+		{"{\"kvHandle\":\"3fa09c41b7d5\",\"tokens\":1460}", true},
+		{"{\"kvHandle\":\"a/../b\"}", false},
+		{"{\"kvHandle\":\"a\\r\\nX: y\"}", false},
+		{"{\"kvHandle\":\"\"}", false},
+		{"{\"kvHandle\":7}", false},
+		{"[]", false},
+		{"", false},
+		{"{\"kvHandle\":", false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *handle;
+
+		assert_int_equal(prefill_result_read(str_from(cases[i].body),
+						     &handle),
+				 cases[i].ok);
+		g_free(handle);
+	}
+}
+
+static const char good_entry[] =
+	"{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\","
+	"\"zone\":\"z\",\"version\":\"v1\",\"slots\":12,\"state\":\"ready\","
+	"\"coldRemainingMs\":0,\"stage\":\"decode\",\"models\":[],"
+	"\"sequence\":4,\"born\":1700000000000}";
+
+/* Guards against entries of other writers that name a server to use. */
+static void test_server_rows(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		"\x80\xff",
+		"[]",
+		"{}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+		"\"slots\":1}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+		"\"slots\":1,\"state\":\"unknown\"}",
+		"{\"service\":\"s\",\"address\":\"host\",\"zone\":\"z\","
+		"\"slots\":1,\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+		"\"slots\":\"1\",\"state\":\"ready\"}",
+		"{\"service\":7,\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+		"\"slots\":1,\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+		"\"slots\":1,\"state\":\"ready\",\"stage\":\"other\"}",
+	};
+	server_entry_t entry;
+
+	assert_true(server_row_read("i-1", str_from(good_entry), &entry));
+	assert_string_equal(entry.id, "i-1");
+	assert_string_equal(entry.address, "10.128.0.9:8080");
+	assert_int_equal(entry.stage, STAGE_DECODE);
+	assert_int_equal(entry.born_ms, INT64_C(1700000000000));
+	assert_false(entry.leaving);
+	server_entry_clear(&entry);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_false(server_row_read("i-2", str_from(bad[i]), &entry));
+}
+
+static const char config[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"A.example\","
+	"\"pathPrefix\":\"/x/\",\"kind\":\"streaming\",\"timeoutMs\":14000,"
+	"\"targetLatencyMs\":900,\"priority\":1,\"trafficSplit\":["
+	"{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}"
+	"],\"maxAttempts\":2,\"resumable\":true,\"gapAimMs\":300},"
+	"{\"name\":\"q\",\"host\":\"a.example\",\"pathPrefix\":\"/x/y/\","
+	"\"kind\":\"safe\",\"service\":\"s2\"},{\"host\":3}],"
+	"\"services\":[{\"name\":\"s1\",\"engine\":{\"slots\":12,"
+	"\"kvTokenCapacity\":100125,\"stride\":58,\"handleTtlS\":0.5}},"
+	"{\"name\":\"s2\",\"healthPath\":\"/health\"}],"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"idleTimeoutMs\":15000}}";
+
+/* Guards against requests that take the wrong route or another service. */
+static void test_config_row(void **state)
+{
+	route_table_t *table = config_row_read(str_from(config));
+	const table_route_t *route;
+	unsigned first = 0;
+
+	assert_non_null(table);
+	assert_int_equal(table->version, 7);
+	assert_int_equal(table->limits.idle_timeout_us, 15 * CLOCK_US_PER_S);
+	route = route_table_match(table, STR("a.EXAMPLE:80"), STR("/x/y/z"));
+	assert_non_null(route);
+	assert_string_equal(route->name, "q");
+	assert_int_equal(route->kind, CALL_REPEATABLE);
+	assert_int_equal(route->max_servers, 1);
+	route = route_table_match(table, STR("a.example"), STR("/x/yy"));
+	assert_string_equal(route->name, "r");
+	assert_int_equal(route->kind, CALL_STREAM);
+	assert_true(route->resumable);
+	assert_int_equal(route->target_us, 900 * CLOCK_US_PER_MS);
+	for (uint64_t i = 0; i < 1000; i++)
+		first += g_str_equal(table_route_pick(route, i * 7919), "s1");
+	assert_in_range(first, 850, 950);
+	assert_null(route_table_match(table, STR("a.example"), STR("/z")));
+	assert_null(route_table_match(table, STR("b.example"), STR("/x/")));
+	assert_null(route_table_match(table, STR(""), STR("/x/")));
+	assert_true(route_table_service(table, "s1")->is_engine);
+	assert_int_equal(
+		route_table_service(table, "s1")->engine.handle_ttl_us,
+		500 * CLOCK_US_PER_MS);
+	route_table_unref(table);
+	assert_null(config_row_read(STR("{\"version\":7}")));
+	assert_null(config_row_read(STR("{\"routes\":[]}")));
+	assert_null(config_row_read(STR("nonsense")));
+}
+
+/* Guards against a page that is cut or mistyped and taken for an empty one. */
+static void test_store_page(void **state)
+{
+	static const char text[] =
+		"{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"k\","
+		"\"value\":\"bm9kZS0x\",\"ver\":412},{\"table\":\"t\","
+		"\"key\":\"gone\",\"removed\":true,\"ver\":413},7],"
+		"\"hasMore\":true,\"ver\":530,\"nowMs\":51230}";
+	store_page_t page;
+	store_row_t *row;
+
+	assert_true(store_page_read(str_from(text), &page));
+	assert_int_equal(page.version, 530);
+	assert_int_equal(page.now_ms, 51230);
+	assert_true(page.has_more);
+	assert_int_equal(page.rows->len, 2);
+	row = &g_array_index(page.rows, store_row_t, 0);
+	assert_string_equal(row->key, "k");
+	assert_string_equal(row->value->str, "node-1");
+	assert_int_equal(row->version, 412);
+	assert_null(g_array_index(page.rows, store_row_t, 1).value);
+	store_page_finish(&page);
+	for (size_t cut = 0; cut < sizeof(text) - 1; cut++) {
+		assert_false(store_page_read((str_t){text, cut}, &page));
+		store_page_finish(&page);
+	}
+	assert_false(store_page_read(STR("{\"rows\":{},\"ver\":1}"), &page));
+	store_page_finish(&page);
+}
+
+/* Guards against a conditional write without its condition. */
+static void test_store_requests(void **state)
+{
+	GString *out = g_string_new(NULL);
+
+	store_put_if_request(out, "10.0.0.1:80", "t", "k", STR("v"), 17);
+	assert_non_null(strstr(out->str,
+			       "\"expected\":[{\"table\":\"t\",\"part\":\"\","
+			       "\"key\":\"k\",\"ver\":17}]"));
+	assert_non_null(strstr(out->str, "\"value\":\"dg==\""));
+	g_string_truncate(out, 0);
+	store_get_request(out, "10.0.0.1:80", "t", "a b&c");
+	assert_non_null(strstr(out->str, "&from=a%20b%26c HTTP/1.1"));
+	g_string_free(out, TRUE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_request_fields),
+		cmocka_unit_test(test_forwarded_request),
+		cmocka_unit_test(test_prefill_result),
+		cmocka_unit_test(test_server_rows),
+		cmocka_unit_test(test_config_row),
+		cmocka_unit_test(test_store_page),
+		cmocka_unit_test(test_store_requests),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
