--- /dev/null
+++ b/tests/test_ingress.c
@@ -0,0 +1,313 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "connection/ingress.h"
+#include "support_peer.h"
+
+/* A server that answers on a test's word, and one raw caller. */
+typedef struct {
+	ingress_t ingress;
+	char *address;
+	exchange_t *exchange; /* in progress, or NULL */
+	unsigned requests;
+	unsigned gone;
+	bool at_once; /* answers when the request comes */
+	GSocket *caller;
+	GString *received;
+	bool closed; /* by the server */
+} server_t;
+
+static void answer(server_t *server)
+{
+	exchange_t *exchange = server->exchange;
+
+	server->exchange = NULL;
+	exchange_reply_own(exchange, 200, 0, "ok");
+}
+
+static void on_request(void *context, exchange_t *exchange)
+{
+	server_t *server = context;
+
+	server->requests++;
+	server->exchange = exchange;
+	if (server->at_once)
+		answer(server);
+}
+
+static void on_gone(void *context, exchange_t *exchange)
+{
+	server_t *server = context;
+
+	server->gone++;
+	server->exchange = NULL;
+}
+
+static const ingress_handler_t handler = {
+	.on_request = on_request,
+	.on_gone = on_gone,
+};
+
+static const ingress_limits_t limits = {
+	.max_head_bytes = 400,
+	.max_body_bytes = 1000,
+	.head_timeout_us = 200 * CLOCK_US_PER_MS,
+	.idle_timeout_us = 300 * CLOCK_US_PER_MS,
+};
+
+/* A port that was free a moment ago. */
+static char *free_address(void)
+{
+	peer_answer_t answer_ = {NULL, PEER_KEEP};
+	peer_t peer;
+	char *address;
+
+	peer_start(&peer, &answer_, 1);
+	address = g_strdup(peer.address);
+	peer_stop(&peer);
+	return address;
+}
+
+static void init(server_t *server)
+{
+	memset(server, 0, sizeof(*server));
+	server->address = free_address();
+	server->received = g_string_new(NULL);
+	assert_true(ingress_init(&server->ingress, server->address,
+				 clock_boottime(), &limits, &handler, server));
+	server->caller = peer_connect(server->address);
+}
+
+static void finish(server_t *server)
+{
+	if (server->exchange)
+		exchange_abort(server->exchange);
+	ingress_finish(&server->ingress);
+	g_object_unref(server->caller);
+	g_string_free(server->received, TRUE);
+	g_free(server->address);
+}
+
+static void say(server_t *server, const char *text)
+{
+	assert_int_equal(g_socket_send(server->caller, text, strlen(text), NULL,
+				       NULL),
+			 strlen(text));
+}
+
+static void listen_for(server_t *server, unsigned ms)
+{
+	char buffer[4096];
+	gssize n;
+
+	peer_run(ms);
+	while ((n = g_socket_receive(server->caller, buffer, sizeof(buffer),
+				     NULL, NULL)) > 0)
+		g_string_append_len(server->received, buffer, n);
+	if (n == 0)
+		server->closed = true;
+}
+
+static unsigned count(const server_t *server, const char *text)
+{
+	const char *at = server->received->str;
+	unsigned n = 0;
+
+	while ((at = strstr(at, text))) {
+		at += strlen(text);
+		n++;
+	}
+	return n;
+}
+
+/* Guards against requests that overtake each other on one connection, and
+ * against a second one that begins before the first is answered.
+ */
+static void test_one_at_a_time(void **state)
+{
+	server_t server;
+
+	init(&server);
+	say(&server, "GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\n"
+		     "Content-Length: 3\r\n\r\nabcGET /3 HTTP/1.1\r\n\r\n");
+	listen_for(&server, 30);
+	assert_int_equal(server.requests, 1);
+	answer(&server);
+	listen_for(&server, 30);
+	assert_int_equal(server.requests, 2);
+	assert_true(str_equal(exchange_body(server.exchange), STR("abc")));
+	answer(&server);
+	listen_for(&server, 30);
+	assert_int_equal(server.requests, 3);
+	answer(&server);
+	listen_for(&server, 30);
+	assert_int_equal(count(&server, "HTTP/1.1 200"), 3);
+	assert_false(server.closed);
+	finish(&server);
+}
+
+/* Guards against input that costs memory or a place for ever, or that is taken
+ * for another request. Each is answered and closes the connection.
+ */
+static void test_bad_input(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *text;
+		const char *status;
+	} cases[] = {
+		{"no HTTP", "hello\r\n\r\n", "400"},
+		{"two ways of length",
+		 "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		 "400"},
+		{"two lengths",
+		 "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		 "Content-Length: 4\r\n\r\nabcd",
+		 "400"},
+		{"announced body too large",
+		 "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", "413"},
+		{"chunked body too large",
+		 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		 "fff\r\n",
+		 NULL},
+		{"head not finished", "GET / HTTP/1.1\r\nHost:", "408"},
+		{"tunnel", "CONNECT a:1 HTTP/1.1\r\n\r\n", "405"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		server_t server;
+
+		print_message("%s\n", cases[i].name);
+		init(&server);
+		server.at_once = true;
+		say(&server, cases[i].text);
+		if (!cases[i].status) {
+			char *body = g_strnfill(4095, 'x');
+
+			say(&server, body);
+			g_free(body);
+		}
+		listen_for(&server, 400);
+		assert_int_equal(server.requests, 0);
+		assert_true(g_str_has_prefix(server.received->str,
+					     "HTTP/1.1 4"));
+		assert_non_null(strstr(server.received->str,
+				       cases[i].status ? cases[i].status
+						       : "413"));
+		assert_true(server.closed);
+		finish(&server);
+	}
+}
+
+/* Guards against a head without end. */
+static void test_head_limit(void **state)
+{
+	char *text = g_strnfill(600, 'x');
+	server_t server;
+
+	init(&server);
+	say(&server, "GET / HTTP/1.1\r\nX-Long: ");
+	say(&server, text);
+	listen_for(&server, 50);
+	assert_true(g_str_has_prefix(server.received->str, "HTTP/1.1 431"));
+	g_free(text);
+	finish(&server);
+}
+
+/* Guards against work for a caller that has left. */
+static void test_caller_leaves(void **state)
+{
+	server_t server;
+
+	init(&server);
+	say(&server, "GET / HTTP/1.1\r\n\r\n");
+	listen_for(&server, 20);
+	assert_non_null(server.exchange);
+	g_socket_close(server.caller, NULL);
+	peer_run(50);
+	assert_int_equal(server.gone, 1);
+	finish(&server);
+}
+
+/* Guards against a connection that is closed under a request: after SIGTERM a
+ * response says that its connection closes, and idle ones are closed only when
+ * no byte of a request has come.
+ */
+static void test_closing(void **state)
+{
+	server_t server;
+
+	init(&server);
+	server.at_once = true;
+	say(&server, "GET / HTTP/1.1\r\n\r\n");
+	listen_for(&server, 20);
+	assert_int_equal(count(&server, "Connection: close"), 0);
+	ingress_set_closing(&server.ingress);
+	say(&server, "GET / HT");
+	listen_for(&server, 20);
+	ingress_close_idle(&server.ingress);
+	say(&server, "TP/1.1\r\n\r\n");
+	listen_for(&server, 50);
+	assert_int_equal(count(&server, "HTTP/1.1 200"), 2);
+	assert_int_equal(count(&server, "Connection: close"), 1);
+	assert_true(server.closed);
+	finish(&server);
+}
+
+/* Guards against an idle connection that is kept for ever, or closed sooner
+ * than callers were told.
+ */
+static void test_idle(void **state)
+{
+	server_t server;
+
+	init(&server);
+	server.at_once = true;
+	say(&server, "GET / HTTP/1.1\r\n\r\n");
+	listen_for(&server, 330);
+	assert_false(server.closed);
+	listen_for(&server, 1200);
+	assert_true(server.closed);
+	finish(&server);
+}
+
+/* Guards against a stream that was cut and looks complete. */
+static void test_cut_stream(void **state)
+{
+	http_headers_t headers;
+	server_t server;
+
+	init(&server);
+	say(&server, "GET / HTTP/1.1\r\n\r\n");
+	listen_for(&server, 20);
+	http_headers_init(&headers);
+	exchange_start_stream(server.exchange, 200, &headers);
+	exchange_write(server.exchange, "data", 4);
+	exchange_abort(server.exchange);
+	server.exchange = NULL;
+	listen_for(&server, 50);
+	assert_non_null(strstr(server.received->str, "4\r\ndata\r\n"));
+	assert_null(strstr(server.received->str, "0\r\n\r\n"));
+	assert_true(server.closed);
+	http_headers_finish(&headers);
+	finish(&server);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_one_at_a_time),
+		cmocka_unit_test(test_bad_input),
+		cmocka_unit_test(test_head_limit),
+		cmocka_unit_test(test_caller_leaves),
+		cmocka_unit_test(test_closing),
+		cmocka_unit_test(test_idle),
+		cmocka_unit_test(test_cut_stream),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
