Keep streams in their availability zone up to a fifth more load

Cause: streams between zones are lost when a zone is cut off, and their memory moves at half the speed; the old margin of 4% spread them over all zones.

--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -30,7 +30,7 @@
 /* Cost of an engine in another zone, as a share of its memory or, for prefill,
  * in time.
  */
-#define FAR_LOAD 0.04
+#define FAR_LOAD 0.2
 #define FAR_PREFILL_US INT64_C(10000)
 
 /* Decode memory, in tokens, to count on for a stream. */
