--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -22,11 +22,6 @@
 /* Late requests that may wait, as a share of all places. */
 #define LATE_QUEUE_SHARE 0.25
 
-/* Prompts are read side by side, so that each one that begins delays those
- * before it. Beyond this queue they wait in the router, in their order.
- */
-#define PREFILL_WAIT_US INT64_C(200000)
-
 /* Late requests do not add to a queue of prompts that is longer than this: it
  * would make those late that can still be on time.
  */
@@ -196,8 +191,7 @@
 	int64_t first_event_us = now_us + decision.wait_us +
 				 decision.prefill.duration_us + FIRST_EVENT_US;
 
-	if (room && open > (int64_t)request->ahead &&
-	    decision.prefill.wait_us <= PREFILL_WAIT_US) {
+	if (room && open > (int64_t)request->ahead) {
 		decision.action = ADMISSION_START;
 		return decision;
 	}
