--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -383,7 +383,7 @@
 		stage_orders_finish(&entry->orders);
 		stage_orders_init(&entry->orders, entry->clock,
 				  &entry->store_pool, &entry->server_pool,
-				  &entry->servers, now->vm,
+				  &entry->servers, &entry->occupancy, now->vm,
 				  now->store_address);
 		follow_store(entry);
 	}
@@ -522,7 +522,8 @@
 	entry->announce.context = entry;
 	stage_orders_init(&entry->orders, clock, &entry->store_pool,
 			  &entry->server_pool, &entry->servers,
-			  entry->settings.vm, entry->settings.store_address);
+			  &entry->occupancy, entry->settings.vm,
+			  entry->settings.store_address);
 	follow_store(entry);
 	alarm_set(&entry->tick, clock_now(&clock) + TICK_US);
 	return true;
--- a/src/process/stage_orders.c
+++ b/src/process/stage_orders.c
@@ -333,10 +333,12 @@
 }
 
 /* Chooses an engine from the zone that has the most of its stage, so that each
- * zone keeps engines of both stages if it can.
+ * zone keeps engines of both stages if it can; there, the one with the fewest
+ * streams, as a change begins when they have ended.
  */
 static server_t *choose(const stage_orders_t *orders, stage_t from)
 {
+	int64_t now_us = clock_now(&orders->clock);
 	server_t *best = NULL;
 	int best_score = 0;
 	GHashTableIter iter;
@@ -353,7 +355,9 @@
 			continue;
 		score = 100 + 10 * (int)count_stage(orders, orders->service,
 						    from, server->entry.zone) -
-			(int)server->in_flight;
+			(int)occupancy_total(orders->occupancy,
+					     server->entry.id, now_us)
+				.streams;
 		for (guint i = 0; i < orders->chosen->len; i++) {
 			const server_t *other =
 				g_ptr_array_index(orders->chosen, i);
@@ -470,13 +474,14 @@
 /* Sets up the orders of one VM. */
 void stage_orders_init(stage_orders_t *orders, clock_source_t clock,
 		       http_pool_t *store_pool, http_pool_t *server_pool,
-		       server_set_t *servers, const char *vm,
-		       const char *store_address)
+		       server_set_t *servers, const occupancy_t *occupancy,
+		       const char *vm, const char *store_address)
 {
 	*orders = (stage_orders_t){
 		.clock = clock,
 		.server_pool = server_pool,
 		.servers = servers,
+		.occupancy = occupancy,
 		.vm = vm,
 		.store_address = g_strdup(store_address),
 		.seed = g_str_hash(vm) + (uint64_t)clock_now(&clock),
--- a/src/process/stage_orders.h
+++ b/src/process/stage_orders.h
@@ -8,6 +8,7 @@
 #ifndef PROCESS_STAGE_ORDERS_H
 #define PROCESS_STAGE_ORDERS_H
 
+#include "process/occupancy.h"
 #include "process/stage_balance.h"
 #include "process/store.h"
 #include "process/server_set.h"
@@ -20,6 +21,7 @@
 	clock_source_t clock;
 	http_pool_t *server_pool;
 	server_set_t *servers;
+	const occupancy_t *occupancy;
 	const char *vm;
 	char *store_address;
 	store_call_t call;
@@ -35,8 +37,8 @@
 
 void stage_orders_init(stage_orders_t *orders, clock_source_t clock,
 		       http_pool_t *store_pool, http_pool_t *server_pool,
-		       server_set_t *servers, const char *vm,
-		       const char *store_address);
+		       server_set_t *servers, const occupancy_t *occupancy,
+		       const char *vm, const char *store_address);
 void stage_orders_finish(stage_orders_t *orders);
 void stage_orders_consider(stage_orders_t *orders,
 			   const table_service_t *service,
