Avoid engines that fail, and tell peers of them

Change: each failed answer keeps an engine without work for 0.2 s, doubling; from the second one peers are told. A refused prompt is read elsewhere too.

--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -26,6 +26,9 @@
 #define WAITING_TICK_US (20 * CLOCK_US_PER_MS)
 #define SETTINGS_CHECK_US (1 * CLOCK_US_PER_S)
 
+/* Peers are told of a server at which so many requests in a row failed. */
+#define TOLD_REFUSALS 2
+
 /* Share of the allowed second sends that is used. Other VMs count requests in
  * other windows than the backend servers do.
  */
@@ -215,6 +218,7 @@
 		announce_remove_peer(&entry->announce, vm);
 	g_free(text);
 	entry->routers = g_hash_table_size(entry->announce.peers) + 1;
+	store_rows_set_routers(&entry->rows, entry->routers);
 	share_retries(entry);
 }
 
@@ -266,14 +270,28 @@
 		server_suspected_by_peer(server, clock_now(&entry->clock));
 }
 
-/* A peer that reaches the store knows of a change that this VM may not. */
+/* A peer that reaches the store knows of a change that this VM may not, and
+ * one that had work fail knows of a sick server.
+ */
 static void on_peer_changing(void *context, const char *id, int64_t until_us)
 {
 	entry_t *entry = context;
 	server_t *server = server_set_find(&entry->servers, id);
 
-	if (server && server->changing_until_us == 0)
-		server->changing_until_us = until_us;
+	if (server)
+		server->avoided_until_us =
+			MAX(server->avoided_until_us, until_us);
+}
+
+/* Until when peers should give a server no work; 0: they may. */
+static int64_t closed_until(const server_t *server, int64_t now_us)
+{
+	if (server->changing_until_us > now_us)
+		return server->changing_until_us;
+	if (server->refusals >= TOLD_REFUSALS &&
+	    server->avoided_until_us > now_us)
+		return server->avoided_until_us;
+	return 0;
 }
 
 /* Tells peers which servers are out of reach or change their stage; at once
@@ -295,9 +313,9 @@
 
 		if (server_is_suspect(server) || server->misdirected)
 			g_ptr_array_add(suspects, g_strdup(server->entry.id));
-		if (server->changing_until_us > now_us) {
+		if (closed_until(server, now_us) != 0) {
 			occupancy_change_t change = {
-				.until_us = server->changing_until_us};
+				.until_us = closed_until(server, now_us)};
 
 			g_strlcpy(change.server, server->entry.id,
 				  sizeof(change.server));
--- a/src/process/occupancy.h
+++ b/src/process/occupancy.h
@@ -27,7 +27,7 @@
 	int64_t prefill_tokens; /* prompts that are being read */
 } occupancy_use_t;
 
-/* A server that changes its stage and takes no work meanwhile. */
+/* A server that takes no work for a while: it changes its stage, or fails. */
 typedef struct {
 	char server[OCCUPANCY_NAME_BYTES + 1];
 	int64_t until_us;
@@ -69,7 +69,7 @@
 	GArray *changing; /* own, of occupancy_change_t; set by the owner */
 	/* A peer suspects a server. */
 	void (*on_suspect)(void *context, const char *server);
-	/* A peer knows of a server that changes its stage. */
+	/* A peer knows of a server that takes no work for a while. */
 	void (*on_changing)(void *context, const char *server,
 			    int64_t until_us);
 	void *context;
--- a/src/process/server_set.c
+++ b/src/process/server_set.c
@@ -8,8 +8,8 @@
  */
 #define HEARD_LATELY_US INT64_C(150000)
 
-/* First time without work after a refusal by a server that is not full; it
- * doubles with each further one.
+/* First time without work after such a failure; it doubles with each further
+ * one.
  */
 #define AVOID_US INT64_C(200000)
 #define AVOID_MAX_DOUBLINGS 4
@@ -99,8 +99,10 @@
 		if (server->entry.stage != entry->stage ||
 		    server->entry.leaving != entry->leaving)
 			set->generation++;
-		if (server->entry.stage != entry->stage)
+		if (server->entry.stage != entry->stage) {
 			server->changing_until_us = 0;
+			server->avoided_until_us = 0;
+		}
 		server->entry.stage = entry->stage;
 		server->entry.slots = entry->slots;
 		server->entry.leaving = entry->leaving;
@@ -246,9 +248,10 @@
 	server_silent(server, now_us);
 }
 
-/* Records that a server took part in a hand-over that failed although it has
- * places free. Either side may be at fault: the one that works with others is
- * used again soon.
+/* Records that a server failed, or took part in a hand-over that did, although
+ * it has places free. Either side of a hand-over may be at fault: the one that
+ * works with others is used again soon. A sick server that answers at once
+ * would otherwise draw all work, as it never has a queue.
  */
 void server_refused(server_t *server, int64_t now_us)
 {
--- a/src/process/server_set.h
+++ b/src/process/server_set.h
@@ -35,8 +35,8 @@
 	int64_t suspect_us; /* since when it is silent; 0: it is not */
 	int64_t next_probe_us; /* while it is suspect */
 	int64_t changing_until_us; /* was ordered to change its stage */
-	int64_t avoided_until_us; /* refused work without being full */
-	unsigned refusals; /* of that kind, in a row */
+	int64_t avoided_until_us; /* its work failed, here or at a peer */
+	unsigned refusals; /* in a row, here */
 	int64_t cleared_us; /* when suspicion last ended */
 	unsigned in_flight; /* own requests */
 	int64_t reported_load; /* running and waiting, as last answered */
--- a/src/process/store_rows.c
+++ b/src/process/store_rows.c
@@ -11,10 +11,14 @@
 /* The store holds a read until something changes, at most this long. */
 #define LONG_WAIT_US (15 * CLOCK_US_PER_S)
 
-/* Servers write their entries every second or so; reading all changes of this
- * span at once costs few calls, and a leaving server is seen in time.
+/* Servers write their entries every second or so, so that a feed without a
+ * pause would return at once, always. All VMs together pay for each read: with
+ * more of them each reads less often, but a leaving server is seen well within
+ * two seconds.
  */
-#define SERVERS_PAUSE_US (600 * CLOCK_US_PER_MS)
+#define SERVERS_PAUSE_US (500 * CLOCK_US_PER_MS)
+#define SERVERS_PAUSE_ROUTER_US (10 * CLOCK_US_PER_MS)
+#define SERVERS_PAUSE_MAX_US (1200 * CLOCK_US_PER_MS)
 
 /* Servers enter themselves again within two seconds of the store's return. */
 #define RETURN_US (1900 * CLOCK_US_PER_MS)
@@ -266,6 +270,14 @@
 	g_free(rows->own_address);
 }
 
+/* Paces the reads of the server list for a number of VMs. */
+void store_rows_set_routers(store_rows_t *rows, unsigned routers)
+{
+	rows->server_list.options.pause_us =
+		MIN(SERVERS_PAUSE_US + routers * SERVERS_PAUSE_ROUTER_US,
+		    SERVERS_PAUSE_MAX_US);
+}
+
 /* Reads sent so far. */
 uint64_t store_rows_calls(const store_rows_t *rows)
 {
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -433,6 +433,9 @@
 		decode_rejected(stream);
 		return;
 	}
+	if (outcome.failed && end == CALL_ANSWERED)
+		server_refused(stream->decode,
+			       clock_now(&stream->request.relay->clock));
 	if (outcome.answer == OUTCOME_PASS_ON && !stream->head_sent) {
 		relay_log_end(&stream->request, stream->decode,
 			      stream->send.status, "engine_error");
@@ -527,7 +530,7 @@
 	int64_t now_us = clock_now(&request->relay->clock);
 	admission_prefill_choice_t choice;
 
-	if (stream->prefill_retried || stream->send.status != 0)
+	if (stream->prefill_retried)
 		return false;
 	view_engines(&engines, request, now_us);
 	for (size_t i = 0; i < engines.view.n_prefills; i++) {
@@ -576,6 +579,9 @@
 	if (end != CALL_ANSWERED)
 		server_silent(stream->prefill,
 			      clock_now(&stream->request.relay->clock));
+	else
+		server_refused(stream->prefill,
+			       clock_now(&stream->request.relay->clock));
 	prefill_failed(stream, end == CALL_ANSWERED ? "refused" : "lost");
 }
 
