Add a fault soak of the entry processes

Real processes between stand-ins of the store and of backend servers that speak the platform's protocol, behind loopback proxies that delay, reset, cut one way and silence; signals, crashes, departures, a busy store, lost answers and lost history come in overlapping, seeded series. Checked while it runs: TWICE, REFUSED, MIXED, ORDER, DENIED, DRAIN in quiet runs, recovery, and that nothing runs for callers that left.

--- /dev/null
+++ b/tests/soak_proxy.c
@@ -0,0 +1,217 @@
+#include "soak_proxy.h"
+
+#include <arpa/inet.h>
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "connection/address.h"
+#include "connection/tcp.h"
+#include "process/alarm.h"
+
+#define DELAY_US (150 * CLOCK_US_PER_MS)
+
+typedef struct link link_t;
+
+/* One direction's end of a link. */
+typedef struct {
+	tcp_t tcp;
+	link_t *link;
+	GString *held; /* bytes for this end that wait */
+	int64_t due_us; /* when held bytes go on */
+	bool is_server;
+} end_t;
+
+struct link {
+	proxy_t *proxy;
+	end_t caller;
+	end_t server;
+	alarm_t alarm;
+	bool lost; /* silent for good, although new links work */
+};
+
+struct proxy {
+	char *address;
+	GSocketAddress *target;
+	GSource *source;
+	int fd;
+	proxy_mode_t mode;
+	GPtrArray *links; /* of link_t */
+};
+
+static const tcp_options_t options = {0};
+
+static void free_link(gpointer data)
+{
+	link_t *link = data;
+
+	tcp_finish_reset(&link->caller.tcp);
+	tcp_finish_reset(&link->server.tcp);
+	alarm_finish(&link->alarm);
+	g_string_free(link->caller.held, TRUE);
+	g_string_free(link->server.held, TRUE);
+	g_free(link);
+}
+
+static void drop(link_t *link)
+{
+	g_ptr_array_remove_fast(link->proxy->links, link);
+}
+
+static bool is_held(const end_t *to)
+{
+	proxy_mode_t mode = to->link->proxy->mode;
+
+	if (to->link->lost || mode == PROXY_SILENT)
+		return true;
+	return mode == PROXY_ONE_WAY && !to->is_server;
+}
+
+static void deliver(end_t *to)
+{
+	if (is_held(to) || to->held->len == 0)
+		return;
+	tcp_write(&to->tcp, to->held->str, to->held->len);
+	g_string_truncate(to->held, 0);
+}
+
+static void on_data(void *context, const char *data, size_t len)
+{
+	end_t *from = context;
+	link_t *link = from->link;
+	end_t *to = from->is_server ? &link->caller : &link->server;
+
+	g_string_append_len(to->held, data, (gssize)len);
+	if (link->proxy->mode != PROXY_DELAY) {
+		deliver(to);
+		return;
+	}
+	to->due_us = clock_now(&link->alarm.clock) + DELAY_US;
+	alarm_set(&link->alarm, to->due_us);
+}
+
+static void on_alarm(void *context)
+{
+	link_t *link = context;
+
+	deliver(&link->caller);
+	deliver(&link->server);
+}
+
+/* An end that closes in order: what is held goes on first. */
+static void on_end(void *context, tcp_end_t end)
+{
+	end_t *from = context;
+	link_t *link = from->link;
+	end_t *to = from->is_server ? &link->caller : &link->server;
+
+	deliver(to);
+	if (end == TCP_END_EOF && !is_held(to))
+		tcp_finish(&to->tcp);
+	drop(link);
+}
+
+static const tcp_handler_t handler = {
+	.on_data = on_data,
+	.on_end = on_end,
+};
+
+static void accept_link(proxy_t *proxy, int fd)
+{
+	link_t *link = g_new0(link_t, 1);
+
+	link->proxy = proxy;
+	link->caller.link = link;
+	link->caller.held = g_string_new(NULL);
+	link->server.link = link;
+	link->server.held = g_string_new(NULL);
+	link->server.is_server = true;
+	alarm_init(&link->alarm, clock_boottime(), on_alarm, link);
+	g_ptr_array_add(proxy->links, link);
+	tcp_adopt(&link->caller.tcp, fd, &options, &handler, &link->caller);
+	if (!tcp_connect(&link->server.tcp, proxy->target, &options, &handler,
+			 &link->server) ||
+	    proxy->mode == PROXY_REFUSE)
+		drop(link);
+}
+
+static gboolean on_acceptable(gint fd, GIOCondition condition, gpointer data)
+{
+	int accepted;
+
+	while ((accepted = accept4(fd, NULL, NULL,
+				   SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		accept_link(data, accepted);
+	return G_SOURCE_CONTINUE;
+}
+
+/* Listens on a free port of the loopback address. */
+proxy_t *proxy_new(const char *target)
+{
+	proxy_t *proxy = g_new0(proxy_t, 1);
+	struct sockaddr_in any = {.sin_family = AF_INET};
+	socklen_t len = sizeof(any);
+
+	any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	proxy->target = address_parse(target);
+	proxy->links = g_ptr_array_new_with_free_func(free_link);
+	proxy->fd =
+		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	g_assert_true(bind(proxy->fd, (struct sockaddr *)&any, len) == 0);
+	g_assert_true(listen(proxy->fd, 256) == 0);
+	g_assert_true(
+		getsockname(proxy->fd, (struct sockaddr *)&any, &len) == 0);
+	proxy->address = g_strdup_printf("127.0.0.1:%u", ntohs(any.sin_port));
+	proxy->source = g_unix_fd_source_new(proxy->fd, G_IO_IN);
+	g_source_set_callback(proxy->source, G_SOURCE_FUNC(on_acceptable),
+			      proxy, NULL);
+	g_source_attach(proxy->source, NULL);
+	return proxy;
+}
+
+/* Closes the proxy and its connections. */
+void proxy_free(proxy_t *proxy)
+{
+	g_source_destroy(proxy->source);
+	g_source_unref(proxy->source);
+	close(proxy->fd);
+	g_ptr_array_unref(proxy->links);
+	g_object_unref(proxy->target);
+	g_free(proxy->address);
+	g_free(proxy);
+}
+
+/* Where the proxy listens. */
+const char *proxy_address(const proxy_t *proxy)
+{
+	return proxy->address;
+}
+
+/*
+ * Disturbs the connections, or ends that. Connections that were silent stay so
+ * for good; only new ones work again.
+ */
+void proxy_set_mode(proxy_t *proxy, proxy_mode_t mode)
+{
+	for (guint i = 0; i < proxy->links->len; i++) {
+		link_t *link = g_ptr_array_index(proxy->links, i);
+
+		if (proxy->mode == PROXY_SILENT || proxy->mode == PROXY_ONE_WAY)
+			link->lost = true;
+	}
+	proxy->mode = mode;
+	if (mode == PROXY_REFUSE)
+		g_ptr_array_set_size(proxy->links, 0);
+}
+
+/* Name of a mode, for the report. */
+const char *proxy_mode_text(proxy_mode_t mode)
+{
+	static const char *const texts[] = {"pass", "delay", "silent",
+					    "one_way", "refuse"};
+
+	return texts[mode];
+}
--- /dev/null
+++ b/tests/soak_proxy.h
@@ -0,0 +1,26 @@
+/* A loopback proxy of one address whose connections can be disturbed. */
+#ifndef SOAK_PROXY_H
+#define SOAK_PROXY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum {
+	PROXY_PASS,
+	PROXY_DELAY, /* bytes arrive late */
+	PROXY_SILENT, /* connections stay open, nothing arrives */
+	PROXY_ONE_WAY, /* requests arrive, responses do not */
+	PROXY_REFUSE, /* open connections are reset, new ones too */
+	PROXY_MODES_N,
+} proxy_mode_t;
+
+typedef struct proxy proxy_t;
+
+proxy_t *proxy_new(const char *target);
+void proxy_free(proxy_t *proxy);
+const char *proxy_address(const proxy_t *proxy);
+void proxy_set_mode(proxy_t *proxy, proxy_mode_t mode);
+const char *proxy_mode_text(proxy_mode_t mode);
+
+#endif
--- /dev/null
+++ b/tests/soak_server.c
@@ -0,0 +1,457 @@
+#include "soak_server.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "process/alarm.h"
+#include "soak_address.h"
+
+#define BEAT_US (600 * CLOCK_US_PER_MS)
+#define PLAIN_US (15 * CLOCK_US_PER_MS)
+#define PREFILL_US (40 * CLOCK_US_PER_MS)
+#define EVENT_US (15 * CLOCK_US_PER_MS)
+#define HANDLE_US (500 * CLOCK_US_PER_MS)
+#define CHANGE_US (1000 * CLOCK_US_PER_MS)
+#define EVENTS 12
+#define SLOTS 12
+
+/* One answer in the making. */
+typedef struct {
+	soak_server_t *server;
+	exchange_t *exchange;
+	char *request;
+	alarm_t next;
+	unsigned events;
+	bool counted; /* as a run */
+	bool prefill;
+} work_t;
+
+static int64_t now_us(void)
+{
+	clock_source_t clock = clock_boottime();
+
+	return clock_now(&clock);
+}
+
+static void free_run(gpointer data)
+{
+	g_free(((soak_run_t *)data)->server);
+	g_free(data);
+}
+
+/* Sets up what the servers share. */
+void soak_world_init(soak_world_t *world, soak_store_t *store, uint64_t seed)
+{
+	*world = (soak_world_t){.store = store, .seed = seed};
+	world->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    free_run);
+	world->handles = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       g_free);
+	world->violations = g_ptr_array_new_with_free_func(g_free);
+}
+
+/* Frees what the servers share. */
+void soak_world_finish(soak_world_t *world)
+{
+	g_hash_table_unref(world->runs);
+	g_hash_table_unref(world->handles);
+	g_ptr_array_unref(world->violations);
+}
+
+/* Next random number of the seed, below a bound. */
+uint64_t soak_random(soak_world_t *world, uint64_t below)
+{
+	world->seed = world->seed * UINT64_C(6364136223846793005) +
+		      UINT64_C(1442695040888963407);
+	return (world->seed >> 33) % below;
+}
+
+/* What became of a request. */
+soak_run_t *soak_world_run(soak_world_t *world, const char *request)
+{
+	soak_run_t *run = g_hash_table_lookup(world->runs, request);
+
+	if (!run) {
+		run = g_new0(soak_run_t, 1);
+		g_hash_table_insert(world->runs, g_strdup(request), run);
+	}
+	return run;
+}
+
+/* Notes a broken promise. */
+void soak_world_violate(soak_world_t *world, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	printf("violation: %s\n", text);
+	g_ptr_array_add(world->violations, text);
+}
+
+static void end_work(work_t *work, bool finished)
+{
+	soak_run_t *run = soak_world_run(work->server->world, work->request);
+
+	if (work->counted) {
+		run->running--;
+		run->finished += finished ? 1 : 0;
+	}
+	work->server->in_work--;
+	g_queue_remove(&work->server->works, work);
+	alarm_finish(&work->next);
+	g_free(work->request);
+	g_free(work);
+}
+
+static void add_common(const work_t *work, http_headers_t *headers)
+{
+	http_headers_init(headers);
+	http_headers_add(headers, STR("X-Request-Id"), str_from(work->request));
+	http_headers_add(headers, STR("X-Response-Signature"),
+			 str_from(work->server->id));
+	http_headers_add(headers, STR("Keep-Alive"), STR("timeout=5"));
+}
+
+static void answer_prefill(work_t *work)
+{
+	soak_world_t *world = work->server->world;
+	char *handle = g_strdup_printf("h%u", ++world->next_id);
+	char *key = g_strdup_printf("%s/%s", proxy_address(work->server->proxy),
+				    handle);
+	char *body = g_strdup_printf(
+		"{\"kvHandle\":\"%s\",\"tokens\":10,\"version\":1}", handle);
+	int64_t *until_us = g_new(int64_t, 1);
+	exchange_t *exchange = work->exchange;
+	http_headers_t headers;
+
+	*until_us = now_us() + HANDLE_US;
+	g_hash_table_insert(world->handles, key, until_us);
+	add_common(work, &headers);
+	end_work(work, true);
+	exchange_reply(exchange, 200, &headers, str_from(body));
+	http_headers_finish(&headers);
+	g_free(handle);
+	g_free(body);
+}
+
+static void answer_plain(work_t *work)
+{
+	char *body = g_strdup_printf("answer to %s", work->request);
+	exchange_t *exchange = work->exchange;
+	http_headers_t headers;
+
+	add_common(work, &headers);
+	end_work(work, true);
+	exchange_reply(exchange, 200, &headers, str_from(body));
+	http_headers_finish(&headers);
+	g_free(body);
+}
+
+static void next_event(work_t *work)
+{
+	exchange_t *exchange = work->exchange;
+	http_headers_t headers;
+	char *event;
+
+	if (work->events == 0) {
+		add_common(work, &headers);
+		http_headers_add(&headers, STR("Content-Type"),
+				 STR("text/event-stream"));
+		exchange_start_stream(exchange, 200, &headers);
+		http_headers_finish(&headers);
+	}
+	if (work->events == EVENTS) {
+		end_work(work, true);
+		exchange_end_stream(exchange);
+		return;
+	}
+	event = g_strdup_printf("id: %u\ndata: %s\n\n", ++work->events,
+				work->request);
+	exchange_write(exchange, event, strlen(event));
+	g_free(event);
+	alarm_set(&work->next, now_us() + EVENT_US);
+}
+
+static void on_next(void *context)
+{
+	work_t *work = context;
+
+	if (work->prefill)
+		answer_prefill(work);
+	else if (work->server->stage == SOAK_DECODE)
+		next_event(work);
+	else
+		answer_plain(work);
+}
+
+static void refuse(soak_server_t *server, exchange_t *exchange, unsigned status)
+{
+	http_headers_t headers;
+
+	http_headers_init(&headers);
+	http_headers_add(&headers, STR("X-Not-Executed"), STR("1"));
+	http_headers_add(&headers, STR("X-Instance-Id"), str_from(server->id));
+	exchange_reply(exchange, status, &headers, STR(""));
+	http_headers_finish(&headers);
+}
+
+/* A request that may run once must not run again. */
+static void count_run(work_t *work, bool repeatable)
+{
+	soak_server_t *server = work->server;
+	soak_run_t *run = soak_world_run(server->world, work->request);
+
+	work->counted = true;
+	run->runs++;
+	run->running++;
+	run->last_run_us = now_us();
+	if (!repeatable && run->runs > 1)
+		soak_world_violate(server->world,
+				   "TWICE: %s ran at %s and at %s",
+				   work->request, run->server, server->id);
+	g_free(run->server);
+	run->server = g_strdup(server->id);
+	if (server->leaves_by_us && now_us() > server->leaves_by_us)
+		soak_world_violate(server->world,
+				   "DRAIN: %s began at %s, which has left",
+				   work->request, server->id);
+}
+
+static bool take_handle(soak_world_t *world, str_t source)
+{
+	char *key = str_dup(source);
+	const int64_t *until_us = g_hash_table_lookup(world->handles, key);
+	bool ok = until_us && *until_us > now_us();
+
+	g_hash_table_remove(world->handles, key);
+	g_free(key);
+	return ok;
+}
+
+static void start_work(soak_server_t *server, exchange_t *exchange,
+		       bool prefill)
+{
+	const http_headers_t *headers = &exchange_head(exchange)->headers;
+	bool repeatable =
+		g_str_equal(exchange_head(exchange)->method->str, "GET");
+	work_t *work = g_new0(work_t, 1);
+	int64_t us = server->stage == SOAK_PLAIN     ? PLAIN_US
+		     : server->stage == SOAK_PREFILL ? PREFILL_US
+						     : EVENT_US;
+
+	work->server = server;
+	work->exchange = exchange;
+	work->prefill = prefill;
+	work->request = str_dup(http_headers_get(headers, "x-request-id"));
+	server->in_work++;
+	g_queue_push_tail(&server->works, work);
+	exchange_set_context(exchange, work);
+	alarm_init(&work->next, clock_boottime(), on_next, work);
+	if (!prefill)
+		count_run(work, repeatable);
+	alarm_set(&work->next, now_us() + us);
+}
+
+static void reply_text(exchange_t *exchange, const soak_server_t *server,
+		       const char *text)
+{
+	http_headers_t headers;
+
+	http_headers_init(&headers);
+	http_headers_add(&headers, STR("X-Instance-Id"), str_from(server->id));
+	exchange_reply(exchange, 200, &headers, str_from(text));
+	http_headers_finish(&headers);
+}
+
+static void enter_list(soak_server_t *server, bool leaving)
+{
+	static const char *const stages[] = {"", ",\"stage\":\"prefill\"",
+					     ",\"stage\":\"decode\""};
+	char *text = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+		"\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
+		"\"coldRemainingMs\":0,\"sequence\":%u,\"born\":1%s}",
+		server->service, proxy_address(server->proxy), server->zone,
+		SLOTS, leaving ? "draining" : "ready", ++server->beats,
+		stages[server->stage]);
+
+	soak_store_put(server->world->store, "servers", server->id, text);
+	g_free(text);
+}
+
+static void on_beat(void *context)
+{
+	soak_server_t *server = context;
+
+	enter_list(server, server->leaves_by_us != 0);
+	alarm_set(&server->beat, now_us() + BEAT_US);
+}
+
+static void on_change(void *context)
+{
+	soak_server_t *server = context;
+
+	server->stage = server->stage == SOAK_PREFILL ? SOAK_DECODE
+						      : SOAK_PREFILL;
+	enter_list(server, server->leaves_by_us != 0);
+}
+
+static void take_order(soak_server_t *server, exchange_t *exchange)
+{
+	if (server->change.at_us >= 0) {
+		refuse(server, exchange, 409);
+		return;
+	}
+	server->orders++;
+	alarm_set(&server->change, now_us() + CHANGE_US);
+	reply_text(exchange, server, "{}");
+}
+
+static void report(soak_server_t *server, exchange_t *exchange)
+{
+	char *text = g_strdup_printf("{\"busy\":%s,\"sequence\":%u}",
+				     server->change.at_us >= 0 ? "true"
+							       : "false",
+				     server->orders);
+
+	reply_text(exchange, server, text);
+	g_free(text);
+}
+
+static void take_request(soak_server_t *server, exchange_t *exchange)
+{
+	const http_headers_t *headers = &exchange_head(exchange)->headers;
+	bool prefill = http_headers_get(headers, "x-serving-stage").len > 0;
+	str_t source = http_headers_get(headers, "x-kv-source");
+
+	if (prefill != (server->stage == SOAK_PREFILL)) {
+		refuse(server, exchange, 421);
+	} else if (server->in_work >= SLOTS || server->change.at_us >= 0) {
+		refuse(server, exchange, 503);
+	} else if (source.len && !take_handle(server->world, source)) {
+		refuse(server, exchange, 503);
+	} else {
+		start_work(server, exchange, prefill);
+	}
+}
+
+static void on_request(void *context, exchange_t *exchange)
+{
+	soak_server_t *server = context;
+	const http_head_t *head = exchange_head(exchange);
+	str_t expected = http_headers_get(&head->headers, "x-expect-instance");
+
+	if (expected.len && !str_equal(expected, str_from(server->id)))
+		refuse(server, exchange, 421);
+	else if (g_str_has_prefix(head->target->str, "/health"))
+		reply_text(exchange, server, "ok");
+	else if (strstr(head->target->str, "/report"))
+		report(server, exchange);
+	else if (strstr(head->target->str, "/order"))
+		take_order(server, exchange);
+	else if (strstr(head->target->str, "/kv-handle/"))
+		reply_text(exchange, server, "");
+	else
+		take_request(server, exchange);
+}
+
+static void on_gone(void *context, exchange_t *exchange)
+{
+	work_t *work = exchange_context(exchange);
+
+	if (work)
+		end_work(work, false);
+}
+
+static const ingress_handler_t handler = {
+	.on_request = on_request,
+	.on_gone = on_gone,
+};
+
+static void listen_and_enter(soak_server_t *server)
+{
+	static const ingress_limits_t limits = {
+		.max_head_bytes = 65536,
+		.max_body_bytes = 1 << 20,
+		.head_timeout_us = 10 * CLOCK_US_PER_S,
+		.idle_timeout_us = 5 * CLOCK_US_PER_S,
+	};
+
+	g_free(server->id);
+	server->id = g_strdup_printf("i-%u", ++server->world->next_id);
+	server->up = true;
+	server->orders = 0;
+	server->leaves_by_us = 0;
+	g_assert_true(ingress_init(&server->ingress, server->address,
+				   clock_boottime(), &limits, &handler,
+				   server));
+	on_beat(server);
+}
+
+/* Starts a server behind a proxy of its own. */
+void soak_server_start(soak_server_t *server, soak_world_t *world,
+		       const char *service, const char *zone,
+		       soak_stage_t stage)
+{
+	*server = (soak_server_t){
+		.world = world,
+		.service = g_strdup(service),
+		.zone = g_strdup(zone),
+		.address = soak_free_address(),
+		.stage = stage,
+	};
+	g_queue_init(&server->works);
+	server->proxy = proxy_new(server->address);
+	alarm_init(&server->beat, clock_boottime(), on_beat, server);
+	alarm_init(&server->change, clock_boottime(), on_change, server);
+	listen_and_enter(server);
+}
+
+/* Ends a server without a word. Its entry stays, or lapses at once. */
+void soak_server_crash(soak_server_t *server, bool listed)
+{
+	if (!server->up)
+		return;
+	server->up = false;
+	alarm_set(&server->beat, -1);
+	alarm_set(&server->change, -1);
+	while (!g_queue_is_empty(&server->works))
+		end_work(g_queue_peek_head(&server->works), false);
+	ingress_finish(&server->ingress);
+	if (!listed)
+		soak_store_remove(server->world->store, "servers", server->id);
+}
+
+/* Starts a server again: a new one at the same address. */
+void soak_server_restart(soak_server_t *server)
+{
+	if (server->up)
+		return;
+	soak_store_remove(server->world->store, "servers", server->id);
+	listen_and_enter(server);
+}
+
+/* Reports that the server is leaving; no request may begin after `by_us`. */
+void soak_server_leave(soak_server_t *server, int64_t by_us)
+{
+	server->leaves_by_us = by_us;
+	enter_list(server, true);
+}
+
+/* Frees a server. */
+void soak_server_stop(soak_server_t *server)
+{
+	soak_server_crash(server, true);
+	alarm_finish(&server->beat);
+	alarm_finish(&server->change);
+	proxy_free(server->proxy);
+	g_free(server->id);
+	g_free(server->service);
+	g_free(server->zone);
+	g_free(server->address);
+}
--- /dev/null
+++ b/tests/soak_server.h
@@ -0,0 +1,71 @@
+/* Stand-in of the platform's backend servers: plain ones, and model engines of
+ * both stages. Records what ran.
+ */
+#ifndef SOAK_SERVER_H
+#define SOAK_SERVER_H
+
+#include "connection/ingress.h"
+#include "process/alarm.h"
+#include "soak_proxy.h"
+#include "soak_store.h"
+
+typedef enum {
+	SOAK_PLAIN,
+	SOAK_PREFILL,
+	SOAK_DECODE,
+} soak_stage_t;
+
+/* What became of one request, over all servers. */
+typedef struct {
+	unsigned runs;
+	unsigned running;
+	unsigned finished;
+	int64_t last_run_us;
+	char *server; /* that ran it last */
+} soak_run_t;
+
+/* What the servers share. */
+typedef struct {
+	soak_store_t *store;
+	GHashTable *runs; /* request ID to soak_run_t */
+	GHashTable *handles; /* "address/handle" to its end, int64_t * */
+	GPtrArray *violations; /* text */
+	uint64_t seed;
+	unsigned next_id;
+} soak_world_t;
+
+typedef struct {
+	soak_world_t *world;
+	ingress_t ingress;
+	proxy_t *proxy; /* what the routers connect to */
+	char *id;
+	char *service;
+	char *zone;
+	char *address; /* own, behind the proxy */
+	soak_stage_t stage;
+	int64_t leaves_by_us; /* no request may begin later; 0: any time */
+	unsigned orders;
+	unsigned beats;
+	unsigned in_work;
+	bool up;
+	GQueue works; /* of work_t */
+	alarm_t beat;
+	alarm_t change; /* of the stage, after an order */
+} soak_server_t;
+
+void soak_world_init(soak_world_t *world, soak_store_t *store, uint64_t seed);
+void soak_world_finish(soak_world_t *world);
+uint64_t soak_random(soak_world_t *world, uint64_t below);
+soak_run_t *soak_world_run(soak_world_t *world, const char *request);
+void soak_world_violate(soak_world_t *world, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+
+void soak_server_start(soak_server_t *server, soak_world_t *world,
+		       const char *service, const char *zone,
+		       soak_stage_t stage);
+void soak_server_crash(soak_server_t *server, bool listed);
+void soak_server_restart(soak_server_t *server);
+void soak_server_leave(soak_server_t *server, int64_t by_us);
+void soak_server_stop(soak_server_t *server);
+
+#endif
--- /dev/null
+++ b/tests/soak_store.c
@@ -0,0 +1,354 @@
+#include "soak_store.h"
+
+#include <inttypes.h>
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+#include "process/alarm.h"
+
+/* A read that waits for a change. */
+typedef struct {
+	soak_store_t *store;
+	exchange_t *exchange;
+	char *table;
+	int64_t after;
+	alarm_t deadline;
+} feed_t;
+
+static void free_row(gpointer data)
+{
+	soak_row_t *row = data;
+
+	g_free(row->table);
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+static soak_row_t *find(const soak_store_t *store, const char *table,
+			const char *key)
+{
+	for (guint i = 0; i < store->rows->len; i++) {
+		soak_row_t *row = g_ptr_array_index(store->rows, i);
+
+		if (g_str_equal(row->table, table) &&
+		    g_str_equal(row->key, key))
+			return row;
+	}
+	return NULL;
+}
+
+static int64_t now_ms(void)
+{
+	clock_source_t clock = clock_boottime();
+
+	return clock_now(&clock) / CLOCK_US_PER_MS;
+}
+
+static gint by_version(gconstpointer a, gconstpointer b)
+{
+	const soak_row_t *left = *(soak_row_t *const *)a;
+	const soak_row_t *right = *(soak_row_t *const *)b;
+
+	return left->version < right->version ? -1 : 1;
+}
+
+/* Appends rows of a table that changed after a version; counts them. */
+static unsigned append_rows(const soak_store_t *store, GString *out,
+			    const char *table, int64_t after, bool removed_too)
+{
+	unsigned n = 0;
+
+	g_ptr_array_sort(store->rows, by_version);
+	for (guint i = 0; i < store->rows->len; i++) {
+		const soak_row_t *row = g_ptr_array_index(store->rows, i);
+
+		if (!g_str_equal(row->table, table) || row->version <= after ||
+		    (!row->value && !removed_too))
+			continue;
+		g_string_append_printf(out,
+				       "%s{\"table\":\"%s\",\"part\":\"\","
+				       "\"key\":\"%s\",\"ver\":%" PRId64,
+				       n++ ? "," : "", table, row->key,
+				       row->version);
+		if (row->value)
+			g_string_append_printf(out, ",\"value\":\"%s\"}",
+					       row->value);
+		else
+			g_string_append(out, ",\"removed\":true}");
+	}
+	return n;
+}
+
+static void reply(exchange_t *exchange, unsigned status, const char *body)
+{
+	http_headers_t headers;
+
+	http_headers_init(&headers);
+	http_headers_add(&headers, STR("Content-Type"),
+			 STR("application/json"));
+	exchange_reply(exchange, status, &headers, str_from(body));
+	http_headers_finish(&headers);
+}
+
+static void reply_rows(const soak_store_t *store, exchange_t *exchange,
+		       const char *table, int64_t after, bool feed)
+{
+	GString *body = g_string_new("{\"rows\":[");
+
+	append_rows(store, body, table, after, feed);
+	g_string_append_printf(body,
+			       "],\"hasMore\":false,\"ver\":%" PRId64
+			       ",\"nowMs\":%" PRId64 "}",
+			       store->version, now_ms());
+	reply(exchange, 200, body->str);
+	g_string_free(body, TRUE);
+}
+
+static bool has_news(const feed_t *feed)
+{
+	GString *unused = g_string_new(NULL);
+	bool news = append_rows(feed->store, unused, feed->table, feed->after,
+				true) > 0;
+
+	g_string_free(unused, TRUE);
+	return news;
+}
+
+static void free_feed(feed_t *feed)
+{
+	g_queue_remove(&feed->store->waiting, feed);
+	alarm_finish(&feed->deadline);
+	g_free(feed->table);
+	g_free(feed);
+}
+
+static void end_feed(feed_t *feed)
+{
+	exchange_t *exchange = feed->exchange;
+	char *table = g_strdup(feed->table);
+	soak_store_t *store = feed->store;
+	int64_t after = feed->after;
+
+	free_feed(feed);
+	reply_rows(store, exchange, table, after, true);
+	g_free(table);
+}
+
+static void on_feed_deadline(void *context)
+{
+	end_feed(context);
+}
+
+static void wake_feeds(soak_store_t *store)
+{
+	GList *link = store->waiting.head;
+
+	while (link) {
+		feed_t *feed = link->data;
+
+		link = link->next;
+		if (has_news(feed))
+			end_feed(feed);
+	}
+}
+
+static void set_row(soak_store_t *store, const char *table, const char *key,
+		    const char *value)
+{
+	soak_row_t *row = find(store, table, key);
+
+	if (!row) {
+		row = g_new0(soak_row_t, 1);
+		row->table = g_strdup(table);
+		row->key = g_strdup(key);
+		g_ptr_array_add(store->rows, row);
+	}
+	g_free(row->value);
+	row->value = g_strdup(value);
+	row->version = ++store->version;
+}
+
+static char *query_value(const char *target, const char *name)
+{
+	char *key = g_strconcat(name, "=", NULL);
+	const char *at = strstr(target, key);
+	char *value = NULL;
+
+	if (at) {
+		at += strlen(key);
+		value = g_uri_unescape_segment(at, at + strcspn(at, "& "),
+					       NULL);
+	}
+	g_free(key);
+	return value ? value : g_strdup("");
+}
+
+static void start_feed(soak_store_t *store, exchange_t *exchange,
+		       const char *target)
+{
+	char *after = query_value(target, "after");
+	char *wait_ms = query_value(target, "waitMs");
+	feed_t *feed = g_new0(feed_t, 1);
+	clock_source_t clock = clock_boottime();
+
+	feed->store = store;
+	feed->exchange = exchange;
+	feed->table = query_value(target, "table");
+	feed->after = g_ascii_strtoll(after, NULL, 10);
+	alarm_init(&feed->deadline, clock, on_feed_deadline, feed);
+	g_queue_push_tail(&store->waiting, feed);
+	exchange_set_context(exchange, feed);
+	if (feed->after < store->history_from) {
+		free_feed(feed);
+		exchange_set_context(exchange, NULL);
+		reply(exchange, 410, "{}");
+	} else if (has_news(feed)) {
+		end_feed(feed);
+	} else {
+		alarm_set(&feed->deadline,
+			  clock_now(&clock) +
+				  g_ascii_strtoll(wait_ms, NULL, 10) *
+					  CLOCK_US_PER_MS);
+	}
+	g_free(after);
+	g_free(wait_ms);
+}
+
+static bool conditions_hold(const soak_store_t *store, JsonObject *call)
+{
+	JsonArray *expected = json_object_get_array_member(call, "expected");
+
+	for (guint i = 0; i < json_array_get_length(expected); i++) {
+		JsonObject *entry =
+			json_array_get_object_element(expected, i);
+		const soak_row_t *row =
+			find(store,
+			     json_object_get_string_member(entry, "table"),
+			     json_object_get_string_member(entry, "key"));
+		int64_t version = row && row->value ? row->version : 0;
+
+		if (json_object_get_int_member(entry, "ver") != version)
+			return false;
+	}
+	return true;
+}
+
+static void transact(soak_store_t *store, exchange_t *exchange)
+{
+	str_t body = exchange_body(exchange);
+	JsonParser *parser = json_parser_new();
+	JsonObject *call;
+	JsonArray *writes;
+
+	if (!json_parser_load_from_data(parser, body.data, (gssize)body.len,
+					NULL)) {
+		reply(exchange, 400, "{}");
+		g_object_unref(parser);
+		return;
+	}
+	call = json_node_get_object(json_parser_get_root(parser));
+	if (!conditions_hold(store, call)) {
+		reply(exchange, 412, "{\"rows\":[]}");
+		g_object_unref(parser);
+		return;
+	}
+	writes = json_object_get_array_member(call, "writes");
+	for (guint i = 0; i < json_array_get_length(writes); i++) {
+		JsonObject *entry = json_array_get_object_element(writes, i);
+
+		set_row(store, json_object_get_string_member(entry, "table"),
+			json_object_get_string_member(entry, "key"),
+			json_object_get_string_member(entry, "value"));
+	}
+	g_object_unref(parser);
+	if (store->lose_answers > 0) {
+		store->lose_answers--;
+		exchange_abort(exchange);
+	} else {
+		reply(exchange, 200, "{\"ver\":1,\"nowMs\":1}");
+	}
+	wake_feeds(store);
+}
+
+static void on_request(void *context, exchange_t *exchange)
+{
+	soak_store_t *store = context;
+	const char *target = exchange_head(exchange)->target->str;
+
+	if (store->busy) {
+		reply(exchange, 503, "{}");
+	} else if (strstr(target, "/rows-tx")) {
+		transact(store, exchange);
+	} else if (strstr(target, "/rows-feed")) {
+		start_feed(store, exchange, target);
+	} else {
+		char *table = query_value(target, "table");
+
+		reply_rows(store, exchange, table, 0, false);
+		g_free(table);
+	}
+}
+
+static void on_gone(void *context, exchange_t *exchange)
+{
+	feed_t *feed = exchange_context(exchange);
+
+	if (feed)
+		free_feed(feed);
+}
+
+static const ingress_handler_t handler = {
+	.on_request = on_request,
+	.on_gone = on_gone,
+};
+
+/* Starts to listen with empty tables. */
+void soak_store_start(soak_store_t *store, const char *address)
+{
+	static const ingress_limits_t limits = {
+		.max_head_bytes = 65536,
+		.max_body_bytes = 1 << 20,
+		.head_timeout_us = 10 * CLOCK_US_PER_S,
+		.idle_timeout_us = 60 * CLOCK_US_PER_S,
+	};
+
+	memset(store, 0, sizeof(*store));
+	store->rows = g_ptr_array_new_with_free_func(free_row);
+	g_assert_true(ingress_init(&store->ingress, address, clock_boottime(),
+				   &limits, &handler, store));
+}
+
+/* Closes all connections. */
+void soak_store_stop(soak_store_t *store)
+{
+	while (!g_queue_is_empty(&store->waiting))
+		free_feed(g_queue_peek_head(&store->waiting));
+	ingress_finish(&store->ingress);
+	g_ptr_array_unref(store->rows);
+}
+
+/* Writes a row as the operator or a server would. */
+void soak_store_put(soak_store_t *store, const char *table, const char *key,
+		    const char *text)
+{
+	char *value =
+		g_base64_encode((const guchar *)text, strlen(text));
+
+	set_row(store, table, key, value);
+	g_free(value);
+	wake_feeds(store);
+}
+
+/* Removes a row. */
+void soak_store_remove(soak_store_t *store, const char *table, const char *key)
+{
+	set_row(store, table, key, NULL);
+	wake_feeds(store);
+}
+
+/* Drops the history: feeds have to start over. */
+void soak_store_forget_history(soak_store_t *store)
+{
+	store->history_from = ++store->version;
+}
--- /dev/null
+++ b/tests/tool_soak.c
@@ -0,0 +1,545 @@
+/* Fault soak: real entry processes between stand-ins of the platform, under
+ * seeded faults that overlap, with the promises checked while it runs.
+ */
+#include <argtable2.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "process/alarm.h"
+#include "soak_address.h"
+#include "soak_caller.h"
+#include "support_process.h"
+
+#define MAX_ENTRIES 300
+#define MAX_SERVERS 300
+#define MAX_CALLERS 2000
+
+#define START_US (1500 * CLOCK_US_PER_MS)
+#define CALM_US (3500 * CLOCK_US_PER_MS)
+#define STEP_US (20 * CLOCK_US_PER_MS)
+#define LEAVE_US (2500 * CLOCK_US_PER_MS)
+
+/* Longest fault. */
+#define MAX_FAULT_MS 2500
+
+/* In the calm at the end at least this share is served. */
+#define CALM_SERVED 0.9
+
+typedef struct {
+	process_t process;
+	proxy_t *store_proxy;
+	char *settings_path;
+	char *callers_address;
+	char *ready_address;
+	char *metrics_address;
+	char *peer_address;
+	char *vm;
+	bool running;
+	bool stopped; /* by SIGSTOP */
+} entry_vm_t;
+
+typedef enum {
+	FAULT_ENTRY_KILL,
+	FAULT_ENTRY_TERM,
+	FAULT_ENTRY_FREEZE,
+	FAULT_ENTRY_HUP,
+	FAULT_SERVER_CRASH,
+	FAULT_SERVER_LEAVE,
+	FAULT_SERVER_LINK,
+	FAULT_STORE_LINK,
+	FAULT_STORE_BUSY,
+	FAULT_STORE_HISTORY,
+	FAULT_STORE_LOST,
+	FAULTS_N,
+} fault_kind_t;
+
+static const char *const fault_names[] = {
+	"entry_kill",	"entry_term",	 "entry_freeze", "entry_hup",
+	"server_crash", "server_leave",	 "server_link",	 "store_link",
+	"store_busy",	"store_history", "store_lost",
+};
+
+typedef struct {
+	fault_kind_t kind;
+	unsigned target;
+	int64_t ends_us;
+} fault_t;
+
+typedef struct {
+	soak_store_t store;
+	soak_world_t world;
+	char *store_address;
+	char *folder;
+	entry_vm_t entries[MAX_ENTRIES];
+	unsigned n_entries;
+	soak_server_t servers[MAX_SERVERS];
+	unsigned n_servers;
+	soak_caller_t *callers[MAX_CALLERS];
+	unsigned n_callers;
+	http_pool_t caller_pool;
+	soak_counts_t counts;
+	soak_counts_t calm; /* of the last phase */
+	GArray *faults; /* of fault_t, in effect */
+	unsigned version;
+	int64_t start_us;
+	int64_t calm_from_us;
+	int64_t end_us;
+	int64_t next_fault_us;
+	bool quiet; /* no faults at all */
+} soak_t;
+
+static int64_t now_us(void)
+{
+	clock_source_t clock = clock_boottime();
+
+	return clock_now(&clock);
+}
+
+static void write_settings(const soak_t *soak, const entry_vm_t *entry)
+{
+	char *text = g_strdup_printf(
+		"vm = \"%s\"\nzone = \"z%u\"\ncallers_address = \"%s\"\n"
+		"ready_address = \"%s\"\nmetrics_address = \"%s\"\n"
+		"peer_address = \"%s\"\nstore_address = \"%s\"\n"
+		"shutdown_limit_s = 4\nretry_share = 0.2\n"
+		"retry_slack = 50\n",
+		entry->vm, (unsigned)(entry - soak->entries) % 2,
+		entry->callers_address, entry->ready_address,
+		entry->metrics_address, entry->peer_address,
+		proxy_address(entry->store_proxy));
+
+	g_assert_true(g_file_set_contents(entry->settings_path, text, -1,
+					  NULL));
+	g_free(text);
+}
+
+static void start_entry(soak_t *soak, entry_vm_t *entry)
+{
+	const char *args[] = {"entry", entry->settings_path, NULL};
+	char *log = g_strconcat(entry->settings_path, ".err", NULL);
+
+	entry->running =
+		process_start(&entry->process, "gooseberryspur", args, log);
+	entry->stopped = false;
+	g_assert_true(entry->running);
+	g_free(log);
+}
+
+static void init_entry(soak_t *soak, unsigned i)
+{
+	entry_vm_t *entry = &soak->entries[i];
+
+	entry->vm = g_strdup_printf("vm-%u", i);
+	entry->callers_address = soak_free_address();
+	entry->ready_address = soak_free_address();
+	entry->metrics_address = soak_free_address();
+	entry->peer_address = soak_free_address();
+	entry->store_proxy = proxy_new(soak->store_address);
+	entry->settings_path =
+		g_strdup_printf("%s/%s.toml", soak->folder, entry->vm);
+	write_settings(soak, entry);
+	start_entry(soak, entry);
+}
+
+/* Keeps what the process logged, and takes note of its end. */
+static void stop_entry(entry_vm_t *entry, int signal_number)
+{
+	char *log = g_strconcat(entry->settings_path, ".log", NULL);
+	FILE *file = fopen(log, "a");
+
+	if (entry->stopped)
+		process_signal(&entry->process, SIGCONT);
+	process_signal(&entry->process, signal_number);
+	(void)process_wait_end(&entry->process, 6000);
+	if (file) {
+		fwrite(entry->process.output->str, 1,
+		       entry->process.output->len, file);
+		fclose(file);
+	}
+	process_finish(&entry->process);
+	entry->running = false;
+	entry->stopped = false;
+	g_free(log);
+}
+
+static void put_config(soak_t *soak)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":%u,\"routes\":["
+		"{\"name\":\"s\",\"host\":\"soak.example\",\"pathPrefix\":"
+		"\"/safe/\",\"kind\":\"safe\",\"timeoutMs\":2500,"
+		"\"targetLatencyMs\":150,\"service\":\"app\","
+		"\"maxAttempts\":2},"
+		"{\"name\":\"u\",\"host\":\"soak.example\",\"pathPrefix\":"
+		"\"/unsafe/\",\"kind\":\"unsafe\",\"timeoutMs\":2500,"
+		"\"targetLatencyMs\":150,\"service\":\"app\","
+		"\"maxAttempts\":1},"
+		"{\"name\":\"l\",\"host\":\"soak.example\",\"pathPrefix\":"
+		"\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":3000,"
+		"\"targetLatencyMs\":900,\"service\":\"llm\","
+		"\"maxAttempts\":1}],\"services\":["
+		"{\"name\":\"app\",\"healthPath\":\"/health\"},"
+		"{\"name\":\"llm\",\"healthPath\":\"/health\",\"engine\":{"
+		"\"slots\":12,\"kvTokenCapacity\":100000,\"stride\":1,"
+		"\"handleTtlS\":0.5,\"reconfigureS\":1.0}}],"
+		"\"limits\":{\"idleTimeoutMs\":4000}}",
+		++soak->version);
+
+	soak_store_put(&soak->store, "op", "config", text);
+	g_free(text);
+}
+
+static void init(soak_t *soak, uint64_t seed, unsigned entries,
+		 unsigned servers, unsigned callers)
+{
+	memset(soak, 0, sizeof(*soak));
+	soak->store_address = soak_free_address();
+	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
+	soak_store_start(&soak->store, soak->store_address);
+	soak_world_init(&soak->world, &soak->store, seed);
+	put_config(soak);
+	soak->n_servers = servers;
+	for (unsigned i = 0; i < servers; i++)
+		soak_server_start(&soak->servers[i], &soak->world,
+				  i % 3 == 0 ? "app" : "llm",
+				  i % 2 ? "z1" : "z0",
+				  i % 3 == 0   ? SOAK_PLAIN
+				  : i % 3 == 1 ? SOAK_PREFILL
+					       : SOAK_DECODE);
+	soak->n_entries = entries;
+	for (unsigned i = 0; i < entries; i++)
+		init_entry(soak, i);
+	http_pool_init(&soak->caller_pool, clock_boottime(), 0);
+	soak->n_callers = callers;
+	for (unsigned i = 0; i < callers; i++)
+		soak->callers[i] = soak_caller_new(
+			&soak->world, &soak->caller_pool, &soak->counts);
+	soak->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
+}
+
+/* --- faults ------------------------------------------------------------ */
+
+static proxy_mode_t random_mode(soak_t *soak)
+{
+	return (proxy_mode_t)(1 + soak_random(&soak->world, PROXY_MODES_N - 1));
+}
+
+static void begin_entry_fault(soak_t *soak, const fault_t *fault)
+{
+	entry_vm_t *entry = &soak->entries[fault->target];
+
+	if (!entry->running)
+		return;
+	switch (fault->kind) {
+	case FAULT_ENTRY_KILL:
+		stop_entry(entry, SIGKILL);
+		break;
+	case FAULT_ENTRY_TERM:
+		process_signal(&entry->process, SIGTERM);
+		break;
+	case FAULT_ENTRY_FREEZE:
+		entry->stopped = true;
+		process_signal(&entry->process, SIGSTOP);
+		break;
+	default:
+		write_settings(soak, entry);
+		process_signal(&entry->process, SIGHUP);
+		break;
+	}
+}
+
+static void begin_server_fault(soak_t *soak, const fault_t *fault)
+{
+	soak_server_t *server = &soak->servers[fault->target];
+
+	if (fault->kind == FAULT_SERVER_CRASH)
+		soak_server_crash(server, soak_random(&soak->world, 2));
+	else if (fault->kind == FAULT_SERVER_LINK)
+		proxy_set_mode(server->proxy, random_mode(soak));
+	else if (server->up)
+		/* Routers that are cut off may learn of it late. */
+		soak_server_leave(server, soak->quiet ? now_us() + LEAVE_US
+						      : INT64_MAX);
+}
+
+static void begin_store_fault(soak_t *soak, const fault_t *fault)
+{
+	switch (fault->kind) {
+	case FAULT_STORE_LINK:
+		proxy_set_mode(soak->entries[fault->target].store_proxy,
+			       random_mode(soak));
+		break;
+	case FAULT_STORE_BUSY:
+		soak->store.busy = true;
+		break;
+	case FAULT_STORE_HISTORY:
+		soak_store_forget_history(&soak->store);
+		break;
+	default:
+		soak->store.lose_answers = 3;
+		break;
+	}
+}
+
+static void begin_fault(soak_t *soak)
+{
+	fault_t fault = {
+		.kind = (fault_kind_t)soak_random(&soak->world, FAULTS_N),
+		.ends_us =
+			now_us() +
+			(int64_t)(200 + soak_random(&soak->world,
+						    MAX_FAULT_MS - 200)) *
+				CLOCK_US_PER_MS,
+	};
+	bool on_server = fault.kind >= FAULT_SERVER_CRASH &&
+			 fault.kind <= FAULT_SERVER_LINK;
+
+	fault.target = (unsigned)soak_random(
+		&soak->world, on_server ? soak->n_servers : soak->n_entries);
+	printf("%6.2f s %s %u until %.2f s\n",
+	       (double)(now_us() - soak->start_us) / 1e6,
+	       fault_names[fault.kind], fault.target,
+	       (double)(fault.ends_us - soak->start_us) / 1e6);
+	if (fault.kind <= FAULT_ENTRY_HUP)
+		begin_entry_fault(soak, &fault);
+	else if (on_server)
+		begin_server_fault(soak, &fault);
+	else
+		begin_store_fault(soak, &fault);
+	g_array_append_val(soak->faults, fault);
+}
+
+static void end_fault(soak_t *soak, const fault_t *fault)
+{
+	entry_vm_t *entry = &soak->entries[fault->target];
+	soak_server_t *server = &soak->servers[fault->target];
+
+	switch (fault->kind) {
+	case FAULT_ENTRY_FREEZE:
+		if (entry->running && entry->stopped)
+			process_signal(&entry->process, SIGCONT);
+		entry->stopped = false;
+		break;
+	case FAULT_SERVER_CRASH:
+		soak_server_restart(server);
+		break;
+	case FAULT_SERVER_LEAVE:
+		soak_server_crash(server, false);
+		soak_server_restart(server);
+		break;
+	case FAULT_SERVER_LINK:
+		proxy_set_mode(server->proxy, PROXY_PASS);
+		break;
+	case FAULT_STORE_LINK:
+		proxy_set_mode(entry->store_proxy, PROXY_PASS);
+		break;
+	case FAULT_STORE_BUSY:
+		soak->store.busy = false;
+		break;
+	default:
+		break;
+	}
+}
+
+static void end_due_faults(soak_t *soak, bool all)
+{
+	guint i = 0;
+
+	while (i < soak->faults->len) {
+		fault_t fault = g_array_index(soak->faults, fault_t, i);
+
+		if (all || fault.ends_us <= now_us()) {
+			g_array_remove_index_fast(soak->faults, i);
+			end_fault(soak, &fault);
+		} else {
+			i++;
+		}
+	}
+}
+
+/* Processes that have ended are started again, as the platform does. */
+static void restart_entries(soak_t *soak)
+{
+	for (unsigned i = 0; i < soak->n_entries; i++) {
+		entry_vm_t *entry = &soak->entries[i];
+
+		if (entry->running && process_wait_end(&entry->process, 0)) {
+			if (WIFSIGNALED(entry->process.status) &&
+			    WTERMSIG(entry->process.status) != SIGKILL)
+				soak_world_violate(&soak->world,
+						   "%s ended by signal %d",
+						   entry->vm,
+						   WTERMSIG(entry->process
+								    .status));
+			stop_entry(entry, SIGKILL);
+		}
+		if (!entry->running)
+			start_entry(soak, entry);
+	}
+}
+
+/* --- load -------------------------------------------------------------- */
+
+static void send_requests(soak_t *soak)
+{
+	for (unsigned i = 0; i < soak->n_callers; i++) {
+		int64_t leave_us = 0;
+		soak_kind_t kind;
+		entry_vm_t *entry;
+
+		if (soak_caller_is_busy(soak->callers[i]) ||
+		    soak_random(&soak->world, 4) != 0)
+			continue;
+		entry = &soak->entries[i % soak->n_entries];
+		kind = (soak_kind_t)soak_random(&soak->world, SOAK_KINDS_N);
+		if (soak_random(&soak->world, 10) == 0)
+			leave_us = now_us() +
+				   (int64_t)soak_random(&soak->world, 300) *
+					   CLOCK_US_PER_MS;
+		soak_caller_send(soak->callers[i], entry->callers_address, kind,
+				 leave_us);
+	}
+}
+
+static gboolean on_step(gpointer data)
+{
+	soak_t *soak = data;
+	int64_t now = now_us();
+	bool calm = now >= soak->calm_from_us;
+
+	end_due_faults(soak, calm);
+	restart_entries(soak);
+	if (!soak->quiet && !calm && now >= soak->next_fault_us) {
+		begin_fault(soak);
+		soak->next_fault_us =
+			now + (int64_t)soak_random(&soak->world, 500) *
+				      CLOCK_US_PER_MS;
+	}
+	if (soak_random(&soak->world, 50) == 0)
+		put_config(soak);
+	/* The first seconds of the calm are for the recovery. */
+	if (calm && soak->calm.sent == 0 &&
+	    now >= soak->calm_from_us + CALM_US / 2)
+		soak->calm = soak->counts;
+	if (now < soak->end_us)
+		send_requests(soak);
+	return G_SOURCE_CONTINUE;
+}
+
+/* --- end --------------------------------------------------------------- */
+
+static void check_calm(soak_t *soak)
+{
+	unsigned sent = soak->counts.sent - soak->calm.sent;
+	unsigned served = soak->counts.served - soak->calm.served;
+
+	printf("calm: %u sent, %u served\n", sent, served);
+	/* A tenth of the callers leave. */
+	if ((double)served < (double)sent * (CALM_SERVED - 0.1))
+		soak_world_violate(&soak->world,
+				   "RECOVER: %u of %u served in the calm",
+				   served, sent);
+}
+
+/* Nothing runs once all callers have gone. */
+static void check_nothing_runs(soak_t *soak)
+{
+	for (unsigned i = 0; i < soak->n_servers; i++) {
+		if (soak->servers[i].in_work > 0)
+			soak_world_violate(&soak->world,
+					   "GONE: %u requests still run at %s",
+					   soak->servers[i].in_work,
+					   soak->servers[i].id);
+	}
+}
+
+static void run_until(int64_t until_us)
+{
+	while (now_us() < until_us)
+		g_main_context_iteration(NULL, TRUE);
+}
+
+static void finish(soak_t *soak)
+{
+	for (unsigned i = 0; i < soak->n_callers; i++)
+		soak_caller_free(soak->callers[i]);
+	http_pool_finish(&soak->caller_pool);
+	for (unsigned i = 0; i < soak->n_entries; i++) {
+		if (soak->entries[i].running)
+			stop_entry(&soak->entries[i], SIGKILL);
+		proxy_free(soak->entries[i].store_proxy);
+	}
+	for (unsigned i = 0; i < soak->n_servers; i++)
+		soak_server_stop(&soak->servers[i]);
+	soak_store_stop(&soak->store);
+}
+
+static int run(uint64_t seed, unsigned seconds, unsigned entries,
+	       unsigned servers, unsigned callers, bool quiet)
+{
+	static soak_t soak;
+	unsigned violations;
+	guint step;
+
+	init(&soak, seed, entries, servers, callers);
+	soak.quiet = quiet;
+	soak.start_us = now_us() + START_US;
+	run_until(soak.start_us);
+	soak.next_fault_us = soak.start_us;
+	soak.calm_from_us = soak.start_us + seconds * CLOCK_US_PER_S;
+	soak.end_us = soak.calm_from_us + CALM_US;
+	step = g_timeout_add(STEP_US / CLOCK_US_PER_MS, on_step, &soak);
+	run_until(soak.end_us);
+	check_calm(&soak);
+	/* Callers leave; the routers end what runs for them. */
+	for (unsigned i = 0; i < soak.n_callers; i++) {
+		soak_caller_free(soak.callers[i]);
+		soak.callers[i] = soak_caller_new(
+			&soak.world, &soak.caller_pool, &soak.counts);
+	}
+	run_until(now_us() + 1500 * CLOCK_US_PER_MS);
+	check_nothing_runs(&soak);
+	g_source_remove(step);
+	violations = soak.world.violations->len;
+	printf("seed %llu: %u sent, %u served, %u refused, %u failed, "
+	       "%u broken; %u violations; logs in %s\n",
+	       (unsigned long long)seed, soak.counts.sent, soak.counts.served,
+	       soak.counts.refused, soak.counts.failed, soak.counts.broken,
+	       violations, soak.folder);
+	finish(&soak);
+	soak_world_finish(&soak.world);
+	return violations ? 1 : 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of the run");
+	struct arg_int *seconds =
+		arg_int0(NULL, "seconds", "N", "length of the faults");
+	struct arg_int *entries =
+		arg_int0(NULL, "entries", "N", "entry processes");
+	struct arg_int *servers =
+		arg_int0(NULL, "servers", "N", "backend servers");
+	struct arg_int *callers = arg_int0(NULL, "callers", "N", "callers");
+	struct arg_lit *quiet = arg_lit0(NULL, "quiet", "no faults");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {seed, seconds, entries, servers, callers, quiet, end};
+
+	seed->ival[0] = 1;
+	seconds->ival[0] = 10;
+	entries->ival[0] = 4;
+	servers->ival[0] = 9;
+	callers->ival[0] = 24;
+	if (arg_parse(argc, argv, table) || entries->ival[0] > MAX_ENTRIES ||
+	    servers->ival[0] > MAX_SERVERS || callers->ival[0] > MAX_CALLERS) {
+		arg_print_errors(stderr, end, "tool_soak");
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	return run((uint64_t)seed->ival[0], (unsigned)seconds->ival[0],
+		   (unsigned)entries->ival[0], (unsigned)servers->ival[0],
+		   (unsigned)callers->ival[0], quiet->count > 0);
+}
