--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -17,7 +17,7 @@
  * still be on time: a late answer is worth a fraction, and occupies its place
  * for as long.
  */
-#define LATE_HEADROOM 0.08
+#define LATE_HEADROOM 0.03
 
 /* Late requests that may wait, as a share of all places. */
 #define LATE_QUEUE_SHARE 0.25
@@ -109,25 +109,35 @@
 	return best != INT64_MAX;
 }
 
-/* Places of all engines, and those that a request of this size would find. */
-static void count_places(const admission_view_t *view, int64_t kv_tokens,
-			 int64_t *all, int64_t *taken, int64_t *open)
+/* Places for requests of one size. */
+typedef struct {
+	int64_t all; /* as many as batches and memory take */
+	int64_t taken;
+	int64_t open; /* for a request on time, overbooked ones included */
+	int64_t spare; /* for a late request */
+} places_t;
+
+static places_t count_places(const admission_view_t *view, int64_t kv_tokens)
 {
-	*all = 0;
-	*taken = 0;
-	*open = 0;
+	places_t places = {0};
+
 	for (size_t i = 0; i < view->n_decodes; i++) {
 		const admission_decode_t *decode = &view->decodes[i];
+		int64_t slots = free_slots(decode);
 		int64_t by_memory;
 
 		if (!decode->usable)
 			continue;
-		*all += decode->slots;
-		*taken += decode->use.streams;
 		by_memory = (decode->kv_tokens - decode->use.kv_tokens) /
 			    MAX(kv_tokens, 1);
-		*open += MAX(MIN(free_slots(decode), by_memory), 0);
+		places.all += MIN(decode->slots,
+				  decode->kv_tokens / MAX(kv_tokens, 1));
+		places.taken += decode->use.streams;
+		places.open += MAX(MIN(slots, by_memory), 0);
+		places.spare +=
+			MAX(MIN(slots - OVERBOOKED_SLOTS, by_memory), 0);
 	}
+	return places;
 }
 
 /* Time until as many places have become free as requests are ahead. */
@@ -141,11 +151,10 @@
 	return (int64_t)((double)missing * view->stream_us / (double)taken);
 }
 
-static bool fits_anywhere(const admission_view_t *view, int64_t kv_tokens)
+static bool is_any_usable(const admission_view_t *view)
 {
 	for (size_t i = 0; i < view->n_decodes; i++) {
-		if (view->decodes[i].usable &&
-		    view->decodes[i].kv_tokens >= kv_tokens)
+		if (view->decodes[i].usable)
 			return true;
 	}
 	return false;
@@ -164,17 +173,17 @@
  */
 static admission_decision_t decide_late(const admission_request_t *request,
 					admission_decision_t decision,
-					int64_t all, int64_t open, bool room,
+					const places_t *places, bool room,
 					int64_t now_us)
 {
-	int64_t kept = 1 + (int64_t)((double)all * LATE_HEADROOM);
+	int64_t kept = 1 + (int64_t)((double)places->all * LATE_HEADROOM);
 
-	if (room && open > (int64_t)request->ahead + kept &&
+	if (room && places->spare > (int64_t)request->ahead + kept &&
 	    decision.prefill.wait_us <= LATE_PREFILL_WAIT_US) {
 		decision.action = ADMISSION_START;
 		return decision;
 	}
-	if ((double)request->ahead > (double)all * LATE_QUEUE_SHARE)
+	if ((double)request->ahead > (double)places->all * LATE_QUEUE_SHARE)
 		return refuse(decision, ADMISSION_FULL);
 	if (now_us >= request->give_up_us)
 		return refuse(decision, ADMISSION_LATE);
@@ -212,23 +221,23 @@
 				      int64_t now_us)
 {
 	admission_decision_t decision = {.reason = ADMISSION_OK};
-	int64_t all, taken, open;
+	places_t places;
 	bool room;
 
 	if (!admission_pick_prefill(view, request->prompt_tokens,
-				    &decision.prefill))
-		return refuse(decision, ADMISSION_NO_ENGINE);
-	count_places(view, request->kv_tokens, &all, &taken, &open);
-	if (all == 0)
+				    &decision.prefill) ||
+	    !is_any_usable(view))
 		return refuse(decision, ADMISSION_NO_ENGINE);
-	if (!fits_anywhere(view, request->kv_tokens))
+	places = count_places(view, request->kv_tokens);
+	if (places.all == 0)
 		return refuse(decision, ADMISSION_TOO_LARGE);
-	room = admission_pick_decode(view, request->kv_tokens, &decision.decode);
-	decision.wait_us =
-		wait_us(view, taken, (int64_t)request->ahead + 1 - open);
+	room = admission_pick_decode(view, request->kv_tokens,
+				     &decision.decode);
+	decision.wait_us = wait_us(view, places.taken,
+				   (int64_t)request->ahead + 1 - places.open);
 	if (request->claim.late)
-		return decide_late(request, decision, all, open, room, now_us);
-	return decide_on_time(request, decision, open, room, now_us);
+		return decide_late(request, decision, &places, room, now_us);
+	return decide_on_time(request, decision, places.open, room, now_us);
 }
 
 /* Estimated time from a start to the first event. */
