Give up connections that do not come about, and addresses that changed hands

Change: an attempt ends after 300 ms as not sent; an address belongs to the server that was entered last; peers avoid a server that one found misdirected.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -3,6 +3,7 @@
 #include "connection/address.h"
 #include "connection/http_message.h"
 #include "connection/tcp.h"
+#include "process/alarm.h"
 
 /* A kept connection is not used this close to the end of the time for which
  * the server keeps it, because a request could cross its close.
@@ -33,6 +34,7 @@
 	const char *id_header;
 	GString *id;
 	int64_t idle_until_us;
+	alarm_t connecting; /* set while there is no connection yet */
 	bool fresh; /* opened for this call */
 	bool skipping; /* the response belongs to another request */
 	bool is_head;
@@ -49,6 +51,7 @@
 		g_queue_remove(&call->host->idle, call);
 	call->host->connections--;
 	tcp_finish(&call->tcp);
+	alarm_finish(&call->connecting);
 	http_message_finish(&call->message);
 	g_string_free(call->id, TRUE);
 	g_free(call);
@@ -166,6 +169,7 @@
 		destroy(call);
 		return;
 	}
+	alarm_set(&call->connecting, -1);
 	if (end == TCP_END_CONNECT) {
 		finish(call, CALL_NOT_SENT);
 		return;
@@ -220,6 +224,15 @@
 	.on_body = on_body,
 };
 
+/* No connection came about: nothing was sent. */
+static void on_connect_timeout(void *context)
+{
+	http_call_t *call = context;
+
+	if (call->tcp.connecting)
+		finish(call, CALL_NOT_SENT);
+}
+
 static void free_host(gpointer data)
 {
 	http_host_t *host = data;
@@ -233,11 +246,12 @@
 
 /* Sets up a pool without connections. */
 void http_pool_init(http_pool_t *pool, clock_source_t clock,
-		    unsigned user_timeout_ms)
+		    unsigned user_timeout_ms, int64_t connect_timeout_us)
 {
 	*pool = (http_pool_t){
 		.clock = clock,
 		.user_timeout_ms = user_timeout_ms,
+		.connect_timeout_us = connect_timeout_us,
 		.hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       free_host),
 	};
@@ -298,6 +312,12 @@
 		g_free(call);
 		return NULL;
 	}
+	alarm_init(&call->connecting, host->pool->clock, on_connect_timeout,
+		   call);
+	if (host->pool->connect_timeout_us > 0)
+		alarm_set(&call->connecting,
+			  clock_now(&host->pool->clock) +
+				  host->pool->connect_timeout_us);
 	host->connections++;
 	host->pool->opened++;
 	call->fresh = true;
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -29,6 +29,7 @@
 typedef struct {
 	clock_source_t clock;
 	unsigned user_timeout_ms; /* unacknowledged data ends a connection */
+	int64_t connect_timeout_us; /* a new connection is given up */
 	uint64_t opened; /* connections made */
 	uint64_t stale; /* responses to other requests, skipped */
 	GHashTable *hosts; /* "IP:port" to http_host_t */
@@ -46,7 +47,7 @@
 } http_call_options_t;
 
 void http_pool_init(http_pool_t *pool, clock_source_t clock,
-		    unsigned user_timeout_ms);
+		    unsigned user_timeout_ms, int64_t connect_timeout_us);
 void http_pool_finish(http_pool_t *pool);
 http_call_t *http_pool_call(http_pool_t *pool,
 			    const http_call_options_t *options);
--- a/src/process/entry.c
+++ b/src/process/entry.c
@@ -14,6 +14,11 @@
 /* Unacknowledged data ends a connection to a server or the store. */
 #define USER_TIMEOUT_MS 1500
 
+/* The way to any server takes milliseconds; a lost opening packet is sent again
+ * only after a second, when another server has long answered.
+ */
+#define CONNECT_TIMEOUT_US (300 * CLOCK_US_PER_MS)
+
 /* Time to come back to another VM while this one is stopping. */
 #define STOPPING_RETRY_US (50 * CLOCK_US_PER_MS)
 
@@ -29,6 +34,9 @@
 /* Peers are told of a server at which so many requests in a row failed. */
 #define TOLD_REFUSALS 2
 
+/* A server whose address answers as another one is gone; its entry lapses. */
+#define MISDIRECTED_TOLD_US (3 * CLOCK_US_PER_S)
+
 /* Share of the allowed second sends that is used. Other VMs count requests in
  * other windows than the backend servers do.
  */
@@ -286,6 +294,8 @@
 /* Until when peers should give a server no work; 0: they may. */
 static int64_t closed_until(const server_t *server, int64_t now_us)
 {
+	if (server->misdirected)
+		return now_us + MISDIRECTED_TOLD_US;
 	if (server->changing_until_us > now_us)
 		return server->changing_until_us;
 	if (server->refusals >= TOLD_REFUSALS &&
@@ -311,7 +321,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const server_t *server = value;
 
-		if (server_is_suspect(server) || server->misdirected)
+		if (server_is_suspect(server))
 			g_ptr_array_add(suspects, g_strdup(server->entry.id));
 		if (closed_until(server, now_us) != 0) {
 			occupancy_change_t change = {
@@ -520,8 +530,10 @@
 	};
 	memset(settings, 0, sizeof(*settings));
 	entry->loop = g_main_loop_new(NULL, FALSE);
-	http_pool_init(&entry->server_pool, clock, USER_TIMEOUT_MS);
-	http_pool_init(&entry->store_pool, clock, USER_TIMEOUT_MS);
+	http_pool_init(&entry->server_pool, clock, USER_TIMEOUT_MS,
+		       CONNECT_TIMEOUT_US);
+	http_pool_init(&entry->store_pool, clock, USER_TIMEOUT_MS,
+		       CONNECT_TIMEOUT_US);
 	server_set_init(&entry->servers);
 	occupancy_init(&entry->occupancy);
 	relay_init(&entry->relay, clock, &entry->server_pool, &entry->servers,
--- a/src/process/server_set.c
+++ b/src/process/server_set.c
@@ -74,6 +74,21 @@
 	       !g_str_equal(server->entry.service, entry->service);
 }
 
+/* An address belongs to the server that was entered last. */
+static void take_address(const server_set_t *set, const server_entry_t *entry)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, set->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server_t *server = value;
+
+		if (g_str_equal(server->entry.address, entry->address))
+			server->misdirected = true;
+	}
+}
+
 /*
  * Takes in an entry, which is emptied. A server that started again under its
  * old ID is a new one: nothing that was seen of the old one holds.
@@ -90,6 +105,7 @@
 	if (entry->leaving && server && !server->entry.leaving)
 		set->left_us = now_us;
 	if (!server) {
+		take_address(set, entry);
 		server = g_new0(server_t, 1);
 		server->refs = 1;
 		server->entry = *entry;
--- a/tests/test_http_pool.c
+++ b/tests/test_http_pool.c
@@ -53,7 +53,7 @@
 {
 	memset(caller, 0, sizeof(*caller));
 	caller->body = g_string_new(NULL);
-	http_pool_init(&caller->pool, clock_boottime(), 1000);
+	http_pool_init(&caller->pool, clock_boottime(), 1000, 0);
 }
 
 static void finish(caller_t *caller)
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -212,7 +212,7 @@
 	soak->n_entries = entries;
 	for (unsigned i = 0; i < entries; i++)
 		init_entry(soak, i);
-	http_pool_init(&soak->caller_pool, clock_boottime(), 0);
+	http_pool_init(&soak->caller_pool, clock_boottime(), 0, 0);
 	soak->n_callers = callers;
 	for (unsigned i = 0; i < callers; i++)
 		soak->callers[i] = soak_caller_new(
