--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -10,6 +10,11 @@
  */
 #define OUTPUT_SHARE 0.55
 
+/* Outputs that grow longer than estimated fill the memory of an engine, which
+ * then refuses prompts that were read for it.
+ */
+#define KV_FILL 0.95
+
 /* Fixed parts of a first event: both calls, transfer, first step. */
 #define FIRST_EVENT_US INT64_C(45000)
 
@@ -44,10 +49,16 @@
 	return decode->slots + OVERBOOKED_SLOTS - decode->use.streams;
 }
 
+/* Memory that streams may be counted on. */
+static int64_t usable_tokens(const admission_decode_t *decode)
+{
+	return (int64_t)((double)decode->kv_tokens * KV_FILL);
+}
+
 static bool has_room(const admission_decode_t *decode, int64_t kv_tokens)
 {
 	return decode->usable && free_slots(decode) > 0 &&
-	       decode->use.kv_tokens + kv_tokens <= decode->kv_tokens;
+	       decode->use.kv_tokens + kv_tokens <= usable_tokens(decode);
 }
 
 /* Load of a decode engine if it took the request, lower is better. */
@@ -128,10 +139,10 @@
 
 		if (!decode->usable)
 			continue;
-		by_memory = (decode->kv_tokens - decode->use.kv_tokens) /
+		by_memory = (usable_tokens(decode) - decode->use.kv_tokens) /
 			    MAX(kv_tokens, 1);
 		places.all += MIN(decode->slots,
-				  decode->kv_tokens / MAX(kv_tokens, 1));
+				  usable_tokens(decode) / MAX(kv_tokens, 1));
 		places.taken += decode->use.streams;
 		places.open += MAX(MIN(slots, by_memory), 0);
 		places.spare +=
