Learn whether the callers of a route are equally patient

Change: patience.c tells by the share of requests at the most whether callers are equally patient; otherwise only a large loss counts as coming back.

--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -82,23 +82,20 @@
 	return budget;
 }
 
-/* Time that a caller has already waited in earlier attempts: callers of a
- * route begin with the same patience, and a retry has less of it left.
- */
+/* Time that a caller has already waited in earlier attempts. */
 static int64_t waited_before(relay_t *relay, const table_route_t *route,
 			     int64_t time_left_us)
 {
 	char *key = g_strconcat(route->host, route->path_prefix, NULL);
-	int64_t *most = g_hash_table_lookup(relay->patience, key);
+	patience_t *patience = g_hash_table_lookup(relay->patience, key);
 
-	if (!most) {
-		most = g_new0(int64_t, 1);
-		g_hash_table_insert(relay->patience, key, most);
+	if (!patience) {
+		patience = g_new0(patience_t, 1);
+		g_hash_table_insert(relay->patience, key, patience);
 	} else {
 		g_free(key);
 	}
-	*most = MAX(*most, time_left_us);
-	return *most - time_left_us;
+	return patience_waited_us(patience, time_left_us);
 }
 
 /*
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -9,6 +9,7 @@
 #include "process/occupancy.h"
 #include "process/server_set.h"
 #include "request/outcome.h"
+#include "request/patience.h"
 #include "request/retry.h"
 #include "version/route_table.h"
 
@@ -23,7 +24,7 @@
 	double retry_share; /* second sends for each request */
 	double retry_slack; /* second sends of this router in a window */
 	GHashTable *budgets; /* service to retry_budget_t */
-	GHashTable *patience; /* route to the most time a caller gave */
+	GHashTable *patience; /* route to patience_t */
 	GQueue streams; /* of stream_t, in progress */
 	GQueue waiting; /* of stream_t, in the order of their claims */
 	double stream_us; /* mean duration of a decode */
