Send the product's own calls through the same connections; read overdue prompts elsewhere

The HTTP library reports the end of a connection between two chunks as the end of the body, and sends calls again unseen. client.c now uses the connection pool of the platform's path, so that test_cut_chunks passes, no call needs a connection of its own only to be safe, and there is one client. test_client_resend checks more than before: each method goes over a kept connection that closes under it.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -1,288 +1,254 @@
 #include "connection/client.h"
 
-#define MAX_CONNECTIONS 16384
-#define MAX_CONNECTIONS_HOST 2048
-#define IDLE_CONNECTION_S 30
-#define READ_BYTES 8192
+#include "connection/http_pool.h"
+#include "process/alarm.h"
+
 #define MAX_RESPONSE_BYTES (32 << 20)
 
 struct client_call {
 	client_t *client;
-	SoupMessage *message;
-	GCancellable *cancellable;
-	GInputStream *input;
+	http_call_t *call; /* NULL: no connection could be made */
+	SoupMessageHeaders *headers; /* of the response */
 	GByteArray *body;
-	goffset received; /* bytes of the body */
 	client_data_fn_t on_data;
-	client_done_fn_t on_done; /* NULL once aborted */
+	client_done_fn_t on_done;
 	void *context;
+	alarm_t alarm;
 	int64_t deadline_us;
 	int64_t idle_limit_us;
 	int64_t idle_deadline_us; /* 0: no idle limit */
-	guint timer;
-	bool started; /* bytes of the request may have left this process */
-	bool timed_out;
-	char buffer[READ_BYTES];
+	unsigned status; /* 0 without a response head */
+	bool has_end; /* the end of the body shows that it is whole */
+	bool is_head;
 };
 
-/*
- * Sets up the session. Redirects, proxies from the environment and content
- * decoding are off: a router passes on what the backend server answered. The
- * library's limit of two connections for a host would queue calls unseen.
- */
-void client_init(client_t *client, clock_source_t clock)
-{
-	client->clock = clock;
-	client->session = soup_session_new_with_options(
-		"max-conns", MAX_CONNECTIONS, "max-conns-per-host",
-		MAX_CONNECTIONS_HOST, "timeout", 0, "idle-timeout",
-		IDLE_CONNECTION_S, "proxy-resolver", NULL, NULL);
-	soup_session_remove_feature_by_type(client->session,
-					    SOUP_TYPE_CONTENT_DECODER);
-}
-
-/* Ends the session. Calls still open end with CLIENT_LOST or were aborted. */
-void client_finish(client_t *client)
-{
-	soup_session_abort(client->session);
-	g_clear_object(&client->session);
-}
-
 static void call_free(client_call_t *call)
 {
-	if (call->timer)
-		g_source_remove(call->timer);
-	g_clear_object(&call->input);
-	g_clear_object(&call->message);
-	g_clear_object(&call->cancellable);
+	g_ptr_array_remove_fast(call->client->calls, call);
+	alarm_finish(&call->alarm);
+	soup_message_headers_unref(call->headers);
 	g_byte_array_unref(call->body);
 	g_free(call);
 }
 
-static client_outcome_t outcome_of_failure(const client_call_t *call)
-{
-	if (!call->started)
-		return CLIENT_NOT_SENT;
-	return call->timed_out ? CLIENT_TIMED_OUT : CLIENT_LOST;
-}
-
-static void call_end(client_call_t *call, bool whole)
+static void call_end(client_call_t *call, client_outcome_t outcome)
 {
 	client_response_t response = {
-		.outcome = whole ? CLIENT_DONE : outcome_of_failure(call),
-		.status = soup_message_get_status(call->message),
-		.headers = soup_message_get_response_headers(call->message),
+		.outcome = outcome,
+		.status = call->status,
+		.headers = call->headers,
+		.body = g_byte_array_free_to_bytes(call->body),
 	};
 
-	if (call->on_done) {
-		response.body = g_byte_array_free_to_bytes(
-			g_byte_array_ref(call->body));
-		call->body = g_byte_array_new();
-		call->on_done(call->context, &response);
-		g_bytes_unref(response.body);
-	}
+	call->body = g_byte_array_new();
+	if (call->call)
+		http_call_cancel(call->call);
+	call->call = NULL;
+	call->on_done(call->context, &response);
+	g_bytes_unref(response.body);
 	call_free(call);
 }
 
-static gboolean on_timer(gpointer data);
-
-static void call_arm(client_call_t *call)
+static void arm(client_call_t *call)
 {
-	int64_t now_us = clock_now(&call->client->clock);
 	int64_t at_us = call->deadline_us;
 
 	if (call->idle_deadline_us && call->idle_deadline_us < at_us)
 		at_us = call->idle_deadline_us;
-	call->timer = g_timeout_add(
-		at_us > now_us ? (guint)((at_us - now_us) / CLOCK_US_PER_MS) + 1
-			       : 0,
-		on_timer, call);
-}
-
-static gboolean on_timer(gpointer data)
-{
-	client_call_t *call = data;
-	int64_t now_us = clock_now(&call->client->clock);
-
-	call->timer = 0;
-	if (now_us < call->deadline_us &&
-	    (!call->idle_deadline_us || now_us < call->idle_deadline_us)) {
-		call_arm(call);
-		return G_SOURCE_REMOVE;
-	}
-	call->timed_out = true;
-	g_cancellable_cancel(call->cancellable);
-	return G_SOURCE_REMOVE;
+	alarm_set(&call->alarm, at_us);
 }
 
 static void touch(client_call_t *call)
 {
-	if (call->idle_limit_us)
-		call->idle_deadline_us =
-			clock_now(&call->client->clock) + call->idle_limit_us;
+	if (!call->idle_limit_us)
+		return;
+	call->idle_deadline_us =
+		clock_now(&call->client->clock) + call->idle_limit_us;
+	arm(call);
 }
 
-static void read_more(client_call_t *call);
-
-static bool take_data(client_call_t *call, size_t len)
+static void on_alarm(void *context)
 {
-	if (call->on_data && soup_message_get_status(call->message) == 200) {
-		call->on_data(call->context, call->buffer, len);
-		return true;
-	}
-	if (call->body->len + len > MAX_RESPONSE_BYTES)
-		return false;
-	g_byte_array_append(call->body, (guint8 *)call->buffer, (guint)len);
-	return true;
+	client_call_t *call = context;
+
+	call_end(call, call->call && http_call_is_connected(call->call)
+			       ? CLIENT_TIMED_OUT
+			       : CLIENT_NOT_SENT);
 }
 
 /*
- * Tells whether the body that ended is whole. The library takes a body that was
- * cut for a whole one on connections that are not kept alive. Without a length
- * or chunks, an end cannot be told from a cut, even in the head.
+ * Without a length or chunks, the end of a body cannot be told from a cut, and
+ * such a response never counts as whole.
  */
-static bool is_whole(const client_call_t *call)
+static bool has_end(const client_call_t *call, const http_head_t *head)
 {
-	SoupMessageHeaders *headers =
-		soup_message_get_response_headers(call->message);
-	unsigned status = soup_message_get_status(call->message);
-
-	if (status == SOUP_STATUS_NO_CONTENT ||
-	    status == SOUP_STATUS_NOT_MODIFIED ||
-	    strcmp(soup_message_get_method(call->message), "HEAD") == 0)
-		return true;
-	switch (soup_message_headers_get_encoding(headers)) {
-	case SOUP_ENCODING_CONTENT_LENGTH:
-		return call->received ==
-		       soup_message_headers_get_content_length(headers);
-	case SOUP_ENCODING_EOF:
-		return false;
-	default:
-		return true;
+	str_t value;
+
+	return call->is_head || head->status == SOUP_STATUS_NO_CONTENT ||
+	       head->status == SOUP_STATUS_NOT_MODIFIED ||
+	       http_headers_find(&head->headers, "content-length", &value) ||
+	       http_headers_find(&head->headers, "transfer-encoding", &value);
+}
+
+static void on_head(void *context, const http_head_t *head)
+{
+	client_call_t *call = context;
+
+	call->status = head->status;
+	call->has_end = has_end(call, head);
+	for (size_t i = 0; i < http_headers_count(&head->headers); i++) {
+		http_field_t field = http_headers_at(&head->headers, i);
+		char *name = str_dup(field.name);
+		char *value = str_dup(field.value);
+
+		soup_message_headers_append(call->headers, name, value);
+		g_free(name);
+		g_free(value);
 	}
+	touch(call);
 }
 
-static void on_read(GObject *source, GAsyncResult *result, gpointer data)
+static void on_body(void *context, const char *data, size_t len)
 {
-	client_call_t *call = data;
-	gssize n = g_input_stream_read_finish(call->input, result, NULL);
+	client_call_t *call = context;
 
 	touch(call);
-	if (n <= 0 || !call->on_done) {
-		call_end(call, n == 0 && is_whole(call));
+	if (call->on_data && call->status == SOUP_STATUS_OK) {
+		call->on_data(call->context, data, len);
 		return;
 	}
-	call->received += n;
-	if (!take_data(call, (size_t)n)) {
-		call_end(call, false);
+	if (call->body->len + len > MAX_RESPONSE_BYTES) {
+		call->has_end = false;
 		return;
 	}
-	read_more(call);
+	g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
 }
 
-static void read_more(client_call_t *call)
+static void on_end(void *context, call_end_t end)
 {
-	g_input_stream_read_async(call->input, call->buffer, READ_BYTES,
-				  G_PRIORITY_DEFAULT, call->cancellable,
-				  on_read, call);
+	client_call_t *call = context;
+
+	call->call = NULL;
+	if (end == CALL_ANSWERED && call->has_end)
+		call_end(call, CLIENT_DONE);
+	else
+		call_end(call, end == CALL_NOT_SENT ? CLIENT_NOT_SENT
+						    : CLIENT_LOST);
 }
 
-static void on_sent(GObject *source, GAsyncResult *result, gpointer data)
-{
-	client_call_t *call = data;
+static const call_handler_t handler = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
 
-	call->input =
-		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
-	if (!call->input) {
-		call_end(call, false);
-		return;
-	}
-	touch(call);
-	read_more(call);
+/* Sets up a client without connections. */
+void client_init(client_t *client, clock_source_t clock)
+{
+	client->clock = clock;
+	client->calls = g_ptr_array_new();
+	http_pool_init(&client->pool, clock, 0, 0);
 }
 
-/* Emitted before the first byte of the request is written. */
-static void on_starting(SoupMessage *message, gpointer data)
+/* Closes all connections. Calls still open end with CLIENT_LOST. */
+void client_finish(client_t *client)
 {
-	client_call_t *call = data;
-
-	call->started = true;
+	while (client->calls->len > 0)
+		call_end(g_ptr_array_index(client->calls, 0), CLIENT_LOST);
+	http_pool_finish(&client->pool);
+	g_clear_pointer(&client->calls, g_ptr_array_unref);
 }
 
-static void copy_header(const char *name, const char *value, gpointer data)
+static void append_header(const char *name, const char *value, gpointer data)
 {
-	soup_message_headers_append(data, name, value);
+	http_append_field(data, str_from(name), str_from(value));
 }
 
-/*
- * libsoup sends a call other than POST again when its kept-alive connection
- * closes without a response. libsoup 3.2.3 then leaves out the body, so that a
- * PUT would write an empty value; with GETs it was seen to crash.
- * Nothing is sent again on a new connection. Closing it afterwards keeps idle
- * connections from filling the pool.
- */
-static void add_connection_flags(const client_request_t *request,
-				 SoupMessage *message)
+static GString *make_message(const client_request_t *request)
 {
-	if (!strcmp(request->method, "POST") && request->reuse_connection &&
-	    !request->new_connection) {
-		soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
-		return;
+	GString *message = g_string_new(NULL);
+
+	g_string_printf(message, "%s %s HTTP/1.1\r\n", request->method,
+			request->path);
+	http_append_field(message, STR("Host"), request->address);
+	if (request->headers)
+		soup_message_headers_foreach(request->headers, append_header,
+					     message);
+	if (request->new_connection)
+		g_string_append(message, "Connection: close\r\n");
+	if (request->body && request->content_type)
+		http_append_field(message, STR("Content-Type"),
+				  str_from(request->content_type));
+	if (request->body)
+		http_append_int(message, "Content-Length",
+				(int64_t)g_bytes_get_size(request->body));
+	else if (strcmp(request->method, "GET") != 0 &&
+		 strcmp(request->method, "HEAD") != 0)
+		http_append_int(message, "Content-Length", 0);
+	g_string_append(message, "\r\n");
+	if (request->body) {
+		gsize len;
+		const char *data = g_bytes_get_data(request->body, &len);
+
+		g_string_append_len(message, data, (gssize)len);
 	}
-	soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
-	soup_message_headers_replace(soup_message_get_request_headers(message),
-				     "Connection", "close");
+	return message;
 }
 
-static SoupMessage *make_message(const client_request_t *request)
+static bool is_valid(const client_request_t *request)
 {
-	char *uri = g_strdup_printf("http://%.*s%s", STR_ARG(request->address),
-				    request->path);
-	SoupMessage *message = soup_message_new(request->method, uri);
+	char *address = str_dup(request->address);
+	char *uri = g_strdup_printf("http://%s%s", address, request->path);
+	bool ok = request->path[0] == '/' &&
+		  g_uri_is_valid(uri, G_URI_FLAGS_NONE, NULL) &&
+		  !strpbrk(request->path, " \r\n");
 
+	g_free(address);
 	g_free(uri);
-	if (!message)
-		return NULL;
-	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-	if (request->headers)
-		soup_message_headers_foreach(
-			request->headers, copy_header,
-			soup_message_get_request_headers(message));
-	add_connection_flags(request, message);
-	if (request->body)
-		soup_message_set_request_body_from_bytes(
-			message, request->content_type, request->body);
-	return message;
+	return ok;
 }
 
 /*
  * Starts a call. The address and path must form a valid URI; NULL is returned
- * if they don't. Every call opens a new connection unless it is a POST with
- * reuse_connection, which only calls that may run twice should have. With on_data, the body
- * of a 200 response is passed on as it arrives.
+ * if they don't. A call is sent once, whatever becomes of its connection. With
+ * on_data, the body of a 200 response is passed on as it arrives.
  */
 client_call_t *client_send(client_t *client, const client_request_t *request)
 {
-	SoupMessage *message = make_message(request);
+	http_call_options_t options = {.handler = &handler};
 	client_call_t *call;
+	GString *message;
+	char *address;
 
-	if (!message)
+	if (!is_valid(request))
 		return NULL;
 	call = g_new0(client_call_t, 1);
 	call->client = client;
-	call->message = message;
-	call->cancellable = g_cancellable_new();
+	call->headers = soup_message_headers_new(SOUP_MESSAGE_HEADERS_RESPONSE);
 	call->body = g_byte_array_new();
 	call->on_data = request->on_data;
 	call->on_done = request->on_done;
 	call->context = request->context;
 	call->deadline_us = request->deadline_us;
 	call->idle_limit_us = request->idle_limit_us;
+	call->is_head = strcmp(request->method, "HEAD") == 0;
+	alarm_init(&call->alarm, client->clock, on_alarm, call);
+	g_ptr_array_add(client->calls, call);
+	message = make_message(request);
+	address = str_dup(request->address);
+	options.address = address;
+	options.message = message;
+	options.is_head = call->is_head;
+	options.fresh = request->new_connection;
+	options.context = call;
+	call->call = http_pool_call(&client->pool, &options);
+	g_free(address);
+	g_string_free(message, TRUE);
 	touch(call);
-	call_arm(call);
-	g_signal_connect(message, "starting", G_CALLBACK(on_starting), call);
-	soup_session_send_async(client->session, message, G_PRIORITY_DEFAULT,
-				call->cancellable, on_sent, call);
+	if (call->call)
+		arm(call);
+	else
+		alarm_set(&call->alarm, clock_now(&client->clock));
 	return call;
 }
 
@@ -291,7 +257,7 @@
 {
 	if (!call)
 		return;
-	call->on_done = NULL;
-	call->on_data = NULL;
-	g_cancellable_cancel(call->cancellable);
+	if (call->call)
+		http_call_cancel(call->call);
+	call_free(call);
 }
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -4,6 +4,7 @@
 
 #include <libsoup/soup.h>
 
+#include "connection/http_pool.h"
 #include "process/clock.h"
 #include "process/str.h"
 
@@ -26,7 +27,8 @@
 typedef void (*client_data_fn_t)(void *context, const char *data, size_t len);
 
 typedef struct {
-	SoupSession *session;
+	http_pool_t pool;
+	GPtrArray *calls; /* of client_call_t, in progress */
 	clock_source_t clock;
 } client_t;
 
@@ -39,8 +41,7 @@
 	SoupMessageHeaders *headers; /* copied; may be NULL */
 	const char *content_type; /* may be NULL without a body */
 	GBytes *body; /* may be NULL */
-	bool reuse_connection; /* POST only; see client_send() */
-	bool new_connection; /* any method: never sent twice */
+	bool new_connection; /* of its own, closed after the response */
 	int64_t deadline_us; /* of the whole call */
 	int64_t idle_limit_us; /* longest silence of a stream; 0: none */
 	client_data_fn_t on_data; /* streams the body of a 200 response */
--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -338,7 +338,6 @@
 {
 	GBytes *body = request->body;
 
-	request->reuse_connection = true;
 	request->content_type = "application/json";
 	request->context = call;
 	call->http = client_send(client, request);
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -35,7 +35,6 @@
 	GString *id;
 	int64_t idle_until_us;
 	alarm_t connecting; /* set while there is no connection yet */
-	bool fresh; /* opened for this call */
 	bool skipping; /* the response belongs to another request */
 	bool is_head;
 	bool feeding; /* the parser is running; it must not be freed */
@@ -289,8 +288,6 @@
 	       call->idle_until_us <= now_us)
 		destroy(call);
 	call = g_queue_pop_head(&host->idle);
-	if (call)
-		call->fresh = false;
 	return call;
 }
 
@@ -320,7 +317,6 @@
 				  host->pool->connect_timeout_us);
 	host->connections++;
 	host->pool->opened++;
-	call->fresh = true;
 	call->id = g_string_new(NULL);
 	call->handler = handler;
 	http_message_init(&call->message, false, &message_handler, call);
@@ -335,8 +331,10 @@
 			    const http_call_options_t *options)
 {
 	http_host_t *host = find_host(pool, options->address);
-	http_call_t *call = take_idle(host, clock_now(&pool->clock));
+	http_call_t *call = NULL;
 
+	if (!options->fresh)
+		call = take_idle(host, clock_now(&pool->clock));
 	if (!call)
 		call = open_connection(host, options->handler);
 	if (!call)
@@ -365,10 +363,10 @@
 	tcp_finish(&call->tcp);
 }
 
-/* Tells whether a connection was opened for this call. */
-bool http_call_is_new_connection(const http_call_t *call)
+/* Tells whether there is a connection: bytes of the request may have left. */
+bool http_call_is_connected(const http_call_t *call)
 {
-	return call->fresh;
+	return !call->tcp.connecting;
 }
 
 /* Closes the idle connections to an address. */
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -38,6 +38,7 @@
 typedef struct {
 	const char *address; /* IP:port */
 	const GString *message; /* head and body; copied */
+	bool fresh; /* on a connection of its own */
 	bool is_head; /* a HEAD request: the response has no body */
 	/* When set, a response with another X-Request-Id is skipped. */
 	const char *id_header; /* lower case; NULL: responses have no ID */
@@ -52,7 +53,7 @@
 http_call_t *http_pool_call(http_pool_t *pool,
 			    const http_call_options_t *options);
 void http_call_cancel(http_call_t *call);
-bool http_call_is_new_connection(const http_call_t *call);
+bool http_call_is_connected(const http_call_t *call);
 void http_pool_forget(http_pool_t *pool, const char *address);
 unsigned http_pool_connections(const http_pool_t *pool, const char *address);
 
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -922,27 +922,40 @@
 
 /* --- silence ----------------------------------------------------------- */
 
-static void check_engine(stream_t *stream, int64_t now_us)
+static void suspect(server_t *server, int64_t since_us, int64_t now_us)
 {
-	server_t *server = stream->send.server;
-	int64_t since_us;
-
-	if (!server || server_is_suspect(server))
-		return;
-	since_us = MAX(server->last_heard_us, stream->send.sent_us);
-	if (stream->state == STREAM_PREFILLING) {
-		if (now_us < stream->prefill_due_us ||
-		    server->last_heard_us > stream->send.sent_us)
-			return;
-	} else if (now_us - since_us < SILENCE_US) {
+	if (server_is_suspect(server))
 		return;
-	}
 	log_event(LOG_WARN, "server_silent",
 		  LOG_CSTR("server", server->entry.id),
 		  LOG_INT("silent_ms", (now_us - since_us) / CLOCK_US_PER_MS));
 	server_silent(server, now_us);
 }
 
+/* A prompt that is overdue at an engine which has answered nothing since then
+ * is read by another one.
+ */
+static void check_prefill(stream_t *stream, int64_t now_us)
+{
+	server_t *server = stream->send.server;
+
+	if (now_us < stream->prefill_due_us ||
+	    server->last_heard_us > stream->send.sent_us)
+		return;
+	suspect(server, stream->send.sent_us, now_us);
+	relay_send_cancel(&stream->send);
+	prefill_failed(stream, "silent");
+}
+
+static void check_decode(const stream_t *stream, int64_t now_us)
+{
+	server_t *server = stream->send.server;
+	int64_t since_us = MAX(server->last_heard_us, stream->send.sent_us);
+
+	if (now_us - since_us >= SILENCE_US)
+		suspect(server, since_us, now_us);
+}
+
 /* Looks for engines that have fallen silent with work of this router. */
 void stream_calls_check(relay_t *relay)
 {
@@ -953,6 +966,11 @@
 		stream_t *stream = link->data;
 
 		link = link->next;
-		check_engine(stream, now_us);
+		if (!stream->send.server)
+			continue;
+		if (stream->state == STREAM_PREFILLING)
+			check_prefill(stream, now_us);
+		else
+			check_decode(stream, now_us);
 	}
 }
--- a/tests/support_http.c
+++ b/tests/support_http.c
@@ -126,7 +126,7 @@
 
 static gpointer run_call(gpointer user_data)
 {
-	http_call_t *call = user_data;
+	background_call_t *call = user_data;
 
 	call->answer = http_call(call->method, call->address, call->path,
 				 call->body, NULL);
@@ -134,7 +134,7 @@
 }
 
 /* Starts a call that is expected to block; see http_call_join(). */
-void http_call_start(http_call_t *call, const char *method, const char *address,
+void http_call_start(background_call_t *call, const char *method, const char *address,
 		     const char *path, const char *body)
 {
 	call->method = g_strdup(method);
@@ -145,7 +145,7 @@
 }
 
 /* Waits for the answer, which the caller finishes. */
-http_answer_t http_call_join(http_call_t *call)
+http_answer_t http_call_join(background_call_t *call)
 {
 	g_thread_join(call->thread);
 	g_free(call->method);
--- a/tests/support_http.h
+++ b/tests/support_http.h
@@ -33,7 +33,7 @@
 	char *body;
 	GThread *thread;
 	http_answer_t answer;
-} http_call_t;
+} background_call_t;
 
 http_answer_t http_call(const char *method, const char *address,
 			const char *path, const char *body,
@@ -46,9 +46,9 @@
 int64_t http_int(const http_answer_t *answer, const char *key);
 void http_answer_finish(http_answer_t *answer);
 
-void http_call_start(http_call_t *call, const char *method, const char *address,
+void http_call_start(background_call_t *call, const char *method, const char *address,
 		     const char *path, const char *body);
-http_answer_t http_call_join(http_call_t *call);
+http_answer_t http_call_join(background_call_t *call);
 
 http_stream_t http_stream_open(const char *address, const char *path,
 			       const char *body, const char *const *headers);
--- a/tests/test_client_resend.c
+++ b/tests/test_client_resend.c
@@ -55,8 +55,7 @@
 	*(int *)context = (int)response->outcome;
 }
 
-static int call(client_t *client, const closing_t *closing, const char *method,
-		bool reuse_connection)
+static int call(client_t *client, const closing_t *closing, const char *method)
 {
 	GBytes *body = g_bytes_new_static("body", 4);
 	client_request_t request = {
@@ -65,7 +64,6 @@
 		.path = "/x",
 		.content_type = "text/plain",
 		.body = strcmp(method, "GET") != 0 ? body : NULL,
-		.reuse_connection = reuse_connection,
 		.deadline_us = clock_now(&client->clock) + 5 * CLOCK_US_PER_S,
 		.on_done = on_done,
 	};
@@ -80,7 +78,7 @@
 }
 
 /* Guards against a call that runs twice, or a second time without its body,
- * because the library resent it.
+ * because the client resent it.
  */
 static void test_nothing_is_resent(void **state)
 {
@@ -93,11 +91,10 @@
 
 		start(&closing);
 		client_init(&client, clock_boottime());
-		/* The only kind of call that leaves a connection open. */
-		assert_int_equal(call(&client, &closing, "POST", true),
-				 CLIENT_DONE);
+		/* Leaves a connection open, which the next call uses. */
+		assert_int_equal(call(&client, &closing, "POST"), CLIENT_DONE);
 		closing.empty = 0;
-		assert_int_equal(call(&client, &closing, methods[i], false),
+		assert_int_equal(call(&client, &closing, methods[i]),
 				 CLIENT_LOST);
 		assert_int_equal(closing.calls, 2);
 		if (strcmp(methods[i], "GET") != 0)
--- a/tests/test_contract_engine.c
+++ b/tests/test_contract_engine.c
@@ -190,7 +190,7 @@
 	static const char *const one_lane[] = {
 		"--max-prefills", "1", "--prefill-us-per-token", "20000", NULL};
 	static const int priorities[] = {5, 1, 9};
-	http_call_t calls[3];
+	background_call_t calls[3];
 	int64_t ends[3];
 	engines_t e;
 
--- a/tests/test_contract_engine_faults.c
+++ b/tests/test_contract_engine_faults.c
@@ -111,7 +111,7 @@
 static void test_stalled_transfer_moves(void **state)
 {
 	http_answer_t done, answer;
-	http_call_t call;
+	background_call_t call;
 	engines_t e;
 	char *body;
 
@@ -178,7 +178,7 @@
 {
 	static const char *const one_lane[] = {"--max-prefills", "1", NULL};
 	http_answer_t answer;
-	http_call_t call;
+	background_call_t call;
 	engines_t e;
 	char *body;
 
@@ -204,7 +204,7 @@
 {
 	/* With the speed of 10, a prompt takes 50 ms alone. */
 	static const char *const slow[] = {"--link-tokens-s", "200", NULL};
-	http_call_t calls[2];
+	background_call_t calls[2];
 	engines_t e;
 	int64_t start_ms;
 
--- a/tests/test_contract_service.c
+++ b/tests/test_contract_service.c
@@ -130,7 +130,7 @@
 /* Guards against a stalled call that is not executed or blocks others. */
 static void test_stall(void **state)
 {
-	http_call_t stalled;
+	background_call_t stalled;
 	http_answer_t answer;
 	process_t process;
 	char *address = start(&process, NULL);
@@ -158,7 +158,7 @@
 static void test_limit(void **state)
 {
 	static const char *const args[] = {"--max-running", "1", NULL};
-	http_call_t first;
+	background_call_t first;
 	http_answer_t answer;
 	process_t process;
 	char *address = start(&process, args);
