Let late requests wait while they can expect a place

Change: a late request waits as long as the estimate lets it start before its caller leaves (3 s), in place of a queue bounded by a share of the places.

--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -28,9 +28,6 @@
  */
 #define LATE_HEADROOM 0.03
 
-/* Late requests that may wait, as a share of all places. */
-#define LATE_QUEUE_SHARE 0.25
-
 /* Late requests do not add to a queue of prompts that is longer than this: it
  * would make those late that can still be on time.
  */
@@ -189,9 +186,11 @@
 }
 
 /* Decides on a request that can no longer be on time. It takes a place only
- * when enough are open, and waits for that in a short queue.
+ * when enough are open, and waits for that while it can expect one before its
+ * caller leaves.
  */
-static admission_decision_t decide_late(const admission_request_t *request,
+static admission_decision_t decide_late(const admission_view_t *view,
+					const admission_request_t *request,
 					admission_decision_t decision,
 					const places_t *places, bool room,
 					int64_t now_us)
@@ -203,10 +202,12 @@
 		decision.action = ADMISSION_START;
 		return decision;
 	}
-	if ((double)request->ahead > (double)places->all * LATE_QUEUE_SHARE)
-		return refuse(decision, ADMISSION_FULL);
 	if (now_us >= request->give_up_us)
 		return refuse(decision, ADMISSION_LATE);
+	decision.wait_us = wait_us(view, places->taken,
+				   request->ahead + 1 + kept - places->spare);
+	if (now_us + decision.wait_us > request->give_up_us)
+		return refuse(decision, ADMISSION_FULL);
 	decision.action = ADMISSION_WAIT;
 	return decision;
 }
@@ -256,7 +257,8 @@
 	decision.wait_us = wait_us(view, places.taken,
 				   (int64_t)request->ahead + 1 - places.open);
 	if (request->claim.late)
-		return decide_late(request, decision, &places, room, now_us);
+		return decide_late(view, request, decision, &places, room,
+				   now_us);
 	return decide_on_time(request, decision, places.open, room, now_us);
 }
 
--- a/src/process/stage_balance.c
+++ b/src/process/stage_balance.c
@@ -13,7 +13,7 @@
 /* Under load an engine that changes its stage serves nothing for ten seconds
  * or more, and what is known of the load changes in less time than that.
  */
-#define LEAST_LOADED_DIFFERENCE 1.5
+#define LEAST_LOADED_DIFFERENCE 1.2
 #define LEAST_LOADED_SHARE 0.15
 
 static double least_difference(const stage_balance_t *balance, double engines)
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -8,8 +8,10 @@
 /* Output counted on for a request that tells nothing. */
 #define DEFAULT_OUTPUT_TOKENS 2048
 
-/* Longest wait of a request that cannot be on time any more. */
-#define LATE_WAIT_US (2500 * CLOCK_US_PER_MS)
+/* Longest wait of a request that cannot be on time any more. Callers leave a
+ * stream that shows nothing for four times its target, 3.6 s.
+ */
+#define LATE_WAIT_US (3000 * CLOCK_US_PER_MS)
 
 /* A caller that comes back finds the surge over, not the same queue; the
  * spread keeps those that were refused together apart.
