--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -4,11 +4,6 @@
 #include "process/log.h"
 #include "request/stream_engines.h"
 
-/* A hand-over takes tens of milliseconds; a link that is eight times as slow
- * makes first events late.
- */
-#define HAND_OVER_SLOW_US (250 * CLOCK_US_PER_MS)
-
 /* Weight of the latest stream in the mean duration. */
 #define DURATION_WEIGHT 0.05
 
@@ -31,20 +26,13 @@
 	stream_finish(stream);
 }
 
-/* Judges a hand-over by the time to the first event. One of two engines with a
- * slow link makes it slow; the one that works with others is used again soon.
- */
-static void judge_hand_over(stream_t *stream, int64_t now_us)
+/* The decode engine has fetched the prefill result. */
+static void handed_over(stream_t *stream)
 {
-	server_t *engines[] = {stream->send.server, stream->prefilled_by};
-	bool slow = now_us - stream->decode_started_us > HAND_OVER_SLOW_US;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(engines); i++) {
-		if (engines[i] && slow)
-			server_refused(engines[i], now_us);
-		else if (engines[i])
-			server_accepted(engines[i]);
-	}
+	stream_clear_handle(stream);
+	server_accepted(stream->send.server);
+	if (stream->prefilled_by)
+		server_accepted(stream->prefilled_by);
 }
 
 /* A decode engine with free places refused: it changes its stage, or the
@@ -69,7 +57,7 @@
 
 	relay_send_take_head(&stream->send, head);
 	if (head->status / 100 == 2)
-		stream_clear_handle(stream); /* it was fetched */
+		handed_over(stream);
 	stream->passes_error = head->status / 100 != 2 ||
 			       !stream->send.fields.has_signature;
 	if (stream->passes_error || stream->head_sent)
@@ -87,7 +75,6 @@
 		stream->state = STREAM_STREAMING;
 		if (!stream->first_event_us)
 			stream->first_event_us = now_us;
-		judge_hand_over(stream, now_us);
 		counters_observe(HISTOGRAM_FIRST_TOKEN_MS,
 				 (double)(now_us - request->arrived_us) /
 					 (double)CLOCK_US_PER_MS);
