--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -153,8 +153,12 @@
 /* Closes all connections. Calls still open end with CLIENT_LOST. */
 void client_finish(client_t *client)
 {
-	while (client->calls->len > 0)
-		call_end(g_ptr_array_index(client->calls, 0), CLIENT_LOST);
+	GPtrArray *open = client->calls;
+
+	client->calls = g_ptr_array_new();
+	for (guint i = 0; i < open->len; i++)
+		call_end(g_ptr_array_index(open, i), CLIENT_LOST);
+	g_ptr_array_unref(open);
 	http_pool_finish(&client->pool);
 	g_clear_pointer(&client->calls, g_ptr_array_unref);
 }
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -145,10 +145,11 @@
 
 		if (!decode->usable)
 			continue;
-		by_memory = (usable_tokens(view, decode) - decode->use.kv_tokens) /
-			    MAX(kv_tokens, 1);
-		places.all += MIN(decode->slots,
-				  usable_tokens(view, decode) / MAX(kv_tokens, 1));
+		by_memory =
+			(usable_tokens(view, decode) - decode->use.kv_tokens) /
+			MAX(kv_tokens, 1);
+		places.all += MIN(decode->slots, usable_tokens(view, decode) /
+							 MAX(kv_tokens, 1));
 		places.taken += decode->use.streams;
 		places.open += MAX(MIN(slots, by_memory), 0);
 		places.spare +=
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -7,7 +7,7 @@
 #include "process/alarm.h"
 
 /* Lines that wait for a reader of the log; further ones are counted. */
-#define BUFFER_BYTES (256 * 1024)
+#define BUFFER_BYTES ((size_t)256 * 1024)
 
 /* Lines within this time are written together. */
 #define FLUSH_US (20 * CLOCK_US_PER_MS)
--- a/src/request/event_split.c
+++ b/src/request/event_split.c
@@ -20,7 +20,8 @@
 {
 	static const char field[] = "id:";
 
-	if (len < sizeof(field) - 1 || memcmp(line, field, sizeof(field) - 1))
+	if (len < sizeof(field) - 1 ||
+	    memcmp(line, field, sizeof(field) - 1) != 0)
 		return;
 	line += sizeof(field) - 1;
 	len -= sizeof(field) - 1;
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -81,10 +81,9 @@
 		.message = message,
 		.handler = &release_handler,
 	};
-	options.address =
-		g_strndup(stream->kv_source, strlen(stream->kv_source) -
-						     strlen(stream->handle) -
-						     1);
+	options.address = g_strndup(stream->kv_source,
+				    strlen(stream->kv_source) -
+					    strlen(stream->handle) - 1);
 	handle_release_request(message, options.address, stream->handle);
 	(void)http_pool_call(stream->request.relay->pool, &options);
 	g_free((char *)options.address);
@@ -140,7 +139,6 @@
 	stream_finish(stream);
 }
 
-
 static int64_t span_ms(int64_t from_us, int64_t to_us)
 {
 	return from_us && to_us ? (to_us - from_us) / CLOCK_US_PER_MS : -1;
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -79,9 +79,8 @@
 				 (double)(now_us - request->arrived_us) /
 					 (double)CLOCK_US_PER_MS);
 	} else {
-		stream->longest_gap_us =
-			MAX(stream->longest_gap_us,
-			    now_us - stream->last_event_us);
+		stream->longest_gap_us = MAX(stream->longest_gap_us,
+					     now_us - stream->last_event_us);
 		counters_observe(HISTOGRAM_INTER_TOKEN_MS,
 				 (double)(now_us - stream->last_event_us) /
 					 (double)CLOCK_US_PER_MS);
@@ -123,8 +122,7 @@
 	    request->sends >= (unsigned)request->route->max_servers ||
 	    clock_now(&relay->clock) >= request->deadline_us)
 		return false;
-	next = engines_pick_decode(request, stream->kv_tokens,
-				   stream->decode);
+	next = engines_pick_decode(request, stream->kv_tokens, stream->decode);
 	if (!next || !relay_take_retry(request))
 		return false;
 	event_split_drop_rest(&stream->split);
@@ -150,10 +148,10 @@
 	server_t *next;
 
 	if (stream->head_sent || !stream->kv_source ||
-	    (reached && request->sends >= (unsigned)request->route->max_servers))
+	    (reached &&
+	     request->sends >= (unsigned)request->route->max_servers))
 		return false;
-	next = engines_pick_decode(request, stream->kv_tokens,
-				   stream->decode);
+	next = engines_pick_decode(request, stream->kv_tokens, stream->decode);
 	if (!next || !relay_take_retry(request))
 		return false;
 	if (!reached && request->sends > 0)
@@ -168,10 +166,9 @@
 
 static void decode_rejected(stream_t *stream)
 {
-	occupancy_use_t use =
-		occupancy_total(stream->request.relay->occupancy,
-				stream->decode->entry.id,
-				clock_now(&stream->request.relay->clock));
+	occupancy_use_t use = occupancy_total(
+		stream->request.relay->occupancy, stream->decode->entry.id,
+		clock_now(&stream->request.relay->clock));
 
 	log_event(LOG_WARN, "decode_rejected",
 		  LOG_STR("request", stream->request.fields.id),
@@ -194,16 +191,15 @@
 		stream_cut(stream, 502, "the stream could not be resumed");
 	else
 		stream_refuse(stream, STREAM_REJECTED_RETRY_US,
-		       "the decode engine refused the request");
+			      "the decode engine refused the request");
 }
 
 static void decode_end(void *context, call_end_t end)
 {
 	stream_t *stream = context;
 	bool whole = end == CALL_ANSWERED && !stream->passes_error;
-	outcome_t outcome =
-		relay_send_judge(&stream->send, end, false,
-				 stream->request.route->resumable);
+	outcome_t outcome = relay_send_judge(&stream->send, end, false,
+					     stream->request.route->resumable);
 
 	relay_send_ended(&stream->send);
 	if (whole && stream->head_sent) {
--- a/src/request/stream_engines.c
+++ b/src/request/stream_engines.c
@@ -44,7 +44,7 @@
 /* Collects the engines of a request's service and what all routers use of them.
  */
 void engines_view(engines_t *engines, const relay_request_t *request,
-			 int64_t now_us)
+		  int64_t now_us)
 {
 	relay_t *relay = request->relay;
 	GHashTableIter iter;
@@ -77,8 +77,8 @@
 }
 
 /* Chooses a decode engine with room, other than one; NULL: there is none. */
-server_t *engines_pick_decode(const relay_request_t *request,
-			      int64_t kv_tokens, const server_t *except)
+server_t *engines_pick_decode(const relay_request_t *request, int64_t kv_tokens,
+			      const server_t *except)
 {
 	static engines_t engines;
 	size_t index;
--- a/src/request/stream_engines.h
+++ b/src/request/stream_engines.h
@@ -22,7 +22,7 @@
 bool engine_is_usable(const server_t *server, int64_t now_us);
 void engines_view(engines_t *engines, const relay_request_t *request,
 		  int64_t now_us);
-server_t *engines_pick_decode(const relay_request_t *request,
-			      int64_t kv_tokens, const server_t *except);
+server_t *engines_pick_decode(const relay_request_t *request, int64_t kv_tokens,
+			      const server_t *except);
 
 #endif
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -61,7 +61,8 @@
 	if (!admission_pick_prefill(&engines.view,
 				    request->fields.prompt_tokens, &choice) ||
 	    now_us + choice.duration_us >= request->deadline_us ||
-	    !engine_is_usable(stream->decode, now_us) || !relay_take_retry(request))
+	    !engine_is_usable(stream->decode, now_us) ||
+	    !relay_take_retry(request))
 		return false;
 	stream->prefill_retried = true;
 	stream_release_prefill(stream);
@@ -81,7 +82,8 @@
 	if (prefill_elsewhere(stream))
 		return;
 	/* A prompt that was only read has not run. */
-	stream_refuse(stream, STREAM_REJECTED_RETRY_US, "the prompt could not be read");
+	stream_refuse(stream, STREAM_REJECTED_RETRY_US,
+		      "the prompt could not be read");
 }
 
 static void prefill_end(void *context, call_end_t end)
@@ -124,9 +126,10 @@
 		.prefill_only = true,
 	};
 
-	stream->prefill_backlog = backlog_tokens + request->fields.prompt_tokens;
-	stream->prefill_due_us = now_us + OVERDUE_US +
-				 OVERDUE_FACTOR * estimate_us;
+	stream->prefill_backlog =
+		backlog_tokens + request->fields.prompt_tokens;
+	stream->prefill_due_us =
+		now_us + OVERDUE_US + OVERDUE_FACTOR * estimate_us;
 	stream_use_prefill(stream, prefill);
 	counters_add(COUNTER_PREFILLS, 1);
 	counters_add(COUNTER_PREFILL_TOKENS, request->fields.prompt_tokens);
@@ -149,10 +152,10 @@
 	stream->state = STREAM_PREFILLING;
 	stream->started_us = clock_now(&relay->clock);
 	stream_use_decode(stream, places->decode);
-	counters_observe(HISTOGRAM_QUEUE_MS,
-			 (double)(stream->started_us -
-				  stream->request.arrived_us) /
-				 (double)CLOCK_US_PER_MS);
+	counters_observe(
+		HISTOGRAM_QUEUE_MS,
+		(double)(stream->started_us - stream->request.arrived_us) /
+			(double)CLOCK_US_PER_MS);
 	send_prefill(stream, places->prefill, places->backlog_tokens,
 		     places->estimate_us);
 }
--- a/tests/soak_server.c
+++ b/tests/soak_server.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "process/alarm.h"
-#include "soak_address.h"
+#include "support_address.h"
 
 #define BEAT_US (600 * CLOCK_US_PER_MS)
 #define PLAIN_US (15 * CLOCK_US_PER_MS)
@@ -42,7 +42,7 @@
 }
 
 /* Sets up what the servers share. */
-void soak_world_init(soak_world_t *world, soak_store_t *store, uint64_t seed)
+void soak_world_init(soak_world_t *world, fake_store_t *store, uint64_t seed)
 {
 	*world = (soak_world_t){.store = store, .seed = seed};
 	world->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -280,7 +280,7 @@
 		SLOTS, leaving ? "draining" : "ready", ++server->beats,
 		stages[server->stage]);
 
-	soak_store_put(server->world->store, "servers", server->id, text);
+	fake_store_put(server->world->store, "servers", server->id, text);
 	g_free(text);
 }
 
@@ -401,7 +401,7 @@
 		.world = world,
 		.service = g_strdup(service),
 		.zone = g_strdup(zone),
-		.address = soak_free_address(),
+		.address = free_address(),
 		.stage = stage,
 	};
 	g_queue_init(&server->works);
@@ -423,7 +423,7 @@
 		end_work(g_queue_peek_head(&server->works), false);
 	ingress_finish(&server->ingress);
 	if (!listed)
-		soak_store_remove(server->world->store, "servers", server->id);
+		fake_store_remove(server->world->store, "servers", server->id);
 }
 
 /* Starts a server again: a new one at the same address. */
@@ -431,7 +431,7 @@
 {
 	if (server->up)
 		return;
-	soak_store_remove(server->world->store, "servers", server->id);
+	fake_store_remove(server->world->store, "servers", server->id);
 	listen_and_enter(server);
 }
 
--- a/tests/soak_server.h
+++ b/tests/soak_server.h
@@ -7,7 +7,7 @@
 #include "connection/ingress.h"
 #include "process/alarm.h"
 #include "soak_proxy.h"
-#include "soak_store.h"
+#include "support_store.h"
 
 typedef enum {
 	SOAK_PLAIN,
@@ -26,7 +26,7 @@
 
 /* What the servers share. */
 typedef struct {
-	soak_store_t *store;
+	fake_store_t *store;
 	GHashTable *runs; /* request ID to soak_run_t */
 	GHashTable *handles; /* "address/handle" to its end, int64_t * */
 	GPtrArray *violations; /* text */
@@ -53,7 +53,7 @@
 	alarm_t change; /* of the stage, after an order */
 } soak_server_t;
 
-void soak_world_init(soak_world_t *world, soak_store_t *store, uint64_t seed);
+void soak_world_init(soak_world_t *world, fake_store_t *store, uint64_t seed);
 void soak_world_finish(soak_world_t *world);
 uint64_t soak_random(soak_world_t *world, uint64_t below);
 soak_run_t *soak_world_run(soak_world_t *world, const char *request);
--- a/tests/soak_address.c
+++ b/tests/support_address.c
@@ -1,4 +1,4 @@
-#include "soak_address.h"
+#include "support_address.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -29,7 +29,7 @@
 /* Returns "127.0.0.1:PORT" with a port that is free for TCP and UDP, and that
  * this process has not returned before.
  */
-char *soak_free_address(void)
+char *free_address(void)
 {
 	static unsigned next;
 
--- a/tests/soak_store.c
+++ b/tests/support_store.c
@@ -1,4 +1,4 @@
-#include "soak_store.h"
+#include "support_store.h"
 
 #include <inttypes.h>
 #include <json-glib/json-glib.h>
@@ -8,7 +8,7 @@
 
 /* A read that waits for a change. */
 typedef struct {
-	soak_store_t *store;
+	fake_store_t *store;
 	exchange_t *exchange;
 	char *table;
 	int64_t after;
@@ -17,7 +17,7 @@
 
 static void free_row(gpointer data)
 {
-	soak_row_t *row = data;
+	fake_row_t *row = data;
 
 	g_free(row->table);
 	g_free(row->key);
@@ -25,11 +25,11 @@
 	g_free(row);
 }
 
-static soak_row_t *find(const soak_store_t *store, const char *table,
+static fake_row_t *find(const fake_store_t *store, const char *table,
 			const char *key)
 {
 	for (guint i = 0; i < store->rows->len; i++) {
-		soak_row_t *row = g_ptr_array_index(store->rows, i);
+		fake_row_t *row = g_ptr_array_index(store->rows, i);
 
 		if (g_str_equal(row->table, table) &&
 		    g_str_equal(row->key, key))
@@ -47,21 +47,21 @@
 
 static gint by_version(gconstpointer a, gconstpointer b)
 {
-	const soak_row_t *left = *(soak_row_t *const *)a;
-	const soak_row_t *right = *(soak_row_t *const *)b;
+	const fake_row_t *left = *(fake_row_t *const *)a;
+	const fake_row_t *right = *(fake_row_t *const *)b;
 
 	return left->version < right->version ? -1 : 1;
 }
 
 /* Appends rows of a table that changed after a version; counts them. */
-static unsigned append_rows(const soak_store_t *store, GString *out,
+static unsigned append_rows(const fake_store_t *store, GString *out,
 			    const char *table, int64_t after, bool removed_too)
 {
 	unsigned n = 0;
 
 	g_ptr_array_sort(store->rows, by_version);
 	for (guint i = 0; i < store->rows->len; i++) {
-		const soak_row_t *row = g_ptr_array_index(store->rows, i);
+		const fake_row_t *row = g_ptr_array_index(store->rows, i);
 
 		if (!g_str_equal(row->table, table) || row->version <= after ||
 		    (!row->value && !removed_too))
@@ -91,7 +91,7 @@
 	http_headers_finish(&headers);
 }
 
-static void reply_rows(const soak_store_t *store, exchange_t *exchange,
+static void reply_rows(const fake_store_t *store, exchange_t *exchange,
 		       const char *table, int64_t after, bool feed)
 {
 	GString *body = g_string_new("{\"rows\":[");
@@ -127,7 +127,7 @@
 {
 	exchange_t *exchange = feed->exchange;
 	char *table = g_strdup(feed->table);
-	soak_store_t *store = feed->store;
+	fake_store_t *store = feed->store;
 	int64_t after = feed->after;
 
 	free_feed(feed);
@@ -140,7 +140,7 @@
 	end_feed(context);
 }
 
-static void wake_feeds(soak_store_t *store)
+static void wake_feeds(fake_store_t *store)
 {
 	GList *link = store->waiting.head;
 
@@ -153,13 +153,13 @@
 	}
 }
 
-static void set_row(soak_store_t *store, const char *table, const char *key,
+static void set_row(fake_store_t *store, const char *table, const char *key,
 		    const char *value)
 {
-	soak_row_t *row = find(store, table, key);
+	fake_row_t *row = find(store, table, key);
 
 	if (!row) {
-		row = g_new0(soak_row_t, 1);
+		row = g_new0(fake_row_t, 1);
 		row->table = g_strdup(table);
 		row->key = g_strdup(key);
 		g_ptr_array_add(store->rows, row);
@@ -184,7 +184,7 @@
 	return value ? value : g_strdup("");
 }
 
-static void start_feed(soak_store_t *store, exchange_t *exchange,
+static void start_feed(fake_store_t *store, exchange_t *exchange,
 		       const char *target)
 {
 	char *after = query_value(target, "after");
@@ -215,13 +215,13 @@
 	g_free(wait_ms);
 }
 
-static bool conditions_hold(const soak_store_t *store, JsonObject *call)
+static bool conditions_hold(const fake_store_t *store, JsonObject *call)
 {
 	JsonArray *expected = json_object_get_array_member(call, "expected");
 
 	for (guint i = 0; i < json_array_get_length(expected); i++) {
 		JsonObject *entry = json_array_get_object_element(expected, i);
-		const soak_row_t *row = find(
+		const fake_row_t *row = find(
 			store, json_object_get_string_member(entry, "table"),
 			json_object_get_string_member(entry, "key"));
 		int64_t version = row && row->value ? row->version : 0;
@@ -232,7 +232,7 @@
 	return true;
 }
 
-static void transact(soak_store_t *store, exchange_t *exchange)
+static void transact(fake_store_t *store, exchange_t *exchange)
 {
 	str_t body = exchange_body(exchange);
 	JsonParser *parser = json_parser_new();
@@ -271,7 +271,7 @@
 
 static void on_request(void *context, exchange_t *exchange)
 {
-	soak_store_t *store = context;
+	fake_store_t *store = context;
 	const char *target = exchange_head(exchange)->target->str;
 
 	if (store->busy) {
@@ -302,7 +302,7 @@
 };
 
 /* Starts to listen with empty tables. */
-void soak_store_start(soak_store_t *store, const char *address)
+void fake_store_start(fake_store_t *store, const char *address)
 {
 	static const ingress_limits_t limits = {
 		.max_head_bytes = 65536,
@@ -318,7 +318,7 @@
 }
 
 /* Closes all connections. */
-void soak_store_stop(soak_store_t *store)
+void fake_store_stop(fake_store_t *store)
 {
 	while (!g_queue_is_empty(&store->waiting))
 		free_feed(g_queue_peek_head(&store->waiting));
@@ -327,7 +327,7 @@
 }
 
 /* Writes a row as the operator or a server would. */
-void soak_store_put(soak_store_t *store, const char *table, const char *key,
+void fake_store_put(fake_store_t *store, const char *table, const char *key,
 		    const char *text)
 {
 	char *value = g_base64_encode((const guchar *)text, strlen(text));
@@ -338,14 +338,14 @@
 }
 
 /* Removes a row. */
-void soak_store_remove(soak_store_t *store, const char *table, const char *key)
+void fake_store_remove(fake_store_t *store, const char *table, const char *key)
 {
 	set_row(store, table, key, NULL);
 	wake_feeds(store);
 }
 
 /* Drops the history: feeds have to start over. */
-void soak_store_forget_history(soak_store_t *store)
+void fake_store_forget_history(fake_store_t *store)
 {
 	store->history_from = ++store->version;
 }
--- a/tests/soak_store.h
+++ b/tests/support_store.h
@@ -1,6 +1,6 @@
 /* Stand-in of the platform's store, which speaks its published calls. */
-#ifndef SOAK_STORE_H
-#define SOAK_STORE_H
+#ifndef SUPPORT_STORE_H
+#define SUPPORT_STORE_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -13,23 +13,23 @@
 	char *key;
 	char *value; /* base64; NULL: removed */
 	int64_t version;
-} soak_row_t;
+} fake_row_t;
 
 typedef struct {
 	ingress_t ingress;
-	GPtrArray *rows; /* of soak_row_t, one for each table and key */
+	GPtrArray *rows; /* of fake_row_t, one for each table and key */
 	GQueue waiting; /* of feed_t */
 	int64_t version;
 	int64_t history_from; /* feeds from before are told to start over */
 	unsigned lose_answers; /* so many writes are done without an answer */
 	bool busy; /* each call is refused */
-} soak_store_t;
+} fake_store_t;
 
-void soak_store_start(soak_store_t *store, const char *address);
-void soak_store_stop(soak_store_t *store);
-void soak_store_put(soak_store_t *store, const char *table, const char *key,
+void fake_store_start(fake_store_t *store, const char *address);
+void fake_store_stop(fake_store_t *store);
+void fake_store_put(fake_store_t *store, const char *table, const char *key,
 		    const char *text);
-void soak_store_remove(soak_store_t *store, const char *table, const char *key);
-void soak_store_forget_history(soak_store_t *store);
+void fake_store_remove(fake_store_t *store, const char *table, const char *key);
+void fake_store_forget_history(fake_store_t *store);
 
 #endif
--- a/tests/test_ingress.c
+++ b/tests/test_ingress.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 
 #include "connection/ingress.h"
+#include "support_address.h"
 #include "support_peer.h"
 
 /* A server that answers on a test's word, and one raw caller. */
@@ -58,19 +59,6 @@
 	.idle_timeout_us = 300 * CLOCK_US_PER_MS,
 };
 
-/* A port that was free a moment ago. */
-static char *free_address(void)
-{
-	peer_answer_t answer_ = {NULL, PEER_KEEP};
-	peer_t peer;
-	char *address;
-
-	peer_start(&peer, &answer_, 1);
-	address = g_strdup(peer.address);
-	peer_stop(&peer);
-	return address;
-}
-
 static void init(server_t *server)
 {
 	memset(server, 0, sizeof(*server));
--- /dev/null
+++ b/tests/test_store_watch.c
@@ -0,0 +1,199 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "process/store_watch.h"
+#include "support_address.h"
+#include "support_peer.h"
+#include "support_store.h"
+
+#define TABLE "t"
+
+/* A watch and what it told. */
+typedef struct {
+	fake_store_t store;
+	char *address;
+	http_pool_t pool;
+	store_watch_t watch;
+	GHashTable *rows; /* key to value, as a user of the watch keeps them */
+	GHashTable *listed; /* keys of the full read in progress */
+	unsigned syncs;
+	unsigned outages; /* full reads after an outage */
+	unsigned losses;
+	const char *expected_key;
+	const char *expected; /* value, or NULL: no such row */
+} watcher_t;
+
+static void on_begin(void *context)
+{
+	watcher_t *watcher = context;
+
+	g_hash_table_remove_all(watcher->listed);
+}
+
+static void on_row(void *context, const store_row_t *row)
+{
+	watcher_t *watcher = context;
+
+	if (!row->value) {
+		g_hash_table_remove(watcher->rows, row->key);
+		return;
+	}
+	g_hash_table_add(watcher->listed, g_strdup(row->key));
+	g_hash_table_replace(watcher->rows, g_strdup(row->key),
+			     g_strdup(row->value->str));
+}
+
+static gboolean is_unlisted(gpointer key, gpointer value, gpointer context)
+{
+	return !g_hash_table_contains(context, key);
+}
+
+static void on_synced(void *context, bool outage)
+{
+	watcher_t *watcher = context;
+
+	g_hash_table_foreach_remove(watcher->rows, is_unlisted,
+				    watcher->listed);
+	watcher->syncs++;
+	watcher->outages += outage ? 1 : 0;
+}
+
+static void on_reach(void *context, bool reachable)
+{
+	watcher_t *watcher = context;
+
+	watcher->losses += reachable ? 0 : 1;
+}
+
+static const store_watch_handler_t handler = {
+	.on_begin = on_begin,
+	.on_row = on_row,
+	.on_synced = on_synced,
+	.on_reach = on_reach,
+};
+
+static void init(watcher_t *watcher)
+{
+	store_watch_options_t options = {
+		.table = TABLE,
+		.wait_us = 500 * CLOCK_US_PER_MS,
+		.handler = &handler,
+		.context = watcher,
+	};
+
+	memset(watcher, 0, sizeof(*watcher));
+	watcher->address = free_address();
+	watcher->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      g_free);
+	watcher->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	fake_store_start(&watcher->store, watcher->address);
+	http_pool_init(&watcher->pool, clock_boottime(), 1000, 0);
+	options.address = watcher->address;
+	fake_store_put(&watcher->store, TABLE, "a", "1");
+	store_watch_init(&watcher->watch, &watcher->pool, clock_boottime(),
+			 &options);
+}
+
+static void finish(watcher_t *watcher)
+{
+	store_watch_finish(&watcher->watch);
+	http_pool_finish(&watcher->pool);
+	fake_store_stop(&watcher->store);
+	g_hash_table_unref(watcher->rows);
+	g_hash_table_unref(watcher->listed);
+	g_free(watcher->address);
+}
+
+static bool is_as_expected(void *context)
+{
+	const watcher_t *watcher = context;
+
+	return g_strcmp0(g_hash_table_lookup(watcher->rows,
+					     watcher->expected_key),
+			 watcher->expected) == 0;
+}
+
+static void expect(watcher_t *watcher, const char *key, const char *value,
+		   unsigned limit_ms)
+{
+	watcher->expected_key = key;
+	watcher->expected = value;
+	assert_true(peer_wait(is_as_expected, watcher, limit_ms));
+}
+
+/* Guards against changes that are missed or come late: each is told within
+ * 200 ms, well under the two seconds in which a change has to be in force.
+ */
+static void test_changes(void **state)
+{
+	watcher_t watcher;
+
+	init(&watcher);
+	expect(&watcher, "a", "1", 1000);
+	fake_store_put(&watcher.store, TABLE, "b", "2");
+	expect(&watcher, "b", "2", 200);
+	fake_store_put(&watcher.store, TABLE, "a", "3");
+	expect(&watcher, "a", "3", 200);
+	fake_store_remove(&watcher.store, TABLE, "b");
+	expect(&watcher, "b", NULL, 200);
+	/* A read that waits in vain is followed by another one. */
+	peer_run(700);
+	fake_store_put(&watcher.store, TABLE, "c", "4");
+	expect(&watcher, "c", "4", 200);
+	assert_int_equal(watcher.syncs, 1);
+	finish(&watcher);
+}
+
+/* Guards against rows that were removed while the history was lost and stay
+ * for ever.
+ */
+static void test_lost_history(void **state)
+{
+	watcher_t watcher;
+
+	init(&watcher);
+	fake_store_put(&watcher.store, TABLE, "b", "2");
+	expect(&watcher, "b", "2", 1000);
+	watcher.store.busy = true;
+	peer_run(600);
+	fake_store_remove(&watcher.store, TABLE, "b");
+	fake_store_forget_history(&watcher.store);
+	watcher.store.busy = false;
+	expect(&watcher, "b", NULL, 1500);
+	assert_int_equal(watcher.syncs, 2);
+	finish(&watcher);
+}
+
+/* Guards against a store that is found again late, and against an outage after
+ * which the list is not read as a whole: entries may have lapsed and returned.
+ */
+static void test_outage(void **state)
+{
+	watcher_t watcher;
+
+	init(&watcher);
+	expect(&watcher, "a", "1", 1000);
+	watcher.store.busy = true;
+	peer_run(3500);
+	assert_int_equal(watcher.losses, 1);
+	fake_store_put(&watcher.store, TABLE, "a", "2");
+	watcher.store.busy = false;
+	expect(&watcher, "a", "2", 600);
+	assert_int_equal(watcher.outages, 1);
+	finish(&watcher);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_changes),
+		cmocka_unit_test(test_lost_history),
+		cmocka_unit_test(test_outage),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 #include "process/alarm.h"
-#include "soak_address.h"
+#include "support_address.h"
 #include "soak_caller.h"
 #include "support_process.h"
 
@@ -69,7 +69,7 @@
 } fault_t;
 
 typedef struct {
-	soak_store_t store;
+	fake_store_t store;
 	soak_world_t world;
 	char *store_address;
 	char *folder;
@@ -133,10 +133,10 @@
 	entry_vm_t *entry = &soak->entries[i];
 
 	entry->vm = g_strdup_printf("vm-%u", i);
-	entry->callers_address = soak_free_address();
-	entry->ready_address = soak_free_address();
-	entry->metrics_address = soak_free_address();
-	entry->peer_address = soak_free_address();
+	entry->callers_address = free_address();
+	entry->ready_address = free_address();
+	entry->metrics_address = free_address();
+	entry->peer_address = free_address();
 	entry->store_proxy = proxy_new(soak->store_address);
 	entry->settings_path =
 		g_strdup_printf("%s/%s.toml", soak->folder, entry->vm);
@@ -188,7 +188,7 @@
 		"\"limits\":{\"idleTimeoutMs\":4000}}",
 		++soak->version);
 
-	soak_store_put(&soak->store, "op", "config", text);
+	fake_store_put(&soak->store, "op", "config", text);
 	g_free(text);
 }
 
@@ -196,9 +196,9 @@
 		 unsigned servers, unsigned callers)
 {
 	memset(soak, 0, sizeof(*soak));
-	soak->store_address = soak_free_address();
+	soak->store_address = free_address();
 	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
-	soak_store_start(&soak->store, soak->store_address);
+	fake_store_start(&soak->store, soak->store_address);
 	soak_world_init(&soak->world, &soak->store, seed);
 	put_config(soak);
 	soak->n_servers = servers;
@@ -276,7 +276,7 @@
 		soak->store.busy = true;
 		break;
 	case FAULT_STORE_HISTORY:
-		soak_store_forget_history(&soak->store);
+		fake_store_forget_history(&soak->store);
 		break;
 	default:
 		soak->store.lose_answers = 3;
@@ -472,7 +472,7 @@
 	}
 	for (unsigned i = 0; i < soak->n_servers; i++)
 		soak_server_stop(&soak->servers[i]);
-	soak_store_stop(&soak->store);
+	fake_store_stop(&soak->store);
 }
 
 static int run(uint64_t seed, unsigned seconds, unsigned entries,
