--- a/tests/soak_server.c
+++ b/tests/soak_server.c
@@ -9,7 +9,7 @@
 #include "support_address.h"
 
 #define BEAT_US (600 * CLOCK_US_PER_MS)
-#define PLAIN_US (15 * CLOCK_US_PER_MS)
+#define PLAIN_US (80 * CLOCK_US_PER_MS)
 #define PREFILL_US (40 * CLOCK_US_PER_MS)
 #define EVENT_US (15 * CLOCK_US_PER_MS)
 #define HANDLE_US (500 * CLOCK_US_PER_MS)
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -22,6 +22,9 @@
 #define STEP_US (20 * CLOCK_US_PER_MS)
 #define LEAVE_US (2500 * CLOCK_US_PER_MS)
 
+/* The balancer asks each second and leaves after two misses. */
+#define BALANCER_LEAVES_US (2 * CLOCK_US_PER_S)
+
 /* Longest fault. */
 #define MAX_FAULT_MS 2500
 
@@ -37,6 +40,7 @@
 	char *metrics_address;
 	char *peer_address;
 	char *vm;
+	int64_t leaving_us; /* since when it is not ready; 0: it is */
 	bool running;
 	bool stopped; /* by SIGSTOP */
 } entry_vm_t;
@@ -124,6 +128,7 @@
 	entry->running =
 		process_start(&entry->process, "gooseberryspur", args, log);
 	entry->stopped = false;
+	entry->leaving_us = 0;
 	g_assert_true(entry->running);
 	g_free(log);
 }
@@ -238,6 +243,8 @@
 		stop_entry(entry, SIGKILL);
 		break;
 	case FAULT_ENTRY_TERM:
+		if (!entry->leaving_us)
+			entry->leaving_us = now_us();
 		process_signal(&entry->process, SIGTERM);
 		break;
 	case FAULT_ENTRY_FREEZE:
@@ -381,6 +388,23 @@
 
 /* --- load -------------------------------------------------------------- */
 
+/* Sends a caller to its VM, or to the next one when the balancer has left that,
+ * two misses after it stopped to be ready.
+ */
+static entry_vm_t *route_caller(soak_t *soak, unsigned caller)
+{
+	int64_t left_us = now_us() - BALANCER_LEAVES_US;
+
+	for (unsigned i = 0; i < soak->n_entries; i++) {
+		entry_vm_t *entry =
+			&soak->entries[(caller + i) % soak->n_entries];
+
+		if (!entry->leaving_us || entry->leaving_us > left_us)
+			return entry;
+	}
+	return &soak->entries[caller % soak->n_entries];
+}
+
 static void send_requests(soak_t *soak)
 {
 	for (unsigned i = 0; i < soak->n_callers; i++) {
@@ -391,7 +415,7 @@
 		if (soak_caller_is_busy(soak->callers[i]) ||
 		    soak_random(&soak->world, 4) != 0)
 			continue;
-		entry = &soak->entries[i % soak->n_entries];
+		entry = route_caller(soak, i);
 		kind = (soak_kind_t)soak_random(&soak->world, SOAK_KINDS_N);
 		if (soak_random(&soak->world, 10) == 0)
 			leave_us = now_us() +
@@ -530,7 +554,7 @@
 	seconds->ival[0] = 10;
 	entries->ival[0] = 4;
 	servers->ival[0] = 9;
-	callers->ival[0] = 24;
+	callers->ival[0] = 48;
 	if (arg_parse(argc, argv, table) || entries->ival[0] > MAX_ENTRIES ||
 	    servers->ival[0] > MAX_SERVERS || callers->ival[0] > MAX_CALLERS) {
 		arg_print_errors(stderr, end, "tool_soak");
