Give decisions and the entry process rooms of their own

src/process held 69 sources. Decisions without sockets or clock are now in process/decide, the entry process and its store client in process/entry; the news of an entry process and the exchange of a connection have files of their own. test_layers checks what decide/ and platform/ may include and that no name of the platform stands outside its adapter; it was shown to fail on one include.

--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -6,7 +6,7 @@
 #include <gio/gio.h>
 
 #include "process/alarm.h"
-#include "process/occupancy.h"
+#include "process/decide/occupancy.h"
 
 typedef struct {
 	const char *vm;
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -1,13 +1,10 @@
-#include "connection/ingress.h"
+#include "connection/ingress_connection.h"
 
 #include <glib-unix.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "connection/address.h"
-#include "connection/http_message.h"
-#include "connection/tcp.h"
-#include "process/alarm.h"
 
 /* Pending connections in the kernel's queue. When it is full, the opening
  * packet is lost and sent again only after seconds.
@@ -29,37 +26,6 @@
 /* An idle connection is closed this much later than callers are told. */
 #define IDLE_MARGIN_US (1 * CLOCK_US_PER_S)
 
-typedef enum {
-	CONNECTION_READING, /* between requests, or in one */
-	CONNECTION_ANSWERING,
-	CONNECTION_LINGERING, /* only waits for the caller's close */
-} connection_state_t;
-
-typedef struct ingress_connection ingress_connection_t;
-
-struct exchange {
-	ingress_connection_t *connection;
-	GString *body;
-	void *context;
-	int64_t arrived_us;
-	bool streaming;
-};
-
-struct ingress_connection {
-	ingress_t *ingress;
-	GList *link; /* in ingress->connections */
-	tcp_t tcp;
-	http_message_t message;
-	GString *ahead; /* bytes after the request in progress */
-	connection_state_t state;
-	exchange_t exchange;
-	alarm_t alarm; /* head, body, idle or linger deadline */
-	unsigned reject; /* status for the request that is being read */
-	bool keep; /* the caller wants to go on after the response */
-	bool feeding; /* requests are being taken from `ahead` */
-	bool destroyed; /* while feeding */
-};
-
 static void take_requests(ingress_connection_t *connection);
 
 static bool is_active(const ingress_connection_t *connection)
@@ -67,7 +33,8 @@
 	return connection->state == CONNECTION_ANSWERING;
 }
 
-static void destroy(ingress_connection_t *connection)
+/* Closes a connection; an exchange in progress ends with it. */
+void ingress_connection_close(ingress_connection_t *connection)
 {
 	ingress_t *ingress = connection->ingress;
 
@@ -86,7 +53,8 @@
 	g_free(connection);
 }
 
-static void linger(ingress_connection_t *connection)
+/* Waits for the caller's close after the last response. */
+void ingress_connection_linger(ingress_connection_t *connection)
 {
 	connection->state = CONNECTION_LINGERING;
 	if (tcp_pending(&connection->tcp) == 0)
@@ -95,7 +63,8 @@
 		  clock_now(&connection->ingress->clock) + LINGER_US);
 }
 
-static void await_request(ingress_connection_t *connection)
+/* Gets ready for the next request. */
+void ingress_connection_await(ingress_connection_t *connection)
 {
 	const ingress_t *ingress = connection->ingress;
 
@@ -112,8 +81,9 @@
 					      IDLE_MARGIN_US);
 }
 
-static void append_own(GString *out, unsigned status, int64_t retry_after_us,
-		       const char *text, bool keep)
+/* Appends a response of the router's own. */
+void ingress_append_own(GString *out, unsigned status, int64_t retry_after_us,
+			const char *text, bool keep)
 {
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
 			       http_reason(status));
@@ -134,10 +104,10 @@
 {
 	GString *out = g_string_new(NULL);
 
-	append_own(out, status, 0, http_reason(status), false);
+	ingress_append_own(out, status, 0, http_reason(status), false);
 	tcp_write(&connection->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
-	linger(connection);
+	ingress_connection_linger(connection);
 }
 
 static void on_alarm(void *context)
@@ -151,7 +121,7 @@
 		 connection->message.started)
 		reject(connection, 408);
 	else if (!is_active(connection))
-		destroy(connection);
+		ingress_connection_close(connection);
 }
 
 static bool on_head(void *context, http_head_t *head)
@@ -248,7 +218,7 @@
 	}
 	connection->feeding = false;
 	if (connection->destroyed)
-		destroy(connection);
+		ingress_connection_close(connection);
 }
 
 static void on_data(void *context, const char *data, size_t len)
@@ -275,7 +245,7 @@
 	if (is_active(connection))
 		ingress->handler->on_gone(ingress->context,
 					  &connection->exchange);
-	destroy(connection);
+	ingress_connection_close(connection);
 }
 
 static void on_drained(void *context)
@@ -310,7 +280,7 @@
 	g_queue_push_tail(&ingress->connections, connection);
 	connection->link = g_queue_peek_tail_link(&ingress->connections);
 	tcp_adopt(&connection->tcp, fd, &options, &tcp_handler, connection);
-	await_request(connection);
+	ingress_connection_await(connection);
 }
 
 static gboolean on_acceptable(gint fd, GIOCondition condition, gpointer data)
@@ -384,7 +354,8 @@
 	ingress->source = NULL;
 	close(ingress->fd);
 	while (!g_queue_is_empty(&ingress->connections))
-		destroy(g_queue_peek_head(&ingress->connections));
+		ingress_connection_close(
+			g_queue_peek_head(&ingress->connections));
 }
 
 /* Applies other limits. A request that is being read, and a connection that
@@ -412,153 +383,6 @@
 		link = link->next;
 		if (connection->state == CONNECTION_READING &&
 		    !connection->message.started)
-			destroy(connection);
-	}
-}
-
-/* Head of the request; borrowed until the exchange ends. */
-const http_head_t *exchange_head(const exchange_t *exchange)
-{
-	return &exchange->connection->message.head;
-}
-
-/* Body of the request; borrowed until the exchange ends. */
-str_t exchange_body(const exchange_t *exchange)
-{
-	return str_from_gstring(exchange->body);
-}
-
-/* When the request had been read whole. */
-int64_t exchange_arrived_us(const exchange_t *exchange)
-{
-	return exchange->arrived_us;
-}
-
-/* Keeps a pointer for the handler. */
-void exchange_set_context(exchange_t *exchange, void *context)
-{
-	exchange->context = context;
-}
-
-/* Returns the handler's pointer. */
-void *exchange_context(const exchange_t *exchange)
-{
-	return exchange->context;
-}
-
-/* Ends the exchange; goes on with the connection's next request. */
-static void end_exchange(exchange_t *exchange)
-{
-	ingress_connection_t *connection = exchange->connection;
-
-	connection->ingress->active--;
-	if (!connection->keep || connection->ingress->closing) {
-		linger(connection);
-		return;
+			ingress_connection_close(connection);
 	}
-	await_request(connection);
-	tcp_set_reading(&connection->tcp, true);
-	/* The next request begins in its own turn of the loop, not inside of
-	 * whatever ended this one.
-	 */
-	if (connection->ahead->len > 0 && !connection->feeding)
-		alarm_set(&connection->alarm,
-			  clock_now(&connection->ingress->clock));
-}
-
-static bool closes(const exchange_t *exchange)
-{
-	return !exchange->connection->keep ||
-	       exchange->connection->ingress->closing;
-}
-
-static void append_head(const exchange_t *exchange, GString *out,
-			unsigned status, const http_headers_t *headers)
-{
-	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
-			       http_reason(status));
-	for (size_t i = 0; i < http_headers_count(headers); i++) {
-		http_field_t field = http_headers_at(headers, i);
-
-		if (!http_is_hop_by_hop(headers, field.name))
-			http_append_field(out, field.name, field.value);
-	}
-	if (closes(exchange))
-		g_string_append(out, "Connection: close\r\n");
-}
-
-/* Answers with a backend server's response that is whole. */
-void exchange_reply(exchange_t *exchange, unsigned status,
-		    const http_headers_t *headers, str_t body)
-{
-	tcp_t *tcp = &exchange->connection->tcp;
-	GString *out = g_string_sized_new(512 + body.len);
-	bool no_body =
-		status == 204 || status == 304 ||
-		g_str_equal(exchange_head(exchange)->method->str, "HEAD");
-
-	append_head(exchange, out, status, headers);
-	if (!no_body)
-		http_append_int(out, "Content-Length", (int64_t)body.len);
-	g_string_append(out, "\r\n");
-	g_string_append_len(out, body.data, (gssize)body.len);
-	tcp_write(tcp, out->str, out->len);
-	g_string_free(out, TRUE);
-	end_exchange(exchange);
-}
-
-/* Answers on the router's own behalf. */
-void exchange_reply_own(exchange_t *exchange, unsigned status,
-			int64_t retry_after_us, const char *text)
-{
-	GString *out = g_string_new(NULL);
-
-	append_own(out, status, retry_after_us, text, !closes(exchange));
-	tcp_write(&exchange->connection->tcp, out->str, out->len);
-	g_string_free(out, TRUE);
-	end_exchange(exchange);
-}
-
-/* Begins a response of unknown length. */
-void exchange_start_stream(exchange_t *exchange, unsigned status,
-			   const http_headers_t *headers)
-{
-	GString *out = g_string_sized_new(512);
-
-	exchange->streaming = true;
-	append_head(exchange, out, status, headers);
-	g_string_append(out, "Transfer-Encoding: chunked\r\n\r\n");
-	tcp_write(&exchange->connection->tcp, out->str, out->len);
-	g_string_free(out, TRUE);
-}
-
-/* Appends to the body of a stream. */
-void exchange_write(exchange_t *exchange, const char *data, size_t len)
-{
-	GString *out;
-
-	if (len == 0)
-		return;
-	out = g_string_sized_new(len + 16);
-	g_string_append_printf(out, "%zx\r\n", len);
-	g_string_append_len(out, data, (gssize)len);
-	g_string_append(out, "\r\n");
-	tcp_write(&exchange->connection->tcp, out->str, out->len);
-	g_string_free(out, TRUE);
-}
-
-/* Ends a stream that is whole. */
-void exchange_end_stream(exchange_t *exchange)
-{
-	tcp_write(&exchange->connection->tcp, "0\r\n\r\n", 5);
-	end_exchange(exchange);
-}
-
-/* Ends a response that cannot be completed, visibly so for the caller. */
-void exchange_abort(exchange_t *exchange)
-{
-	ingress_connection_t *connection = exchange->connection;
-
-	tcp_finish(&connection->tcp);
-	destroy(connection);
 }
--- a/src/process/admission.c
+++ b/src/process/decide/admission.c
@@ -1,4 +1,4 @@
-#include "process/admission.h"
+#include "process/decide/admission.h"
 
 #include <math.h>
 
--- a/src/process/admission.h
+++ b/src/process/decide/admission.h
@@ -4,7 +4,7 @@
 
 #include <stdint.h>
 
-#include "process/occupancy.h"
+#include "process/decide/occupancy.h"
 
 /* A decode engine as all routers use it. */
 typedef struct {
--- a/src/process/balance.c
+++ b/src/process/decide/balance.c
@@ -1,4 +1,4 @@
-#include "process/balance.h"
+#include "process/decide/balance.h"
 
 /* A load that a server reported says little about it after this time. */
 #define LOAD_KEPT_US INT64_C(1000000)
--- a/src/process/balance.h
+++ b/src/process/decide/balance.h
@@ -4,7 +4,7 @@
 
 #include <stdint.h>
 
-#include "process/server_set.h"
+#include "process/decide/server_set.h"
 
 typedef struct {
 	const char *service;
--- a/src/process/drain.c
+++ b/src/process/decide/drain.c
@@ -1,4 +1,4 @@
-#include "process/drain.h"
+#include "process/decide/drain.h"
 
 #include "process/clock.h"
 
--- a/src/process/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -1,4 +1,4 @@
-#include "process/occupancy.h"
+#include "process/decide/occupancy.h"
 
 /* A router that has not announced anything for this long is taken for dead:
  * its connections are closed and its requests have ended. Announcements come
--- a/src/process/server_set.c
+++ b/src/process/decide/server_set.c
@@ -1,4 +1,4 @@
-#include "process/server_set.h"
+#include "process/decide/server_set.h"
 
 /* Weight of the latest request in the moving averages. */
 #define FAILURE_WEIGHT 0.08
--- a/src/process/stage_balance.c
+++ b/src/process/decide/stage_balance.c
@@ -1,4 +1,4 @@
-#include "process/stage_balance.h"
+#include "process/decide/stage_balance.h"
 
 #include <math.h>
 
--- a/src/process/cmd_entry.c
+++ b/src/process/entry/cmd_entry.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #include "process/cmd.h"
-#include "process/entry.h"
+#include "process/entry/entry.h"
 #include "process/log.h"
 
 /* Where the platform says which settings file is ours. */
--- a/src/process/entry.c
+++ b/src/process/entry/entry.c
@@ -1,4 +1,4 @@
-#include "process/entry.h"
+#include "process/entry/entry.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -6,8 +6,9 @@
 
 #include "names.h"
 #include "process/counters.h"
+#include "process/entry/entry_news.h"
 #include "process/log.h"
-#include "process/server_probe.h"
+#include "process/entry/server_probe.h"
 #include "request/plain_call.h"
 #include "request/stream_call.h"
 
@@ -31,17 +32,6 @@
 #define WAITING_TICK_US (20 * CLOCK_US_PER_MS)
 #define SETTINGS_CHECK_US (1 * CLOCK_US_PER_S)
 
-/* Peers are told of a server at which so many requests in a row failed. */
-#define TOLD_REFUSALS 2
-
-/* A server whose address answers as another one is gone; its entry lapses. */
-#define MISDIRECTED_TOLD_US (3 * CLOCK_US_PER_S)
-
-/* Share of the allowed second sends that is used. Other VMs count requests in
- * other windows than the backend servers do.
- */
-#define RETRY_USE 0.8
-
 /* Limits before a configuration names others. */
 static const ingress_limits_t first_limits = {
 	.max_head_bytes = 16384,
@@ -173,94 +163,6 @@
 	.on_gone = caller_gone,
 };
 
-/* --- news -------------------------------------------------------------- */
-
-/* Second sends of one VM: its own requests' share, and its part of the slack. */
-static void share_retries(entry_t *entry)
-{
-	unsigned routers = MAX(entry->routers, 1);
-
-	relay_set_retries(&entry->relay,
-			  entry->settings.retry_share * RETRY_USE,
-			  entry->settings.retry_slack * RETRY_USE / routers);
-}
-
-static void on_config(void *context, route_table_t *table)
-{
-	entry_t *entry = context;
-	ingress_limits_t limits = {
-		.max_head_bytes = table->limits.max_head_bytes,
-		.max_body_bytes = table->limits.max_body_bytes,
-		.head_timeout_us = table->limits.head_timeout_us,
-		.idle_timeout_us = table->limits.idle_timeout_us,
-	};
-
-	route_table_unref(entry->table);
-	entry->table = route_table_ref(table);
-	ingress_set_limits(&entry->callers, &limits);
-	log_event(LOG_INFO, "config_in_force",
-		  LOG_INT("version", table->version),
-		  LOG_UINT("routes", table->routes->len));
-}
-
-static void admit_soon(entry_t *entry)
-{
-	if (entry->admit.at_us < 0)
-		alarm_set(&entry->admit, clock_now(&entry->clock));
-}
-
-static void on_servers(void *context)
-{
-	admit_soon(context);
-}
-
-static void on_router(void *context, const char *vm, str_t address)
-{
-	entry_t *entry = context;
-	char *text = str_dup(address);
-
-	if (address.len)
-		announce_set_peer(&entry->announce, vm, text);
-	else
-		announce_remove_peer(&entry->announce, vm);
-	g_free(text);
-	entry->routers = g_hash_table_size(entry->announce.peers) + 1;
-	store_rows_set_routers(&entry->rows, entry->routers);
-	share_retries(entry);
-}
-
-static void on_round(void *context, str_t value)
-{
-	entry_t *entry = context;
-
-	log_event(LOG_INFO, "round_seen", LOG_STR("round", value));
-	stage_orders_round_seen(&entry->orders, value, entry->table);
-}
-
-static const store_rows_handler_t rows_handler = {
-	.on_config = on_config,
-	.on_servers = on_servers,
-	.on_router = on_router,
-	.on_round = on_round,
-};
-
-static void on_peer_news(void *context)
-{
-	entry_t *entry = context;
-
-	if (!g_queue_is_empty(&entry->relay.waiting))
-		admit_soon(entry);
-}
-
-static void on_occupancy(void *context)
-{
-	entry_t *entry = context;
-
-	announce_changed(&entry->announce);
-	if (!g_queue_is_empty(&entry->relay.waiting))
-		admit_soon(entry);
-}
-
 static void on_admit(void *context)
 {
 	entry_t *entry = context;
@@ -268,73 +170,6 @@
 	stream_calls_admit(&entry->relay);
 }
 
-static void on_peer_suspects(void *context, const char *id)
-{
-	entry_t *entry = context;
-	server_t *server = server_set_find(&entry->servers, id);
-
-	if (server)
-		server_suspected_by_peer(server, clock_now(&entry->clock));
-}
-
-/* A peer that reaches the store knows of a change that this VM may not, and
- * one that had work fail knows of a sick server.
- */
-static void on_peer_changing(void *context, const char *id, int64_t until_us)
-{
-	entry_t *entry = context;
-	server_t *server = server_set_find(&entry->servers, id);
-
-	if (server)
-		server->avoided_until_us =
-			MAX(server->avoided_until_us, until_us);
-}
-
-/* Until when peers should give a server no work; 0: they may. */
-static int64_t closed_until(const server_t *server, int64_t now_us)
-{
-	if (server->misdirected)
-		return now_us + MISDIRECTED_TOLD_US;
-	if (server->changing_until_us > now_us)
-		return server->changing_until_us;
-	if (server->refusals >= TOLD_REFUSALS &&
-	    server->avoided_until_us > now_us)
-		return server->avoided_until_us;
-	return 0;
-}
-
-/* Tells peers which servers are out of reach or change their stage; at once
- * when there are more than before.
- */
-static void publish_servers(entry_t *entry, int64_t now_us)
-{
-	GPtrArray *suspects = entry->occupancy.suspects;
-	GArray *changing = entry->occupancy.changing;
-	guint before = suspects->len + changing->len;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_ptr_array_set_size(suspects, 0);
-	g_array_set_size(changing, 0);
-	g_hash_table_iter_init(&iter, entry->servers.by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const server_t *server = value;
-
-		if (server_is_suspect(server))
-			g_ptr_array_add(suspects, g_strdup(server->entry.id));
-		if (closed_until(server, now_us) != 0) {
-			occupancy_change_t change = {
-				.until_us = closed_until(server, now_us)};
-
-			g_strlcpy(change.server, server->entry.id,
-				  sizeof(change.server));
-			g_array_append_val(changing, change);
-		}
-	}
-	if (suspects->len + changing->len > before)
-		announce_changed(&entry->announce);
-}
-
 /* --- shutdown and reload ----------------------------------------------- */
 
 static void check_drain(entry_t *entry, int64_t now_us)
@@ -384,7 +219,7 @@
 	store_rows_init(&entry->rows, &entry->store_pool, entry->clock,
 			entry->settings.store_address, entry->settings.vm,
 			entry->settings.peer_address, &entry->servers,
-			&rows_handler, entry);
+			&entry_rows_handler, entry);
 	if (entry->table)
 		entry->rows.version = entry->table->version;
 }
@@ -400,7 +235,7 @@
 	now->retry_share = next->retry_share;
 	now->retry_slack = next->retry_slack;
 	now->log_level = next->log_level;
-	share_retries(entry);
+	entry_share_retries(entry);
 	if (!g_str_equal(now->store_address, next->store_address)) {
 		char *address = now->store_address;
 
@@ -485,7 +320,7 @@
 	if (waiting)
 		stream_calls_admit(&entry->relay);
 	stream_calls_check(&entry->relay);
-	publish_servers(entry, now_us);
+	entry_publish_servers(entry, now_us);
 	server_probe_due(&entry->servers, &entry->server_pool, entry->table,
 			 now_us);
 	consider_stages(entry);
@@ -537,22 +372,16 @@
 	occupancy_init(&entry->occupancy);
 	relay_init(&entry->relay, clock, &entry->server_pool, &entry->servers,
 		   &entry->occupancy, entry->settings.zone);
-	entry->relay.on_occupancy = on_occupancy;
-	entry->relay.context = entry;
-	share_retries(entry);
+	entry_share_retries(entry);
 	alarm_init(&entry->tick, clock, on_tick, entry);
 	alarm_init(&entry->admit, clock, on_admit, entry);
 	if (!listen_all(entry))
 		return false;
-	entry->occupancy.on_suspect = on_peer_suspects;
-	entry->occupancy.on_changing = on_peer_changing;
-	entry->occupancy.context = entry;
-	entry->announce.on_news = on_peer_news;
-	entry->announce.context = entry;
 	stage_orders_init(&entry->orders, clock, &entry->store_pool,
 			  &entry->server_pool, &entry->servers,
 			  &entry->occupancy, entry->settings.vm,
 			  entry->settings.store_address);
+	entry_follow_news(entry);
 	follow_store(entry);
 	alarm_set(&entry->tick, clock_now(&clock) + TICK_US);
 	return true;
--- a/src/process/entry.h
+++ b/src/process/entry/entry.h
@@ -6,10 +6,10 @@
 
 #include "connection/announce.h"
 #include "connection/ingress.h"
-#include "process/drain.h"
-#include "process/entry_settings.h"
-#include "process/stage_orders.h"
-#include "process/store_rows.h"
+#include "process/decide/drain.h"
+#include "process/entry/entry_settings.h"
+#include "process/entry/stage_orders.h"
+#include "process/entry/store_rows.h"
 #include "request/relay.h"
 
 typedef struct {
--- a/src/process/entry_settings.c
+++ b/src/process/entry/entry_settings.c
@@ -1,4 +1,4 @@
-#include "process/entry_settings.h"
+#include "process/entry/entry_settings.h"
 
 #include "process/fields.h"
 #include "process/file.h"
--- a/src/process/server_probe.c
+++ b/src/process/entry/server_probe.c
@@ -1,4 +1,4 @@
-#include "process/server_probe.h"
+#include "process/entry/server_probe.h"
 
 #include "wire_fields.h"
 #include "process/alarm.h"
--- a/src/process/server_probe.h
+++ b/src/process/entry/server_probe.h
@@ -3,7 +3,7 @@
 #define PROCESS_SERVER_PROBE_H
 
 #include "connection/http_pool.h"
-#include "process/server_set.h"
+#include "process/decide/server_set.h"
 #include "version/route_table.h"
 
 void server_probe_due(server_set_t *servers, http_pool_t *pool,
--- a/src/process/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -1,4 +1,4 @@
-#include "process/stage_orders.h"
+#include "process/entry/stage_orders.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/process/stage_orders.h
+++ b/src/process/entry/stage_orders.h
@@ -8,10 +8,10 @@
 #ifndef PROCESS_STAGE_ORDERS_H
 #define PROCESS_STAGE_ORDERS_H
 
-#include "process/occupancy.h"
-#include "process/stage_balance.h"
-#include "process/store.h"
-#include "process/server_set.h"
+#include "process/decide/occupancy.h"
+#include "process/decide/stage_balance.h"
+#include "process/entry/store.h"
+#include "process/decide/server_set.h"
 #include "version/route_table.h"
 
 /* Keys of the rows of rounds begin so. */
--- a/src/process/store.c
+++ b/src/process/entry/store.c
@@ -1,4 +1,4 @@
-#include "process/store.h"
+#include "process/entry/store.h"
 
 static void end(store_call_t *call, store_result_t result)
 {
--- a/src/process/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -1,8 +1,8 @@
-#include "process/store_rows.h"
+#include "process/entry/store_rows.h"
 
 #include "names.h"
 #include "process/log.h"
-#include "process/stage_orders.h"
+#include "process/entry/stage_orders.h"
 #include "rows.h"
 
 /* Keys of the rows in which VMs say where they are reached begin so. */
--- a/src/process/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -4,8 +4,8 @@
 #ifndef PROCESS_STORE_ROWS_H
 #define PROCESS_STORE_ROWS_H
 
-#include "process/server_set.h"
-#include "process/store_watch.h"
+#include "process/decide/server_set.h"
+#include "process/entry/store_watch.h"
 #include "version/route_table.h"
 
 typedef struct {
--- a/src/process/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -1,4 +1,4 @@
-#include "process/store_watch.h"
+#include "process/entry/store_watch.h"
 
 /* A read answers within this time beyond its own wait. */
 #define READ_TIMEOUT_US (1500 * CLOCK_US_PER_MS)
--- a/src/process/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -4,7 +4,7 @@
 #ifndef PROCESS_STORE_WATCH_H
 #define PROCESS_STORE_WATCH_H
 
-#include "process/store.h"
+#include "process/entry/store.h"
 #include "store_call.h"
 
 typedef struct {
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -1,6 +1,6 @@
 #include "request/plain_call.h"
 
-#include "process/balance.h"
+#include "process/decide/balance.h"
 #include "process/counters.h"
 #include "process/log.h"
 
--- a/src/request/stream_call.h
+++ b/src/request/stream_call.h
@@ -5,7 +5,7 @@
 #ifndef REQUEST_STREAM_CALL_H
 #define REQUEST_STREAM_CALL_H
 
-#include "process/stage_balance.h"
+#include "process/decide/stage_balance.h"
 #include "request/relay.h"
 
 bool stream_call_start(relay_t *relay, exchange_t *exchange,
--- a/src/request/stream_engines.h
+++ b/src/request/stream_engines.h
@@ -2,7 +2,7 @@
 #ifndef REQUEST_STREAM_ENGINES_H
 #define REQUEST_STREAM_ENGINES_H
 
-#include "process/admission.h"
+#include "process/decide/admission.h"
 #include "request/relay.h"
 
 /* Engines of each stage that are looked at. */
--- a/src/request/stream_prefill.h
+++ b/src/request/stream_prefill.h
@@ -2,7 +2,7 @@
 #ifndef REQUEST_STREAM_PREFILL_H
 #define REQUEST_STREAM_PREFILL_H
 
-#include "process/admission.h"
+#include "process/decide/admission.h"
 #include "request/stream.h"
 
 /* The engines that admission found for a stream. */
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -4,7 +4,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
-#include "process/admission.h"
+#include "process/decide/admission.h"
 
 #define MS INT64_C(1000)
 #define NOW (1000 * MS)
--- a/tests/test_stages.c
+++ b/tests/test_stages.c
@@ -5,8 +5,8 @@
 #include <cmocka.h>
 
 #include "process/clock.h"
-#include "process/drain.h"
-#include "process/stage_balance.h"
+#include "process/decide/drain.h"
+#include "process/decide/stage_balance.h"
 
 /* Pattern: nine engines start as four and five, decode is full in each surge.
  * Guards against stages that do not follow the work, against changes for small
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -4,7 +4,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
-#include "process/store_watch.h"
+#include "process/entry/store_watch.h"
 #include "support_address.h"
 #include "support_peer.h"
 #include "support_store.h"
