--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -397,12 +397,12 @@
 
 	for (unsigned i = 0; i < soak->n_entries; i++) {
 		entry_vm_t *entry =
-			&soak->entries[(caller + i) % soak->n_entries];
+			&soak->entries[(caller + i) % MAX(soak->n_entries, 1)];
 
 		if (!entry->leaving_us || entry->leaving_us > left_us)
 			return entry;
 	}
-	return &soak->entries[caller % soak->n_entries];
+	return &soak->entries[caller % MAX(soak->n_entries, 1)];
 }
 
 static void send_requests(soak_t *soak)
