--- a/src/process/entry/cmd_entry.c
+++ b/src/process/entry/cmd_entry.c
@@ -1,5 +1,6 @@
 #include <argtable2.h>
 #include <errno.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -21,6 +22,8 @@
 	diag_t diag;
 	int code = EXIT_CODE_BAD_INPUT;
 
+	/* Until the handler is there; the settings are read below anyway. */
+	(void)signal(SIGHUP, SIG_IGN);
 	diag_init(&diag);
 	if (!entry_settings_load(path, &settings, &diag)) {
 		diag_print(&diag, errors);
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -364,6 +364,9 @@
 	};
 	memset(settings, 0, sizeof(*settings));
 	entry->loop = g_main_loop_new(NULL, FALSE);
+	/* Before the process listens: a signal must not end it then. */
+	entry->term_source = g_unix_signal_add(SIGTERM, on_sigterm, entry);
+	entry->hup_source = g_unix_signal_add(SIGHUP, on_sighup, entry);
 	http_pool_init(&entry->server_pool, clock, USER_TIMEOUT_MS,
 		       CONNECT_TIMEOUT_US);
 	http_pool_init(&entry->store_pool, clock, USER_TIMEOUT_MS,
@@ -390,9 +393,6 @@
 /* Serves until SIGTERM has been carried out. */
 void entry_run(entry_t *entry)
 {
-	guint term = g_unix_signal_add(SIGTERM, on_sigterm, entry);
-	guint hup = g_unix_signal_add(SIGHUP, on_sighup, entry);
-
 	log_event(LOG_INFO, "started",
 		  LOG_CSTR("version", GOOSEBERRYSPUR_VERSION),
 		  LOG_CSTR("callers", entry->settings.callers_address),
@@ -400,8 +400,23 @@
 	g_main_loop_run(entry->loop);
 	log_event(LOG_INFO, "stopped",
 		  LOG_INT("requests", counters_get(COUNTER_REQUESTS)));
-	g_source_remove(term);
-	g_source_remove(hup);
+}
+
+/* Frees what requests share. Those that are cut by the end of the process still
+ * use it.
+ */
+static void finish_shared(entry_t *entry)
+{
+	if (entry->relay.active > 0)
+		return;
+	ingress_finish(&entry->callers);
+	ingress_finish(&entry->ready);
+	ingress_finish(&entry->metrics);
+	relay_finish(&entry->relay);
+	occupancy_finish(&entry->occupancy);
+	server_set_finish(&entry->servers);
+	http_pool_finish(&entry->server_pool);
+	http_pool_finish(&entry->store_pool);
 }
 
 /* Closes everything that is open. Requests in progress end with their
@@ -409,6 +424,8 @@
  */
 void entry_finish(entry_t *entry)
 {
+	g_source_remove(entry->term_source);
+	g_source_remove(entry->hup_source);
 	if (entry->rows.address) {
 		store_rows_finish(&entry->rows);
 		stage_orders_finish(&entry->orders);
@@ -416,6 +433,7 @@
 	alarm_finish(&entry->tick);
 	alarm_finish(&entry->admit);
 	announce_finish(&entry->announce);
+	finish_shared(entry);
 	entry_settings_finish(&entry->settings);
 	route_table_unref(entry->table);
 	g_main_loop_unref(entry->loop);
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -34,6 +34,8 @@
 	route_table_t *table; /* NULL: no configuration is known yet */
 	alarm_t tick;
 	alarm_t admit;
+	guint term_source;
+	guint hup_source;
 	unsigned routers; /* known in the store */
 	bool was_ready;
 } entry_t;
