--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -119,6 +119,11 @@
 				"Time queued before admission."},
 	[HISTOGRAM_CANCEL_MS] = {"gooseberryspur_cancel_ms", "histogram",
 				 "Time until a cancellation is confirmed."},
+	[HISTOGRAM_PREFILL_MS] = {"gooseberryspur_prefill_ms", "histogram",
+				  "Time from a start to the prefill result."},
+	[HISTOGRAM_HAND_OVER_MS] = {"gooseberryspur_hand_over_ms", "histogram",
+				    "Time from a decode call to its first "
+				    "event."},
 };
 
 /* Upper bounds of histogram buckets, milliseconds. 46 and 580 are the
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -57,7 +57,6 @@
 void server_set_init(server_set_t *set)
 {
 	set->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, drop);
-	set->generation = 1;
 }
 
 /* Frees the set; servers with requests in progress live on until they end. */
@@ -110,11 +109,7 @@
 		server->refs = 1;
 		server->entry = *entry;
 		g_hash_table_insert(set->by_id, server->entry.id, server);
-		set->generation++;
 	} else {
-		if (server->entry.stage != entry->stage ||
-		    server->entry.leaving != entry->leaving)
-			set->generation++;
 		if (server->entry.stage != entry->stage) {
 			server->changing_until_us = 0;
 			server->avoided_until_us = 0;
@@ -133,8 +128,7 @@
 /* Removes the server whose entry was removed. */
 void server_set_remove(server_set_t *set, const char *id)
 {
-	if (g_hash_table_remove(set->by_id, id))
-		set->generation++;
+	(void)g_hash_table_remove(set->by_id, id);
 }
 
 /* Starts a full read of the list. */
@@ -165,7 +159,6 @@
 		if (!server->listed && server->doubtful_until_us == 0)
 			server->doubtful_until_us = keep_until_us;
 	}
-	set->generation++;
 }
 
 /* Removes servers that did not come back. True when there were any. */
@@ -185,8 +178,6 @@
 			removed = true;
 		}
 	}
-	if (removed)
-		set->generation++;
 	return removed;
 }
 
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -40,19 +40,16 @@
 	int64_t cleared_us; /* when suspicion last ended */
 	unsigned in_flight; /* own requests */
 	int64_t reported_load; /* running and waiting, as last answered */
-	int64_t reported_slots;
 	int64_t reported_us;
 	double failure_share; /* moving average over own requests */
 	int64_t last_heard_us; /* any byte of an answer */
 	int64_t last_sent_us;
 	double prefill_us_per_token; /* moving average; 0: not known */
-	void *context; /* of the owner */
 	int refs; /* the set and requests in progress */
 } server_t;
 
 typedef struct {
 	GHashTable *by_id; /* of server_t */
-	uint64_t generation; /* changes when an entry does */
 	int64_t left_us; /* when a server was last seen to be leaving */
 } server_set_t;
 
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -298,7 +298,6 @@
 	if (send->fields.has_load) {
 		send->server->reported_load =
 			send->fields.running + send->fields.waiting;
-		send->server->reported_slots = send->fields.slots;
 		send->server->reported_us = now_us;
 	}
 }
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -75,6 +75,9 @@
 		stream->state = STREAM_STREAMING;
 		if (!stream->first_event_us)
 			stream->first_event_us = now_us;
+		counters_observe(HISTOGRAM_HAND_OVER_MS,
+				 (double)(now_us - stream->decode_started_us) /
+					 (double)CLOCK_US_PER_MS);
 		counters_observe(HISTOGRAM_FIRST_TOKEN_MS,
 				 (double)(now_us - request->arrived_us) /
 					 (double)CLOCK_US_PER_MS);
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -32,6 +32,9 @@
 			 stream->prefill_backlog);
 	stream->prefilled_by = server_ref(stream->prefill);
 	stream->prefilled_us = clock_now(&relay->clock);
+	counters_observe(HISTOGRAM_PREFILL_MS,
+			 (double)(stream->prefilled_us - stream->started_us) /
+				 (double)CLOCK_US_PER_MS);
 	stream->kv_source = kv_source_format(stream->prefill->entry.address,
 					     stream->handle);
 	stream_release_prefill(stream);
