--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -549,6 +549,7 @@
 	struct arg_lit *quiet = arg_lit0(NULL, "quiet", "no faults");
 	struct arg_end *end = arg_end(4);
 	void *table[] = {seed, seconds, entries, servers, callers, quiet, end};
+	int code = 2;
 
 	seed->ival[0] = 1;
 	seconds->ival[0] = 10;
@@ -558,10 +559,13 @@
 	if (arg_parse(argc, argv, table) || entries->ival[0] > MAX_ENTRIES ||
 	    servers->ival[0] > MAX_SERVERS || callers->ival[0] > MAX_CALLERS) {
 		arg_print_errors(stderr, end, "tool_soak");
-		return 2;
+	} else {
+		signal(SIGPIPE, SIG_IGN);
+		code = run((uint64_t)seed->ival[0], (unsigned)seconds->ival[0],
+			   (unsigned)entries->ival[0],
+			   (unsigned)servers->ival[0],
+			   (unsigned)callers->ival[0], quiet->count > 0);
 	}
-	signal(SIGPIPE, SIG_IGN);
-	return run((uint64_t)seed->ival[0], (unsigned)seconds->ival[0],
-		   (unsigned)entries->ival[0], (unsigned)servers->ival[0],
-		   (unsigned)callers->ival[0], quiet->count > 0);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
 }
