Stop the raw peer of the tests after its loop has ended

Cause: test_no_resend and test_cut_chunks each failed once in a sanitizer run on 120 leaked bytes. The trace (one of 400 runs, twelve at a time) shows a source of a cancelled accept: the peer was stopped from another thread while its loop was about to accept again. No check changes.

--- a/tests/support_raw.c
+++ b/tests/support_raw.c
@@ -185,10 +185,15 @@
 /* Stops accepting. Connections end with the processes that hold them. */
 void raw_peer_stop(raw_peer_t *peer)
 {
-	g_socket_service_stop(peer->service);
-	g_socket_listener_close(G_SOCKET_LISTENER(peer->service));
+	/* Not while the loop runs: it may be about to accept again, and the
+	 * library then loses the source of the accept that was cancelled.
+	 */
 	g_main_loop_quit(peer->loop);
 	g_thread_join(peer->thread);
+	g_socket_service_stop(peer->service);
+	g_socket_listener_close(G_SOCKET_LISTENER(peer->service));
+	while (g_main_context_pending(peer->context))
+		g_main_context_iteration(peer->context, FALSE);
 	g_object_unref(peer->service);
 	g_main_loop_unref(peer->loop);
 	g_main_context_unref(peer->context);
