Split the VM's process out of the soak, keep its failed seeds

Change: soak_entry has the real process of an entry VM with its settings, log and metrics page; soak_seeds.txt lists the seeds with their causes, make soak-seeds runs them.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 	2>/dev/null | paste -sd '|')
 CTEST = ctest --output-on-failure -j 4 $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
-.PHONY: all packages build test demo format format-check lint sanitize
+.PHONY: all packages build test demo format format-check lint sanitize \
+	soak-seeds
 
 all: build
 
@@ -30,6 +31,14 @@
 demo: build
 	tools/demo $(BUILD)
 
+# Seeds of the fault soak that failed once.
+soak-seeds: build
+	grep -v '^#' tests/soak_seeds.txt | while read -r seed cause; do \
+		echo "$$seed: $$cause"; \
+		BUILD_DIR=$(BUILD) $(BUILD)/tool_soak --seed $$seed \
+			--seconds 10 | tail -2 | grep ' 0 violations' || exit 1; \
+	done
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -2,19 +2,16 @@
  * seeded faults that overlap, with the promises checked while it runs.
  */
 #include <argtable2.h>
-#include <gio/gio.h>
 #include <glib-unix.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include "process/alarm.h"
 #include "support_address.h"
 #include "soak_caller.h"
-#include "support_metrics.h"
-#include "support_process.h"
+#include "soak_entry.h"
 
 #define MAX_ENTRIES 300
 #define MAX_SERVERS 300
@@ -31,28 +28,9 @@
 /* Longest fault. */
 #define MAX_FAULT_MS 2500
 
-#define METRICS_REQUEST                                               \
-	"GET /metrics HTTP/1.1\r\nHost: soak.example\r\nConnection: " \
-	"close\r\n\r\n"
-
 /* In the calm at the end at least this share is served. */
 #define CALM_SERVED 0.9
 
-typedef struct {
-	process_t process;
-	proxy_t *store_proxy;
-	char *settings_path;
-	char *callers_address;
-	char *ready_address;
-	char *metrics_address;
-	char *peer_address;
-	char *vm;
-	size_t log_from; /* where the log of this process begins */
-	int64_t leaving_us; /* since when it is not ready; 0: it is */
-	bool running;
-	bool stopped; /* by SIGSTOP */
-} entry_vm_t;
-
 typedef enum {
 	FAULT_ENTRY_KILL,
 	FAULT_ENTRY_TERM,
@@ -85,7 +63,7 @@
 	soak_world_t world;
 	char *store_address;
 	char *folder;
-	entry_vm_t entries[MAX_ENTRIES];
+	soak_entry_t entries[MAX_ENTRIES];
 	unsigned n_entries;
 	soak_server_t servers[MAX_SERVERS];
 	unsigned n_servers;
@@ -110,95 +88,6 @@
 	return clock_now(&clock);
 }
 
-static void write_settings(const soak_t *soak, const entry_vm_t *entry)
-{
-	char *text = g_strdup_printf(
-		"vm = \"%s\"\nzone = \"z%u\"\ncallers_address = \"%s\"\n"
-		"ready_address = \"%s\"\nmetrics_address = \"%s\"\n"
-		"peer_address = \"%s\"\nstore_address = \"%s\"\n"
-		"shutdown_limit_s = 4\nretry_share = 0.2\n"
-		"retry_slack = 50\n",
-		entry->vm, (unsigned)(entry - soak->entries) % 2,
-		entry->callers_address, entry->ready_address,
-		entry->metrics_address, entry->peer_address,
-		proxy_address(entry->store_proxy));
-
-	g_assert_true(
-		g_file_set_contents(entry->settings_path, text, -1, NULL));
-	g_free(text);
-}
-
-static char *log_path(const entry_vm_t *entry)
-{
-	return g_strconcat(entry->settings_path, ".log", NULL);
-}
-
-static size_t log_size(const entry_vm_t *entry)
-{
-	char *path = log_path(entry);
-	struct stat info;
-	bool known = stat(path, &info) == 0;
-
-	g_free(path);
-	return known ? (size_t)info.st_size : 0;
-}
-
-/* Tells whether the process has come as far as to listen. */
-static bool logged_start(const entry_vm_t *entry)
-{
-	char *path = log_path(entry);
-	char *text = NULL;
-	bool started = g_file_get_contents(path, &text, NULL, NULL) &&
-		       strstr(text + entry->log_from, "event=started");
-
-	g_free(text);
-	g_free(path);
-	return started;
-}
-
-static void start_entry(soak_t *soak, entry_vm_t *entry)
-{
-	const char *args[] = {"entry", entry->settings_path, NULL};
-	char *log = log_path(entry);
-	char *errors = g_strconcat(entry->settings_path, ".err", NULL);
-
-	entry->log_from = log_size(entry);
-	entry->running = process_start_logged(&entry->process, "gooseberryspur",
-					      args, log, errors);
-	entry->stopped = false;
-	entry->leaving_us = 0;
-	g_assert_true(entry->running);
-	g_free(errors);
-	g_free(log);
-}
-
-static void init_entry(soak_t *soak, unsigned i)
-{
-	entry_vm_t *entry = &soak->entries[i];
-
-	entry->vm = g_strdup_printf("vm-%u", i);
-	entry->callers_address = free_address();
-	entry->ready_address = free_address();
-	entry->metrics_address = free_address();
-	entry->peer_address = free_address();
-	entry->store_proxy = proxy_new(soak->store_address);
-	entry->settings_path =
-		g_strdup_printf("%s/%s.toml", soak->folder, entry->vm);
-	write_settings(soak, entry);
-	start_entry(soak, entry);
-}
-
-static void stop_entry(entry_vm_t *entry, int signal_number)
-{
-	if (entry->stopped)
-		process_signal(&entry->process, SIGCONT);
-	process_signal(&entry->process, signal_number);
-	(void)process_wait_end(&entry->process, 6000);
-	process_finish(&entry->process);
-	entry->running = false;
-	entry->stopped = false;
-}
-
 static void put_config(soak_t *soak)
 {
 	char *text = g_strdup_printf(
@@ -245,7 +134,8 @@
 					       : SOAK_DECODE);
 	soak->n_entries = entries;
 	for (unsigned i = 0; i < entries; i++)
-		init_entry(soak, i);
+		soak_entry_init(&soak->entries[i], i, soak->folder,
+				soak->store_address);
 	http_pool_init(&soak->caller_pool, clock_boottime(), 0, 0);
 	soak->n_callers = callers;
 	for (unsigned i = 0; i < callers; i++)
@@ -263,13 +153,13 @@
 
 static void begin_entry_fault(soak_t *soak, const fault_t *fault)
 {
-	entry_vm_t *entry = &soak->entries[fault->target];
+	soak_entry_t *entry = &soak->entries[fault->target];
 
 	if (!entry->running)
 		return;
 	switch (fault->kind) {
 	case FAULT_ENTRY_KILL:
-		stop_entry(entry, SIGKILL);
+		soak_entry_stop(entry, SIGKILL);
 		break;
 	case FAULT_ENTRY_TERM:
 		if (!entry->leaving_us)
@@ -281,7 +171,7 @@
 		process_signal(&entry->process, SIGSTOP);
 		break;
 	default:
-		write_settings(soak, entry);
+		soak_entry_write_settings(entry);
 		process_signal(&entry->process, SIGHUP);
 		break;
 	}
@@ -349,7 +239,7 @@
 
 static void end_fault(soak_t *soak, const fault_t *fault)
 {
-	entry_vm_t *entry = &soak->entries[fault->target];
+	soak_entry_t *entry = &soak->entries[fault->target];
 	soak_server_t *server = &soak->servers[fault->target];
 
 	switch (fault->kind) {
@@ -395,33 +285,18 @@
 	}
 }
 
-/* A process ends by itself, unless it is killed. SIGTERM may end one that does
- * not listen yet: the dynamic linker has not reached its main() (seed 122).
- */
-static void check_end(soak_t *soak, const entry_vm_t *entry)
-{
-	int status = entry->process.status;
-
-	if (!WIFSIGNALED(status) || WTERMSIG(status) == SIGKILL)
-		return;
-	if (WTERMSIG(status) == SIGTERM && !logged_start(entry))
-		return;
-	soak_world_violate(&soak->world, "%s ended by signal %d", entry->vm,
-			   WTERMSIG(status));
-}
-
 /* Processes that have ended are started again, as the platform does. */
 static void restart_entries(soak_t *soak)
 {
 	for (unsigned i = 0; i < soak->n_entries; i++) {
-		entry_vm_t *entry = &soak->entries[i];
+		soak_entry_t *entry = &soak->entries[i];
 
 		if (entry->running && process_wait_end(&entry->process, 0)) {
-			check_end(soak, entry);
-			stop_entry(entry, SIGKILL);
+			soak_entry_check_end(entry, &soak->world);
+			soak_entry_stop(entry, SIGKILL);
 		}
 		if (!entry->running)
-			start_entry(soak, entry);
+			soak_entry_start(entry);
 	}
 }
 
@@ -430,12 +305,12 @@
 /* Sends a caller to its VM, or to the next one when the balancer has left that,
  * two misses after it stopped to be ready.
  */
-static entry_vm_t *route_caller(soak_t *soak, unsigned caller)
+static soak_entry_t *route_caller(soak_t *soak, unsigned caller)
 {
 	int64_t left_us = now_us() - BALANCER_LEAVES_US;
 
 	for (unsigned i = 0; i < soak->n_entries; i++) {
-		entry_vm_t *entry =
+		soak_entry_t *entry =
 			&soak->entries[(caller + i) % MAX(soak->n_entries, 1)];
 
 		if (!entry->leaving_us || entry->leaving_us > left_us)
@@ -449,7 +324,7 @@
 	for (unsigned i = 0; i < soak->n_callers; i++) {
 		int64_t leave_us = 0;
 		soak_kind_t kind;
-		entry_vm_t *entry;
+		soak_entry_t *entry;
 
 		if (soak_caller_is_busy(soak->callers[i]) ||
 		    soak_random(&soak->world, 4) != 0)
@@ -517,63 +392,6 @@
 	}
 }
 
-/* Reads a VM's metrics page, or NULL. */
-static char *get_metrics(const entry_vm_t *entry)
-{
-	GSocketClient *client = g_socket_client_new();
-	GSocketConnection *connection = g_socket_client_connect_to_host(
-		client, entry->metrics_address, 0, NULL, NULL);
-	GString *text = g_string_new(NULL);
-	char buffer[4096];
-	gssize n = 0;
-
-	if (connection) {
-		GIOStream *stream = G_IO_STREAM(connection);
-
-		g_output_stream_write_all(g_io_stream_get_output_stream(stream),
-					  METRICS_REQUEST,
-					  strlen(METRICS_REQUEST), NULL, NULL,
-					  NULL);
-		while ((n = g_input_stream_read(
-				g_io_stream_get_input_stream(stream), buffer,
-				sizeof(buffer), NULL, NULL)) > 0)
-			g_string_append_len(text, buffer, n);
-		g_object_unref(connection);
-	}
-	g_object_unref(client);
-	if (n < 0 || !strstr(text->str, "\r\n\r\n")) {
-		g_string_free(text, TRUE);
-		return NULL;
-	}
-	g_string_erase(text, 0, strstr(text->str, "\r\n\r\n") + 4 - text->str);
-	return g_string_free(text, FALSE);
-}
-
-/* Each VM serves a metrics page that a strict reader takes. */
-static void check_metrics(soak_t *soak)
-{
-	for (unsigned i = 0; i < soak->n_entries; i++) {
-		entry_vm_t *entry = &soak->entries[i];
-		metrics_page_t page;
-		char *text;
-
-		if (!entry->running || entry->leaving_us)
-			continue;
-		text = get_metrics(entry);
-		if (!text) {
-			soak_world_violate(&soak->world, "%s has no metrics",
-					   entry->vm);
-			continue;
-		}
-		metrics_page_read(&page, text);
-		if (page.error)
-			soak_world_violate(&soak->world, "metrics of %s: %s",
-					   entry->vm, page.error);
-		metrics_page_finish(&page);
-		g_free(text);
-	}
-}
-
 static void run_until(int64_t until_us)
 {
 	while (now_us() < until_us)
@@ -587,7 +405,7 @@
 	http_pool_finish(&soak->caller_pool);
 	for (unsigned i = 0; i < soak->n_entries; i++) {
 		if (soak->entries[i].running)
-			stop_entry(&soak->entries[i], SIGKILL);
+			soak_entry_stop(&soak->entries[i], SIGKILL);
 		proxy_free(soak->entries[i].store_proxy);
 	}
 	for (unsigned i = 0; i < soak->n_servers; i++)
@@ -620,7 +438,8 @@
 	}
 	run_until(now_us() + 1500 * CLOCK_US_PER_MS);
 	check_nothing_runs(&soak);
-	check_metrics(&soak);
+	for (unsigned i = 0; i < soak.n_entries; i++)
+		soak_entry_check_metrics(&soak.entries[i], &soak.world);
 	g_source_remove(step);
 	violations = soak.world.violations->len;
 	printf("seed %llu: %u sent, %u served, %u refused, %u failed, "
