Read the rows of VMs that start together in one go

Cause: each VM that enters the store wakes the feeds of all others, and each feed was read again at once. When all VMs start together that makes as many reads as VMs times VMs, 90,000 at 300, of which the store answers 6,000 a second; until then the other reads are refused too.

Ruled out: the pages of the first full read, which follow each other at once, and a second round of stage orders (112 orders in all, one round).

--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -17,6 +17,14 @@
 #define SERVERS_PAUSE_ROUTER_US (10 * CLOCK_US_PER_MS)
 #define SERVERS_PAUSE_MAX_US (1200 * CLOCK_US_PER_MS)
 
+/* Each VM that enters wakes the feeds of all others. When all start at once, a
+ * feed without a pause makes as many reads as VMs times VMs, more than the
+ * store answers in a quarter of a minute at 300. A change after a while is
+ * still read at once.
+ */
+#define OWN_PAUSE_ROUTER_US (10 * CLOCK_US_PER_MS)
+#define OWN_PAUSE_MAX_US (2 * CLOCK_US_PER_S)
+
 /* Servers enter themselves again within two seconds of the store's return. */
 #define RETURN_US (1900 * CLOCK_US_PER_MS)
 
@@ -308,12 +316,14 @@
 	g_free(rows->own_address);
 }
 
-/* Paces the reads of the server list for a number of VMs. */
+/* Paces the reads of the lists of servers and VMs for a number of VMs. */
 void store_rows_set_routers(store_rows_t *rows, unsigned routers)
 {
 	rows->server_list.options.pause_us =
 		MIN(SERVERS_PAUSE_US + routers * SERVERS_PAUSE_ROUTER_US,
 		    SERVERS_PAUSE_MAX_US);
+	rows->own.options.pause_us =
+		MIN(routers * OWN_PAUSE_ROUTER_US, OWN_PAUSE_MAX_US);
 }
 
 /* Reads sent so far. */
--- a/tests/test_store_rows.c
+++ b/tests/test_store_rows.c
@@ -23,6 +23,7 @@
 	server_set_t servers;
 	store_rows_t rows;
 	unsigned changes; /* of the server list */
+	unsigned routers;
 	int64_t entered; /* version of the own row at first */
 } reader_t;
 
@@ -40,6 +41,9 @@
 static void on_router(void *context, const char *vm, str_t address,
 		      int64_t row_version)
 {
+	reader_t *reader = context;
+
+	store_rows_set_routers(&reader->rows, ++reader->routers);
 }
 
 static void on_round(void *context, str_t value)
@@ -171,12 +175,38 @@
 	finish(&reader);
 }
 
+/* Pattern: all VMs start at once. Guards against a read for each VM that
+ * enters, at each VM: the store then answers nobody for half a minute (found by
+ * the sweep at 300 VMs).
+ */
+static void test_mass_start(void **state)
+{
+	reader_t reader;
+	uint64_t calls;
+
+	init(&reader);
+	assert_true(peer_wait(is_entered, &reader, 2000));
+	calls = reader.rows.own.calls;
+	for (unsigned i = 0; i < 100; i++) {
+		char *key = g_strdup_printf("vm/vm-%u", i);
+
+		fake_store_put(&reader.store, TABLE_OWN, key, "10.0.0.8:80");
+		g_free(key);
+		peer_run(20);
+	}
+	peer_run(1200);
+	assert_true(reader.routers >= 100);
+	assert_in_range(reader.rows.own.calls - calls, 1, 20);
+	finish(&reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_heartbeats_change_nothing),
 		cmocka_unit_test(test_heartbeat_after_full_read),
 		cmocka_unit_test(test_removed_vm_enters_again),
+		cmocka_unit_test(test_mass_start),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
