Time the rounds of stage orders for each service

Cause: the time since which stages were out of balance was one for all model services, and each service in balance set it back: with two of them no round under load would ever begin.

Change: a stage_round_t for each service; the pause between rounds stays common.

--- a/src/process/decide/stage_round.c
+++ b/src/process/decide/stage_round.c
@@ -44,5 +44,5 @@
 		round->wanted_since_us = now_us;
 	return now_us >= settled_from_us(round, view, now_us) +
 				 round->jitter_us &&
-	       now_us >= round->next_us;
+	       now_us >= view->next_us;
 }
--- a/src/process/decide/stage_round.h
+++ b/src/process/decide/stage_round.h
@@ -5,9 +5,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Of one service. */
 typedef struct {
 	int64_t wanted_since_us; /* out of balance; 0: it is not */
-	int64_t next_us; /* none begins earlier */
 	int64_t jitter_us; /* of this VM's next attempt */
 } stage_round_t;
 
@@ -17,6 +17,7 @@
 	bool idle; /* there is no traffic yet */
 	int64_t entered_us; /* when the latest engine entered the list */
 	int64_t left_us; /* when one was last seen to leave; 0: never */
+	int64_t next_us; /* no round of any service begins earlier */
 } stage_round_view_t;
 
 bool stage_round_is_due(stage_round_t *round, const stage_round_view_t *view,
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -214,7 +214,7 @@
 	stage_orders_t *orders = context;
 	int64_t now_us = clock_now(&orders->clock);
 
-	orders->round.next_us = now_us + ROUND_US;
+	orders->next_round_us = now_us + ROUND_US;
 	log_event(LOG_INFO, "round_written", LOG_INT("result", result),
 		  LOG_INT("fence", orders->fence));
 	if (result == STORE_OK && now_us - orders->write_sent_us < HOLD_US) {
@@ -370,13 +370,25 @@
 /* The stages have to settle anew before the next attempt, at another moment
  * than those of the other VMs.
  */
-static void expect_round(stage_orders_t *orders)
+static void expect_round(stage_orders_t *orders, stage_round_t *round)
 {
-	orders->round.wanted_since_us = 0;
-	orders->round.jitter_us =
+	round->wanted_since_us = 0;
+	round->jitter_us =
 		(int64_t)(retry_random(&orders->seed) % (uint64_t)JITTER_US);
 }
 
+static stage_round_t *get_round(stage_orders_t *orders, const char *service)
+{
+	stage_round_t *round = g_hash_table_lookup(orders->rounds, service);
+
+	if (!round) {
+		round = g_new0(stage_round_t, 1);
+		expect_round(orders, round);
+		g_hash_table_insert(orders->rounds, g_strdup(service), round);
+	}
+	return round;
+}
+
 static void read_row_of_round(stage_orders_t *orders)
 {
 	GString *message = g_string_new(NULL);
@@ -399,8 +411,10 @@
 			   const stage_balance_t *work, bool idle)
 {
 	stage_balance_t balance = *work;
+	stage_round_t *round = get_round(orders, service->name);
 	stage_round_view_t view;
 	int moves;
+
 	balance.prefills = count_stage(orders, service->name, STAGE_PREFILL);
 	balance.decodes = count_stage(orders, service->name, STAGE_DECODE);
 	balance.loaded = !idle;
@@ -410,12 +424,12 @@
 		.idle = idle,
 		.entered_us = orders->servers->entered_us,
 		.left_us = orders->servers->left_us,
+		.next_us = orders->next_round_us,
 	};
-	if (!stage_round_is_due(&orders->round, &view,
-				clock_now(&orders->clock)) ||
+	if (!stage_round_is_due(round, &view, clock_now(&orders->clock)) ||
 	    store_call_is_busy(&orders->call))
 		return;
-	expect_round(orders);
+	expect_round(orders, round);
 	orders->service = g_strdup(service->name);
 	orders->to_stage = moves > 0 ? STAGE_DECODE : STAGE_PREFILL;
 	orders->moves = idle ? (unsigned)abs(moves)
@@ -445,7 +459,7 @@
 				now_us + service->engine.stage_change_us +
 				CHANGE_MARGIN_US;
 	}
-	orders->round.next_us = now_us + ROUND_US;
+	orders->next_round_us = now_us + ROUND_US;
 	g_strfreev(round.words);
 }
 
@@ -466,7 +480,8 @@
 	};
 	orders->chosen =
 		g_ptr_array_new_with_free_func((GDestroyNotify)server_unref);
-	expect_round(orders);
+	orders->rounds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_call_init(&orders->call, store_pool);
 }
 
@@ -475,6 +490,7 @@
 {
 	store_call_finish(&orders->call);
 	g_ptr_array_unref(orders->chosen);
+	g_hash_table_unref(orders->rounds);
 	g_free(orders->service);
 	g_free(orders->store_address);
 }
--- a/src/process/entry/stage_orders.h
+++ b/src/process/entry/stage_orders.h
@@ -33,7 +33,8 @@
 	unsigned moves; /* engines to choose */
 	int64_t fence; /* of the round being prepared */
 	int64_t write_sent_us;
-	stage_round_t round;
+	GHashTable *rounds; /* service to stage_round_t */
+	int64_t next_round_us; /* none begins earlier */
 	uint64_t seed;
 } stage_orders_t;
 
--- a/tests/test_stages.c
+++ b/tests/test_stages.c
@@ -152,8 +152,10 @@
 static void test_round_under_load(void **state)
 {
 	int64_t now_us = 100 * CLOCK_US_PER_S;
-	stage_round_t round = {.next_us = now_us + 10 * CLOCK_US_PER_S};
-	stage_round_view_t view = {.moves = -1, .entered_us = now_us};
+	stage_round_t round = {0};
+	stage_round_view_t view = {.moves = -1,
+				   .entered_us = now_us,
+				   .next_us = now_us + 10 * CLOCK_US_PER_S};
 
 	assert_false(stage_round_is_due(&round, &view, now_us));
 	assert_false(
@@ -173,6 +175,23 @@
 				       now_us + 17 * CLOCK_US_PER_S));
 }
 
+/* Guards against a service whose stages are in balance and that keeps another
+ * one from its round.
+ */
+static void test_rounds_of_two_services(void **state)
+{
+	int64_t now_us = 100 * CLOCK_US_PER_S;
+	stage_round_t balanced = {0}, unbalanced = {0};
+	stage_round_view_t none = {0}, some = {.moves = 2};
+
+	assert_false(stage_round_is_due(&unbalanced, &some, now_us));
+	for (int i = 0; i < 7; i++) {
+		now_us += CLOCK_US_PER_S;
+		assert_false(stage_round_is_due(&balanced, &none, now_us));
+	}
+	assert_true(stage_round_is_due(&unbalanced, &some, now_us));
+}
+
 /* Guards against a stream that begins when it can no longer end (found by
  * hunts: a zone of few VMs goes on sending after the balancer has left), and
  * against a process that ends before the balancer has left.
@@ -210,6 +229,7 @@
 		cmocka_unit_test(test_choice),
 		cmocka_unit_test(test_round_waits_for_the_list),
 		cmocka_unit_test(test_round_under_load),
+		cmocka_unit_test(test_rounds_of_two_services),
 		cmocka_unit_test(test_drain),
 	};
 
