Take turns among plain servers with the same load

Cause: of servers with the same load the first one of the list was taken.

Change: of equals, the one that this router has not used for longest. The choice of a plain server has tests of its own now (test_balance).

--- a/src/process/decide/balance.c
+++ b/src/process/decide/balance.c
@@ -69,7 +69,11 @@
 	return load;
 }
 
-/* Returns the least loaded server of a service, or NULL when none is left. */
+/*
+ * Returns the least loaded server of a service, or NULL when none is left. Of
+ * servers with the same load it is the one that this router has not used for
+ * longest: most routers have nothing in progress, and would all take the first.
+ */
 server_t *balance_pick(const server_set_t *set,
 		       const balance_request_t *request)
 {
@@ -89,7 +93,9 @@
 		    is_excepted(request, server))
 			continue;
 		load = load_of(server, request, normal);
-		if (!best || load < best_load) {
+		if (!best || load < best_load ||
+		    (load == best_load &&
+		     server->last_sent_us < best->last_sent_us)) {
 			best = server;
 			best_load = load;
 		}
--- /dev/null
+++ b/tests/test_balance.c
@@ -0,0 +1,146 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "process/clock.h"
+#include "process/decide/balance.h"
+
+#define MS CLOCK_US_PER_MS
+#define NOW (5000 * MS)
+
+static server_t *add(server_set_t *set, const char *id, const char *zone)
+{
+	server_entry_t entry = {
+		.id = g_strdup(id),
+		.service = g_strdup("app"),
+		.address = g_strconcat(id, ":80", NULL),
+		.zone = g_strdup(zone),
+		.slots = 6,
+	};
+
+	return server_set_put(set, &entry, NOW);
+}
+
+static server_t *pick(const server_set_t *set, const server_t *except)
+{
+	balance_request_t request = {
+		.service = "app",
+		.zone = "z0",
+		.except = &except,
+		.n_except = except ? 1 : 0,
+		.now_us = NOW,
+	};
+
+	return balance_pick(set, &request);
+}
+
+/* Pattern: many routers with little traffic each, several servers in a zone.
+ * Guards against one server that gets the work of all, as every router finds
+ * all of them idle and takes the first.
+ */
+static void test_idle_servers_take_turns(void **state)
+{
+	unsigned used[4] = {0};
+	server_t *servers[4];
+	server_set_t set;
+
+	memset(&set, 0, sizeof(set));
+	server_set_init(&set);
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+		char *id = g_strdup_printf("i-%zu", i);
+
+		servers[i] = add(&set, id, "z0");
+		g_free(id);
+	}
+	for (int64_t n = 1; n <= 40; n++) {
+		server_t *server = pick(&set, NULL);
+
+		server_sent(server, NOW + n * MS);
+		server_ended(server);
+		for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
+			used[i] += servers[i] == server ? 1 : 0;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
+		assert_int_equal(used[i], 10);
+	server_set_finish(&set);
+}
+
+/* Guards against bytes between zones without need, and against a near server
+ * that is full while a far one is idle.
+ */
+static void test_near_until_loaded(void **state)
+{
+	server_t *near, *far;
+	server_set_t set;
+
+	memset(&set, 0, sizeof(set));
+	server_set_init(&set);
+	far = add(&set, "i-far", "z1");
+	near = add(&set, "i-near", "z0");
+	server_sent(near, NOW);
+	assert_ptr_equal(pick(&set, NULL), near);
+	for (int i = 0; i < 5; i++)
+		server_sent(near, NOW);
+	assert_ptr_equal(pick(&set, NULL), far);
+	server_set_finish(&set);
+}
+
+/* Pattern: one server fails part of its requests at once while its health
+ * check is good, and never has a queue. Guards against the work of all that it
+ * would draw, and against blame for failures that all servers share.
+ */
+static void test_failing_server(void **state)
+{
+	server_t *sick, *sound;
+	server_set_t set;
+
+	memset(&set, 0, sizeof(set));
+	server_set_init(&set);
+	sick = add(&set, "i-sick", "z0");
+	sound = add(&set, "i-sound", "z0");
+	for (int i = 0; i < 20; i++)
+		server_result(sick, true);
+	for (int i = 0; i < 6; i++)
+		server_sent(sound, NOW);
+	assert_ptr_equal(pick(&set, NULL), sound);
+	for (int i = 0; i < 100; i++)
+		server_result(sound, true);
+	assert_ptr_equal(pick(&set, NULL), sick);
+	server_set_finish(&set);
+}
+
+/* Guards against a silent server that is preferred as it seems idle, and
+ * against a refusal while only silent servers are left.
+ */
+static void test_silent_server_is_last(void **state)
+{
+	server_t *silent, *busy;
+	server_set_t set;
+
+	memset(&set, 0, sizeof(set));
+	server_set_init(&set);
+	silent = add(&set, "i-silent", "z0");
+	busy = add(&set, "i-busy", "z1");
+	server_silent(silent, NOW);
+	for (int i = 0; i < 20; i++)
+		server_sent(busy, NOW);
+	assert_ptr_equal(pick(&set, NULL), busy);
+	assert_ptr_equal(pick(&set, busy), silent);
+	silent->entry.leaving = true;
+	assert_null(pick(&set, busy));
+	server_set_finish(&set);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_idle_servers_take_turns),
+		cmocka_unit_test(test_near_until_loaded),
+		cmocka_unit_test(test_failing_server),
+		cmocka_unit_test(test_silent_server_is_last),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
