Drop announcements with use that no router can have

Change: an announcement whose use of a server is negative or above 2^40 is malformed, and nothing of it is taken in. test_implausible_use.

Ruled out: sums that saturate, which would keep a wrong value for good.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -14,6 +14,10 @@
 #define MAX_DATAGRAM_BYTES 8192
 #define MAX_SERVERS 256
 
+/* Use of one server that no router has; sums over all stay far from overflow.
+ */
+#define MAX_USE (INT64_C(1) << 40)
+
 /* Changes within this time go out together. */
 #define COALESCE_US (1 * CLOCK_US_PER_MS)
 
@@ -202,6 +206,13 @@
 	       call->rm_call.cb_proc == ANNOUNCE_PROCEDURE;
 }
 
+static bool is_plausible(const occupancy_use_t *use)
+{
+	return use->streams >= 0 && use->streams <= MAX_USE &&
+	       use->kv_tokens >= 0 && use->kv_tokens <= MAX_USE &&
+	       use->prefill_tokens >= 0 && use->prefill_tokens <= MAX_USE;
+}
+
 static bool decode_uses(XDR *xdrs, GHashTable *uses)
 {
 	uint32_t n;
@@ -212,7 +223,7 @@
 		char server[OCCUPANCY_NAME_BYTES + 1] = "";
 		occupancy_use_t use;
 
-		if (!code_use(xdrs, server, &use))
+		if (!code_use(xdrs, server, &use) || !is_plausible(&use))
 			return false;
 		g_hash_table_insert(uses, g_strdup(server),
 				    g_memdup2(&use, sizeof(use)));
--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -188,6 +188,28 @@
 	occupancy_finish(&b.occupancy);
 }
 
+/* Guards against sums that overflow, and against places that a router gives
+ * back which it never took: the sanitizer build found the former by
+ * test_malformed.
+ */
+static void test_implausible_use(void **state)
+{
+	static const int64_t streams_of_peer[] = {-1, INT64_MIN / 4000,
+						  INT64_MAX / 4000};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(streams_of_peer); i++) {
+		router_t us, peer;
+
+		init(&us, "us", 1);
+		init(&peer, "peer", 1);
+		use(&peer, "e-1", streams_of_peer[i]);
+		assert_false(tell(&peer, &us, 1, NOW));
+		assert_int_equal(streams(&us, "e-1", NOW), 0);
+		occupancy_finish(&us.occupancy);
+		occupancy_finish(&peer.occupancy);
+	}
+}
+
 /* Pattern: hundreds of routers, all of which hear each other. Guards against
  * repeats that take a router's processor (750 a second at 300 routers), and
  * against a router that counts as dead because one or two repeats were lost.
@@ -229,6 +251,7 @@
 		cmocka_unit_test(test_one_order),
 		cmocka_unit_test(test_news_of_servers),
 		cmocka_unit_test(test_malformed),
+		cmocka_unit_test(test_implausible_use),
 		cmocka_unit_test(test_many_routers),
 	};
 
