--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -187,10 +187,51 @@
 	return true;
 }
 
+/* Encodes or decodes what a VM has observed of one service. */
+static bool xdr_workload(XDR *xdrs, char *service, workload_t *workload)
+{
+	if (!xdr_string(xdrs, &service, OCCUPANCY_SERVICE_BYTES))
+		return false;
+	for (int i = 0; i < WORKLOAD_SUMS_N; i++) {
+		if (!xdr_double(xdrs, &workload->sums[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes what this VM has observed of at most OCCUPANCY_MAX_WORKLOADS
+ * services. Names that are too long are left out.
+ */
+static bool encode_workloads(XDR *xdrs, GHashTable *workloads, int64_t now_us)
+{
+	const char *services[OCCUPANCY_MAX_WORKLOADS];
+	uint32_t n = 0;
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, workloads);
+	while (n < OCCUPANCY_MAX_WORKLOADS &&
+	       g_hash_table_iter_next(&iter, &service, NULL)) {
+		if (strlen(service) <= OCCUPANCY_SERVICE_BYTES)
+			services[n++] = service;
+	}
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		occupancy_workload_t *workload =
+			g_hash_table_lookup(workloads, services[i]);
+
+		workload_decay(&workload->own, now_us);
+		if (!xdr_workload(xdrs, (char *)services[i], &workload->own))
+			return false;
+	}
+	return true;
+}
+
 /* Encodes this router's announcement: its use of servers, its waiting requests
- * and their rate of arrival, the servers that it suspects to have failed, and
- * those that are unavailable their stage. Returns false if it does not fit into
- * `size` bytes.
+ * and their rate of arrival, the servers that it suspects to have failed, those
+ * that are unavailable, and what it has observed of the services. Returns false
+ * if it does not fit into `size` bytes.
  */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len)
@@ -212,7 +253,8 @@
 	     encode_claims(&xdrs, announce->occupancy->waiters, now_us) &&
 	     xdr_rate(&xdrs, &arrivals) &&
 	     encode_suspects(&xdrs, announce->occupancy->suspects) &&
-	     encode_changing(&xdrs, announce->occupancy->unavailable, now_us);
+	     encode_changing(&xdrs, announce->occupancy->unavailable, now_us) &&
+	     encode_workloads(&xdrs, announce->occupancy->workloads, now_us);
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
@@ -305,8 +347,32 @@
 	return true;
 }
 
-static bool decode_announcement(XDR *xdrs, occupancy_announcement_t *news,
-				int64_t now_us)
+/* Decodes the observations of services. An announcement of an earlier release
+ * ends before them, at `len` bytes.
+ */
+static bool decode_workloads(XDR *xdrs, size_t len, GHashTable *workloads)
+{
+	uint32_t n;
+
+	if (xdr_getpos(xdrs) == len)
+		return true;
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_WORKLOADS)
+		return false;
+	while (n-- > 0) {
+		char service[OCCUPANCY_SERVICE_BYTES + 1] = "";
+		workload_t workload = {.updated_us = 0};
+
+		if (!xdr_workload(xdrs, service, &workload) ||
+		    !workload_is_valid(&workload))
+			return false;
+		g_hash_table_replace(workloads, g_strdup(service),
+				     g_memdup2(&workload, sizeof(workload)));
+	}
+	return true;
+}
+
+static bool decode_announcement(XDR *xdrs, size_t len,
+				occupancy_announcement_t *news, int64_t now_us)
 {
 	struct rpc_msg call;
 
@@ -318,7 +384,8 @@
 	       decode_claims(xdrs, news->waiters, now_us) &&
 	       xdr_rate(xdrs, &news->arrivals_per_s) &&
 	       decode_suspects(xdrs, news->suspects) &&
-	       decode_changing(xdrs, news->unavailable, now_us);
+	       decode_changing(xdrs, news->unavailable, now_us) &&
+	       decode_workloads(xdrs, len, news->workloads);
 }
 
 /* Updates `occupancy` from a peer's announcement. Returns false and changes
@@ -333,7 +400,7 @@
 
 	occupancy_announcement_init(&news);
 	xdrmem_create(&xdrs, (char *)data, (u_int)len, XDR_DECODE);
-	ok = decode_announcement(&xdrs, &news, now_us);
+	ok = decode_announcement(&xdrs, len, &news, now_us);
 	xdr_destroy(&xdrs);
 	if (ok)
 		occupancy_apply_announcement(occupancy, &news, now_us);
--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -26,10 +26,9 @@
  */
 #define KV_MARGIN 0.5
 
-/* Fixed part of the time to the first event: the calls to both engines, the
- * transfer of the KV cache and the first decode step.
+/* Time that the calls to both engines add to the time to the first event.
  */
-#define FIRST_EVENT_FIXED_US INT64_C(45000)
+#define CALLS_US INT64_C(25000)
 
 /* Share of all slots that late requests leave free for requests that can still
  * be on time: a late answer is worth only a fraction, but occupies its slot for
@@ -140,11 +139,27 @@
 	return found;
 }
 
-/* Estimates the time until an engine has read its backlog and `tokens` more. */
-static int64_t prefill_us(const admission_prefill_t *prefill, int64_t tokens)
+/* Estimates the time until an engine begins to read a further prompt. The
+ * backlog holds the prompts that are not answered: of the first of them half is
+ * read on average, and those whose answer is on its way are read already.
+ */
+static int64_t prefill_wait_us(const admission_view_t *view,
+			       const admission_prefill_t *prefill)
+{
+	double unread_us =
+		((double)prefill->backlog_tokens - view->prompt_tokens / 2) *
+		prefill->us_per_token;
+
+	return (int64_t)fmax(unread_us - prefill->fixed_us, 0);
+}
+
+/* Estimates the time until an engine has answered a prompt of `tokens`. */
+static int64_t prefill_us(const admission_view_t *view,
+			  const admission_prefill_t *prefill, int64_t tokens)
 {
-	return (int64_t)((double)(prefill->backlog_tokens + tokens) *
-			 prefill->us_per_token);
+	return prefill_wait_us(view, prefill) +
+	       (int64_t)(prefill->fixed_us +
+			 (double)tokens * prefill->us_per_token);
 }
 
 /* Chooses the prefill engine that would first have read a prompt of `tokens`,
@@ -157,7 +172,7 @@
 
 	for (size_t i = 0; i < view->n_prefills; i++) {
 		const admission_prefill_t *prefill = &view->prefills[i];
-		int64_t us = prefill_us(prefill, tokens);
+		int64_t us = prefill_us(view, prefill, tokens);
 		int64_t cost =
 			us + (prefill->same_zone ? 0 : OTHER_ZONE_PREFILL_US);
 
@@ -165,7 +180,7 @@
 			best = cost;
 			choice->index = i;
 			choice->duration_us = us;
-			choice->wait_us = prefill_us(prefill, 0);
+			choice->wait_us = prefill_wait_us(view, prefill);
 		}
 	}
 	return best != INT64_MAX;
@@ -224,17 +239,40 @@
 static int64_t late_wait_us(const admission_view_t *view, int64_t used,
 			    int64_t missing)
 {
-	double free_per_us = (double)used / view->stream_us;
-	double left_per_us = free_per_us - view->arrivals_per_s / 1e6;
+	double free_per_us, left_per_us;
 
-	if (missing <= 0)
+	if (missing <= 0 || view->stream_us <= 0)
 		return 0;
+	free_per_us = (double)used / view->stream_us;
+	left_per_us = free_per_us - view->arrivals_per_s / 1e6;
 	left_per_us = fmax(left_per_us, free_per_us * MIN_LATE_SHARE);
 	if (left_per_us <= 0)
 		return INT64_MAX / 4;
 	return (int64_t)((double)missing / left_per_us);
 }
 
+/* Estimates the time until the backlog of the least loaded prefill engine, which
+ * takes `backlog_us` to read, is short enough for late requests. The prompts of
+ * new requests, which can be on time, are read before.
+ */
+static int64_t late_prefill_wait_us(const admission_view_t *view,
+				    int64_t backlog_us)
+{
+	double tokens_per_us = 0;
+	double left_share;
+
+	if (backlog_us <= LATE_PREFILL_WAIT_US)
+		return 0;
+	for (size_t i = 0; i < view->n_prefills; i++) {
+		if (view->prefills[i].usable)
+			tokens_per_us += 1 / view->prefills[i].us_per_token;
+	}
+	left_share = 1 - view->arrivals_per_s / 1e6 * view->prompt_tokens /
+				 tokens_per_us;
+	return (int64_t)((double)(backlog_us - LATE_PREFILL_WAIT_US) /
+			 fmax(left_share, MIN_LATE_SHARE));
+}
+
 /* Returns whether any decode engine is usable. */
 static bool has_usable_decode(const admission_view_t *view)
 {
@@ -276,23 +314,33 @@
 	decision.wait_us = late_wait_us(view, slots->used,
 					request->ahead + 1 + headroom -
 						slots->free_for_late);
+	decision.wait_us =
+		MAX(decision.wait_us,
+		    late_prefill_wait_us(view, decision.prefill.wait_us));
 	if (now_us + decision.wait_us > request->give_up_us)
 		return refuse(decision, ADMISSION_FULL);
 	decision.action = ADMISSION_WAIT;
 	return decision;
 }
 
+/* Returns the time from the end of the prefill to the first event. */
+static int64_t after_prefill_us(const admission_view_t *view)
+{
+	return CALLS_US + (int64_t)view->hand_over_us;
+}
+
 /* Decides on a request that can be on time. It waits only if its first event is
  * still expected by its target time.
  */
-static admission_decision_t decide_on_time(const admission_request_t *request,
+static admission_decision_t decide_on_time(const admission_view_t *view,
+					   const admission_request_t *request,
 					   admission_decision_t decision,
 					   int64_t slots_free, bool room,
 					   int64_t now_us)
 {
 	int64_t first_event_us = now_us + decision.wait_us +
 				 decision.prefill.duration_us +
-				 FIRST_EVENT_FIXED_US;
+				 after_prefill_us(view);
 
 	if (room && slots_free > (int64_t)request->ahead) {
 		decision.action = ADMISSION_START;
@@ -332,7 +380,8 @@
 	if (request->urgency.late)
 		return decide_late(view, request, decision, &slots, room,
 				   now_us);
-	return decide_on_time(request, decision, slots.free, room, now_us);
+	return decide_on_time(view, request, decision, slots.free, room,
+			      now_us);
 }
 
 /* Estimates the time from the start of a request to its first event. Without a
@@ -344,7 +393,7 @@
 	admission_prefill_choice_t choice = {0};
 
 	(void)admission_pick_prefill(view, prompt_tokens, &choice);
-	return choice.duration_us + FIRST_EVENT_FIXED_US;
+	return choice.duration_us + after_prefill_us(view);
 }
 
 /* Returns the name of a reason for the log. */
--- a/src/process/decide/admission.h
+++ b/src/process/decide/admission.h
@@ -22,6 +22,8 @@
 	int64_t backlog_tokens; /* prompts of all VMs that it reads or that wait
 				   for it */
 	double us_per_token;
+	double fixed_us; /* latency of an answer beside the reading; the engine
+			    reads the next prompt meanwhile */
 	bool usable; /* gets work now */
 	bool same_zone;
 } admission_prefill_t;
@@ -32,8 +34,11 @@
 	size_t n_decodes;
 	const admission_prefill_t *prefills;
 	size_t n_prefills;
-	double stream_us; /* mean duration of a stream */
+	double stream_us; /* mean duration of a stream; 0: unknown */
+	double hand_over_us; /* mean time from the send to a decode engine to
+				the first event; 0: unknown */
 	double arrivals_per_s; /* new streams, at all VMs */
+	double prompt_tokens; /* mean prompt of a stream; 0: unknown */
 	double stream_kv_tokens; /* mean decode memory counted for a stream */
 } admission_view_t;
 
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -15,6 +15,9 @@
  */
 #define TTL_REPEATS 3.75
 
+/* The total of all VMs' observations is computed again after this time. */
+#define WORKLOAD_TOTAL_US INT64_C(50000)
+
 /* Time in which the weight of an arrival decays to 1/e. Surges begin and end
  * within seconds.
  */
@@ -28,6 +31,7 @@
 	g_free(peer->vm);
 	g_hash_table_unref(peer->use);
 	g_array_unref(peer->waiters);
+	g_hash_table_unref(peer->workloads);
 	g_free(peer);
 }
 
@@ -45,6 +49,8 @@
 	occupancy->totals = new_use_table();
 	occupancy->unavailable =
 		g_array_new(FALSE, FALSE, sizeof(occupancy_unavailable_t));
+	occupancy->workloads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	occupancy->suspects = g_ptr_array_new_with_free_func(g_free);
 	occupancy->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
@@ -76,6 +82,7 @@
 	g_hash_table_unref(occupancy->totals);
 	g_hash_table_unref(occupancy->peers);
 	g_array_unref(occupancy->waiters);
+	g_hash_table_unref(occupancy->workloads);
 	g_ptr_array_unref(occupancy->suspects);
 	g_array_unref(occupancy->unavailable);
 }
@@ -258,6 +265,63 @@
 	return sum;
 }
 
+/* Returns the entry of a service; the first call creates it. */
+static occupancy_workload_t *get_workload(occupancy_t *occupancy,
+					  const char *service)
+{
+	occupancy_workload_t *workload =
+		g_hash_table_lookup(occupancy->workloads, service);
+
+	if (!workload) {
+		workload = g_new0(occupancy_workload_t, 1);
+		g_hash_table_insert(occupancy->workloads, g_strdup(service),
+				    workload);
+	}
+	return workload;
+}
+
+/* Returns this VM's own observations of a service, to add to. */
+workload_t *occupancy_own_workload(occupancy_t *occupancy, const char *service)
+{
+	return &get_workload(occupancy, service)->own;
+}
+
+/* Adds up the observations of this VM and its live peers. */
+static workload_t sum_workloads(const occupancy_t *occupancy,
+				const char *service, const workload_t *own,
+				int64_t now_us)
+{
+	workload_t total = *own;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, occupancy->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const occupancy_peer_t *peer = value;
+		const workload_t *part =
+			g_hash_table_lookup(peer->workloads, service);
+
+		if (part && is_live(occupancy, peer, now_us))
+			workload_add(&total, part);
+	}
+	return total;
+}
+
+/* Returns what all VMs together have observed of a service; borrowed. */
+const workload_t *occupancy_workload(occupancy_t *occupancy,
+				     const char *service, int64_t now_us)
+{
+	occupancy_workload_t *workload = get_workload(occupancy, service);
+
+	if (now_us >= workload->total_until_us) {
+		workload_decay(&workload->own, now_us);
+		workload->total = sum_workloads(occupancy, service,
+						&workload->own, now_us);
+		workload->total_until_us = now_us + WORKLOAD_TOTAL_US;
+	}
+	return &workload->total;
+}
+
 /* Returns the number of other VMs that are not dead. */
 unsigned occupancy_live_peers(const occupancy_t *occupancy, int64_t now_us)
 {
@@ -278,6 +342,8 @@
 	announcement->use = new_use_table();
 	announcement->waiters =
 		g_array_new(FALSE, FALSE, sizeof(occupancy_urgency_t));
+	announcement->workloads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	announcement->suspects = g_ptr_array_new_with_free_func(g_free);
 	announcement->unavailable =
 		g_array_new(FALSE, FALSE, sizeof(occupancy_unavailable_t));
@@ -288,6 +354,7 @@
 {
 	g_hash_table_unref(announcement->use);
 	g_array_unref(announcement->waiters);
+	g_hash_table_unref(announcement->workloads);
 	g_ptr_array_unref(announcement->suspects);
 	g_array_unref(announcement->unavailable);
 }
@@ -347,9 +414,11 @@
 		set_in_totals(occupancy, peer, false);
 		g_hash_table_unref(peer->use);
 		g_array_unref(peer->waiters);
+		g_hash_table_unref(peer->workloads);
 	}
 	peer->use = g_hash_table_ref(announcement->use);
 	peer->waiters = g_array_ref(announcement->waiters);
+	peer->workloads = g_hash_table_ref(announcement->workloads);
 	peer->arrivals_per_s = announcement->arrivals_per_s;
 	peer->incarnation = announcement->incarnation;
 	peer->sequence = announcement->sequence;
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -1,6 +1,6 @@
 /* What all VMs together use of each backend server, and which requests wait.
- * Also the other state that VMs announce: suspect and unavailable servers, and
- * the rate of new streams.
+ * Also the other state that VMs announce: suspect and unavailable servers, the
+ * rate of new streams, and what each VM has observed of the services.
  *
  * Each VM announces its own use and its own waiting requests to the others at
  * each change. From these announcements every VM computes the same order of
@@ -13,6 +13,7 @@
 
 #include <stdint.h>
 
+#include "process/decide/workload.h"
 #include "process/str.h"
 
 /* Most waiting requests that one announcement contains; the others of its VM
@@ -53,6 +54,19 @@
 	int64_t updated_us; /* the time for which the sum is right */
 } arrival_rate_t;
 
+/* Longest name of a service whose workload is announced. */
+#define OCCUPANCY_SERVICE_BYTES 64
+
+/* Most services whose workload one announcement contains. */
+#define OCCUPANCY_MAX_WORKLOADS 8
+
+/* This VM's observations of one service, and those of all VMs together. */
+typedef struct {
+	workload_t own;
+	workload_t total;
+	int64_t total_until_us; /* when the total is computed again */
+} occupancy_workload_t;
+
 /* One VM's announcement. */
 typedef struct {
 	char vm[OCCUPANCY_NAME_BYTES + 1];
@@ -63,6 +77,7 @@
 	double arrivals_per_s; /* of new streams */
 	GPtrArray *suspects; /* server IDs */
 	GArray *unavailable; /* of occupancy_unavailable_t */
+	GHashTable *workloads; /* service name to workload_t */
 } occupancy_announcement_t;
 
 /* Another VM, as it announced itself last. */
@@ -74,6 +89,7 @@
 	GHashTable *use; /* server ID to occupancy_use_t */
 	GArray *waiters; /* of occupancy_urgency_t */
 	double arrivals_per_s;
+	GHashTable *workloads; /* service name to workload_t */
 	bool in_totals; /* its use is part of the totals */
 } occupancy_peer_t;
 
@@ -86,6 +102,7 @@
 	int64_t next_expiry_us; /* no peer becomes dead before this time */
 	GArray *waiters; /* own, of occupancy_urgency_t; set by the owner */
 	arrival_rate_t arrivals; /* own, of new streams */
+	GHashTable *workloads; /* service name to occupancy_workload_t */
 	GPtrArray *suspects; /* own, server IDs; set by the owner */
 	/* Own, of occupancy_unavailable_t; set by the owner. */
 	GArray *unavailable;
@@ -114,6 +131,9 @@
 void arrival_rate_add(arrival_rate_t *rate, int64_t now_us);
 double arrival_rate_per_s(const arrival_rate_t *rate, int64_t now_us);
 double occupancy_arrivals_per_s(const occupancy_t *occupancy, int64_t now_us);
+workload_t *occupancy_own_workload(occupancy_t *occupancy, const char *service);
+const workload_t *occupancy_workload(occupancy_t *occupancy,
+				     const char *service, int64_t now_us);
 unsigned occupancy_live_peers(const occupancy_t *occupancy, int64_t now_us);
 bool occupancy_is_more_urgent(const occupancy_urgency_t *a,
 			      const occupancy_urgency_t *b);
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -20,8 +20,11 @@
  */
 #define IGNORE_PEERS_US INT64_C(1000000)
 
-/* Weight of the latest prompt in the moving average of the prefill speed. */
+/* Weight of the latest prompt in the moving average of the slowness, and the
+ * most that it may differ from what was expected.
+ */
 #define PREFILL_WEIGHT 0.2
+#define MAX_SLOWNESS_RATIO 4.0
 
 /* Frees the strings of an entry and empties it. */
 void server_entry_clear(server_entry_t *entry)
@@ -342,22 +345,31 @@
 		FAILURE_WEIGHT * ((failed ? 1.0 : 0.0) - server->failure_share);
 }
 
+/* Returns how much longer the server's prefills take than those of the service's
+ * engines in the mean.
+ */
+double server_prefill_slowness(const server_t *server)
+{
+	return server->prefill_slowness > 0 ? server->prefill_slowness : 1;
+}
+
 /* Records that a server has answered a prompt that was sent at `sent_us`, and
- * updates its time per prompt token, which includes waiting.
+ * updates its slowness. `expected_us` is how long it was expected to take, with
+ * the slowness known then; 0 if nothing was known.
  */
 void server_record_prefill(server_t *server, int64_t sent_us, int64_t now_us,
-			   int64_t tokens)
+			   int64_t expected_us)
 {
-	double sample = (double)(now_us - sent_us) / (double)MAX(tokens, 1);
+	double ratio;
 
 	server->answered_prompt_sent_us =
 		MAX(server->answered_prompt_sent_us, sent_us);
-	if (server->prefill_us_per_token == 0)
-		server->prefill_us_per_token = sample;
-	else
-		server->prefill_us_per_token +=
-			PREFILL_WEIGHT *
-			(sample - server->prefill_us_per_token);
+	if (expected_us <= 0)
+		return;
+	ratio = (double)(now_us - sent_us) / (double)expected_us;
+	ratio = CLAMP(ratio, 1 / MAX_SLOWNESS_RATIO, MAX_SLOWNESS_RATIO);
+	server->prefill_slowness = server_prefill_slowness(server) *
+				   (1 + PREFILL_WEIGHT * (ratio - 1));
 }
 
 /*
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -50,7 +50,9 @@
 	double failure_share; /* moving average over this VM's requests */
 	int64_t last_received_us; /* any byte of an answer */
 	int64_t last_sent_us;
-	double prefill_us_per_token; /* moving average; 0: unknown */
+	double prefill_slowness; /* moving average of the duration of prefills
+				    against what is expected of the
+				    service's engines; 0: unknown */
 	int64_t answered_prompt_sent_us; /* send time of the prompt that was
 					    sent last among those answered */
 	int refs; /* the set and requests in progress */
@@ -110,7 +112,8 @@
 void server_work_succeeded(server_t *server);
 void server_record_result(server_t *server, bool failed);
 void server_record_prefill(server_t *server, int64_t sent_us, int64_t now_us,
-			   int64_t tokens);
+			   int64_t expected_us);
+double server_prefill_slowness(const server_t *server);
 prefill_answer_t server_prefill_answer(const server_t *server, int64_t sent_us,
 				       int64_t due_us, int64_t now_us);
 
--- a/src/process/decide/stage_balance.c
+++ b/src/process/decide/stage_balance.c
@@ -11,6 +11,11 @@
 /* Smallest difference from the wanted number of engines that is corrected. */
 #define MIN_DIFFERENCE 0.6
 
+/* Part of an engine that is rounded up to a whole one; the rest is not worth
+ * what the engine does not serve while it changes.
+ */
+#define ROUND_UP 0.4
+
 /* The same under load: the larger of this number and this share of all engines.
  * An engine that changes its stage then serves nothing for ten seconds or more,
  * and the known load is out of date sooner than that.
@@ -45,9 +50,9 @@
 	difference = (double)balance->prefills - wanted;
 	if (fabs(difference) < min_difference(balance, engines))
 		return 0;
-	stage_changes = (int)lround(difference);
-	if (stage_changes == 0)
-		stage_changes = difference > 0 ? 1 : -1;
+	stage_changes = (int)(fabs(difference) + ROUND_UP);
+	if (difference < 0)
+		stage_changes = -stage_changes;
 	if (stage_changes > 0 && (unsigned)stage_changes >= balance->prefills)
 		stage_changes = (int)balance->prefills - 1;
 	if (stage_changes < 0 && (unsigned)-stage_changes >= balance->decodes)
--- a/src/process/decide/stage_round.c
+++ b/src/process/decide/stage_round.c
@@ -7,10 +7,10 @@
  */
 #define UNBALANCED_US (6 * CLOCK_US_PER_S)
 
-/* Before there is any traffic, only the list has to be complete. Engines that
- * start together enter it one by one within about this time of each other. A
- * round that begins before the list is complete leaves the stages out of
- * balance until the next one.
+/* The same before the first round, which corrects the stages that the engines
+ * started with. Engines that start together enter the list one by one within
+ * about this time of each other. A round that begins before the list is
+ * complete leaves the stages out of balance until the next one.
  */
 #define COMPLETE_US (1600 * CLOCK_US_PER_MS)
 
@@ -30,12 +30,9 @@
 	if (view->last_leaving_us != 0 &&
 	    now_us - view->last_leaving_us < LEFT_RECENTLY_US)
 		return round->unbalanced_since_us + UNBALANCED_LEAVING_US;
-	if (!view->before_traffic)
+	if (!view->first)
 		return round->unbalanced_since_us + UNBALANCED_US;
-	return (view->last_added_us > round->unbalanced_since_us
-			? view->last_added_us
-			: round->unbalanced_since_us) +
-	       COMPLETE_US;
+	return view->last_added_us + COMPLETE_US;
 }
 
 /* Returns whether a round that changes the stages of engines may begin now.
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -187,9 +187,8 @@
 			stream_calls_mean_cost(&entry->relay, service);
 
 		if (service->is_engine)
-			stage_orders_start_if_due(
-				&entry->orders, service, &work,
-				counters_get(COUNTER_REQUESTS) == 0);
+			stage_orders_start_if_due(&entry->orders, service,
+						  &work);
 	}
 }
 
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -9,11 +9,16 @@
 #include "store_call.h"
 #include "wire_fields.h"
 
-/* Shortest time between the beginnings of two rounds. It is longer than HOLD_US
- * plus the many seconds for which a sent order may still be carried out, so
- * that the orders of two holders do not overlap.
+/* Shortest time between the beginnings of two rounds. It is several times
+ * HOLD_US, so that the orders of two holders do not overlap.
  */
-#define ROUND_INTERVAL_US (20 * CLOCK_US_PER_S)
+#define ROUND_INTERVAL_US (10 * CLOCK_US_PER_S)
+
+/* Shortest time between the rounds that name one engine: a sent order may still
+ * be carried out for many seconds. It is at most twice ROUND_INTERVAL_US, as
+ * the row of a round names no engines of the round before.
+ */
+#define ENGINE_INTERVAL_US (20 * CLOCK_US_PER_S)
 
 /* How long a holder may give orders after it sent the write of its round. */
 #define HOLD_US (1500 * CLOCK_US_PER_MS)
@@ -26,8 +31,10 @@
  */
 #define MAX_JITTER_US (400 * CLOCK_US_PER_MS)
 
-/* Most engines that get an order in one round under load. */
-#define MAX_CHANGES_UNDER_LOAD 1
+/* Share of the engines that a round after the first one may change; at least
+ * one.
+ */
+#define MAX_CHANGED_SHARE 0.05
 
 /* An engine ends its running streams before it changes. One that has not
  * changed within the duration of a change plus this margin gets work in its old
@@ -269,8 +276,21 @@
 	return GPOINTER_TO_UINT(number);
 }
 
-/* Chooses the engines of the round being prepared; possibly none. */
-static void choose_engines(stage_orders_t *orders)
+/* Returns whether an engine may get an order: it is reachable, changes no stage
+ * and was not named by the latest round if that is recent. `named` may be NULL.
+ */
+static bool may_change(const server_t *server, char **named, int64_t now_us)
+{
+	return !server_is_suspect(server) &&
+	       server->changing_until_us <= now_us &&
+	       !(named && g_strv_contains((const gchar *const *)named,
+					  server->entry.id));
+}
+
+/* Chooses the engines of the round being prepared; possibly none. Engines in
+ * `named`, which may be NULL, are left out.
+ */
+static void choose_engines(stage_orders_t *orders, char **named)
 {
 	GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *candidates =
@@ -284,7 +304,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		server_t *server = value;
 		stage_candidate_t candidate = {
-			.usable = !server_is_suspect(server)};
+			.usable = may_change(server, named, now_us)};
 
 		if (server->entry.stage == STAGE_NONE ||
 		    server->entry.stage == orders->to_stage ||
@@ -355,7 +375,8 @@
 	char *key = round_key(orders);
 	const store_row_t *row = NULL;
 	int64_t version = 0;
-	bool recent = false;
+	bool recent = false, has_row = false;
+	int64_t age_us = 0;
 	store_page_t page;
 	round_row_t round;
 	bool ok;
@@ -364,16 +385,20 @@
 	ok = store_page_read(body, &page) && result == STORE_OK;
 	if (ok)
 		row = find_row(&page, key);
+	if (row)
+		version = row->version;
 	if (row && parse_round(str_from_gstring(row->value), &round)) {
-		recent = page.now_ms - round.begun_ms <
-			 ROUND_INTERVAL_US / CLOCK_US_PER_MS;
+		has_row = true;
+		age_us = (page.now_ms - round.begun_ms) * CLOCK_US_PER_MS;
+		recent = age_us < ROUND_INTERVAL_US;
 		orders->fencing_token = round.fencing_token + 1;
-		g_strfreev(round.words);
 	}
-	if (row)
-		version = row->version;
 	if (ok && !recent)
-		choose_engines(orders);
+		choose_engines(orders, has_row && age_us < ENGINE_INTERVAL_US
+					       ? round.servers
+					       : NULL);
+	if (has_row)
+		g_strfreev(round.words);
 	if (orders->chosen->len > 0)
 		write_row(orders, version, page.now_ms);
 	else
@@ -382,10 +407,22 @@
 	g_free(key);
 }
 
-/* Counts the engines of a service that take work in a stage. */
+/* Returns the stage that an engine has or changes to. */
+static stage_t stage_after_change(const server_t *server, int64_t now_us)
+{
+	if (server->changing_until_us <= now_us)
+		return server->entry.stage;
+	return server->entry.stage == STAGE_PREFILL ? STAGE_DECODE
+						    : STAGE_PREFILL;
+}
+
+/* Counts the engines of a service that take work in a stage, or will when a
+ * change that was ordered is done.
+ */
 static unsigned count_engines(const stage_orders_t *orders, const char *service,
 			      stage_t stage)
 {
+	int64_t now_us = clock_now(&orders->clock);
 	GHashTableIter iter;
 	gpointer value;
 	unsigned n = 0;
@@ -394,7 +431,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const server_t *server = value;
 
-		n += server->entry.stage == stage &&
+		n += server->entry.stage != STAGE_NONE &&
+				     stage_after_change(server, now_us) ==
+					     stage &&
 				     server_takes_work(server) &&
 				     g_str_equal(server->entry.service, service)
 			     ? 1
@@ -444,29 +483,40 @@
 	g_string_free(message, TRUE);
 }
 
+/* Returns how many engines one round may change. The first round corrects the
+ * stages that the engines started with, so it changes all that are needed; a
+ * later one is a small correction, as the load changes while it is carried out.
+ */
+static unsigned max_changes(bool first, const stage_balance_t *balance)
+{
+	double engines = balance->prefills + balance->decodes;
+
+	return first ? G_MAXUINT
+		     : (unsigned)MAX(engines * MAX_CHANGED_SHARE, 1);
+}
+
 /*
  * Begins a round of orders if the stages of a service are out of balance and no
  * round was begun lately. `mean_cost` holds the cost of a request in each
- * stage; its other fields are not used. `before_traffic` says that there was no
- * traffic yet: then all engines needed for the balance change in one round.
+ * stage, 0 while it is unknown; its other fields are not used.
  */
 void stage_orders_start_if_due(stage_orders_t *orders,
 			       const table_service_t *service,
-			       const stage_balance_t *mean_cost,
-			       bool before_traffic)
+			       const stage_balance_t *mean_cost)
 {
 	stage_balance_t balance = *mean_cost;
 	stage_round_state_t *round = get_round_state(orders, service->name);
+	bool first = orders->no_round_before_us == 0;
 	stage_round_view_t view;
 	int stage_changes;
 
 	balance.prefills = count_engines(orders, service->name, STAGE_PREFILL);
 	balance.decodes = count_engines(orders, service->name, STAGE_DECODE);
-	balance.loaded = !before_traffic;
+	balance.loaded = !first;
 	stage_changes = stage_balance_changes(&balance);
 	view = (stage_round_view_t){
 		.stage_changes = stage_changes,
-		.before_traffic = before_traffic,
+		.first = first,
 		.last_added_us = orders->servers->last_added_us,
 		.last_leaving_us = orders->servers->last_leaving_us,
 		.no_round_before_us = orders->no_round_before_us,
@@ -477,10 +527,8 @@
 	reset_attempt(orders, round);
 	orders->service = g_strdup(service->name);
 	orders->to_stage = stage_changes > 0 ? STAGE_DECODE : STAGE_PREFILL;
-	orders->stage_changes = before_traffic
-					? (unsigned)abs(stage_changes)
-					: MIN((unsigned)abs(stage_changes),
-					      MAX_CHANGES_UNDER_LOAD);
+	orders->stage_changes =
+		MIN((unsigned)abs(stage_changes), max_changes(first, &balance));
 	read_row(orders);
 }
 
--- a/src/process/entry/stage_orders.h
+++ b/src/process/entry/stage_orders.h
@@ -3,8 +3,9 @@
  * A round of orders begins with a conditional write to the store that names the
  * VM that gives the orders (the holder), its fencing token and the engines. All
  * VMs follow that row: they send the engines no work until the change is done,
- * and none begins another round for ROUND_INTERVAL_US (20 s), after which none
- * of the holder's orders can be carried out any more. A model engine is a
+ * and none begins another round for ROUND_INTERVAL_US (10 s) or names the same
+ * engines for ENGINE_INTERVAL_US (20 s), after which none of the holder's orders
+ * can be carried out any more. A model engine is a
  * backend server that has a stage, so engines are held as server_t.
  */
 #ifndef PROCESS_STAGE_ORDERS_H
@@ -52,8 +53,7 @@
 void stage_orders_finish(stage_orders_t *orders);
 void stage_orders_start_if_due(stage_orders_t *orders,
 			       const table_service_t *service,
-			       const stage_balance_t *mean_cost,
-			       bool before_traffic);
+			       const stage_balance_t *mean_cost);
 void stage_orders_round_seen(stage_orders_t *orders, str_t value,
 			     const route_table_t *table);
 
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -3,13 +3,6 @@
 #include "process/counters.h"
 #include "process/log.h"
 
-/* Mean duration of a stream before the first one has ended. */
-#define INITIAL_MEAN_STREAM_US (3500 * CLOCK_US_PER_MS)
-
-/* Mean sizes of a stream before the first one has arrived. */
-#define INITIAL_MEAN_PROMPT_TOKENS 5000
-#define INITIAL_MEAN_OUTPUT_TOKENS 4000
-
 /* Time that a caller is assumed to wait if its request states none. */
 #define DEFAULT_TIME_LEFT_US (30 * CLOCK_US_PER_S)
 
@@ -31,9 +24,6 @@
 		.servers = servers,
 		.occupancy = occupancy,
 		.zone = zone,
-		.mean_stream_us = (double)INITIAL_MEAN_STREAM_US,
-		.mean_prompt_tokens = INITIAL_MEAN_PROMPT_TOKENS,
-		.mean_output_tokens = INITIAL_MEAN_OUTPUT_TOKENS,
 		.seed = (uint64_t)clock_now(&clock),
 	};
 	relay->retry_budgets = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -152,6 +142,21 @@
 	request->relay->active--;
 }
 
+/* Returns this VM's own observations of a request's service, to add to. */
+workload_t *relay_own_workload(const relay_request_t *request)
+{
+	return occupancy_own_workload(request->relay->occupancy,
+				      request->service->name);
+}
+
+/* Returns what all VMs have observed of a request's service; borrowed. */
+const workload_t *relay_workload(const relay_request_t *request)
+{
+	return occupancy_workload(request->relay->occupancy,
+				  request->service->name,
+				  clock_now(&request->relay->clock));
+}
+
 /* Returns the output model of a request's service; borrowed. */
 output_model_t *relay_output_model(const relay_request_t *request)
 {
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -40,10 +40,6 @@
 	GHashTable *output_models; /* service name to output_model_t */
 	GQueue streams; /* of stream_t: all in progress */
 	GQueue waiting; /* of stream_t: not started yet, most urgent first */
-	/* Moving averages over streams. */
-	double mean_stream_us; /* duration at the decode engine */
-	double mean_prompt_tokens;
-	double mean_output_tokens; /* as expected when they arrived */
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
 } relay_t;
@@ -89,6 +85,8 @@
 			exchange_t *exchange, route_table_t *table,
 			const table_route_t *route);
 void relay_request_finish(relay_request_t *request);
+workload_t *relay_own_workload(const relay_request_t *request);
+const workload_t *relay_workload(const relay_request_t *request);
 output_model_t *relay_output_model(const relay_request_t *request);
 bool relay_take_retry(const relay_request_t *request);
 void relay_refuse(const relay_request_t *request, int64_t retry_after_us,
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -30,8 +30,9 @@
 	/* Times at which it reached a step; 0: not yet. */
 	int64_t started_us; /* admitted */
 	int64_t prefill_due_us; /* the prefill is overdue after it */
-	int64_t prefill_queued_tokens; /* this prompt and those queued before
-					  it */
+	int64_t prefill_backlog_tokens; /* of prompts queued before it */
+	int64_t prefill_expected_us; /* how long it is expected to take; 0:
+					unknown */
 	int64_t prefilled_us;
 	int64_t decode_started_us; /* latest send to a decode engine */
 	int64_t first_event_us;
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -5,8 +5,10 @@
 #include "request/stream_engines.h"
 #include "request/stream_prefill.h"
 
-/* Output expected of a request that states no estimate. */
-#define DEFAULT_OUTPUT_TOKENS 2048
+/* Output expected of a request that states no estimate, as a share of the limit
+ * that it states, before anything is known of the service's outputs.
+ */
+#define UNKNOWN_OUTPUT_SHARE 0.5
 
 /* Longest wait of a stream for admission. It matters only for late streams.
  * Callers cancel a stream that has sent nothing for four times its target, 3.6
@@ -27,9 +29,6 @@
  */
 #define SILENCE_US (300 * CLOCK_US_PER_MS)
 
-/* Weight of the latest request in the mean sizes of requests. */
-#define SIZE_WEIGHT 0.01
-
 /* Logs why a stream was refused, with the streams at all decode engines and the
  * slots of the usable ones.
  */
@@ -189,6 +188,19 @@
 		stream_fail(stream, 504, "the time for the request is over");
 }
 
+/* Returns the output expected of a request that states no estimate: the mean of
+ * the service, or else a share of the limit.
+ */
+static int64_t output_without_estimate(const relay_request_t *request)
+{
+	int64_t limit = request->fields.max_output_tokens;
+	double mean = workload_output_tokens(relay_workload(request));
+
+	if (mean > 0)
+		return limit > 0 ? MIN(limit, (int64_t)mean) : (int64_t)mean;
+	return (int64_t)((double)MAX(limit, 0) * UNKNOWN_OUTPUT_SHARE);
+}
+
 /* Returns the output expected of a request, from the caller's estimate,
  * corrected by the real lengths of earlier outputs, and at most the limit that
  * the caller states.
@@ -202,43 +214,40 @@
 	output_model_t *model;
 
 	if (fields->output_estimate_tokens <= 0)
-		return DEFAULT_OUTPUT_TOKENS;
+		return output_without_estimate(request);
 	model = relay_output_model(request);
 	output_model_note_estimate(model, fields->output_estimate_tokens);
 	return MIN(output_model_expect(model, fields->output_estimate_tokens),
 		   max_tokens);
 }
 
-/* Adds a request to the mean sizes of requests. */
-static void record_size(relay_t *relay, const relay_request_t *request,
-			int64_t output_tokens)
-{
-	double prompt = (double)request->fields.prompt_tokens;
-
-	relay->mean_prompt_tokens +=
-		SIZE_WEIGHT * (prompt - relay->mean_prompt_tokens);
-	relay->mean_output_tokens += SIZE_WEIGHT * ((double)output_tokens -
-						    relay->mean_output_tokens);
-}
-
 /* Returns the mean engine time that one request to a service costs in each
- * stage.
+ * stage when the engines are full; 0 while too little is known. Memory of the
+ * decode engine is set aside while the prompt is read.
  */
 stage_balance_t stream_calls_mean_cost(const relay_t *relay,
 				       const table_service_t *service)
 {
 	const table_engine_t *engine = &service->engine;
+	const workload_t *workload = occupancy_workload(
+		relay->occupancy, service->name, clock_now(&relay->clock));
+	workload_prefill_t prefill = workload_prefill(workload);
+	double prompt_tokens = workload_prompt_tokens(workload);
 	double stream_tokens = (double)admission_expected_kv_tokens(
-		(int64_t)relay->mean_prompt_tokens,
-		(int64_t)relay->mean_output_tokens);
-
+		(int64_t)prompt_tokens,
+		(int64_t)workload_output_tokens(workload));
+	double share = admission_stream_share(engine->slots, engine->kv_tokens,
+					      stream_tokens);
+	double prefill_us = prompt_tokens * prefill.us_per_token;
+	double stream_us = workload_full_stream_us(
+		workload, engine->tokens_per_event, 1 / share);
+
+	if (!workload_is_sufficient(workload))
+		return (stage_balance_t){.prefill_us = 0};
 	return (stage_balance_t){
-		.prefill_us = relay->mean_prompt_tokens *
-			      INITIAL_PREFILL_US_PER_TOKEN,
-		.decode_us = relay->mean_stream_us *
-			     admission_stream_share(engine->slots,
-						    engine->kv_tokens,
-						    stream_tokens),
+		.prefill_us = prefill_us,
+		.decode_us =
+			share * (prefill.fixed_us + prefill_us + stream_us),
 	};
 }
 
@@ -264,7 +273,9 @@
 	alarm_init(&stream->deadline, relay->clock, on_deadline, stream);
 	alarm_set(&stream->deadline, request->deadline_us);
 	output_tokens = expected_output_tokens(request);
-	record_size(relay, request, output_tokens);
+	workload_observe_request(relay_own_workload(request),
+				 request->arrived_us,
+				 request->fields.prompt_tokens, output_tokens);
 	stream->kv_tokens = admission_expected_kv_tokens(
 		request->fields.prompt_tokens, output_tokens);
 	stream->urgency.due_us = request->answer_due_us;
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -5,19 +5,10 @@
 #include "process/route_metrics.h"
 #include "request/stream_engines.h"
 
-/* Weight of the latest stream in the mean duration of streams. */
-#define DURATION_WEIGHT 0.05
-
-/* Adds the duration of a decode that has ended to the mean. */
-static void record_duration(stream_t *stream)
-{
-	relay_t *relay = stream->request.relay;
-	int64_t duration_us =
-		clock_now(&relay->clock) - stream->decode_started_us;
-
-	relay->mean_stream_us +=
-		DURATION_WEIGHT * ((double)duration_us - relay->mean_stream_us);
-}
+/* Longer gaps between events come from a silent engine or connection and say
+ * nothing about the engine's pace.
+ */
+#define MAX_PACE_GAP_US (300 * CLOCK_US_PER_MS)
 
 /* Compares the length of the output with the caller's estimate, to correct
  * later estimates. An engine's events hold a fixed number of tokens.
@@ -41,7 +32,6 @@
 
 	record_output(stream);
 	exchange_write(stream->request.exchange, partial.data, partial.len);
-	record_duration(stream);
 	stream_log_end(stream, 200, RESULT_OK, "complete");
 	exchange_end_stream(stream->request.exchange);
 	stream_finish(stream);
@@ -95,6 +85,14 @@
 			      &head->headers);
 }
 
+/* Returns the streams of all VMs at the stream's decode engine. */
+static int64_t streams_at(const stream_t *stream, int64_t now_us)
+{
+	return occupancy_total(stream->request.relay->occupancy,
+			       stream->decode->entry.id, now_us)
+		.streams;
+}
+
 /* Updates the state, times and latency metrics when an event has arrived. */
 static void record_event(stream_t *stream, int64_t now_us)
 {
@@ -105,15 +103,21 @@
 		stream->state = STREAM_STREAMING;
 		if (!stream->first_event_us)
 			stream->first_event_us = now_us;
+		workload_observe_hand_over(relay_own_workload(request), now_us,
+					   now_us - stream->decode_started_us);
 		route_metrics_observe(HISTOGRAM_HAND_OVER, route,
 				      now_us - stream->decode_started_us);
 		route_metrics_observe(HISTOGRAM_FIRST_TOKEN, route,
 				      now_us - request->arrived_us);
 	} else {
-		stream->longest_gap_us = MAX(stream->longest_gap_us,
-					     now_us - stream->last_event_us);
-		route_metrics_observe(HISTOGRAM_INTER_TOKEN, route,
-				      now_us - stream->last_event_us);
+		int64_t gap_us = now_us - stream->last_event_us;
+
+		stream->longest_gap_us = MAX(stream->longest_gap_us, gap_us);
+		if (gap_us <= MAX_PACE_GAP_US)
+			workload_observe_gap(relay_own_workload(request),
+					     now_us, gap_us,
+					     streams_at(stream, now_us));
+		route_metrics_observe(HISTOGRAM_INTER_TOKEN, route, gap_us);
 	}
 	stream->last_event_us = now_us;
 }
--- a/src/request/stream_engines.c
+++ b/src/request/stream_engines.c
@@ -1,5 +1,11 @@
 #include "request/stream_engines.h"
 
+/* Prefill time of a token while nothing is known of any engine's speed. It is
+ * shorter than any engine takes, so that no request is held to be late, and
+ * orders the engines by their backlog.
+ */
+#define UNKNOWN_PREFILL_US_PER_TOKEN 1.0
+
 /* Returns whether an engine may be given work now. */
 bool engine_is_usable(const server_t *server, int64_t now_us)
 {
@@ -30,13 +36,16 @@
 			const occupancy_use_t *use, int64_t now_us)
 {
 	size_t i = engines->view.n_prefills++;
+	workload_prefill_t prefill = workload_prefill(relay_workload(request));
+	double slowness = server_prefill_slowness(server);
 
+	if (prefill.us_per_token <= 0)
+		prefill.us_per_token = UNKNOWN_PREFILL_US_PER_TOKEN;
 	engines->prefill_servers[i] = server;
 	engines->prefills[i] = (admission_prefill_t){
 		.backlog_tokens = use->prefill_tokens,
-		.us_per_token = server->prefill_us_per_token > 0
-					? server->prefill_us_per_token
-					: INITIAL_PREFILL_US_PER_TOKEN,
+		.us_per_token = prefill.us_per_token * slowness,
+		.fixed_us = prefill.fixed_us * slowness,
 		.usable = engine_is_usable(server, now_us),
 		.same_zone =
 			g_str_equal(server->entry.zone, request->relay->zone),
@@ -48,18 +57,22 @@
 			    const relay_request_t *request, int64_t now_us)
 {
 	relay_t *relay = request->relay;
+	const workload_t *workload = relay_workload(request);
 	GHashTableIter iter;
 	gpointer value;
 
 	engines->view = (admission_view_t){
 		.decodes = engines->decodes,
 		.prefills = engines->prefills,
-		.stream_us = relay->mean_stream_us,
+		.stream_us = workload_stream_us(
+			workload, request->service->engine.tokens_per_event),
+		.hand_over_us = workload_hand_over_us(workload),
+		.prompt_tokens = workload_prompt_tokens(workload),
 		.arrivals_per_s =
 			occupancy_arrivals_per_s(relay->occupancy, now_us),
 		.stream_kv_tokens = (double)admission_expected_kv_tokens(
-			(int64_t)relay->mean_prompt_tokens,
-			(int64_t)relay->mean_output_tokens),
+			(int64_t)workload_prompt_tokens(workload),
+			(int64_t)workload_output_tokens(workload)),
 	};
 	g_hash_table_iter_init(&iter, relay->servers->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/src/request/stream_engines.h
+++ b/src/request/stream_engines.h
@@ -10,9 +10,6 @@
 /* Engines of each stage that are considered; more are ignored. */
 #define STREAM_ENGINES_MAX 512
 
-/* Prefill speed of an engine before its first answer, microseconds a token. */
-#define INITIAL_PREFILL_US_PER_TOKEN 22.0
-
 /* The engines of one service. Each server array has the order of the array that
  * admission sees. The servers are borrowed from the set of servers.
  */
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -34,11 +34,16 @@
 {
 	relay_t *relay = stream->request.relay;
 
+	stream->prefilled_us = clock_now(&relay->clock);
 	server_record_prefill(stream->prefill, stream->send.sent_us,
-			      clock_now(&relay->clock),
-			      stream->prefill_queued_tokens);
+			      stream->prefilled_us,
+			      stream->prefill_expected_us);
+	workload_observe_prefill(relay_own_workload(&stream->request),
+				 stream->prefilled_us,
+				 stream->request.fields.prompt_tokens,
+				 stream->prefill_backlog_tokens,
+				 stream->prefilled_us - stream->send.sent_us);
 	stream->prefilled_by = server_ref(stream->prefill);
-	stream->prefilled_us = clock_now(&relay->clock);
 	route_metrics_observe(HISTOGRAM_PREFILL, stream->request.route->name,
 			      stream->prefilled_us - stream->started_us);
 	stream->kv_source = kv_source_format(stream->prefill->entry.address,
@@ -133,6 +138,28 @@
 	.on_end = prefill_end,
 };
 
+/* Returns whether anything is known of the speed of the service's engines. */
+static bool is_speed_known(const stream_t *stream)
+{
+	const workload_t *workload = relay_workload(&stream->request);
+
+	return workload_prefill(workload).us_per_token > 0;
+}
+
+/* Returns when an answer to a prompt that is sent now is overdue. While nothing
+ * is known of the speed of any engine, that is when the first event is due.
+ */
+static int64_t overdue_at_us(const stream_t *stream, int64_t duration_us,
+			     int64_t now_us)
+{
+	int64_t at_us =
+		now_us + OVERDUE_MARGIN_US + OVERDUE_FACTOR * duration_us;
+
+	if (is_speed_known(stream))
+		return at_us;
+	return MAX(at_us, stream->request.answer_due_us);
+}
+
 /* Sends the prompt to a prefill engine and adds it to the engine's occupancy.
  * Retries elsewhere, or refuses the request, when no connection can be made.
  */
@@ -148,10 +175,9 @@
 		.prefill_only = true,
 	};
 
-	stream->prefill_queued_tokens =
-		backlog_tokens + request->fields.prompt_tokens;
-	stream->prefill_due_us =
-		now_us + OVERDUE_MARGIN_US + OVERDUE_FACTOR * duration_us;
+	stream->prefill_backlog_tokens = backlog_tokens;
+	stream->prefill_expected_us = is_speed_known(stream) ? duration_us : 0;
+	stream->prefill_due_us = overdue_at_us(stream, duration_us, now_us);
 	stream_use_prefill(stream, prefill);
 	counters_add(COUNTER_PREFILLS, 1);
 	counters_add(COUNTER_PREFILL_TOKENS, request->fields.prompt_tokens);
--- /dev/null
+++ b/tests/test_load.c
@@ -0,0 +1,133 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <glib.h>
+
+#include "process/clock.h"
+#include "support_model.h"
+
+/* Eight engines with memory for about nine streams, and traffic that half of
+ * what they can do at the best split of stages.
+ */
+static const model_config_t base = {
+	.vms = 4,
+	.engines = 8,
+	.prefills = 3,
+	.rounds = true,
+	.slots = 128,
+	.kv_tokens = 33505,
+	.prefill_us_per_token = 30,
+	.prefill_fixed_us = 40000,
+	.event_us = 38000,
+	.event_us_per_stream = 1000,
+	.tokens_per_event = 11,
+	.stage_change_us = 6000000,
+	.prompt_tokens = 3000,
+	.output_tokens = 770,
+	.rate_per_s = 7,
+	.clump = 3,
+	.count_from_us = 24000000,
+	.until_us = 50000000,
+	.seed = 1,
+};
+
+static void print_result(const char *name, const model_result_t *result)
+{
+	print_message("%s: arrived %u, on time %u, late %u, refused %u (after "
+		      "at most %d ms), engine refusals %u, %u prefill\n",
+		      name, result->arrived, result->on_time, result->late,
+		      result->refused, (int)(result->longest_refusal_us / 1000),
+		      result->engine_refusals, result->prefills);
+}
+
+/* Returns the requests that are on time over several seeds. */
+static unsigned on_time(const char *name, model_config_t config)
+{
+	unsigned sum = 0;
+
+	for (config.seed = 1; config.seed <= 2; config.seed++) {
+		model_result_t result = model_run(&config);
+
+		print_result(name, &result);
+		sum += result.on_time;
+	}
+	return sum;
+}
+
+/* Returns the most requests that a fixed split of the stages has on time. */
+static unsigned best_fixed_split(model_config_t config)
+{
+	unsigned best = 0;
+
+	config.rounds = false;
+	for (config.prefills = 1; config.prefills < config.engines;
+	     config.prefills++) {
+		unsigned served = on_time("fixed split", config);
+
+		best = MAX(best, served);
+	}
+	return best;
+}
+
+/* Pattern: stages that are wrong at the start, with engines of unknown speed
+ * and memory and requests of unknown sizes, above capacity. Guards against
+ * decisions that rest on the sizes or speeds of one customer: the split that
+ * the rounds arrive at serves at least nine tenths of what the best fixed split
+ * does.
+ */
+static void test_split_follows_load(void **state)
+{
+	static const struct {
+		const char *name;
+		double speed; /* of the engines */
+		double memory; /* and slots */
+		double prompt, output; /* sizes of requests */
+		double rate; /* streams/s */
+	} cases[] = {
+		{"base", 1, 1, 1, 1, 18},
+		{"fast engines", 3, 1, 1, 1, 54},
+		{"slow engines", 1.0 / 3, 1, 1, 1, 6},
+		{"much memory", 1, 5, 1, 1, 36},
+		{"little memory", 1, 1.0 / 5, 0.4, 1, 8},
+		{"short prompts, long outputs", 1, 1, 0.3, 2, 18},
+		{"long prompts, short outputs", 1, 1, 1.5, 0.2, 24},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		model_config_t config = base;
+		unsigned best, with_rounds;
+
+		config.prefill_us_per_token /= cases[i].speed;
+		config.event_us =
+			(int64_t)((double)config.event_us / cases[i].speed);
+		config.event_us_per_stream =
+			(int64_t)((double)config.event_us_per_stream /
+				  cases[i].speed);
+		config.kv_tokens =
+			(int64_t)((double)config.kv_tokens * cases[i].memory);
+		config.slots =
+			(int64_t)((double)config.slots * cases[i].memory);
+		config.prompt_tokens = (int64_t)((double)config.prompt_tokens *
+						 cases[i].prompt);
+		config.output_tokens = (int64_t)((double)config.output_tokens *
+						 cases[i].output);
+		config.rate_per_s = cases[i].rate;
+		config.until_us = 42 * CLOCK_US_PER_S;
+		print_message("%s\n", cases[i].name);
+		best = best_fixed_split(config);
+		with_rounds = on_time("rounds", config);
+		assert_true(with_rounds >= 0.9 * best);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_split_follows_load),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
