Begin no round of orders by a VM that missed one

Cause: a VM that was cut off from the store since the start believed that no round had been begun.

Change: a VM that reads a round it has not seen takes note of it and begins none for the usual time.

Ruled out: the ten seconds between rounds (the row was 11.5 s old; with 20 s it would have come at the second attempt).

--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -366,6 +366,15 @@
 	return NULL;
 }
 
+/* Records that a round was begun: no other one begins for ROUND_INTERVAL_US. */
+static void note_round(stage_orders_t *orders, const round_row_t *round)
+{
+	orders->seen_fencing_token =
+		MAX(orders->seen_fencing_token, round->fencing_token);
+	orders->no_round_before_us =
+		clock_now(&orders->clock) + ROUND_INTERVAL_US;
+}
+
 /* Handles the read of the row of the service's latest round. Another round
  * begins only when enough time has passed since, on the store's clock.
  */
@@ -392,6 +401,13 @@
 		age_us = (page.now_ms - round.begun_ms) * CLOCK_US_PER_MS;
 		recent = age_us < ROUND_INTERVAL_US;
 		orders->fencing_token = round.fencing_token + 1;
+		/* This VM decided without knowing of that round: it was cut off
+		 * from the store, and its list of servers may be as old.
+		 */
+		if (round.fencing_token > orders->seen_fencing_token) {
+			note_round(orders, &round);
+			recent = true;
+		}
 	}
 	if (ok && !recent)
 		choose_engines(orders, has_row && age_us < ENGINE_INTERVAL_US
@@ -557,7 +573,7 @@
 				now_us + service->engine.stage_change_us +
 				CHANGE_MARGIN_US;
 	}
-	orders->no_round_before_us = now_us + ROUND_INTERVAL_US;
+	note_round(orders, &round);
 	g_strfreev(round.words);
 }
 
--- a/src/process/entry/stage_orders.h
+++ b/src/process/entry/stage_orders.h
@@ -43,6 +43,7 @@
 	int64_t write_sent_us; /* when the write of the row was sent */
 	GHashTable *round_states; /* service name to stage_round_state_t */
 	int64_t no_round_before_us; /* no round begins earlier */
+	int64_t seen_fencing_token; /* the highest of the rounds seen */
 	uint64_t seed;
 } stage_orders_t;
 
--- /dev/null
+++ b/tests/test_stage_orders.c
@@ -0,0 +1,136 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "names.h"
+#include "process/entry/stage_orders.h"
+#include "support_address.h"
+#include "support_store.h"
+
+#define ENGINES 8
+#define ROUND_KEY STAGE_ROUND_PREFIX "llm"
+
+/* One VM's rounds, with a store that the test controls and eight engines of the
+ * prefill stage that cannot be reached.
+ */
+typedef struct {
+	fake_store_t store;
+	char *store_address;
+	http_pool_t pool;
+	server_set_t servers;
+	occupancy_t occupancy;
+	stage_orders_t orders;
+	table_service_t service;
+	int64_t skipped_us; /* by the VM's clock */
+} vm_t;
+
+static int64_t vm_now(void *context)
+{
+	return ((vm_t *)context)->skipped_us + g_get_monotonic_time();
+}
+
+static void init(vm_t *vm)
+{
+	clock_source_t clock = {vm_now, vm};
+
+	memset(vm, 0, sizeof(*vm));
+	vm->store_address = unused_address();
+	fake_store_start(&vm->store, vm->store_address);
+	http_pool_init(&vm->pool, clock_boottime(), 1000, 0);
+	server_set_init(&vm->servers);
+	occupancy_init(&vm->occupancy);
+	vm->service =
+		(table_service_t){.name = (char *)"llm", .is_engine = true};
+	for (int i = 0; i < ENGINES; i++) {
+		server_entry_t entry = {
+			.id = g_strdup_printf("engine-%d", i),
+			.service = g_strdup("llm"),
+			.address = unused_address(),
+			.zone = g_strdup("z"),
+			.stage = i < ENGINES - 1 ? STAGE_PREFILL : STAGE_DECODE,
+			.slots = 4,
+		};
+
+		server_set_put(&vm->servers, &entry, 0);
+	}
+	stage_orders_init(&vm->orders, clock, &vm->pool, &vm->pool,
+			  &vm->servers, &vm->occupancy, "vm-us",
+			  vm->store_address);
+}
+
+static void finish(vm_t *vm)
+{
+	stage_orders_finish(&vm->orders);
+	occupancy_finish(&vm->occupancy);
+	server_set_finish(&vm->servers);
+	http_pool_finish(&vm->pool);
+	fake_store_stop(&vm->store);
+	g_free(vm->store_address);
+}
+
+/* Lets the VM check its stages for a while, as its tick does. */
+static void check_stages(vm_t *vm)
+{
+	const stage_balance_t cost = {.prefill_us = 1, .decode_us = 7};
+	int64_t until_us = g_get_monotonic_time() + 600 * CLOCK_US_PER_MS;
+
+	vm->skipped_us += 10 * CLOCK_US_PER_S;
+	while (g_get_monotonic_time() < until_us) {
+		stage_orders_start_if_due(&vm->orders, &vm->service, &cost);
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(1000);
+	}
+}
+
+/* Guards against a round that is not begun at all, which the other tests here
+ * would not notice.
+ */
+static void test_first_round(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	check_stages(&vm);
+	assert_int_not_equal(
+		fake_store_row_version(&vm.store, TABLE_ROUTER, ROUND_KEY), 0);
+	finish(&vm);
+}
+
+/* A VM is cut off from the store while another one begins the first round, and
+ * reaches it again later. Guards against a second first round by that VM, which
+ * changes as many engines again, by a list of servers from before the cut: one
+ * prefill engine of four was left.
+ */
+static void test_round_after_a_cut(void **state)
+{
+	int64_t version;
+	vm_t vm;
+
+	init(&vm);
+	/* Begun at the start of the store's clock, long ago. */
+	fake_store_put(&vm.store, TABLE_ROUTER, ROUND_KEY,
+		       "vm-other 1 0 decode engine-0 engine-1 engine-2");
+	version = fake_store_row_version(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	check_stages(&vm);
+	assert_int_equal(fake_store_row_version(&vm.store, TABLE_ROUTER,
+						ROUND_KEY),
+			 version);
+	/* Once it knows the round, it may begin the next one. */
+	check_stages(&vm);
+	assert_int_not_equal(fake_store_row_version(&vm.store, TABLE_ROUTER,
+						    ROUND_KEY),
+			     version);
+	finish(&vm);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_first_round),
+		cmocka_unit_test(test_round_after_a_cut),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
