Keep streams in the own zone while it has room

The penalty of another zone was a fifth of an engine's memory and 10 ms of prefill, so that a third to a half of the streams crossed zones at moderate load; KV cache that crosses zones also takes twice as long.

Change: another zone counts as a whole engine's load for decode and as 100 ms of prefill.

--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -49,8 +49,8 @@
 /* Penalty of an engine in another zone: for decode as a share of its capacity,
  * for prefill in time.
  */
-#define OTHER_ZONE_LOAD 0.2
-#define OTHER_ZONE_PREFILL_US INT64_C(10000)
+#define OTHER_ZONE_LOAD 1.0
+#define OTHER_ZONE_PREFILL_US INT64_C(100000)
 
 /* Returns the decode memory, in tokens, to count for a stream. */
 int64_t admission_expected_kv_tokens(int64_t prompt_tokens,
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -255,6 +255,34 @@
 	}
 }
 
+/* A zone is cut off from the others for seconds. Streams with an engine in
+ * another zone break off then, so guards against a choice that leaves the own
+ * zone while it has room, and against one that stays there when it is full.
+ */
+static void test_own_zone_first(void **state)
+{
+	admission_request_t request = on_time(0);
+	admission_decision_t decision;
+	fleet_t fleet;
+
+	init(&fleet, 0);
+	fleet.decodes[2].same_zone = true;
+	fleet.decodes[2].use =
+		(occupancy_use_t){.streams = 10, .kv_tokens = 60000};
+	fleet.prefills[1].same_zone = true;
+	fleet.prefills[1].backlog_tokens = 4000;
+	decision = admission_decide(&fleet.view, &request, NOW);
+	assert_int_equal(decision.action, ADMISSION_START);
+	assert_int_equal(decision.decode, 2);
+	assert_int_equal(decision.prefill.index, 1);
+	fleet.decodes[2].use.kv_tokens = 99000;
+	fleet.prefills[1].backlog_tokens = 15000;
+	decision = admission_decide(&fleet.view, &request, NOW);
+	assert_int_equal(decision.action, ADMISSION_START);
+	assert_int_not_equal(decision.decode, 2);
+	assert_int_not_equal(decision.prefill.index, 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -262,6 +290,7 @@
 		cmocka_unit_test(test_surge),
 		cmocka_unit_test(test_one_free_slot_for_many),
 		cmocka_unit_test(test_memory_limits),
+		cmocka_unit_test(test_own_zone_first),
 		cmocka_unit_test(test_late_requests_leave_room),
 		cmocka_unit_test(test_prefill_limits),
 		cmocka_unit_test(test_no_engine),
