Keep a memory margin by the outputs, not by the prompts

Cause: the margin of a decode engine's memory was half of a whole stream's memory for each square root of the streams. What varies is the output: of the new customer's streams a fifth is output, so the margin was five standard deviations and 16% of the memory lay idle in each surge; no request was ever preempted. On the earlier sites it was two.

Change: the margin is 0.9 mean outputs, two standard deviations of what one stream holds of its output, times the square root of the streams.

--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -19,12 +19,12 @@
 #define OUTPUT_SHARE 0.5
 
 /* Streams are at different points and their outputs differ from the estimates,
- * so an engine's memory in use varies about what is counted. Of memory for n
- * streams, KV_MARGIN times the square root of n streams' memory is kept free.
- * An engine that runs out refuses prompts that were already read for it, or
- * preempts running streams.
+ * so an engine's memory in use varies about what is counted: for one stream by
+ * nearly half of the mean output, for n streams by the square root of n times
+ * that. Twice that is kept free. An engine that runs out refuses prompts that
+ * were already read for it, or preempts running streams.
  */
-#define KV_MARGIN 0.5
+#define KV_MARGIN_OUTPUTS 0.9
 
 /* Time that the calls to both engines add to the time to the first event.
  */
@@ -59,6 +59,19 @@
 	return prompt_tokens + (int64_t)((double)output_tokens * OUTPUT_SHARE);
 }
 
+/* Returns the mean sizes of a service's streams. */
+admission_stream_t admission_mean_stream(const workload_t *workload)
+{
+	admission_stream_t stream = {
+		.prompt_tokens = workload_prompt_tokens(workload),
+		.output_tokens = workload_output_tokens(workload),
+	};
+
+	stream.kv_tokens = (double)admission_expected_kv_tokens(
+		(int64_t)stream.prompt_tokens, (int64_t)stream.output_tokens);
+	return stream;
+}
+
 /* Returns how many more streams an engine may be given, regardless of memory;
  * negative when it is overbooked further than this VM would.
  */
@@ -70,30 +83,33 @@
 /* Returns the part of an engine's decode memory that may be filled with streams
  * of a mean size; the rest is the margin.
  */
-static int64_t kv_less_margin(int64_t kv_tokens, double stream_kv_tokens)
+static int64_t kv_less_margin(int64_t kv_tokens,
+			      const admission_stream_t *stream)
 {
 	double tokens = (double)kv_tokens;
+	double streams = tokens / fmax(stream->kv_tokens, 1);
 
-	return (int64_t)(tokens - KV_MARGIN * sqrt(tokens * stream_kv_tokens));
+	return (int64_t)(tokens - KV_MARGIN_OUTPUTS * stream->output_tokens *
+					  sqrt(streams));
 }
 
 /* Returns the share of a decode engine that one stream of a mean size takes: of
  * its slots or of its usable memory, whichever is more.
  */
 double admission_stream_share(int64_t slots, int64_t kv_tokens,
-			      double stream_kv_tokens)
+			      const admission_stream_t *stream)
 {
-	double usable = (double)kv_less_margin(kv_tokens, stream_kv_tokens);
+	double usable = (double)kv_less_margin(kv_tokens, stream);
 
 	return fmax(1.0 / (double)MAX(slots, 1),
-		    fmin(stream_kv_tokens / fmax(usable, 1), 1));
+		    fmin(stream->kv_tokens / fmax(usable, 1), 1));
 }
 
 /* Returns the decode memory of an engine less its margin, in tokens. */
 static int64_t usable_tokens(const admission_view_t *view,
 			     const admission_decode_t *decode)
 {
-	return kv_less_margin(decode->kv_tokens, view->stream_kv_tokens);
+	return kv_less_margin(decode->kv_tokens, &view->stream);
 }
 
 /* Returns whether an engine has a slot and the memory for a stream. */
@@ -146,9 +162,9 @@
 static int64_t prefill_wait_us(const admission_view_t *view,
 			       const admission_prefill_t *prefill)
 {
-	double unread_us =
-		((double)prefill->backlog_tokens - view->prompt_tokens / 2) *
-		prefill->us_per_token;
+	double unread_us = ((double)prefill->backlog_tokens -
+			    view->stream.prompt_tokens / 2) *
+			   prefill->us_per_token;
 
 	return (int64_t)fmax(unread_us - prefill->fixed_us, 0);
 }
@@ -267,8 +283,8 @@
 		if (view->prefills[i].usable)
 			tokens_per_us += 1 / view->prefills[i].us_per_token;
 	}
-	left_share = 1 - view->arrivals_per_s / 1e6 * view->prompt_tokens /
-				 tokens_per_us;
+	left_share = 1 - view->arrivals_per_s / 1e6 *
+				 view->stream.prompt_tokens / tokens_per_us;
 	return (int64_t)((double)(backlog_us - LATE_PREFILL_WAIT_US) /
 			 fmax(left_share, MIN_LATE_SHARE));
 }
--- a/src/process/decide/admission.h
+++ b/src/process/decide/admission.h
@@ -28,6 +28,13 @@
 	bool same_zone;
 } admission_prefill_t;
 
+/* The mean sizes of a stream; 0: unknown. */
+typedef struct {
+	double prompt_tokens;
+	double output_tokens;
+	double kv_tokens; /* decode memory counted for it */
+} admission_stream_t;
+
 /* The state of a service's engines and traffic. The arrays are the caller's. */
 typedef struct {
 	const admission_decode_t *decodes;
@@ -38,8 +45,7 @@
 	double hand_over_us; /* mean time from the send to a decode engine to
 				the first event; 0: unknown */
 	double arrivals_per_s; /* new streams, at all VMs */
-	double prompt_tokens; /* mean prompt of a stream; 0: unknown */
-	double stream_kv_tokens; /* mean decode memory counted for a stream */
+	admission_stream_t stream;
 } admission_view_t;
 
 /* A stream to decide on. */
@@ -85,8 +91,9 @@
 
 int64_t admission_expected_kv_tokens(int64_t prompt_tokens,
 				     int64_t output_tokens);
+admission_stream_t admission_mean_stream(const workload_t *workload);
 double admission_stream_share(int64_t slots, int64_t kv_tokens,
-			      double stream_kv_tokens);
+			      const admission_stream_t *stream);
 admission_decision_t admission_decide(const admission_view_t *view,
 				      const admission_request_t *request,
 				      int64_t now_us);
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -232,13 +232,10 @@
 	const workload_t *workload = occupancy_workload(
 		relay->occupancy, service->name, clock_now(&relay->clock));
 	workload_prefill_t prefill = workload_prefill(workload);
-	double prompt_tokens = workload_prompt_tokens(workload);
-	double stream_tokens = (double)admission_expected_kv_tokens(
-		(int64_t)prompt_tokens,
-		(int64_t)workload_output_tokens(workload));
+	admission_stream_t stream = admission_mean_stream(workload);
 	double share = admission_stream_share(engine->slots, engine->kv_tokens,
-					      stream_tokens);
-	double prefill_us = prompt_tokens * prefill.us_per_token;
+					      &stream);
+	double prefill_us = stream.prompt_tokens * prefill.us_per_token;
 	double stream_us = workload_full_stream_us(
 		workload, engine->tokens_per_event, 1 / share);
 
--- a/src/request/stream_engines.c
+++ b/src/request/stream_engines.c
@@ -67,12 +67,10 @@
 		.stream_us = workload_stream_us(
 			workload, request->service->engine.tokens_per_event),
 		.hand_over_us = workload_hand_over_us(workload),
-		.prompt_tokens = workload_prompt_tokens(workload),
+		.stream = admission_mean_stream(workload),
 		.arrivals_per_s =
 			occupancy_arrivals_per_s(relay->occupancy, now_us),
-		.stream_kv_tokens = (double)admission_expected_kv_tokens(
-			(int64_t)workload_prompt_tokens(workload),
-			(int64_t)workload_output_tokens(workload)),
+
 	};
 	g_hash_table_iter_init(&iter, relay->servers->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -42,7 +42,9 @@
 		.prefills = fleet->prefills,
 		.n_prefills = PREFILLS,
 		.stream_us = 3500.0 * MS,
-		.stream_kv_tokens = 7000,
+		.stream = {.prompt_tokens = 5000,
+			   .output_tokens = 4000,
+			   .kv_tokens = 7000},
 	};
 }
 
--- a/tests/test_stages.c
+++ b/tests/test_stages.c
@@ -66,7 +66,10 @@
 	const double prefill_us = 5000 * 22.0, stream_us = 3500000;
 
 	for (size_t i = 0; i < sizeof(memories) / sizeof(memories[0]); i++) {
-		double share = admission_stream_share(12, memories[i], 7200);
+		admission_stream_t stream = {.prompt_tokens = 5000,
+					     .output_tokens = 4400,
+					     .kv_tokens = 7200};
+		double share = admission_stream_share(12, memories[i], &stream);
 		stage_balance_t balance = {
 			.prefills = 15,
 			.decodes = 15,
