--- a/src/process/decide/stage_balance.c
+++ b/src/process/decide/stage_balance.c
@@ -6,7 +6,12 @@
  * a request whose prompt has to queue misses its target, while one in a full
  * decode batch does not.
  */
-#define PREFILL_MARGIN 1.25
+#define PREFILL_MARGIN 1.1
+
+/* Prefill engines wanted beyond that share. The stage often has only a few, and
+ * one that is lost is a large part of it.
+ */
+#define SPARE_PREFILLS 0.45
 
 /* Smallest difference from the wanted number of engines that is corrected. */
 #define MIN_DIFFERENCE 0.6
@@ -14,7 +19,7 @@
 /* Part of an engine that is rounded up to a whole one; the rest is not worth
  * what the engine does not serve while it changes.
  */
-#define ROUND_UP 0.4
+#define ROUND_UP 0.35
 
 /* The same under load: the larger of this number and this share of all engines.
  * An engine that changes its stage then serves nothing for ten seconds or more,
@@ -45,7 +50,8 @@
 
 	if (engines < 2 || prefill <= 0 || balance->decode_us <= 0)
 		return 0;
-	wanted = engines * prefill / (prefill + balance->decode_us);
+	wanted = engines * prefill / (prefill + balance->decode_us) +
+		 SPARE_PREFILLS;
 	wanted = fmin(fmax(wanted, 1), engines - 1);
 	difference = (double)balance->prefills - wanted;
 	if (fabs(difference) < min_difference(balance, engines))
