Follow a store that comes back from an older copy

Cause: the store may be restored from a copy that is some seconds old, and then gives out versions again. A feed that went on from a version of before would miss what was written meanwhile; this VM's own row and the row of the latest round are gone, so that peers that start do not know the VM, and the fencing token of the next round repeats; a server that was seen leaving may be listed as ready.

Change: the era that the store's answers state is read at the adapter's edge. A rise starts a full read as after an outage (servers that are missing are kept until their entries are due back). A full read without this VM's row writes it again. Fencing tokens are above the highest that this VM has seen and not below the store's clock. A process that began to leave stays leaving, also when its row was removed and is listed again.

Ruled out: versions compared with those of before (they are given out again); the era in the rows of this project (they are restored as well).

test_restored_store, test_restored_store_lists_a_leaving_server and test_token_after_restore fail without the change.

--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -26,6 +26,9 @@
 #define PREFILL_WEIGHT 0.2
 #define MAX_SLOWNESS_RATIO 4.0
 
+/* Most servers that are remembered after they have left. */
+#define MAX_LEFT 4096
+
 /* Frees the strings of an entry and empties it. */
 void server_entry_clear(server_entry_t *entry)
 {
@@ -67,6 +70,8 @@
 	set->by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
 	set->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	set->left =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /* Frees the set. A server with requests in progress is freed when the last of
@@ -75,6 +80,7 @@
 void server_set_finish(server_set_t *set)
 {
 	g_clear_pointer(&set->by_address, g_hash_table_unref);
+	g_clear_pointer(&set->left, g_hash_table_unref);
 	g_clear_pointer(&set->by_id, g_hash_table_unref);
 }
 
@@ -108,11 +114,33 @@
 		g_hash_table_remove(set->by_address, server->entry.address);
 }
 
+/* Remembers a server that is removed after it began to leave. */
+static void record_left(server_set_t *set, const server_t *server)
+{
+	if (!server->entry.leaving)
+		return;
+	if (g_hash_table_size(set->left) >= MAX_LEFT)
+		g_hash_table_remove_all(set->left);
+	g_hash_table_replace(set->left, g_strdup(server->entry.id),
+			     g_memdup2(&server->entry.started_ms,
+				       sizeof(int64_t)));
+}
+
+/* Returns whether the process of an entry has begun to leave before. */
+static bool has_left(const server_set_t *set, const server_entry_t *entry)
+{
+	const int64_t *started_ms = g_hash_table_lookup(set->left, entry->id);
+
+	return started_ms && *started_ms == entry->started_ms;
+}
+
 /*
  * Adds or updates the server of an entry and returns it; the set keeps the
  * reference. Takes the entry's strings and empties it. A server that restarted
  * under its old ID counts as new: what was observed of the old process does
- * not hold for the new one.
+ * not hold for the new one. A process that has begun to leave stays so, whatever
+ * a later entry says: a store that was restored from a copy may list it as it was
+ * before.
  */
 server_t *server_set_put(server_set_t *set, server_entry_t *entry,
 			 int64_t now_us)
@@ -123,6 +151,8 @@
 		server_set_remove(set, entry->id);
 		server = NULL;
 	}
+	entry->leaving |= has_left(set, entry) ||
+			  (server && server->entry.leaving);
 	if (entry->leaving && server && !server->entry.leaving)
 		set->last_leaving_us = now_us;
 	if (!server) {
@@ -155,6 +185,7 @@
 
 	if (!server)
 		return;
+	record_left(set, server);
 	release_address(set, server);
 	(void)g_hash_table_remove(set->by_id, id);
 }
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -80,6 +80,8 @@
 typedef struct {
 	GHashTable *by_id; /* of server_t */
 	GHashTable *by_address; /* the server that was added last with it */
+	GHashTable *left; /* ID to start time of servers that were leaving when
+			     they were removed */
 	int64_t last_added_us; /* when a server was last added */
 	int64_t last_leaving_us; /* when a server last began to leave */
 } server_set_t;
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -390,7 +390,7 @@
 	round_row_t round;
 	bool ok;
 
-	orders->fencing_token = 1;
+	orders->fencing_token = orders->seen_fencing_token + 1;
 	ok = store_page_read(body, &page) && result == STORE_OK;
 	if (ok)
 		row = find_row(&page, key);
@@ -400,7 +400,8 @@
 		has_row = true;
 		age_us = (page.now_ms - round.begun_ms) * CLOCK_US_PER_MS;
 		recent = age_us < ROUND_INTERVAL_US;
-		orders->fencing_token = round.fencing_token + 1;
+		orders->fencing_token =
+			MAX(orders->fencing_token, round.fencing_token + 1);
 		/* This VM decided without knowing of that round: it was cut off
 		 * from the store, and its list of servers may be as old.
 		 */
@@ -409,6 +410,11 @@
 			recent = true;
 		}
 	}
+	/* The store may have lost the latest round with its row. Its clock does
+	 * not fall, so no token that was given out is above it.
+	 */
+	if (ok)
+		orders->fencing_token = MAX(orders->fencing_token, page.now_ms);
 	if (ok && !recent)
 		choose_engines(orders, has_row && age_us < ENGINE_INTERVAL_US
 					       ? round.servers
--- a/src/process/entry/store.c
+++ b/src/process/entry/store.c
@@ -1,5 +1,7 @@
 #include "process/entry/store.h"
 
+#include "store_call.h"
+
 /* Ends a call. `done` may send the next one at once, so the call is reset
  * before.
  */
@@ -16,6 +18,7 @@
 	store_call_t *call = context;
 
 	call->status = head->status;
+	call->era = store_era_read(head);
 }
 
 /* Keeps the body of the answer. */
@@ -99,6 +102,7 @@
 	call->done = done;
 	call->context = context;
 	call->status = 0;
+	call->era = 0;
 	g_string_truncate(call->body, 0);
 	call->http_call = http_pool_call(call->pool, &options);
 	/* If no connection could be made, on_deadline() reports the failure, as
--- a/src/process/entry/store.h
+++ b/src/process/entry/store.h
@@ -28,6 +28,7 @@
 				   progress */
 	GString *body; /* of the answer, as far as received */
 	unsigned status; /* of the answer; 0: none yet */
+	int64_t era; /* of the store, by its latest answer; 0: unknown */
 	alarm_t deadline; /* set exactly while the call is in progress */
 	store_done_fn_t done;
 	void *context;
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -219,6 +219,8 @@
 
 	if (row->value)
 		address = str_from_gstring(row->value);
+	if (row->value && g_str_equal(vm, rows->vm))
+		rows->own_row_read = true;
 	/* Another VM considered this one dead and removed its row. */
 	if (!row->value && g_str_equal(vm, rows->vm) &&
 	    !store_call_is_busy(&rows->register_call))
@@ -227,6 +229,25 @@
 			     row->value ? row->version : 0);
 }
 
+/* Begins a full read of this project's table. */
+static void own_sync_begin(void *context)
+{
+	store_rows_t *rows = context;
+
+	rows->own_row_read = false;
+}
+
+/* Writes this VM's row again if a full read lacks it, as after the store was
+ * restored from a copy that is older than the row.
+ */
+static void own_sync_end(void *context, bool outage)
+{
+	store_rows_t *rows = context;
+
+	if (!rows->own_row_read && !store_call_is_busy(&rows->register_call))
+		register_vm(rows);
+}
+
 /* Applies a row of this project's table: an entry VM or a round of orders. */
 static void own_row(void *context, const store_row_t *row)
 {
@@ -247,9 +268,9 @@
 }
 
 static const store_watch_handler_t own_handler = {
-	.on_sync_begin = ignore_sync_begin,
+	.on_sync_begin = own_sync_begin,
 	.on_row = own_row,
-	.on_sync_end = ignore_sync_end,
+	.on_sync_end = own_sync_end,
 	.on_reachable = own_reachable,
 };
 
--- a/src/process/entry/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -42,6 +42,7 @@
 	store_watch_t config; /* watch of the configuration's table */
 	store_watch_t server_list; /* watch of the backend servers' table */
 	store_watch_t own_table; /* watch of this project's own table */
+	bool own_row_read; /* the full read in progress brought this VM's row */
 	store_call_t register_call; /* writes the row of this VM */
 	alarm_t register_retry;
 	alarm_t expiry; /* of servers that did not return after an outage */
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -95,6 +95,24 @@
 	watch->version = MAX(watch->version, page->version);
 }
 
+/* Returns whether the store was restored from an older copy since the last
+ * answer. The next read then starts a full read, as after an outage: what was
+ * written since the copy is gone until its writers write it again.
+ */
+static bool was_restored(store_watch_t *watch)
+{
+	int64_t before = watch->era;
+
+	if (watch->call.era == 0 || watch->call.era == before)
+		return false;
+	watch->era = watch->call.era;
+	if (before == 0)
+		return false;
+	watch->outage = true;
+	start_over(watch);
+	return true;
+}
+
 /* Handles the end of a read, and schedules the next one. */
 static void on_read(void *context, store_result_t result, str_t body)
 {
@@ -102,6 +120,10 @@
 	int64_t now_us = clock_now(&watch->clock);
 	store_page_t page;
 
+	if (was_restored(watch)) {
+		read_table(watch);
+		return;
+	}
 	if (result == STORE_HISTORY_GONE && watch->synced) {
 		start_over(watch);
 		read_table(watch);
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -1,6 +1,8 @@
 /* Follows one table of the platform's store: a full read, then its feed, and a
- * full read again when the store no longer has the feed's history or was
- * unreachable.
+ * full read again when the store no longer has the feed's history, was
+ * unreachable or was restored from an older copy. Such a copy gives out versions
+ * again, so those from before and after cannot be compared; the store's era tells
+ * them apart.
  */
 #ifndef PROCESS_STORE_WATCH_H
 #define PROCESS_STORE_WATCH_H
@@ -40,6 +42,7 @@
 	char *from_key; /* where the next page of a full read starts */
 	int64_t version; /* the feed goes on from it */
 	int64_t sync_version; /* of the first page of a full read */
+	int64_t era; /* of the store; 0: unknown */
 	int64_t last_ok_us; /* when a read last succeeded */
 	unsigned failures; /* reads that failed in a row */
 	uint64_t reads; /* sent so far */
--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -4,6 +4,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "names.h"
 #include "process/alarm.h"
 
 /* A feed: a read that is answered when a row changes after a version, or at its
@@ -84,13 +85,19 @@
 	return n;
 }
 
-static void reply(exchange_t *exchange, unsigned status, const char *body)
+static void reply(const fake_store_t *store, exchange_t *exchange,
+		  unsigned status, const char *body)
 {
 	http_headers_t headers;
+	char era[32];
 
 	http_headers_init(&headers);
 	http_headers_add(&headers, STR("Content-Type"),
 			 STR("application/json"));
+	g_snprintf(era, sizeof(era), "%" PRId64, store->era);
+	if (store->era)
+		http_headers_add(&headers, STR(HEADER_STORE_ERA),
+				 str_from(era));
 	exchange_reply(exchange, status, &headers, str_from(body));
 	http_headers_finish(&headers);
 }
@@ -105,7 +112,7 @@
 			       "],\"hasMore\":false,\"ver\":%" PRId64
 			       ",\"nowMs\":%" PRId64 "}",
 			       store->version, now_ms());
-	reply(exchange, 200, body->str);
+	reply(store, exchange, 200, body->str);
 	g_string_free(body, TRUE);
 }
 
@@ -208,10 +215,11 @@
 	alarm_init(&feed->deadline, clock, on_feed_deadline, feed);
 	g_queue_push_tail(&store->waiting, feed);
 	exchange_set_context(exchange, feed);
-	if (feed->after < store->history_start_version) {
+	if (feed->after < store->history_start_version ||
+	    feed->after > store->version) {
 		free_feed(feed);
 		exchange_set_context(exchange, NULL);
-		reply(exchange, 410, "{}");
+		reply(store, exchange, 410, "{}");
 	} else if (has_changes(feed)) {
 		end_feed(feed);
 	} else {
@@ -252,13 +260,13 @@
 
 	if (!json_parser_load_from_data(parser, body.data, (gssize)body.len,
 					NULL)) {
-		reply(exchange, 400, "{}");
+		reply(store, exchange, 400, "{}");
 		g_object_unref(parser);
 		return;
 	}
 	call = json_node_get_object(json_parser_get_root(parser));
 	if (!conditions_hold(store, call)) {
-		reply(exchange, 412, "{\"rows\":[]}");
+		reply(store, exchange, 412, "{\"rows\":[]}");
 		g_object_unref(parser);
 		return;
 	}
@@ -282,7 +290,7 @@
 		store->responses_to_drop--;
 		exchange_abort(exchange);
 	} else {
-		reply(exchange, 200, "{\"ver\":1,\"nowMs\":1}");
+		reply(store, exchange, 200, "{\"ver\":1,\"nowMs\":1}");
 	}
 	wake_feeds(store);
 }
@@ -293,7 +301,7 @@
 	const char *target = exchange_head(exchange)->target->str;
 
 	if (store->busy) {
-		reply(exchange, 503, "{}");
+		reply(store, exchange, 503, "{}");
 	} else if (strstr(target, "/rows-tx")) {
 		transact(store, exchange);
 	} else if (strstr(target, "/rows-feed")) {
@@ -364,6 +372,22 @@
 	return row && row->value ? row->version : 0;
 }
 
+/* Returns the text of a row, to be freed, or NULL if it does not exist. */
+char *fake_store_text(fake_store_t *store, const char *table, const char *key)
+{
+	const fake_row_t *row = find_row(store, table, key);
+	char *text = NULL;
+	guchar *bytes;
+	gsize len;
+
+	if (!row || !row->value)
+		return NULL;
+	bytes = g_base64_decode(row->value, &len);
+	text = g_strndup((const char *)bytes, len);
+	g_free(bytes);
+	return text;
+}
+
 /* Removes a row. */
 void fake_store_remove(fake_store_t *store, const char *table, const char *key)
 {
@@ -376,3 +400,26 @@
 {
 	store->history_start_version = ++store->version;
 }
+
+/* Restores the store from a copy that it had at a version: what was written
+ * since is gone, and its versions are given out again.
+ */
+void fake_store_restore(fake_store_t *store, int64_t version)
+{
+	for (guint i = store->rows->len; i > 0; i--) {
+		const fake_row_t *row = g_ptr_array_index(store->rows, i - 1);
+
+		if (row->version > version)
+			g_ptr_array_remove_index(store->rows, i - 1);
+	}
+	store->version = version;
+	store->era++;
+	while (!g_queue_is_empty(&store->waiting)) {
+		feed_t *feed = g_queue_peek_head(&store->waiting);
+		exchange_t *exchange = feed->exchange;
+
+		free_feed(feed);
+		exchange_set_context(exchange, NULL);
+		reply(store, exchange, 503, "{}");
+	}
+}
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -27,6 +27,7 @@
 	int64_t history_start_version; /* older feeds get 410 */
 	unsigned responses_to_drop; /* writes that get no answer */
 	bool busy; /* every call gets status 503 */
+	int64_t era; /* stated in each answer; 0: not stated */
 } fake_store_t;
 
 void fake_store_start(fake_store_t *store, const char *address);
@@ -35,7 +36,9 @@
 		    const char *text);
 int64_t fake_store_row_version(fake_store_t *store, const char *table,
 			       const char *key);
+char *fake_store_text(fake_store_t *store, const char *table, const char *key);
 void fake_store_remove(fake_store_t *store, const char *table, const char *key);
 void fake_store_forget_history(fake_store_t *store);
+void fake_store_restore(fake_store_t *store, int64_t version);
 
 #endif
--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -84,6 +84,12 @@
 	}
 }
 
+/* Returns the fencing token in the text of a round's row. */
+static int64_t token_of(const char *text)
+{
+	return g_ascii_strtoll(strchr(text, ' ') + 1, NULL, 10);
+}
+
 /* Guards against a round that is not begun at all, which the other tests here
  * would not notice.
  */
@@ -125,11 +131,35 @@
 	finish(&vm);
 }
 
+/* The store comes back from a copy that is older than the row of the latest
+ * round. Guards against a fencing token that is given out again or falls.
+ */
+static void test_token_after_restore(void **state)
+{
+	char *before, *after;
+	vm_t vm;
+
+	init(&vm);
+	check_stages(&vm);
+	before = fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	fake_store_restore(&vm.store, 0);
+	assert_null(fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY));
+	check_stages(&vm);
+	check_stages(&vm);
+	after = fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	assert_non_null(after);
+	assert_true(token_of(after) > token_of(before));
+	g_free(before);
+	g_free(after);
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_first_round),
 		cmocka_unit_test(test_round_after_a_cut),
+		cmocka_unit_test(test_token_after_restore),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_store_rows.c
+++ b/tests/test_store_rows.c
@@ -201,6 +201,77 @@
 	finish(&reader);
 }
 
+static bool is_registered_now(void *context)
+{
+	reader_t *reader = context;
+
+	return fake_store_row_version(&reader->store, TABLE_ROUTER,
+				      "vm/vm-us") != 0;
+}
+
+/* The store comes back from a copy that is older than this VM's row, twice in a
+ * row, and gives out the lost versions again. Guards against a VM that stays
+ * unknown to the others, and against one that compares versions from before and
+ * after: it would follow the feed from a version that other rows have by now
+ * and never see a server that was written meanwhile.
+ */
+static void test_restored_store(void **state)
+{
+	reader_t reader;
+	int64_t copy;
+
+	init(&reader);
+	reader.store.era = 1;
+	copy = reader.store.version;
+	for (int i = 0; i < 2; i++) {
+		assert_true(support_run_loop_until(is_registered_now, &reader,
+						   4000));
+		support_run_loop_ms(700);
+		fake_store_restore(&reader.store, copy);
+		/* More versions than before the copy are given out at once. */
+		fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
+			       ENTRY("1", "ready"));
+		for (int k = 0; k < 5; k++)
+			fake_store_put(&reader.store, "other", "key", "text");
+		assert_true(support_run_loop_until(has_server, &reader, 3000));
+		assert_true(support_run_loop_until(is_registered_now, &reader,
+						   4000));
+		fake_store_remove(&reader.store, TABLE_SERVERS, "i-1");
+		assert_true(
+			support_run_loop_until(has_no_server, &reader, 3000));
+	}
+	finish(&reader);
+}
+
+/* A server leaves, and the store comes back from a copy that lists it as ready.
+ * Guards against requests to a server whose leaving this VM has acknowledged,
+ * also when its row was gone meanwhile.
+ */
+static void test_restored_store_lists_a_leaving_server(void **state)
+{
+	reader_t reader;
+
+	init(&reader);
+	reader.store.era = 1;
+	fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
+		       ENTRY("1", "ready"));
+	assert_true(support_run_loop_until(has_server, &reader, 3000));
+	fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
+		       ENTRY("2", "draining"));
+	assert_true(support_run_loop_until(is_leaving, &reader, 1500));
+	fake_store_restore(&reader.store, 0);
+	fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
+		       ENTRY("1", "ready"));
+	support_run_loop_ms(1500);
+	assert_true(is_leaving(&reader));
+	fake_store_remove(&reader.store, TABLE_SERVERS, "i-1");
+	assert_true(support_run_loop_until(has_no_server, &reader, 3000));
+	fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
+		       ENTRY("3", "ready"));
+	assert_true(support_run_loop_until(is_leaving, &reader, 3000));
+	finish(&reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -208,6 +279,8 @@
 		cmocka_unit_test(test_heartbeat_after_full_read),
 		cmocka_unit_test(test_removed_vm_registers_again),
 		cmocka_unit_test(test_mass_start),
+		cmocka_unit_test(test_restored_store),
+		cmocka_unit_test(test_restored_store_lists_a_leaving_server),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
