--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -410,6 +410,9 @@
 			recent = true;
 		}
 	}
+	/* Another round may have been seen while the row was read. */
+	recent = recent ||
+		 clock_now(&orders->clock) < orders->no_round_before_us;
 	/* The store may have lost the latest round with its row. Its clock does
 	 * not fall, so no token that was given out is above it.
 	 */
--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -131,6 +131,33 @@
 	finish(&vm);
 }
 
+/* As above, but the VM learns of the round while it reads the row. Guards
+ * against a round that was prepared before.
+ */
+static void test_round_seen_while_reading(void **state)
+{
+	const char *text = "vm-other 1 0 decode engine-0 engine-1 engine-2";
+	const stage_balance_t cost = {.prefill_us = 1, .decode_us = 7};
+	int64_t version;
+	vm_t vm;
+
+	init(&vm);
+	fake_store_put(&vm.store, TABLE_ROUTER, ROUND_KEY, text);
+	version = fake_store_row_version(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	vm.skipped_us += 10 * CLOCK_US_PER_S;
+	while (!store_call_is_busy(&vm.orders.call)) {
+		stage_orders_start_if_due(&vm.orders, &vm.service, &cost);
+		g_usleep(1000);
+	}
+	stage_orders_round_seen(&vm.orders, str_from(text), NULL);
+	while (store_call_is_busy(&vm.orders.call))
+		g_main_context_iteration(NULL, TRUE);
+	assert_int_equal(fake_store_row_version(&vm.store, TABLE_ROUTER,
+						ROUND_KEY),
+			 version);
+	finish(&vm);
+}
+
 /* The store comes back from a copy that is older than the row of the latest
  * round. Guards against a fencing token that is given out again or falls.
  */
@@ -159,6 +186,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_first_round),
 		cmocka_unit_test(test_round_after_a_cut),
+		cmocka_unit_test(test_round_seen_while_reading),
 		cmocka_unit_test(test_token_after_restore),
 	};
 
