Announce observations of services three times a second

Change: an announcement holds the sums only if the last ones were sent 300 ms ago; without them those that are known of the VM hold on, unless its process is another one.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -22,6 +22,11 @@
 /* Delay of an announcement, so that it holds all changes made meanwhile. */
 #define SEND_DELAY_US (1 * CLOCK_US_PER_MS)
 
+/* Interval of announcements that hold the observations of services. These
+ * change slowly, and the others are sent at each change of the use of servers.
+ */
+#define WORKLOADS_INTERVAL_US (300 * CLOCK_US_PER_MS)
+
 /* Shortest interval of announcements to a silent peer. */
 #define SILENT_PEER_INTERVAL_US (2 * CLOCK_US_PER_S)
 /* Time without announcements after which a peer may count as silent. It starts
@@ -230,7 +235,7 @@
 
 /* Encodes this router's announcement: its use of servers, its waiting requests
  * and their rate of arrival, the servers that it suspects to have failed, those
- * that are unavailable, and what it has observed of the services. Returns false
+ * that are unavailable, and when it is time what it has observed of the services. Returns false
  * if it does not fit into `size` bytes.
  */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
@@ -254,7 +259,8 @@
 	     xdr_rate(&xdrs, &arrivals) &&
 	     encode_suspects(&xdrs, announce->occupancy->suspects) &&
 	     encode_changing(&xdrs, announce->occupancy->unavailable, now_us) &&
-	     encode_workloads(&xdrs, announce->occupancy->workloads, now_us);
+	     (now_us < announce->workloads_at_us ||
+	      encode_workloads(&xdrs, announce->occupancy->workloads, now_us));
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
@@ -347,15 +353,17 @@
 	return true;
 }
 
-/* Decodes the observations of services. An announcement of an earlier release
- * ends before them, at `len` bytes.
+/* Decodes the observations of services. An announcement without them, as each
+ * one of an earlier release, ends before them, at `len` bytes.
  */
-static bool decode_workloads(XDR *xdrs, size_t len, GHashTable *workloads)
+static bool decode_workloads(XDR *xdrs, size_t len,
+			     occupancy_announcement_t *news)
 {
 	uint32_t n;
 
 	if (xdr_getpos(xdrs) == len)
 		return true;
+	news->has_workloads = true;
 	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_WORKLOADS)
 		return false;
 	while (n-- > 0) {
@@ -365,7 +373,7 @@
 		if (!xdr_workload(xdrs, service, &workload) ||
 		    !workload_is_valid(&workload))
 			return false;
-		g_hash_table_replace(workloads, g_strdup(service),
+		g_hash_table_replace(news->workloads, g_strdup(service),
 				     g_memdup2(&workload, sizeof(workload)));
 	}
 	return true;
@@ -385,7 +393,7 @@
 	       xdr_rate(xdrs, &news->arrivals_per_s) &&
 	       decode_suspects(xdrs, news->suspects) &&
 	       decode_changing(xdrs, news->unavailable, now_us) &&
-	       decode_workloads(xdrs, len, news->workloads);
+	       decode_workloads(xdrs, len, news);
 }
 
 /* Updates `occupancy` from a peer's announcement. Returns false and changes
@@ -469,6 +477,8 @@
 	announce->sequence++;
 	if (!announce_encode(announce, now_us, buffer, sizeof(buffer), &len))
 		return;
+	if (now_us >= announce->workloads_at_us)
+		announce->workloads_at_us = now_us + WORKLOADS_INTERVAL_US;
 	g_hash_table_iter_init(&iter, announce->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		announce_peer_t *peer = value;
--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -21,6 +21,8 @@
 	GSource *source;
 	GHashTable *peers; /* VM name to announce_peer_t */
 	alarm_t next_send;
+	int64_t workloads_at_us; /* the next announcement from then on holds the
+				    observations of services */
 	uint32_t sequence; /* number of the last announcement */
 	uint64_t sent; /* datagrams */
 	uint64_t received; /* datagrams, with malformed ones */
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -392,6 +392,20 @@
 	}
 }
 
+/* Replaces a peer's observations of services if an announcement has some. Those
+ * of an earlier process of the VM are dropped in any case.
+ */
+static void set_workloads(occupancy_peer_t *peer,
+			  const occupancy_announcement_t *announcement)
+{
+	if (peer->workloads && !announcement->has_workloads &&
+	    peer->incarnation == announcement->incarnation)
+		return;
+	if (peer->workloads)
+		g_hash_table_unref(peer->workloads);
+	peer->workloads = g_hash_table_ref(announcement->workloads);
+}
+
 /*
  * Applies a peer's announcement, which replaces what was known of the peer. An
  * announcement that arrives after a later one, or is from an earlier process of
@@ -414,11 +428,11 @@
 		set_in_totals(occupancy, peer, false);
 		g_hash_table_unref(peer->use);
 		g_array_unref(peer->waiters);
-		g_hash_table_unref(peer->workloads);
 	}
+	set_workloads(peer, announcement);
 	peer->use = g_hash_table_ref(announcement->use);
 	peer->waiters = g_array_ref(announcement->waiters);
-	peer->workloads = g_hash_table_ref(announcement->workloads);
+
 	peer->arrivals_per_s = announcement->arrivals_per_s;
 	peer->incarnation = announcement->incarnation;
 	peer->sequence = announcement->sequence;
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -77,6 +77,7 @@
 	double arrivals_per_s; /* of new streams */
 	GPtrArray *suspects; /* server IDs */
 	GArray *unavailable; /* of occupancy_unavailable_t */
+	bool has_workloads; /* else what was known of the VM's holds on */
 	GHashTable *workloads; /* service name to workload_t */
 } occupancy_announcement_t;
 
--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -242,6 +242,9 @@
 	assert_float_equal(total->sums[WORKLOAD_REQUESTS], 40, 1);
 	workload_observe_request(occupancy_own_workload(&a.occupancy, "llm"),
 				 NOW + 100 * MS, 7100, 800);
+	/* An announcement without observations leaves those that are known. */
+	b.announce.workloads_at_us = NOW + 300 * MS;
+	assert_true(announce_to(&b, &a, 2, NOW + 150 * MS));
 	total = occupancy_workload(&a.occupancy, "llm", NOW + 200 * MS);
 	assert_float_equal(workload_prompt_tokens(total), 3100, 10);
 	total = occupancy_workload(&a.occupancy, "llm", NOW + 5000 * MS);
