--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -26,6 +26,11 @@
  */
 #define KV_MARGIN_OUTPUTS 0.9
 
+/* Least margin, as a share of a stream's memory: where an engine holds a few
+ * streams only, one that does not fit is a large part of its memory.
+ */
+#define MIN_KV_MARGIN 0.75
+
 /* Time that the calls to both engines add to the time to the first event.
  */
 #define CALLS_US INT64_C(25000)
@@ -89,8 +94,11 @@
 	double tokens = (double)kv_tokens;
 	double streams = tokens / fmax(stream->kv_tokens, 1);
 
-	return (int64_t)(tokens - KV_MARGIN_OUTPUTS * stream->output_tokens *
-					  sqrt(streams));
+	double margin =
+		KV_MARGIN_OUTPUTS * stream->output_tokens * sqrt(streams);
+
+	return (int64_t)(tokens -
+			 fmax(margin, MIN_KV_MARGIN * stream->kv_tokens));
 }
 
 /* Returns the share of a decode engine that one stream of a mean size takes: of
