--- /dev/null
+++ b/src/connection/announce_wire.c
@@ -0,0 +1,395 @@
+/* Encodes and decodes announcements, as one-way calls of ONC RPC. */
+#include "connection/announce.h"
+
+#include <rpc/rpc.h>
+
+/* ONC RPC numbers of the one-way call. The program number is from the range
+ * that RFC 5531 leaves to users.
+ */
+#define ANNOUNCE_PROGRAM 0x20a00b02
+#define ANNOUNCE_VERSION 2
+#define ANNOUNCE_PROCEDURE 1
+
+#define MAX_SERVERS 256 /* in one announcement */
+
+/* Upper bound for each count of one server's use. No router gets near it, and
+ * sums over all routers stay far from overflow.
+ */
+#define MAX_USE (INT64_C(1) << 40)
+
+/* Encodes or decodes the header of the RPC call, without credentials. Like all
+ * functions xdr_...(), it works in the direction of the stream and returns
+ * false if that fails.
+ */
+static bool xdr_call_header(XDR *xdrs, struct rpc_msg *call, uint32_t xid)
+{
+	static char credentials[2][MAX_AUTH_BYTES];
+
+	memset(call, 0, sizeof(*call));
+	call->rm_xid = xid;
+	call->rm_direction = CALL;
+	call->rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call->rm_call.cb_prog = ANNOUNCE_PROGRAM;
+	call->rm_call.cb_vers = ANNOUNCE_VERSION;
+	call->rm_call.cb_proc = ANNOUNCE_PROCEDURE;
+	call->rm_call.cb_cred.oa_base = credentials[0];
+	call->rm_call.cb_verf.oa_base = credentials[1];
+	return xdr_callmsg(xdrs, call);
+}
+
+/* Encodes or decodes a name. To decode, `name` must have room for
+ * OCCUPANCY_NAME_BYTES and a null byte.
+ */
+static bool xdr_name(XDR *xdrs, char *name)
+{
+	return xdr_string(xdrs, &name, OCCUPANCY_NAME_BYTES);
+}
+
+/* Encodes or decodes the use of one server. */
+static bool xdr_use(XDR *xdrs, char *server, occupancy_use_t *use)
+{
+	return xdr_name(xdrs, server) && xdr_int64_t(xdrs, &use->streams) &&
+	       xdr_int64_t(xdrs, &use->kv_tokens) &&
+	       xdr_int64_t(xdrs, &use->prefill_tokens);
+}
+
+/* Encodes or decodes a deadline, as the time left in ms, because clocks of VMs
+ * differ.
+ */
+static bool xdr_time_left(XDR *xdrs, int64_t *at_us, int64_t now_us)
+{
+	int32_t left_ms = (int32_t)CLAMP((*at_us - now_us) / CLOCK_US_PER_MS,
+					 INT32_MIN, INT32_MAX);
+
+	if (!xdr_int32_t(xdrs, &left_ms))
+		return false;
+	*at_us = now_us + left_ms * CLOCK_US_PER_MS;
+	return true;
+}
+
+/* Encodes or decodes the urgency of one waiting request. */
+static bool xdr_waiter(XDR *xdrs, occupancy_urgency_t *waiter, int64_t now_us)
+{
+	bool_t late = waiter->late;
+
+	if (!xdr_bool(xdrs, &late) ||
+	    !xdr_time_left(xdrs, &waiter->due_us, now_us))
+		return false;
+	waiter->late = late;
+	return true;
+}
+
+/* Encodes or decodes a rate, as an integer in thousandths per second. */
+static bool xdr_rate(XDR *xdrs, double *per_s)
+{
+	uint32_t per_ks = (uint32_t)CLAMP(*per_s * 1000, 0, UINT32_MAX);
+
+	if (!xdr_uint32_t(xdrs, &per_ks))
+		return false;
+	*per_s = per_ks / 1000.0;
+	return true;
+}
+
+/* Encodes the use of at most MAX_SERVERS servers. */
+static bool encode_uses(XDR *xdrs, GHashTable *own)
+{
+	uint32_t n = MIN(g_hash_table_size(own), MAX_SERVERS);
+	GHashTableIter iter;
+	gpointer server, use;
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	g_hash_table_iter_init(&iter, own);
+	while (n-- > 0 && g_hash_table_iter_next(&iter, &server, &use)) {
+		if (!xdr_use(xdrs, server, use))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes the first OCCUPANCY_MAX_WAITERS waiting requests. */
+static bool encode_waiters(XDR *xdrs, const GArray *waiters, int64_t now_us)
+{
+	uint32_t n = MIN(waiters->len, OCCUPANCY_MAX_WAITERS);
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		occupancy_urgency_t waiter =
+			g_array_index(waiters, occupancy_urgency_t, i);
+
+		if (!xdr_waiter(xdrs, &waiter, now_us))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes the IDs of servers that this router suspects to have failed. */
+static bool encode_suspects(XDR *xdrs, const GPtrArray *suspects)
+{
+	uint32_t n = MIN(suspects->len, OCCUPANCY_MAX_SUSPECTS);
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		if (!xdr_name(xdrs, g_ptr_array_index(suspects, i)))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes the servers that are unavailable, and for how long. */
+static bool encode_unavailable(XDR *xdrs, const GArray *unavailable,
+			       int64_t now_us)
+{
+	uint32_t n = MIN(unavailable->len, OCCUPANCY_MAX_SUSPECTS);
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		occupancy_unavailable_t change =
+			g_array_index(unavailable, occupancy_unavailable_t, i);
+
+		if (!xdr_name(xdrs, change.server) ||
+		    !xdr_time_left(xdrs, &change.until_us, now_us))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes or decodes what a VM has observed of one service. */
+static bool xdr_workload(XDR *xdrs, char *service, workload_t *workload)
+{
+	if (!xdr_string(xdrs, &service, OCCUPANCY_SERVICE_BYTES))
+		return false;
+	for (int i = 0; i < WORKLOAD_SUMS_N; i++) {
+		if (!xdr_double(xdrs, &workload->sums[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Returns how many services have names that an announcement can hold, at most
+ * OCCUPANCY_MAX_WORKLOADS.
+ */
+static uint32_t count_announced_services(GHashTable *workloads)
+{
+	uint32_t n = 0;
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, workloads);
+	while (g_hash_table_iter_next(&iter, &service, NULL))
+		n += strlen(service) <= OCCUPANCY_SERVICE_BYTES ? 1 : 0;
+	return MIN(n, OCCUPANCY_MAX_WORKLOADS);
+}
+
+/* Encodes what this VM has observed of services. Those with names that are too
+ * long are left out.
+ */
+static bool encode_workloads(XDR *xdrs, GHashTable *workloads, int64_t now_us)
+{
+	uint32_t left = count_announced_services(workloads);
+	GHashTableIter iter;
+	gpointer service, value;
+
+	if (!xdr_uint32_t(xdrs, &left))
+		return false;
+	g_hash_table_iter_init(&iter, workloads);
+	while (left > 0 && g_hash_table_iter_next(&iter, &service, &value)) {
+		occupancy_workload_t *workload = value;
+
+		if (strlen(service) > OCCUPANCY_SERVICE_BYTES)
+			continue;
+		workload_decay(&workload->own, now_us);
+		if (!xdr_workload(xdrs, service, &workload->own))
+			return false;
+		left--;
+	}
+	return true;
+}
+
+/* Encodes this router's announcement: its use of servers, its waiting requests
+ * and their rate of arrival, the servers that it suspects to have failed, those
+ * that are unavailable and, from workloads_at_us on, what it has observed of the
+ * services. Returns false if it does not fit into `size` bytes.
+ */
+bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
+		     size_t size, size_t *len)
+{
+	uint64_t incarnation = announce->incarnation;
+	uint32_t sequence = announce->sequence;
+	double arrivals =
+		arrival_rate_per_s(&announce->occupancy->arrivals, now_us);
+	struct rpc_msg call;
+	bool ok;
+	XDR xdrs;
+
+	xdrmem_create(&xdrs, out, (u_int)size, XDR_ENCODE);
+	ok = xdr_call_header(&xdrs, &call, sequence) &&
+	     xdr_name(&xdrs, (char *)announce->vm) &&
+	     xdr_uint64_t(&xdrs, &incarnation) &&
+	     xdr_uint32_t(&xdrs, &sequence) &&
+	     encode_uses(&xdrs, announce->occupancy->own) &&
+	     encode_waiters(&xdrs, announce->occupancy->waiters, now_us) &&
+	     xdr_rate(&xdrs, &arrivals) &&
+	     encode_suspects(&xdrs, announce->occupancy->suspects) &&
+	     encode_unavailable(&xdrs, announce->occupancy->unavailable,
+				now_us) &&
+	     (now_us < announce->workloads_at_us ||
+	      encode_workloads(&xdrs, announce->occupancy->workloads, now_us));
+	*len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	return ok;
+}
+
+/* Returns whether the header of an RPC call is that of an announcement. */
+static bool is_announcement(const struct rpc_msg *call)
+{
+	return call->rm_direction == CALL &&
+	       call->rm_call.cb_rpcvers == RPC_MSG_VERSION &&
+	       call->rm_call.cb_prog == ANNOUNCE_PROGRAM &&
+	       call->rm_call.cb_vers == ANNOUNCE_VERSION &&
+	       call->rm_call.cb_proc == ANNOUNCE_PROCEDURE;
+}
+
+/* Returns whether all counts are within bounds, so that a malformed
+ * announcement cannot make sums overflow.
+ */
+static bool is_valid_use(const occupancy_use_t *use)
+{
+	return use->streams >= 0 && use->streams <= MAX_USE &&
+	       use->kv_tokens >= 0 && use->kv_tokens <= MAX_USE &&
+	       use->prefill_tokens >= 0 && use->prefill_tokens <= MAX_USE;
+}
+
+static bool decode_uses(XDR *xdrs, GHashTable *uses)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > MAX_SERVERS)
+		return false;
+	while (n-- > 0) {
+		char server[OCCUPANCY_NAME_BYTES + 1] = "";
+		occupancy_use_t use;
+
+		if (!xdr_use(xdrs, server, &use) || !is_valid_use(&use))
+			return false;
+		g_hash_table_insert(uses, g_strdup(server),
+				    g_memdup2(&use, sizeof(use)));
+	}
+	return true;
+}
+
+static bool decode_waiters(XDR *xdrs, GArray *waiters, int64_t now_us)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_WAITERS)
+		return false;
+	while (n-- > 0) {
+		occupancy_urgency_t waiter = {.due_us = now_us};
+
+		if (!xdr_waiter(xdrs, &waiter, now_us))
+			return false;
+		g_array_append_val(waiters, waiter);
+	}
+	return true;
+}
+
+static bool decode_suspects(XDR *xdrs, GPtrArray *suspects)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_SUSPECTS)
+		return false;
+	while (n-- > 0) {
+		char server[OCCUPANCY_NAME_BYTES + 1] = "";
+
+		if (!xdr_name(xdrs, server))
+			return false;
+		g_ptr_array_add(suspects, g_strdup(server));
+	}
+	return true;
+}
+
+static bool decode_unavailable(XDR *xdrs, GArray *unavailable, int64_t now_us)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_SUSPECTS)
+		return false;
+	while (n-- > 0) {
+		occupancy_unavailable_t change = {.until_us = now_us};
+
+		if (!xdr_name(xdrs, change.server) ||
+		    !xdr_time_left(xdrs, &change.until_us, now_us))
+			return false;
+		g_array_append_val(unavailable, change);
+	}
+	return true;
+}
+
+/* Decodes the observations of services. An announcement without them, as each
+ * one of an earlier release, ends before them, at `len` bytes.
+ */
+static bool decode_workloads(XDR *xdrs, size_t len,
+			     occupancy_announcement_t *announcement)
+{
+	uint32_t n;
+
+	if (xdr_getpos(xdrs) == len)
+		return true;
+	announcement->has_workloads = true;
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_WORKLOADS)
+		return false;
+	while (n-- > 0) {
+		char service[OCCUPANCY_SERVICE_BYTES + 1] = "";
+		workload_t workload = {.updated_us = 0};
+
+		if (!xdr_workload(xdrs, service, &workload) ||
+		    !workload_is_valid(&workload))
+			return false;
+		g_hash_table_replace(announcement->workloads, g_strdup(service),
+				     g_memdup2(&workload, sizeof(workload)));
+	}
+	return true;
+}
+
+static bool decode_announcement(XDR *xdrs, size_t len,
+				occupancy_announcement_t *announcement,
+				int64_t now_us)
+{
+	struct rpc_msg call;
+
+	return xdr_call_header(xdrs, &call, 0) && is_announcement(&call) &&
+	       xdr_name(xdrs, announcement->vm) &&
+	       xdr_uint64_t(xdrs, &announcement->incarnation) &&
+	       xdr_uint32_t(xdrs, &announcement->sequence) &&
+	       decode_uses(xdrs, announcement->use) &&
+	       decode_waiters(xdrs, announcement->waiters, now_us) &&
+	       xdr_rate(xdrs, &announcement->arrivals_per_s) &&
+	       decode_suspects(xdrs, announcement->suspects) &&
+	       decode_unavailable(xdrs, announcement->unavailable, now_us) &&
+	       decode_workloads(xdrs, len, announcement);
+}
+
+/* Updates `occupancy` from a peer's announcement. Returns false and changes
+ * nothing if the announcement is malformed.
+ */
+bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
+		     int64_t now_us)
+{
+	occupancy_announcement_t announcement;
+	bool ok;
+	XDR xdrs;
+
+	occupancy_announcement_init(&announcement);
+	xdrmem_create(&xdrs, (char *)data, (u_int)len, XDR_DECODE);
+	ok = decode_announcement(&xdrs, len, &announcement, now_us);
+	xdr_destroy(&xdrs);
+	if (ok)
+		occupancy_apply_announcement(occupancy, &announcement, now_us);
+	occupancy_announcement_finish(&announcement);
+	return ok;
+}
