--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -135,7 +135,7 @@
 	g_free(feed);
 }
 
-/* Answers a feed and removes it. */
+/* Answers a feed and removes it. The answer of a silent store is lost. */
 static void end_feed(feed_t *feed)
 {
 	exchange_t *exchange = feed->exchange;
@@ -144,7 +144,10 @@
 	int64_t after = feed->after;
 
 	free_feed(feed);
-	reply_rows(store, exchange, table, after, true);
+	if (store->silent)
+		exchange_set_context(exchange, NULL);
+	else
+		reply_rows(store, exchange, table, after, true);
 	g_free(table);
 }
 
@@ -300,7 +303,9 @@
 	fake_store_t *store = context;
 	const char *target = exchange_head(exchange)->target->str;
 
-	if (store->busy) {
+	if (store->silent) {
+		/* The connection stays open without an answer. */
+	} else if (store->busy) {
 		reply(store, exchange, 503, "{}");
 	} else if (strstr(target, "/rows-tx")) {
 		transact(store, exchange);
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -27,6 +27,7 @@
 	int64_t history_start_version; /* older feeds get 410 */
 	unsigned responses_to_drop; /* writes that get no answer */
 	bool busy; /* every call gets status 503 */
+	bool silent; /* calls get no answer, also not later */
 	int64_t era; /* stated in each answer; 0: not stated */
 } fake_store_t;
 
