Check all reads of the store after one got no answer

Seen by callers and servers: after a silence of the store, all VMs went on sending work to a server whose leaving the store had acknowledged (DRAIN), for up to 16.5 s after the store was back.

Cause: a read that waits for a change ends at its own deadline, its wait of 15 s and 1.5 s more. When the store swallows it, nothing else ends it: the store's TCP still acknowledges, so that neither keep-alive nor the user timeout sees anything. The class: a wait whose deadline is longer than the bound on what it is to bring. The configuration and this project's own table are read the same way.

Change: a read of the server list waits 1 s at most, so that it is the first to show a silence, 2.5 s after it was sent at the latest. A read or write without an answer makes every other waiting read start again without a wait, on a new connection. A refusal (503, 429) does not, as the store answers then.

--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -8,6 +8,12 @@
 /* Longest time for which the store holds a read until something changes. */
 #define FEED_WAIT_US (15 * CLOCK_US_PER_S)
 
+/* The same for the server list. A read of it that gets no answer shows that the
+ * store is silent, for all tables. With the deadline of a read, that is less
+ * than three seconds after the silence began.
+ */
+#define SERVERS_WAIT_US (1 * CLOCK_US_PER_S)
+
 /* Pause between reads of the server list. Servers write their entries about
  * once a second, so that a feed without a pause would always return at once.
  * The reads of all VMs load the store: the more VMs there are, the less often
@@ -43,6 +49,21 @@
 		  LOG_CSTR("table", table));
 }
 
+/*
+ * Checks the reads of all tables after one got no answer. Idle connections to
+ * the store may lead to the same silence and are closed, so that the next reads
+ * open new ones.
+ */
+static void on_silence(void *context)
+{
+	store_rows_t *rows = context;
+
+	http_pool_close_idle(rows->pool, rows->address);
+	store_watch_recheck(&rows->config);
+	store_watch_recheck(&rows->server_list);
+	store_watch_recheck(&rows->own_table);
+}
+
 /* --- configuration ----------------------------------------------------- */
 
 /* Does nothing when a full read begins: missing rows change nothing. */
@@ -89,6 +110,7 @@
 	.on_row = config_row,
 	.on_sync_end = ignore_sync_end,
 	.on_reachable = config_reachable,
+	.on_silence = on_silence,
 };
 
 /* --- backend servers --------------------------------------------------- */
@@ -205,6 +227,7 @@
 	.on_row = servers_row,
 	.on_sync_end = servers_sync_end,
 	.on_reachable = servers_reachable,
+	.on_silence = on_silence,
 };
 
 /* --- rows of this project ---------------------------------------------- */
@@ -272,6 +295,7 @@
 	.on_row = own_row,
 	.on_sync_end = own_sync_end,
 	.on_reachable = own_reachable,
+	.on_silence = on_silence,
 };
 
 /* Schedules another write of this VM's row if the write failed. */
@@ -282,6 +306,8 @@
 	if (result == STORE_OK)
 		return;
 	log_event(LOG_WARN, "vm_not_entered", LOG_INT("result", result));
+	if (result == STORE_OUTCOME_UNKNOWN)
+		on_silence(rows);
 	alarm_set(&rows->register_retry,
 		  clock_now(&rows->clock) + REGISTER_RETRY_US);
 }
@@ -306,13 +332,14 @@
 
 /* Starts to follow one table. */
 static void follow(store_rows_t *rows, store_watch_t *watch, const char *table,
-		   const store_watch_handler_t *handler, int64_t pause_us)
+		   const store_watch_handler_t *handler, int64_t pause_us,
+		   int64_t wait_us)
 {
 	store_watch_options_t options = {
 		.table = table,
 		.address = rows->address,
 		.pause_us = pause_us,
-		.wait_us = FEED_WAIT_US,
+		.wait_us = wait_us,
 		.handler = handler,
 		.context = rows,
 	};
@@ -344,10 +371,12 @@
 	alarm_init(&rows->expiry, clock, on_expiry, rows);
 	alarm_init(&rows->register_retry, clock, register_vm, rows);
 	store_call_init(&rows->register_call, pool);
-	follow(rows, &rows->config, TABLE_CONFIG, &config_handler, 0);
+	follow(rows, &rows->config, TABLE_CONFIG, &config_handler, 0,
+	       FEED_WAIT_US);
 	follow(rows, &rows->server_list, TABLE_SERVERS, &servers_handler,
-	       SERVERS_PAUSE_US);
-	follow(rows, &rows->own_table, TABLE_ROUTER, &own_handler, 0);
+	       SERVERS_PAUSE_US, SERVERS_WAIT_US);
+	follow(rows, &rows->own_table, TABLE_ROUTER, &own_handler, 0,
+	       FEED_WAIT_US);
 	register_vm(rows);
 }
 
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -29,7 +29,7 @@
 /* Handles a failed read: reports the store as unreachable and schedules the
  * next attempt.
  */
-static void handle_failure(store_watch_t *watch)
+static void handle_failure(store_watch_t *watch, store_result_t result)
 {
 	int64_t now_us = clock_now(&watch->clock);
 
@@ -38,6 +38,8 @@
 		watch->outage = true;
 	set_reachable(watch, false);
 	alarm_set(&watch->next_read, now_us + RETRY_US);
+	if (result == STORE_OUTCOME_UNKNOWN)
+		watch->options.handler->on_silence(watch->options.context);
 }
 
 /* Makes the next read start a full read. */
@@ -120,6 +122,8 @@
 	int64_t now_us = clock_now(&watch->clock);
 	store_page_t page;
 
+	watch->waiting = false;
+	watch->rechecking = false;
 	if (was_restored(watch)) {
 		read_table(watch);
 		return;
@@ -130,12 +134,12 @@
 		return;
 	}
 	if (result != STORE_OK) {
-		handle_failure(watch);
+		handle_failure(watch, result);
 		return;
 	}
 	if (!store_page_read(body, &page)) {
 		store_page_finish(&page);
-		handle_failure(watch);
+		handle_failure(watch, STORE_NOT_DONE);
 		return;
 	}
 	watch->failures = 0;
@@ -166,11 +170,13 @@
 {
 	const store_watch_options_t *options = &watch->options;
 	int64_t deadline_us = clock_now(&watch->clock) + READ_TIMEOUT_US;
-	/* After a failure the next read does not wait for a change, so that
-	 * its answer shows soon whether the store is back.
+	/* When the store may be unreachable, the read does not wait for a
+	 * change, so that its answer shows soon whether the store is back.
 	 */
-	int64_t wait_us = watch->failures ? 0 : options->wait_us;
+	int64_t wait_us =
+		watch->failures || watch->rechecking ? 0 : options->wait_us;
 
+	watch->waiting = watch->synced && wait_us > 0;
 	g_string_truncate(watch->message, 0);
 	if (watch->synced) {
 		store_append_feed(watch->message, options->address,
@@ -191,6 +197,20 @@
 	read_table(context);
 }
 
+/*
+ * Replaces a read that waits for a change by one that does not wait. To be
+ * called when another call got no answer: the store may have lost the waiting
+ * read too, and would never answer it.
+ */
+void store_watch_recheck(store_watch_t *watch)
+{
+	if (!watch->waiting)
+		return;
+	store_call_cancel(&watch->call);
+	watch->rechecking = true;
+	read_table(watch);
+}
+
 /* Starts to follow a table. The options are copied, the texts borrowed. */
 void store_watch_init(store_watch_t *watch, http_pool_t *pool,
 		      clock_source_t clock,
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -22,6 +22,10 @@
 	void (*on_sync_end)(void *context, bool outage);
 	/* The store became unreachable, or reachable again. */
 	void (*on_reachable)(void *context, bool reachable);
+	/* A read got no answer in time. Other calls in progress at the store may
+	 * be lost as well.
+	 */
+	void (*on_silence)(void *context);
 } store_watch_handler_t;
 
 typedef struct {
@@ -47,6 +51,8 @@
 	unsigned failures; /* reads that failed in a row */
 	uint64_t reads; /* sent so far */
 	bool synced; /* a full read has ended: the feed is read */
+	bool waiting; /* the read in progress may wait for a change */
+	bool rechecking; /* it replaces one that waited */
 	bool outage; /* since the last full read */
 	bool reachable; /* the latest read succeeded */
 } store_watch_t;
@@ -55,5 +61,6 @@
 		      clock_source_t clock,
 		      const store_watch_options_t *options);
 void store_watch_finish(store_watch_t *watch);
+void store_watch_recheck(store_watch_t *watch);
 
 #endif
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -68,11 +68,16 @@
 	fixture->times_unreachable += reachable ? 0 : 1;
 }
 
+static void on_silence(void *context)
+{
+}
+
 static const store_watch_handler_t handler = {
 	.on_sync_begin = on_sync_begin,
 	.on_row = on_row,
 	.on_sync_end = on_sync_end,
 	.on_reachable = on_reachable,
+	.on_silence = on_silence,
 };
 
 static void init(fixture_t *fixture)
