Log servers that enter the list

The log told when a server left the list but not when it entered, so that a server that was removed and listed again could not be followed. One line for each server that is added.

--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -188,7 +188,8 @@
 {
 	store_rows_t *rows = context;
 	server_t *server = server_set_find(rows->servers, row->key);
-	bool was_leaving = server && server->entry.leaving;
+	bool was_known = server != NULL;
+	bool was_leaving = was_known && server->entry.leaving;
 	stage_t stage = server ? server->entry.stage : STAGE_NONE;
 	server_entry_t entry;
 
@@ -213,6 +214,8 @@
 	server = server_set_put(rows->servers, &entry, clock_now(&rows->clock));
 	if (server->entry.leaving && !was_leaving)
 		log_server(&server->entry, "leaving");
+	else if (!was_known)
+		log_server(&server->entry, "added");
 	else if (server->entry.stage != stage)
 		log_server(&server->entry, "stage");
 	rows->handler->on_servers(rows->context);
