Read and log the limit that a backend server names

The logs could not tell whether VMs knew of a server's limit: the header was not decoded. Each change of it is logged, server_limit, with the server and the limit; nothing acts on it yet.

--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -362,6 +362,12 @@
 			send->fields.running + send->fields.waiting;
 		send->server->reported_us = now_us;
 	}
+	if (server_record_limit(send->server, send->fields.has_limit,
+				send->fields.limit_per_s))
+		log_event(LOG_WARN, "server_limit",
+			  LOG_CSTR("server", send->server->entry.id),
+			  LOG_INT("limited", send->server->limited),
+			  LOG_REAL("per_s", send->server->limit_per_s));
 }
 
 /* Releases the server after the call has ended. Allowed when none is in
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -50,6 +50,37 @@
 	http_head_finish(&head);
 }
 
+/* Guards against a limit that is misread, and against one that is taken from a
+ * malformed header field.
+ */
+static void test_response_limit(void **state)
+{
+	static const char *const malformed[] = {"",    "-1",  "x",   "7.5x",
+						"inf", "nan", "7,5", "1e999"};
+	response_fields_t fields;
+	http_head_t head;
+
+	http_head_init(&head);
+	response_fields_read(&head, &fields);
+	assert_false(fields.has_limit);
+	add_field(&head, "Server-Limit", "7.25");
+	response_fields_read(&head, &fields);
+	assert_true(fields.has_limit);
+	assert_true(fields.limit_per_s == 7.25);
+	http_head_clear(&head);
+	add_field(&head, "Server-Limit", "0");
+	response_fields_read(&head, &fields);
+	assert_true(fields.has_limit);
+	assert_true(fields.limit_per_s == 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+		http_head_clear(&head);
+		add_field(&head, "Server-Limit", malformed[i]);
+		response_fields_read(&head, &fields);
+		assert_false(fields.has_limit);
+	}
+	http_head_finish(&head);
+}
+
 /* Guards against forwarding header fields that only the router may set or that
  * belong to the caller's connection, and against a wrong length of the body.
  */
@@ -303,6 +334,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_request_fields),
+		cmocka_unit_test(test_response_limit),
 		cmocka_unit_test(test_forwarded_request),
 		cmocka_unit_test(test_prefill_result),
 		cmocka_unit_test(test_server_rows),
