Test that a server's limit holds over all VMs; it fails

Five VMs on one main loop in front of three servers, 60 requests a second, half of them to one VM. A server that names 5.0 a second gets 81 requests in 4 s, where 35 are allowed; when all name 6.5, one gets 81 of the allowed 44.

--- /dev/null
+++ b/tests/test_server_limit.c
@@ -0,0 +1,379 @@
+/* Backend servers that name a limit on the requests that they take from all VMs
+ * together, in front of them several VMs that share one main loop.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "names.h"
+#include "process/entry/entry.h"
+#include "support_address.h"
+#include "support_store.h"
+#include "support_tcp_stub.h"
+
+#define VMS 5
+#define SERVERS 3
+#define MAX_CALLS 2000
+
+/* A server's limit holds from this time after it first named it. */
+#define SETTLE_US (3 * CLOCK_US_PER_S)
+
+/* The users' bound: in any 4 s, one and a half times what the limit allows, and
+ * five requests.
+ */
+#define WINDOW_US (4 * CLOCK_US_PER_S)
+#define ALLOWED(limit_per_s) (1.5 * 4 * (limit_per_s) + 5)
+
+/* A plain backend server that answers at once. */
+typedef struct {
+	ingress_t ingress;
+	char *address;
+	char *id;
+	const char *limit; /* named in its answers; NULL: none */
+	GArray *arrivals; /* int64_t, times */
+} server_stub_t;
+
+typedef struct fixture fixture_t;
+
+/* One request of a caller. */
+typedef struct {
+	fixture_t *fixture;
+	int64_t sent_us;
+	unsigned status;
+} call_t;
+
+struct fixture {
+	fake_store_t store;
+	char *store_address;
+	char *folder;
+	entry_t vms[VMS];
+	char *paths[VMS]; /* of settings files */
+	server_stub_t servers[SERVERS];
+	http_pool_t callers;
+	call_t calls[MAX_CALLS];
+	unsigned sent, served, refused, failed;
+	unsigned per_s; /* requests of all callers */
+	int64_t longest_refusal_us;
+	alarm_t next;
+	int64_t next_us; /* time of the next request */
+};
+
+static int64_t now_us(void)
+{
+	clock_source_t clock = clock_boottime();
+
+	return clock_now(&clock);
+}
+
+/* --- servers ------------------------------------------------------------ */
+
+static void server_on_request(void *context, exchange_t *exchange)
+{
+	server_stub_t *server = context;
+	int64_t at_us = now_us();
+	http_headers_t headers;
+
+	g_array_append_val(server->arrivals, at_us);
+	http_headers_init(&headers);
+	http_headers_add(&headers, STR("X-Response-Signature"),
+			 str_from(server->id));
+	http_headers_add(&headers, STR("Keep-Alive"), STR("timeout=5"));
+	if (server->limit)
+		http_headers_add(&headers, STR("Server-Limit"),
+				 str_from(server->limit));
+	exchange_reply(exchange, 200, &headers, STR("ok"));
+	http_headers_finish(&headers);
+}
+
+static void server_on_gone(void *context, exchange_t *exchange)
+{
+}
+
+static const ingress_handler_t server_handler = {
+	.on_request = server_on_request,
+	.on_gone = server_on_gone,
+};
+
+static void start_server(fixture_t *fixture, size_t i)
+{
+	static const ingress_limits_t limits = {
+		.max_head_bytes = 65536,
+		.max_body_bytes = 1 << 20,
+		.head_timeout_us = 10 * CLOCK_US_PER_S,
+		.idle_timeout_us = 60 * CLOCK_US_PER_S,
+	};
+	server_stub_t *server = &fixture->servers[i];
+	char *entry;
+
+	server->address = unused_address();
+	server->id = g_strdup_printf("i-%zu", i);
+	server->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	assert_true(ingress_init(&server->ingress, server->address,
+				 clock_boottime(), &limits, &server_handler,
+				 server));
+	entry = g_strdup_printf(
+		"{\"service\":\"app\",\"address\":\"%s\","
+		"\"zone\":\"z\",\"slots\":6,\"state\":\"ready\","
+		"\"sequence\":1,\"born\":1000}",
+		server->address);
+	fake_store_put(&fixture->store, TABLE_SERVERS, server->id, entry);
+	g_free(entry);
+}
+
+/* Returns the most arrivals in a window from a time on. */
+static unsigned most_arrivals(const server_stub_t *server, int64_t from_us)
+{
+	unsigned most = 0;
+
+	for (guint i = 0; i < server->arrivals->len; i++) {
+		int64_t start_us = g_array_index(server->arrivals, int64_t, i);
+		unsigned n = 0;
+
+		if (start_us < from_us)
+			continue;
+		for (guint k = i; k < server->arrivals->len; k++)
+			n += g_array_index(server->arrivals, int64_t, k) -
+						     start_us <
+					     WINDOW_US
+				     ? 1
+				     : 0;
+		most = MAX(most, n);
+	}
+	return most;
+}
+
+/* Returns the arrivals from a time on. */
+static unsigned arrivals_since(const server_stub_t *server, int64_t from_us)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < server->arrivals->len; i++)
+		n += g_array_index(server->arrivals, int64_t, i) >= from_us;
+	return n;
+}
+
+/* --- callers ------------------------------------------------------------ */
+
+static void call_on_head(void *context, const http_head_t *head)
+{
+	call_t *call = context;
+
+	call->status = head->status;
+}
+
+static void call_on_body(void *context, const char *data, size_t len)
+{
+}
+
+static void call_on_end(void *context, call_end_t end)
+{
+	call_t *call = context;
+	fixture_t *fixture = call->fixture;
+
+	if (end == CALL_ANSWERED && call->status == 200) {
+		fixture->served++;
+	} else if (end == CALL_ANSWERED && call->status == 503) {
+		fixture->refused++;
+		fixture->longest_refusal_us = MAX(fixture->longest_refusal_us,
+						  now_us() - call->sent_us);
+	} else {
+		fixture->failed++;
+	}
+}
+
+static const call_handler_t call_handler = {
+	.on_head = call_on_head,
+	.on_body = call_on_body,
+	.on_end = call_on_end,
+};
+
+/* Sends one request, half of them to the first VM. */
+static void on_next(void *context)
+{
+	fixture_t *fixture = context;
+	unsigned n = fixture->sent++;
+	call_t *call = &fixture->calls[n];
+	GString *message = g_string_new(NULL);
+	http_call_options_t options = {
+		.address = fixture->vms[n % 2 ? 0 : n / 2 % VMS]
+				   .settings.callers_address,
+		.message = message,
+		.handler = &call_handler,
+		.context = call,
+	};
+
+	assert_true(fixture->sent < MAX_CALLS);
+	*call = (call_t){.fixture = fixture, .sent_us = now_us()};
+	g_string_printf(message,
+			"POST /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%u\r\n"
+			"X-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n",
+			n);
+	assert_non_null(http_pool_call(&fixture->callers, &options));
+	g_string_free(message, TRUE);
+	fixture->next_us += CLOCK_US_PER_S / fixture->per_s;
+	alarm_set(&fixture->next, fixture->next_us);
+}
+
+/* --- VMs ----------------------------------------------------------------- */
+
+static void put_config(fixture_t *fixture)
+{
+	fake_store_put(
+		&fixture->store, TABLE_CONFIG, KEY_CONFIG,
+		"{\"version\":1,\"routes\":[{\"name\":\"u\",\"host\":\"h\","
+		"\"pathPrefix\":\"/p/\",\"kind\":\"unsafe\",\"timeoutMs\":"
+		"1500,\"targetLatencyMs\":300,\"service\":\"app\","
+		"\"maxAttempts\":1}],\"services\":[{\"name\":\"app\","
+		"\"healthPath\":\"/health\"}]}");
+}
+
+static void start_vm(fixture_t *fixture, size_t i)
+{
+	char *addresses[4];
+	entry_settings_t settings;
+	char *text;
+	diag_t diag;
+
+	for (size_t k = 0; k < G_N_ELEMENTS(addresses); k++)
+		addresses[k] = unused_address();
+	fixture->paths[i] =
+		g_strdup_printf("%s/vm-%zu.toml", fixture->folder, i);
+	text = g_strdup_printf("vm = \"vm-%zu\"\nzone = \"z\"\n"
+			       "callers_address = \"%s\"\n"
+			       "ready_address = \"%s\"\n"
+			       "metrics_address = \"%s\"\n"
+			       "peer_address = \"%s\"\n"
+			       "store_address = \"%s\"\n",
+			       i, addresses[0], addresses[1], addresses[2],
+			       addresses[3], fixture->store_address);
+	assert_true(g_file_set_contents(fixture->paths[i], text, -1, NULL));
+	diag_init(&diag);
+	assert_true(entry_settings_load(fixture->paths[i], &settings, &diag));
+	assert_true(entry_init(&fixture->vms[i], fixture->paths[i], &settings,
+			       clock_boottime()));
+	diag_finish(&diag);
+	for (size_t k = 0; k < G_N_ELEMENTS(addresses); k++)
+		g_free(addresses[k]);
+	g_free(text);
+}
+
+static bool are_ready(void *context)
+{
+	const fixture_t *fixture = context;
+
+	for (size_t i = 0; i < VMS; i++) {
+		if (!fixture->vms[i].table || fixture->vms[i].vm_count < VMS ||
+		    server_set_count_usable(&fixture->vms[i].servers) < SERVERS)
+			return false;
+	}
+	return true;
+}
+
+/* Starts the store, the servers and the VMs, then the callers. */
+static fixture_t *start(unsigned per_s)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	fixture->per_s = per_s;
+	fixture->store_address = unused_address();
+	fixture->folder = g_dir_make_tmp("limit-XXXXXX", NULL);
+	fake_store_start(&fixture->store, fixture->store_address);
+	put_config(fixture);
+	for (size_t i = 0; i < SERVERS; i++)
+		start_server(fixture, i);
+	for (size_t i = 0; i < VMS; i++)
+		start_vm(fixture, i);
+	http_pool_init(&fixture->callers, clock_boottime(), 0, 0);
+	assert_true(support_run_loop_until(are_ready, fixture, 5000));
+	alarm_init(&fixture->next, clock_boottime(), on_next, fixture);
+	fixture->next_us = now_us();
+	alarm_set(&fixture->next, fixture->next_us);
+	return fixture;
+}
+
+static void stop(fixture_t *fixture)
+{
+	alarm_set(&fixture->next, -1);
+	support_run_loop_ms(300); /* until all calls have ended */
+	alarm_finish(&fixture->next);
+	http_pool_finish(&fixture->callers);
+	for (size_t i = 0; i < VMS; i++) {
+		entry_finish(&fixture->vms[i]);
+		g_free(fixture->paths[i]);
+	}
+	for (size_t i = 0; i < SERVERS; i++) {
+		ingress_finish(&fixture->servers[i].ingress);
+		g_array_unref(fixture->servers[i].arrivals);
+		g_free(fixture->servers[i].address);
+		g_free(fixture->servers[i].id);
+	}
+	fake_store_stop(&fixture->store);
+	g_free(fixture->store_address);
+	g_free(fixture->folder);
+	g_free(fixture);
+}
+
+/* Guards against more requests than a server in need takes, summed over all
+ * VMs, while other servers have room, and against a server that stays without
+ * requests after it has withdrawn its limit.
+ */
+static void test_limit_over_all_vms(void **state)
+{
+	fixture_t *fixture = start(60);
+	server_stub_t *limited = &fixture->servers[1];
+	int64_t named_us, lifted_us;
+	unsigned most;
+
+	support_run_loop_ms(1000);
+	named_us = now_us();
+	limited->limit = "5.0";
+	support_run_loop_ms(9000);
+	most = most_arrivals(limited, named_us + SETTLE_US);
+	print_message("most in 4 s: %u\n", most);
+	assert_true(most <= ALLOWED(5.0));
+	assert_true(arrivals_since(limited, named_us + SETTLE_US) > 0);
+	assert_int_equal(fixture->refused + fixture->failed, 0);
+	lifted_us = now_us();
+	limited->limit = NULL;
+	support_run_loop_ms(5000);
+	assert_true(arrivals_since(limited, lifted_us + SETTLE_US) > 20);
+	stop(fixture);
+}
+
+/* Guards against more requests than the servers take when all of them name a
+ * limit, and against requests that wait before they are refused.
+ */
+static void test_limits_of_all_servers(void **state)
+{
+	fixture_t *fixture = start(60);
+	int64_t named_us = now_us();
+
+	for (size_t i = 0; i < SERVERS; i++)
+		fixture->servers[i].limit = "6.5";
+	support_run_loop_ms(9000);
+	for (size_t i = 0; i < SERVERS; i++) {
+		unsigned most = most_arrivals(&fixture->servers[i],
+					      named_us + SETTLE_US);
+
+		print_message("most in 4 s: %u\n", most);
+		assert_true(most <= ALLOWED(6.5));
+		/* Half of what the limit allows, from 3 to 9 s. */
+		assert_true(arrivals_since(&fixture->servers[i],
+					   named_us + SETTLE_US) > 6 * 6.5 / 2);
+	}
+	assert_int_equal(fixture->failed, 0);
+	assert_true(fixture->longest_refusal_us < 100 * CLOCK_US_PER_MS);
+	stop(fixture);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_limit_over_all_vms),
+		cmocka_unit_test(test_limits_of_all_servers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
