Keep to the limits that backend servers name, over all VMs

Seen by servers: one that had named a limit of 6.4 requests a second got 83 in 4 s from VMs that it had told, 43 being allowed (LIMIT).

Cause: nothing acted on the limit. The class: a bound over all VMs that no VM knows its part of.

Change: each VM keeps the limits that servers name and announces them with its demand for the service. Its share of a limit is its part of the demand; VMs whose demand is unknown count with the mean. Each second it draws how many requests the share allows. The balance and the choice of engines leave out servers without a request left, and a plain request without a server is refused at once, to come back after half a second. A limit ends with an answer without it, 1 s or more after the last that named it, and the VMs tell each other. A repeatable request that a server has answered with an error is sent again only if a server is left; otherwise that answer is passed on.

Tried and changed: shares from the demands as known at the moment. Now the lower of the last two shares counts.

Announcements grow only while a limit is known; an earlier release reads them as before.

--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -1,6 +1,7 @@
 /* Encodes and decodes announcements, as one-way calls of ONC RPC. */
 #include "connection/announce.h"
 
+#include <math.h>
 #include <rpc/rpc.h>
 
 /* ONC RPC numbers of the one-way call. The program number is from the range
@@ -169,6 +170,39 @@
 	return true;
 }
 
+/* Encodes or decodes the limit of one server. */
+static bool xdr_limit(XDR *xdrs, occupancy_limit_t *item, int64_t now_us)
+{
+	bool_t limited = item->limit.limited;
+
+	if (!xdr_name(xdrs, item->server) || !xdr_bool(xdrs, &limited) ||
+	    !xdr_double(xdrs, &item->limit.per_s) ||
+	    !xdr_time_left(xdrs, &item->limit.seen_us, now_us) ||
+	    !xdr_rate(xdrs, &item->limit.demand_per_s))
+		return false;
+	item->limit.limited = limited;
+	return true;
+}
+
+/* Encodes the limits of servers, if there are any. */
+static bool encode_limits(XDR *xdrs, const GArray *limits, int64_t now_us)
+{
+	uint32_t n = MIN(limits->len, OCCUPANCY_MAX_LIMITS);
+
+	if (n == 0)
+		return true;
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		occupancy_limit_t item =
+			g_array_index(limits, occupancy_limit_t, i);
+
+		if (!xdr_limit(xdrs, &item, now_us))
+			return false;
+	}
+	return true;
+}
+
 /* Returns how many services have names that an announcement can hold, at most
  * OCCUPANCY_MAX_WORKLOADS.
  */
@@ -212,7 +246,7 @@
 /* Encodes this router's announcement: its use of servers, its waiting requests
  * and their rate of arrival, the servers that it suspects to have failed, those
  * that are unavailable and, from workloads_at_us on, what it has observed of the
- * services. Returns false if it does not fit into `size` bytes.
+ * services and the limits of servers. Returns false if it does not fit into `size` bytes.
  */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len)
@@ -237,7 +271,9 @@
 	     encode_unavailable(&xdrs, announce->occupancy->unavailable,
 				now_us) &&
 	     (now_us < announce->workloads_at_us ||
-	      encode_workloads(&xdrs, announce->occupancy->workloads, now_us));
+	      (encode_workloads(&xdrs, announce->occupancy->workloads,
+				now_us) &&
+	       encode_limits(&xdrs, announce->occupancy->limits, now_us)));
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
@@ -356,6 +392,35 @@
 	return true;
 }
 
+/* Returns whether a limit is finite and not negative. */
+static bool is_valid_limit(const server_limit_t *limit)
+{
+	return isfinite(limit->per_s) && limit->per_s >= 0;
+}
+
+/* Decodes the limits of servers. An announcement without them, as each one of an
+ * earlier release, ends before them, at `len` bytes.
+ */
+static bool decode_limits(XDR *xdrs, size_t len, GArray *limits, int64_t now_us)
+{
+	uint32_t n;
+
+	if (xdr_getpos(xdrs) == len)
+		return true;
+	if (!xdr_uint32_t(xdrs, &n) || n > OCCUPANCY_MAX_LIMITS)
+		return false;
+	while (n-- > 0) {
+		occupancy_limit_t item = {.limit = {.seen_us = now_us}};
+
+		if (!xdr_limit(xdrs, &item, now_us) ||
+		    !is_valid_limit(&item.limit))
+			return false;
+		item.limit.seen_us = MIN(item.limit.seen_us, now_us);
+		g_array_append_val(limits, item);
+	}
+	return true;
+}
+
 static bool decode_announcement(XDR *xdrs, size_t len,
 				occupancy_announcement_t *announcement,
 				int64_t now_us)
@@ -371,7 +436,8 @@
 	       xdr_rate(xdrs, &announcement->arrivals_per_s) &&
 	       decode_suspects(xdrs, announcement->suspects) &&
 	       decode_unavailable(xdrs, announcement->unavailable, now_us) &&
-	       decode_workloads(xdrs, len, announcement);
+	       decode_workloads(xdrs, len, announcement) &&
+	       decode_limits(xdrs, len, announcement->limits, now_us);
 }
 
 /* Updates `occupancy` from a peer's announcement. Returns false and changes
--- a/src/process/decide/balance.c
+++ b/src/process/decide/balance.c
@@ -80,8 +80,8 @@
 }
 
 /*
- * Returns the least loaded server of a service that was not tried yet, without
- * a new reference, or NULL when none is left. Among servers with the same load
+ * Returns the least loaded server of a service that was not tried yet and whose
+ * limit allows a request, without a new reference, or NULL when none is left. Among servers with the same load
  * it is the one that this VM used least recently: most VMs have nothing in
  * progress, and all of them would take the first server.
  */
@@ -101,7 +101,10 @@
 
 		if (!server_takes_work(server) ||
 		    !g_str_equal(server->entry.service, request->service) ||
-		    was_tried(request, server))
+		    was_tried(request, server) ||
+		    (request->limits &&
+		     !server_limits_allow(request->limits, server->entry.id,
+					  request->now_us)))
 			continue;
 		load = load_of(server, request, least_failures);
 		if (!best || load < best_load ||
--- a/src/process/decide/balance.h
+++ b/src/process/decide/balance.h
@@ -6,6 +6,7 @@
 
 #include <stdint.h>
 
+#include "process/decide/server_limits.h"
 #include "process/decide/server_set.h"
 
 /* What a server is chosen for. */
@@ -14,6 +15,7 @@
 	const char *zone; /* of this VM */
 	const server_t *const *except; /* already tried for the request */
 	size_t n_except;
+	server_limits_t *limits; /* NULL: servers are taken over their limits */
 	int64_t now_us;
 } balance_request_t;
 
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -52,6 +52,8 @@
 	occupancy->workloads =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	occupancy->suspects = g_ptr_array_new_with_free_func(g_free);
+	occupancy->limits =
+		g_array_new(FALSE, FALSE, sizeof(occupancy_limit_t));
 	occupancy->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	occupancy->waiters =
@@ -85,6 +87,7 @@
 	g_hash_table_unref(occupancy->workloads);
 	g_ptr_array_unref(occupancy->suspects);
 	g_array_unref(occupancy->unavailable);
+	g_array_unref(occupancy->limits);
 }
 
 /* Returns whether nothing is used. */
@@ -347,6 +350,8 @@
 	announcement->suspects = g_ptr_array_new_with_free_func(g_free);
 	announcement->unavailable =
 		g_array_new(FALSE, FALSE, sizeof(occupancy_unavailable_t));
+	announcement->limits =
+		g_array_new(FALSE, FALSE, sizeof(occupancy_limit_t));
 }
 
 /* Frees what an announcement owns, as far as no peer has a reference. */
@@ -357,6 +362,7 @@
 	g_hash_table_unref(announcement->workloads);
 	g_ptr_array_unref(announcement->suspects);
 	g_array_unref(announcement->unavailable);
+	g_array_unref(announcement->limits);
 }
 
 /* Returns whether an announcement is newer than the latest one of its VM. The
@@ -370,7 +376,8 @@
 	return (int32_t)(announcement->sequence - peer->sequence) > 0;
 }
 
-/* Calls back for each server that an announcement calls suspect or unavailable.
+/* Calls back for each server that an announcement calls suspect, unavailable or
+ * limited.
  */
 static void report_servers(const occupancy_t *occupancy,
 			   const occupancy_announcement_t *announcement)
@@ -390,6 +397,14 @@
 					  unavailable->server,
 					  unavailable->until_us);
 	}
+	for (guint i = 0; occupancy->on_limit && i < announcement->limits->len;
+	     i++) {
+		const occupancy_limit_t *item = &g_array_index(
+			announcement->limits, occupancy_limit_t, i);
+
+		occupancy->on_limit(occupancy->context, announcement->vm,
+				    item->server, &item->limit);
+	}
 }
 
 /* Replaces a peer's observations of services if an announcement has some. Those
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -13,6 +13,7 @@
 
 #include <stdint.h>
 
+#include "process/decide/server_limits.h"
 #include "process/decide/workload.h"
 #include "process/str.h"
 
@@ -40,6 +41,15 @@
 	int64_t until_us;
 } occupancy_unavailable_t;
 
+/* Most limits of servers in one announcement. */
+#define OCCUPANCY_MAX_LIMITS 64
+
+/* The limit of one server, as a VM announces it. */
+typedef struct {
+	char server[OCCUPANCY_NAME_BYTES + 1]; /* its ID */
+	server_limit_t limit;
+} occupancy_limit_t;
+
 /* What decides the order of waiting requests: first those that can be on time,
  * and of either kind first the one whose first event is due soonest.
  */
@@ -79,6 +89,7 @@
 	GArray *unavailable; /* of occupancy_unavailable_t */
 	bool has_workloads; /* else what was known of the VM's holds on */
 	GHashTable *workloads; /* service name to workload_t */
+	GArray *limits; /* of occupancy_limit_t */
 } occupancy_announcement_t;
 
 /* Another VM, as it announced itself last. */
@@ -107,6 +118,7 @@
 	GPtrArray *suspects; /* own, server IDs; set by the owner */
 	/* Own, of occupancy_unavailable_t; set by the owner. */
 	GArray *unavailable;
+	GArray *limits; /* own, of occupancy_limit_t; set by the owner */
 	/* Called when a peer suspects a server, given by its ID; may be NULL.
 	 */
 	void (*on_suspect)(void *context, const char *server);
@@ -115,6 +127,9 @@
 	 */
 	void (*on_unavailable)(void *context, const char *server,
 			       int64_t until_us);
+	/* Called when a VM announces the limit of a server; may be NULL. */
+	void (*on_limit)(void *context, const char *vm, const char *server,
+			 const server_limit_t *limit);
 	void *context;
 } occupancy_t;
 
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -330,19 +330,6 @@
 	server->in_flight--;
 }
 
-/* Records whether a server's answer names a limit on the requests per second
- * that it takes from all VMs together. Returns whether that has changed.
- */
-bool server_record_limit(server_t *server, bool limited, double per_s)
-{
-	bool changed = server->limited != limited ||
-		       (limited && server->limit_per_s != per_s);
-
-	server->limited = limited;
-	server->limit_per_s = limited ? per_s : 0;
-	return changed;
-}
-
 /* Records that the server sent something, which ends a suspicion. */
 void server_record_received(server_t *server, int64_t now_us)
 {
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -47,8 +47,6 @@
 	int64_t reported_load; /* requests running and waiting, as it last
 				  reported in an answer */
 	int64_t reported_us;
-	bool limited; /* its latest answer named a limit */
-	double limit_per_s; /* requests that it takes from all VMs together */
 	double failure_share; /* moving average over this VM's requests */
 	int64_t last_received_us; /* any byte of an answer */
 	int64_t last_sent_us;
@@ -117,7 +115,6 @@
 bool server_is_suspect(const server_t *server);
 void server_record_send(server_t *server, int64_t now_us);
 void server_record_end(server_t *server);
-bool server_record_limit(server_t *server, bool limited, double per_s);
 void server_record_received(server_t *server, int64_t now_us);
 void server_mark_suspect(server_t *server, int64_t now_us);
 void server_suspected_by_peer(server_t *server, int64_t now_us);
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -204,6 +204,7 @@
 		stream_calls_admit(&entry->relay);
 	stream_calls_check_silence(&entry->relay);
 	entry_announce_servers(entry, now_us);
+	entry_announce_limits(entry, now_us);
 	server_probe_send_due(&entry->servers, &entry->server_pool,
 			      entry->table, now_us);
 	check_stages(entry, now_us);
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -85,6 +85,8 @@
 	vm_expiry_set_row(&entry->vm_expiry, vm, row_version);
 	entry->vm_count = g_hash_table_size(entry->announce.peers) + 1;
 	store_rows_set_vm_count(&entry->rows, entry->vm_count);
+	server_limits_set_vms(&entry->relay.limits, entry->vm_count,
+			      entry->occupancy.peer_ttl_us);
 	entry_set_retry_budget(entry);
 }
 
@@ -149,6 +151,19 @@
 			MAX(server->avoided_until_us, until_us);
 }
 
+/* Applies the limit of a server that a peer has announced. */
+static void on_peer_limit(void *context, const char *vm, const char *id,
+			  const server_limit_t *limit)
+{
+	entry_t *entry = context;
+	const server_t *server = server_set_find(&entry->servers, id);
+
+	if (server)
+		server_limits_apply_peer(&entry->relay.limits, id,
+					 server->entry.service, vm, limit,
+					 clock_now(&entry->clock));
+}
+
 /* Returns whether this VM announces rounds of stage orders. All VMs read a
  * round from the store; it is announced for those that cannot reach the store,
  * and when there are many VMs a part of them is enough for that.
@@ -211,6 +226,26 @@
 		announce_schedule(&entry->announce);
 }
 
+/* Adds the limit of one server to the announcements. */
+static void announce_limit(void *context, const char *server,
+			   const server_limit_t *limit)
+{
+	GArray *limits = context;
+	occupancy_limit_t item = {.limit = *limit};
+
+	g_strlcpy(item.server, server, sizeof(item.server));
+	g_array_append_val(limits, item);
+}
+
+/* Sets which limits of servers the announcements to peers hold. */
+void entry_announce_limits(entry_t *entry, int64_t now_us)
+{
+	server_limits_expire(&entry->relay.limits, now_us);
+	g_array_set_size(entry->occupancy.limits, 0);
+	server_limits_visit(&entry->relay.limits, now_us, announce_limit,
+			    entry->occupancy.limits);
+}
+
 /* Sets the callbacks for changes by requests and by peers' announcements. */
 void entry_set_callbacks(entry_t *entry)
 {
@@ -218,6 +253,7 @@
 	entry->relay.context = entry;
 	entry->occupancy.on_suspect = on_peer_suspects;
 	entry->occupancy.on_unavailable = on_peer_unavailable;
+	entry->occupancy.on_limit = on_peer_limit;
 	entry->occupancy.context = entry;
 	entry->announce.on_announcement = on_announcement;
 	entry->announce.context = entry;
--- a/src/process/entry/entry_updates.h
+++ b/src/process/entry/entry_updates.h
@@ -13,5 +13,6 @@
 void entry_set_callbacks(entry_t *entry);
 void entry_set_retry_budget(entry_t *entry);
 void entry_announce_servers(entry_t *entry, int64_t now_us);
+void entry_announce_limits(entry_t *entry, int64_t now_us);
 
 #endif
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -10,6 +10,9 @@
 /* Retry-After time of a request that no server has accepted. */
 #define REFUSED_RETRY_AFTER_US (150 * CLOCK_US_PER_MS)
 
+/* Retry-After of a request that the servers' limits do not allow now. */
+#define LIMITED_RETRY_AFTER_US (500 * CLOCK_US_PER_MS)
+
 /* Time without the head of a response after which a server may count as silent
  * and a repeatable request is sent to another one.
  */
@@ -69,8 +72,11 @@
 
 static void send_next(plain_call_t *call);
 
-/* Returns whether the request may be sent to another server. A misdirected send
- * doesn't count against the route's limit, as it didn't reach its server.
+static server_t *pick_server(const plain_call_t *call, server_limits_t *limits);
+
+/* Returns whether the request may be sent to another server and there is one. A
+ * misdirected send doesn't count against the route's limit, as it didn't reach
+ * its server.
  */
 static bool may_retry_elsewhere(const plain_call_t *call)
 {
@@ -79,7 +85,8 @@
 
 	return request->sends - call->misdirected < limit &&
 	       request->sends < MAX_SENDS &&
-	       clock_now(&request->relay->clock) < request->deadline_us;
+	       clock_now(&request->relay->clock) < request->deadline_us &&
+	       pick_server(call, &request->relay->limits);
 }
 
 /* Ends the current send: tries another server, or answers the caller. */
@@ -143,32 +150,43 @@
 };
 
 /* Picks a server that this request was not sent to, or NULL. */
-static server_t *pick_server(const plain_call_t *call)
+static server_t *pick_server(const plain_call_t *call, server_limits_t *limits)
 {
 	balance_request_t request = {
 		.service = call->request.service->name,
 		.zone = call->request.relay->zone,
 		.except = call->tried,
 		.n_except = call->request.sends,
+		.limits = limits,
 		.now_us = clock_now(&call->request.relay->clock),
 	};
 
 	return balance_pick(call->request.relay->servers, &request);
 }
 
+/* Refuses a request for which no server is left. */
+static void refuse_without_server(plain_call_t *call)
+{
+	if (pick_server(call, NULL))
+		refuse(call, LIMITED_RETRY_AFTER_US,
+		       "the limits of the backend servers are reached");
+	else
+		refuse(call, REFUSED_RETRY_AFTER_US,
+		       "no backend server is available");
+}
+
 /* Sends the request to a server that was not tried before. */
 static void send_next(plain_call_t *call)
 {
 	relay_request_t *request = &call->request;
 	int64_t now_us = clock_now(&request->relay->clock);
-	server_t *server = pick_server(call);
+	server_t *server = pick_server(call, &request->relay->limits);
 	forward_fields_t fields = {
 		.time_left_us = request->deadline_us - now_us,
 	};
 
 	if (!server) {
-		refuse(call, REFUSED_RETRY_AFTER_US,
-		       "no backend server is available");
+		refuse_without_server(call);
 		return;
 	}
 	if (fields.time_left_us <= 0) {
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -32,6 +32,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	relay->output_models =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	server_limits_init(&relay->limits, (uint32_t)relay->seed);
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 }
@@ -42,6 +43,7 @@
 	g_hash_table_unref(relay->retry_budgets);
 	g_hash_table_unref(relay->caller_timeouts);
 	g_hash_table_unref(relay->output_models);
+	server_limits_finish(&relay->limits);
 }
 
 /* Limits the retries of each service: every request adds `share` of a retry to
@@ -131,6 +133,7 @@
 	request->answer_due_us = request->arrived_us + route->target_us -
 				 caller_elapsed_us(relay, route, time_left_us);
 	retry_budget_add_first_send(budget_of(relay, service));
+	server_limits_add_request(&relay->limits, service, request->arrived_us);
 	relay->active++;
 	return true;
 }
@@ -334,6 +337,8 @@
 		return false;
 	send->server = server_ref(server);
 	server_record_send(server, send->sent_us);
+	server_limits_record_send(&send->relay->limits, server->entry.id,
+				  send->sent_us);
 	return true;
 }
 
@@ -348,7 +353,28 @@
 	}
 }
 
-/* Keeps the head of the response and records the load that it reports. */
+/* Records whether the server names a limit in its response. One with status 421
+ * comes from another server.
+ */
+static void record_limit(relay_send_t *send, int64_t now_us)
+{
+	const server_entry_t *entry = &send->server->entry;
+	const response_fields_t *fields = &send->fields;
+
+	if (send->status == 421 ||
+	    !server_limits_observe(&send->relay->limits, entry->id,
+				   entry->service, fields->has_limit,
+				   fields->limit_per_s, now_us))
+		return;
+	log_event(LOG_WARN, "server_limit", LOG_CSTR("server", entry->id),
+		  LOG_INT("limited", fields->has_limit),
+		  LOG_REAL("per_s",
+			   fields->has_limit ? fields->limit_per_s : 0));
+}
+
+/* Keeps the head of the response and records the load and the limit that it
+ * names.
+ */
 void relay_send_read_head(relay_send_t *send, const http_head_t *head)
 {
 	int64_t now_us = clock_now(&send->relay->clock);
@@ -362,12 +388,7 @@
 			send->fields.running + send->fields.waiting;
 		send->server->reported_us = now_us;
 	}
-	if (server_record_limit(send->server, send->fields.has_limit,
-				send->fields.limit_per_s))
-		log_event(LOG_WARN, "server_limit",
-			  LOG_CSTR("server", send->server->entry.id),
-			  LOG_INT("limited", send->server->limited),
-			  LOG_REAL("per_s", send->server->limit_per_s));
+	record_limit(send, now_us);
 }
 
 /* Releases the server after the call has ended. Allowed when none is in
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -11,6 +11,7 @@
 #include "process/alarm.h"
 #include "process/decide/occupancy.h"
 #include "process/decide/output_model.h"
+#include "process/decide/server_limits.h"
 #include "process/decide/server_set.h"
 #include "process/route_metrics.h"
 #include "request/caller_timeout.h"
@@ -27,6 +28,7 @@
 	http_pool_t *pool; /* connections to backend servers */
 	server_set_t *servers;
 	occupancy_t *occupancy;
+	server_limits_t limits;
 	const char *zone; /* availability zone of this VM */
 	/* Called when this VM's use of servers, or the streams that wait at it,
 	 * may have changed.
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -323,7 +323,8 @@
 {
 	relay_t *relay = stream->request.relay;
 
-	if (!engine_is_usable(stream->decode, clock_now(&relay->clock)) ||
+	if (!engine_takes_request(relay, stream->decode,
+				  clock_now(&relay->clock)) ||
 	    !send_decode(stream)) {
 		stream->send.status = 0; /* no response from it */
 		retry_or_end(stream);
--- a/src/request/stream_engines.c
+++ b/src/request/stream_engines.c
@@ -6,12 +6,20 @@
  */
 #define UNKNOWN_PREFILL_US_PER_TOKEN 1.0
 
-/* Returns whether an engine may be given work now. */
+/* Returns whether an engine may be given work now, apart from its limit. */
 bool engine_is_usable(const server_t *server, int64_t now_us)
 {
 	return server_state(server, now_us) == SERVER_USABLE;
 }
 
+/* Returns whether an engine may be sent a request now. */
+bool engine_takes_request(relay_t *relay, const server_t *server,
+			  int64_t now_us)
+{
+	return engine_is_usable(server, now_us) &&
+	       server_limits_allow(&relay->limits, server->entry.id, now_us);
+}
+
 /* Appends a decode engine. */
 static void add_decode(stream_engines_t *engines,
 		       const relay_request_t *request, server_t *server,
@@ -24,7 +32,7 @@
 		.slots = request->service->engine.slots,
 		.kv_tokens = request->service->engine.kv_tokens,
 		.use = *use,
-		.usable = engine_is_usable(server, now_us),
+		.usable = engine_takes_request(request->relay, server, now_us),
 		.same_zone =
 			g_str_equal(server->entry.zone, request->relay->zone),
 	};
@@ -46,7 +54,7 @@
 		.backlog_tokens = use->prefill_tokens,
 		.us_per_token = prefill.us_per_token * slowness,
 		.fixed_us = prefill.fixed_us * slowness,
-		.usable = engine_is_usable(server, now_us),
+		.usable = engine_takes_request(request->relay, server, now_us),
 		.same_zone =
 			g_str_equal(server->entry.zone, request->relay->zone),
 	};
--- a/src/request/stream_engines.h
+++ b/src/request/stream_engines.h
@@ -22,6 +22,8 @@
 } stream_engines_t;
 
 bool engine_is_usable(const server_t *server, int64_t now_us);
+bool engine_takes_request(relay_t *relay, const server_t *server,
+			  int64_t now_us);
 void stream_engines_collect(stream_engines_t *engines,
 			    const relay_request_t *request, int64_t now_us);
 server_t *stream_engines_pick_decode(const relay_request_t *request,
--- a/tests/test_layers.c
+++ b/tests/test_layers.c
@@ -32,7 +32,7 @@
 static const char *const platform_names[] = {
 	"kvHandle",   "X-Kv-",	      "X-Serving-Stage",   "X-Deadline-Ms",
 	"rows-feed",  "rows-tx",      "rows-get",	   "fencingToken",
-	"pathPrefix", "trafficSplit", "X-Expect-Instance",
+	"pathPrefix", "trafficSplit", "X-Expect-Instance", "Server-Limit",
 };
 
 static bool is_allowed(const layer_t *layer, const char *included)
--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -219,6 +219,58 @@
 	occupancy_finish(&b.occupancy);
 }
 
+/* Keeps the limit that a peer announces. */
+static void on_limit(void *context, const char *vm, const char *server,
+		     const server_limit_t *limit)
+{
+	occupancy_limit_t *received = context;
+
+	assert_string_equal(vm, "a");
+	g_strlcpy(received->server, server, sizeof(received->server));
+	received->limit = *limit;
+}
+
+/* Guards against a server's limit that gets lost or changed between VMs, against
+ * a truncated one, and against an announcement of the earlier release, which ends
+ * before the limits, that is dropped.
+ */
+static void test_limits(void **state)
+{
+	occupancy_limit_t sent = {.server = "server-1",
+				  .limit = {.limited = true,
+					    .per_s = 7.1,
+					    .seen_us = NOW - 200 * MS,
+					    .demand_per_s = 12.5}};
+	occupancy_limit_t received = {.server = ""};
+	char data[4096];
+	size_t len, earlier_len;
+	router_t a, b;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	assert_true(announce_encode(&a.announce, NOW, data, sizeof(data),
+				    &earlier_len));
+	g_array_append_val(a.occupancy.limits, sent);
+	assert_true(
+		announce_encode(&a.announce, NOW, data, sizeof(data), &len));
+	for (size_t cut = earlier_len + 1; cut < len; cut++)
+		assert_false(announce_decode(&b.occupancy, data, cut, NOW));
+	assert_true(announce_decode(&b.occupancy, data, earlier_len, NOW));
+	b.occupancy.on_limit = on_limit;
+	b.occupancy.context = &received;
+	a.announce.sequence++;
+	assert_true(
+		announce_encode(&a.announce, NOW, data, sizeof(data), &len));
+	assert_true(announce_decode(&b.occupancy, data, len, NOW + 5 * MS));
+	assert_string_equal(received.server, "server-1");
+	assert_true(received.limit.limited);
+	assert_true(received.limit.per_s == 7.1);
+	assert_true(received.limit.demand_per_s == 12.5);
+	assert_int_equal(received.limit.seen_us, NOW - 195 * MS);
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+}
+
 /* A VM restarts in a surge, while its peer has observed the service for long.
  * Guards against a VM that decides without the observations of its peers, and
  * against those of a dead peer.
@@ -316,6 +368,7 @@
 		cmocka_unit_test(test_one_order),
 		cmocka_unit_test(test_announced_servers),
 		cmocka_unit_test(test_malformed),
+		cmocka_unit_test(test_limits),
 		cmocka_unit_test(test_observations_of_peers),
 		cmocka_unit_test(test_implausible_use),
 		cmocka_unit_test(test_many_routers),
