Keep a server that returned before the store was restored

Found by reading the correction of removed servers: a server whose entry had been missing for a while, and that came back, counted as removed in the first full read after a restoration. It lost its work 1.9 s later, for some seconds.

Cause: the memory of removals was asked without regard to whether the server is in the set now. The new case of test_departed_servers failed before and passes.

--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -139,11 +139,14 @@
 								   : NULL;
 }
 
-/* Returns whether the process of an entry was removed from the set before. */
+/* Returns whether the process of an entry was removed from the set and has not
+ * returned.
+ */
 bool server_set_was_removed(const server_set_t *set,
 			    const server_entry_t *entry)
 {
-	return find_removed(set, entry) != NULL;
+	return !server_set_find(set, entry->id) &&
+	       find_removed(set, entry) != NULL;
 }
 
 /*
--- a/tests/test_departed_servers.c
+++ b/tests/test_departed_servers.c
@@ -34,6 +34,11 @@
 	return server_set_count_usable(&reader->servers) > 0;
 }
 
+static bool takes_no_work(void *context)
+{
+	return !takes_work(context);
+}
+
 /* Guards against requests to a server that left the list without announcing it,
  * after the store came back from a copy that still lists it. A server that
  * writes its entry again lives and gets work at once.
@@ -70,6 +75,25 @@
 	store_reader_finish(&reader);
 }
 
+/* Guards against a server that loses its work when the store comes back from a
+ * copy, because its entry was missing for a while some time before.
+ */
+static void test_copy_lists_a_server_that_returned(void **state)
+{
+	store_reader_t reader;
+
+	start(&reader);
+	fake_store_remove(&reader.store, TABLE_SERVERS, "i-1");
+	assert_true(support_run_loop_until(store_reader_has_no_server, &reader,
+					   1500));
+	fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
+		       STORE_READER_ENTRY("6", "ready"));
+	assert_true(support_run_loop_until(takes_work, &reader, 1500));
+	restore(&reader);
+	assert_false(support_run_loop_until(takes_no_work, &reader, 6000));
+	store_reader_finish(&reader);
+}
+
 /* Guards against requests to a leaving server whose removal this VM learned
  * from a full read, after the store came back from a copy that lists it as
  * ready.
@@ -104,6 +128,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_copy_lists_a_removed_server),
 		cmocka_unit_test(test_copy_lists_a_live_server),
+		cmocka_unit_test(test_copy_lists_a_server_that_returned),
 		cmocka_unit_test(test_copy_lists_a_server_that_expired),
 	};
 
