Let a limit of zero end, and drop limits that nobody sees any more

Found by reading: a server that named a limit of 0 got no request at all, so that no answer could ever withdraw the limit, and the limit of a server that is gone was kept and announced for ever.

Now all VMs together send such a server one request in 5 s, and a limit that no answer has named for 60 s is dropped. test_limit_of_zero failed before and passes.

--- a/src/process/decide/server_limits.c
+++ b/src/process/decide/server_limits.c
@@ -18,6 +18,14 @@
  */
 #define WITHDRAWN_AFTER_US (1 * CLOCK_US_PER_S)
 
+/* Least rate of all VMs at a server, whatever its limit: without any request, no
+ * answer could withdraw the limit.
+ */
+#define MIN_RATE_PER_S 0.2
+
+/* A limit that no VM has seen in an answer for this long is dropped. */
+#define UNSEEN_EXPIRES_US (60 * CLOCK_US_PER_S)
+
 /* A withdrawn limit is announced for this long. */
 #define ANNOUNCE_WITHDRAWN_US (5 * CLOCK_US_PER_S)
 
@@ -180,7 +188,7 @@
 /* Returns the part of a limit that the VMs use, in requests per second. */
 static double usable_rate(const entry_t *entry)
 {
-	return entry->per_s * USE_SHARE;
+	return fmax(entry->per_s * USE_SHARE, MIN_RATE_PER_S);
 }
 
 /* Returns this VM's share of a limit in requests per second, by the demands as
@@ -294,7 +302,7 @@
 	}
 }
 
-/* Drops limits that were withdrawn some time ago. */
+/* Drops limits that were withdrawn, or last seen, some time ago. */
 void server_limits_expire(server_limits_t *limits, int64_t now_us)
 {
 	GHashTableIter iter;
@@ -303,9 +311,10 @@
 	g_hash_table_iter_init(&iter, limits->by_server);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const entry_t *entry = value;
+		int64_t kept_us = entry->limited ? UNSEEN_EXPIRES_US
+						 : ANNOUNCE_WITHDRAWN_US;
 
-		if (!entry->limited &&
-		    now_us - entry->seen_us > ANNOUNCE_WITHDRAWN_US)
+		if (now_us - entry->seen_us > kept_us)
 			g_hash_table_iter_remove(&iter);
 	}
 }
--- a/tests/test_server_limits.c
+++ b/tests/test_server_limits.c
@@ -281,6 +281,34 @@
 	server_limits_finish(&limits);
 }
 
+/* Guards against a limit of 0 that never ends, because no request is sent whose
+ * answer could withdraw it, and against one that is kept for a server of which
+ * nothing more is heard.
+ */
+static void test_limit_of_zero(void **state)
+{
+	server_limits_t limits;
+	unsigned allowed = 0;
+
+	server_limits_init(&limits, 1);
+	server_limits_observe(&limits, SERVER, "app", true, 0, START_US);
+	for (int64_t s = 0; s < 60; s++) {
+		int64_t now_us = START_US + s * CLOCK_US_PER_S;
+
+		server_limits_add_request(&limits, "app", now_us);
+		if (!server_limits_allow(&limits, SERVER, now_us))
+			continue;
+		server_limits_record_send(&limits, SERVER, now_us);
+		allowed++;
+	}
+	assert_in_range(allowed, 1, 20);
+	server_limits_expire(&limits, START_US + 30 * CLOCK_US_PER_S);
+	assert_int_equal(g_hash_table_size(limits.by_server), 1);
+	server_limits_expire(&limits, START_US + 61 * CLOCK_US_PER_S);
+	assert_int_equal(g_hash_table_size(limits.by_server), 0);
+	server_limits_finish(&limits);
+}
+
 /* Guards against a VM that sends without a limit until it was told itself, and
  * against an older announcement that revives a withdrawn limit.
  */
@@ -313,6 +341,7 @@
 		cmocka_unit_test(test_surge_after_idle_time),
 		cmocka_unit_test(test_vms_without_peers),
 		cmocka_unit_test(test_withdrawn),
+		cmocka_unit_test(test_limit_of_zero),
 		cmocka_unit_test(test_limit_from_peer),
 	};
 
