--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -245,8 +245,9 @@
 
 /* Encodes this router's announcement: its use of servers, its waiting requests
  * and their rate of arrival, the servers that it suspects to have failed, those
- * that are unavailable and, from workloads_at_us on, what it has observed of the
- * services and the limits of servers. Returns false if it does not fit into `size` bytes.
+ * that are unavailable and, from workloads_at_us on, what it has observed of
+ * the services and the limits of servers. Returns false if it does not fit into
+ * `size` bytes.
  */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len)
@@ -398,8 +399,8 @@
 	return isfinite(limit->per_s) && limit->per_s >= 0;
 }
 
-/* Decodes the limits of servers. An announcement without them, as each one of an
- * earlier release, ends before them, at `len` bytes.
+/* Decodes the limits of servers. An announcement without them, as each one of
+ * an earlier release, ends before them, at `len` bytes.
  */
 static bool decode_limits(XDR *xdrs, size_t len, GArray *limits, int64_t now_us)
 {
--- a/src/process/decide/balance.c
+++ b/src/process/decide/balance.c
@@ -81,9 +81,10 @@
 
 /*
  * Returns the least loaded server of a service that was not tried yet and whose
- * limit allows a request, without a new reference, or NULL when none is left. Among servers with the same load
- * it is the one that this VM used least recently: most VMs have nothing in
- * progress, and all of them would take the first server.
+ * limit allows a request, without a new reference, or NULL when none is left.
+ * Among servers with the same load it is the one that this VM used least
+ * recently: most VMs have nothing in progress, and all of them would take the
+ * first server.
  */
 server_t *balance_pick(const server_set_t *set,
 		       const balance_request_t *request)
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -1,7 +1,5 @@
 #include "process/decide/occupancy.h"
 
-#include <math.h>
-
 /* Time between two announcements of a VM without a change: the longer of these
  * two, the second times the number of peers. A VM thus receives at most 200
  * repeats a second.
@@ -18,11 +16,6 @@
 /* The total of all VMs' observations is computed again after this time. */
 #define WORKLOAD_TOTAL_US INT64_C(50000)
 
-/* Time in which the weight of an arrival decays to 1/e. Surges begin and end
- * within seconds.
- */
-#define RATE_DECAY_US 2000000.0
-
 /* Frees a peer. */
 static void free_peer(gpointer data)
 {
@@ -230,27 +223,6 @@
 	return n;
 }
 
-/* Returns the weight of the arrivals as it has decayed until now. */
-static double decayed_weight(const arrival_rate_t *rate, int64_t now_us)
-{
-	double age_us = (double)MAX(now_us - rate->updated_us, 0);
-
-	return rate->weight * exp(-age_us / RATE_DECAY_US);
-}
-
-/* Records an arrival. */
-void arrival_rate_add(arrival_rate_t *rate, int64_t now_us)
-{
-	rate->weight = decayed_weight(rate, now_us) + 1;
-	rate->updated_us = now_us;
-}
-
-/* Returns the arrivals per second over the last seconds. */
-double arrival_rate_per_s(const arrival_rate_t *rate, int64_t now_us)
-{
-	return decayed_weight(rate, now_us) / (RATE_DECAY_US / 1e6);
-}
-
 /* Returns the new streams per second at this VM and its live peers. */
 double occupancy_arrivals_per_s(const occupancy_t *occupancy, int64_t now_us)
 {
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -13,6 +13,7 @@
 
 #include <stdint.h>
 
+#include "process/decide/arrival_rate.h"
 #include "process/decide/server_limits.h"
 #include "process/decide/workload.h"
 #include "process/str.h"
@@ -58,12 +59,6 @@
 	int64_t due_us; /* time by which its first event is due */
 } occupancy_urgency_t;
 
-/* Rate of arrivals over the last seconds. */
-typedef struct {
-	double weight; /* sum of the arrivals, each decaying with its age */
-	int64_t updated_us; /* the time for which the sum is right */
-} arrival_rate_t;
-
 /* Longest name of a service whose workload is announced. */
 #define OCCUPANCY_SERVICE_BYTES 64
 
@@ -144,8 +139,6 @@
 unsigned occupancy_count_ahead(const occupancy_t *occupancy,
 			       const occupancy_urgency_t *urgency,
 			       int64_t now_us);
-void arrival_rate_add(arrival_rate_t *rate, int64_t now_us);
-double arrival_rate_per_s(const arrival_rate_t *rate, int64_t now_us);
 double occupancy_arrivals_per_s(const occupancy_t *occupancy, int64_t now_us);
 workload_t *occupancy_own_workload(occupancy_t *occupancy, const char *service);
 const workload_t *occupancy_workload(occupancy_t *occupancy,
--- a/src/process/decide/server_limits.c
+++ b/src/process/decide/server_limits.c
@@ -3,7 +3,7 @@
 #include <math.h>
 
 #include "process/clock.h"
-#include "process/decide/occupancy.h"
+#include "process/decide/arrival_rate.h"
 
 /* Time for which a number of requests is drawn. */
 #define PERIOD_US (1 * CLOCK_US_PER_S)
@@ -18,8 +18,8 @@
  */
 #define WITHDRAWN_AFTER_US (1 * CLOCK_US_PER_S)
 
-/* Least rate of all VMs at a server, whatever its limit: without any request, no
- * answer could withdraw the limit.
+/* Least rate of all VMs at a server, whatever its limit: without any request,
+ * no answer could withdraw the limit.
  */
 #define MIN_RATE_PER_S 0.2
 
@@ -146,8 +146,8 @@
 	return changed;
 }
 
-/* Records whether a server's answer names a limit. Returns whether what is known
- * of the limit has changed.
+/* Records whether a server's answer names a limit. Returns whether what is
+ * known of the limit has changed.
  */
 bool server_limits_observe(server_limits_t *limits, const char *server,
 			   const char *service, bool limited, double per_s,
@@ -228,10 +228,10 @@
 }
 
 /*
- * Begins a period and draws its requests. The lower of the shares of this period
- * and the one before counts, or an equal part if that has passed: VMs learn of a
- * change of the demands at different times, and those that grow must not do so
- * before the others have shrunk.
+ * Begins a period and draws its requests. The lower of the shares of this
+ * period and the one before counts, since VMs learn of a change of the demands
+ * at different times: a share must not grow before the others have shrunk. An
+ * equal part of the limit stands for the share before if that is too old.
  */
 static void begin_period(server_limits_t *limits, entry_t *entry,
 			 int64_t now_us)
@@ -246,8 +246,8 @@
 	entry->period_ends_us = now_us + PERIOD_US;
 }
 
-/* Returns the entry of a server that names a limit, with its period brought up to
- * date, or NULL if the server has none.
+/* Returns the entry of a server that names a limit, with its period brought up
+ * to date, or NULL if the server has none.
  */
 static entry_t *find_limited(server_limits_t *limits, const char *server,
 			     int64_t now_us)
--- a/src/process/decide/server_limits.h
+++ b/src/process/decide/server_limits.h
@@ -2,14 +2,15 @@
  * from all VMs together, and this VM's part of each.
  *
  * The VMs announce to each other which limits they know and how many requests
- * they have for the server's service. Each VM computes its share of a limit from
- * these demands, so that the shares of all VMs add up to the limit. VMs whose
- * demand is unknown count with the mean of the others.
+ * they have for the server's service. Each VM computes its share of a limit
+ * from these demands, so that the shares of all VMs add up to the limit. VMs
+ * whose demand is unknown count with the mean of the others.
  *
- * A share is often a small part of a request per second. Each second, a VM draws
- * how many requests it may send: the whole part of its share, and by chance one
- * more for the fraction. What it does not use is not kept, so that VMs with
- * saved-up requests cannot send them at the same time. Pure: no clock, no I/O.
+ * A share is often a small part of a request per second. Each second, a VM
+ * draws how many requests it may send: the whole part of its share, and by
+ * chance one more for the fraction. What it does not use is not kept, so that
+ * VMs with saved-up requests cannot send them at the same time. Pure: no clock,
+ * no I/O.
  */
 #ifndef PROCESS_SERVER_LIMITS_H
 #define PROCESS_SERVER_LIMITS_H
