Do not begin a second read beside a full read of a table

Found by reading the diff: a full read that is asked for between two reads left the next one scheduled. It was then sent on a call that was already in progress, whose answer and memory were lost. Only a restored store leads there.

store_watch_read_all() now takes the scheduled read back. test_full_read_in_pause counted two reads instead of one before, and passes.

--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -9,8 +9,8 @@
 #define FEED_WAIT_US (15 * CLOCK_US_PER_S)
 
 /* The same for the server list. A read of it that gets no answer shows that the
- * store is silent, for all tables. With the deadline of a read, that is less
- * than three seconds after the silence began.
+ * store is silent, for all tables. With the deadline of a read, it shows within
+ * three seconds.
  */
 #define SERVERS_WAIT_US (1 * CLOCK_US_PER_S)
 
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -214,9 +214,12 @@
 	read_table(watch);
 }
 
-/* Begins a full read at once, in place of a read in progress. */
+/* Begins a full read at once, in place of a read that is in progress or was
+ * scheduled.
+ */
 void store_watch_read_all(store_watch_t *watch)
 {
+	alarm_set(&watch->next_read, -1);
 	store_call_cancel(&watch->call);
 	start_over(watch);
 	read_table(watch);
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -194,12 +194,34 @@
 	finish(&fixture);
 }
 
+/* Guards against a second read while a full read that was asked for between two
+ * reads is in progress: the store's call has room for one.
+ */
+static void test_full_read_in_pause(void **state)
+{
+	fixture_t fixture;
+	uint64_t reads;
+
+	init(&fixture);
+	fixture.watch.options.pause_us = 300 * CLOCK_US_PER_MS;
+	expect(&fixture, "a", "1", 1000);
+	fake_store_put(&fixture.store, TABLE, "a", "2");
+	expect(&fixture, "a", "2", 1000); /* the pause has begun */
+	fixture.store.silent = true;
+	reads = fixture.watch.reads;
+	store_watch_read_all(&fixture.watch);
+	support_run_loop_ms(600);
+	assert_int_equal(fixture.watch.reads, reads + 1);
+	finish(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_changes),
 		cmocka_unit_test(test_lost_history),
 		cmocka_unit_test(test_outage),
+		cmocka_unit_test(test_full_read_in_pause),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
