Replace a read of the feed soon after it is overdue

Cause: a read that the store lost was given up 2.5 s after it was sent (its wait of 1 s and 1.5 s more), and the next one followed 0.25 s later, although the store had answered other reads again for up to 2.75 s.

Change: a read that waits for a change is replaced 0.5 s after its wait, once, by one that does not wait; both keep their deadline of 1.5 s, so that a store that answers slowly is not asked again and again. The pause after a failed read counts from when that read was sent, so it does not follow a timeout.

Conclusion: the VM knows what the store has at most 1.5 s after a silence.

--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -8,9 +8,8 @@
 /* Longest time for which the store holds a read until something changes. */
 #define FEED_WAIT_US (15 * CLOCK_US_PER_S)
 
-/* The same for the server list. A read of it that gets no answer shows that the
- * store is silent, for all tables. With the deadline of a read, it shows within
- * three seconds.
+/* The same for the server list. A read of it that is overdue shows that the store
+ * is silent, for all tables.
  */
 #define SERVERS_WAIT_US (1 * CLOCK_US_PER_S)
 
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -3,8 +3,14 @@
 /* How long a read may take beside its wait for a change. */
 #define READ_TIMEOUT_US (1500 * CLOCK_US_PER_MS)
 
-/* Pause after a failed read. The store may refuse this VM's reads for seconds,
- * and a new configuration has to be in force two seconds after that ends.
+/* How long a read that waited for a change may be late before it is replaced,
+ * as the store may have lost it.
+ */
+#define OVERDUE_US (500 * CLOCK_US_PER_MS)
+
+/* Shortest time from a read that failed to the next one. The store may refuse
+ * this VM's reads for seconds, and a new configuration has to be in force two
+ * seconds after that ends.
  */
 #define RETRY_US (250 * CLOCK_US_PER_MS)
 
@@ -37,7 +43,7 @@
 	if (now_us - watch->last_ok_us > OUTAGE_US)
 		watch->outage = true;
 	set_reachable(watch, false);
-	alarm_set(&watch->next_read, now_us + RETRY_US);
+	alarm_set(&watch->next_read, MAX(now_us, watch->sent_us + RETRY_US));
 	if (result == STORE_OUTCOME_UNKNOWN)
 		watch->options.handler->on_silence(watch->options.context);
 }
@@ -127,6 +133,7 @@
 
 	watch->waiting = false;
 	watch->rechecking = false;
+	alarm_set(&watch->overdue, -1);
 	if (was_restored(watch)) {
 		read_table(watch);
 		return;
@@ -172,7 +179,8 @@
 static void read_table(store_watch_t *watch)
 {
 	const store_watch_options_t *options = &watch->options;
-	int64_t deadline_us = clock_now(&watch->clock) + READ_TIMEOUT_US;
+	int64_t now_us = clock_now(&watch->clock);
+	int64_t deadline_us = now_us + READ_TIMEOUT_US;
 	/* When the store may be unreachable, the read does not wait for a
 	 * change, so that its answer shows soon whether the store is back.
 	 */
@@ -190,10 +198,23 @@
 				 options->table, watch->from_key);
 	}
 	watch->reads++;
+	watch->sent_us = now_us;
+	alarm_set(&watch->overdue,
+		  watch->waiting ? now_us + wait_us + OVERDUE_US : -1);
 	store_call_send(&watch->call, options->address, watch->message,
 			deadline_us, on_read, watch);
 }
 
+/* Reports a silence of the store when a read that waited is not answered soon
+ * after its wait, so that it is replaced before its deadline.
+ */
+static void on_overdue(void *context)
+{
+	store_watch_t *watch = context;
+
+	watch->options.handler->on_silence(watch->options.context);
+}
+
 /* Sends the read that was scheduled. */
 static void on_next(void *context)
 {
@@ -238,6 +259,7 @@
 	};
 	store_call_init(&watch->call, pool);
 	alarm_init(&watch->next_read, clock, on_next, watch);
+	alarm_init(&watch->overdue, clock, on_overdue, watch);
 	alarm_set(&watch->next_read, clock_now(&clock));
 }
 
@@ -246,6 +268,7 @@
 {
 	store_call_finish(&watch->call);
 	alarm_finish(&watch->next_read);
+	alarm_finish(&watch->overdue);
 	g_free(watch->from_key);
 	g_string_free(watch->message, TRUE);
 }
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -25,8 +25,9 @@
 	void (*on_sync_end)(void *context, bool outage);
 	/* The store became unreachable, or reachable again. */
 	void (*on_reachable)(void *context, bool reachable);
-	/* A read got no answer in time. Other calls in progress at the store may
-	 * be lost as well.
+	/* A read got no answer in time, or is late. Other calls in progress at
+	 * the store may be lost as well; the user of the watch calls
+	 * store_watch_recheck() for each watch of this store.
 	 */
 	void (*on_silence)(void *context);
 } store_watch_handler_t;
@@ -44,12 +45,14 @@
 	store_watch_options_t options;
 	store_call_t call;
 	alarm_t next_read;
+	alarm_t overdue; /* of a read that waits for a change */
 	clock_source_t clock;
 	GString *message; /* the latest request */
 	char *from_key; /* where the next page of a full read starts */
 	int64_t version; /* the feed goes on from it */
 	int64_t sync_version; /* of the first page of a full read */
 	int64_t era; /* of the store; 0: unknown */
+	int64_t sent_us; /* when the latest read was sent */
 	int64_t last_ok_us; /* when a read last succeeded */
 	unsigned failures; /* reads that failed in a row */
 	uint64_t reads; /* sent so far */
