Soak: send SIGHUP only to a process that has reached its main()

Cause: between exec() and the first statements of main(), SIGHUP has its default action, so the kernel ends the process whatever its code does.

That a process ended by SIGHUP is a violation stays as it was, without an exception.

Ruled out: an exception for processes that have logged no start, as for SIGTERM: it would hide a process that listens before it handles the signal.

--- a/tests/soak_entry.c
+++ b/tests/soak_entry.c
@@ -70,6 +70,7 @@
 	entry->running = process_start_logged(&entry->process, "gooseberryspur",
 					      args, log, errors);
 	entry->stopped = false;
+	entry->reload_due = false;
 	entry->leaving_us = 0;
 	g_assert_true(entry->running);
 	g_free(errors);
@@ -92,6 +93,52 @@
 	soak_entry_start(entry);
 }
 
+/* Returns whether a line of /proc/PID/status, a hexadecimal mask, has a signal. */
+static bool has_signal(const char *status, const char *name, int signal_number)
+{
+	const char *line = strstr(status, name);
+	uint64_t mask = line ? g_ascii_strtoull(line + strlen(name), NULL, 16)
+			     : 0;
+
+	return mask >> (signal_number - 1) & 1;
+}
+
+/* Returns whether SIGHUP would end the process: it has not reached its main(),
+ * which ignores the signal first of all.
+ */
+static bool ends_by_sighup(const soak_entry_t *entry)
+{
+	char *path = g_strdup_printf("/proc/%d/status", entry->process.pid);
+	char *text = NULL;
+	bool ends = g_file_get_contents(path, &text, NULL, NULL) &&
+		    !has_signal(text, "SigIgn:", SIGHUP) &&
+		    !has_signal(text, "SigCgt:", SIGHUP);
+
+	g_free(text);
+	g_free(path);
+	return ends;
+}
+
+/* Writes the settings again and asks the process to read them. */
+void soak_entry_reload(soak_entry_t *entry)
+{
+	soak_entry_write_settings(entry);
+	entry->reload_due = true;
+	soak_entry_send_reload(entry);
+}
+
+/* Sends the SIGHUP that is due, if the process has reached its main(). To be
+ * called in each step: until then the kernel would end the process, whatever
+ * its code does.
+ */
+void soak_entry_send_reload(soak_entry_t *entry)
+{
+	if (!entry->reload_due || !entry->running || ends_by_sighup(entry))
+		return;
+	entry->reload_due = false;
+	process_signal(&entry->process, SIGHUP);
+}
+
 /* Ends the process with a signal, or takes note that it has ended. */
 void soak_entry_stop(soak_entry_t *entry, int signal_number)
 {
--- a/tests/soak_entry.h
+++ b/tests/soak_entry.h
@@ -20,12 +20,15 @@
 	int64_t leaving_us; /* since when it is not ready; 0: it is */
 	bool running;
 	bool stopped; /* by SIGSTOP */
+	bool reload_due; /* SIGHUP is to be sent */
 } soak_entry_t;
 
 void soak_entry_init(soak_entry_t *entry, unsigned number, const char *folder,
 		     const char *store_address);
 void soak_entry_write_settings(const soak_entry_t *entry);
 void soak_entry_start(soak_entry_t *entry);
+void soak_entry_reload(soak_entry_t *entry);
+void soak_entry_send_reload(soak_entry_t *entry);
 void soak_entry_stop(soak_entry_t *entry, int signal_number);
 void soak_entry_check_end(const soak_entry_t *entry, soak_world_t *world);
 void soak_entry_check_metrics(const soak_entry_t *entry, soak_world_t *world);
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -171,8 +171,7 @@
 		process_signal(&entry->process, SIGSTOP);
 		break;
 	default:
-		soak_entry_write_settings(entry);
-		process_signal(&entry->process, SIGHUP);
+		soak_entry_reload(entry);
 		break;
 	}
 }
@@ -297,6 +296,7 @@
 		}
 		if (!entry->running)
 			soak_entry_start(entry);
+		soak_entry_send_reload(entry);
 	}
 }
 
