--- a/tests/support_model.c
+++ b/tests/support_model.c
@@ -18,7 +18,7 @@
 #define TARGET_US (900 * CLOCK_US_PER_MS)
 #define GIVE_UP_US (3000 * CLOCK_US_PER_MS)
 #define HAND_OVER_US (15 * CLOCK_US_PER_MS)
-#define MAX_VMS 8
+#define MAX_VMS 64
 #define MAX_ENGINES 24
 #define SERVICE "model"
 
@@ -50,7 +50,16 @@
 	bool changing;
 } engine_t;
 
+/* An announcement on its way to all other VMs. */
 typedef struct {
+	unsigned from; /* VM */
+	int64_t due_us;
+	size_t len;
+	char data[8192];
+} datagram_t;
+
+typedef struct {
+	char name[8];
 	relay_t relay;
 	server_set_t servers;
 	occupancy_t occupancy;
@@ -68,6 +77,7 @@
 	engine_t engines[MAX_ENGINES];
 	vm_t vms[MAX_VMS];
 	GPtrArray *requests; /* of request_t */
+	GQueue datagrams; /* of datagram_t */
 	int64_t no_round_before_us;
 	uint64_t seed;
 } model_t;
@@ -105,8 +115,6 @@
 
 static void init_vm(model_t *model, unsigned index, uint64_t incarnation)
 {
-	static const char *const names[MAX_VMS] = {"a", "b", "c", "d",
-						   "e", "f", "g", "h"};
 	vm_t *vm = &model->vms[index];
 	clock_source_t clock = {model_now, model};
 
@@ -116,7 +124,8 @@
 	occupancy_set_peers(&vm->occupancy, model->config->vms - 1);
 	relay_init(&vm->relay, clock, NULL, &vm->servers, &vm->occupancy,
 		   "zone");
-	vm->announce.vm = names[index];
+	g_snprintf(vm->name, sizeof(vm->name), "v%u", index);
+	vm->announce.vm = vm->name;
 	vm->announce.incarnation = incarnation;
 	vm->announce.occupancy = &vm->occupancy;
 	for (unsigned i = 0; i < model->config->engines; i++)
@@ -147,21 +156,37 @@
 }
 
 /* Sends a VM's announcement to all others. */
-static void announce(model_t *model, vm_t *vm)
+static void announce(model_t *model, unsigned index)
 {
-	char data[8192];
-	size_t len;
+	vm_t *vm = &model->vms[index];
+	datagram_t *datagram = g_new(datagram_t, 1);
 
 	vm->changed = false;
 	vm->next_announce_us = model->now_us + ANNOUNCE_US;
 	vm->announce.sequence++;
-	if (!announce_encode(&vm->announce, model->now_us, data, sizeof(data),
-			     &len))
+	datagram->from = index;
+	datagram->due_us = model->now_us + model->config->announce_delay_us;
+	if (!announce_encode(&vm->announce, model->now_us, datagram->data,
+			     sizeof(datagram->data), &datagram->len))
 		abort();
-	for (unsigned i = 0; i < model->config->vms; i++) {
-		if (&model->vms[i] != vm)
-			(void)announce_decode(&model->vms[i].occupancy, data,
-					      len, model->now_us);
+	g_queue_push_tail(&model->datagrams, datagram);
+}
+
+/* Delivers the announcements that have arrived by now. */
+static void deliver(model_t *model)
+{
+	datagram_t *datagram;
+
+	while ((datagram = g_queue_peek_head(&model->datagrams)) &&
+	       datagram->due_us <= model->now_us) {
+		for (unsigned i = 0; i < model->config->vms; i++) {
+			if (i != datagram->from)
+				(void)announce_decode(&model->vms[i].occupancy,
+						      datagram->data,
+						      datagram->len,
+						      model->now_us);
+		}
+		g_free(g_queue_pop_head(&model->datagrams));
 	}
 }
 
@@ -528,7 +553,8 @@
 		if (model->now_us >= vm->next_admit_us)
 			admit(model, i);
 		if (vm->changed || model->now_us >= vm->next_announce_us)
-			announce(model, vm);
+			announce(model, i);
+		deliver(model);
 		if (model->config->rounds &&
 		    model->now_us % (200 * CLOCK_US_PER_MS) == 0)
 			check_stages(model, vm);
@@ -573,6 +599,7 @@
 	for (unsigned i = 0; i < config->vms; i++)
 		finish_vm(&model->vms[i]);
 	g_ptr_array_unref(model->requests);
+	g_queue_clear_full(&model->datagrams, g_free);
 	result = model->result;
 	g_free(model);
 	return result;
--- a/tests/support_model.h
+++ b/tests/support_model.h
@@ -31,6 +31,7 @@
 	int64_t prompt_tokens, output_tokens; /* means */
 	double rate_per_s;
 	unsigned clump; /* requests that arrive together */
+	int64_t announce_delay_us; /* until other VMs know of a change */
 	int64_t surge_from_us, surge_until_us; /* traffic times surge_factor */
 	double surge_factor;
 	int64_t restart_at_us; /* VM 0 forgets all that it knows; 0: never */
