Move a stream whose prompt was read from an engine with too many streams

The stream kept to the decode engine that admission chose, although by the end of its prefill (some 200 ms) the VM counts the streams that other VMs gave the same engine.

Change: before the prompt's result is handed over, a stream leaves an engine for which more is counted than it has room for, if another one has room.

Ruled out: margins of memory as the cause (most refusals came from engines over the margin, some at twice their memory); dead engines (85 of 379 rejections have no status; they are another matter).

It still fails: where all engines are full, no other one has room.

--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -128,6 +128,17 @@
 	       decode->use.kv_tokens + kv_tokens <= usable_tokens(view, decode);
 }
 
+/* Returns whether an engine was given more than it has room for: VMs that decide
+ * at the same time do not know of each other's streams yet.
+ */
+bool admission_is_overbooked(const admission_view_t *view, size_t index)
+{
+	const admission_decode_t *decode = &view->decodes[index];
+
+	return free_slots(decode) < 0 ||
+	       decode->use.kv_tokens > usable_tokens(view, decode);
+}
+
 /* Returns the load that a decode engine would have with the request, as a share
  * of its memory or slots and with the penalty for another zone.
  */
--- a/src/process/decide/admission.h
+++ b/src/process/decide/admission.h
@@ -97,6 +97,7 @@
 admission_decision_t admission_decide(const admission_view_t *view,
 				      const admission_request_t *request,
 				      int64_t now_us);
+bool admission_is_overbooked(const admission_view_t *view, size_t index);
 bool admission_pick_decode(const admission_view_t *view, int64_t kv_tokens,
 			   size_t *index);
 bool admission_pick_prefill(const admission_view_t *view, int64_t tokens,
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -315,6 +315,24 @@
 	return true;
 }
 
+/* Moves a stream whose prompt was read to another decode engine when its own was
+ * given more streams than it has room for.
+ */
+static void leave_overbooked(stream_t *stream)
+{
+	server_t *next = stream_engines_pick_less_booked(
+		&stream->request, stream->kv_tokens, stream->decode);
+
+	if (!next)
+		return;
+	log_event(LOG_INFO, "decode_moved",
+		  LOG_STR("request", stream->request.fields.id),
+		  LOG_CSTR("server", stream->decode->entry.id),
+		  LOG_CSTR("next", next->entry.id));
+	stream_release_decode(stream);
+	stream_use_decode(stream, next);
+}
+
 /*
  * Hands the prefill result to the decode engine that admission chose, or to
  * another one if that takes no work any more.
@@ -323,6 +341,8 @@
 {
 	relay_t *relay = stream->request.relay;
 
+	leave_overbooked(stream);
+
 	if (!engine_takes_request(relay, stream->decode,
 				  clock_now(&relay->clock)) ||
 	    !send_decode(stream)) {
--- a/src/request/stream_engines.c
+++ b/src/request/stream_engines.c
@@ -78,7 +78,6 @@
 		.stream = admission_mean_stream(workload),
 		.arrivals_per_s =
 			occupancy_arrivals_per_s(relay->occupancy, now_us),
-
 	};
 	g_hash_table_iter_init(&iter, relay->servers->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -117,3 +116,24 @@
 		return NULL;
 	return engines.decode_servers[index];
 }
+
+/* Chooses another decode engine with a free slot and memory when `decode` was
+ * given more than it has room for. Returns NULL when it was not, or when there
+ * is none; the server is borrowed.
+ */
+server_t *stream_engines_pick_less_booked(const relay_request_t *request,
+					  int64_t kv_tokens,
+					  const server_t *decode)
+{
+	static stream_engines_t engines;
+
+	stream_engines_collect(&engines, request,
+			       clock_now(&request->relay->clock));
+	for (size_t i = 0; i < engines.view.n_decodes; i++) {
+		if (engines.decode_servers[i] == decode &&
+		    admission_is_overbooked(&engines.view, i))
+			return stream_engines_pick_decode(request, kv_tokens,
+							  decode);
+	}
+	return NULL;
+}
--- a/src/request/stream_engines.h
+++ b/src/request/stream_engines.h
@@ -26,6 +26,9 @@
 			  int64_t now_us);
 void stream_engines_collect(stream_engines_t *engines,
 			    const relay_request_t *request, int64_t now_us);
+server_t *stream_engines_pick_less_booked(const relay_request_t *request,
+					  int64_t kv_tokens,
+					  const server_t *decode);
 server_t *stream_engines_pick_decode(const relay_request_t *request,
 				     int64_t kv_tokens, const server_t *except);
 
--- a/tests/support_model.c
+++ b/tests/support_model.c
@@ -328,6 +328,23 @@
 	vm->changed |= vm->occupancy.waiters->len != before;
 }
 
+/* Moves a request to another decode engine as the product does. */
+static void leave_overbooked(model_t *model, request_t *request)
+{
+	vm_t *vm = &model->vms[request->vm];
+	relay_request_t fields = {.relay = &vm->relay,
+				  .service = &model->service};
+	const server_t *next = stream_engines_pick_less_booked(
+		&fields, request->kv_tokens,
+		server_of(vm, &model->engines[request->decode]));
+
+	if (!next)
+		return;
+	add_use(model, request, request->decode, -1, -request->kv_tokens, 0);
+	request->decode = engine_index(next);
+	add_use(model, request, request->decode, 1, request->kv_tokens, 0);
+}
+
 /* Ends a prefill and sends the request to its decode engine. */
 static void end_prefill(model_t *model, request_t *request)
 {
@@ -342,6 +359,7 @@
 		request->prompt_tokens, request->backlog_tokens, duration_us);
 	add_use(model, request, request->prefill, 0, 0,
 		-request->prompt_tokens);
+	leave_overbooked(model, request);
 	request->step = HANDED_OVER;
 	request->sent_us = model->now_us;
 	request->next_us = model->now_us + HAND_OVER_US;
