--- /dev/null
+++ b/tests/support_entry.c
@@ -0,0 +1,66 @@
+#include "support_entry.h"
+
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "support_address.h"
+
+/* Writes the settings of a VM with addresses of its own, in the zone "z". */
+static void write_settings(const support_entry_t *vm, const char *name,
+			   const char *store_address)
+{
+	char *addresses[4];
+	char *text;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		addresses[i] = unused_address();
+	text = g_strdup_printf("vm = \"%s\"\nzone = \"z\"\n"
+			       "callers_address = \"%s\"\n"
+			       "ready_address = \"%s\"\n"
+			       "metrics_address = \"%s\"\n"
+			       "peer_address = \"%s\"\n"
+			       "store_address = \"%s\"\n",
+			       name, addresses[0], addresses[1], addresses[2],
+			       addresses[3], store_address);
+	assert_true(g_file_set_contents(vm->path, text, -1, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		g_free(addresses[i]);
+	g_free(text);
+}
+
+/* Starts the process of a VM. */
+void support_entry_start(support_entry_t *vm, const char *name,
+			 const char *store_address)
+{
+	entry_settings_t settings;
+	diag_t diag;
+
+	vm->folder = g_dir_make_tmp("entry-XXXXXX", NULL);
+	vm->path = g_strdup_printf("%s/%s.toml", vm->folder, name);
+	write_settings(vm, name, store_address);
+	diag_init(&diag);
+	assert_true(entry_settings_load(vm->path, &settings, &diag));
+	assert_true(
+		entry_init(&vm->entry, vm->path, &settings, clock_boottime()));
+	diag_finish(&diag);
+}
+
+/* Ends it and removes its settings. */
+void support_entry_stop(support_entry_t *vm)
+{
+	entry_finish(&vm->entry);
+	(void)g_remove(vm->path);
+	(void)g_rmdir(vm->folder);
+	g_free(vm->path);
+	g_free(vm->folder);
+}
+
+/* Returns where callers reach the VM; borrowed. */
+const char *support_entry_address(const support_entry_t *vm)
+{
+	return vm->entry.settings.callers_address;
+}
--- /dev/null
+++ b/tests/support_entry.h
@@ -0,0 +1,18 @@
+/* An entry VM's process that runs in the test's own main loop. */
+#ifndef SUPPORT_ENTRY_H
+#define SUPPORT_ENTRY_H
+
+#include "process/entry/entry.h"
+
+typedef struct {
+	entry_t entry;
+	char *folder; /* of the settings file */
+	char *path;
+} support_entry_t;
+
+void support_entry_start(support_entry_t *vm, const char *name,
+			 const char *store_address);
+void support_entry_stop(support_entry_t *vm);
+const char *support_entry_address(const support_entry_t *vm);
+
+#endif
--- a/tests/test_limit_all_vms.c
+++ b/tests/test_limit_all_vms.c
@@ -8,8 +8,8 @@
 #include <cmocka.h>
 
 #include "names.h"
-#include "process/entry/entry.h"
 #include "support_address.h"
+#include "support_entry.h"
 #include "support_store.h"
 #include "support_tcp_stub.h"
 
@@ -47,9 +47,7 @@
 struct fixture {
 	fake_store_t store;
 	char *store_address;
-	char *folder;
-	entry_t vms[VMS];
-	char *paths[VMS]; /* of settings files */
+	support_entry_t vms[VMS];
 	server_stub_t servers[SERVERS];
 	http_pool_t callers;
 	call_t calls[MAX_CALLS];
@@ -197,8 +195,8 @@
 	call_t *call = &fixture->calls[n];
 	GString *message = g_string_new(NULL);
 	http_call_options_t options = {
-		.address = fixture->vms[n % 2 ? 0 : n / 2 % VMS]
-				   .settings.callers_address,
+		.address = support_entry_address(
+			&fixture->vms[n % 2 ? 0 : n / 2 % VMS]),
 		.message = message,
 		.handler = &call_handler,
 		.context = call,
@@ -229,43 +227,15 @@
 		"\"healthPath\":\"/health\"}]}");
 }
 
-static void start_vm(fixture_t *fixture, size_t i)
-{
-	char *addresses[4];
-	entry_settings_t settings;
-	char *text;
-	diag_t diag;
-
-	for (size_t k = 0; k < G_N_ELEMENTS(addresses); k++)
-		addresses[k] = unused_address();
-	fixture->paths[i] =
-		g_strdup_printf("%s/vm-%zu.toml", fixture->folder, i);
-	text = g_strdup_printf("vm = \"vm-%zu\"\nzone = \"z\"\n"
-			       "callers_address = \"%s\"\n"
-			       "ready_address = \"%s\"\n"
-			       "metrics_address = \"%s\"\n"
-			       "peer_address = \"%s\"\n"
-			       "store_address = \"%s\"\n",
-			       i, addresses[0], addresses[1], addresses[2],
-			       addresses[3], fixture->store_address);
-	assert_true(g_file_set_contents(fixture->paths[i], text, -1, NULL));
-	diag_init(&diag);
-	assert_true(entry_settings_load(fixture->paths[i], &settings, &diag));
-	assert_true(entry_init(&fixture->vms[i], fixture->paths[i], &settings,
-			       clock_boottime()));
-	diag_finish(&diag);
-	for (size_t k = 0; k < G_N_ELEMENTS(addresses); k++)
-		g_free(addresses[k]);
-	g_free(text);
-}
-
 static bool are_ready(void *context)
 {
 	const fixture_t *fixture = context;
 
 	for (size_t i = 0; i < VMS; i++) {
-		if (!fixture->vms[i].table || fixture->vms[i].vm_count < VMS ||
-		    server_set_count_usable(&fixture->vms[i].servers) < SERVERS)
+		const entry_t *vm = &fixture->vms[i].entry;
+
+		if (!vm->table || vm->vm_count < VMS ||
+		    server_set_count_usable(&vm->servers) < SERVERS)
 			return false;
 	}
 	return true;
@@ -278,13 +248,17 @@
 
 	fixture->per_s = per_s;
 	fixture->store_address = unused_address();
-	fixture->folder = g_dir_make_tmp("limit-XXXXXX", NULL);
 	fake_store_start(&fixture->store, fixture->store_address);
 	put_config(fixture);
 	for (size_t i = 0; i < SERVERS; i++)
 		start_server(fixture, i);
-	for (size_t i = 0; i < VMS; i++)
-		start_vm(fixture, i);
+	for (size_t i = 0; i < VMS; i++) {
+		char *name = g_strdup_printf("vm-%zu", i);
+
+		support_entry_start(&fixture->vms[i], name,
+				    fixture->store_address);
+		g_free(name);
+	}
 	http_pool_init(&fixture->callers, clock_boottime(), 0, 0);
 	assert_true(support_run_loop_until(are_ready, fixture, 5000));
 	alarm_init(&fixture->next, clock_boottime(), on_next, fixture);
@@ -299,10 +273,8 @@
 	support_run_loop_ms(300); /* until all calls have ended */
 	alarm_finish(&fixture->next);
 	http_pool_finish(&fixture->callers);
-	for (size_t i = 0; i < VMS; i++) {
-		entry_finish(&fixture->vms[i]);
-		g_free(fixture->paths[i]);
-	}
+	for (size_t i = 0; i < VMS; i++)
+		support_entry_stop(&fixture->vms[i]);
 	for (size_t i = 0; i < SERVERS; i++) {
 		ingress_finish(&fixture->servers[i].ingress);
 		g_array_unref(fixture->servers[i].arrivals);
@@ -311,7 +283,6 @@
 	}
 	fake_store_stop(&fixture->store);
 	g_free(fixture->store_address);
-	g_free(fixture->folder);
 	g_free(fixture);
 }
 
