Do not promise that a request has not run after a send that may have run it

Cause: 503 promises that the request has not run. A repeatable request whose first send was lost is sent to a second server; if that one refused it, or none was left, the caller got 503 for the second send alone. The same for a resumable stream that broke off before its first event, and for one moved from a silent server.

Change: the request remembers that an earlier send may have run it, and then ends with 502. Requests that may not be repeated are sent once and were not affected.

Ruled out: 503 without the promise; the status itself is the promise.

test_not_run has both cases; both failed before (503 in place of 502) and pass.

--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -32,6 +32,7 @@
 	 * reached.
 	 */
 	unsigned misdirected;
+	bool may_have_run; /* at a server that it was sent to before */
 } plain_call_t;
 
 /* Frees the call and closes its connection to a server. */
@@ -44,18 +45,24 @@
 	g_free(call);
 }
 
-/* Answers that the request has not run, and ends the call. */
-static void refuse(plain_call_t *call, int64_t retry_after_us,
-		   const char *reason)
+/* Answers that the request may have run, and ends the call. */
+static void fail(plain_call_t *call, unsigned status, const char *reason)
 {
-	relay_refuse(&call->request, retry_after_us, reason);
+	relay_fail(&call->request, status, reason);
 	finish(call);
 }
 
-/* Answers that the request may have run, and ends the call. */
-static void fail(plain_call_t *call, unsigned status, const char *reason)
+/* Ends the call without a further send. Answers that the request has not run,
+ * unless it may have run at a server that it was sent to before.
+ */
+static void refuse(plain_call_t *call, int64_t retry_after_us,
+		   const char *reason)
 {
-	relay_fail(&call->request, status, reason);
+	if (call->may_have_run) {
+		fail(call, 502, reason);
+		return;
+	}
+	relay_refuse(&call->request, retry_after_us, reason);
 	finish(call);
 }
 
@@ -97,6 +104,7 @@
 
 	relay_send_release(&call->send);
 	alarm_set(&call->silence, -1);
+	call->may_have_run |= outcome->run != RUN_NOT_RUN;
 	if (outcome->may_retry && may_retry_elsewhere(call) &&
 	    relay_take_retry(&call->request))
 		send_next(call);
@@ -240,7 +248,7 @@
 		  LOG_STR("request", call->request.fields.id),
 		  LOG_CSTR("server", server->entry.id),
 		  LOG_CSTR("reason", "no answer"));
-	(void)outcome;
+	call->may_have_run |= outcome.run != RUN_NOT_RUN;
 	relay_send_cancel(&call->send);
 	send_next(call);
 }
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -48,6 +48,7 @@
 	char *kv_handle; /* its ID at the prefill engine */
 	event_split_t event_split;
 	bool prefill_retried; /* it was sent to a second prefill engine */
+	bool may_have_run; /* at an earlier decode engine */
 	bool head_sent; /* the caller has the head of the response */
 	bool response_is_error; /* or not from a decode engine; kept in send */
 } stream_t;
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -162,6 +162,7 @@
 					  stream->decode);
 	if (!next || !relay_take_retry(request))
 		return false;
+	stream->may_have_run = true;
 	event_split_drop_partial(&stream->event_split);
 	stream_release_decode(stream);
 	stream_use_decode(stream, next);
@@ -230,7 +231,7 @@
 	record_refusal(stream);
 	if (retry_decode(stream))
 		return;
-	if (stream->head_sent)
+	if (stream->head_sent || stream->may_have_run)
 		stream_fail(stream, 502, "the stream could not be resumed");
 	else
 		stream_refuse(stream, STREAM_REFUSED_RETRY_US,
