Try one table only while the store refuses a VM's reads

Cause: each VM follows three tables and tried each again four times a second while the store refused its reads.

Change: while reads of the server list fail, the other two tables are tried every 2 s, and at once when the list can be read again.

Ruled out: a longer pause for the list itself, as a leaving server has to be seen within two seconds of the store's return.

--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -259,7 +259,13 @@
 /* Logs whether the server list can be read. */
 static void servers_reachable(void *context, bool reachable)
 {
+	store_rows_t *rows = context;
+
 	log_reachable(TABLE_SERVERS, reachable);
+	if (!reachable)
+		return;
+	store_watch_retry(&rows->config);
+	store_watch_retry(&rows->own_table);
 }
 
 static const store_watch_handler_t servers_handler = {
@@ -373,13 +379,14 @@
 /* Starts to follow one table. */
 static void follow(store_rows_t *rows, store_watch_t *watch, const char *table,
 		   const store_watch_handler_t *handler, int64_t pause_us,
-		   int64_t wait_us)
+		   int64_t wait_us, const store_watch_t *probe)
 {
 	store_watch_options_t options = {
 		.table = table,
 		.address = rows->address,
 		.pause_us = pause_us,
 		.wait_us = wait_us,
+		.probe = probe,
 		.handler = handler,
 		.context = rows,
 	};
@@ -413,11 +420,11 @@
 	alarm_init(&rows->register_retry, clock, register_vm, rows);
 	store_call_init(&rows->register_call, pool);
 	follow(rows, &rows->config, TABLE_CONFIG, &config_handler, 0,
-	       FEED_WAIT_US);
+	       FEED_WAIT_US, &rows->server_list);
 	follow(rows, &rows->server_list, TABLE_SERVERS, &servers_handler,
-	       SERVERS_PAUSE_US, SERVERS_WAIT_US);
+	       SERVERS_PAUSE_US, SERVERS_WAIT_US, NULL);
 	follow(rows, &rows->own_table, TABLE_ROUTER, &own_handler, 0,
-	       FEED_WAIT_US);
+	       FEED_WAIT_US, &rows->server_list);
 	register_vm(rows);
 }
 
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -14,6 +14,9 @@
  */
 #define RETRY_US (250 * CLOCK_US_PER_MS)
 
+/* The same while the reads of another watch show whether the store is back. */
+#define PROBED_RETRY_US (2 * CLOCK_US_PER_S)
+
 /* After this long without a successful read, rows of live servers may have
  * expired in the store: three of their heartbeats can be missed by then.
  */
@@ -21,6 +24,12 @@
 
 static void read_table(store_watch_t *watch);
 
+/* Returns whether another watch shows when the store is back. */
+static bool is_probed(const store_watch_t *watch)
+{
+	return watch->options.probe && watch->options.probe->failures > 0;
+}
+
 /* Reports to the user of the watch when the store becomes unreachable, or
  * reachable again.
  */
@@ -38,12 +47,13 @@
 static void handle_failure(store_watch_t *watch, store_result_t result)
 {
 	int64_t now_us = clock_now(&watch->clock);
+	int64_t retry_us = is_probed(watch) ? PROBED_RETRY_US : RETRY_US;
 
 	watch->failures++;
 	if (now_us - watch->last_ok_us > OUTAGE_US)
 		watch->outage = true;
 	set_reachable(watch, false);
-	alarm_set(&watch->next_read, MAX(now_us, watch->sent_us + RETRY_US));
+	alarm_set(&watch->next_read, MAX(now_us, watch->sent_us + retry_us));
 	if (result == STORE_OUTCOME_UNKNOWN)
 		watch->options.handler->on_silence(watch->options.context);
 }
@@ -235,6 +245,13 @@
 	read_table(watch);
 }
 
+/* Sends the next read now if the latest one failed. */
+void store_watch_retry(store_watch_t *watch)
+{
+	if (watch->failures > 0 && watch->next_read.at_us >= 0)
+		alarm_set(&watch->next_read, clock_now(&watch->clock));
+}
+
 /* Begins a full read at once, in place of a read that is in progress or was
  * scheduled.
  */
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -32,16 +32,23 @@
 	void (*on_silence)(void *context);
 } store_watch_handler_t;
 
+typedef struct store_watch store_watch_t;
+
 typedef struct {
 	const char *table; /* borrowed */
 	const char *address; /* of the store; borrowed */
 	int64_t pause_us; /* between reads of the feed */
 	int64_t wait_us; /* longest wait of one read for a change */
+	/* Another watch of the same store, or NULL. While its reads fail, this
+	 * watch reads less often; its user calls store_watch_retry() when they
+	 * succeed again.
+	 */
+	const store_watch_t *probe;
 	const store_watch_handler_t *handler;
 	void *context;
 } store_watch_options_t;
 
-typedef struct {
+struct store_watch {
 	store_watch_options_t options;
 	store_call_t call;
 	alarm_t next_read;
@@ -62,13 +69,14 @@
 	bool outage; /* since the last full read */
 	bool restored; /* the store was, since the last full read */
 	bool reachable; /* the latest read succeeded */
-} store_watch_t;
+};
 
 void store_watch_init(store_watch_t *watch, http_pool_t *pool,
 		      clock_source_t clock,
 		      const store_watch_options_t *options);
 void store_watch_finish(store_watch_t *watch);
 void store_watch_recheck(store_watch_t *watch);
+void store_watch_retry(store_watch_t *watch);
 void store_watch_read_all(store_watch_t *watch);
 
 #endif
--- a/tests/test_store_rows.c
+++ b/tests/test_store_rows.c
@@ -189,6 +189,43 @@
 	store_reader_finish(&reader);
 }
 
+/* Returns the reads that a VM has sent of all tables. */
+static uint64_t reads_of(const store_reader_t *reader)
+{
+	return reader->rows.config.reads + reader->rows.server_list.reads +
+	       reader->rows.own_table.reads;
+}
+
+/* The store refuses a VM's reads for a while. Guards against three tables that
+ * are all tried four times a second meanwhile, which many VMs do at once, and
+ * against a configuration that is seen late after it.
+ */
+static void test_reads_while_refused(void **state)
+{
+	store_reader_t reader;
+	uint64_t before;
+
+	store_reader_init(&reader);
+	fake_store_put(&reader.store, TABLE_CONFIG, KEY_CONFIG,
+		       "{\"version\":1,\"routes\":[]}");
+	reader.expected_version = 1;
+	assert_true(
+		support_run_loop_until(store_reader_has_config, &reader, 3000));
+	reader.store.busy = true;
+	support_run_loop_ms(2000); /* until all waiting reads have ended */
+	before = reads_of(&reader);
+	support_run_loop_ms(4000);
+	/* Four reads of one table a second, and one each 2 s of the others. */
+	assert_true(reads_of(&reader) - before <= 4 * 4 + 2 * 2 + 2);
+	fake_store_put(&reader.store, TABLE_CONFIG, KEY_CONFIG,
+		       "{\"version\":2,\"routes\":[]}");
+	reader.store.busy = false;
+	reader.expected_version = 2;
+	assert_true(
+		support_run_loop_until(store_reader_has_config, &reader, 600));
+	store_reader_finish(&reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -198,6 +235,7 @@
 		cmocka_unit_test(test_mass_start),
 		cmocka_unit_test(test_restored_store),
 		cmocka_unit_test(test_restored_store_lists_a_leaving_server),
+		cmocka_unit_test(test_reads_while_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
