Tests: write repeated set-up lines once

The base of the model's runs, the start of a backend server beside a VM in the test's own loop, and the start without a server of test_departed_servers stood in two places or more.

--- a/tests/support_entry.c
+++ b/tests/support_entry.c
@@ -7,6 +7,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include "names.h"
 #include "support_address.h"
 
 /* Writes the settings of a VM with addresses of its own, in the zone "z". */
@@ -64,3 +65,30 @@
 {
 	return vm->entry.settings.callers_address;
 }
+
+/* Starts a backend server in the zone "z" and lists it in the store. `fields`
+ * are the members of its entry that name its service and stage. Returns its
+ * address, freed with g_free().
+ */
+char *support_server_start(ingress_t *ingress, fake_store_t *store,
+			   const char *id, const char *fields,
+			   const ingress_handler_t *handler, void *context)
+{
+	static const ingress_limits_t limits = {
+		.max_head_bytes = 65536,
+		.max_body_bytes = 1 << 20,
+		.head_timeout_us = 10 * CLOCK_US_PER_S,
+		.idle_timeout_us = 60 * CLOCK_US_PER_S,
+	};
+	char *address = unused_address();
+	char *entry = g_strdup_printf(
+		"{%s,\"address\":\"%s\",\"zone\":\"z\",\"slots\":6,"
+		"\"state\":\"ready\",\"sequence\":1,\"born\":1000}",
+		fields, address);
+
+	assert_true(ingress_init(ingress, address, clock_boottime(), &limits,
+				 handler, context));
+	fake_store_put(store, TABLE_SERVERS, id, entry);
+	g_free(entry);
+	return address;
+}
--- a/tests/support_model.c
+++ b/tests/support_model.c
@@ -82,6 +82,31 @@
 	uint64_t seed;
 } model_t;
 
+/* Eight engines with memory for about nine streams, and traffic of less
+ * than half of what they can do at the best split of stages.
+ */
+const model_config_t model_base = {
+	.vms = 4,
+	.engines = 8,
+	.prefills = 3,
+	.rounds = true,
+	.slots = 128,
+	.kv_tokens = 33505,
+	.prefill_us_per_token = 30,
+	.prefill_fixed_us = 40000,
+	.event_us = 38000,
+	.event_us_per_stream = 1000,
+	.tokens_per_event = 11,
+	.stage_change_us = 6000000,
+	.prompt_tokens = 3000,
+	.output_tokens = 770,
+	.rate_per_s = 7,
+	.clump = 3,
+	.count_from_us = 24000000,
+	.until_us = 50000000,
+	.seed = 1,
+};
+
 static int64_t model_now(void *context)
 {
 	return ((model_t *)context)->now_us;
--- a/tests/support_model.h
+++ b/tests/support_model.h
@@ -47,6 +47,8 @@
 	unsigned prefills; /* engines of the stage at the end */
 } model_result_t;
 
+extern const model_config_t model_base;
+
 model_result_t model_run(const model_config_t *config);
 
 #endif
--- a/tests/test_departed_servers.c
+++ b/tests/test_departed_servers.c
@@ -19,6 +19,15 @@
 		support_run_loop_until(store_reader_has_server, reader, 3000));
 }
 
+/* Starts such a VM, and removes the server from the list. */
+static void start_without_server(store_reader_t *reader)
+{
+	start(reader);
+	fake_store_remove(&reader->store, TABLE_SERVERS, "i-1");
+	assert_true(support_run_loop_until(store_reader_has_no_server, reader,
+					   1500));
+}
+
 /* Brings the store back from a copy that lists the server i-1 as ready. */
 static void restore(store_reader_t *reader)
 {
@@ -47,10 +56,7 @@
 {
 	store_reader_t reader;
 
-	start(&reader);
-	fake_store_remove(&reader.store, TABLE_SERVERS, "i-1");
-	assert_true(support_run_loop_until(store_reader_has_no_server, &reader,
-					   1500));
+	start_without_server(&reader);
 	restore(&reader);
 	assert_false(support_run_loop_until(takes_work, &reader, 3000));
 	fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
@@ -66,10 +72,7 @@
 {
 	store_reader_t reader;
 
-	start(&reader);
-	fake_store_remove(&reader.store, TABLE_SERVERS, "i-1");
-	assert_true(support_run_loop_until(store_reader_has_no_server, &reader,
-					   1500));
+	start_without_server(&reader);
 	restore(&reader);
 	assert_true(support_run_loop_until(takes_work, &reader, 8000));
 	store_reader_finish(&reader);
@@ -82,10 +85,7 @@
 {
 	store_reader_t reader;
 
-	start(&reader);
-	fake_store_remove(&reader.store, TABLE_SERVERS, "i-1");
-	assert_true(support_run_loop_until(store_reader_has_no_server, &reader,
-					   1500));
+	start_without_server(&reader);
 	fake_store_put(&reader.store, TABLE_SERVERS, "i-1",
 		       STORE_READER_ENTRY("6", "ready"));
 	assert_true(support_run_loop_until(takes_work, &reader, 1500));
--- a/tests/test_limit_all_vms.c
+++ b/tests/test_limit_all_vms.c
@@ -96,28 +96,14 @@
 
 static void start_server(fixture_t *fixture, size_t i)
 {
-	static const ingress_limits_t limits = {
-		.max_head_bytes = 65536,
-		.max_body_bytes = 1 << 20,
-		.head_timeout_us = 10 * CLOCK_US_PER_S,
-		.idle_timeout_us = 60 * CLOCK_US_PER_S,
-	};
 	server_stub_t *server = &fixture->servers[i];
-	char *entry;
 
-	server->address = unused_address();
 	server->id = g_strdup_printf("i-%zu", i);
 	server->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	assert_true(ingress_init(&server->ingress, server->address,
-				 clock_boottime(), &limits, &server_handler,
-				 server));
-	entry = g_strdup_printf(
-		"{\"service\":\"app\",\"address\":\"%s\","
-		"\"zone\":\"z\",\"slots\":6,\"state\":\"ready\","
-		"\"sequence\":1,\"born\":1000}",
-		server->address);
-	fake_store_put(&fixture->store, TABLE_SERVERS, server->id, entry);
-	g_free(entry);
+	server->address = support_server_start(&server->ingress,
+					       &fixture->store, server->id,
+					       "\"service\":\"app\"",
+					       &server_handler, server);
 }
 
 /* Returns the most arrivals in a window from a time on. */
--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -9,31 +9,6 @@
 #include "process/clock.h"
 #include "support_model.h"
 
-/* Eight engines with memory for about nine streams, and traffic that half of
- * what they can do at the best split of stages.
- */
-static const model_config_t base = {
-	.vms = 4,
-	.engines = 8,
-	.prefills = 3,
-	.rounds = true,
-	.slots = 128,
-	.kv_tokens = 33505,
-	.prefill_us_per_token = 30,
-	.prefill_fixed_us = 40000,
-	.event_us = 38000,
-	.event_us_per_stream = 1000,
-	.tokens_per_event = 11,
-	.stage_change_us = 6000000,
-	.prompt_tokens = 3000,
-	.output_tokens = 770,
-	.rate_per_s = 7,
-	.clump = 3,
-	.count_from_us = 24000000,
-	.until_us = 50000000,
-	.seed = 1,
-};
-
 static void print_result(const char *name, const model_result_t *result)
 {
 	print_message("%s: arrived %u, on time %u, late %u, refused %u (after "
@@ -97,7 +72,7 @@
 	};
 
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		model_config_t config = base;
+		model_config_t config = model_base;
 		unsigned best, with_rounds;
 
 		config.prefill_us_per_token /= cases[i].speed;
@@ -123,7 +98,7 @@
 	}
 }
 
-/* Requests/s in a surge, and what the engines of `base` can do. */
+/* Requests/s in a surge, and what the engines of model_base can do. */
 #define SURGE_RATE 28
 #define CAPACITY 18
 
@@ -133,7 +108,7 @@
  */
 static void test_surge_beyond_capacity(void **state)
 {
-	model_config_t config = base;
+	model_config_t config = model_base;
 	model_result_t result;
 
 	config.surge_from_us = config.count_from_us;
@@ -155,7 +130,7 @@
  */
 static void test_first_requests_to_slow_engines(void **state)
 {
-	model_config_t config = base;
+	model_config_t config = model_base;
 	model_result_t result;
 
 	config.prefill_us_per_token = 120;
@@ -177,7 +152,7 @@
  */
 static void test_restart_in_a_surge(void **state)
 {
-	model_config_t config = base;
+	model_config_t config = model_base;
 	model_result_t result;
 
 	config.surge_from_us = config.count_from_us - 2 * CLOCK_US_PER_S;
@@ -200,7 +175,7 @@
  */
 static void test_groups_at_many_vms(void **state)
 {
-	model_config_t config = base;
+	model_config_t config = model_base;
 
 	config.vms = 64;
 	config.engines *= 3;
