--- a/tests/test_load.c
+++ b/tests/test_load.c
@@ -183,7 +183,8 @@
 	config.rate_per_s = 20;
 	config.clump = 8;
 	config.announce_delay_us = 35 * CLOCK_US_PER_MS;
-	config.until_us = config.count_from_us + 20 * CLOCK_US_PER_S;
+	config.count_from_us = 8 * CLOCK_US_PER_S;
+	config.until_us = 20 * CLOCK_US_PER_S;
 	for (config.seed = 1; config.seed <= 3; config.seed++) {
 		model_result_t result = model_run(&config);
 
