Log what a lost stream's prompt shares with others

The log told neither which parts a prompt has nor how far a stream had come when its engine was lost, so that it could not tell a part that crashes engines from engines that end by load. stream_lost names the server, the shared parts of the prompt, the events so far and the age of the send. The last part of a prompt is the request's own and is left out.

--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -1,5 +1,7 @@
 #include "request/stream.h"
 
+#include <inttypes.h>
+
 #include "process/counters.h"
 #include "process/log.h"
 
@@ -167,6 +169,37 @@
 		stream->longest_gap_us > route->event_gap_us);
 }
 
+/* Returns the IDs of the shared parts of the prompt, for the log, separated by
+ * commas; freed with g_free().
+ */
+static char *format_shared_parts(const request_fields_t *fields)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < fields->n_shared_parts; i++)
+		g_string_append_printf(text, "%s%" PRIx64, i ? "," : "",
+				       fields->shared_parts[i]);
+	return g_string_free(text, FALSE);
+}
+
+/* Logs which engine a stream was lost with, and what the request shares with
+ * others. A stream without an event had not begun.
+ */
+void stream_log_lost(const stream_t *stream)
+{
+	char *parts = format_shared_parts(&stream->request.fields);
+
+	log_event(LOG_WARN, "stream_lost",
+		  LOG_STR("request", stream->request.fields.id),
+		  LOG_CSTR("server", stream->decode->entry.id),
+		  LOG_CSTR("parts", parts),
+		  LOG_INT("events", stream->event_split.events_with_id),
+		  LOG_INT("sent_ms", (clock_now(&stream->request.relay->clock) -
+				      stream->decode_started_us) /
+					     CLOCK_US_PER_MS));
+	g_free(parts);
+}
+
 /* Counts how a stream ended, and logs it with the duration of each step. Of
  * streams that were complete and on time, only a sample is logged.
  */
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -64,6 +64,7 @@
 void stream_fail(stream_t *stream, unsigned status, const char *reason);
 void stream_log_end(const stream_t *stream, unsigned status,
 		    request_result_t result, const char *text);
+void stream_log_lost(const stream_t *stream);
 void stream_finish(stream_t *stream);
 
 #endif
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -261,6 +261,8 @@
 		retry_or_end(stream);
 		return;
 	}
+	if (end == CALL_LOST)
+		stream_log_lost(stream);
 	if (outcome.failed && end == CALL_ANSWERED)
 		server_work_failed(stream->decode,
 				   clock_now(&stream->request.relay->clock));
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -50,6 +50,39 @@
 	http_head_finish(&head);
 }
 
+/* Guards against parts of a prompt that are misread, and against the last part,
+ * which is the request's own, taken for one that others share.
+ */
+static void test_shared_parts(void **state)
+{
+	static const struct {
+		const char *header;
+		size_t n;
+		uint64_t first;
+	} cases[] = {
+		{"5c1e07a2:800,91bd3f06:410,e4402b7d:250", 2, 0x5c1e07a2},
+		{"e4402b7d:250", 0, 0},
+		{"", 0, 0},
+		{"FFFFFFFFFFFFFFFF:1,2:2", 1, UINT64_MAX},
+		{"1FFFFFFFFFFFFFFFF:1,b:2,3:3", 1, 0xb},
+		{":1,x:2,7,c:4,d:5", 1, 0xc},
+		{",,,", 0, 0},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		request_fields_t fields;
+		http_head_t head;
+
+		http_head_init(&head);
+		add_field(&head, "X-Prompt-Prefix", cases[i].header);
+		request_fields_read(&head, &fields);
+		assert_int_equal(fields.n_shared_parts, cases[i].n);
+		if (cases[i].n > 0)
+			assert_true(fields.shared_parts[0] == cases[i].first);
+		http_head_finish(&head);
+	}
+}
+
 /* Guards against a limit that is misread, and against one that is taken from a
  * malformed header field.
  */
@@ -334,6 +367,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_request_fields),
+		cmocka_unit_test(test_shared_parts),
 		cmocka_unit_test(test_response_limit),
 		cmocka_unit_test(test_forwarded_request),
 		cmocka_unit_test(test_prefill_result),
