--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -239,3 +239,10 @@
 	if (announce->next_send.at_us > at_us)
 		alarm_set(&announce->next_send, at_us);
 }
+
+/* Schedules an announcement that also holds what changes slowly. */
+void announce_schedule_whole(announce_t *announce)
+{
+	announce->workloads_at_us = 0;
+	announce_schedule(announce);
+}
--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -39,6 +39,7 @@
 const char *announce_longest_silent_peer(const announce_t *announce,
 					 int64_t now_us, int64_t min_silent_us);
 void announce_schedule(announce_t *announce);
+void announce_schedule_whole(announce_t *announce);
 
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len);
--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -184,13 +184,11 @@
 	return true;
 }
 
-/* Encodes the limits of servers, if there are any. */
+/* Encodes the limits of servers. */
 static bool encode_limits(XDR *xdrs, const GArray *limits, int64_t now_us)
 {
 	uint32_t n = MIN(limits->len, OCCUPANCY_MAX_LIMITS);
 
-	if (n == 0)
-		return true;
 	if (!xdr_uint32_t(xdrs, &n))
 		return false;
 	for (uint32_t i = 0; i < n; i++) {
@@ -203,6 +201,58 @@
 	return true;
 }
 
+/* Encodes or decodes a server that was lost while it began a request. */
+static bool xdr_loss(XDR *xdrs, quarantine_loss_t *loss, int64_t now_us)
+{
+	if (!xdr_uint64_t(xdrs, &loss->server) ||
+	    !xdr_time_left(xdrs, &loss->lost_us, now_us) ||
+	    !xdr_u_int(xdrs, &loss->n_keys) ||
+	    loss->n_keys > QUARANTINE_KEYS_MAX)
+		return false;
+	for (unsigned i = 0; i < loss->n_keys; i++) {
+		if (!xdr_uint64_t(xdrs, &loss->keys[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Encodes or decodes a key with which a request has begun well. */
+static bool xdr_sound(XDR *xdrs, quarantine_sound_t *sound, int64_t now_us)
+{
+	return xdr_uint64_t(xdrs, &sound->key) &&
+	       xdr_time_left(xdrs, &sound->seen_us, now_us);
+}
+
+/* Encodes the servers that were lost while they began requests, and the keys
+ * that are known to be sound.
+ */
+static bool encode_losses(XDR *xdrs, const GArray *losses, const GArray *sound,
+			  int64_t now_us)
+{
+	uint32_t n = MIN(losses->len, QUARANTINE_LOSSES_ANNOUNCED);
+
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		quarantine_loss_t loss =
+			g_array_index(losses, quarantine_loss_t, i);
+
+		if (!xdr_loss(xdrs, &loss, now_us))
+			return false;
+	}
+	n = MIN(sound->len, QUARANTINE_SOUND_ANNOUNCED);
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		quarantine_sound_t item =
+			g_array_index(sound, quarantine_sound_t, i);
+
+		if (!xdr_sound(xdrs, &item, now_us))
+			return false;
+	}
+	return true;
+}
+
 /* Returns how many services have names that an announcement can hold, at most
  * OCCUPANCY_MAX_WORKLOADS.
  */
@@ -246,8 +296,8 @@
 /* Encodes this router's announcement: its use of servers, its waiting requests
  * and their rate of arrival, the servers that it suspects to have failed, those
  * that are unavailable and, from workloads_at_us on, what it has observed of
- * the services and the limits of servers. Returns false if it does not fit into
- * `size` bytes.
+ * the services, the limits of servers and its evidence on requests that crash
+ * servers. Returns false if it does not fit into `size` bytes.
  */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len)
@@ -274,7 +324,9 @@
 	     (now_us < announce->workloads_at_us ||
 	      (encode_workloads(&xdrs, announce->occupancy->workloads,
 				now_us) &&
-	       encode_limits(&xdrs, announce->occupancy->limits, now_us)));
+	       encode_limits(&xdrs, announce->occupancy->limits, now_us) &&
+	       encode_losses(&xdrs, announce->occupancy->losses,
+			     announce->occupancy->sound, now_us)));
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
@@ -422,6 +474,42 @@
 	return true;
 }
 
+/* Decodes the evidence on requests that crash servers. An announcement without
+ * it, as each one of an earlier release, ends before it, at `len` bytes. Times in
+ * the future count as now.
+ */
+static bool decode_losses(XDR *xdrs, size_t len,
+			  occupancy_announcement_t *announcement,
+			  int64_t now_us)
+{
+	uint32_t n;
+
+	if (xdr_getpos(xdrs) == len)
+		return true;
+	announcement->has_losses = true;
+	if (!xdr_uint32_t(xdrs, &n) || n > QUARANTINE_LOSSES_ANNOUNCED)
+		return false;
+	while (n-- > 0) {
+		quarantine_loss_t loss = {.lost_us = now_us};
+
+		if (!xdr_loss(xdrs, &loss, now_us))
+			return false;
+		loss.lost_us = MIN(loss.lost_us, now_us);
+		g_array_append_val(announcement->losses, loss);
+	}
+	if (!xdr_uint32_t(xdrs, &n) || n > QUARANTINE_SOUND_ANNOUNCED)
+		return false;
+	while (n-- > 0) {
+		quarantine_sound_t item = {.seen_us = now_us};
+
+		if (!xdr_sound(xdrs, &item, now_us))
+			return false;
+		item.seen_us = MIN(item.seen_us, now_us);
+		g_array_append_val(announcement->sound, item);
+	}
+	return true;
+}
+
 static bool decode_announcement(XDR *xdrs, size_t len,
 				occupancy_announcement_t *announcement,
 				int64_t now_us)
@@ -438,7 +526,8 @@
 	       decode_suspects(xdrs, announcement->suspects) &&
 	       decode_unavailable(xdrs, announcement->unavailable, now_us) &&
 	       decode_workloads(xdrs, len, announcement) &&
-	       decode_limits(xdrs, len, announcement->limits, now_us);
+	       decode_limits(xdrs, len, announcement->limits, now_us) &&
+	       decode_losses(xdrs, len, announcement, now_us);
 }
 
 /* Updates `occupancy` from a peer's announcement. Returns false and changes
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -27,6 +27,10 @@
 	[COUNTER_REQUESTS_FAILED] = COUNTER("requests_failed",
 					    "Requests that may have run and "
 					    "did not end whole."),
+	[COUNTER_REQUESTS_QUARANTINED] =
+		COUNTER("requests_quarantined",
+			"Requests not sent because requests like them crash "
+			"backend servers."),
 	[COUNTER_CALLER_GONE] =
 		COUNTER("caller_gone", "Requests whose caller left early."),
 	[COUNTER_PREFILLS] = COUNTER("prefills", "Prefill calls sent."),
@@ -101,6 +105,9 @@
 		COUNTER("orders_refused", "Orders that engines refused."),
 	[GAUGE_REQUESTS_ACTIVE] =
 		GAUGE("requests_active", "Requests in progress."),
+	[GAUGE_QUARANTINE_RULES] =
+		GAUGE("quarantine_rules",
+		      "Rules on requests that crash backend servers."),
 	[GAUGE_QUEUE_LENGTH] = GAUGE("queue_length", "Requests queued."),
 	[GAUGE_MEMBERS_ALIVE] = GAUGE("members_alive", "Live members known."),
 	[GAUGE_STATE_VERSION] =
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -47,6 +47,10 @@
 	occupancy->suspects = g_ptr_array_new_with_free_func(g_free);
 	occupancy->limits =
 		g_array_new(FALSE, FALSE, sizeof(occupancy_limit_t));
+	occupancy->losses =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
+	occupancy->sound =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
 	occupancy->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	occupancy->waiters =
@@ -81,6 +85,8 @@
 	g_ptr_array_unref(occupancy->suspects);
 	g_array_unref(occupancy->unavailable);
 	g_array_unref(occupancy->limits);
+	g_array_unref(occupancy->losses);
+	g_array_unref(occupancy->sound);
 }
 
 /* Returns whether nothing is used. */
@@ -324,6 +330,10 @@
 		g_array_new(FALSE, FALSE, sizeof(occupancy_unavailable_t));
 	announcement->limits =
 		g_array_new(FALSE, FALSE, sizeof(occupancy_limit_t));
+	announcement->losses =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
+	announcement->sound =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
 }
 
 /* Frees what an announcement owns, as far as no peer has a reference. */
@@ -335,6 +345,8 @@
 	g_ptr_array_unref(announcement->suspects);
 	g_array_unref(announcement->unavailable);
 	g_array_unref(announcement->limits);
+	g_array_unref(announcement->losses);
+	g_array_unref(announcement->sound);
 }
 
 /* Returns whether an announcement is newer than the latest one of its VM. The
@@ -349,7 +361,7 @@
 }
 
 /* Calls back for each server that an announcement calls suspect, unavailable or
- * limited.
+ * limited, and for the servers that were lost while they began requests.
  */
 static void report_servers(const occupancy_t *occupancy,
 			   const occupancy_announcement_t *announcement)
@@ -377,6 +389,8 @@
 		occupancy->on_limit(occupancy->context, announcement->vm,
 				    item->server, &item->limit);
 	}
+	if (occupancy->on_losses && announcement->has_losses)
+		occupancy->on_losses(occupancy->context, announcement);
 }
 
 /* Replaces a peer's observations of services if an announcement has some. Those
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "process/decide/arrival_rate.h"
+#include "process/decide/quarantine.h"
 #include "process/decide/server_limits.h"
 #include "process/decide/workload.h"
 #include "process/str.h"
@@ -85,6 +86,9 @@
 	bool has_workloads; /* else what was known of the VM's holds on */
 	GHashTable *workloads; /* service name to workload_t */
 	GArray *limits; /* of occupancy_limit_t */
+	bool has_losses; /* else what was known of the VM's holds on */
+	GArray *losses; /* of quarantine_loss_t */
+	GArray *sound; /* of quarantine_sound_t */
 } occupancy_announcement_t;
 
 /* Another VM, as it announced itself last. */
@@ -114,6 +118,8 @@
 	/* Own, of occupancy_unavailable_t; set by the owner. */
 	GArray *unavailable;
 	GArray *limits; /* own, of occupancy_limit_t; set by the owner */
+	GArray *losses; /* own, of quarantine_loss_t; set by the owner */
+	GArray *sound; /* own, of quarantine_sound_t; set by the owner */
 	/* Called when a peer suspects a server, given by its ID; may be NULL.
 	 */
 	void (*on_suspect)(void *context, const char *server);
@@ -125,6 +131,11 @@
 	/* Called when a VM announces the limit of a server; may be NULL. */
 	void (*on_limit)(void *context, const char *vm, const char *server,
 			 const server_limit_t *limit);
+	/* Called with the evidence on requests that crash servers which a VM
+	 * announces; may be NULL.
+	 */
+	void (*on_losses)(void *context,
+			  const occupancy_announcement_t *announcement);
 	void *context;
 } occupancy_t;
 
--- /dev/null
+++ b/src/process/decide/quarantine.c
@@ -0,0 +1,741 @@
+#include "process/decide/quarantine.h"
+
+/* Servers that must have been lost under a key for a rule, if no request with
+ * it has ever begun well, or if one has before these losses.
+ */
+#define MIN_SERVERS 3
+#define MIN_SERVERS_ONCE_SOUND 5
+
+/* A server that sends something between these times after a loss still runs, so
+ * that only the connection was lost. Later, a process that has restarted with
+ * the same ID could answer.
+ */
+#define ALIVE_FROM_US INT64_C(20000)
+#define ALIVE_UNTIL_US INT64_C(1500000)
+
+/* Losses are announced for this long. What an announcement of their VM no longer
+ * holds before WITHDRAWN_UNTIL_US was withdrawn there.
+ */
+#define ANNOUNCE_US INT64_C(60000000)
+#define WITHDRAWN_UNTIL_US INT64_C(5000000)
+
+/* Most losses and sound keys that are kept. */
+#define MAX_LOSSES 128
+#define MAX_SOUND 4096
+
+/* A loss that this VM has seen or that a peer has announced. */
+typedef struct {
+	quarantine_loss_t loss;
+	uint64_t vm; /* identifies the peer's process; 0: this VM */
+	server_t *server; /* of this VM's loss; owns a reference. NULL: a peer's */
+	bool confirmed; /* it is not withdrawn any more */
+} entry_t;
+
+/* How often a key was on losses. */
+typedef struct {
+	unsigned servers; /* distinct ones */
+	unsigned losses; /* of requests; several may be on one server */
+	int64_t last_us; /* time of the last loss */
+} evidence_t;
+
+/* Frees an entry of the losses. */
+static void clear_entry(gpointer data)
+{
+	entry_t *entry = data;
+
+	if (entry->server)
+		server_unref(entry->server);
+}
+
+/* Returns an empty table of 64-bit key to int64_t. */
+static GHashTable *new_times(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				     g_free);
+}
+
+/* Sets up an object without evidence and rules. */
+void quarantine_init(quarantine_t *quarantine)
+{
+	memset(quarantine, 0, sizeof(*quarantine));
+	quarantine->losses = g_array_new(FALSE, FALSE, sizeof(entry_t));
+	g_array_set_clear_func(quarantine->losses, clear_entry);
+	quarantine->sound = new_times();
+	quarantine->sound_before = new_times();
+	quarantine->sound_at_peers = new_times();
+	quarantine->stored =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
+	quarantine->rules =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
+	quarantine->confirmed =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
+}
+
+/* Frees what the object owns. */
+void quarantine_finish(quarantine_t *quarantine)
+{
+	g_array_unref(quarantine->losses);
+	g_hash_table_unref(quarantine->sound);
+	g_hash_table_unref(quarantine->sound_before);
+	g_hash_table_unref(quarantine->sound_at_peers);
+	g_array_unref(quarantine->stored);
+	g_array_unref(quarantine->rules);
+	g_array_unref(quarantine->confirmed);
+}
+
+/* --- evidence ----------------------------------------------------------- */
+
+/* Returns when a request with a key last began well at this VM, or -1. */
+static int64_t sound_here_us(const quarantine_t *quarantine, uint64_t key)
+{
+	const int64_t *at_us = g_hash_table_lookup(quarantine->sound, &key);
+
+	if (!at_us)
+		at_us = g_hash_table_lookup(quarantine->sound_before, &key);
+	return at_us ? *at_us : -1;
+}
+
+/* Returns when a request with a key last began well at any VM, or -1 if none is
+ * known.
+ */
+static int64_t sound_at_us(const quarantine_t *quarantine, uint64_t key)
+{
+	const int64_t *at_us =
+		g_hash_table_lookup(quarantine->sound_at_peers, &key);
+
+	return MAX(at_us ? *at_us : -1, sound_here_us(quarantine, key));
+}
+
+/* Returns whether a loss has a key. */
+static bool has_key(const quarantine_loss_t *loss, uint64_t key)
+{
+	for (unsigned i = 0; i < loss->n_keys; i++) {
+		if (loss->keys[i] == key)
+			return true;
+	}
+	return false;
+}
+
+/* Returns an entry of the losses. */
+static entry_t *get_entry(const quarantine_t *quarantine, guint i)
+{
+	return &g_array_index(quarantine->losses, entry_t, i);
+}
+
+/* Adds an entry, in place of the oldest one when there are too many. */
+static void add_entry(quarantine_t *quarantine, const entry_t *entry)
+{
+	if (quarantine->losses->len >= MAX_LOSSES)
+		g_array_remove_index(quarantine->losses, 0);
+	g_array_append_vals(quarantine->losses, entry, 1);
+	quarantine->changed = true;
+}
+
+/* Adds to a loss as many of the keys as fit that are, or are not, known to be
+ * sound.
+ */
+static void add_keys(const quarantine_t *quarantine, quarantine_loss_t *loss,
+		     const uint64_t *keys, size_t n_keys, bool sound)
+{
+	for (size_t i = 0; i < n_keys && loss->n_keys < QUARANTINE_KEYS_MAX;
+	     i++) {
+		if ((sound_at_us(quarantine, keys[i]) >= 0) == sound)
+			loss->keys[loss->n_keys++] = keys[i];
+	}
+}
+
+/* Records that the connection to a server was lost while it began a request. The
+ * loss is withdrawn if the server turns out to run. `process` identifies the
+ * server's process at all VMs.
+ */
+void quarantine_add_loss(quarantine_t *quarantine, server_t *server,
+			 uint64_t process, const uint64_t *keys, size_t n_keys,
+			 int64_t now_us)
+{
+	entry_t entry = {
+		.loss = {.server = process, .lost_us = now_us},
+	};
+
+	if (n_keys == 0)
+		return;
+	add_keys(quarantine, &entry.loss, keys, n_keys, false);
+	add_keys(quarantine, &entry.loss, keys, n_keys, true);
+	entry.server = server_ref(server);
+	add_entry(quarantine, &entry);
+}
+
+/* Returns whether a key was on a loss after a time. */
+static bool is_lost_after(const quarantine_t *quarantine, uint64_t key,
+			  int64_t after_us)
+{
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		const quarantine_loss_t *loss = &get_entry(quarantine, i)->loss;
+
+		if (loss->lost_us > after_us && has_key(loss, key))
+			return true;
+	}
+	return false;
+}
+
+/* Sets the time at which a request with a key last began well. */
+static void set_time(GHashTable *times, uint64_t key, int64_t at_us)
+{
+	g_hash_table_replace(times, g_memdup2(&key, sizeof(key)),
+			     g_memdup2(&at_us, sizeof(at_us)));
+}
+
+/* Records that a request with these keys has begun well. */
+void quarantine_add_sound(quarantine_t *quarantine, const uint64_t *keys,
+			  size_t n_keys, int64_t now_us)
+{
+	for (size_t i = 0; i < n_keys; i++) {
+		int64_t before_us = sound_at_us(quarantine, keys[i]);
+
+		if (g_hash_table_size(quarantine->sound) >= MAX_SOUND) {
+			g_hash_table_unref(quarantine->sound_before);
+			quarantine->sound_before = quarantine->sound;
+			quarantine->sound = new_times();
+		}
+		set_time(quarantine->sound, keys[i], now_us);
+		quarantine->changed |=
+			is_lost_after(quarantine, keys[i], before_us);
+	}
+}
+
+/* Records when a request with a key last began well at a peer. */
+void quarantine_add_peer_sound(quarantine_t *quarantine,
+			       const quarantine_sound_t *sound)
+{
+	int64_t before_us = sound_at_us(quarantine, sound->key);
+
+	if (sound->seen_us <= before_us)
+		return;
+	if (g_hash_table_size(quarantine->sound_at_peers) >= MAX_SOUND)
+		g_hash_table_remove_all(quarantine->sound_at_peers);
+	set_time(quarantine->sound_at_peers, sound->key, sound->seen_us);
+	quarantine->changed |= is_lost_after(quarantine, sound->key, before_us);
+}
+
+/* Returns whether two losses are of the same request and server. */
+static bool is_same_loss(const quarantine_loss_t *a, const quarantine_loss_t *b)
+{
+	return a->server == b->server && a->n_keys == b->n_keys &&
+	       memcmp(a->keys, b->keys, a->n_keys * sizeof(*a->keys)) == 0;
+}
+
+/* Returns whether a peer's loss is known already. */
+static bool is_known(const quarantine_t *quarantine, uint64_t vm,
+		     const quarantine_loss_t *loss)
+{
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		const entry_t *entry = get_entry(quarantine, i);
+
+		if (entry->vm == vm && is_same_loss(&entry->loss, loss))
+			return true;
+	}
+	return false;
+}
+
+/* Drops the losses of a peer that its announcement no longer holds although they
+ * are recent: the peer has withdrawn them.
+ */
+static void drop_withdrawn(quarantine_t *quarantine, uint64_t vm,
+			   const quarantine_loss_t *losses, size_t n_losses,
+			   int64_t now_us)
+{
+	for (guint i = quarantine->losses->len; i-- > 0;) {
+		const entry_t *entry = get_entry(quarantine, i);
+		bool announced = false;
+
+		if (entry->vm != vm ||
+		    now_us - entry->loss.lost_us >= WITHDRAWN_UNTIL_US)
+			continue;
+		for (size_t k = 0; k < n_losses; k++)
+			announced |= is_same_loss(&entry->loss, &losses[k]);
+		if (announced)
+			continue;
+		g_array_remove_index(quarantine->losses, i);
+		quarantine->changed = true;
+	}
+}
+
+/* Applies the losses that a peer announces. `vm` identifies the peer's process and
+ * is not 0; the losses of an earlier process are kept.
+ */
+void quarantine_apply_peer(quarantine_t *quarantine, uint64_t vm,
+			   const quarantine_loss_t *losses, size_t n_losses,
+			   int64_t now_us)
+{
+	drop_withdrawn(quarantine, vm, losses, n_losses, now_us);
+	for (size_t i = 0; i < n_losses; i++) {
+		entry_t entry = {.loss = losses[i], .vm = vm};
+
+		if (!is_known(quarantine, vm, &losses[i]))
+			add_entry(quarantine, &entry);
+	}
+}
+
+/* Returns whether the server of a loss has turned out to run. */
+static bool still_runs(const entry_t *entry)
+{
+	return entry->server &&
+	       entry->server->last_received_us >=
+		       entry->loss.lost_us + ALIVE_FROM_US;
+}
+
+/* Withdraws this VM's losses of servers that still run, confirms losses and drops
+ * those that are too old to count.
+ */
+static void check_losses(quarantine_t *quarantine, int64_t now_us)
+{
+	for (guint i = quarantine->losses->len; i-- > 0;) {
+		entry_t *entry = get_entry(quarantine, i);
+		int64_t age_us = now_us - entry->loss.lost_us;
+
+		if (age_us >= QUARANTINE_US ||
+		    (!entry->confirmed && still_runs(entry))) {
+			g_array_remove_index(quarantine->losses, i);
+			quarantine->changed = true;
+		} else if (!entry->confirmed && age_us >= ALIVE_UNTIL_US) {
+			entry->confirmed = true;
+			quarantine->changed = true;
+		}
+	}
+}
+
+/* Drops rules from the store that have ended. */
+static void check_stored(quarantine_t *quarantine, int64_t now_us)
+{
+	for (guint i = quarantine->stored->len; i-- > 0;) {
+		const quarantine_rule_t *rule =
+			&g_array_index(quarantine->stored, quarantine_rule_t, i);
+
+		if (now_us - rule->lost_us < QUARANTINE_US)
+			continue;
+		g_array_remove_index(quarantine->stored, i);
+		quarantine->changed = true;
+	}
+}
+
+/* --- rules -------------------------------------------------------------- */
+
+/* Returns whether a loss counts towards a rule on a key. */
+static bool counts(const quarantine_t *quarantine,
+		   const quarantine_loss_t *loss, uint64_t key)
+{
+	return loss->lost_us > sound_at_us(quarantine, key) &&
+	       has_key(loss, key);
+}
+
+/* Returns whether enough servers were lost under a key for a rule. */
+static bool is_enough(const quarantine_t *quarantine, uint64_t key,
+		      const evidence_t *evidence)
+{
+	return evidence->servers >=
+	       (sound_at_us(quarantine, key) < 0
+				   ? MIN_SERVERS
+				   : MIN_SERVERS_ONCE_SOUND);
+}
+
+/* Returns how often a key was on losses, an array of quarantine_loss_t. */
+static evidence_t weigh(const quarantine_t *quarantine, const GArray *losses,
+			uint64_t key)
+{
+	GHashTable *servers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	evidence_t evidence = {.losses = 0};
+
+	for (guint i = 0; i < losses->len; i++) {
+		quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		if (!counts(quarantine, loss, key))
+			continue;
+		g_hash_table_add(servers, &loss->server);
+		evidence.losses++;
+		evidence.last_us = MAX(evidence.last_us, loss->lost_us);
+	}
+	evidence.servers = g_hash_table_size(servers);
+	g_hash_table_unref(servers);
+	return evidence;
+}
+
+/* Returns how well a key explains the losses that it was on: the better, the more
+ * servers, and the fewer losses besides. A key that all requests share is on the
+ * losses of those as well that only were on a server at the time.
+ */
+static double explanation(const evidence_t *evidence)
+{
+	return (double)evidence->servers * evidence->servers /
+	       MAX(evidence->losses, 1);
+}
+
+/* Compares keys for sorting. */
+static int compare_keys(const void *a, const void *b)
+{
+	uint64_t left = *(const uint64_t *)a;
+	uint64_t right = *(const uint64_t *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+/* Returns whether a key was on all losses that count for another one. */
+static bool is_on_all(const quarantine_t *quarantine, const GArray *losses,
+		      uint64_t key, uint64_t other)
+{
+	for (guint i = 0; i < losses->len; i++) {
+		const quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		if (counts(quarantine, loss, other) &&
+		    !counts(quarantine, loss, key))
+			return false;
+	}
+	return true;
+}
+
+/* Fills in the rule on a key: the key, and those that were on all of its losses
+ * and may be the cause as well.
+ */
+static void fill_rule(const quarantine_t *quarantine, const GArray *losses,
+		      uint64_t key, quarantine_rule_t *rule)
+{
+	const quarantine_loss_t *first = NULL;
+	evidence_t evidence = weigh(quarantine, losses, key);
+
+	rule->servers = evidence.servers;
+	rule->lost_us = evidence.last_us;
+	for (guint i = 0; !first; i++) {
+		first = &g_array_index(losses, quarantine_loss_t, i);
+		if (!counts(quarantine, first, key))
+			first = NULL;
+	}
+	for (unsigned i = 0; i < first->n_keys; i++) {
+		uint64_t other = first->keys[i];
+
+		evidence = weigh(quarantine, losses, other);
+		if (other == key || (is_enough(quarantine, other, &evidence) &&
+				     is_on_all(quarantine, losses, other, key)))
+			rule->keys[rule->n_keys++] = other;
+	}
+	qsort(rule->keys, rule->n_keys, sizeof(*rule->keys), compare_keys);
+}
+
+/* Finds the key that explains the losses best and fills in the rule on it. False
+ * when too few servers were lost under any key.
+ */
+static bool find_rule(const quarantine_t *quarantine, const GArray *losses,
+		      quarantine_rule_t *rule, uint64_t *key)
+{
+	double best = 0;
+
+	for (guint i = 0; i < losses->len; i++) {
+		const quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		for (unsigned k = 0; k < loss->n_keys; k++) {
+			evidence_t evidence;
+
+			if (!counts(quarantine, loss, loss->keys[k]))
+				continue;
+			evidence = weigh(quarantine, losses, loss->keys[k]);
+			if (!is_enough(quarantine, loss->keys[k], &evidence) ||
+			    explanation(&evidence) <= best)
+				continue;
+			best = explanation(&evidence);
+			*key = loss->keys[k];
+		}
+	}
+	if (best <= 0)
+		return false;
+	fill_rule(quarantine, losses, *key, rule);
+	return true;
+}
+
+/* Returns whether a server is among those lost under a key. */
+static bool is_lost_under(const quarantine_t *quarantine, const GArray *losses,
+			  uint64_t server, uint64_t key)
+{
+	for (guint i = 0; i < losses->len; i++) {
+		const quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		if (loss->server == server && counts(quarantine, loss, key))
+			return true;
+	}
+	return false;
+}
+
+/* Removes all losses of the servers that a rule on a key explains: each server
+ * is lost for one cause, and other requests on it were only there at the time.
+ */
+static void remove_explained(const quarantine_t *quarantine, GArray *losses,
+			     uint64_t key)
+{
+	GArray *left = g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
+
+	for (guint i = 0; i < losses->len; i++) {
+		const quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		if (!is_lost_under(quarantine, losses, loss->server, key))
+			g_array_append_vals(left, loss, 1);
+	}
+	g_array_set_size(losses, 0);
+	g_array_append_vals(losses, left->data, left->len);
+	g_array_unref(left);
+}
+
+/* Returns the losses of all VMs, or only those that cannot be withdrawn any
+ * more, as a new array of quarantine_loss_t.
+ */
+static GArray *list_losses(const quarantine_t *quarantine, bool confirmed)
+{
+	GArray *losses = g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
+
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		const entry_t *entry = get_entry(quarantine, i);
+
+		if (!confirmed || entry->confirmed)
+			g_array_append_val(losses, entry->loss);
+	}
+	return losses;
+}
+
+/* Finds the rules that losses support, which are consumed. With more than
+ * QUARANTINE_RULES_MAX there are none. Returns whether that is so.
+ */
+static bool find_rules(const quarantine_t *quarantine, GArray *losses,
+		       GArray *rules)
+{
+	quarantine_rule_t rule = {0};
+	uint64_t key = 0;
+
+	g_array_set_size(rules, 0);
+	while (rules->len <= QUARANTINE_RULES_MAX &&
+	       find_rule(quarantine, losses, &rule, &key)) {
+		g_array_append_val(rules, rule);
+		remove_explained(quarantine, losses, key);
+		memset(&rule, 0, sizeof(rule));
+	}
+	if (rules->len <= QUARANTINE_RULES_MAX)
+		return false;
+	g_array_set_size(rules, 0);
+	return true;
+}
+
+/* Returns whether two rules have the same keys. */
+bool quarantine_rule_equal(const quarantine_rule_t *a,
+			   const quarantine_rule_t *b)
+{
+	return a->n_keys == b->n_keys &&
+	       memcmp(a->keys, b->keys, a->n_keys * sizeof(*a->keys)) == 0;
+}
+
+/* Returns the rule with the same keys in an array, or NULL. */
+static quarantine_rule_t *find_equal(const GArray *rules,
+				     const quarantine_rule_t *rule)
+{
+	for (guint i = 0; i < rules->len; i++) {
+		quarantine_rule_t *other =
+			&g_array_index(rules, quarantine_rule_t, i);
+
+		if (quarantine_rule_equal(other, rule))
+			return other;
+	}
+	return NULL;
+}
+
+/* Adds the rules from the store to those that the losses support. */
+static void add_stored(quarantine_t *quarantine)
+{
+	for (guint i = 0; i < quarantine->stored->len; i++) {
+		const quarantine_rule_t *rule =
+			&g_array_index(quarantine->stored, quarantine_rule_t, i);
+
+		if (!find_equal(quarantine->rules, rule))
+			g_array_append_vals(quarantine->rules, rule, 1);
+	}
+}
+
+/* Adds or replaces a rule from the store. */
+void quarantine_put_stored(quarantine_t *quarantine,
+			   const quarantine_rule_t *rule)
+{
+	quarantine_rule_t *known = find_equal(quarantine->stored, rule);
+
+	if (known)
+		*known = *rule;
+	else
+		g_array_append_vals(quarantine->stored, rule, 1);
+	quarantine->changed = true;
+}
+
+/* Returns whether a loss has all keys of a rule. */
+static bool has_all_keys(const quarantine_loss_t *loss,
+			 const quarantine_rule_t *rule)
+{
+	for (unsigned i = 0; i < rule->n_keys; i++) {
+		if (!has_key(loss, rule->keys[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Ends a rule that was removed from the store, with the losses under it. */
+void quarantine_remove_stored(quarantine_t *quarantine,
+			      const quarantine_rule_t *rule)
+{
+	for (guint i = quarantine->stored->len; i-- > 0;) {
+		if (quarantine_rule_equal(&g_array_index(quarantine->stored,
+							 quarantine_rule_t, i),
+					  rule))
+			g_array_remove_index(quarantine->stored, i);
+	}
+	for (guint i = quarantine->losses->len; i-- > 0;) {
+		if (has_all_keys(&get_entry(quarantine, i)->loss, rule))
+			g_array_remove_index(quarantine->losses, i);
+	}
+	quarantine->changed = true;
+}
+
+/* Checks the evidence and computes the rules again if it has changed. Returns
+ * whether they were. To be called at short intervals.
+ */
+bool quarantine_update(quarantine_t *quarantine, int64_t now_us)
+{
+	GArray *losses;
+
+	if (quarantine->losses->len + quarantine->stored->len +
+		    quarantine->rules->len ==
+	    0)
+		return false;
+	check_losses(quarantine, now_us);
+	check_stored(quarantine, now_us);
+	if (!quarantine->changed)
+		return false;
+	quarantine->changed = false;
+	losses = list_losses(quarantine, true);
+	(void)find_rules(quarantine, losses, quarantine->confirmed);
+	g_array_unref(losses);
+	losses = list_losses(quarantine, false);
+	quarantine->overflowed =
+		find_rules(quarantine, losses, quarantine->rules);
+	g_array_unref(losses);
+	add_stored(quarantine);
+	return true;
+}
+
+/* Returns whether a rule holds for keys: it has one that no later success
+ * clears, and all such keys are among the given ones.
+ */
+static bool matches(const quarantine_t *quarantine,
+		    const quarantine_rule_t *rule, const uint64_t *keys,
+		    size_t n_keys)
+{
+	bool any = false;
+
+	for (unsigned i = 0; i < rule->n_keys; i++) {
+		bool found = false;
+
+		if (sound_at_us(quarantine, rule->keys[i]) > rule->lost_us)
+			continue;
+		for (size_t k = 0; k < n_keys && !found; k++)
+			found = keys[k] == rule->keys[i];
+		if (!found)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+/* Returns a rule by which a request with these keys is not to be sent, or NULL;
+ * valid until the rules change.
+ */
+const quarantine_rule_t *quarantine_match(quarantine_t *quarantine,
+					  const uint64_t *keys, size_t n_keys,
+					  int64_t now_us)
+{
+	(void)quarantine_update(quarantine, now_us);
+	for (guint i = 0; n_keys > 0 && i < quarantine->rules->len; i++) {
+		const quarantine_rule_t *rule =
+			&g_array_index(quarantine->rules, quarantine_rule_t, i);
+
+		if (matches(quarantine, rule, keys, n_keys))
+			return rule;
+	}
+	return NULL;
+}
+
+/* --- announcements ------------------------------------------------------ */
+
+/* Returns whether this VM has seen a loss under a rule itself. */
+bool quarantine_has_own_loss(const quarantine_t *quarantine,
+			     const quarantine_rule_t *rule)
+{
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		const entry_t *entry = get_entry(quarantine, i);
+
+		if (entry->vm == 0 && has_all_keys(&entry->loss, rule))
+			return true;
+	}
+	return false;
+}
+
+/* Replaces `losses`, of quarantine_loss_t, by those of this VM that are to be
+ * announced: the latest ones.
+ */
+void quarantine_list_own(const quarantine_t *quarantine, GArray *losses,
+			 int64_t now_us)
+{
+	g_array_set_size(losses, 0);
+	for (guint i = quarantine->losses->len;
+	     i-- > 0 && losses->len < QUARANTINE_LOSSES_ANNOUNCED;) {
+		const entry_t *entry = get_entry(quarantine, i);
+
+		if (entry->vm == 0 &&
+		    now_us - entry->loss.lost_us < ANNOUNCE_US)
+			g_array_append_val(losses, entry->loss);
+	}
+}
+
+/* Adds a key to the sound ones if this VM knows it to be sound and it is not
+ * among them yet.
+ */
+static void list_if_sound(const quarantine_t *quarantine, uint64_t key,
+			  GArray *sound)
+{
+	quarantine_sound_t item = {
+		.key = key, .seen_us = sound_here_us(quarantine, key)};
+
+	if (item.seen_us < 0 || sound->len >= QUARANTINE_SOUND_ANNOUNCED)
+		return;
+	for (guint i = 0; i < sound->len; i++) {
+		if (g_array_index(sound, quarantine_sound_t, i).key == key)
+			return;
+	}
+	g_array_append_val(sound, item);
+}
+
+/* Replaces `sound`, of quarantine_sound_t, by the keys that this VM knows to be
+ * sound and that are to be announced: those of rules and of recent losses.
+ */
+void quarantine_list_sound(const quarantine_t *quarantine, GArray *sound,
+			   int64_t now_us)
+{
+	g_array_set_size(sound, 0);
+	for (guint i = 0; i < quarantine->rules->len; i++) {
+		const quarantine_rule_t *rule =
+			&g_array_index(quarantine->rules, quarantine_rule_t, i);
+
+		for (unsigned k = 0; k < rule->n_keys; k++)
+			list_if_sound(quarantine, rule->keys[k], sound);
+	}
+	for (guint i = quarantine->losses->len; i-- > 0;) {
+		const quarantine_loss_t *loss = &get_entry(quarantine, i)->loss;
+
+		for (unsigned k = 0; now_us - loss->lost_us < ANNOUNCE_US &&
+				     k < loss->n_keys;
+		     k++)
+			list_if_sound(quarantine, loss->keys[k], sound);
+	}
+}
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include "process/counters.h"
+#include "process/entry/entry_quarantine.h"
 #include "process/entry/entry_updates.h"
 #include "process/entry/entry_reload.h"
 #include "process/entry/entry_status.h"
@@ -205,6 +206,7 @@
 	stream_calls_check_silence(&entry->relay);
 	entry_announce_servers(entry, now_us);
 	entry_announce_limits(entry, now_us);
+	entry_update_quarantine(entry, now_us);
 	server_probe_send_due(&entry->servers, &entry->server_pool,
 			      entry->table, now_us);
 	check_stages(entry, now_us);
@@ -279,6 +281,10 @@
 			  entry->settings.store_address);
 	vm_expiry_init(&entry->vm_expiry, clock, &entry->store_pool,
 		       &entry->announce);
+	quarantine_rows_init(&entry->quarantine_rows, clock, &entry->store_pool,
+			     &entry->relay.quarantine, entry->settings.vm);
+	entry->logged_rules =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
 	entry_set_callbacks(entry);
 	entry_follow_store(entry);
 	alarm_set(&entry->tick, clock_now(&clock) + TICK_US);
@@ -325,6 +331,8 @@
 		store_rows_finish(&entry->rows);
 		stage_orders_finish(&entry->orders);
 		vm_expiry_finish(&entry->vm_expiry);
+		quarantine_rows_finish(&entry->quarantine_rows);
+		g_array_unref(entry->logged_rules);
 	}
 	alarm_finish(&entry->tick);
 	alarm_finish(&entry->admission_alarm);
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -8,6 +8,7 @@
 #include "connection/ingress.h"
 #include "process/decide/drain.h"
 #include "process/entry/entry_settings.h"
+#include "process/entry/quarantine_rows.h"
 #include "process/entry/stage_orders.h"
 #include "process/entry/store_rows.h"
 #include "process/entry/vm_expiry.h"
@@ -35,6 +36,8 @@
 	relay_t relay; /* passes requests on to backend servers */
 	stage_orders_t orders;
 	vm_expiry_t vm_expiry;
+	quarantine_rows_t quarantine_rows;
+	GArray *logged_rules; /* of quarantine_rule_t: the log says they hold */
 	route_table_t *table; /* owns a reference; NULL: none was read yet */
 	alarm_t tick; /* next on_tick() */
 	alarm_t admission_alarm; /* next admission of waiting streams */
--- /dev/null
+++ b/src/process/entry/entry_quarantine.c
@@ -0,0 +1,120 @@
+#include "process/entry/entry_quarantine.h"
+
+#include <inttypes.h>
+#include <xxhash.h>
+
+#include "process/log.h"
+
+/* Sets which losses and sound keys the announcements to peers hold. */
+static void set_announced(entry_t *entry, int64_t now_us)
+{
+	quarantine_list_own(&entry->relay.quarantine, entry->occupancy.losses,
+			    now_us);
+	quarantine_list_sound(&entry->relay.quarantine, entry->occupancy.sound,
+			      now_us);
+}
+
+/* Announces at once that a server was lost while it began a request. */
+static void on_loss(void *context)
+{
+	entry_t *entry = context;
+
+	set_announced(entry, clock_now(&entry->clock));
+	announce_schedule_whole(&entry->announce);
+}
+
+/* Returns a number other than 0 that identifies a peer's process. */
+static uint64_t hash_process(const occupancy_announcement_t *announcement)
+{
+	return XXH64(announcement->vm, strlen(announcement->vm),
+		     announcement->incarnation) |
+	       1;
+}
+
+/* Applies the evidence that a peer has announced. */
+static void on_peer_losses(void *context,
+			   const occupancy_announcement_t *announcement)
+{
+	entry_t *entry = context;
+	quarantine_t *quarantine = &entry->relay.quarantine;
+
+	quarantine_apply_peer(
+		quarantine, hash_process(announcement),
+		(const quarantine_loss_t *)announcement->losses->data,
+		announcement->losses->len, clock_now(&entry->clock));
+	for (guint i = 0; i < announcement->sound->len; i++)
+		quarantine_add_peer_sound(
+			quarantine, &g_array_index(announcement->sound,
+						   quarantine_sound_t, i));
+}
+
+/* Sets the callbacks for losses that this VM has seen or that peers announce. */
+void entry_set_quarantine_callbacks(entry_t *entry)
+{
+	entry->relay.on_loss = on_loss;
+	entry->occupancy.on_losses = on_peer_losses;
+}
+
+/* Returns whether an array has a rule with the same keys. */
+static bool has_rule(const GArray *rules, const quarantine_rule_t *rule)
+{
+	for (guint i = 0; i < rules->len; i++) {
+		if (quarantine_rule_equal(&g_array_index(rules,
+							 quarantine_rule_t, i),
+					  rule))
+			return true;
+	}
+	return false;
+}
+
+/* Logs the rules of one array that another one lacks. */
+static void log_missing(const GArray *rules, const GArray *others,
+			const char *event)
+{
+	for (guint i = 0; i < rules->len; i++) {
+		const quarantine_rule_t *rule =
+			&g_array_index(rules, quarantine_rule_t, i);
+		GString *keys;
+
+		if (has_rule(others, rule))
+			continue;
+		keys = g_string_new(NULL);
+		for (unsigned k = 0; k < rule->n_keys; k++)
+			g_string_append_printf(keys, "%s%" PRIx64,
+					       k ? "," : "", rule->keys[k]);
+		log_event(LOG_WARN, event, LOG_CSTR("keys", keys->str),
+			  LOG_UINT("servers", rule->servers));
+		g_string_free(keys, TRUE);
+	}
+}
+
+/* Logs which rules have begun and ended since the last call. */
+static void log_rules(entry_t *entry)
+{
+	const quarantine_t *quarantine = &entry->relay.quarantine;
+
+	log_missing(quarantine->rules, entry->logged_rules, "quarantine_begun");
+	log_missing(entry->logged_rules, quarantine->rules, "quarantine_ended");
+	g_array_set_size(entry->logged_rules, 0);
+	g_array_append_vals(entry->logged_rules, quarantine->rules->data,
+			    quarantine->rules->len);
+}
+
+/* Brings the rules, what is announced of them and the store up to date. To be
+ * called at short intervals.
+ */
+void entry_update_quarantine(entry_t *entry, int64_t now_us)
+{
+	quarantine_t *quarantine = &entry->relay.quarantine;
+	bool overflowed = quarantine->overflowed;
+
+	(void)quarantine_update(quarantine, now_us);
+	log_rules(entry);
+	if (quarantine->overflowed && !overflowed)
+		log_event(LOG_ERROR, "quarantine_suspended",
+			  LOG_CSTR("reason", "servers are lost under too many "
+					     "different requests"));
+	set_announced(entry, now_us);
+	quarantine_rows_check(&entry->quarantine_rows,
+			      entry->settings.store_address, now_us);
+}
--- a/src/process/entry/entry_status.c
+++ b/src/process/entry/entry_status.c
@@ -89,6 +89,8 @@
 	http_headers_t headers;
 
 	counters_set(GAUGE_REQUESTS_ACTIVE, entry->relay.active);
+	counters_set(GAUGE_QUARANTINE_RULES,
+		     entry->relay.quarantine.rules->len);
 	counters_set(GAUGE_STATE_VERSION,
 		     entry->table ? entry->table->version : 0);
 	counters_set(GAUGE_PLATFORM_UP, entry->rows.config.reachable);
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -1,5 +1,6 @@
 #include "process/entry/entry_updates.h"
 
+#include "process/entry/entry_quarantine.h"
 #include "process/log.h"
 #include "request/stream_call.h"
 
@@ -99,11 +100,30 @@
 	stage_orders_round_seen(&entry->orders, value, entry->table);
 }
 
+/* Applies a row on requests that crash servers, or its removal. */
+static void on_crash_row(void *context, const char *key, str_t value,
+			 int64_t row_version)
+{
+	entry_t *entry = context;
+
+	quarantine_rows_put(&entry->quarantine_rows, key, value, row_version);
+}
+
+/* Begins a full read of this project's table. */
+static void on_own_sync(void *context)
+{
+	entry_t *entry = context;
+
+	quarantine_rows_begin_sync(&entry->quarantine_rows);
+}
+
 const store_rows_handler_t entry_rows_handler = {
 	.on_config = on_config,
 	.on_servers = on_servers,
 	.on_vm = on_vm,
 	.on_round = on_round,
+	.on_crash_row = on_crash_row,
+	.on_own_sync = on_own_sync,
 };
 
 /* Lets waiting streams use what a peer has announced. */
@@ -254,6 +274,7 @@
 	entry->occupancy.on_suspect = on_peer_suspects;
 	entry->occupancy.on_unavailable = on_peer_unavailable;
 	entry->occupancy.on_limit = on_peer_limit;
+	entry_set_quarantine_callbacks(entry);
 	entry->occupancy.context = entry;
 	entry->announce.on_announcement = on_announcement;
 	entry->announce.context = entry;
--- /dev/null
+++ b/src/process/entry/quarantine_rows.c
@@ -0,0 +1,265 @@
+#include "process/entry/quarantine_rows.h"
+
+#include <inttypes.h>
+
+#include "names.h"
+#include "process/entry/store_rows.h"
+#include "process/log.h"
+#include "store_call.h"
+
+/* Pauses between checks, and after a write that failed. */
+#define CHECK_US (100 * CLOCK_US_PER_MS)
+#define RETRY_US (1 * CLOCK_US_PER_S)
+
+/* Deadline of a write. */
+#define CALL_TIMEOUT_US (1500 * CLOCK_US_PER_MS)
+
+/* VMs that have not seen a loss under a rule themselves write it only when it is
+ * still missing so long after the last loss.
+ */
+#define OTHERS_WRITE_AFTER_US (4 * CLOCK_US_PER_S)
+
+/* A row is written again when losses go on for so long after the one in it. */
+#define RENEW_US (60 * CLOCK_US_PER_S)
+
+/* Each VM waits a part of this, by its name, before it removes a row. */
+#define REMOVAL_SPREAD_MS 30000
+
+/* What is known of a row. */
+typedef struct {
+	quarantine_rule_t rule;
+	int64_t version; /* 0: the store does not have it, as far as known */
+} row_t;
+
+/* Sets up an object without rows. */
+void quarantine_rows_init(quarantine_rows_t *rows, clock_source_t clock,
+			  http_pool_t *pool, quarantine_t *quarantine,
+			  const char *vm)
+{
+	*rows = (quarantine_rows_t){
+		.clock = clock,
+		.quarantine = quarantine,
+		.removal_delay_us = g_str_hash(vm) % REMOVAL_SPREAD_MS *
+				    CLOCK_US_PER_MS,
+	};
+	rows->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	store_call_init(&rows->call, pool);
+}
+
+/* Cancels a call in progress and frees what the object owns. */
+void quarantine_rows_finish(quarantine_rows_t *rows)
+{
+	store_call_finish(&rows->call);
+	g_hash_table_unref(rows->rows);
+}
+
+/* Returns the key of a rule's row; freed with g_free(). */
+static char *format_key(const quarantine_rule_t *rule)
+{
+	GString *key = g_string_new(STORE_CRASH_PREFIX);
+
+	for (unsigned i = 0; i < rule->n_keys; i++)
+		g_string_append_printf(key, "%s%" PRIx64, i ? "-" : "",
+				       rule->keys[i]);
+	return g_string_free(key, FALSE);
+}
+
+/* Reads the keys of a rule from the key of its row. */
+static bool read_key(const char *key, quarantine_rule_t *rule)
+{
+	const char *at = key + strlen(STORE_CRASH_PREFIX);
+
+	for (;;) {
+		char *end;
+
+		if (rule->n_keys >= QUARANTINE_KEYS_MAX ||
+		    !g_ascii_isxdigit(*at))
+			return false;
+		rule->keys[rule->n_keys++] = g_ascii_strtoull(at, &end, 16);
+		if (*end == '\0')
+			return true;
+		if (*end != '-')
+			return false;
+		at = end + 1;
+	}
+}
+
+/* Returns the milliseconds of the time of day at which a rule's last loss was.
+ * The clocks of VMs may differ by seconds, which is little against the time for
+ * which a rule holds.
+ */
+static int64_t lost_at_ms(const quarantine_rule_t *rule, int64_t now_us)
+{
+	clock_source_t wall = clock_realtime();
+
+	return (clock_now(&wall) - (now_us - rule->lost_us)) / CLOCK_US_PER_MS;
+}
+
+/* Reads the time of a rule's last loss and the number of servers lost under it
+ * from the value of its row.
+ */
+static bool read_value(str_t value, int64_t now_us, quarantine_rule_t *rule)
+{
+	clock_source_t wall = clock_realtime();
+	char *text = str_dup(value);
+	int64_t lost_ms;
+	bool ok = sscanf(text, "%" SCNd64 " %u", &lost_ms, &rule->servers) == 2;
+
+	g_free(text);
+	if (!ok || lost_ms < 0 || lost_ms > INT64_MAX / CLOCK_US_PER_MS)
+		return false;
+	rule->lost_us = now_us - MAX(clock_now(&wall) -
+					     lost_ms * CLOCK_US_PER_MS,
+				     0);
+	return true;
+}
+
+/* Begins a full read of the table: rows that it does not bring are gone, as after
+ * the store was restored from an older copy, and are written again.
+ */
+void quarantine_rows_begin_sync(quarantine_rows_t *rows)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, rows->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((row_t *)value)->version = 0;
+}
+
+/* Applies the removal of a row. */
+static void remove_row(quarantine_rows_t *rows, const char *key)
+{
+	const row_t *row = g_hash_table_lookup(rows->rows, key);
+
+	if (!row)
+		return;
+	quarantine_remove_stored(rows->quarantine, &row->rule);
+	g_hash_table_remove(rows->rows, key);
+}
+
+/* Applies a row, or its removal if the version is 0. One that cannot be read
+ * changes nothing.
+ */
+void quarantine_rows_put(quarantine_rows_t *rows, const char *key, str_t value,
+			 int64_t row_version)
+{
+	int64_t now_us = clock_now(&rows->clock);
+	row_t row = {.version = row_version};
+
+	if (row_version == 0) {
+		remove_row(rows, key);
+		return;
+	}
+	if (!read_key(key, &row.rule) ||
+	    !read_value(value, now_us, &row.rule)) {
+		log_event(LOG_WARN, "crash_row_unreadable",
+			  LOG_CSTR("key", key));
+		return;
+	}
+	g_hash_table_replace(rows->rows, g_strdup(key),
+			     g_memdup2(&row, sizeof(row)));
+	quarantine_put_stored(rows->quarantine, &row.rule);
+}
+
+/* Logs how a write or a removal ended. A failed one is tried again when a later
+ * check finds the same.
+ */
+static void on_done(void *context, store_result_t result, str_t body)
+{
+	quarantine_rows_t *rows = context;
+
+	log_event(LOG_INFO, "crash_row_written", LOG_INT("result", result));
+	rows->next_check_us = clock_now(&rows->clock) + RETRY_US;
+}
+
+/* Returns whether a rule has to be written now. */
+static bool is_missing(const quarantine_rows_t *rows,
+		       const quarantine_rule_t *rule, const row_t *row,
+		       int64_t now_us)
+{
+	if (row && row->version && rule->lost_us < row->rule.lost_us + RENEW_US)
+		return false;
+	if (now_us - rule->lost_us >= QUARANTINE_US)
+		return false;
+	return now_us - rule->lost_us >= OTHERS_WRITE_AFTER_US ||
+	       quarantine_has_own_loss(rows->quarantine, rule);
+}
+
+/* Writes one rule of an array that the store lacks. True if there was one. */
+static bool write_missing(quarantine_rows_t *rows, const GArray *rules,
+			  const char *store_address, int64_t now_us)
+{
+	for (guint i = 0; i < rules->len; i++) {
+		const quarantine_rule_t *rule =
+			&g_array_index(rules, quarantine_rule_t, i);
+		char *key = format_key(rule);
+		const row_t *row = g_hash_table_lookup(rows->rows, key);
+		bool missing = is_missing(rows, rule, row, now_us);
+
+		if (missing) {
+			GString *message = g_string_new(NULL);
+			char *value = g_strdup_printf(
+				"%" PRId64 " %u", lost_at_ms(rule, now_us),
+				rule->servers);
+
+			store_append_put_if(message, store_address,
+					    TABLE_ROUTER, key, str_from(value),
+					    row ? row->version : 0);
+			store_call_send(&rows->call, store_address, message,
+					now_us + CALL_TIMEOUT_US, on_done,
+					rows);
+			g_string_free(message, TRUE);
+			g_free(value);
+		}
+		g_free(key);
+		if (missing)
+			return true;
+	}
+	return false;
+}
+
+/* Removes one row whose rule has ended. The removal names the row's version, so
+ * that a row which was written again stays.
+ */
+static void remove_ended(quarantine_rows_t *rows, const char *store_address,
+			 int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, rows->rows);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const row_t *row = value;
+		GString *message;
+
+		if (!row->version ||
+		    now_us - row->rule.lost_us <
+			    QUARANTINE_US + rows->removal_delay_us)
+			continue;
+		message = g_string_new(NULL);
+		store_append_remove_if(message, store_address, TABLE_ROUTER,
+				       key, row->version);
+		store_call_send(&rows->call, store_address, message,
+				now_us + CALL_TIMEOUT_US, on_done, rows);
+		g_string_free(message, TRUE);
+		return;
+	}
+}
+
+/* Writes a rule that the store lacks, or removes one that has ended, if a check
+ * is due. To be called at short intervals.
+ */
+void quarantine_rows_check(quarantine_rows_t *rows, const char *store_address,
+			   int64_t now_us)
+{
+	const quarantine_t *quarantine = rows->quarantine;
+
+	if (now_us < rows->next_check_us || store_call_is_busy(&rows->call))
+		return;
+	rows->next_check_us = now_us + CHECK_US;
+	if (!write_missing(rows, quarantine->confirmed, store_address, now_us) &&
+	    !write_missing(rows, quarantine->stored, store_address, now_us))
+		remove_ended(rows, store_address, now_us);
+}
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -304,6 +304,7 @@
 	store_rows_t *rows = context;
 
 	rows->own_row_read = false;
+	rows->handler->on_own_sync(rows->context);
 }
 
 /* Writes this VM's row again if a full read lacks it, as after the store was
@@ -317,13 +318,28 @@
 		register_vm(rows);
 }
 
-/* Applies a row of this project's table: an entry VM or a round of orders. */
+/* Applies a row on requests that crash servers. */
+static void crash_row(store_rows_t *rows, const store_row_t *row)
+{
+	str_t value = {NULL, 0};
+
+	if (row->value)
+		value = str_from_gstring(row->value);
+	rows->handler->on_crash_row(rows->context, row->key, value,
+				    row->value ? row->version : 0);
+}
+
+/* Applies a row of this project's table: an entry VM, a round of orders or
+ * requests that crash servers.
+ */
 static void own_row(void *context, const store_row_t *row)
 {
 	store_rows_t *rows = context;
 
 	if (g_str_has_prefix(row->key, STORE_VM_PREFIX))
 		vm_row(rows, row);
+	else if (g_str_has_prefix(row->key, STORE_CRASH_PREFIX))
+		crash_row(rows, row);
 	else if (row->value && row->value->len &&
 		 g_str_has_prefix(row->key, STAGE_ROUND_PREFIX))
 		rows->handler->on_round(rows->context,
--- a/src/process/entry/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -13,6 +13,9 @@
  */
 #define STORE_VM_PREFIX "vm/"
 
+/* Prefix of the keys of rows that hold requests which crash servers. */
+#define STORE_CRASH_PREFIX "crash/"
+
 /* Callbacks for changes in the store. Arguments are borrowed. */
 typedef struct {
 	/* A newer version of the configuration was read. */
@@ -26,6 +29,13 @@
 		      int64_t row_version);
 	/* A round of stage orders was begun. */
 	void (*on_round)(void *context, str_t value);
+	/* A row on requests that crash servers was read or has changed. When it
+	 * was removed, `value` is empty and `row_version` 0.
+	 */
+	void (*on_crash_row)(void *context, const char *key, str_t value,
+			     int64_t row_version);
+	/* A full read of this project's table begins. */
+	void (*on_own_sync)(void *context);
 } store_rows_handler_t;
 
 typedef struct {
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -1,5 +1,7 @@
 #include "request/relay.h"
 
+#include <xxhash.h>
+
 #include "process/counters.h"
 #include "process/log.h"
 
@@ -33,6 +35,7 @@
 	relay->output_models =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	server_limits_init(&relay->limits, (uint32_t)relay->seed);
+	quarantine_init(&relay->quarantine);
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 }
@@ -44,6 +47,7 @@
 	g_hash_table_unref(relay->caller_timeouts);
 	g_hash_table_unref(relay->output_models);
 	server_limits_finish(&relay->limits);
+	quarantine_finish(&relay->quarantine);
 }
 
 /* Limits the retries of each service: every request adds `share` of a retry to
@@ -175,6 +179,51 @@
 	return model;
 }
 
+/* Returns whether a request must not be sent, because requests like it crash the
+ * servers that begin them, and sets until when.
+ */
+bool relay_is_quarantined(const relay_request_t *request, int64_t *until_us)
+{
+	relay_t *relay = request->relay;
+	const quarantine_rule_t *rule = quarantine_match(
+		&relay->quarantine, request->fields.shared_parts,
+		request->fields.n_shared_parts, clock_now(&relay->clock));
+
+	if (!rule)
+		return false;
+	*until_us = rule->lost_us + QUARANTINE_US;
+	return true;
+}
+
+/* Returns a number that identifies a server's process, the same at all VMs. */
+static uint64_t hash_process(const server_entry_t *entry)
+{
+	return XXH64(entry->id, strlen(entry->id), (uint64_t)entry->started_ms);
+}
+
+/* Records that a server was lost while it began a request. */
+void relay_record_loss(const relay_request_t *request, server_t *server)
+{
+	relay_t *relay = request->relay;
+
+	quarantine_add_loss(&relay->quarantine, server,
+			    hash_process(&server->entry),
+			    request->fields.shared_parts,
+			    request->fields.n_shared_parts,
+			    clock_now(&relay->clock));
+	if (relay->on_loss)
+		relay->on_loss(relay->context);
+}
+
+/* Records that a server has begun a request well. */
+void relay_record_sound(const relay_request_t *request)
+{
+	quarantine_add_sound(&request->relay->quarantine,
+			     request->fields.shared_parts,
+			     request->fields.n_shared_parts,
+			     clock_now(&request->relay->clock));
+}
+
 /* Takes a retry out of the budget of a request's service. False when none is
  * left.
  */
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -11,6 +11,7 @@
 #include "process/alarm.h"
 #include "process/decide/occupancy.h"
 #include "process/decide/output_model.h"
+#include "process/decide/quarantine.h"
 #include "process/decide/server_limits.h"
 #include "process/decide/server_set.h"
 #include "process/route_metrics.h"
@@ -29,12 +30,15 @@
 	server_set_t *servers;
 	occupancy_t *occupancy;
 	server_limits_t limits;
+	quarantine_t quarantine;
 	const char *zone; /* availability zone of this VM */
 	/* Called when this VM's use of servers, or the streams that wait at it,
 	 * may have changed.
 	 */
 	void (*on_occupancy_changed)(void *context);
-	void *context; /* for on_occupancy_changed */
+	/* Called when a server was lost while it began a request. */
+	void (*on_loss)(void *context);
+	void *context; /* for on_occupancy_changed and on_loss */
 	double retry_share; /* retries that each request adds to a budget */
 	double retry_slack; /* retries that a budget holds at most */
 	GHashTable *retry_budgets; /* service name to retry_budget_t */
@@ -90,6 +94,9 @@
 workload_t *relay_own_workload(const relay_request_t *request);
 const workload_t *relay_workload(const relay_request_t *request);
 output_model_t *relay_output_model(const relay_request_t *request);
+bool relay_is_quarantined(const relay_request_t *request, int64_t *until_us);
+void relay_record_loss(const relay_request_t *request, server_t *server);
+void relay_record_sound(const relay_request_t *request);
 bool relay_take_retry(const relay_request_t *request);
 void relay_refuse(const relay_request_t *request, int64_t retry_after_us,
 		  const char *reason);
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -5,6 +5,9 @@
 #include "process/counters.h"
 #include "process/log.h"
 
+/* Why a quarantined stream was not sent. */
+#define QUARANTINED_REASON "requests like this crash the backend servers"
+
 /* Counts the prompt as work of a prefill engine in the occupancy that all VMs
  * see. Keeps a reference to the engine.
  */
@@ -151,6 +154,26 @@
 	stream_finish(stream);
 }
 
+/* Ends a stream that must not be sent to an engine, because requests like it
+ * crash the engines that begin them. True when it was ended.
+ */
+bool stream_end_if_quarantined(stream_t *stream)
+{
+	const relay_request_t *request = &stream->request;
+	int64_t until_us;
+
+	if (!relay_is_quarantined(request, &until_us))
+		return false;
+	counters_add(COUNTER_REQUESTS_QUARANTINED, 1);
+	if (stream->head_sent || stream->may_have_run)
+		stream_fail(stream, 502, QUARANTINED_REASON);
+	else
+		stream_refuse(stream,
+			      until_us - clock_now(&request->relay->clock),
+			      QUARANTINED_REASON);
+	return true;
+}
+
 /* Returns the milliseconds between two steps, or -1 if one was not reached. */
 static int64_t span_ms(int64_t from_us, int64_t to_us)
 {
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -35,6 +35,7 @@
 					unknown */
 	int64_t prefilled_us;
 	int64_t decode_started_us; /* latest send to a decode engine */
+	int64_t begun_us; /* first event of that send; 0: none yet */
 	int64_t first_event_us;
 	int64_t last_event_us;
 	int64_t longest_gap_us; /* between two events */
@@ -49,6 +50,7 @@
 	event_split_t event_split;
 	bool prefill_retried; /* it was sent to a second prefill engine */
 	bool may_have_run; /* at an earlier decode engine */
+	bool begun_well; /* the latest send has made events for some time */
 	bool head_sent; /* the caller has the head of the response */
 	bool response_is_error; /* or not from a decode engine; kept in send */
 } stream_t;
@@ -64,6 +66,7 @@
 void stream_fail(stream_t *stream, unsigned status, const char *reason);
 void stream_log_end(const stream_t *stream, unsigned status,
 		    request_result_t result, const char *text);
+bool stream_end_if_quarantined(stream_t *stream);
 void stream_log_lost(const stream_t *stream);
 void stream_finish(stream_t *stream);
 
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -93,6 +93,8 @@
 	admission_decision_t decision;
 	stream_assignment_t assignment;
 
+	if (stream_end_if_quarantined(stream))
+		return true;
 	stream_engines_collect(&engines, &stream->request, now_us);
 	update_urgency(stream, &engines.view, now_us);
 	wanted.urgency = stream->urgency;
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -10,6 +10,9 @@
  */
 #define MAX_PACE_GAP_US (300 * CLOCK_US_PER_MS)
 
+/* A stream has begun well when its engine has made events for this long. */
+#define BEGIN_US (300 * CLOCK_US_PER_MS)
+
 /* Compares the length of the output with the caller's estimate, to correct
  * later estimates. An engine's events hold a fixed number of tokens.
  */
@@ -25,12 +28,22 @@
 				request->service->engine.tokens_per_event);
 }
 
+/* Records, once for each send, that the engine has begun the stream well. */
+static void record_begun_well(stream_t *stream)
+{
+	if (stream->begun_well)
+		return;
+	stream->begun_well = true;
+	relay_record_sound(&stream->request);
+}
+
 /* Ends a stream whose engine has sent everything. */
 static void end_complete(stream_t *stream)
 {
 	str_t partial = event_split_partial(&stream->event_split);
 
 	record_output(stream);
+	record_begun_well(stream);
 	exchange_write(stream->request.exchange, partial.data, partial.len);
 	stream_log_end(stream, 200, RESULT_OK, "complete");
 	exchange_end_stream(stream->request.exchange);
@@ -85,6 +98,16 @@
 			      &head->headers);
 }
 
+/* Records an engine that was lost with the stream, and the loss as evidence
+ * against the request if the engine was about to begin it.
+ */
+static void record_loss(const stream_t *stream)
+{
+	stream_log_lost(stream);
+	if (!stream->begun_well)
+		relay_record_loss(&stream->request, stream->decode);
+}
+
 /* Returns the streams of all VMs at the stream's decode engine. */
 static int64_t streams_at(const stream_t *stream, int64_t now_us)
 {
@@ -120,6 +143,10 @@
 		route_metrics_observe(HISTOGRAM_INTER_TOKEN, route, gap_us);
 	}
 	stream->last_event_us = now_us;
+	if (!stream->begun_us)
+		stream->begun_us = now_us;
+	if (now_us - stream->begun_us >= BEGIN_US)
+		record_begun_well(stream);
 }
 
 /* Passes complete events on to the caller. */
@@ -146,15 +173,17 @@
 
 /* Resumes a broken stream after its last event at another engine, which does
  * the prefill itself. False when the route does not allow it, no usable engine
- * or no retry is left, or the deadline has passed.
+ * or no retry is left, the deadline has passed or the request is quarantined.
  */
 static bool resume_elsewhere(stream_t *stream)
 {
 	relay_request_t *request = &stream->request;
 	relay_t *relay = request->relay;
 	server_t *next;
+	int64_t until_us;
 
 	if (!request->route->resumable ||
+	    relay_is_quarantined(request, &until_us) ||
 	    request->sends >= (unsigned)request->route->max_servers ||
 	    clock_now(&relay->clock) >= request->deadline_us)
 		return false;
@@ -229,7 +258,7 @@
 				  CLOCK_US_PER_MS));
 	counters_add(COUNTER_IMPORTS_FAILED, 1);
 	record_refusal(stream);
-	if (retry_decode(stream))
+	if (stream_end_if_quarantined(stream) || retry_decode(stream))
 		return;
 	if (stream->head_sent || stream->may_have_run)
 		stream_fail(stream, 502, "the stream could not be resumed");
@@ -262,7 +291,7 @@
 		return;
 	}
 	if (end == CALL_LOST)
-		stream_log_lost(stream);
+		record_loss(stream);
 	if (outcome.failed && end == CALL_ANSWERED)
 		server_work_failed(stream->decode,
 				   clock_now(&stream->request.relay->clock));
@@ -308,6 +337,8 @@
 		fields.last_event_id = (str_t){NULL, 0};
 	stream->state = STREAM_DECODING;
 	stream->decode_started_us = now_us;
+	stream->begun_us = 0;
+	stream->begun_well = false;
 	stream->response_is_error = false;
 	if (!relay_send_start(&stream->send, request, stream->decode, &fields,
 			      &decode_handler, stream))
@@ -344,8 +375,9 @@
 {
 	relay_t *relay = stream->request.relay;
 
+	if (stream_end_if_quarantined(stream))
+		return;
 	leave_overbooked(stream);
-
 	if (!engine_takes_request(relay, stream->decode,
 				  clock_now(&relay->clock)) ||
 	    !send_decode(stream)) {
--- a/tests/support_store_reader.c
+++ b/tests/support_store_reader.c
@@ -29,11 +29,22 @@
 {
 }
 
+static void on_crash_row(void *context, const char *key, str_t value,
+			 int64_t row_version)
+{
+}
+
+static void on_own_sync(void *context)
+{
+}
+
 static const store_rows_handler_t handler = {
 	.on_config = on_config,
 	.on_servers = on_servers,
 	.on_vm = on_vm,
 	.on_round = on_round,
+	.on_crash_row = on_crash_row,
+	.on_own_sync = on_own_sync,
 };
 
 /* Starts an empty store and a VM, vm-us, that reads it. */
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,410 @@
+/* Requests that crash the servers which begin them: from which losses VMs
+ * conclude so, without network. Requests are described by the keys that they
+ * share with others.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "process/clock.h"
+#include "process/decide/quarantine.h"
+
+#define START_US (1000 * CLOCK_US_PER_S)
+#define CONFIRMED_US (2 * CLOCK_US_PER_S)
+#define SERVERS 64
+
+/* Keys of the requests: the first part of all prompts, the part that crashes
+ * servers, and parts of sound requests.
+ */
+#define FIRST 0x5c1e07a2
+#define SICK 0x91bd3f06
+#define SOUND 0xe4402b00
+
+typedef struct {
+	quarantine_t quarantine;
+	server_t *servers[SERVERS];
+	unsigned lost; /* servers so far */
+	int64_t now_us;
+} fixture_t;
+
+static void setup(fixture_t *fixture)
+{
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->now_us = START_US;
+	quarantine_init(&fixture->quarantine);
+	for (size_t i = 0; i < SERVERS; i++) {
+		fixture->servers[i] = g_new0(server_t, 1);
+		fixture->servers[i]->refs = 1;
+		fixture->servers[i]->entry.id = g_strdup_printf("i-%zu", i);
+	}
+}
+
+static void teardown(fixture_t *fixture)
+{
+	quarantine_finish(&fixture->quarantine);
+	for (size_t i = 0; i < SERVERS; i++)
+		server_unref(fixture->servers[i]);
+}
+
+/* Loses the next server while it begins a request with these keys. Returns the
+ * server.
+ */
+static server_t *lose(fixture_t *fixture, const uint64_t *keys, size_t n)
+{
+	unsigned i = fixture->lost++;
+	server_t *server = fixture->servers[i];
+
+	fixture->now_us += 100 * CLOCK_US_PER_MS;
+	quarantine_add_loss(&fixture->quarantine, server, i, keys, n,
+			    fixture->now_us);
+	return server;
+}
+
+static void lose_sick(fixture_t *fixture, unsigned times)
+{
+	const uint64_t keys[] = {FIRST, SICK};
+
+	while (times-- > 0)
+		(void)lose(fixture, keys, G_N_ELEMENTS(keys));
+}
+
+static void begin_well(fixture_t *fixture, uint64_t part)
+{
+	const uint64_t keys[] = {FIRST, part};
+
+	fixture->now_us += 10 * CLOCK_US_PER_MS;
+	quarantine_add_sound(&fixture->quarantine, keys, G_N_ELEMENTS(keys),
+			     fixture->now_us);
+}
+
+static bool is_held(fixture_t *fixture, uint64_t first, uint64_t part)
+{
+	const uint64_t keys[] = {first, part};
+
+	return quarantine_match(&fixture->quarantine, keys, G_N_ELEMENTS(keys),
+				fixture->now_us) != NULL;
+}
+
+/* Guards against requests that go on to crash servers, and against the refusal
+ * of sound ones that share a part with them.
+ */
+static void test_part_is_held(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	begin_well(&fixture, SOUND);
+	lose_sick(&fixture, 2);
+	assert_false(is_held(&fixture, FIRST, SICK));
+	lose_sick(&fixture, 1);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_true(is_held(&fixture, SOUND, SICK));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	assert_false(is_held(&fixture, FIRST, SOUND + 1));
+	teardown(&fixture);
+}
+
+/* Guards against the refusal of all requests with a shared part when no sound one
+ * has begun yet: nothing would show any more that it is sound.
+ */
+static void test_shared_part_before_any_success(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	lose_sick(&fixture, 4);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	/* The part alone is held once the other one is known to be sound. */
+	assert_false(is_held(&fixture, SOUND, SICK));
+	begin_well(&fixture, SOUND);
+	assert_true(is_held(&fixture, SOUND, SICK));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	teardown(&fixture);
+}
+
+/* Guards against several losses of one server that count as several servers. */
+static void test_one_server(void **state)
+{
+	const uint64_t keys[] = {SICK};
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < 10; i++)
+		quarantine_add_loss(&fixture.quarantine, fixture.servers[0], 0, keys, 1, fixture.now_us);
+	assert_false(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Guards against lost connections, as by a cut or a reset, that count as lost
+ * servers.
+ */
+static void test_servers_that_still_run(void **state)
+{
+	const uint64_t keys[] = {SICK};
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < 5; i++) {
+		server_t *server = lose(&fixture, keys, 1);
+
+		server_record_received(server, fixture.now_us + 50000);
+	}
+	fixture.now_us += 100 * CLOCK_US_PER_MS;
+	assert_false(is_held(&fixture, FIRST, SICK));
+	fixture.now_us += CONFIRMED_US;
+	assert_false(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Guards against a process that restarts with the same ID and clears the loss of
+ * the one before.
+ */
+static void test_server_that_restarts(void **state)
+{
+	const uint64_t keys[] = {SICK};
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < 3; i++)
+		(void)lose(&fixture, keys, 1);
+	fixture.now_us += CONFIRMED_US;
+	assert_true(is_held(&fixture, FIRST, SICK));
+	for (size_t i = 0; i < 3; i++)
+		server_record_received(fixture.servers[i], fixture.now_us);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Guards against the blame of sound requests that were on the lost servers at
+ * the time, again and again, before any of their kind has begun well.
+ */
+static void test_requests_beside(void **state)
+{
+	const uint64_t sick[] = {FIRST, SICK};
+	const uint64_t beside[] = {FIRST, SOUND};
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < 6; i++) {
+		server_t *server = lose(&fixture, sick, G_N_ELEMENTS(sick));
+
+		if (i % 2 == 0)
+			quarantine_add_loss(&fixture.quarantine, server,
+					    fixture.lost - 1, beside,
+					    G_N_ELEMENTS(beside),
+					    fixture.now_us);
+	}
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	teardown(&fixture);
+}
+
+/* Guards against servers that fail by themselves, under requests of all kinds,
+ * while these succeed elsewhere.
+ */
+static void test_servers_that_fail(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (uint64_t i = 0; i < SERVERS; i++) {
+		const uint64_t keys[] = {FIRST, SOUND + i % 4};
+
+		(void)lose(&fixture, keys, G_N_ELEMENTS(keys));
+		for (uint64_t k = 0; k < 4; k++) {
+			assert_false(is_held(&fixture, FIRST, SOUND + k));
+			if (k != i % 4)
+				begin_well(&fixture, SOUND + k);
+		}
+	}
+	teardown(&fixture);
+}
+
+/* Guards against rules on everything when servers crash whatever they begin, as
+ * after a faulty release.
+ */
+static void test_servers_that_crash_always(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (uint64_t i = 0; i < SERVERS; i++) {
+		const uint64_t keys[] = {SOUND + i % 12};
+
+		(void)lose(&fixture, keys, G_N_ELEMENTS(keys));
+	}
+	for (uint64_t i = 0; i < 12; i++)
+		assert_false(is_held(&fixture, FIRST, SOUND + i));
+	assert_true(fixture.quarantine.overflowed);
+	teardown(&fixture);
+}
+
+/* Guards against a part that is trusted for ever because requests with it once
+ * began well.
+ */
+static void test_part_that_was_sound(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	begin_well(&fixture, SICK);
+	for (size_t i = 0; i < 5; i++) {
+		assert_false(is_held(&fixture, FIRST, SICK));
+		lose_sick(&fixture, 1);
+		begin_well(&fixture, SOUND);
+	}
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	teardown(&fixture);
+}
+
+/* Guards against rules that never end. */
+static void test_rule_ends(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	begin_well(&fixture, SOUND);
+	lose_sick(&fixture, 3);
+	fixture.now_us += QUARANTINE_US - CLOCK_US_PER_S;
+	assert_true(is_held(&fixture, FIRST, SICK));
+	fixture.now_us += 2 * CLOCK_US_PER_S;
+	assert_false(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Announces the losses and sound keys of one VM to another one. */
+static void announce(fixture_t *from, fixture_t *to, uint64_t vm)
+{
+	GArray *losses =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
+	GArray *sound = g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
+
+	to->now_us = MAX(to->now_us, from->now_us);
+	quarantine_list_own(&from->quarantine, losses, to->now_us);
+	quarantine_apply_peer(&to->quarantine, vm,
+			      (const quarantine_loss_t *)losses->data,
+			      losses->len, to->now_us);
+	quarantine_list_sound(&from->quarantine, sound, to->now_us);
+	for (guint i = 0; i < sound->len; i++)
+		quarantine_add_peer_sound(
+			&to->quarantine,
+			&g_array_index(sound, quarantine_sound_t, i));
+	g_array_unref(losses);
+	g_array_unref(sound);
+}
+
+/* Guards against VMs that each see one loss and never learn of the others, and
+ * against the refusal of what only another VM knows to be sound.
+ */
+static void test_losses_of_other_vms(void **state)
+{
+	fixture_t vms[3];
+
+	for (size_t i = 0; i < 3; i++) {
+		setup(&vms[i]);
+		vms[i].lost = (unsigned)i;
+		lose_sick(&vms[i], 1);
+	}
+	begin_well(&vms[1], SOUND);
+	announce(&vms[1], &vms[0], 1);
+	announce(&vms[2], &vms[0], 2);
+	assert_true(is_held(&vms[0], FIRST, SICK));
+	assert_true(is_held(&vms[0], SOUND, SICK));
+	assert_false(is_held(&vms[0], FIRST, SOUND));
+	/* What an earlier process of a VM has announced still counts. */
+	quarantine_apply_peer(&vms[0].quarantine, 3, NULL, 0,
+			      vms[0].now_us);
+	assert_true(is_held(&vms[0], FIRST, SICK));
+	/* A loss that is withdrawn does not. */
+	quarantine_apply_peer(&vms[0].quarantine, 2, NULL, 0,
+			      vms[0].now_us);
+	assert_false(is_held(&vms[0], FIRST, SICK));
+	for (size_t i = 0; i < 3; i++)
+		teardown(&vms[i]);
+}
+
+/* Guards against losses that are forgotten when their VM announces them no
+ * longer because they are old.
+ */
+static void test_old_losses_of_other_vms(void **state)
+{
+	fixture_t vm, peer;
+
+	setup(&vm);
+	setup(&peer);
+	lose_sick(&peer, 3);
+	announce(&peer, &vm, 1);
+	vm.now_us += 120 * CLOCK_US_PER_S;
+	peer.now_us = vm.now_us;
+	announce(&peer, &vm, 1);
+	assert_true(is_held(&vm, FIRST, SICK));
+	teardown(&vm);
+	teardown(&peer);
+}
+
+/* Guards against a VM that starts later and does not apply rules from the store,
+ * or goes on applying one that was removed.
+ */
+static void test_rule_from_store(void **state)
+{
+	const quarantine_rule_t rule = {
+		.n_keys = 2,
+		.keys = {FIRST, SICK},
+		.lost_us = START_US - 60 * CLOCK_US_PER_S,
+	};
+	fixture_t fixture;
+
+	setup(&fixture);
+	quarantine_put_stored(&fixture.quarantine, &rule);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	begin_well(&fixture, SOUND);
+	assert_true(is_held(&fixture, SOUND, SICK));
+	quarantine_remove_stored(&fixture.quarantine, &rule);
+	assert_false(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Guards against rules in the store that rest on losses which may still be
+ * withdrawn.
+ */
+static void test_confirmed_rules(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	lose_sick(&fixture, 3);
+	(void)quarantine_update(&fixture.quarantine, fixture.now_us);
+	assert_int_equal(fixture.quarantine.rules->len, 1);
+	assert_int_equal(fixture.quarantine.confirmed->len, 0);
+	fixture.now_us += CONFIRMED_US;
+	(void)quarantine_update(&fixture.quarantine, fixture.now_us);
+	assert_int_equal(fixture.quarantine.confirmed->len, 1);
+	teardown(&fixture);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_part_is_held),
+		cmocka_unit_test(test_shared_part_before_any_success),
+		cmocka_unit_test(test_one_server),
+		cmocka_unit_test(test_servers_that_still_run),
+		cmocka_unit_test(test_server_that_restarts),
+		cmocka_unit_test(test_requests_beside),
+		cmocka_unit_test(test_servers_that_fail),
+		cmocka_unit_test(test_servers_that_crash_always),
+		cmocka_unit_test(test_part_that_was_sound),
+		cmocka_unit_test(test_rule_ends),
+		cmocka_unit_test(test_losses_of_other_vms),
+		cmocka_unit_test(test_old_losses_of_other_vms),
+		cmocka_unit_test(test_rule_from_store),
+		cmocka_unit_test(test_confirmed_rules),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
