Take a stream that ends inside an event for a broken one

Callers could get a stream that its engine broke off as a whole one: a response with neither a length nor chunks ends with its connection, also when the engine ends in the middle of an event, and the router passed the part on and ended its own answer in order.

Cause: the end of the response alone decided whether the stream was whole. Now a stream is whole only if it ends after an event; one that only the end of its connection ends needs an event at all. Otherwise it counts as lost: it is resumed where the route allows it, else the caller's connection is closed in the middle, and an engine that ends so while it begins a request is evidence against the request.

--- a/src/connection/http_head.h
+++ b/src/connection/http_head.h
@@ -27,6 +27,10 @@
 	GString *target; /* of a request: path and query as received */
 	http_headers_t headers;
 	bool keep_alive; /* the connection may carry further messages */
+	/* Of a response: neither a length nor chunks show where its body ends, but
+	 * the end of the connection.
+	 */
+	bool body_until_close;
 } http_head_t;
 
 void http_headers_init(http_headers_t *headers);
--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -105,7 +105,7 @@
 		g_string_assign(message->head.method,
 				http_method_str(parser->method));
 	else
-		message->body_until_eof = body_ends_at_eof(message);
+		message->head.body_until_close = body_ends_at_eof(message);
 	if (!message->handler->on_head(message->context, &message->head)) {
 		message->refused = true;
 		return -1;
@@ -186,7 +186,6 @@
 	message->refused = false;
 	message->too_large = false;
 	message->no_body = false;
-	message->body_until_eof = false;
 }
 
 /* Parses bytes up to the end of the message and stores in `used` how many they
@@ -216,7 +215,7 @@
  */
 bool http_message_eof(http_message_t *message)
 {
-	if (!message->head_done || !message->body_until_eof)
+	if (!message->head_done || !message->head.body_until_close)
 		return false;
 	(void)http_parser_execute(&message->parser, &parser_settings, NULL, 0);
 	return message->done;
--- a/src/connection/http_message.h
+++ b/src/connection/http_message.h
@@ -45,7 +45,6 @@
 	bool refused; /* by on_head */
 	bool too_large; /* the head is */
 	bool no_body; /* set by the owner: the response is to a HEAD request */
-	bool body_until_eof; /* the end of the body is the peer's close */
 } http_message_t;
 
 void http_message_init(http_message_t *message, bool is_request,
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -115,7 +115,8 @@
 	int64_t until_us = reuse_deadline(call);
 
 	if (more_bytes || !call->message.head.keep_alive ||
-	    call->message.body_until_eof || tcp_unsent_bytes(&call->tcp) > 0 ||
+	    call->message.head.body_until_close ||
+	    tcp_unsent_bytes(&call->tcp) > 0 ||
 	    until_us <= clock_now(&call->host->pool->clock)) {
 		end_call(call, CALL_ANSWERED);
 		return;
--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -278,9 +278,8 @@
 /* Returns whether the server of a loss has turned out to run. */
 static bool still_runs(const entry_t *entry)
 {
-	return entry->server &&
-	       entry->server->last_received_us >=
-		       entry->loss.lost_us + ALIVE_FROM_US;
+	return entry->server && entry->server->last_received_us >=
+					entry->loss.lost_us + ALIVE_FROM_US;
 }
 
 /* Withdraws this VM's losses of servers that still run, confirms losses and drops
@@ -307,8 +306,8 @@
 static void check_stored(quarantine_t *quarantine, int64_t now_us)
 {
 	for (guint i = quarantine->stored->len; i-- > 0;) {
-		const quarantine_rule_t *rule =
-			&g_array_index(quarantine->stored, quarantine_rule_t, i);
+		const quarantine_rule_t *rule = &g_array_index(
+			quarantine->stored, quarantine_rule_t, i);
 
 		if (now_us - rule->lost_us < QUARANTINE_US)
 			continue;
@@ -331,10 +330,9 @@
 static bool is_enough(const quarantine_t *quarantine, uint64_t key,
 		      const evidence_t *evidence)
 {
-	return evidence->servers >=
-	       (sound_at_us(quarantine, key) < 0
-				   ? MIN_SERVERS
-				   : MIN_SERVERS_ONCE_SOUND);
+	return evidence->servers >= (sound_at_us(quarantine, key) < 0
+					     ? MIN_SERVERS
+					     : MIN_SERVERS_ONCE_SOUND);
 }
 
 /* Returns how often a key was on losses, an array of quarantine_loss_t. */
@@ -549,8 +547,8 @@
 static void add_stored(quarantine_t *quarantine)
 {
 	for (guint i = 0; i < quarantine->stored->len; i++) {
-		const quarantine_rule_t *rule =
-			&g_array_index(quarantine->stored, quarantine_rule_t, i);
+		const quarantine_rule_t *rule = &g_array_index(
+			quarantine->stored, quarantine_rule_t, i);
 
 		if (!find_equal(quarantine->rules, rule))
 			g_array_append_vals(quarantine->rules, rule, 1);
@@ -704,8 +702,8 @@
 static void list_if_sound(const quarantine_t *quarantine, uint64_t key,
 			  GArray *sound)
 {
-	quarantine_sound_t item = {
-		.key = key, .seen_us = sound_here_us(quarantine, key)};
+	quarantine_sound_t item = {.key = key,
+				   .seen_us = sound_here_us(quarantine, key)};
 
 	if (item.seen_us < 0 || sound->len >= QUARANTINE_SOUND_ANNOUNCED)
 		return;
@@ -733,8 +731,8 @@
 	for (guint i = quarantine->losses->len; i-- > 0;) {
 		const quarantine_loss_t *loss = &get_entry(quarantine, i)->loss;
 
-		for (unsigned k = 0; now_us - loss->lost_us < ANNOUNCE_US &&
-				     k < loss->n_keys;
+		for (unsigned k = 0;
+		     now_us - loss->lost_us < ANNOUNCE_US && k < loss->n_keys;
 		     k++)
 			list_if_sound(quarantine, loss->keys[k], sound);
 	}
--- a/src/process/entry/entry_quarantine.c
+++ b/src/process/entry/entry_quarantine.c
@@ -59,9 +59,8 @@
 static bool has_rule(const GArray *rules, const quarantine_rule_t *rule)
 {
 	for (guint i = 0; i < rules->len; i++) {
-		if (quarantine_rule_equal(&g_array_index(rules,
-							 quarantine_rule_t, i),
-					  rule))
+		if (quarantine_rule_equal(
+			    &g_array_index(rules, quarantine_rule_t, i), rule))
 			return true;
 	}
 	return false;
@@ -80,8 +79,8 @@
 			continue;
 		keys = g_string_new(NULL);
 		for (unsigned k = 0; k < rule->n_keys; k++)
-			g_string_append_printf(keys, "%s%" PRIx64,
-					       k ? "," : "", rule->keys[k]);
+			g_string_append_printf(keys, "%s%" PRIx64, k ? "," : "",
+					       rule->keys[k]);
 		log_event(LOG_WARN, event, LOG_CSTR("keys", keys->str),
 			  LOG_UINT("servers", rule->servers));
 		g_string_free(keys, TRUE);
--- a/src/process/entry/quarantine_rows.c
+++ b/src/process/entry/quarantine_rows.c
@@ -39,11 +39,11 @@
 	*rows = (quarantine_rows_t){
 		.clock = clock,
 		.quarantine = quarantine,
-		.removal_delay_us = g_str_hash(vm) % REMOVAL_SPREAD_MS *
-				    CLOCK_US_PER_MS,
+		.removal_delay_us =
+			g_str_hash(vm) % REMOVAL_SPREAD_MS * CLOCK_US_PER_MS,
 	};
-	rows->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
+	rows->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_call_init(&rows->call, pool);
 }
 
@@ -109,9 +109,8 @@
 	g_free(text);
 	if (!ok || lost_ms < 0 || lost_ms > INT64_MAX / CLOCK_US_PER_MS)
 		return false;
-	rule->lost_us = now_us - MAX(clock_now(&wall) -
-					     lost_ms * CLOCK_US_PER_MS,
-				     0);
+	rule->lost_us =
+		now_us - MAX(clock_now(&wall) - lost_ms * CLOCK_US_PER_MS, 0);
 	return true;
 }
 
@@ -200,9 +199,9 @@
 
 		if (missing) {
 			GString *message = g_string_new(NULL);
-			char *value = g_strdup_printf(
-				"%" PRId64 " %u", lost_at_ms(rule, now_us),
-				rule->servers);
+			char *value = g_strdup_printf("%" PRId64 " %u",
+						      lost_at_ms(rule, now_us),
+						      rule->servers);
 
 			store_append_put_if(message, store_address,
 					    TABLE_ROUTER, key, str_from(value),
@@ -259,7 +258,8 @@
 	if (now_us < rows->next_check_us || store_call_is_busy(&rows->call))
 		return;
 	rows->next_check_us = now_us + CHECK_US;
-	if (!write_missing(rows, quarantine->confirmed, store_address, now_us) &&
+	if (!write_missing(rows, quarantine->confirmed, store_address,
+			   now_us) &&
 	    !write_missing(rows, quarantine->stored, store_address, now_us))
 		remove_ended(rows, store_address, now_us);
 }
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -429,6 +429,7 @@
 	int64_t now_us = clock_now(&send->relay->clock);
 
 	send->status = head->status;
+	send->body_until_close = head->body_until_close;
 	copy_headers(&send->headers, &head->headers);
 	response_fields_read(head, &send->fields);
 	server_record_received(send->server, now_us);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -59,6 +59,7 @@
 	http_call_t *call; /* NULL when it has ended */
 	int64_t sent_us;
 	unsigned status; /* of the response; 0: none has arrived */
+	bool body_until_close; /* see http_head_t */
 	response_fields_t fields;
 	http_headers_t headers; /* of the response */
 	GString *body; /* of a response that is kept until it is complete */
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -37,14 +37,23 @@
 	relay_record_sound(&stream->request);
 }
 
+/* Returns whether a response that has ended is a whole stream. One that ends
+ * inside an event was broken off, and so was one without any event if only the
+ * end of its connection shows where it ends.
+ */
+static bool is_whole(const stream_t *stream)
+{
+	if (event_split_partial(&stream->event_split).len > 0)
+		return false;
+	return !stream->send.body_until_close || stream->begun_us != 0 ||
+	       stream->request.fields.last_event_id.len > 0;
+}
+
 /* Ends a stream whose engine has sent everything. */
 static void end_complete(stream_t *stream)
 {
-	str_t partial = event_split_partial(&stream->event_split);
-
 	record_output(stream);
 	record_begun_well(stream);
-	exchange_write(stream->request.exchange, partial.data, partial.len);
 	stream_log_end(stream, 200, RESULT_OK, "complete");
 	exchange_end_stream(stream->request.exchange);
 	stream_finish(stream);
@@ -274,9 +283,14 @@
 {
 	stream_t *stream = context;
 	bool complete = end == CALL_ANSWERED && !stream->response_is_error;
-	outcome_t outcome = relay_send_record_outcome(
-		&stream->send, end, false, stream->request.route->resumable);
+	outcome_t outcome;
 
+	if (complete && !is_whole(stream)) {
+		complete = false;
+		end = CALL_LOST;
+	}
+	outcome = relay_send_record_outcome(&stream->send, end, false,
+					    stream->request.route->resumable);
 	relay_send_release(&stream->send);
 	if (complete && stream->head_sent) {
 		end_complete(stream);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -133,7 +133,8 @@
 
 	setup(&fixture);
 	for (size_t i = 0; i < 10; i++)
-		quarantine_add_loss(&fixture.quarantine, fixture.servers[0], 0, keys, 1, fixture.now_us);
+		quarantine_add_loss(&fixture.quarantine, fixture.servers[0], 0,
+				    keys, 1, fixture.now_us);
 	assert_false(is_held(&fixture, FIRST, SICK));
 	teardown(&fixture);
 }
@@ -279,8 +280,7 @@
 /* Announces the losses and sound keys of one VM to another one. */
 static void announce(fixture_t *from, fixture_t *to, uint64_t vm)
 {
-	GArray *losses =
-		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
+	GArray *losses = g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
 	GArray *sound = g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
 
 	to->now_us = MAX(to->now_us, from->now_us);
@@ -316,12 +316,10 @@
 	assert_true(is_held(&vms[0], SOUND, SICK));
 	assert_false(is_held(&vms[0], FIRST, SOUND));
 	/* What an earlier process of a VM has announced still counts. */
-	quarantine_apply_peer(&vms[0].quarantine, 3, NULL, 0,
-			      vms[0].now_us);
+	quarantine_apply_peer(&vms[0].quarantine, 3, NULL, 0, vms[0].now_us);
 	assert_true(is_held(&vms[0], FIRST, SICK));
 	/* A loss that is withdrawn does not. */
-	quarantine_apply_peer(&vms[0].quarantine, 2, NULL, 0,
-			      vms[0].now_us);
+	quarantine_apply_peer(&vms[0].quarantine, 2, NULL, 0, vms[0].now_us);
 	assert_false(is_held(&vms[0], FIRST, SICK));
 	for (size_t i = 0; i < 3; i++)
 		teardown(&vms[i]);
