--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -205,20 +205,20 @@
 	return g_string_free(text, FALSE);
 }
 
-/* Logs which engine a stream was lost with, and what the request shares with
+/* Logs which engine was lost with a stream, and what the request shares with
  * others. A stream without an event had not begun.
  */
-void stream_log_lost(const stream_t *stream)
+void stream_log_lost(const stream_t *stream, const server_t *server)
 {
 	char *parts = format_shared_parts(&stream->request.fields);
 
 	log_event(LOG_WARN, "stream_lost",
 		  LOG_STR("request", stream->request.fields.id),
-		  LOG_CSTR("server", stream->decode->entry.id),
+		  LOG_CSTR("server", server->entry.id),
 		  LOG_CSTR("parts", parts),
 		  LOG_INT("events", stream->event_split.events_with_id),
 		  LOG_INT("sent_ms", (clock_now(&stream->request.relay->clock) -
-				      stream->decode_started_us) /
+				      stream->send.sent_us) /
 					     CLOCK_US_PER_MS));
 	g_free(parts);
 }
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -112,7 +112,7 @@
  */
 static void record_loss(const stream_t *stream)
 {
-	stream_log_lost(stream);
+	stream_log_lost(stream, stream->decode);
 	if (!stream->begun_well)
 		relay_record_loss(&stream->request, stream->decode);
 }
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -123,6 +123,10 @@
 		return;
 	}
 	relay_send_release(&stream->send);
+	if (end == CALL_LOST) {
+		stream_log_lost(stream, stream->prefill);
+		relay_record_loss(&stream->request, stream->prefill);
+	}
 	if (end != CALL_ANSWERED)
 		server_mark_suspect(stream->prefill,
 				    clock_now(&stream->request.relay->clock));
--- a/tests/test_crashing_prompt_part.c
+++ b/tests/test_crashing_prompt_part.c
@@ -1,6 +1,6 @@
-/* Requests with one part in their prompts that crashes each decode engine which
- * begins to write an answer on it, beside sound requests that share the first
- * part. Several VMs share one main loop.
+/* Requests with one part in their prompts that crashes each engine which begins
+ * to write an answer on it, or to read it, beside sound requests that share the
+ * first part. Several VMs share one main loop.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -16,7 +16,7 @@
 
 #define VMS 4
 #define DECODES 6
-#define PREFILLS 2
+#define PREFILLS 3
 #define MAX_CALLS 2000
 #define EVENTS 12 /* of one answer */
 #define EVENT_GAP_US (50 * CLOCK_US_PER_MS)
@@ -61,7 +61,7 @@
 	ingress_t ingress;
 	char *address; /* NULL: no process */
 	char *id;
-	const char *fields;
+	stage_t stage;
 	GQueue answers; /* of answer_t */
 	alarm_t next_event;
 	alarm_t crash;
@@ -72,6 +72,7 @@
 typedef struct {
 	fixture_t *fixture;
 	bool sick;
+	bool counted; /* sent while the users' bound holds */
 	bool began; /* a byte of the answer has arrived */
 	unsigned status;
 } call_t;
@@ -82,6 +83,7 @@
 	support_entry_t vms[VMS];
 	engine_t engines[PREFILLS + DECODES];
 	unsigned starts; /* of engines */
+	stage_t sick_stage; /* engines that end on the part */
 	http_pool_t callers;
 	call_t calls[MAX_CALLS];
 	unsigned sent;
@@ -160,13 +162,15 @@
 	}
 	if (is_sick(exchange) && is_bound(fixture))
 		fixture->sick_later++;
-	if (http_headers_get(&head->headers, "x-serving-stage").len > 0) {
-		answer_prefill(exchange);
-		return;
-	}
-	if (is_sick(exchange) && engine->crash.at_us < 0)
+	if (is_sick(exchange) && engine->stage == fixture->sick_stage &&
+	    engine->crash.at_us < 0)
 		alarm_set(&engine->crash, now_us() + CRASH_DELAY_US);
-	start_answer(engine, exchange);
+	if (engine->stage == STAGE_DECODE)
+		start_answer(engine, exchange);
+	else if (engine->crash.at_us < 0)
+		answer_prefill(exchange);
+	else
+		start_answer(engine, exchange); /* cut by the crash */
 }
 
 static void engine_on_gone(void *context, exchange_t *exchange)
@@ -222,10 +226,12 @@
 	g_free(engine->id);
 	g_free(engine->address);
 	engine->id = g_strdup_printf("i-%u", fixture->starts++);
-	engine->address = support_server_start(&engine->ingress,
-					       &fixture->store, engine->id,
-					       engine->fields, &engine_handler,
-					       engine);
+	engine->address = support_server_start(
+		&engine->ingress, &fixture->store, engine->id,
+		engine->stage == STAGE_PREFILL
+			? "\"service\":\"llm\",\"stage\":\"prefill\""
+			: "\"service\":\"llm\",\"stage\":\"decode\"",
+		&engine_handler, engine);
 }
 
 /* Ends the process at an engine's place, in the middle of its answers. */
@@ -254,9 +260,7 @@
 	clock_source_t clock = clock_boottime();
 
 	engine->fixture = fixture;
-	engine->fields = i < PREFILLS
-				 ? "\"service\":\"llm\",\"stage\":\"prefill\""
-				 : "\"service\":\"llm\",\"stage\":\"decode\"";
+	engine->stage = i < PREFILLS ? STAGE_PREFILL : STAGE_DECODE;
 	g_queue_init(&engine->answers);
 	alarm_init(&engine->next_event, clock, on_next_event, engine);
 	alarm_init(&engine->crash, clock, on_crash, engine);
@@ -296,8 +300,7 @@
 {
 	call_t *call = context;
 
-	if (!call->sick && !call->began && call->status == 200 &&
-	    is_bound(call->fixture))
+	if (call->counted && !call->began && call->status == 200)
 		call->fixture->sound_began++;
 	call->began = true;
 }
@@ -329,7 +332,8 @@
 
 	assert_true(fixture->sent < MAX_CALLS);
 	*call = (call_t){.fixture = fixture, .sick = n % SICK_EACH == 0};
-	if (!call->sick && is_bound(fixture))
+	call->counted = !call->sick && is_bound(fixture);
+	if (call->counted)
 		fixture->sound_sent++;
 	g_string_printf(message,
 			"POST /l/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%u\r\n"
@@ -383,10 +387,11 @@
 }
 
 /* Starts the store, the engines and the VMs, then the callers. */
-static fixture_t *start(void)
+static fixture_t *start(stage_t sick_stage)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 
+	fixture->sick_stage = sick_stage;
 	fixture->store_address = unused_address();
 	fake_store_start(&fixture->store, fixture->store_address);
 	put_config(fixture);
@@ -443,7 +448,19 @@
  */
 static void test_part_that_crashes_engines(void **state)
 {
-	fixture_t *fixture = start();
+	fixture_t *fixture = start(STAGE_DECODE);
+
+	support_run_loop_ms(6000);
+	set_bound(fixture);
+	support_run_loop_ms(6000);
+	check(fixture);
+	stop(fixture);
+}
+
+/* The same with a part that crashes the engines which read it. */
+static void test_part_that_crashes_prefill(void **state)
+{
+	fixture_t *fixture = start(STAGE_PREFILL);
 
 	support_run_loop_ms(6000);
 	set_bound(fixture);
@@ -457,7 +474,7 @@
  */
 static void test_vms_that_start_again(void **state)
 {
-	fixture_t *fixture = start();
+	fixture_t *fixture = start(STAGE_DECODE);
 
 	support_run_loop_ms(4000);
 	alarm_set(&fixture->next, -1);
@@ -479,6 +496,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_part_that_crashes_engines),
+		cmocka_unit_test(test_part_that_crashes_prefill),
 		cmocka_unit_test(test_vms_that_start_again),
 	};
 
--- a/tests/test_unframed_streams.c
+++ b/tests/test_unframed_streams.c
@@ -13,7 +13,7 @@
 #include "support_store.h"
 #include "support_tcp_stub.h"
 
-#define HEAD                                            \
+#define HEAD                                             \
 	"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n" \
 	"Content-Type: text/event-stream\r\n"
 #define UNFRAMED HEAD "Connection: close\r\n\r\n"
