Test the rows on requests that crash servers

Rules reach the store once they rest on losses that cannot be withdrawn, hold at a VM that reads them, are written again after the store was restored, and are removed when they have ended; unreadable rows change nothing.

--- /dev/null
+++ b/tests/test_quarantine_rows.c
@@ -0,0 +1,194 @@
+/* Rules on requests that crash servers, in a store that the test controls. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "names.h"
+#include "process/entry/quarantine_rows.h"
+#include "support_address.h"
+#include "support_store.h"
+#include "support_tcp_stub.h"
+
+#define SERVERS 3
+#define SICK 0x91bd3f06
+#define ROW "crash/91bd3f06"
+
+typedef struct {
+	fake_store_t store;
+	char *store_address;
+	http_pool_t pool;
+	quarantine_t quarantine;
+	quarantine_rows_t rows;
+	int64_t now_us;
+} vm_t;
+
+static void init(vm_t *vm)
+{
+	clock_source_t clock = clock_boottime();
+
+	memset(vm, 0, sizeof(*vm));
+	vm->now_us = clock_now(&clock);
+	vm->store_address = unused_address();
+	fake_store_start(&vm->store, vm->store_address);
+	http_pool_init(&vm->pool, clock, 1000, 0);
+	quarantine_init(&vm->quarantine);
+	quarantine_rows_init(&vm->rows, clock, &vm->pool, &vm->quarantine,
+			     "vm-0");
+}
+
+static void finish(vm_t *vm)
+{
+	quarantine_rows_finish(&vm->rows);
+	quarantine_finish(&vm->quarantine);
+	http_pool_finish(&vm->pool);
+	fake_store_stop(&vm->store);
+	g_free(vm->store_address);
+}
+
+/* Loses servers under requests with the part, `age_us` ago. */
+static void lose_servers(vm_t *vm, int64_t age_us)
+{
+	const uint64_t key = SICK;
+
+	for (uint64_t i = 0; i < SERVERS; i++) {
+		server_t *server = g_new0(server_t, 1);
+
+		server->refs = 1;
+		quarantine_add_loss(&vm->quarantine, server, i, &key, 1,
+				    vm->now_us - age_us);
+		server_unref(server);
+	}
+}
+
+/* Checks the rules at a time from now, and lets a write end. */
+static void check(vm_t *vm, int64_t after_us)
+{
+	vm->rows.next_check_us = 0;
+	(void)quarantine_update(&vm->quarantine, vm->now_us + after_us);
+	quarantine_rows_check(&vm->rows, vm->store_address,
+			      vm->now_us + after_us);
+	support_run_loop_ms(100);
+}
+
+static int64_t row_version(vm_t *vm)
+{
+	return fake_store_row_version(&vm->store, TABLE_ROUTER, ROW);
+}
+
+/* Lets the VM read the row. */
+static void read_row(vm_t *vm)
+{
+	char *text = fake_store_text(&vm->store, TABLE_ROUTER, ROW);
+
+	quarantine_rows_put(&vm->rows, ROW, str_from(text), row_version(vm));
+	g_free(text);
+}
+
+static bool is_held(vm_t *vm)
+{
+	const uint64_t key = SICK;
+
+	return quarantine_match(&vm->quarantine, &key, 1, vm->now_us) != NULL;
+}
+
+/* Guards against a rule that never reaches the store or is written again and
+ * again, and against one that rests on losses which may be withdrawn.
+ */
+static void test_rule_is_stored(void **state)
+{
+	vm_t vm, later;
+	int64_t version;
+	char *text;
+
+	init(&vm);
+	init(&later);
+	lose_servers(&vm, 0);
+	check(&vm, 0);
+	assert_int_equal(row_version(&vm), 0);
+	check(&vm, 2 * CLOCK_US_PER_S);
+	version = row_version(&vm);
+	assert_true(version > 0);
+	read_row(&vm);
+	check(&vm, 5 * CLOCK_US_PER_S);
+	assert_int_equal(row_version(&vm), version);
+	/* Another VM that has seen none of it applies the row. */
+	text = fake_store_text(&vm.store, TABLE_ROUTER, ROW);
+	assert_false(is_held(&later));
+	quarantine_rows_put(&later.rows, ROW, str_from(text), version);
+	assert_true(is_held(&later));
+	quarantine_rows_put(&later.rows, ROW, (str_t){NULL, 0}, 0);
+	assert_false(is_held(&later));
+	g_free(text);
+	finish(&vm);
+	finish(&later);
+}
+
+/* Guards against a rule that is gone with what the store lost when it was
+ * restored from an older copy.
+ */
+static void test_store_restored(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	lose_servers(&vm, 10 * CLOCK_US_PER_S);
+	check(&vm, 0);
+	read_row(&vm);
+	fake_store_remove(&vm.store, TABLE_ROUTER, ROW);
+	quarantine_rows_begin_sync(&vm.rows);
+	assert_true(is_held(&vm));
+	check(&vm, 0);
+	assert_true(row_version(&vm) > 0);
+	finish(&vm);
+}
+
+/* Guards against rows that stay after their rules have ended. */
+static void test_ended_rule_is_removed(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	lose_servers(&vm, 10 * CLOCK_US_PER_S);
+	check(&vm, 0);
+	read_row(&vm);
+	check(&vm, QUARANTINE_US - 20 * CLOCK_US_PER_S);
+	assert_true(row_version(&vm) > 0);
+	check(&vm, QUARANTINE_US + 60 * CLOCK_US_PER_S);
+	assert_int_equal(row_version(&vm), 0);
+	finish(&vm);
+}
+
+/* Guards against rows of another form that make a rule, or end the process. */
+static void test_unreadable_rows(void **state)
+{
+	static const char *const rows[][2] = {
+		{"crash/", "1 3"},	 {"crash/xyz", "1 3"},
+		{"crash/91bd3f06-", "1 3"}, {"crash/1-2-3-4-5-6-7-8-9", "1 3"},
+		{ROW, ""},		 {ROW, "x"},
+		{ROW, "-5 3"},		 {ROW, "9223372036854775807 3"},
+	};
+	vm_t vm;
+
+	init(&vm);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		quarantine_rows_put(&vm.rows, rows[i][0], str_from(rows[i][1]),
+				    5);
+		assert_false(is_held(&vm));
+		assert_int_equal(vm.quarantine.rules->len, 0);
+	}
+	finish(&vm);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_rule_is_stored),
+		cmocka_unit_test(test_store_restored),
+		cmocka_unit_test(test_ended_rule_is_removed),
+		cmocka_unit_test(test_unreadable_rows),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
