--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -184,11 +184,22 @@
 	return true;
 }
 
-/* Encodes the limits of servers. */
-static bool encode_limits(XDR *xdrs, const GArray *limits, int64_t now_us)
+/* Returns whether there is evidence on requests that crash servers to announce. */
+static bool has_evidence(const occupancy_t *occupancy, int64_t now_us)
 {
+	return occupancy->losses->len > 0 || occupancy->sound->len > 0 ||
+	       now_us < occupancy->losses_until_us;
+}
+
+/* Encodes the limits of servers, if there are any or something follows them. */
+static bool encode_limits(XDR *xdrs, const occupancy_t *occupancy,
+			  int64_t now_us)
+{
+	const GArray *limits = occupancy->limits;
 	uint32_t n = MIN(limits->len, OCCUPANCY_MAX_LIMITS);
 
+	if (n == 0 && !has_evidence(occupancy, now_us))
+		return true;
 	if (!xdr_uint32_t(xdrs, &n))
 		return false;
 	for (uint32_t i = 0; i < n; i++) {
@@ -224,13 +235,18 @@
 }
 
 /* Encodes the servers that were lost while they began requests, and the keys
- * that are known to be sound.
+ * that are known to be sound, if there is something to announce.
  */
-static bool encode_losses(XDR *xdrs, const GArray *losses, const GArray *sound,
+static bool encode_losses(XDR *xdrs, const occupancy_t *occupancy,
 			  int64_t now_us)
 {
+	const GArray *losses = occupancy->losses;
+	const GArray *sound = occupancy->sound;
 	uint32_t n = MIN(losses->len, QUARANTINE_LOSSES_ANNOUNCED);
 
+	if (!has_evidence(occupancy, now_us))
+		return true;
+
 	if (!xdr_uint32_t(xdrs, &n))
 		return false;
 	for (uint32_t i = 0; i < n; i++) {
@@ -324,9 +340,8 @@
 	     (now_us < announce->workloads_at_us ||
 	      (encode_workloads(&xdrs, announce->occupancy->workloads,
 				now_us) &&
-	       encode_limits(&xdrs, announce->occupancy->limits, now_us) &&
-	       encode_losses(&xdrs, announce->occupancy->losses,
-			     announce->occupancy->sound, now_us)));
+	       encode_limits(&xdrs, announce->occupancy, now_us) &&
+	       encode_losses(&xdrs, announce->occupancy, now_us)));
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -120,6 +120,8 @@
 	GArray *limits; /* own, of occupancy_limit_t; set by the owner */
 	GArray *losses; /* own, of quarantine_loss_t; set by the owner */
 	GArray *sound; /* own, of quarantine_sound_t; set by the owner */
+	/* Empty arrays are announced as well until then; set by the owner. */
+	int64_t losses_until_us;
 	/* Called when a peer suspects a server, given by its ID; may be NULL.
 	 */
 	void (*on_suspect)(void *context, const char *server);
--- a/src/process/entry/entry_quarantine.c
+++ b/src/process/entry/entry_quarantine.c
@@ -5,13 +5,20 @@
 
 #include "process/log.h"
 
+/* That there are no losses any more is announced for this long. */
+#define ANNOUNCE_NONE_US (10 * CLOCK_US_PER_S)
+
 /* Sets which losses and sound keys the announcements to peers hold. */
 static void set_announced(entry_t *entry, int64_t now_us)
 {
-	quarantine_list_own(&entry->relay.quarantine, entry->occupancy.losses,
+	occupancy_t *occupancy = &entry->occupancy;
+
+	quarantine_list_own(&entry->relay.quarantine, occupancy->losses,
 			    now_us);
-	quarantine_list_sound(&entry->relay.quarantine, entry->occupancy.sound,
+	quarantine_list_sound(&entry->relay.quarantine, occupancy->sound,
 			      now_us);
+	if (occupancy->losses->len > 0)
+		occupancy->losses_until_us = now_us + ANNOUNCE_NONE_US;
 }
 
 /* Announces at once that a server was lost while it began a request. */
