Log a digest of requests that are lost with their servers

The log could not tell whether servers end one after the other under the same request (docs/incidents/request-crashes.md, hypothesis 1) or under different ones (2): it named neither path nor body. request_lost names the server and a digest of method, host, target and body, which is the same at all VMs and in all attempts.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -1,5 +1,7 @@
 #include "connection/ingress_connection.h"
 
+#include <arpa/inet.h>
+
 /* Returns the head of the request, borrowed until the exchange ends. */
 const http_head_t *exchange_head(const exchange_t *exchange)
 {
@@ -18,6 +20,22 @@
 	return exchange->arrived_us;
 }
 
+/* Returns the IP address of the caller's end of the connection, without the port,
+ * freed with g_free(); empty if it is not known.
+ */
+char *exchange_caller_address(const exchange_t *exchange)
+{
+	struct sockaddr_in peer;
+	socklen_t len = sizeof(peer);
+	char text[INET_ADDRSTRLEN] = "";
+
+	if (getpeername(exchange->connection->tcp.fd, (struct sockaddr *)&peer,
+			&len) == 0 &&
+	    peer.sin_family == AF_INET)
+		(void)inet_ntop(AF_INET, &peer.sin_addr, text, sizeof(text));
+	return g_strdup(text);
+}
+
 /* Stores a pointer of the handler's with the exchange. */
 void exchange_set_context(exchange_t *exchange, void *context)
 {
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -55,6 +55,7 @@
 const http_head_t *exchange_head(const exchange_t *exchange);
 str_t exchange_body(const exchange_t *exchange);
 int64_t exchange_arrived_us(const exchange_t *exchange);
+char *exchange_caller_address(const exchange_t *exchange);
 void exchange_set_context(exchange_t *exchange, void *context);
 void *exchange_context(const exchange_t *exchange);
 
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -1,8 +1,11 @@
 #include "request/plain_call.h"
 
+#include <inttypes.h>
+
 #include "process/decide/balance.h"
 #include "process/counters.h"
 #include "process/log.h"
+#include "request/request_keys.h"
 
 /* Most servers that one request is sent to, whatever the route allows. */
 #define MAX_SENDS 4
@@ -137,6 +140,26 @@
 	g_string_append_len(call->send.body, data, (gssize)len);
 }
 
+/* Logs a server that was lost with a request, and the digest of the request
+ * without its caller, which is the same at all VMs and in all attempts.
+ */
+static void log_lost(const plain_call_t *call)
+{
+	uint64_t digests[REQUEST_DIGESTS];
+	char text[17];
+
+	request_digests(call->request.exchange, digests);
+	g_snprintf(text, sizeof(text), "%016" PRIx64, digests[0]);
+	log_event(LOG_WARN, "request_lost",
+		  LOG_STR("request", call->request.fields.id),
+		  LOG_CSTR("server", call->send.server->entry.id),
+		  LOG_CSTR("digest", text),
+		  LOG_UINT("sends", call->request.sends),
+		  LOG_INT("sent_ms", (clock_now(&call->request.relay->clock) -
+				      call->send.sent_us) /
+					     CLOCK_US_PER_MS));
+}
+
 /* Records how the send ended, and retries it or answers the caller. */
 static void on_end(void *context, call_end_t end)
 {
@@ -146,6 +169,8 @@
 		table_route_is_repeatable(call->request.route));
 
 	call->send.call = NULL;
+	if (end == CALL_LOST)
+		log_lost(call);
 	if (call->send.status == 421)
 		call->misdirected++;
 	finish_send(call, &outcome);
