Move the evidence on requests out of the relay

request_keys collects by which keys requests are alike and asks the quarantine; relay.c keeps the state that all requests share. No behaviour changes.

--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -596,6 +596,29 @@
 	quarantine->changed = true;
 }
 
+/* Returns whether there are losses or rules. Without any, no request is held. */
+bool quarantine_has_evidence(const quarantine_t *quarantine)
+{
+	return quarantine->losses->len + quarantine->stored->len +
+		       quarantine->rules->len >
+	       0;
+}
+
+/* Returns whether a key is on a loss or in a rule. */
+bool quarantine_is_suspect(const quarantine_t *quarantine, uint64_t key)
+{
+	for (guint i = 0; i < quarantine->rules->len; i++) {
+		const quarantine_rule_t *rule =
+			&g_array_index(quarantine->rules, quarantine_rule_t, i);
+
+		for (unsigned k = 0; k < rule->n_keys; k++) {
+			if (rule->keys[k] == key)
+				return true;
+		}
+	}
+	return is_lost_after(quarantine, key, -1);
+}
+
 /* Checks the evidence and computes the rules again if it has changed. Returns
  * whether they were. To be called at short intervals.
  */
@@ -603,9 +626,7 @@
 {
 	GArray *losses;
 
-	if (quarantine->losses->len + quarantine->stored->len +
-		    quarantine->rules->len ==
-	    0)
+	if (!quarantine_has_evidence(quarantine))
 		return false;
 	check_losses(quarantine, now_us);
 	check_stored(quarantine, now_us);
--- a/src/process/decide/quarantine.h
+++ b/src/process/decide/quarantine.h
@@ -87,6 +87,8 @@
 			   const quarantine_rule_t *rule);
 void quarantine_remove_stored(quarantine_t *quarantine,
 			      const quarantine_rule_t *rule);
+bool quarantine_has_evidence(const quarantine_t *quarantine);
+bool quarantine_is_suspect(const quarantine_t *quarantine, uint64_t key);
 bool quarantine_update(quarantine_t *quarantine, int64_t now_us);
 const quarantine_rule_t *quarantine_match(quarantine_t *quarantine,
 					  const uint64_t *keys, size_t n_keys,
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -1,7 +1,5 @@
 #include "request/relay.h"
 
-#include <xxhash.h>
-
 #include "process/counters.h"
 #include "process/log.h"
 
@@ -179,51 +177,6 @@
 	return model;
 }
 
-/* Returns whether a request must not be sent, because requests like it crash the
- * servers that begin them, and sets until when.
- */
-bool relay_is_quarantined(const relay_request_t *request, int64_t *until_us)
-{
-	relay_t *relay = request->relay;
-	const quarantine_rule_t *rule = quarantine_match(
-		&relay->quarantine, request->fields.shared_parts,
-		request->fields.n_shared_parts, clock_now(&relay->clock));
-
-	if (!rule)
-		return false;
-	*until_us = rule->lost_us + QUARANTINE_US;
-	return true;
-}
-
-/* Returns a number that identifies a server's process, the same at all VMs. */
-static uint64_t hash_process(const server_entry_t *entry)
-{
-	return XXH64(entry->id, strlen(entry->id), (uint64_t)entry->started_ms);
-}
-
-/* Records that a server was lost while it began a request. */
-void relay_record_loss(const relay_request_t *request, server_t *server)
-{
-	relay_t *relay = request->relay;
-
-	quarantine_add_loss(&relay->quarantine, server,
-			    hash_process(&server->entry),
-			    request->fields.shared_parts,
-			    request->fields.n_shared_parts,
-			    clock_now(&relay->clock));
-	if (relay->on_loss)
-		relay->on_loss(relay->context);
-}
-
-/* Records that a server has begun a request well. */
-void relay_record_sound(const relay_request_t *request)
-{
-	quarantine_add_sound(&request->relay->quarantine,
-			     request->fields.shared_parts,
-			     request->fields.n_shared_parts,
-			     clock_now(&request->relay->clock));
-}
-
 /* Takes a retry out of the budget of a request's service. False when none is
  * left.
  */
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -95,9 +95,6 @@
 workload_t *relay_own_workload(const relay_request_t *request);
 const workload_t *relay_workload(const relay_request_t *request);
 output_model_t *relay_output_model(const relay_request_t *request);
-bool relay_is_quarantined(const relay_request_t *request, int64_t *until_us);
-void relay_record_loss(const relay_request_t *request, server_t *server);
-void relay_record_sound(const relay_request_t *request);
 bool relay_take_retry(const relay_request_t *request);
 void relay_refuse(const relay_request_t *request, int64_t retry_after_us,
 		  const char *reason);
--- a/src/request/request_keys.c
+++ b/src/request/request_keys.c
@@ -48,3 +48,64 @@
 	digests[1] = XXH64_digest(state);
 	(void)XXH64_freeState(state);
 }
+
+/* Collects the keys of a request, the shared parts of its prompt. Returns how many
+ * there are, at most REQUEST_KEYS_MAX.
+ */
+static size_t collect_keys(const relay_request_t *request, uint64_t keys[])
+{
+	size_t n = request->fields.n_shared_parts;
+
+	memcpy(keys, request->fields.shared_parts, n * sizeof(*keys));
+	return n;
+}
+
+/* Returns whether a request must not be sent, because requests like it crash the
+ * servers that begin them, and sets until when.
+ */
+bool request_is_quarantined(const relay_request_t *request, int64_t *until_us)
+{
+	relay_t *relay = request->relay;
+	const quarantine_rule_t *rule;
+	uint64_t keys[REQUEST_KEYS_MAX];
+	size_t n;
+
+	if (!quarantine_has_evidence(&relay->quarantine))
+		return false;
+	n = collect_keys(request, keys);
+	rule = quarantine_match(&relay->quarantine, keys, n,
+				clock_now(&relay->clock));
+	if (!rule)
+		return false;
+	*until_us = rule->lost_us + QUARANTINE_US;
+	return true;
+}
+
+/* Returns a number that identifies a server's process, the same at all VMs. */
+static uint64_t hash_process(const server_entry_t *entry)
+{
+	return XXH64(entry->id, strlen(entry->id), (uint64_t)entry->started_ms);
+}
+
+/* Records that a server was lost while it began a request. */
+void request_record_loss(const relay_request_t *request, server_t *server)
+{
+	relay_t *relay = request->relay;
+	uint64_t keys[REQUEST_KEYS_MAX];
+	size_t n = collect_keys(request, keys);
+
+	quarantine_add_loss(&relay->quarantine, server,
+			    hash_process(&server->entry), keys, n,
+			    clock_now(&relay->clock));
+	if (relay->on_loss)
+		relay->on_loss(relay->context);
+}
+
+/* Records that a server has begun a request well. */
+void request_record_sound(const relay_request_t *request)
+{
+	quarantine_add_sound(&request->relay->quarantine,
+			     request->fields.shared_parts,
+			     request->fields.n_shared_parts,
+			     clock_now(&request->relay->clock));
+}
--- a/src/request/request_keys.h
+++ b/src/request/request_keys.h
@@ -1,16 +1,24 @@
-/* Keys by which requests that are alike are recognised, over VMs and attempts. */
+/* Keys by which requests that are alike are recognised, over VMs and attempts,
+ * and what is known of the servers that begin such requests.
+ */
 #ifndef REQUEST_REQUEST_KEYS_H
 #define REQUEST_REQUEST_KEYS_H
 
-#include "connection/ingress.h"
-#include "wire_fields.h"
+#include "request/relay.h"
 
 /* Digests of a whole request: without its caller, and with it. */
 #define REQUEST_DIGESTS 2
 
 /* Most keys of one request. */
-#define REQUEST_KEYS_MAX (REQUEST_SHARED_PARTS_MAX + REQUEST_DIGESTS)
+#define REQUEST_KEYS_MAX REQUEST_SHARED_PARTS_MAX
+
+/* Why a request that is quarantined was not sent. */
+#define REQUEST_QUARANTINED_REASON \
+	"requests like this crash the backend servers"
 
 void request_digests(const exchange_t *exchange, uint64_t digests[]);
+bool request_is_quarantined(const relay_request_t *request, int64_t *until_us);
+void request_record_loss(const relay_request_t *request, server_t *server);
+void request_record_sound(const relay_request_t *request);
 
 #endif
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -4,9 +4,7 @@
 
 #include "process/counters.h"
 #include "process/log.h"
-
-/* Why a quarantined stream was not sent. */
-#define QUARANTINED_REASON "requests like this crash the backend servers"
+#include "request/request_keys.h"
 
 /* Counts the prompt as work of a prefill engine in the occupancy that all VMs
  * see. Keeps a reference to the engine.
@@ -162,15 +160,15 @@
 	const relay_request_t *request = &stream->request;
 	int64_t until_us;
 
-	if (!relay_is_quarantined(request, &until_us))
+	if (!request_is_quarantined(request, &until_us))
 		return false;
 	counters_add(COUNTER_REQUESTS_QUARANTINED, 1);
 	if (stream->head_sent || stream->may_have_run)
-		stream_fail(stream, 502, QUARANTINED_REASON);
+		stream_fail(stream, 502, REQUEST_QUARANTINED_REASON);
 	else
 		stream_refuse(stream,
 			      until_us - clock_now(&request->relay->clock),
-			      QUARANTINED_REASON);
+			      REQUEST_QUARANTINED_REASON);
 	return true;
 }
 
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -3,6 +3,7 @@
 #include "process/counters.h"
 #include "process/log.h"
 #include "process/route_metrics.h"
+#include "request/request_keys.h"
 #include "request/stream_engines.h"
 
 /* Longer gaps between events come from a silent engine or connection and say
@@ -34,7 +35,7 @@
 	if (stream->begun_well)
 		return;
 	stream->begun_well = true;
-	relay_record_sound(&stream->request);
+	request_record_sound(&stream->request);
 }
 
 /* Returns whether a response that has ended is a whole stream. One that ends
@@ -114,7 +115,7 @@
 {
 	stream_log_lost(stream, stream->decode);
 	if (!stream->begun_well)
-		relay_record_loss(&stream->request, stream->decode);
+		request_record_loss(&stream->request, stream->decode);
 }
 
 /* Returns the streams of all VMs at the stream's decode engine. */
@@ -192,7 +193,7 @@
 	int64_t until_us;
 
 	if (!request->route->resumable ||
-	    relay_is_quarantined(request, &until_us) ||
+	    request_is_quarantined(request, &until_us) ||
 	    request->sends >= (unsigned)request->route->max_servers ||
 	    clock_now(&relay->clock) >= request->deadline_us)
 		return false;
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -4,6 +4,7 @@
 #include "process/log.h"
 #include "process/route_metrics.h"
 #include "request/stream_decode.h"
+#include "request/request_keys.h"
 #include "request/stream_engines.h"
 
 /* A prefill is overdue after this many times its expected duration plus the
@@ -125,7 +126,7 @@
 	relay_send_release(&stream->send);
 	if (end == CALL_LOST) {
 		stream_log_lost(stream, stream->prefill);
-		relay_record_loss(&stream->request, stream->prefill);
+		request_record_loss(&stream->request, stream->prefill);
 	}
 	if (end != CALL_ANSWERED)
 		server_mark_suspect(stream->prefill,
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -181,9 +181,10 @@
 
 	g_free(server->id);
 	server->id = g_strdup_printf("i-%u", fixture->starts++);
-	server->address = support_server_start(
-		&server->ingress, &fixture->store, server->id,
-		"\"service\":\"app\"", &server_handler, server);
+	server->address = support_server_start(&server->ingress,
+					       &fixture->store, server->id,
+					       "\"service\":\"app\"",
+					       &server_handler, server);
 }
 
 /* Cuts the requests that a server runs. */
