Hold back a request that crashes the servers which run it

Callers of booking-app lost their requests, server after server: one request crashed each server that began it, came again at other VMs, and each VM also sent it to a second server itself (BUDGET: 9 and 6 sends more after three servers had ended, 15 and 12 ended in all).

Cause: nothing of a request was remembered over sends, attempts and VMs. Ruled out: load (the requests beside it have other digests each time) and sends to servers that are gone (each loss is of a server with a new ID).

Change: the digests of a whole request (method, host, target and body; these and the caller, by its credentials or else its address) are keys beside the shared parts of a prompt, and plain requests are checked and recorded like streams. The digest with the caller holds a request that is sound for others. A digest that is on no loss is not remembered as sound: nearly every request has one of its own. Without losses and rules no digest is computed.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -25,7 +25,7 @@
  */
 char *exchange_caller_address(const exchange_t *exchange)
 {
-	struct sockaddr_in peer;
+	struct sockaddr_in peer = {.sin_family = AF_UNSPEC};
 	socklen_t len = sizeof(peer);
 	char text[INET_ADDRSTRLEN] = "";
 
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -169,8 +169,12 @@
 		table_route_is_repeatable(call->request.route));
 
 	call->send.call = NULL;
-	if (end == CALL_LOST)
+	if (end == CALL_LOST) {
 		log_lost(call);
+		request_record_loss(&call->request, call->send.server);
+	} else if (outcome.run == RUN_RAN) {
+		request_record_sound(&call->request);
+	}
 	if (call->send.status == 421)
 		call->misdirected++;
 	finish_send(call, &outcome);
@@ -197,6 +201,21 @@
 	return balance_pick(call->request.relay->servers, &request);
 }
 
+/* Ends a call that must not be sent to a server, because requests like it crash
+ * the servers that begin them. True when it was ended.
+ */
+static bool end_if_quarantined(plain_call_t *call)
+{
+	int64_t until_us;
+
+	if (!request_is_quarantined(&call->request, &until_us))
+		return false;
+	counters_add(COUNTER_REQUESTS_QUARANTINED, 1);
+	refuse(call, until_us - clock_now(&call->request.relay->clock),
+	       REQUEST_QUARANTINED_REASON);
+	return true;
+}
+
 /* Refuses a request for which no server is left. */
 static void refuse_without_server(plain_call_t *call)
 {
@@ -218,6 +237,8 @@
 		.time_left_us = request->deadline_us - now_us,
 	};
 
+	if (end_if_quarantined(call))
+		return;
 	if (!server) {
 		refuse_without_server(call);
 		return;
--- a/src/request/request_keys.c
+++ b/src/request/request_keys.c
@@ -49,15 +49,16 @@
 	(void)XXH64_freeState(state);
 }
 
-/* Collects the keys of a request, the shared parts of its prompt. Returns how many
- * there are, at most REQUEST_KEYS_MAX.
+/* Collects the keys of a request: the shared parts of its prompt and the digests
+ * of the whole. Returns how many there are, at most REQUEST_KEYS_MAX.
  */
 static size_t collect_keys(const relay_request_t *request, uint64_t keys[])
 {
 	size_t n = request->fields.n_shared_parts;
 
 	memcpy(keys, request->fields.shared_parts, n * sizeof(*keys));
-	return n;
+	request_digests(request->exchange, keys + n);
+	return n + REQUEST_DIGESTS;
 }
 
 /* Returns whether a request must not be sent, because requests like it crash the
@@ -101,11 +102,24 @@
 		relay->on_loss(relay->context);
 }
 
-/* Records that a server has begun a request well. */
+/* Records that a server has begun a request well. Of digests only those count
+ * that are on losses: nearly all requests have digests of their own, and these
+ * would displace the parts of prompts.
+ */
 void request_record_sound(const relay_request_t *request)
 {
-	quarantine_add_sound(&request->relay->quarantine,
-			     request->fields.shared_parts,
-			     request->fields.n_shared_parts,
-			     clock_now(&request->relay->clock));
+	quarantine_t *quarantine = &request->relay->quarantine;
+	int64_t now_us = clock_now(&request->relay->clock);
+	uint64_t digests[REQUEST_DIGESTS];
+
+	quarantine_add_sound(quarantine, request->fields.shared_parts,
+			     request->fields.n_shared_parts, now_us);
+	if (!quarantine_has_evidence(quarantine))
+		return;
+	request_digests(request->exchange, digests);
+	for (size_t i = 0; i < REQUEST_DIGESTS; i++) {
+		if (quarantine_is_suspect(quarantine, digests[i]))
+			quarantine_add_sound(quarantine, &digests[i], 1,
+					     now_us);
+	}
 }
--- a/src/request/request_keys.h
+++ b/src/request/request_keys.h
@@ -10,7 +10,7 @@
 #define REQUEST_DIGESTS 2
 
 /* Most keys of one request. */
-#define REQUEST_KEYS_MAX REQUEST_SHARED_PARTS_MAX
+#define REQUEST_KEYS_MAX (REQUEST_SHARED_PARTS_MAX + REQUEST_DIGESTS)
 
 /* Why a request that is quarantined was not sent. */
 #define REQUEST_QUARANTINED_REASON \
--- a/tests/test_crashing_prompt_part.c
+++ b/tests/test_crashing_prompt_part.c
@@ -84,6 +84,7 @@
 	engine_t engines[PREFILLS + DECODES];
 	unsigned starts; /* of engines */
 	stage_t sick_stage; /* engines that end on the part */
+	bool same_request; /* the part is the request's own, which comes again */
 	http_pool_t callers;
 	call_t calls[MAX_CALLS];
 	unsigned sent;
@@ -165,12 +166,11 @@
 	if (is_sick(exchange) && engine->stage == fixture->sick_stage &&
 	    engine->crash.at_us < 0)
 		alarm_set(&engine->crash, now_us() + CRASH_DELAY_US);
-	if (engine->stage == STAGE_DECODE)
+	/* The crash cuts prompts as well that are read at the time. */
+	if (engine->stage == STAGE_DECODE || engine->crash.at_us >= 0)
 		start_answer(engine, exchange);
-	else if (engine->crash.at_us < 0)
-		answer_prefill(exchange);
 	else
-		start_answer(engine, exchange); /* cut by the crash */
+		answer_prefill(exchange);
 }
 
 static void engine_on_gone(void *context, exchange_t *exchange)
@@ -322,6 +322,7 @@
 	unsigned n = fixture->sent++;
 	call_t *call = &fixture->calls[n];
 	char *sound = g_strdup_printf("e4402b0%u", n % SOUND_PARTS);
+	char *parts;
 	GString *message = g_string_new(NULL);
 	http_call_options_t options = {
 		.address = support_entry_address(&fixture->vms[n % VMS]),
@@ -335,15 +336,20 @@
 	call->counted = !call->sick && is_bound(fixture);
 	if (call->counted)
 		fixture->sound_sent++;
+	parts = call->sick && fixture->same_request
+			? g_strdup(FIRST_PART ":200," SICK_PART ":800")
+			: g_strdup_printf(FIRST_PART ":200,%s:300,%x:500",
+					  call->sick ? SICK_PART : sound,
+					  0x1000 + n);
 	g_string_printf(message,
 			"POST /l/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r%u\r\n"
 			"X-Deadline-Ms: 6000\r\nX-Model-Name: m\r\n"
 			"X-Token-Count: 1000,200\r\n"
-			"X-Prompt-Prefix: " FIRST_PART ":200,%s:300,%x:500\r\n"
-			"Content-Length: 0\r\n\r\n",
-			n, call->sick ? SICK_PART : sound, 0x1000 + n);
+			"X-Prompt-Prefix: %s\r\nContent-Length: %zu\r\n\r\n%s",
+			n, parts, strlen(parts), parts);
 	assert_non_null(http_pool_call(&fixture->callers, &options));
 	g_string_free(message, TRUE);
+	g_free(parts);
 	g_free(sound);
 	alarm_set(&fixture->next, now_us() + REQUEST_GAP_US);
 }
@@ -457,6 +463,21 @@
 	stop(fixture);
 }
 
+/* Guards against one request that comes again and goes on to crash engines,
+ * although it shares no part with others that does.
+ */
+static void test_request_that_crashes_engines(void **state)
+{
+	fixture_t *fixture = start(STAGE_DECODE);
+
+	fixture->same_request = true;
+	support_run_loop_ms(6000);
+	set_bound(fixture);
+	support_run_loop_ms(6000);
+	check(fixture);
+	stop(fixture);
+}
+
 /* The same with a part that crashes the engines which read it. */
 static void test_part_that_crashes_prefill(void **state)
 {
@@ -497,6 +518,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_part_that_crashes_engines),
 		cmocka_unit_test(test_part_that_crashes_prefill),
+		cmocka_unit_test(test_request_that_crashes_engines),
 		cmocka_unit_test(test_vms_that_start_again),
 	};
 
