Hold all requests that losses do not tell apart

Found by reading: when two requests were on all of the same lost servers, as when both are sent again after each loss, the first one found got the rule and explained all of the losses, so that the one that crashes servers could go on. Both are held now, until a further loss shows which of them it is; a rule from the store gives way where a VM knows all of its losses. test_requests_that_stay_together fails on the code before.

--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -418,11 +418,35 @@
 	qsort(rule->keys, rule->n_keys, sizeof(*rule->keys), compare_keys);
 }
 
-/* Finds the key that explains the losses best and fills in the rule on it. False
- * when too few servers were lost under any key.
+/* Returns whether a server is among those lost under a key. */
+static bool is_lost_under(const quarantine_t *quarantine, const GArray *losses,
+			  uint64_t server, uint64_t key)
+{
+	for (guint i = 0; i < losses->len; i++) {
+		const quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		if (loss->server == server && counts(quarantine, loss, key))
+			return true;
+	}
+	return false;
+}
+
+/* Returns how well a key explains the losses, 0 if they are too few for a rule. */
+static double weigh_for_rule(const quarantine_t *quarantine,
+			     const GArray *losses, uint64_t key)
+{
+	evidence_t evidence = weigh(quarantine, losses, key);
+
+	return is_enough(quarantine, key, &evidence) ? explanation(&evidence)
+						     : 0;
+}
+
+/* Finds the key that explains the losses best. Returns how well, 0 when too few
+ * servers were lost under any key.
  */
-static bool find_rule(const quarantine_t *quarantine, const GArray *losses,
-		      quarantine_rule_t *rule, uint64_t *key)
+static double find_best_key(const quarantine_t *quarantine,
+			    const GArray *losses, uint64_t *key)
 {
 	double best = 0;
 
@@ -431,36 +455,36 @@
 			&g_array_index(losses, quarantine_loss_t, i);
 
 		for (unsigned k = 0; k < loss->n_keys; k++) {
-			evidence_t evidence;
+			double weight;
 
 			if (!counts(quarantine, loss, loss->keys[k]))
 				continue;
-			evidence = weigh(quarantine, losses, loss->keys[k]);
-			if (!is_enough(quarantine, loss->keys[k], &evidence) ||
-			    explanation(&evidence) <= best)
+			weight = weigh_for_rule(quarantine, losses,
+						loss->keys[k]);
+			if (weight <= best)
 				continue;
-			best = explanation(&evidence);
+			best = weight;
 			*key = loss->keys[k];
 		}
 	}
-	if (best <= 0)
-		return false;
-	fill_rule(quarantine, losses, *key, rule);
-	return true;
+	return best;
 }
 
-/* Returns whether a server is among those lost under a key. */
-static bool is_lost_under(const quarantine_t *quarantine, const GArray *losses,
-			  uint64_t server, uint64_t key)
+/* Returns whether all servers that were lost under a key were lost under another
+ * one as well.
+ */
+static bool is_on_servers_of(const quarantine_t *quarantine,
+			     const GArray *losses, uint64_t key, uint64_t other)
 {
 	for (guint i = 0; i < losses->len; i++) {
 		const quarantine_loss_t *loss =
 			&g_array_index(losses, quarantine_loss_t, i);
 
-		if (loss->server == server && counts(quarantine, loss, key))
-			return true;
+		if (counts(quarantine, loss, key) &&
+		    !is_lost_under(quarantine, losses, loss->server, other))
+			return false;
 	}
-	return false;
+	return true;
 }
 
 /* Removes all losses of the servers that a rule on a key explains: each server
@@ -499,28 +523,6 @@
 	return losses;
 }
 
-/* Finds the rules that losses support, which are consumed. With more than
- * QUARANTINE_RULES_MAX there are none. Returns whether that is so.
- */
-static bool find_rules(const quarantine_t *quarantine, GArray *losses,
-		       GArray *rules)
-{
-	quarantine_rule_t rule = {0};
-	uint64_t key = 0;
-
-	g_array_set_size(rules, 0);
-	while (rules->len <= QUARANTINE_RULES_MAX &&
-	       find_rule(quarantine, losses, &rule, &key)) {
-		g_array_append_val(rules, rule);
-		remove_explained(quarantine, losses, key);
-		memset(&rule, 0, sizeof(rule));
-	}
-	if (rules->len <= QUARANTINE_RULES_MAX)
-		return false;
-	g_array_set_size(rules, 0);
-	return true;
-}
-
 /* Returns whether two rules have the same keys. */
 bool quarantine_rule_equal(const quarantine_rule_t *a,
 			   const quarantine_rule_t *b)
@@ -543,6 +545,91 @@
 	return NULL;
 }
 
+/* Adds the rule on a key unless there is one with the same keys. */
+static void add_rule(const quarantine_t *quarantine, const GArray *losses,
+		     uint64_t key, GArray *rules)
+{
+	quarantine_rule_t rule = {0};
+
+	fill_rule(quarantine, losses, key, &rule);
+	if (!find_equal(rules, &rule))
+		g_array_append_val(rules, rule);
+}
+
+/* Adds the rules on the keys that explain the losses of the same servers as well
+ * as the best one, which was found to weigh `best`: nothing tells them apart.
+ */
+static void add_rules(const quarantine_t *quarantine, const GArray *losses,
+		      uint64_t best_key, double best, GArray *rules)
+{
+	for (guint i = 0; i < losses->len; i++) {
+		const quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		for (unsigned k = 0; k < loss->n_keys; k++) {
+			uint64_t key = loss->keys[k];
+
+			if (counts(quarantine, loss, key) &&
+			    weigh_for_rule(quarantine, losses, key) >= best &&
+			    is_on_servers_of(quarantine, losses, key, best_key))
+				add_rule(quarantine, losses, key, rules);
+		}
+	}
+}
+
+/* Finds the rules that losses support, which are consumed. With more than
+ * QUARANTINE_CAUSES_MAX causes there are none. Returns whether that is so.
+ */
+static bool find_rules(const quarantine_t *quarantine, GArray *losses,
+		       GArray *rules)
+{
+	unsigned causes = 0;
+	uint64_t key = 0;
+	double best;
+
+	g_array_set_size(rules, 0);
+	while (causes <= QUARANTINE_CAUSES_MAX &&
+	       (best = find_best_key(quarantine, losses, &key)) > 0) {
+		add_rules(quarantine, losses, key, best, rules);
+		remove_explained(quarantine, losses, key);
+		causes++;
+	}
+	if (causes > QUARANTINE_CAUSES_MAX)
+		g_array_set_size(rules, 0);
+	return causes > QUARANTINE_CAUSES_MAX;
+}
+
+/* Returns whether a loss has all keys of a rule. */
+static bool has_all_keys(const quarantine_loss_t *loss,
+			 const quarantine_rule_t *rule)
+{
+	for (unsigned i = 0; i < rule->n_keys; i++) {
+		if (!has_key(loss, rule->keys[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Returns whether this VM knows all losses on which a rule from the store rested,
+ * so that its own rules take the place of that one.
+ */
+static bool knows_losses_of(const quarantine_t *quarantine,
+			    const quarantine_rule_t *rule)
+{
+	GHashTable *servers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	bool all;
+
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		quarantine_loss_t *loss = &get_entry(quarantine, i)->loss;
+
+		if (has_all_keys(loss, rule))
+			g_hash_table_add(servers, &loss->server);
+	}
+	all = rule->servers > 0 && g_hash_table_size(servers) >= rule->servers;
+	g_hash_table_unref(servers);
+	return all;
+}
+
 /* Adds the rules from the store to those that the losses support. */
 static void add_stored(quarantine_t *quarantine)
 {
@@ -550,7 +637,8 @@
 		const quarantine_rule_t *rule = &g_array_index(
 			quarantine->stored, quarantine_rule_t, i);
 
-		if (!find_equal(quarantine->rules, rule))
+		if (!find_equal(quarantine->rules, rule) &&
+		    !knows_losses_of(quarantine, rule))
 			g_array_append_vals(quarantine->rules, rule, 1);
 	}
 }
@@ -568,17 +656,6 @@
 	quarantine->changed = true;
 }
 
-/* Returns whether a loss has all keys of a rule. */
-static bool has_all_keys(const quarantine_loss_t *loss,
-			 const quarantine_rule_t *rule)
-{
-	for (unsigned i = 0; i < rule->n_keys; i++) {
-		if (!has_key(loss, rule->keys[i]))
-			return false;
-	}
-	return true;
-}
-
 /* Ends a rule that was removed from the store, with the losses under it. */
 void quarantine_remove_stored(quarantine_t *quarantine,
 			      const quarantine_rule_t *rule)
--- a/src/process/decide/quarantine.h
+++ b/src/process/decide/quarantine.h
@@ -21,10 +21,10 @@
 /* Most keys of one loss and of one rule. */
 #define QUARANTINE_KEYS_MAX 8
 
-/* Most rules at a time. More of them show that the servers are at fault, not
- * the requests: then none holds.
+/* Most causes of losses at a time. More of them show that the servers are at
+ * fault, not the requests: then no rule holds.
  */
-#define QUARANTINE_RULES_MAX 8
+#define QUARANTINE_CAUSES_MAX 8
 
 /* How long a rule holds after the last loss under it. */
 #define QUARANTINE_US (600 * INT64_C(1000000))
@@ -68,7 +68,7 @@
 	GArray *rules; /* of quarantine_rule_t, in force; from all the above */
 	GArray *confirmed; /* those of them that may be stored */
 	bool changed; /* rules have to be computed again */
-	bool overflowed; /* more than QUARANTINE_RULES_MAX were found */
+	bool overflowed; /* more than QUARANTINE_CAUSES_MAX were found */
 } quarantine_t;
 
 void quarantine_init(quarantine_t *quarantine);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -203,6 +203,39 @@
 	teardown(&fixture);
 }
 
+/* Guards against a request that goes on to crash servers because another one was
+ * on all of them as well, as when both are sent again together: nothing tells them
+ * apart.
+ */
+static void test_requests_that_stay_together(void **state)
+{
+	const uint64_t sick = SICK;
+	const uint64_t beside = SOUND;
+	const quarantine_rule_t stored = {.n_keys = 1,
+					  .keys = {SOUND},
+					  .servers = 3,
+					  .lost_us = START_US};
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < 3; i++) {
+		server_t *server = lose(&fixture, &beside, 1);
+
+		quarantine_add_loss(&fixture.quarantine, server,
+				    fixture.lost - 1, &sick, 1, fixture.now_us);
+	}
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_true(is_held(&fixture, FIRST, SOUND));
+	/* A further loss shows which of the two it is, also after the rule on the
+	 * other one has reached the store.
+	 */
+	quarantine_put_stored(&fixture.quarantine, &stored);
+	(void)lose(&fixture, &sick, 1);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	teardown(&fixture);
+}
+
 /* Guards against servers that fail by themselves, under requests of all kinds,
  * while these succeed elsewhere.
  */
@@ -394,6 +427,7 @@
 		cmocka_unit_test(test_servers_that_still_run),
 		cmocka_unit_test(test_server_that_restarts),
 		cmocka_unit_test(test_requests_beside),
+		cmocka_unit_test(test_requests_that_stay_together),
 		cmocka_unit_test(test_servers_that_fail),
 		cmocka_unit_test(test_servers_that_crash_always),
 		cmocka_unit_test(test_part_that_was_sound),
