Bound what is taken of a backend server's response

The head was bounded (64 KiB), a body that is kept until it is complete was not: only the request's deadline ended it, and a VM with 88 MB of memory would be killed before. The same held for an event without an end, and for a body that is ignored, of an answer to a probe or to the release of a prefill result, the latter without any deadline.

Cause: no part of the router limited what it takes of a response. Change: of one response 8 MiB are kept, of all together 16 MiB; an event ends within 256 KiB; answers to probes, releases, orders and the store have bounds of their own, as have interim responses and responses to other requests on one connection. Beyond them the call ends as malformed and its connection is closed: the request may have run (502), and is sent elsewhere where its route allows it.

test_endless_responses floods a VM from a plain server, a prefill and a decode engine in eleven ways and with an endless event, eight requests at a time; a server may send 16 MiB on a connection and 64 MiB on all that are open, with what the kernel buffers.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -21,6 +21,11 @@
  */
 #define MAX_REUSE_US (60 * CLOCK_US_PER_S)
 
+/* Most bytes of bodies that are skipped, and most interim responses, on one call.
+ */
+#define MAX_SKIPPED_BYTES (1 << 20)
+#define MAX_INTERIM_RESPONSES 32
+
 /* Silence after which TCP keepalive probes the server. */
 #define KEEPALIVE_IDLE_S 1
 
@@ -44,7 +49,12 @@
 	GString *id;
 	int64_t reuse_until_us; /* while idle: not used after this time */
 	alarm_t connect_alarm; /* ends a connection not established in time */
+	size_t max_body_bytes; /* see http_call_options_t */
+	size_t body_bytes; /* of the response, so far */
+	size_t skipped_bytes; /* of responses to other requests */
+	unsigned interim_responses;
 	bool skip_response; /* the one being read belongs to another request */
+	bool rejected; /* ends as malformed when the parser returns */
 	bool is_head; /* the method is HEAD */
 	bool parsing; /* the parser runs, so the call must not be freed */
 	bool cancelled; /* while the parser was running; freed after it */
@@ -161,6 +171,10 @@
 			free_call(call);
 			return;
 		}
+		if (call->rejected) {
+			end_call(call, CALL_MALFORMED);
+			return;
+		}
 		data += used;
 		len -= used;
 		if (result == HTTP_FEED_MORE)
@@ -174,6 +188,11 @@
 			end_answered_call(call, len > 0);
 			return;
 		}
+		if (interim &&
+		    ++call->interim_responses > MAX_INTERIM_RESPONSES) {
+			end_call(call, CALL_MALFORMED);
+			return;
+		}
 		expect_response(call);
 	}
 }
@@ -237,12 +256,24 @@
 	return true;
 }
 
-/* Passes a piece of the body to the handler. */
+/* Passes a piece of the body to the handler, and rejects a response that is too
+ * large.
+ */
 static void on_body(void *context, const char *data, size_t len)
 {
 	http_call_t *call = context;
 
-	if (!call->skip_response && !call->cancelled)
+	if (call->cancelled || call->rejected)
+		return;
+	if (call->skip_response) {
+		call->skipped_bytes += len;
+		call->rejected = call->skipped_bytes > MAX_SKIPPED_BYTES;
+		return;
+	}
+	call->body_bytes += len;
+	if (call->max_body_bytes && call->body_bytes > call->max_body_bytes)
+		call->rejected = true;
+	else
 		call->handler->on_body(call->context, data, len);
 }
 
@@ -381,6 +412,10 @@
 		g_string_append_len(call->id, options->id.data,
 				    (gssize)options->id.len);
 	call->is_head = options->is_head;
+	call->max_body_bytes = options->max_body_bytes;
+	call->body_bytes = 0;
+	call->skipped_bytes = 0;
+	call->interim_responses = 0;
 	expect_response(call);
 	tcp_write(&call->tcp, options->message->str, options->message->len);
 	return call;
@@ -397,6 +432,15 @@
 	tcp_finish(&call->tcp);
 }
 
+/* Ends a call as malformed, because of what its response holds. To be called by the
+ * handler while it takes a piece of the body; the handler's on_end is called when
+ * it has returned.
+ */
+void http_call_reject(http_call_t *call)
+{
+	call->rejected = true;
+}
+
 /* Returns whether the connection is established, so that bytes of the request
  * may have been sent.
  */
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -52,6 +52,10 @@
 	const GString *message; /* head and body of the request; copied */
 	bool new_connection; /* don't use one that is open already */
 	bool is_head; /* the method is HEAD: the response has no body */
+	/* The call ends as malformed when its response has a larger body; 0: any
+	 * size is allowed.
+	 */
+	size_t max_body_bytes;
 	/* Name of the header field in which a response repeats the ID of its
 	 * request, in lower case and valid for the time of the call. A response
 	 * with another ID is skipped. NULL: responses have no ID.
@@ -68,6 +72,7 @@
 http_call_t *http_pool_call(http_pool_t *pool,
 			    const http_call_options_t *options);
 void http_call_cancel(http_call_t *call);
+void http_call_reject(http_call_t *call);
 bool http_call_is_connected(const http_call_t *call);
 void http_pool_close_idle(http_pool_t *pool, const char *address);
 unsigned http_pool_connections(const http_pool_t *pool, const char *address);
--- a/src/process/entry/server_probe.c
+++ b/src/process/entry/server_probe.c
@@ -8,6 +8,9 @@
 #define PROBE_INTERVAL_US (800 * CLOCK_US_PER_MS)
 #define PROBE_TIMEOUT_US (500 * CLOCK_US_PER_MS)
 
+/* Largest body of an answer to a probe. */
+#define MAX_BODY_BYTES 65536
+
 /* A probe in progress. It frees itself at its end. */
 typedef struct {
 	server_t *server; /* holds a reference */
@@ -92,6 +95,7 @@
 	http_call_options_t options = {
 		.address = server->entry.address,
 		.message = message,
+		.max_body_bytes = MAX_BODY_BYTES,
 		.handler = &handler,
 		.context = probe,
 	};
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -23,6 +23,9 @@
 /* How long a holder may give orders after it sent the write of its round. */
 #define HOLD_US (1500 * CLOCK_US_PER_MS)
 
+/* Largest body of an engine's answer to an order or a question. */
+#define MAX_BODY_BYTES 65536
+
 /* Deadline of a read or write of a round's row. */
 #define CALL_TIMEOUT_US (1000 * CLOCK_US_PER_MS)
 
@@ -161,6 +164,7 @@
 	http_call_options_t options = {
 		.address = order->server->entry.address,
 		.message = message,
+		.max_body_bytes = MAX_BODY_BYTES,
 		.handler = &order_handler,
 		.context = order,
 	};
--- a/src/process/entry/store.c
+++ b/src/process/entry/store.c
@@ -2,6 +2,9 @@
 
 #include "store_call.h"
 
+/* Largest body of an answer. The store puts 1 MB of rows into one. */
+#define MAX_BODY_BYTES ((size_t)8 << 20)
+
 /* Ends a call. `done` may send the next one at once, so the call is reset
  * before.
  */
@@ -95,6 +98,7 @@
 	http_call_options_t options = {
 		.address = address,
 		.message = message,
+		.max_body_bytes = MAX_BODY_BYTES,
 		.handler = &handler,
 		.context = call,
 	};
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -137,7 +137,7 @@
 {
 	plain_call_t *call = context;
 
-	g_string_append_len(call->send.body, data, (gssize)len);
+	relay_send_keep(&call->send, data, len);
 }
 
 /* Logs a server that was lost with a request, and the digest of the request
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -6,6 +6,12 @@
 /* Time that a caller is assumed to wait if its request states none. */
 #define DEFAULT_TIME_LEFT_US (30 * CLOCK_US_PER_S)
 
+/* Most bytes that are kept of one response, and of all of them at a VM. The
+ * smallest VMs have 88 MB.
+ */
+#define MAX_KEPT_BYTES ((size_t)8 << 20)
+#define MAX_KEPT_BYTES_IN_ALL ((size_t)16 << 20)
+
 /* Frees a retry budget. */
 static void free_budget(gpointer data)
 {
@@ -299,10 +305,18 @@
 	http_headers_init(&send->headers);
 }
 
+/* Forgets what was kept of a response. */
+static void drop_kept(relay_send_t *send)
+{
+	send->relay->kept_bytes -= send->body->len;
+	g_string_truncate(send->body, 0);
+}
+
 /* Cancels a send in progress, if any, and frees what the object owns. */
 void relay_send_finish(relay_send_t *send)
 {
 	relay_send_cancel(send);
+	drop_kept(send);
 	g_string_free(send->body, TRUE);
 	http_headers_finish(&send->headers);
 }
@@ -328,7 +342,7 @@
 
 	send->status = 0;
 	memset(&send->fields, 0, sizeof(send->fields));
-	g_string_truncate(send->body, 0);
+	drop_kept(send);
 	http_headers_clear(&send->headers);
 	send->sent_us = clock_now(&send->relay->clock);
 	append_forwarded_request(message, head,
@@ -394,6 +408,27 @@
 	record_limit(send, now_us);
 }
 
+/* Keeps a piece of the response's body. Ends the call as malformed when this
+ * response, or all that are kept at the time, would take too much memory: a server
+ * in trouble may send without an end.
+ */
+void relay_send_keep(relay_send_t *send, const char *data, size_t len)
+{
+	relay_t *relay = send->relay;
+
+	if (send->body->len + len > MAX_KEPT_BYTES ||
+	    relay->kept_bytes + len > MAX_KEPT_BYTES_IN_ALL) {
+		log_event(LOG_WARN, "response_too_large",
+			  LOG_CSTR("server", send->server->entry.id),
+			  LOG_UINT("bytes", send->body->len),
+			  LOG_UINT("all_bytes", relay->kept_bytes));
+		http_call_reject(send->call);
+		return;
+	}
+	g_string_append_len(send->body, data, (gssize)len);
+	relay->kept_bytes += len;
+}
+
 /* Releases the server after the call has ended. Allowed when none is in
  * progress.
  */
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -48,6 +48,7 @@
 	GQueue waiting; /* of stream_t: not started yet, most urgent first */
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
+	size_t kept_bytes; /* of responses that are kept until complete */
 } relay_t;
 
 /* A send of a request to one backend server and its response. The same object
@@ -113,6 +114,7 @@
 		      server_t *server, const forward_fields_t *fields,
 		      const call_handler_t *handler, void *context);
 void relay_send_read_head(relay_send_t *send, const http_head_t *head);
+void relay_send_keep(relay_send_t *send, const char *data, size_t len);
 void relay_send_release(relay_send_t *send);
 void relay_send_cancel(relay_send_t *send);
 outcome_t relay_send_record_outcome(relay_send_t *send, call_end_t end,
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -73,6 +73,9 @@
 	.on_end = on_released,
 };
 
+/* Largest answer to the release of a prefill result. */
+#define MAX_RELEASE_BYTES 65536
+
 /* Asks the prefill engine to free a result that no decode engine will fetch.
  * Nothing depends on the answer: the engine soon drops the result by itself.
  */
@@ -88,6 +91,7 @@
 	message = g_string_new(NULL);
 	options = (http_call_options_t){
 		.message = message,
+		.max_body_bytes = MAX_RELEASE_BYTES,
 		.handler = &release_handler,
 	};
 	options.address = g_strndup(stream->kv_source,
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -11,6 +11,9 @@
  */
 #define MAX_PACE_GAP_US (300 * CLOCK_US_PER_MS)
 
+/* Largest event that is taken from an engine. */
+#define MAX_EVENT_BYTES ((size_t)256 << 10)
+
 /* A stream has begun well when its engine has made events for this long. */
 #define BEGIN_US (300 * CLOCK_US_PER_MS)
 
@@ -159,6 +162,17 @@
 		record_begun_well(stream);
 }
 
+/* Ends the call as malformed when an event does not end. */
+static void check_event_size(stream_t *stream)
+{
+	if (event_split_partial(&stream->event_split).len <= MAX_EVENT_BYTES)
+		return;
+	log_event(LOG_WARN, "event_too_large",
+		  LOG_STR("request", stream->request.fields.id),
+		  LOG_CSTR("server", stream->decode->entry.id));
+	http_call_reject(stream->send.call);
+}
+
 /* Passes complete events on to the caller. */
 static void decode_body(void *context, const char *data, size_t len)
 {
@@ -167,13 +181,15 @@
 	str_t complete;
 
 	if (stream->response_is_error) {
-		g_string_append_len(stream->send.body, data, (gssize)len);
+		relay_send_keep(&stream->send, data, len);
 		return;
 	}
 	server_record_received(stream->send.server, now_us);
 	complete = event_split_add(&stream->event_split, (str_t){data, len});
-	if (complete.len == 0)
+	if (complete.len == 0) {
+		check_event_size(stream);
 		return;
+	}
 	record_event(stream, now_us);
 	exchange_write(stream->request.exchange, complete.data, complete.len);
 	event_split_consume(&stream->event_split);
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -27,7 +27,7 @@
 {
 	stream_t *stream = context;
 
-	g_string_append_len(stream->send.body, data, (gssize)len);
+	relay_send_keep(&stream->send, data, len);
 }
 
 /* Records a prefill that has succeeded and starts the decode stage with it. */
