Do not hold requests over servers that were only cut off

Cause: only the VM that saw a loss could refute it, and only within 1.5 s. Now each VM refutes a loss by what it receives from the server itself; later than 1.5 s this takes 3 s more, in which the list of servers tells of a process that has started again with the same ID. A rule is stored once the servers lost under it are gone from the list, or their addresses answer as other servers; until then it holds in memory.

test_servers_behind_a_cut and test_losses_of_a_vm_behind_a_cut are new, test_confirmed_rules and the tests of the rows ask for servers that are gone.

--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -7,12 +7,16 @@
 #define MIN_SERVERS_ONCE_SOUND 5
 
 /* A server that sends something between these times after a loss still runs, so
- * that only the connection was lost. Later, a process that has restarted with
- * the same ID could answer.
+ * that only the connection was lost.
  */
 #define ALIVE_FROM_US INT64_C(20000)
 #define ALIVE_UNTIL_US INT64_C(1500000)
 
+/* What a server sends later may come from a process that has started again with
+ * the same ID. The list of servers tells so within this time.
+ */
+#define RESTART_LISTED_US INT64_C(3000000)
+
 /* Losses are announced for this long. What an announcement of their VM no longer
  * holds before WITHDRAWN_UNTIL_US was withdrawn there.
  */
@@ -27,8 +31,11 @@
 typedef struct {
 	quarantine_loss_t loss;
 	uint64_t vm; /* identifies the peer's process; 0: this VM */
-	server_t *server; /* of this VM's loss; owns a reference. NULL: a peer's */
-	bool confirmed; /* it is not withdrawn any more */
+	server_t *server; /* owns a reference; NULL: not known */
+	/* When it was first seen that the server sends again; 0: it does not. */
+	int64_t heard_us;
+	bool refuted; /* the server still runs: the loss does not count */
+	bool confirmed; /* the server is gone */
 } entry_t;
 
 /* How often a key was on losses. */
@@ -55,9 +62,13 @@
 }
 
 /* Sets up an object without evidence and rules. */
-void quarantine_init(quarantine_t *quarantine)
+void quarantine_init(quarantine_t *quarantine,
+		     server_t *(*find_server)(void *context, uint64_t process),
+		     void *context)
 {
 	memset(quarantine, 0, sizeof(*quarantine));
+	quarantine->find_server = find_server;
+	quarantine->context = context;
 	quarantine->losses = g_array_new(FALSE, FALSE, sizeof(entry_t));
 	g_array_set_clear_func(quarantine->losses, clear_entry);
 	quarantine->sound = new_times();
@@ -145,7 +156,7 @@
 }
 
 /* Records that the connection to a server was lost while it began a request. The
- * loss is withdrawn if the server turns out to run. `process` identifies the
+ * loss is refuted if the server turns out to run. `process` identifies the
  * server's process at all VMs.
  */
 void quarantine_add_loss(quarantine_t *quarantine, server_t *server,
@@ -270,35 +281,59 @@
 	for (size_t i = 0; i < n_losses; i++) {
 		entry_t entry = {.loss = losses[i], .vm = vm};
 
-		if (!is_known(quarantine, vm, &losses[i]))
-			add_entry(quarantine, &entry);
+		if (is_known(quarantine, vm, &losses[i]))
+			continue;
+		entry.server = quarantine->find_server(quarantine->context,
+						       losses[i].server);
+		if (entry.server)
+			(void)server_ref(entry.server);
+		add_entry(quarantine, &entry);
 	}
 }
 
-/* Returns whether the server of a loss has turned out to run. */
-static bool still_runs(const entry_t *entry)
+/* Returns whether the process of a loss is gone: it is not known any more, or its
+ * address answers as another one.
+ */
+static bool is_gone(const entry_t *entry)
 {
-	return entry->server && entry->server->last_received_us >=
-					entry->loss.lost_us + ALIVE_FROM_US;
+	return !entry->server || entry->server->removed ||
+	       entry->server->address_reused;
 }
 
-/* Withdraws this VM's losses of servers that still run, confirms losses and drops
- * those that are too old to count.
+/* Returns whether the server of a loss has turned out to run, by what this VM has
+ * received from it since.
+ */
+static bool still_runs(entry_t *entry, int64_t now_us)
+{
+	int64_t lost_us = entry->loss.lost_us;
+	int64_t received_us = entry->server->last_received_us;
+
+	if (received_us < lost_us + ALIVE_FROM_US)
+		return false;
+	if (entry->heard_us == 0)
+		entry->heard_us = now_us;
+	return received_us < lost_us + ALIVE_UNTIL_US ||
+	       now_us - entry->heard_us >= RESTART_LISTED_US;
+}
+
+/* Finds out which losses were of servers that still run, and which of servers that
+ * are gone. Drops those that are too old to count.
  */
 static void check_losses(quarantine_t *quarantine, int64_t now_us)
 {
 	for (guint i = quarantine->losses->len; i-- > 0;) {
 		entry_t *entry = get_entry(quarantine, i);
-		int64_t age_us = now_us - entry->loss.lost_us;
 
-		if (age_us >= QUARANTINE_US ||
-		    (!entry->confirmed && still_runs(entry))) {
+		if (now_us - entry->loss.lost_us >= QUARANTINE_US) {
 			g_array_remove_index(quarantine->losses, i);
 			quarantine->changed = true;
-		} else if (!entry->confirmed && age_us >= ALIVE_UNTIL_US) {
-			entry->confirmed = true;
-			quarantine->changed = true;
+			continue;
 		}
+		if (entry->confirmed || entry->refuted)
+			continue;
+		entry->confirmed = is_gone(entry);
+		entry->refuted = !entry->confirmed && still_runs(entry, now_us);
+		quarantine->changed |= entry->confirmed || entry->refuted;
 	}
 }
 
@@ -507,8 +542,8 @@
 	g_array_unref(left);
 }
 
-/* Returns the losses of all VMs, or only those that cannot be withdrawn any
- * more, as a new array of quarantine_loss_t.
+/* Returns the losses of all VMs that are not refuted, or only the confirmed ones,
+ * as a new array of quarantine_loss_t.
  */
 static GArray *list_losses(const quarantine_t *quarantine, bool confirmed)
 {
@@ -517,7 +552,7 @@
 	for (guint i = 0; i < quarantine->losses->len; i++) {
 		const entry_t *entry = get_entry(quarantine, i);
 
-		if (!confirmed || entry->confirmed)
+		if (entry->confirmed || (!confirmed && !entry->refuted))
 			g_array_append_val(losses, entry->loss);
 	}
 	return losses;
@@ -771,7 +806,8 @@
 	for (guint i = 0; i < quarantine->losses->len; i++) {
 		const entry_t *entry = get_entry(quarantine, i);
 
-		if (entry->vm == 0 && has_all_keys(&entry->loss, rule))
+		if (entry->vm == 0 && !entry->refuted &&
+		    has_all_keys(&entry->loss, rule))
 			return true;
 	}
 	return false;
@@ -788,7 +824,7 @@
 	     i-- > 0 && losses->len < QUARANTINE_LOSSES_ANNOUNCED;) {
 		const entry_t *entry = get_entry(quarantine, i);
 
-		if (entry->vm == 0 &&
+		if (entry->vm == 0 && !entry->refuted &&
 		    now_us - entry->loss.lost_us < ANNOUNCE_US)
 			g_array_append_val(losses, entry->loss);
 	}
--- a/src/process/decide/quarantine.h
+++ b/src/process/decide/quarantine.h
@@ -66,12 +66,19 @@
 	GHashTable *sound_at_peers; /* the same, at the other VMs */
 	GArray *stored; /* of quarantine_rule_t, from the platform's store */
 	GArray *rules; /* of quarantine_rule_t, in force; from all the above */
-	GArray *confirmed; /* those of them that may be stored */
+	GArray *confirmed; /* those of them under which all servers are gone */
+	/* Finds the server of a process by its number, without a new reference;
+	 * NULL if it is not known (any more).
+	 */
+	server_t *(*find_server)(void *context, uint64_t process);
+	void *context; /* for find_server */
 	bool changed; /* rules have to be computed again */
 	bool overflowed; /* more than QUARANTINE_CAUSES_MAX were found */
 } quarantine_t;
 
-void quarantine_init(quarantine_t *quarantine);
+void quarantine_init(quarantine_t *quarantine,
+		     server_t *(*find_server)(void *context, uint64_t process),
+		     void *context);
 void quarantine_finish(quarantine_t *quarantine);
 void quarantine_add_loss(quarantine_t *quarantine, server_t *server,
 			 uint64_t process, const uint64_t *keys, size_t n_keys,
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -61,6 +61,7 @@
 	server_t *server = data;
 
 	server->listed = false;
+	server->removed = true;
 	server_unref(server);
 }
 
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -34,6 +34,7 @@
 typedef struct {
 	server_entry_t entry;
 	bool listed; /* the platform's list has it now */
+	bool removed; /* from the set; only requests in progress still hold it */
 	bool address_reused; /* its address answered as another server */
 	int64_t expires_us; /* a full read of the list missed it: removed then,
 			       unless it is listed again; 0: was not missed */
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -2,6 +2,7 @@
 
 #include "process/counters.h"
 #include "process/log.h"
+#include "request/request_keys.h"
 
 /* Time that a caller is assumed to wait if its request states none. */
 #define DEFAULT_TIME_LEFT_US (30 * CLOCK_US_PER_S)
@@ -18,6 +19,22 @@
 	g_free(data);
 }
 
+/* Finds the server of a process, for the quarantine. */
+static server_t *find_server(void *context, uint64_t process)
+{
+	const relay_t *relay = context;
+	GHashTableIter iter;
+	gpointer server;
+
+	g_hash_table_iter_init(&iter, relay->servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &server)) {
+		if (request_process_number(&((server_t *)server)->entry) ==
+		    process)
+			return server;
+	}
+	return NULL;
+}
+
 /* Sets up the shared state; the pointers must outlive it. Retries are not
  * allowed until relay_set_retry_limits() is called.
  */
@@ -39,7 +56,7 @@
 	relay->output_models =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	server_limits_init(&relay->limits, (uint32_t)relay->seed);
-	quarantine_init(&relay->quarantine);
+	quarantine_init(&relay->quarantine, find_server, relay);
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 }
--- a/src/request/request_keys.c
+++ b/src/request/request_keys.c
@@ -83,7 +83,7 @@
 }
 
 /* Returns a number that identifies a server's process, the same at all VMs. */
-static uint64_t hash_process(const server_entry_t *entry)
+uint64_t request_process_number(const server_entry_t *entry)
 {
 	return XXH64(entry->id, strlen(entry->id), (uint64_t)entry->started_ms);
 }
@@ -96,7 +96,7 @@
 	size_t n = collect_keys(request, keys);
 
 	quarantine_add_loss(&relay->quarantine, server,
-			    hash_process(&server->entry), keys, n,
+			    request_process_number(&server->entry), keys, n,
 			    clock_now(&relay->clock));
 	if (relay->on_loss)
 		relay->on_loss(relay->context);
--- a/src/request/request_keys.h
+++ b/src/request/request_keys.h
@@ -16,6 +16,7 @@
 #define REQUEST_QUARANTINED_REASON \
 	"requests like this crash the backend servers"
 
+uint64_t request_process_number(const server_entry_t *entry);
 void request_digests(const exchange_t *exchange, uint64_t digests[]);
 bool request_is_quarantined(const relay_request_t *request, int64_t *until_us);
 void request_record_loss(const relay_request_t *request, server_t *server);
--- a/tests/test_endless_responses.c
+++ b/tests/test_endless_responses.c
@@ -165,14 +165,13 @@
 
 	fixture->listener =
 		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	assert_int_equal(
-		bind(fixture->listener, (struct sockaddr *)&any, len), 0);
+	assert_int_equal(bind(fixture->listener, (struct sockaddr *)&any, len),
+			 0);
 	assert_int_equal(listen(fixture->listener, 64), 0);
 	assert_int_equal(getsockname(fixture->listener, (struct sockaddr *)&any,
 				     &len),
 			 0);
-	fixture->address =
-		g_strdup_printf("127.0.0.1:%u", ntohs(any.sin_port));
+	fixture->address = g_strdup_printf("127.0.0.1:%u", ntohs(any.sin_port));
 	fixture->listener_source = g_unix_fd_add(fixture->listener, G_IO_IN,
 						 on_acceptable, fixture);
 }
@@ -380,8 +379,9 @@
 		most = MAX(most, fixture.connections[i].sent_bytes);
 	print_message("%s: %" G_GINT64_FORMAT " KiB of one, %" G_GINT64_FORMAT
 		      " KiB at a time, %u ended, %u succeeded, %s\n",
-		      bytes->name, most >> 10, fixture.most_open_bytes >> 10, fixture.ended,
-		      fixture.succeeded, closed ? "closed" : "left open");
+		      bytes->name, most >> 10, fixture.most_open_bytes >> 10,
+		      fixture.ended, fixture.succeeded,
+		      closed ? "closed" : "left open");
 	stop(&fixture);
 	return ended && most <= ALLOWED_BYTES &&
 	       fixture.most_open_bytes <= ALLOWED_BYTES_IN_ALL && closed &&
@@ -392,7 +392,7 @@
 	"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n" \
 	"Keep-Alive: timeout=5\r\n"
 #define CHUNKED OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
-#define CHUNK                                                  \
+#define CHUNK                                                    \
 	"40\r\n0123456789abcdef0123456789abcdef0123456789abcdef" \
 	"0123456789abcdef\r\n"
 #define UNFRAMED OK_HEAD "Connection: close\r\n\r\n"
@@ -406,8 +406,8 @@
 	{"chunks", CHUNKED, CHUNK},
 	{"chunk extension", CHUNKED "10;", "z"},
 	{"body without a length", UNFRAMED, "0123456789abcdef"},
-	{"body with a large length", OK_HEAD "Content-Length: 99999999999\r\n\r\n",
-	 "0123456789abcdef"},
+	{"body with a large length",
+	 OK_HEAD "Content-Length: 99999999999\r\n\r\n", "0123456789abcdef"},
 	{"error body", "HTTP/1.1 500 Oops\r\n\r\n", "0123456789abcdef"},
 	{"response to another request",
 	 OK_HEAD "X-Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -12,7 +12,6 @@
 #include "process/decide/quarantine.h"
 
 #define START_US (1000 * CLOCK_US_PER_S)
-#define CONFIRMED_US (2 * CLOCK_US_PER_S)
 #define SERVERS 64
 
 /* Keys of the requests: the first part of all prompts, the part that crashes
@@ -29,11 +28,19 @@
 	int64_t now_us;
 } fixture_t;
 
+static server_t *find_server(void *context, uint64_t process)
+{
+	const fixture_t *fixture = context;
+	server_t *server = fixture->servers[process];
+
+	return server->removed ? NULL : server;
+}
+
 static void setup(fixture_t *fixture)
 {
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->now_us = START_US;
-	quarantine_init(&fixture->quarantine);
+	quarantine_init(&fixture->quarantine, find_server, fixture);
 	for (size_t i = 0; i < SERVERS; i++) {
 		fixture->servers[i] = g_new0(server_t, 1);
 		fixture->servers[i]->refs = 1;
@@ -87,6 +94,26 @@
 				fixture->now_us) != NULL;
 }
 
+/* Announces the losses and sound keys of one VM to another one. */
+static void announce(fixture_t *from, fixture_t *to, uint64_t vm)
+{
+	GArray *losses = g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
+	GArray *sound = g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
+
+	to->now_us = MAX(to->now_us, from->now_us);
+	quarantine_list_own(&from->quarantine, losses, to->now_us);
+	quarantine_apply_peer(&to->quarantine, vm,
+			      (const quarantine_loss_t *)losses->data,
+			      losses->len, to->now_us);
+	quarantine_list_sound(&from->quarantine, sound, to->now_us);
+	for (guint i = 0; i < sound->len; i++)
+		quarantine_add_peer_sound(
+			&to->quarantine,
+			&g_array_index(sound, quarantine_sound_t, i));
+	g_array_unref(losses);
+	g_array_unref(sound);
+}
+
 /* Guards against requests that go on to crash servers, and against the refusal
  * of sound ones that share a part with them.
  */
@@ -155,13 +182,13 @@
 	}
 	fixture.now_us += 100 * CLOCK_US_PER_MS;
 	assert_false(is_held(&fixture, FIRST, SICK));
-	fixture.now_us += CONFIRMED_US;
+	fixture.now_us += 2 * CLOCK_US_PER_S;
 	assert_false(is_held(&fixture, FIRST, SICK));
 	teardown(&fixture);
 }
 
-/* Guards against a process that restarts with the same ID and clears the loss of
- * the one before.
+/* Guards against a process that restarts with the same ID, answers before the list
+ * of servers tells of it, and clears the loss of the one before.
  */
 static void test_server_that_restarts(void **state)
 {
@@ -171,14 +198,67 @@
 	setup(&fixture);
 	for (size_t i = 0; i < 3; i++)
 		(void)lose(&fixture, keys, 1);
-	fixture.now_us += CONFIRMED_US;
-	assert_true(is_held(&fixture, FIRST, SICK));
+	fixture.now_us += 2 * CLOCK_US_PER_S;
 	for (size_t i = 0; i < 3; i++)
 		server_record_received(fixture.servers[i], fixture.now_us);
 	assert_true(is_held(&fixture, FIRST, SICK));
+	fixture.now_us += 2 * CLOCK_US_PER_S;
+	for (size_t i = 0; i < 3; i++)
+		fixture.servers[i]->removed = true;
+	assert_true(is_held(&fixture, FIRST, SICK));
+	fixture.now_us += 10 * CLOCK_US_PER_S;
+	assert_true(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Guards against a sound request that is held for long because it was sent to
+ * several servers across a cut: these answer when the cut has healed.
+ */
+static void test_servers_behind_a_cut(void **state)
+{
+	const uint64_t keys[] = {SICK};
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (size_t i = 0; i < 3; i++)
+		(void)lose(&fixture, keys, 1);
+	fixture.now_us += 6 * CLOCK_US_PER_S;
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_int_equal(fixture.quarantine.confirmed->len, 0);
+	for (size_t i = 0; i < 3; i++)
+		server_record_received(fixture.servers[i], fixture.now_us);
+	(void)is_held(&fixture, FIRST, SICK);
+	fixture.now_us += 4 * CLOCK_US_PER_S;
+	assert_false(is_held(&fixture, FIRST, SICK));
+	assert_int_equal(fixture.quarantine.confirmed->len, 0);
 	teardown(&fixture);
 }
 
+/* Guards against losses of a VM behind a cut that count at VMs which the servers
+ * still answer.
+ */
+static void test_losses_of_a_vm_behind_a_cut(void **state)
+{
+	const uint64_t keys[] = {SICK};
+	fixture_t vm, peer;
+
+	setup(&vm);
+	setup(&peer);
+	for (size_t i = 0; i < 3; i++) {
+		(void)lose(&peer, keys, 1);
+		server_record_received(vm.servers[i],
+				       peer.now_us + CLOCK_US_PER_S);
+	}
+	announce(&peer, &vm, 1);
+	vm.now_us += CLOCK_US_PER_S;
+	assert_false(is_held(&vm, FIRST, SICK));
+	announce(&peer, &vm, 1);
+	assert_false(is_held(&vm, FIRST, SICK));
+	assert_true(is_held(&peer, FIRST, SICK));
+	teardown(&vm);
+	teardown(&peer);
+}
+
 /* Guards against the blame of sound requests that were on the lost servers at
  * the time, again and again, before any of their kind has begun well.
  */
@@ -310,26 +390,6 @@
 	teardown(&fixture);
 }
 
-/* Announces the losses and sound keys of one VM to another one. */
-static void announce(fixture_t *from, fixture_t *to, uint64_t vm)
-{
-	GArray *losses = g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
-	GArray *sound = g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
-
-	to->now_us = MAX(to->now_us, from->now_us);
-	quarantine_list_own(&from->quarantine, losses, to->now_us);
-	quarantine_apply_peer(&to->quarantine, vm,
-			      (const quarantine_loss_t *)losses->data,
-			      losses->len, to->now_us);
-	quarantine_list_sound(&from->quarantine, sound, to->now_us);
-	for (guint i = 0; i < sound->len; i++)
-		quarantine_add_peer_sound(
-			&to->quarantine,
-			&g_array_index(sound, quarantine_sound_t, i));
-	g_array_unref(losses);
-	g_array_unref(sound);
-}
-
 /* Guards against VMs that each see one loss and never learn of the others, and
  * against the refusal of what only another VM knows to be sound.
  */
@@ -400,8 +460,8 @@
 	teardown(&fixture);
 }
 
-/* Guards against rules in the store that rest on losses which may still be
- * withdrawn.
+/* Guards against rules in the store that rest on losses of servers which may still
+ * run.
  */
 static void test_confirmed_rules(void **state)
 {
@@ -409,10 +469,12 @@
 
 	setup(&fixture);
 	lose_sick(&fixture, 3);
+	fixture.now_us += 30 * CLOCK_US_PER_S;
 	(void)quarantine_update(&fixture.quarantine, fixture.now_us);
 	assert_int_equal(fixture.quarantine.rules->len, 1);
 	assert_int_equal(fixture.quarantine.confirmed->len, 0);
-	fixture.now_us += CONFIRMED_US;
+	for (size_t i = 0; i < 3; i++)
+		fixture.servers[i]->removed = true;
 	(void)quarantine_update(&fixture.quarantine, fixture.now_us);
 	assert_int_equal(fixture.quarantine.confirmed->len, 1);
 	teardown(&fixture);
@@ -426,6 +488,8 @@
 		cmocka_unit_test(test_one_server),
 		cmocka_unit_test(test_servers_that_still_run),
 		cmocka_unit_test(test_server_that_restarts),
+		cmocka_unit_test(test_servers_behind_a_cut),
+		cmocka_unit_test(test_losses_of_a_vm_behind_a_cut),
 		cmocka_unit_test(test_requests_beside),
 		cmocka_unit_test(test_requests_that_stay_together),
 		cmocka_unit_test(test_servers_that_fail),
--- a/tests/test_quarantine_rows.c
+++ b/tests/test_quarantine_rows.c
@@ -21,9 +21,16 @@
 	http_pool_t pool;
 	quarantine_t quarantine;
 	quarantine_rows_t rows;
+	server_t servers[SERVERS];
 	int64_t now_us;
 } vm_t;
 
+/* No server is listed any more. */
+static server_t *find_server(void *context, uint64_t process)
+{
+	return NULL;
+}
+
 static void init(vm_t *vm)
 {
 	clock_source_t clock = clock_boottime();
@@ -33,7 +40,7 @@
 	vm->store_address = unused_address();
 	fake_store_start(&vm->store, vm->store_address);
 	http_pool_init(&vm->pool, clock, 1000, 0);
-	quarantine_init(&vm->quarantine);
+	quarantine_init(&vm->quarantine, find_server, vm);
 	quarantine_rows_init(&vm->rows, clock, &vm->pool, &vm->quarantine,
 			     "vm-0");
 }
@@ -53,15 +60,20 @@
 	const uint64_t key = SICK;
 
 	for (uint64_t i = 0; i < SERVERS; i++) {
-		server_t *server = g_new0(server_t, 1);
-
-		server->refs = 1;
-		quarantine_add_loss(&vm->quarantine, server, i, &key, 1,
-				    vm->now_us - age_us);
-		server_unref(server);
+		vm->servers[i].refs = 2; /* the test's own, and the loss */
+		quarantine_add_loss(&vm->quarantine, &vm->servers[i], i, &key,
+				    1, vm->now_us - age_us);
+		vm->servers[i].removed = age_us > 0;
 	}
 }
 
+/* The list of servers tells that the lost ones are gone. */
+static void remove_servers(vm_t *vm)
+{
+	for (size_t i = 0; i < SERVERS; i++)
+		vm->servers[i].removed = true;
+}
+
 /* Checks the rules at a time from now, and lets a write end. */
 static void check(vm_t *vm, int64_t after_us)
 {
@@ -94,7 +106,7 @@
 }
 
 /* Guards against a rule that never reaches the store or is written again and
- * again, and against one that rests on losses which may be withdrawn.
+ * again, and against one that rests on losses of servers that may still run.
  */
 static void test_rule_is_stored(void **state)
 {
@@ -107,6 +119,7 @@
 	lose_servers(&vm, 0);
 	check(&vm, 0);
 	assert_int_equal(row_version(&vm), 0);
+	remove_servers(&vm);
 	check(&vm, 2 * CLOCK_US_PER_S);
 	version = row_version(&vm);
 	assert_true(version > 0);
