--- /dev/null
+++ b/src/process/decide/quarantine_rules.h
@@ -0,0 +1,16 @@
+/* Which rules the losses of servers support: the search for what the lost requests
+ * have in common. Used by quarantine.c only.
+ */
+#ifndef PROCESS_QUARANTINE_RULES_H
+#define PROCESS_QUARANTINE_RULES_H
+
+#include "process/decide/quarantine.h"
+
+int64_t quarantine_sound_at_us(const quarantine_t *quarantine, uint64_t key);
+bool quarantine_loss_has_key(const quarantine_loss_t *loss, uint64_t key);
+bool quarantine_find_rules(const quarantine_t *quarantine, GArray *losses,
+			   GArray *rules);
+quarantine_rule_t *quarantine_find_equal(const GArray *rules,
+					 const quarantine_rule_t *rule);
+
+#endif
--- a/src/process/entry/entry_quarantine.c
+++ b/src/process/entry/entry_quarantine.c
@@ -45,6 +45,9 @@
 	entry_t *entry = context;
 	quarantine_t *quarantine = &entry->relay.quarantine;
 
+	/* A server that is not known counts as gone. */
+	if (!entry->rows.server_list.synced)
+		return;
 	quarantine_apply_peer(
 		quarantine, hash_process(announcement),
 		(const quarantine_loss_t *)announcement->losses->data,
