Write lists of keys in one place

Keys in hexadecimal with a separator were written three times: in the log of lost streams, of rules and in the keys of rows. No behaviour changes.

--- a/src/process/decide/quarantine_rules.c
+++ b/src/process/decide/quarantine_rules.c
@@ -222,7 +222,7 @@
 
 /* Returns the rule with the same keys in an array, or NULL. */
 quarantine_rule_t *quarantine_find_equal(const GArray *rules,
-				     const quarantine_rule_t *rule)
+					 const quarantine_rule_t *rule)
 {
 	for (guint i = 0; i < rules->len; i++) {
 		quarantine_rule_t *other =
@@ -270,7 +270,7 @@
  * QUARANTINE_CAUSES_MAX causes there are none. Returns whether that is so.
  */
 bool quarantine_find_rules(const quarantine_t *quarantine, GArray *losses,
-		       GArray *rules)
+			   GArray *rules)
 {
 	unsigned causes = 0;
 	uint64_t key = 0;
@@ -287,4 +287,3 @@
 		g_array_set_size(rules, 0);
 	return causes > QUARANTINE_CAUSES_MAX;
 }
-
--- a/src/process/entry/entry_quarantine.c
+++ b/src/process/entry/entry_quarantine.c
@@ -1,9 +1,9 @@
 #include "process/entry/entry_quarantine.h"
 
-#include <inttypes.h>
 #include <xxhash.h>
 
 #include "process/log.h"
+#include "request/request_keys.h"
 
 /* That there are no losses any more is announced for this long. */
 #define ANNOUNCE_NONE_US (10 * CLOCK_US_PER_S)
@@ -88,9 +88,7 @@
 		if (has_rule(others, rule))
 			continue;
 		keys = g_string_new(NULL);
-		for (unsigned k = 0; k < rule->n_keys; k++)
-			g_string_append_printf(keys, "%s%" PRIx64, k ? "," : "",
-					       rule->keys[k]);
+		request_keys_append(keys, rule->keys, rule->n_keys, ',');
 		log_event(LOG_WARN, event, LOG_CSTR("keys", keys->str),
 			  LOG_UINT("servers", rule->servers));
 		g_string_free(keys, TRUE);
--- a/src/process/entry/quarantine_rows.c
+++ b/src/process/entry/quarantine_rows.c
@@ -5,6 +5,7 @@
 #include "names.h"
 #include "process/entry/store_rows.h"
 #include "process/log.h"
+#include "request/request_keys.h"
 #include "store_call.h"
 
 /* Pauses between checks, and after a write that failed. */
@@ -59,9 +60,7 @@
 {
 	GString *key = g_string_new(STORE_CRASH_PREFIX);
 
-	for (unsigned i = 0; i < rule->n_keys; i++)
-		g_string_append_printf(key, "%s%" PRIx64, i ? "-" : "",
-				       rule->keys[i]);
+	request_keys_append(key, rule->keys, rule->n_keys, '-');
 	return g_string_free(key, FALSE);
 }
 
--- a/src/request/request_keys.c
+++ b/src/request/request_keys.c
@@ -1,7 +1,19 @@
 #include "request/request_keys.h"
 
+#include <inttypes.h>
 #include <xxhash.h>
 
+/* Appends keys in hexadecimal, with a separator between them. */
+void request_keys_append(GString *out, const uint64_t *keys, size_t n,
+			 char separator)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (i > 0)
+			g_string_append_c(out, separator);
+		g_string_append_printf(out, "%" PRIx64, keys[i]);
+	}
+}
+
 /* Adds bytes to a digest, after their number, so that the same bytes split
  * differently give another digest.
  */
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -1,7 +1,5 @@
 #include "request/stream.h"
 
-#include <inttypes.h>
-
 #include "process/counters.h"
 #include "process/log.h"
 #include "request/request_keys.h"
@@ -194,35 +192,24 @@
 		stream->longest_gap_us > route->event_gap_us);
 }
 
-/* Returns the IDs of the shared parts of the prompt, for the log, separated by
- * commas; freed with g_free().
- */
-static char *format_shared_parts(const request_fields_t *fields)
-{
-	GString *text = g_string_new(NULL);
-
-	for (size_t i = 0; i < fields->n_shared_parts; i++)
-		g_string_append_printf(text, "%s%" PRIx64, i ? "," : "",
-				       fields->shared_parts[i]);
-	return g_string_free(text, FALSE);
-}
-
 /* Logs which engine was lost with a stream, and what the request shares with
  * others. A stream without an event had not begun.
  */
 void stream_log_lost(const stream_t *stream, const server_t *server)
 {
-	char *parts = format_shared_parts(&stream->request.fields);
+	const request_fields_t *fields = &stream->request.fields;
+	GString *parts = g_string_new(NULL);
 
-	log_event(LOG_WARN, "stream_lost",
-		  LOG_STR("request", stream->request.fields.id),
+	request_keys_append(parts, fields->shared_parts, fields->n_shared_parts,
+			    ',');
+	log_event(LOG_WARN, "stream_lost", LOG_STR("request", fields->id),
 		  LOG_CSTR("server", server->entry.id),
-		  LOG_CSTR("parts", parts),
+		  LOG_CSTR("parts", parts->str),
 		  LOG_INT("events", stream->event_split.events_with_id),
 		  LOG_INT("sent_ms", (clock_now(&stream->request.relay->clock) -
 				      stream->send.sent_us) /
 					     CLOCK_US_PER_MS));
-	g_free(parts);
+	g_string_free(parts, TRUE);
 }
 
 /* Counts how a stream ended, and logs it with the duration of each step. Of
