--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -470,7 +470,8 @@
 	quarantine->overflowed =
 		quarantine_find_rules(quarantine, losses, quarantine->rules);
 	g_array_unref(losses);
-	add_stored(quarantine);
+	if (!quarantine->overflowed)
+		add_stored(quarantine);
 	return true;
 }
 
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -365,13 +365,19 @@
 }
 
 /* Guards against rules on everything when servers crash whatever they begin, as
- * after a faulty release.
+ * after a faulty release, also when the first of them have reached the store.
  */
 static void test_servers_that_crash_always(void **state)
 {
+	const quarantine_rule_t stored = {.n_keys = 1,
+					  .keys = {FIRST},
+					  .servers = 3,
+					  .lost_us = START_US};
 	fixture_t fixture;
 
 	setup(&fixture);
+	quarantine_put_stored(&fixture.quarantine, &stored);
+	assert_true(is_held(&fixture, FIRST, SOUND));
 	for (uint64_t i = 0; i < SERVERS; i++) {
 		const uint64_t keys[] = {SOUND + i % 12};
 
