Log the software version of servers and requests for the rest of a stream

The log could not tell whether a stream went on at another version because a VM resumed it in the same answer or because its caller asked another VM for the rest. Nothing is decided by them.

--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -36,6 +36,7 @@
 	g_free(entry->service);
 	g_free(entry->address);
 	g_free(entry->zone);
+	g_free(entry->software);
 	memset(entry, 0, sizeof(*entry));
 }
 
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -22,6 +22,7 @@
 	char *service;
 	char *address; /* IP:port */
 	char *zone;
+	char *software; /* version of its software; empty: not stated */
 	stage_t stage;
 	int64_t slots; /* requests that it runs at the same time */
 	int64_t started_ms; /* wall clock time of its start; 0: unknown */
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -133,7 +133,8 @@
 {
 	log_event(LOG_INFO, "server_changed", LOG_CSTR("server", entry->id),
 		  LOG_CSTR("change", change), LOG_CSTR("zone", entry->zone),
-		  LOG_CSTR("address", entry->address));
+		  LOG_CSTR("address", entry->address),
+		  LOG_CSTR("software", entry->software));
 }
 
 /* Returns whether a row brings nothing but another heartbeat of a server. */
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -204,6 +204,7 @@
 			    ',');
 	log_event(LOG_WARN, "stream_lost", LOG_STR("request", fields->id),
 		  LOG_CSTR("server", server->entry.id),
+		  LOG_CSTR("software", server->entry.software),
 		  LOG_CSTR("parts", parts->str),
 		  LOG_INT("events", stream->event_split.events_with_id),
 		  LOG_INT("sent_ms", (clock_now(&stream->request.relay->clock) -
@@ -219,6 +220,8 @@
 		    request_result_t result, const char *text)
 {
 	const relay_request_t *request = &stream->request;
+	const server_entry_t *decode = stream->decode ? &stream->decode->entry
+						      : NULL;
 	bool on_time = result == RESULT_OK && !is_late(stream);
 
 	relay_count_end(request, result);
@@ -230,8 +233,8 @@
 		  LOG_CSTR("prefill", stream->prefilled_by
 					      ? stream->prefilled_by->entry.id
 					      : ""),
-		  LOG_CSTR("decode",
-			   stream->decode ? stream->decode->entry.id : ""),
+		  LOG_CSTR("decode", decode ? decode->id : ""),
+		  LOG_CSTR("software", decode ? decode->software : ""),
 		  LOG_UINT("status", status), LOG_CSTR("result", text),
 		  LOG_INT("prompt_tokens", request->fields.prompt_tokens),
 		  LOG_INT("events", stream->event_split.events_with_id),
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -224,6 +224,7 @@
 	log_event(LOG_WARN, "stream_resumed",
 		  LOG_STR("request", request->fields.id),
 		  LOG_CSTR("server", next->entry.id),
+		  LOG_CSTR("software", next->entry.software),
 		  LOG_STR("after_event",
 			  event_split_last_id(&stream->event_split)));
 	return send_decode(stream);
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -208,6 +208,8 @@
 		"\"slots\":1,\"state\":\"ready\"}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
 		"\"slots\":1,\"state\":\"ready\",\"stage\":\"other\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+		"\"slots\":1,\"state\":\"ready\",\"version\":1}",
 	};
 	server_entry_t entry;
 
@@ -215,6 +217,7 @@
 	assert_string_equal(entry.id, "i-1");
 	assert_string_equal(entry.address, "10.128.0.9:8080");
 	assert_int_equal(entry.stage, STAGE_DECODE);
+	assert_string_equal(entry.software, "v1");
 	assert_int_equal(entry.started_ms, INT64_C(1700000000000));
 	assert_false(entry.leaving);
 	server_entry_clear(&entry);
