Resume a broken stream only at the version that began it

Callers saw answers that joined events of two software versions of a backend server, while a service ran both.

Cause: resume_elsewhere() chose among all decode engines of the service by load; the version of their software was not part of the choice, nor even read. A stream is tied to the version of its engine now when the first events are passed on, and only engines of that version take it afterwards. Before the first event any engine may take it, as before. If no engine of the version is usable the answer is cut, and the caller may ask for the rest.

Ruled out: a list of servers that is out of date.

test_software_versions: test_resumed_in_one_answer and test_resumed_at_the_same_version fail before and pass now. The latter broke the streams of all four engines, so that no usable engine was left; it breaks those of two engines now and fails on the code before as it did.

--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -79,6 +79,10 @@
 	/* When the answer, or its first event, is due by the route's target. */
 	int64_t answer_due_us;
 	unsigned sends; /* each to another server; prefills not counted */
+	/* Only decode engines with this version of their software may run it,
+	 * as request_software_number() names it; 0: all.
+	 */
+	uint64_t required_software;
 	void (*on_gone)(void *owner); /* the caller has disconnected */
 	void *owner; /* the call or stream that this is part of */
 } relay_request_t;
--- a/src/request/request_keys.c
+++ b/src/request/request_keys.c
@@ -100,6 +100,14 @@
 	return XXH64(entry->id, strlen(entry->id), (uint64_t)entry->started_ms);
 }
 
+/* Returns a number other than 0 that identifies the version of a server's
+ * software, the same at all VMs.
+ */
+uint64_t request_software_number(const server_entry_t *entry)
+{
+	return XXH64(entry->software, strlen(entry->software), 0) | 1;
+}
+
 /* Records that a server was lost while it began a request. */
 void request_record_loss(const relay_request_t *request, server_t *server)
 {
--- a/src/request/stream_engines.c
+++ b/src/request/stream_engines.c
@@ -1,5 +1,7 @@
 #include "request/stream_engines.h"
 
+#include "request/request_keys.h"
+
 /* Prefill time of a token while nothing is known of any engine's speed. It is
  * shorter than any engine takes, so that no request is held to be late, and
  * orders the engines by their backlog.
@@ -20,6 +22,15 @@
 	       server_limits_allow(&relay->limits, server->entry.id, now_us);
 }
 
+/* Returns whether the version of an engine's software may run a request. */
+static bool has_required_software(const server_t *server,
+				  const relay_request_t *request)
+{
+	return request->required_software == 0 ||
+	       request->required_software ==
+		       request_software_number(&server->entry);
+}
+
 /* Appends a decode engine. */
 static void add_decode(stream_engines_t *engines,
 		       const relay_request_t *request, server_t *server,
@@ -32,7 +43,9 @@
 		.slots = request->service->engine.slots,
 		.kv_tokens = request->service->engine.kv_tokens,
 		.use = *use,
-		.usable = engine_takes_request(request->relay, server, now_us),
+		.usable =
+			engine_takes_request(request->relay, server, now_us) &&
+			has_required_software(server, request),
 		.same_zone =
 			g_str_equal(server->entry.zone, request->relay->zone),
 	};
--- a/tests/test_software_versions.c
+++ b/tests/test_software_versions.c
@@ -147,6 +147,18 @@
 		exchange_abort(g_ptr_array_remove_index(engine->open, 0));
 }
 
+/* Sends the last event of all streams that an engine has begun. */
+static void end_streams(engine_stub_t *engine)
+{
+	while (engine->open->len > 0) {
+		exchange_t *exchange =
+			g_ptr_array_remove_index(engine->open, 0);
+
+		write_event(engine, exchange, 3);
+		exchange_end_stream(exchange);
+	}
+}
+
 static void engine_start(fixture_t *fixture, unsigned index,
 			 const char *software)
 {
@@ -445,8 +457,8 @@
 	begin_streams(&fixture, 0);
 	break_streams(&fixture.engines[0]);
 	break_streams(&fixture.engines[1]);
-	break_streams(&fixture.engines[2]);
-	break_streams(&fixture.engines[3]);
+	end_streams(&fixture.engines[2]);
+	end_streams(&fixture.engines[3]);
 	await_end(&fixture, fixture.first);
 	for (unsigned i = 0; i < STREAMS; i++) {
 		const attempt_t *attempt = &fixture.first[i];
