Let all VMs know which version began a stream

A caller whose stream broke off asked another VM for the rest and got events of another software version: the VM treated the request as a new stream.

Cause: which version began a stream was known to the VM that served it, for as long as it served it, and to nobody else. A VM remembers it now from the first event on, for 30 s or until the request's deadline, and announces it at once and in the announcements that follow (20 bytes a stream, resumable routes only). While a peer's process is new, the streams of all VMs are announced, as it knows none. A request for the rest is tied to the version that began the stream. If that is not known and the service's servers have or had several versions, it is refused as not run, and the caller may ask another VM; if they have one, the stream goes on there.

Ruled out: the store (a write for each stream, on its rates, and away in its outages); asking the VM that began it (it may have ended).

--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -13,6 +13,9 @@
 
 #define MAX_SERVERS 256 /* in one announcement */
 
+/* Encoded size of a stream and the version that began it. */
+#define ORIGIN_BYTES 20
+
 /* Upper bound for each count of one server's use. No router gets near it, and
  * sums over all routers stay far from overflow.
  */
@@ -184,11 +187,14 @@
 	return true;
 }
 
-/* Returns whether there is evidence on requests that crash servers to announce. */
+/* Returns whether there is evidence on requests that crash servers to announce,
+ * or a part of the announcement that follows it.
+ */
 static bool has_evidence(const occupancy_t *occupancy, int64_t now_us)
 {
 	return occupancy->losses->len > 0 || occupancy->sound->len > 0 ||
-	       now_us < occupancy->losses_until_us;
+	       now_us < occupancy->losses_until_us ||
+	       occupancy->origins->len > 0;
 }
 
 /* Encodes the limits of servers, if there are any or something follows them. */
@@ -269,6 +275,38 @@
 	return true;
 }
 
+/* Encodes or decodes a stream and the version that began it. */
+static bool xdr_origin(XDR *xdrs, stream_origin_t *origin, int64_t now_us)
+{
+	return xdr_uint64_t(xdrs, &origin->stream) &&
+	       xdr_uint64_t(xdrs, &origin->software) &&
+	       xdr_time_left(xdrs, &origin->expires_us, now_us);
+}
+
+/* Encodes as many streams as fit into the rest of `size` bytes, if there are
+ * any.
+ */
+static bool encode_origins(XDR *xdrs, size_t size, const GArray *origins,
+			   int64_t now_us)
+{
+	size_t used = xdr_getpos(xdrs) + sizeof(uint32_t);
+	uint32_t n = origins->len;
+
+	if (n == 0 || used >= size)
+		return true;
+	n = MIN(n, (uint32_t)((size - used) / ORIGIN_BYTES));
+	if (!xdr_uint32_t(xdrs, &n))
+		return false;
+	for (uint32_t i = 0; i < n; i++) {
+		stream_origin_t origin =
+			g_array_index(origins, stream_origin_t, i);
+
+		if (!xdr_origin(xdrs, &origin, now_us))
+			return false;
+	}
+	return true;
+}
+
 /* Returns how many services have names that an announcement can hold, at most
  * OCCUPANCY_MAX_WORKLOADS.
  */
@@ -312,8 +350,8 @@
 /* Encodes this router's announcement: its use of servers, its waiting requests
  * and their rate of arrival, the servers that it suspects to have failed, those
  * that are unavailable and, from workloads_at_us on, what it has observed of
- * the services, the limits of servers and its evidence on requests that crash
- * servers. Returns false if it does not fit into `size` bytes.
+ * the services, the limits of servers, its evidence on requests that crash
+ * servers and the versions that began streams. Returns false if it does not fit into `size` bytes.
  */
 bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
 		     size_t size, size_t *len)
@@ -341,7 +379,9 @@
 	      (encode_workloads(&xdrs, announce->occupancy->workloads,
 				now_us) &&
 	       encode_limits(&xdrs, announce->occupancy, now_us) &&
-	       encode_losses(&xdrs, announce->occupancy, now_us)));
+	       encode_losses(&xdrs, announce->occupancy, now_us) &&
+	       encode_origins(&xdrs, size, announce->occupancy->origins,
+			      now_us)));
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
@@ -525,6 +565,28 @@
 	return true;
 }
 
+/* Decodes streams and the versions that began them. An announcement without
+ * them, as each one of an earlier release, ends before them, at `len` bytes.
+ */
+static bool decode_origins(XDR *xdrs, size_t len, GArray *origins,
+			   int64_t now_us)
+{
+	uint32_t n;
+
+	if (xdr_getpos(xdrs) == len)
+		return true;
+	if (!xdr_uint32_t(xdrs, &n) || n > STREAM_ORIGINS_ANNOUNCED)
+		return false;
+	while (n-- > 0) {
+		stream_origin_t origin = {.expires_us = now_us};
+
+		if (!xdr_origin(xdrs, &origin, now_us) || origin.software == 0)
+			return false;
+		g_array_append_val(origins, origin);
+	}
+	return true;
+}
+
 static bool decode_announcement(XDR *xdrs, size_t len,
 				occupancy_announcement_t *announcement,
 				int64_t now_us)
@@ -542,7 +604,8 @@
 	       decode_unavailable(xdrs, announcement->unavailable, now_us) &&
 	       decode_workloads(xdrs, len, announcement) &&
 	       decode_limits(xdrs, len, announcement->limits, now_us) &&
-	       decode_losses(xdrs, len, announcement, now_us);
+	       decode_losses(xdrs, len, announcement, now_us) &&
+	       decode_origins(xdrs, len, announcement->origins, now_us);
 }
 
 /* Updates `occupancy` from a peer's announcement. Returns false and changes
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -51,6 +51,7 @@
 		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
 	occupancy->sound =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
+	occupancy->origins = g_array_new(FALSE, FALSE, sizeof(stream_origin_t));
 	occupancy->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	occupancy->waiters =
@@ -87,6 +88,7 @@
 	g_array_unref(occupancy->limits);
 	g_array_unref(occupancy->losses);
 	g_array_unref(occupancy->sound);
+	g_array_unref(occupancy->origins);
 }
 
 /* Returns whether nothing is used. */
@@ -334,6 +336,8 @@
 		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
 	announcement->sound =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
+	announcement->origins =
+		g_array_new(FALSE, FALSE, sizeof(stream_origin_t));
 }
 
 /* Frees what an announcement owns, as far as no peer has a reference. */
@@ -347,6 +351,7 @@
 	g_array_unref(announcement->limits);
 	g_array_unref(announcement->losses);
 	g_array_unref(announcement->sound);
+	g_array_unref(announcement->origins);
 }
 
 /* Returns whether an announcement is newer than the latest one of its VM. The
@@ -393,6 +398,18 @@
 		occupancy->on_losses(occupancy->context, announcement);
 }
 
+/* Calls back for each stream that an announcement holds. */
+static void report_origins(const occupancy_t *occupancy,
+			   const occupancy_announcement_t *announcement)
+{
+	if (!occupancy->on_origin)
+		return;
+	for (guint i = 0; i < announcement->origins->len; i++)
+		occupancy->on_origin(occupancy->context,
+				     &g_array_index(announcement->origins,
+						    stream_origin_t, i));
+}
+
 /* Replaces a peer's observations of services if an announcement has some. Those
  * of an earlier process of the VM are dropped in any case.
  */
@@ -418,6 +435,8 @@
 {
 	occupancy_peer_t *peer =
 		g_hash_table_lookup(occupancy->peers, announcement->vm);
+	bool is_new_process = !peer ||
+			      peer->incarnation != announcement->incarnation;
 
 	if (peer && !is_newer(peer, announcement))
 		return;
@@ -440,4 +459,7 @@
 	peer->received_us = now_us;
 	set_in_totals(occupancy, peer, true);
 	report_servers(occupancy, announcement);
+	report_origins(occupancy, announcement);
+	if (is_new_process && occupancy->on_new_process)
+		occupancy->on_new_process(occupancy->context);
 }
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -16,6 +16,7 @@
 #include "process/decide/arrival_rate.h"
 #include "process/decide/quarantine.h"
 #include "process/decide/server_limits.h"
+#include "process/decide/stream_origins.h"
 #include "process/decide/workload.h"
 #include "process/str.h"
 
@@ -89,6 +90,7 @@
 	bool has_losses; /* else what was known of the VM's holds on */
 	GArray *losses; /* of quarantine_loss_t */
 	GArray *sound; /* of quarantine_sound_t */
+	GArray *origins; /* of stream_origin_t */
 } occupancy_announcement_t;
 
 /* Another VM, as it announced itself last. */
@@ -120,6 +122,7 @@
 	GArray *limits; /* own, of occupancy_limit_t; set by the owner */
 	GArray *losses; /* own, of quarantine_loss_t; set by the owner */
 	GArray *sound; /* own, of quarantine_sound_t; set by the owner */
+	GArray *origins; /* of stream_origin_t to announce; set by the owner */
 	/* Empty arrays are announced as well until then; set by the owner. */
 	int64_t losses_until_us;
 	/* Called when a peer suspects a server, given by its ID; may be NULL.
@@ -138,6 +141,12 @@
 	 */
 	void (*on_losses)(void *context,
 			  const occupancy_announcement_t *announcement);
+	/* Called with each stream that a VM announces; may be NULL. */
+	void (*on_origin)(void *context, const stream_origin_t *origin);
+	/* Called when a VM announces itself for the first time since its start;
+	 * may be NULL.
+	 */
+	void (*on_new_process)(void *context);
 	void *context;
 } occupancy_t;
 
--- /dev/null
+++ b/src/process/decide/stream_origins.c
@@ -0,0 +1,94 @@
+#include "process/decide/stream_origins.h"
+
+/* Most streams that are remembered; the one added first is dropped. */
+#define MAX_ORIGINS 65536
+
+/* Sets up an empty table. */
+void stream_origins_init(stream_origins_t *origins)
+{
+	origins->by_stream = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_queue_init(&origins->in_order);
+}
+
+/* Frees what the table owns. */
+void stream_origins_finish(stream_origins_t *origins)
+{
+	g_hash_table_unref(origins->by_stream);
+	g_queue_clear_full(&origins->in_order, g_free);
+}
+
+/* Removes one stream. */
+static void remove_link(stream_origins_t *origins, GList *link)
+{
+	stream_origin_t *origin = link->data;
+
+	g_hash_table_remove(origins->by_stream, &origin->stream);
+	g_queue_delete_link(&origins->in_order, link);
+	g_free(origin);
+}
+
+/* Adds a stream. Of one that is known already the version stays, and it is kept
+ * for the longer of both times.
+ */
+void stream_origins_put(stream_origins_t *origins,
+			const stream_origin_t *origin)
+{
+	GList *link = g_hash_table_lookup(origins->by_stream, &origin->stream);
+	stream_origin_t *known;
+
+	if (link) {
+		known = link->data;
+		known->expires_us = MAX(known->expires_us, origin->expires_us);
+		known->own |= origin->own;
+		return;
+	}
+	if (origins->in_order.length >= MAX_ORIGINS)
+		remove_link(origins, origins->in_order.head);
+	known = g_new(stream_origin_t, 1);
+	*known = *origin;
+	g_queue_push_tail(&origins->in_order, known);
+	g_hash_table_insert(origins->by_stream, &known->stream,
+			    origins->in_order.tail);
+}
+
+/* Returns the version that began a stream, or 0 if it is not known. */
+uint64_t stream_origins_find(const stream_origins_t *origins, uint64_t stream,
+			     int64_t now_us)
+{
+	const GList *link = g_hash_table_lookup(origins->by_stream, &stream);
+	const stream_origin_t *origin = link ? link->data : NULL;
+
+	return origin && origin->expires_us > now_us ? origin->software : 0;
+}
+
+/* Replaces the contents of an array of stream_origin_t by the streams added
+ * last, at most STREAM_ORIGINS_ANNOUNCED of them: all, or only those that this
+ * VM has served.
+ */
+void stream_origins_list(const stream_origins_t *origins, GArray *list,
+			 bool own_only, int64_t now_us)
+{
+	g_array_set_size(list, 0);
+	for (const GList *link = origins->in_order.tail;
+	     link && list->len < STREAM_ORIGINS_ANNOUNCED; link = link->prev) {
+		const stream_origin_t *origin = link->data;
+
+		if (origin->expires_us > now_us && (origin->own || !own_only))
+			g_array_append_vals(list, origin, 1);
+	}
+}
+
+/* Removes the streams that have expired. */
+void stream_origins_expire(stream_origins_t *origins, int64_t now_us)
+{
+	GList *link = origins->in_order.head;
+
+	while (link) {
+		GList *next = link->next;
+		const stream_origin_t *origin = link->data;
+
+		if (origin->expires_us <= now_us)
+			remove_link(origins, link);
+		link = next;
+	}
+}
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include "process/counters.h"
+#include "process/entry/entry_origins.h"
 #include "process/entry/entry_quarantine.h"
 #include "process/entry/entry_updates.h"
 #include "process/entry/entry_reload.h"
@@ -207,6 +208,7 @@
 	entry_announce_servers(entry, now_us);
 	entry_announce_limits(entry, now_us);
 	entry_update_quarantine(entry, now_us);
+	entry_update_origins(entry, now_us);
 	server_probe_send_due(&entry->servers, &entry->server_pool,
 			      entry->table, now_us);
 	check_stages(entry, now_us);
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -37,6 +37,8 @@
 	stage_orders_t orders;
 	vm_expiry_t vm_expiry;
 	quarantine_rows_t quarantine_rows;
+	int64_t all_origins_until_us; /* other VMs' streams are announced too */
+	int64_t next_origins_expiry_us;
 	GArray *logged_rules; /* of quarantine_rule_t: the log says they hold */
 	route_table_t *table; /* owns a reference; NULL: none was read yet */
 	alarm_t tick; /* next on_tick() */
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -1,5 +1,6 @@
 #include "process/entry/entry_updates.h"
 
+#include "process/entry/entry_origins.h"
 #include "process/entry/entry_quarantine.h"
 #include "process/log.h"
 #include "request/stream_call.h"
@@ -275,6 +276,7 @@
 	entry->occupancy.on_unavailable = on_peer_unavailable;
 	entry->occupancy.on_limit = on_peer_limit;
 	entry_set_quarantine_callbacks(entry);
+	entry_set_origin_callbacks(entry);
 	entry->occupancy.context = entry;
 	entry->announce.on_announcement = on_announcement;
 	entry->announce.context = entry;
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -155,7 +155,7 @@
 	if (!server)
 		return;
 	log_server(&server->entry, "removed");
-	server_set_remove(rows->servers, id);
+	server_set_remove(rows->servers, id, clock_now(&rows->clock));
 	rows->handler->on_servers(rows->context);
 }
 
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -57,6 +57,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	server_limits_init(&relay->limits, (uint32_t)relay->seed);
 	quarantine_init(&relay->quarantine, find_server, relay);
+	stream_origins_init(&relay->origins);
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 }
@@ -69,6 +70,7 @@
 	g_hash_table_unref(relay->output_models);
 	server_limits_finish(&relay->limits);
 	quarantine_finish(&relay->quarantine);
+	stream_origins_finish(&relay->origins);
 }
 
 /* Limits the retries of each service: every request adds `share` of a retry to
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -14,6 +14,7 @@
 #include "process/decide/quarantine.h"
 #include "process/decide/server_limits.h"
 #include "process/decide/server_set.h"
+#include "process/decide/stream_origins.h"
 #include "process/route_metrics.h"
 #include "request/caller_timeout.h"
 #include "request/outcome.h"
@@ -31,6 +32,7 @@
 	occupancy_t *occupancy;
 	server_limits_t limits;
 	quarantine_t quarantine;
+	stream_origins_t origins;
 	const char *zone; /* availability zone of this VM */
 	/* Called when this VM's use of servers, or the streams that wait at it,
 	 * may have changed.
@@ -38,7 +40,9 @@
 	void (*on_occupancy_changed)(void *context);
 	/* Called when a server was lost while it began a request. */
 	void (*on_loss)(void *context);
-	void *context; /* for on_occupancy_changed and on_loss */
+	/* Called when this VM has added a stream to `origins`. */
+	void (*on_origin)(void *context);
+	void *context; /* for the callbacks above */
 	double retry_share; /* retries that each request adds to a budget */
 	double retry_slack; /* retries that a budget holds at most */
 	GHashTable *retry_budgets; /* service name to retry_budget_t */
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -4,6 +4,7 @@
 #include "process/log.h"
 #include "request/stream_engines.h"
 #include "request/stream_prefill.h"
+#include "request/stream_resume.h"
 
 /* Output expected of a request that states no estimate, as a share of the limit
  * that it states, before anything is known of the service's outputs.
@@ -250,25 +251,6 @@
 	};
 }
 
-/* Returns whether a request asks for the rest of a stream that another request
- * began.
- */
-static bool is_resumption(const relay_request_t *request)
-{
-	return request->route->resumable &&
-	       (request->fields.last_event_id.len > 0 ||
-		request->fields.first_attempt_id.len > 0);
-}
-
-/* Logs a request for the rest of a stream. */
-static void log_resumption(const relay_request_t *request)
-{
-	log_event(LOG_INFO, "resume_requested",
-		  LOG_STR("request", request->fields.id),
-		  LOG_STR("first_attempt", request->fields.first_attempt_id),
-		  LOG_STR("after_event", request->fields.last_event_id));
-}
-
 /* Begins a streaming request and decides at once whether it starts. False when
  * its route leads to no service; the exchange (the HTTP request and its answer)
  * is then still unanswered.
@@ -286,8 +268,6 @@
 	}
 	request->on_gone = on_gone;
 	request->owner = stream;
-	if (is_resumption(request))
-		log_resumption(request);
 	relay_send_init(&stream->send, relay);
 	event_split_init(&stream->event_split);
 	alarm_init(&stream->deadline, relay->clock, on_deadline, stream);
@@ -308,7 +288,8 @@
 	stream->give_up_us = request->arrived_us + MAX_WAIT_US;
 	g_queue_push_tail(&relay->streams, stream);
 	g_queue_push_tail(&relay->waiting, stream);
-	stream_calls_admit(relay);
+	if (stream_resume_find_version(stream))
+		stream_calls_admit(relay);
 	return true;
 }
 
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -5,6 +5,7 @@
 #include "process/route_metrics.h"
 #include "request/request_keys.h"
 #include "request/stream_engines.h"
+#include "request/stream_resume.h"
 
 /* Longer gaps between events come from a silent engine or connection and say
  * nothing about the engine's pace.
@@ -129,18 +130,6 @@
 		.streams;
 }
 
-/* Ties the stream to the version of its engine's software when its first events
- * are passed on: what another version sends does not fit to them.
- */
-static void require_software(stream_t *stream)
-{
-	relay_request_t *request = &stream->request;
-
-	if (request->required_software == 0)
-		request->required_software =
-			request_software_number(&stream->decode->entry);
-}
-
 /* Updates the state, times and latency metrics when an event has arrived. */
 static void record_event(stream_t *stream, int64_t now_us)
 {
@@ -203,7 +192,7 @@
 		return;
 	}
 	record_event(stream, now_us);
-	require_software(stream);
+	stream_resume_record_version(stream);
 	exchange_write(stream->request.exchange, complete.data, complete.len);
 	event_split_consume(&stream->event_split);
 }
--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -338,6 +338,67 @@
 	occupancy_finish(&b.occupancy);
 }
 
+/* Keeps the stream that a peer announces. */
+static void on_origin(void *context, const stream_origin_t *origin)
+{
+	*(stream_origin_t *)context = *origin;
+}
+
+static void on_new_process(void *context)
+{
+	stream_origin_t *received = context;
+
+	received->own = true;
+}
+
+/* Guards against versions of streams that get lost or changed between VMs, and
+ * against a truncated announcement. One that ends before them is a whole one of
+ * an earlier release. When there is no room for all, the first ones are sent.
+ */
+static void test_origins(void **state)
+{
+	stream_origin_t sent = {.stream = 5,
+				.software = UINT64_MAX,
+				.expires_us = NOW + 900 * MS,
+				.own = true};
+	stream_origin_t received = {0};
+	char data[4096];
+	size_t len, earlier_len;
+	router_t a, b;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	g_array_append_val(a.occupancy.origins, sent);
+	assert_true(
+		announce_encode(&a.announce, NOW, data, sizeof(data), &len));
+	earlier_len = len - 24; /* count, two numbers, time left */
+	for (size_t cut = earlier_len + 1; cut < len; cut++)
+		assert_false(announce_decode(&b.occupancy, data, cut, NOW));
+	assert_true(announce_decode(&b.occupancy, data, earlier_len, NOW));
+	b.occupancy.on_origin = on_origin;
+	b.occupancy.on_new_process = on_new_process;
+	b.occupancy.context = &received;
+	a.announce.sequence++;
+	assert_true(
+		announce_encode(&a.announce, NOW, data, sizeof(data), &len));
+	assert_true(announce_decode(&b.occupancy, data, len, NOW + 5 * MS));
+	assert_int_equal(received.stream, 5);
+	assert_true(received.software == UINT64_MAX);
+	assert_int_equal(received.expires_us, NOW + 905 * MS);
+	assert_false(received.own);
+	a.announce.incarnation++;
+	for (uint64_t i = 0; i < STREAM_ORIGINS_ANNOUNCED; i++) {
+		sent.stream = 100 + i;
+		g_array_append_val(a.occupancy.origins, sent);
+	}
+	assert_true(announce_encode(&a.announce, NOW, data, len + 25, &len));
+	assert_true(announce_decode(&b.occupancy, data, len, NOW));
+	assert_int_equal(received.stream, 100);
+	assert_true(received.own); /* as on_new_process() was called */
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+}
+
 /* A VM restarts in a surge, while its peer has observed the service for long.
  * Guards against a VM that decides without the observations of its peers, and
  * against those of a dead peer.
@@ -437,6 +498,7 @@
 		cmocka_unit_test(test_malformed),
 		cmocka_unit_test(test_limits),
 		cmocka_unit_test(test_losses),
+		cmocka_unit_test(test_origins),
 		cmocka_unit_test(test_observations_of_peers),
 		cmocka_unit_test(test_implausible_use),
 		cmocka_unit_test(test_many_routers),
