Let streams that go on wait for room before new ones start

After VMs had ended, callers that asked other VMs for the rest of their streams were refused as full.

Cause: the request counted as a late new stream. It ranked after all new ones, needed a place beyond the headroom, and was refused at once when a wait of more than 3 s was estimated, while the use by the VM that had ended was still counted, for up to 1.5 s: the very places that these streams had left. The version that began the stream has only a part of the engines, so that this happens sooner there. The rest of a stream comes before new streams now and waits for room, 3 s at most.

--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -387,6 +387,24 @@
 	return decision;
 }
 
+/* Decides on the rest of a stream. Its place may still be counted for the VM
+ * that served it and has ended, so it waits for room as long as its caller does.
+ */
+static admission_decision_t decide_resumed(const admission_request_t *request,
+					   admission_decision_t decision,
+					   int64_t slots_free, bool room,
+					   int64_t now_us)
+{
+	if (room && slots_free > (int64_t)request->ahead) {
+		decision.action = ADMISSION_START;
+		return decision;
+	}
+	if (now_us >= request->give_up_us)
+		return refuse(decision, ADMISSION_LATE);
+	decision.action = ADMISSION_WAIT;
+	return decision;
+}
+
 /*
  * Decides on one request. Free slots go first to the requests that are ahead of
  * it, so it starts only when more slots are free than requests are ahead. A
@@ -412,6 +430,9 @@
 				     &decision.decode);
 	decision.wait_us = wait_us(view, slots.used,
 				   (int64_t)request->ahead + 1 - slots.free);
+	if (request->resumed)
+		return decide_resumed(request, decision, slots.free, room,
+				      now_us);
 	if (request->urgency.late)
 		return decide_late(view, request, decision, &slots, room,
 				   now_us);
--- a/src/process/decide/admission.h
+++ b/src/process/decide/admission.h
@@ -55,6 +55,7 @@
 	occupancy_urgency_t urgency;
 	unsigned ahead; /* waiting requests of all VMs that come first */
 	int64_t give_up_us; /* it may wait until then */
+	bool resumed; /* the rest of a stream whose caller has its begin */
 } admission_request_t;
 
 /* What happens to a stream now. */
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -49,6 +49,7 @@
 	char *kv_handle; /* its ID at the prefill engine */
 	event_split_t event_split;
 	bool prefill_retried; /* it was sent to a second prefill engine */
+	bool resumed; /* the caller asks for the rest of a stream */
 	bool may_have_run; /* at an earlier decode engine */
 	bool begun_well; /* the latest send has made events for some time */
 	bool head_sent; /* the caller has the head of the response */
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -56,7 +56,7 @@
 }
 
 /* Marks a stream as late when its first event can no longer come by its due
- * time. Late streams rank after all others.
+ * time. Late streams rank after all others; one that goes on is never late.
  */
 static void update_urgency(stream_t *stream, const admission_view_t *view,
 			   int64_t now_us)
@@ -64,7 +64,7 @@
 	int64_t first_us = admission_first_event_us(
 		view, stream->request.fields.prompt_tokens);
 
-	if (now_us + first_us > stream->urgency.due_us)
+	if (!stream->resumed && now_us + first_us > stream->urgency.due_us)
 		stream->urgency.late = true;
 }
 
@@ -90,6 +90,7 @@
 		.prompt_tokens = stream->request.fields.prompt_tokens,
 		.kv_tokens = stream->kv_tokens,
 		.give_up_us = stream->give_up_us,
+		.resumed = stream->resumed,
 	};
 	admission_decision_t decision;
 	stream_assignment_t assignment;
--- a/src/request/stream_resume.c
+++ b/src/request/stream_resume.c
@@ -59,6 +59,8 @@
 
 	if (!is_resumption(request))
 		return true;
+	stream->resumed = true;
+	stream->urgency.due_us = request->arrived_us; /* before new streams */
 	request->required_software = stream_origins_find(
 		&relay->origins, stream_number(request), now_us);
 	may_be_any = request->required_software == 0 &&
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -89,6 +89,37 @@
 	assert_int_equal(decision.prefill.index, 2);
 }
 
+/* Callers ask for the rest of streams whose VM has ended, whose use still counts.
+ * Guards against refusals of streams that new ones could replace, and against a
+ * wait without end.
+ */
+static void test_resumed_streams_wait_for_room(void **state)
+{
+	admission_request_t request = late(12);
+	admission_decision_t decision;
+	fleet_t fleet;
+
+	init(&fleet, 13);
+	request.resumed = true;
+	decision = admission_decide(&fleet.view, &request, NOW);
+	assert_int_equal(decision.action, ADMISSION_WAIT);
+	decision = admission_decide(&fleet.view, &request, request.give_up_us);
+	assert_int_equal(decision.action, ADMISSION_REFUSE);
+	assert_int_equal(decision.reason, ADMISSION_LATE);
+	fleet.decodes[2].use = (occupancy_use_t){.streams = 0};
+	request.ahead = 5;
+	decision = admission_decide(&fleet.view, &request, NOW);
+	assert_int_equal(decision.action, ADMISSION_START);
+	assert_int_equal(decision.decode, 2);
+	request.ahead = 13;
+	decision = admission_decide(&fleet.view, &request, NOW);
+	assert_int_equal(decision.action, ADMISSION_WAIT);
+	for (size_t i = 0; i < ENGINES; i++)
+		fleet.decodes[i].usable = false;
+	decision = admission_decide(&fleet.view, &request, NOW);
+	assert_int_equal(decision.action, ADMISSION_REFUSE);
+}
+
 /* A surge in which all slots are used. Guards against prefills that start
  * although no decode engine has a slot for them, and against requests that wait
  * although they cannot be on time.
@@ -289,6 +320,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_light_load),
+		cmocka_unit_test(test_resumed_streams_wait_for_room),
 		cmocka_unit_test(test_surge),
 		cmocka_unit_test(test_one_free_slot_for_many),
 		cmocka_unit_test(test_memory_limits),
