--- a/tests/soak_entry.h
+++ b/tests/soak_entry.h
@@ -2,7 +2,7 @@
 #ifndef SOAK_ENTRY_H
 #define SOAK_ENTRY_H
 
-#include "soak_proxy.h"
+#include "support_proxy.h"
 #include "soak_server.h"
 #include "support_process.h"
 
--- a/tests/soak_server.h
+++ b/tests/soak_server.h
@@ -6,7 +6,7 @@
 
 #include "connection/ingress.h"
 #include "process/alarm.h"
-#include "soak_proxy.h"
+#include "support_proxy.h"
 #include "support_store.h"
 
 typedef enum {
--- a/tests/soak_proxy.c
+++ b/tests/support_proxy.c
@@ -1,4 +1,4 @@
-#include "soak_proxy.h"
+#include "support_proxy.h"
 
 #include <arpa/inet.h>
 #include <gio/gio.h>
@@ -134,7 +134,7 @@
 	tcp_adopt(&link->caller.tcp, fd, &options, &handler, &link->caller);
 	if (!tcp_connect(&link->server.tcp, proxy->target, &options, &handler,
 			 &link->server) ||
-	    proxy->mode == PROXY_REFUSE)
+	    proxy->mode == PROXY_REFUSE || proxy->mode == PROXY_REFUSE_NEW)
 		drop(link);
 }
 
@@ -210,8 +210,11 @@
 /* Name of a mode, for the report. */
 const char *proxy_mode_text(proxy_mode_t mode)
 {
-	static const char *const texts[] = {"pass", "delay", "silent",
-					    "one_way", "refuse"};
+	static const char *const texts[] = {
+		[PROXY_PASS] = "pass",	   [PROXY_DELAY] = "delay",
+		[PROXY_SILENT] = "silent", [PROXY_ONE_WAY] = "one_way",
+		[PROXY_REFUSE] = "refuse", [PROXY_REFUSE_NEW] = "refuse_new",
+	};
 
 	return texts[mode];
 }
--- a/tests/soak_proxy.h
+++ b/tests/support_proxy.h
@@ -1,6 +1,6 @@
 /* A loopback proxy of one address whose connections can be disturbed. */
-#ifndef SOAK_PROXY_H
-#define SOAK_PROXY_H
+#ifndef SUPPORT_PROXY_H
+#define SUPPORT_PROXY_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -12,7 +12,8 @@
 	PROXY_SILENT, /* connections stay open, nothing arrives */
 	PROXY_ONE_WAY, /* requests arrive, responses do not */
 	PROXY_REFUSE, /* open connections are reset, new ones too */
-	PROXY_MODES_N,
+	PROXY_MODES_N, /* the soak draws from those above */
+	PROXY_REFUSE_NEW, /* open connections live on, new ones are reset */
 } proxy_mode_t;
 
 typedef struct proxy proxy_t;
