Do not believe a VM that reaches no server of a service

VMs that reached all servers refused requests which VMs that were cut off had passed on to them.

Cause: a VM that is cut off announces all servers as silent, and a VM that has heard nothing of a server for 150 ms takes it for silent on that word until its own health check is answered, once a second. On an idle fleet the other VMs so have no server of a service for some 50 ms of each second. A VM that suspects all servers of a stage of a service says more of its own links than of the servers: it is not believed on that service any more. What it announced before it suspected the last server counts as before.

test_others_keep_their_servers fails before, with 27 and 30 of 600 looks at the other VMs, and passes now; so does test_caller_leaves, where one of three requests was refused. test_server_takes_too_long passes on either (it failed beside them only as the failed test's VMs went on).

--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -370,11 +370,12 @@
  * limited, and for the servers that were lost while they began requests.
  */
 static void report_servers(const occupancy_t *occupancy,
+			   const occupancy_peer_t *peer,
 			   const occupancy_announcement_t *announcement)
 {
 	for (guint i = 0;
 	     occupancy->on_suspect && i < announcement->suspects->len; i++)
-		occupancy->on_suspect(occupancy->context,
+		occupancy->on_suspect(occupancy->context, peer,
 				      g_ptr_array_index(announcement->suspects,
 							i));
 	for (guint i = 0;
@@ -461,7 +462,7 @@
 	peer->sequence = announcement->sequence;
 	peer->received_us = now_us;
 	set_in_totals(occupancy, peer, true);
-	report_servers(occupancy, announcement);
+	report_servers(occupancy, peer, announcement);
 	report_origins(occupancy, announcement);
 	if (is_new_process && occupancy->on_new_process)
 		occupancy->on_new_process(occupancy->context);
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -130,7 +130,8 @@
 	int64_t losses_until_us;
 	/* Called when a peer suspects a server, given by its ID; may be NULL.
 	 */
-	void (*on_suspect)(void *context, const char *server);
+	void (*on_suspect)(void *context, const occupancy_peer_t *peer,
+			   const char *server);
 	/* Called when a peer announces that a server gets no work until a time;
 	 * may be NULL.
 	 */
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -1,5 +1,6 @@
 #include "process/entry/entry_updates.h"
 
+#include "process/decide/peer_choice.h"
 #include "process/entry/entry_origins.h"
 #include "process/entry/entry_quarantine.h"
 #include "process/log.h"
@@ -149,13 +150,17 @@
 		schedule_admission(entry);
 }
 
-/* Applies a peer's announcement that it suspects a server. */
-static void on_peer_suspects(void *context, const char *id)
+/* Applies a peer's announcement that it suspects a server. A peer that reaches no
+ * server of the service has likely lost its own links, so it is not believed.
+ */
+static void on_peer_suspects(void *context, const occupancy_peer_t *peer,
+			     const char *id)
 {
 	entry_t *entry = context;
 	server_t *server = server_set_find(&entry->servers, id);
 
-	if (server)
+	if (server &&
+	    peer_reaches(peer, &entry->servers, server->entry.service))
 		server_suspected_by_peer(server, clock_now(&entry->clock));
 }
 
--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -19,7 +19,8 @@
 } router_t;
 
 /* Records the server that a peer suspects. */
-static void on_suspect(void *context, const char *server)
+static void on_suspect(void *context, const occupancy_peer_t *peer,
+		       const char *server)
 {
 	router_t *router = context;
 
--- a/tests/test_vms_cut_from_servers.c
+++ b/tests/test_vms_cut_from_servers.c
@@ -543,6 +543,102 @@
 	stop(&fixture);
 }
 
+static bool is_unreached(void *context)
+{
+	fixture_t *fixture = context;
+	const server_set_t *servers = &fixture->vms[0].process.entry.servers;
+
+	return !server_set_reaches(servers, "app") &&
+	       !server_set_reaches(servers, "llm");
+}
+
+/* Makes VM 0 notice that it is cut off, and waits for the end of the requests
+ * that this takes.
+ */
+static void cut_first_vm(fixture_t *fixture)
+{
+	start(fixture);
+	set_links(fixture, 0, PROXY_SILENT);
+	for (unsigned i = 0; i < 8; i++) {
+		(void)send_call(fixture, 0, i % 2 ? "GET /s/x" : "POST /l/x");
+		support_run_loop_ms(150);
+	}
+	assert_true(support_run_loop_until(is_unreached, fixture, WAIT_MS));
+	assert_true(support_run_loop_until(is_idle, fixture, WAIT_MS));
+}
+
+/* Guards against VMs that take servers for silent on the word of a VM which has
+ * lost its own links, and then refuse what they could serve.
+ */
+static void test_others_keep_their_servers(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	unsigned suspected = 0;
+
+	cut_first_vm(&fixture);
+	for (unsigned i = 0; i < 200; i++) {
+		support_run_loop_ms(10);
+		for (unsigned vm = 1; vm < VMS; vm++) {
+			const entry_t *entry = &fixture.vms[vm].process.entry;
+
+			if (!server_set_reaches(&entry->servers, "app") ||
+			    !server_set_reaches(&entry->servers, "llm"))
+				suspected++;
+		}
+	}
+	assert_int_equal(suspected, 0);
+	stop(&fixture);
+}
+
+static unsigned count_running(const fixture_t *fixture)
+{
+	unsigned running = 0;
+
+	for (unsigned i = 0; i < SERVERS; i++)
+		running +=
+			g_queue_get_length((GQueue *)&fixture->servers[i].runs);
+	return running;
+}
+
+/* Guards against servers that work on for callers that have left a VM which had
+ * passed their requests on.
+ */
+static void test_caller_leaves(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	call_t *calls[3];
+
+	cut_first_vm(&fixture);
+	fixture.work_us = 10 * CLOCK_US_PER_S;
+	calls[0] = send_call(&fixture, 0, "POST /u/x");
+	calls[1] = send_call(&fixture, 0, "GET /s/x");
+	calls[2] = send_call(&fixture, 0, "POST /l/x");
+	support_run_loop_ms(200);
+	assert_int_equal(count_running(&fixture), 3);
+	for (unsigned i = 0; i < 3; i++)
+		http_call_cancel(calls[i]->call);
+	support_run_loop_ms(300);
+	assert_int_equal(count_running(&fixture), 0);
+	stop(&fixture);
+}
+
+/* Guards against callers that are kept past the time limit of their route, and
+ * against a 503 for a request that has run.
+ */
+static void test_server_takes_too_long(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	const call_t *call;
+
+	cut_first_vm(&fixture);
+	fixture.work_us = 10 * CLOCK_US_PER_S;
+	call = send_call(&fixture, 0, "POST /u/x");
+	support_run_loop_ms(800 + 200);
+	assert_int_equal(runs_of(&fixture, call), 1);
+	assert_int_equal(call->status, 504);
+	stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -550,6 +646,9 @@
 		cmocka_unit_test(test_reset_links),
 		cmocka_unit_test(test_no_new_links),
 		cmocka_unit_test(test_all_vms_cut),
+		cmocka_unit_test(test_others_keep_their_servers),
+		cmocka_unit_test(test_caller_leaves),
+		cmocka_unit_test(test_server_takes_too_long),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
