--- a/tests/soak_entry.c
+++ b/tests/soak_entry.c
@@ -71,6 +71,7 @@
 					      args, log, errors);
 	entry->stopped = false;
 	entry->reload_due = false;
+	entry->freeze_due = false;
 	entry->leaving_us = 0;
 	g_assert_true(entry->running);
 	g_free(errors);
@@ -103,20 +104,20 @@
 	return mask >> (signal_number - 1) & 1;
 }
 
-/* Returns whether SIGHUP would end the process: it has not reached its main(),
- * which ignores the signal first of all.
+/* Returns whether the process has reached its main(), which ignores SIGHUP first
+ * of all.
  */
-static bool ends_by_sighup(const soak_entry_t *entry)
+static bool has_reached_main(const soak_entry_t *entry)
 {
 	char *path = g_strdup_printf("/proc/%d/status", entry->process.pid);
 	char *text = NULL;
-	bool ends = g_file_get_contents(path, &text, NULL, NULL) &&
-		    !has_signal(text, "SigIgn:", SIGHUP) &&
-		    !has_signal(text, "SigCgt:", SIGHUP);
+	bool reached = g_file_get_contents(path, &text, NULL, NULL) &&
+		       (has_signal(text, "SigIgn:", SIGHUP) ||
+			has_signal(text, "SigCgt:", SIGHUP));
 
 	g_free(text);
 	g_free(path);
-	return ends;
+	return reached;
 }
 
 /* Writes the settings again and asks the process to read them. */
@@ -124,19 +125,42 @@
 {
 	soak_entry_write_settings(entry);
 	entry->reload_due = true;
-	soak_entry_send_reload(entry);
+	soak_entry_send_due(entry);
 }
 
-/* Sends the SIGHUP that is due, if the process has reached its main(). To be
- * called in each step: until then the kernel would end the process, whatever
- * its code does.
+/* Stops the process, which keeps its connections. */
+void soak_entry_freeze(soak_entry_t *entry)
+{
+	entry->stopped = true;
+	entry->freeze_due = true;
+	soak_entry_send_due(entry);
+}
+
+/* Ends that. */
+void soak_entry_thaw(soak_entry_t *entry)
+{
+	if (entry->running && entry->stopped && !entry->freeze_due)
+		process_signal(&entry->process, SIGCONT);
+	entry->stopped = false;
+	entry->freeze_due = false;
+}
+
+/* Sends the signals that are due, if the process has reached its main(). To be
+ * called in each step. Until then the kernel would end the process on SIGHUP,
+ * whatever its code does, and a stopped one would hold copies of the soak's own
+ * listening sockets, which are closed as the program begins (seed 1028).
  */
-void soak_entry_send_reload(soak_entry_t *entry)
+void soak_entry_send_due(soak_entry_t *entry)
 {
-	if (!entry->reload_due || !entry->running || ends_by_sighup(entry))
+	if (!entry->running || (!entry->reload_due && !entry->freeze_due) ||
+	    !has_reached_main(entry))
 		return;
+	if (entry->reload_due)
+		process_signal(&entry->process, SIGHUP);
+	if (entry->freeze_due)
+		process_signal(&entry->process, SIGSTOP);
 	entry->reload_due = false;
-	process_signal(&entry->process, SIGHUP);
+	entry->freeze_due = false;
 }
 
 /* Ends the process with a signal, or takes note that it has ended. */
--- a/tests/soak_entry.h
+++ b/tests/soak_entry.h
@@ -19,8 +19,9 @@
 	size_t log_from; /* where the log of this process begins */
 	int64_t leaving_us; /* since when it is not ready; 0: it is */
 	bool running;
-	bool stopped; /* by SIGSTOP */
+	bool stopped; /* by SIGSTOP, sent or due */
 	bool reload_due; /* SIGHUP is to be sent */
+	bool freeze_due; /* SIGSTOP is to be sent */
 } soak_entry_t;
 
 void soak_entry_init(soak_entry_t *entry, unsigned number, const char *folder,
@@ -28,7 +29,9 @@
 void soak_entry_write_settings(const soak_entry_t *entry);
 void soak_entry_start(soak_entry_t *entry);
 void soak_entry_reload(soak_entry_t *entry);
-void soak_entry_send_reload(soak_entry_t *entry);
+void soak_entry_freeze(soak_entry_t *entry);
+void soak_entry_thaw(soak_entry_t *entry);
+void soak_entry_send_due(soak_entry_t *entry);
 void soak_entry_stop(soak_entry_t *entry, int signal_number);
 void soak_entry_check_end(const soak_entry_t *entry, soak_world_t *world);
 void soak_entry_check_metrics(const soak_entry_t *entry, soak_world_t *world);
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -167,8 +167,7 @@
 		process_signal(&entry->process, SIGTERM);
 		break;
 	case FAULT_ENTRY_FREEZE:
-		entry->stopped = true;
-		process_signal(&entry->process, SIGSTOP);
+		soak_entry_freeze(entry);
 		break;
 	default:
 		soak_entry_reload(entry);
@@ -243,9 +242,7 @@
 
 	switch (fault->kind) {
 	case FAULT_ENTRY_FREEZE:
-		if (entry->running && entry->stopped)
-			process_signal(&entry->process, SIGCONT);
-		entry->stopped = false;
+		soak_entry_thaw(entry);
 		break;
 	case FAULT_SERVER_CRASH:
 		soak_server_restart(server);
@@ -296,7 +293,7 @@
 		}
 		if (!entry->running)
 			soak_entry_start(entry);
-		soak_entry_send_reload(entry);
+		soak_entry_send_due(entry);
 	}
 }
 
