Test VMs whose links to servers come and go at random

In test_random_cuts the links of four VMs change 60 times, all of one VM at a time: silent, delayed, one way, reset, no new ones. No request runs twice or after a refusal, all end, and all VMs serve again afterwards.

--- a/tests/test_vms_cut_from_servers.c
+++ b/tests/test_vms_cut_from_servers.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "names.h"
+#include "request/retry.h"
 #include "support_address.h"
 #include "support_entry.h"
 #include "support_proxy.h"
@@ -33,6 +34,11 @@
 #define STABLE_MS 3000
 #define MEASURED_MS 2000
 
+/* Changes of links in the test with random ones, each of all links of one VM. */
+#define RANDOM_CUTS 60
+
+static uint64_t seed = 1;
+
 typedef struct fixture fixture_t;
 
 /* One request that a server runs. */
@@ -467,6 +473,7 @@
 	for (unsigned i = 0; i < fixture->sent; i++) {
 		const call_t *call = &fixture->calls[i];
 
+		assert_null(call->call);
 		if (i / VMS % 3 != 1)
 			assert_true(runs_of(fixture, call) <= 1);
 		if (call->status == 503)
@@ -639,9 +646,47 @@
 	stop(&fixture);
 }
 
-int main(void)
+/* Guards against requests that run twice, that run although they were refused, or
+ * that never end, when links come and go at random, and against VMs that do not
+ * serve again afterwards.
+ */
+static void test_random_cuts(void **state)
+{
+	static const proxy_mode_t modes[] = {
+		PROXY_PASS,    PROXY_PASS,   PROXY_DELAY,      PROXY_SILENT,
+		PROXY_ONE_WAY, PROXY_REFUSE, PROXY_REFUSE_NEW,
+	};
+	static fixture_t fixture; /* outlives a failure */
+	uint64_t random = seed;
+
+	start(&fixture);
+	alarm_init(&fixture.next, clock_boottime(), on_next, &fixture);
+	alarm_set(&fixture.next, now_us());
+	for (unsigned i = 0; i < RANDOM_CUTS; i++) {
+		unsigned mode =
+			(unsigned)(retry_random(&random) % G_N_ELEMENTS(modes));
+
+		set_links(&fixture, (unsigned)(retry_random(&random) % VMS),
+			  modes[mode]);
+		support_run_loop_ms((unsigned)(retry_random(&random) % 300));
+	}
+	alarm_finish(&fixture.next);
+	for (unsigned i = 0; i < VMS; i++)
+		set_links(&fixture, i, PROXY_PASS);
+	run_requests(&fixture);
+	assert_all_vms_serve(&fixture, 0, CUT_VMS);
+	assert_run_once(&fixture);
+	stop(&fixture);
+}
+
+/* An argument is the seed of the random cuts, which then run alone. */
+int main(int argc, char **argv)
 {
+	const struct CMUnitTest random_cuts[] = {
+		cmocka_unit_test(test_random_cuts),
+	};
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_random_cuts),
 		cmocka_unit_test(test_silent_links),
 		cmocka_unit_test(test_reset_links),
 		cmocka_unit_test(test_no_new_links),
@@ -651,5 +696,9 @@
 		cmocka_unit_test(test_server_takes_too_long),
 	};
 
+	if (argc > 1) {
+		seed = g_ascii_strtoull(argv[1], NULL, 10);
+		return cmocka_run_group_tests(random_cuts, NULL, NULL);
+	}
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
