Send the streams of all VMs only to a VM that has just started

They go only to the VM that has started now, from eight VMs on average. Streams of the VM itself are announced for 2 s, not for 30: that covers several announcements, and who starts later is sent them all.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -31,6 +31,7 @@
 	char *address_text; /* "IP:port" */
 	int64_t added_us; /* time when it was added or its address set */
 	int64_t sent_us; /* time of the last announcement to it */
+	int64_t new_until_us; /* its process has just started */
 } announce_peer_t;
 
 static void free_peer(gpointer data)
@@ -88,39 +89,61 @@
 	       MAX(SILENT_AFTER_US, 2 * announce->occupancy->peer_ttl_us);
 }
 
-/* Sends an announcement to the peers and sets the time of the next one. */
-static void on_next_send(void *context)
+/* Sends an announcement to one peer, unless that is silent and was sent one not
+ * long ago. The next announcement makes up for a lost one.
+ */
+static void send_to_peer(announce_t *announce, announce_peer_t *peer,
+			 const char *data, size_t len, int64_t now_us)
 {
-	announce_t *announce = context;
-	int64_t now_us = clock_now(&announce->clock);
+	if (is_silent(announce, peer, now_us) &&
+	    now_us - peer->sent_us < SILENT_PEER_INTERVAL_US)
+		return;
+	peer->sent_us = now_us;
+	(void)g_socket_send_to(announce->socket, peer->address, data, len, NULL,
+			       NULL);
+	announce->sent++;
+}
+
+/* Sends an announcement to the peers that have just started, or to all others.
+ */
+static void send_to_peers(announce_t *announce, bool to_new, int64_t now_us)
+{
+	const GArray *origins = to_new ? announce->occupancy->all_origins
+				       : announce->occupancy->origins;
 	char buffer[MAX_DATAGRAM_BYTES];
 	GHashTableIter iter;
 	gpointer value;
 	size_t len;
 
-	alarm_set(&announce->next_send,
-		  now_us + occupancy_repeat_us(
-				   g_hash_table_size(announce->peers)));
-	announce->sequence++;
-	if (!announce_encode(announce, now_us, buffer, sizeof(buffer), &len))
+	if (!announce_encode(announce, origins, now_us, buffer, sizeof(buffer),
+			     &len))
 		return;
-	if (now_us >= announce->workloads_at_us)
-		announce->workloads_at_us = now_us + WORKLOADS_INTERVAL_US;
 	g_hash_table_iter_init(&iter, announce->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		announce_peer_t *peer = value;
 
-		if (is_silent(announce, peer, now_us) &&
-		    now_us - peer->sent_us < SILENT_PEER_INTERVAL_US)
-			continue;
-		peer->sent_us = now_us;
-		/* The next announcement makes up for a lost one. */
-		(void)g_socket_send_to(announce->socket, peer->address, buffer,
-				       len, NULL, NULL);
-		announce->sent++;
+		if ((now_us < peer->new_until_us) == to_new)
+			send_to_peer(announce, peer, buffer, len, now_us);
 	}
 }
 
+/* Sends an announcement to the peers and sets the time of the next one. */
+static void on_next_send(void *context)
+{
+	announce_t *announce = context;
+	int64_t now_us = clock_now(&announce->clock);
+
+	alarm_set(&announce->next_send,
+		  now_us + occupancy_repeat_us(
+				   g_hash_table_size(announce->peers)));
+	announce->sequence++;
+	send_to_peers(announce, false, now_us);
+	if (now_us < announce->new_peers_until_us)
+		send_to_peers(announce, true, now_us);
+	if (now_us >= announce->workloads_at_us)
+		announce->workloads_at_us = now_us + WORKLOADS_INTERVAL_US;
+}
+
 /* Opens the socket on `address` ("IP:port") and schedules the first
  * announcement. Returns false if the address is malformed or cannot be bound;
  * announce_finish() is to be called either way. `vm` and `occupancy` are
@@ -243,6 +266,21 @@
 		       : longest_silent;
 }
 
+/* Lets announcements to a peer hold the streams of all VMs until a time, as its
+ * process has just started.
+ */
+void announce_set_new_until(announce_t *announce, const char *vm,
+			    int64_t until_us)
+{
+	announce_peer_t *peer = g_hash_table_lookup(announce->peers, vm);
+
+	if (!peer)
+		return;
+	peer->new_until_us = until_us;
+	announce->new_peers_until_us =
+		MAX(announce->new_peers_until_us, until_us);
+}
+
 /* Schedules an announcement of a change, within SEND_DELAY_US. */
 void announce_schedule(announce_t *announce)
 {
--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -23,6 +23,7 @@
 	alarm_t next_send;
 	int64_t workloads_at_us; /* the next announcement from then on holds the
 				    observations of services */
+	int64_t new_peers_until_us; /* some peers have just started */
 	uint32_t sequence; /* number of the last announcement */
 	uint64_t sent; /* datagrams */
 	uint64_t received; /* datagrams, with malformed ones */
@@ -39,11 +40,13 @@
 void announce_remove_peer(announce_t *announce, const char *vm);
 const char *announce_longest_silent_peer(const announce_t *announce,
 					 int64_t now_us, int64_t min_silent_us);
+void announce_set_new_until(announce_t *announce, const char *vm,
+			    int64_t until_us);
 void announce_schedule(announce_t *announce);
 void announce_schedule_whole(announce_t *announce);
 
-bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
-		     size_t size, size_t *len);
+bool announce_encode(const announce_t *announce, const GArray *origins,
+		     int64_t now_us, char *out, size_t size, size_t *len);
 bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
 		     int64_t now_us);
 
--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -187,24 +187,21 @@
 	return true;
 }
 
-/* Returns whether there is evidence on requests that crash servers to announce,
- * or a part of the announcement that follows it.
- */
+/* Returns whether there is evidence on requests that crash servers to announce. */
 static bool has_evidence(const occupancy_t *occupancy, int64_t now_us)
 {
 	return occupancy->losses->len > 0 || occupancy->sound->len > 0 ||
-	       now_us < occupancy->losses_until_us ||
-	       occupancy->origins->len > 0;
+	       now_us < occupancy->losses_until_us;
 }
 
 /* Encodes the limits of servers, if there are any or something follows them. */
 static bool encode_limits(XDR *xdrs, const occupancy_t *occupancy,
-			  int64_t now_us)
+			  bool is_followed, int64_t now_us)
 {
 	const GArray *limits = occupancy->limits;
 	uint32_t n = MIN(limits->len, OCCUPANCY_MAX_LIMITS);
 
-	if (n == 0 && !has_evidence(occupancy, now_us))
+	if (n == 0 && !is_followed)
 		return true;
 	if (!xdr_uint32_t(xdrs, &n))
 		return false;
@@ -241,7 +238,7 @@
 }
 
 /* Encodes the servers that were lost while they began requests, and the keys
- * that are known to be sound, if there is something to announce.
+ * that are known to be sound.
  */
 static bool encode_losses(XDR *xdrs, const occupancy_t *occupancy,
 			  int64_t now_us)
@@ -250,9 +247,6 @@
 	const GArray *sound = occupancy->sound;
 	uint32_t n = MIN(losses->len, QUARANTINE_LOSSES_ANNOUNCED);
 
-	if (!has_evidence(occupancy, now_us))
-		return true;
-
 	if (!xdr_uint32_t(xdrs, &n))
 		return false;
 	for (uint32_t i = 0; i < n; i++) {
@@ -347,19 +341,35 @@
 	return true;
 }
 
+/* Encodes what changes slowly: what this VM has observed of the services, and the
+ * limits of servers, the evidence on requests that crash servers and the versions
+ * that began streams as far as there are any. Parts before one that is there are
+ * not left out.
+ */
+static bool encode_slow_parts(XDR *xdrs, const occupancy_t *occupancy,
+			      const GArray *origins, size_t size,
+			      int64_t now_us)
+{
+	bool with_losses = has_evidence(occupancy, now_us) || origins->len > 0;
+
+	return encode_workloads(xdrs, occupancy->workloads, now_us) &&
+	       encode_limits(xdrs, occupancy, with_losses, now_us) &&
+	       (!with_losses || encode_losses(xdrs, occupancy, now_us)) &&
+	       encode_origins(xdrs, size, origins, now_us);
+}
+
 /* Encodes this router's announcement: its use of servers, its waiting requests
  * and their rate of arrival, the servers that it suspects to have failed, those
- * that are unavailable and, from workloads_at_us on, what it has observed of
- * the services, the limits of servers, its evidence on requests that crash
- * servers and the versions that began streams. Returns false if it does not fit into `size` bytes.
+ * that are unavailable and, from workloads_at_us on, what changes slowly, with
+ * these versions of streams. Returns false if it does not fit into `size` bytes.
  */
-bool announce_encode(const announce_t *announce, int64_t now_us, char *out,
-		     size_t size, size_t *len)
+bool announce_encode(const announce_t *announce, const GArray *origins,
+		     int64_t now_us, char *out, size_t size, size_t *len)
 {
+	const occupancy_t *occupancy = announce->occupancy;
 	uint64_t incarnation = announce->incarnation;
 	uint32_t sequence = announce->sequence;
-	double arrivals =
-		arrival_rate_per_s(&announce->occupancy->arrivals, now_us);
+	double arrivals = arrival_rate_per_s(&occupancy->arrivals, now_us);
 	struct rpc_msg call;
 	bool ok;
 	XDR xdrs;
@@ -369,19 +379,13 @@
 	     xdr_name(&xdrs, (char *)announce->vm) &&
 	     xdr_uint64_t(&xdrs, &incarnation) &&
 	     xdr_uint32_t(&xdrs, &sequence) &&
-	     encode_uses(&xdrs, announce->occupancy->own) &&
-	     encode_waiters(&xdrs, announce->occupancy->waiters, now_us) &&
+	     encode_uses(&xdrs, occupancy->own) &&
+	     encode_waiters(&xdrs, occupancy->waiters, now_us) &&
 	     xdr_rate(&xdrs, &arrivals) &&
-	     encode_suspects(&xdrs, announce->occupancy->suspects) &&
-	     encode_unavailable(&xdrs, announce->occupancy->unavailable,
-				now_us) &&
+	     encode_suspects(&xdrs, occupancy->suspects) &&
+	     encode_unavailable(&xdrs, occupancy->unavailable, now_us) &&
 	     (now_us < announce->workloads_at_us ||
-	      (encode_workloads(&xdrs, announce->occupancy->workloads,
-				now_us) &&
-	       encode_limits(&xdrs, announce->occupancy, now_us) &&
-	       encode_losses(&xdrs, announce->occupancy, now_us) &&
-	       encode_origins(&xdrs, size, announce->occupancy->origins,
-			      now_us)));
+	      encode_slow_parts(&xdrs, occupancy, origins, size, now_us));
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	return ok;
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -53,6 +53,8 @@
 	occupancy->sound =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
 	occupancy->origins = g_array_new(FALSE, FALSE, sizeof(stream_origin_t));
+	occupancy->all_origins =
+		g_array_new(FALSE, FALSE, sizeof(stream_origin_t));
 	occupancy->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	occupancy->waiters =
@@ -90,6 +92,7 @@
 	g_array_unref(occupancy->losses);
 	g_array_unref(occupancy->sound);
 	g_array_unref(occupancy->origins);
+	g_array_unref(occupancy->all_origins);
 }
 
 /* Returns whether nothing is used. */
@@ -465,5 +468,5 @@
 	report_servers(occupancy, peer, announcement);
 	report_origins(occupancy, announcement);
 	if (is_new_process && occupancy->on_new_process)
-		occupancy->on_new_process(occupancy->context);
+		occupancy->on_new_process(occupancy->context, peer->vm);
 }
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -125,7 +125,11 @@
 	GArray *limits; /* own, of occupancy_limit_t; set by the owner */
 	GArray *losses; /* own, of quarantine_loss_t; set by the owner */
 	GArray *sound; /* own, of quarantine_sound_t; set by the owner */
-	GArray *origins; /* of stream_origin_t to announce; set by the owner */
+	/* Of stream_origin_t, to announce to all peers, and to those that have
+	 * just started; set by the owner.
+	 */
+	GArray *origins;
+	GArray *all_origins;
 	/* Empty arrays are announced as well until then; set by the owner. */
 	int64_t losses_until_us;
 	/* Called when a peer suspects a server, given by its ID; may be NULL.
@@ -150,7 +154,7 @@
 	/* Called when a VM announces itself for the first time since its start;
 	 * may be NULL.
 	 */
-	void (*on_new_process)(void *context);
+	void (*on_new_process)(void *context, const char *vm);
 	void *context;
 } occupancy_t;
 
--- a/src/process/decide/stream_origins.c
+++ b/src/process/decide/stream_origins.c
@@ -39,7 +39,8 @@
 	if (link) {
 		known = link->data;
 		known->expires_us = MAX(known->expires_us, origin->expires_us);
-		known->own |= origin->own;
+		known->announced_until_us = MAX(known->announced_until_us,
+						origin->announced_until_us);
 		return;
 	}
 	if (origins->in_order.length >= MAX_ORIGINS)
@@ -61,19 +62,33 @@
 	return origin && origin->expires_us > now_us ? origin->software : 0;
 }
 
-/* Replaces the contents of an array of stream_origin_t by the streams added
- * last, at most STREAM_ORIGINS_ANNOUNCED of them: all, or only those that this
- * VM has served.
+/* Replaces the contents of an array of stream_origin_t by the streams that all
+ * VMs are to learn of now, those added last first, at most
+ * STREAM_ORIGINS_ANNOUNCED of them.
  */
-void stream_origins_list(const stream_origins_t *origins, GArray *list,
-			 bool own_only, int64_t now_us)
+void stream_origins_list_new(const stream_origins_t *origins, GArray *list,
+			     int64_t now_us)
+{
+	g_array_set_size(list, 0);
+	for (const GList *link = origins->in_order.tail;
+	     link && list->len < STREAM_ORIGINS_ANNOUNCED; link = link->prev) {
+		const stream_origin_t *origin = link->data;
+
+		if (origin->announced_until_us > now_us)
+			g_array_append_vals(list, origin, 1);
+	}
+}
+
+/* The same with all known streams, for a VM that knows none. */
+void stream_origins_list_all(const stream_origins_t *origins, GArray *list,
+			     int64_t now_us)
 {
 	g_array_set_size(list, 0);
 	for (const GList *link = origins->in_order.tail;
 	     link && list->len < STREAM_ORIGINS_ANNOUNCED; link = link->prev) {
 		const stream_origin_t *origin = link->data;
 
-		if (origin->expires_us > now_us && (origin->own || !own_only))
+		if (origin->expires_us > now_us)
 			g_array_append_vals(list, origin, 1);
 	}
 }
--- a/src/process/decide/stream_origins.h
+++ b/src/process/decide/stream_origins.h
@@ -21,7 +21,7 @@
 	uint64_t stream; /* identifies the request that began it */
 	uint64_t software; /* identifies the version; not 0 */
 	int64_t expires_us;
-	bool own; /* this VM has served it */
+	int64_t announced_until_us; /* by this VM, to all; 0: not at all */
 } stream_origin_t;
 
 /* The streams that are known at one VM. */
@@ -36,8 +36,10 @@
 			const stream_origin_t *origin);
 uint64_t stream_origins_find(const stream_origins_t *origins, uint64_t stream,
 			     int64_t now_us);
-void stream_origins_list(const stream_origins_t *origins, GArray *list,
-			 bool own_only, int64_t now_us);
+void stream_origins_list_new(const stream_origins_t *origins, GArray *list,
+			     int64_t now_us);
+void stream_origins_list_all(const stream_origins_t *origins, GArray *list,
+			     int64_t now_us);
 void stream_origins_expire(stream_origins_t *origins, int64_t now_us);
 
 #endif
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -40,7 +40,6 @@
 	stage_orders_t orders;
 	vm_expiry_t vm_expiry;
 	quarantine_rows_t quarantine_rows;
-	int64_t all_origins_until_us; /* other VMs' streams are announced too */
 	int64_t next_origins_expiry_us;
 	GHashTable *unreached; /* names of services, as last logged */
 	GArray *logged_rules; /* of quarantine_rule_t: the log says they hold */
--- a/src/process/entry/entry_origins.c
+++ b/src/process/entry/entry_origins.c
@@ -1,18 +1,27 @@
 #include "process/entry/entry_origins.h"
 
-/* After a peer's process has started, the streams of all VMs are announced for
- * this long, as it knows none: it covers several announcements.
+/* After a peer's process has started, it is sent the streams of all VMs for this
+ * long, as it knows none: that covers several announcements.
  */
 #define NEW_PROCESS_US (2 * CLOCK_US_PER_S)
 
+/* How many VMs, on average, send a peer that has just started the streams of all
+ * VMs; with fewer VMs all of them do.
+ */
+#define SENDERS 8
+
 /* Interval of the removal of streams that have expired. */
 #define EXPIRE_US (1 * CLOCK_US_PER_S)
 
 /* Sets which streams the announcements to peers hold. */
 static void set_announced(entry_t *entry, int64_t now_us)
 {
-	stream_origins_list(&entry->relay.origins, entry->occupancy.origins,
-			    now_us >= entry->all_origins_until_us, now_us);
+	const stream_origins_t *origins = &entry->relay.origins;
+
+	stream_origins_list_new(origins, entry->occupancy.origins, now_us);
+	if (now_us < entry->announce.new_peers_until_us)
+		stream_origins_list_all(origins, entry->occupancy.all_origins,
+					now_us);
 }
 
 /* Announces at once that a stream has begun: its caller may ask another VM for
@@ -34,12 +43,23 @@
 	stream_origins_put(&entry->relay.origins, origin);
 }
 
-/* Announces the streams of other VMs too while a peer's process is new. */
-static void on_new_process(void *context)
+/* Returns whether this VM is one of those that send a peer the streams of all. */
+static bool is_sender(const entry_t *entry, const char *peer)
+{
+	guint hash = g_str_hash(entry->settings.vm) * 31 + g_str_hash(peer);
+
+	return hash % MAX(entry->vm_count, 1) < SENDERS;
+}
+
+/* Sends a peer whose process has just started the streams of all VMs. */
+static void on_new_process(void *context, const char *vm)
 {
 	entry_t *entry = context;
 
-	entry->all_origins_until_us = clock_now(&entry->clock) + NEW_PROCESS_US;
+	if (is_sender(entry, vm))
+		announce_set_new_until(&entry->announce, vm,
+				       clock_now(&entry->clock) +
+					       NEW_PROCESS_US);
 }
 
 /* Sets the callbacks for streams that this VM begins or that peers announce. */
--- a/src/request/stream_resume.c
+++ b/src/request/stream_resume.c
@@ -10,6 +10,11 @@
  */
 #define MIN_KEPT_US (30 * CLOCK_US_PER_S)
 
+/* How long a stream is in the announcements of the VM that serves it: that covers
+ * several of them.
+ */
+#define ANNOUNCED_US (2 * CLOCK_US_PER_S)
+
 /* Returns whether a request asks for the rest of a stream that another request
  * began.
  */
@@ -40,7 +45,7 @@
 		.stream = stream_number(request),
 		.software = request->required_software,
 		.expires_us = MAX(request->deadline_us, now_us + MIN_KEPT_US),
-		.own = true,
+		.announced_until_us = now_us + ANNOUNCED_US,
 	};
 
 	stream_origins_put(&request->relay->origins, &origin);
