Keep what a VM's own connections say of plain servers to itself

One VM had lost the store's server list for 3.9 s over a full link and then used a server that had left.

Cause: with a connection that a plain server did not take, or reset, made the server suspect, and a suspicion is announced: each of 86 peers that had heard nothing of it for 150 ms checked its health over a new connection, of which the servers there take too few already. Such a suspicion stays with the VM now, which avoids and checks the server itself; peers are told only when the VM reaches no server of the service, so that none passes requests on to it.

test_others_keep_a_server_with_one_lost_link fails without it (nine looks at suspect servers in 300) and passes.

--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -461,20 +461,32 @@
 /* Records that an answer is overdue: the server is suspect and is probed. */
 void server_mark_suspect(server_t *server, int64_t now_us)
 {
+	server->suspect_here_only = false;
 	if (server->suspect_since_us == 0) {
 		server->suspect_since_us = now_us;
 		server->next_probe_us = now_us;
 	}
 }
 
-/* Records that a connection ended before its answer. The server is suspect after
- * the second one between which nothing came: a server may lose one answer, and a
- * link that resets connections loses all.
+/* Records that this VM has no connection to the server: it is suspect here and is
+ * probed.
+ */
+void server_mark_unreached(server_t *server, int64_t now_us)
+{
+	if (server->suspect_since_us != 0)
+		return;
+	server_mark_suspect(server, now_us);
+	server->suspect_here_only = true;
+}
+
+/* Records that a connection ended before its answer. The server counts as not
+ * reached after the second one between which nothing came: a server may lose one
+ * answer, and a link that resets connections loses all.
  */
 void server_record_lost(server_t *server, int64_t now_us)
 {
 	if (server->last_lost_us > server->last_received_us)
-		server_mark_suspect(server, now_us);
+		server_mark_unreached(server, now_us);
 	server->last_lost_us = now_us;
 }
 
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -41,6 +41,8 @@
 	int64_t expires_us; /* a full read of the list missed it: removed then,
 			       unless it is listed again; 0: was not missed */
 	int64_t suspect_since_us; /* since when it is silent; 0: it is not */
+	bool suspect_here_only; /* connections to it fail, which may be due to
+				   this VM's links: peers are not told */
 	int64_t next_probe_us; /* while it is suspect */
 	int64_t changing_until_us; /* was ordered to change its stage */
 	int64_t avoided_until_us; /* its work failed, here or at a peer */
@@ -132,6 +134,7 @@
 void server_record_end(server_t *server);
 void server_record_received(server_t *server, int64_t now_us);
 void server_record_lost(server_t *server, int64_t now_us);
+void server_mark_unreached(server_t *server, int64_t now_us);
 void server_mark_suspect(server_t *server, int64_t now_us);
 void server_suspected_by_peer(server_t *server, int64_t now_us);
 void server_work_failed(server_t *server, int64_t now_us);
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -218,6 +218,18 @@
 	return 0;
 }
 
+/* Returns whether peers are told that this VM suspects a server. Failed
+ * connections of this VM alone concern them only if it reaches no server of the
+ * service: then they pass no requests on to it.
+ */
+static bool is_suspicion_announced(const entry_t *entry, const server_t *server)
+{
+	if (!server_is_suspect(server))
+		return false;
+	return !server->suspect_here_only ||
+	       !server_set_reaches(&entry->servers, server->entry.service);
+}
+
 /* Sets which servers the announcements to peers name as suspect or as
  * unavailable. When there are more than before, an announcement is sent at
  * once.
@@ -236,7 +248,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const server_t *server = value;
 
-		if (server_is_suspect(server))
+		if (is_suspicion_announced(entry, server))
 			g_ptr_array_add(suspects, g_strdup(server->entry.id));
 		if (announced_unavailable_until_us(entry, server, now_us) !=
 		    0) {
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -197,7 +197,7 @@
 
 	call->send.call = NULL;
 	if (end == CALL_NOT_SENT)
-		server_mark_suspect(call->send.server, now_us);
+		server_mark_unreached(call->send.server, now_us);
 	if (end == CALL_LOST) {
 		server_record_lost(call->send.server, now_us);
 		log_lost(call);
@@ -282,7 +282,7 @@
 	relay_log_send(request, server, "plain");
 	if (!relay_send_start(&call->send, request, server, &fields, &handler,
 			      call)) {
-		server_mark_suspect(server, now_us);
+		server_mark_unreached(server, now_us);
 		if (!pass_on_to_peer(call))
 			refuse(call, REFUSED_RETRY_AFTER_US,
 			       "no connection could be made");
--- a/tests/test_vms_cut_from_servers.c
+++ b/tests/test_vms_cut_from_servers.c
@@ -597,6 +597,34 @@
 	stop(&fixture);
 }
 
+/* Guards against a fleet that checks a server's health and avoids it because one
+ * VM cannot connect to it: with many VMs, the checks keep further ones from
+ * connecting.
+ */
+static void test_others_keep_a_server_with_one_lost_link(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	bool suspected_here = false;
+	unsigned suspected = 0;
+
+	start(&fixture);
+	proxy_set_mode(fixture.vms[0].links[0], PROXY_REFUSE);
+	for (unsigned i = 0; i < 100; i++) {
+		(void)send_call(&fixture, 0, "GET /s/x");
+		support_run_loop_ms(20);
+		for (unsigned vm = 0; vm < VMS; vm++) {
+			const server_t *server = server_set_find(
+				&fixture.vms[vm].process.entry.servers, "i-0");
+
+			suspected_here |= vm == 0 && server_is_suspect(server);
+			suspected += vm > 0 && server_is_suspect(server);
+		}
+	}
+	assert_true(suspected_here);
+	assert_int_equal(suspected, 0);
+	stop(&fixture);
+}
+
 static unsigned count_running(const fixture_t *fixture)
 {
 	unsigned running = 0;
@@ -692,6 +720,7 @@
 		cmocka_unit_test(test_no_new_links),
 		cmocka_unit_test(test_all_vms_cut),
 		cmocka_unit_test(test_others_keep_their_servers),
+		cmocka_unit_test(test_others_keep_a_server_with_one_lost_link),
 		cmocka_unit_test(test_caller_leaves),
 		cmocka_unit_test(test_server_takes_too_long),
 	};
