--- a/tests/test_stream_origins.c
+++ b/tests/test_stream_origins.c
@@ -10,6 +10,9 @@
 
 #define NOW (100 * CLOCK_US_PER_S)
 
+/* More streams than one announcement holds. */
+#define STREAMS ((uint64_t)(4 * STREAM_ORIGINS_ANNOUNCED))
+
 static void put(stream_origins_t *origins, uint64_t stream, uint64_t software,
 		int64_t expires_us, int64_t announced_until_us)
 {
@@ -55,10 +58,10 @@
 	stream_origins_t origins;
 
 	stream_origins_init(&origins);
-	for (uint64_t i = 1; i <= 4 * STREAM_ORIGINS_ANNOUNCED; i++)
+	for (uint64_t i = 1; i <= STREAMS; i++)
 		put(&origins, i, 7, NOW + 10, i % 100 == 0 ? NOW + 5 : 0);
 	stream_origins_list_new(&origins, list, NOW);
-	assert_int_equal(list->len, 4 * STREAM_ORIGINS_ANNOUNCED / 100);
+	assert_int_equal(list->len, STREAMS / 100);
 	for (guint i = 0; i < list->len; i++)
 		assert_int_equal(
 			g_array_index(list, stream_origin_t, i).stream % 100,
@@ -77,12 +80,12 @@
 	stream_origins_t origins;
 
 	stream_origins_init(&origins);
-	for (uint64_t i = 1; i <= 4 * STREAM_ORIGINS_ANNOUNCED; i++)
+	for (uint64_t i = 1; i <= STREAMS; i++)
 		put(&origins, i, 7, NOW + 10, 0);
 	stream_origins_list_all(&origins, list, NOW);
 	assert_int_equal(list->len, STREAM_ORIGINS_ANNOUNCED);
 	assert_int_equal(g_array_index(list, stream_origin_t, 0).stream,
-			 4 * STREAM_ORIGINS_ANNOUNCED);
+			 STREAMS);
 	stream_origins_list_all(&origins, list, NOW + 10);
 	assert_int_equal(list->len, 0);
 	g_array_unref(list);
