End calls on silent links before their VM in a test

Cause: the release of a prompt's result on a silent link has no deadline and outlived its VM's pool of connections, which a process of its own does not, as it exits then. The teardown resets all links before the VMs stop.

--- a/tests/test_vms_cut_from_servers.c
+++ b/tests/test_vms_cut_from_servers.c
@@ -317,9 +317,9 @@
 	return true;
 }
 
-/* Lets all callers leave and checks that all requests end with that. The links
- * are restored first, and time is left for the answers to health checks, as these
- * must not outlive their VM.
+/* Lets all callers leave and checks that all requests end with that. No call to a
+ * server may outlive its VM: the links are restored, so that health checks end,
+ * and then reset, so that releases of prompts end which are on silent links.
  */
 static void stop(fixture_t *fixture)
 {
@@ -328,6 +328,9 @@
 	http_pool_finish(&fixture->callers);
 	assert_true(support_run_loop_until(is_idle, fixture, WAIT_MS));
 	support_run_loop_ms(1500);
+	for (unsigned i = 0; i < VMS; i++)
+		set_links(fixture, i, PROXY_REFUSE);
+	support_run_loop_ms(50);
 	for (unsigned i = 0; i < VMS; i++) {
 		vm_t *vm = &fixture->vms[i];
 
