Check this build beside the one in production

tool_soak finds the programs in its own folder when BUILD_DIR is not set; before, it started none and reported violations for that.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 CTEST = ctest --output-on-failure -j 4 $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
 .PHONY: all packages build test demo format format-check lint sanitize \
-	soak-seeds
+	soak-seeds check-upgrade
 
 all: build
 
@@ -39,6 +39,10 @@
 			--seconds 10 | tail -2 | grep ' 0 violations' || exit 1; \
 	done
 
+# The build in production and this one, side by side.
+check-upgrade: build
+	tools/check-upgrade $(abspath $(BUILD))
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/tests/soak_entry.c
+++ b/tests/soak_entry.c
@@ -67,7 +67,7 @@
 	char *errors = g_strconcat(entry->settings_path, ".err", NULL);
 
 	entry->log_from = log_size(entry);
-	entry->running = process_start_logged(&entry->process, "gooseberryspur",
+	entry->running = process_start_logged(&entry->process, entry->program,
 					      args, log, errors);
 	entry->stopped = false;
 	entry->reload_due = false;
@@ -83,6 +83,7 @@
 		     const char *store_address)
 {
 	entry->number = number;
+	entry->program = SOAK_PROGRAM;
 	entry->vm = g_strdup_printf("vm-%u", number);
 	entry->callers_address = unused_address();
 	entry->ready_address = unused_address();
--- a/tests/soak_entry.h
+++ b/tests/soak_entry.h
@@ -6,11 +6,15 @@
 #include "soak_server.h"
 #include "support_process.h"
 
+/* The build that is tested. */
+#define SOAK_PROGRAM "gooseberryspur"
+
 typedef struct {
 	process_t process;
 	unsigned number;
 	proxy_t *store_proxy;
 	char *settings_path;
+	const char *program; /* the next process is started from it */
 	char *callers_address;
 	char *ready_address;
 	char *metrics_address;
--- a/tests/support_process.c
+++ b/tests/support_process.c
@@ -40,13 +40,31 @@
 	_Exit(127);
 }
 
-static char **make_argv(const char *program, const char *const *args)
+/* Returns the path of a program: `program` itself if it is one, or the program with
+ * that name in $BUILD_DIR or beside this one.
+ */
+static char *program_path(const char *program)
 {
 	const char *dir = getenv("BUILD_DIR");
+	char *own, *own_dir, *path;
+
+	if (strchr(program, '/'))
+		return g_strdup(program);
+	if (dir)
+		return g_build_filename(dir, program, NULL);
+	own = g_file_read_link("/proc/self/exe", NULL);
+	own_dir = own ? g_path_get_dirname(own) : g_strdup(".");
+	path = g_build_filename(own_dir, program, NULL);
+	g_free(own_dir);
+	g_free(own);
+	return path;
+}
+
+static char **make_argv(const char *program, const char *const *args)
+{
 	GPtrArray *argv = g_ptr_array_new();
 
-	g_ptr_array_add(argv,
-			g_strdup_printf("%s/%s", dir ? dir : ".", program));
+	g_ptr_array_add(argv, program_path(program));
 	for (size_t i = 0; args && args[i]; i++)
 		g_ptr_array_add(argv, g_strdup(args[i]));
 	g_ptr_array_add(argv, NULL);
--- a/tests/support_process.h
+++ b/tests/support_process.h
@@ -1,4 +1,6 @@
-/* Child processes of tests: the programs in $BUILD_DIR. */
+/* Child processes of tests: the programs in $BUILD_DIR, or else in the folder of the
+ * test, or those that a path names.
+ */
 #ifndef SUPPORT_PROCESS_H
 #define SUPPORT_PROCESS_H
 
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -79,6 +79,8 @@
 	int64_t end_us;
 	int64_t next_fault_us;
 	bool quiet; /* no faults at all */
+	const char *other_program; /* of another build, from which VMs are
+				      started as well; NULL: none */
 } soak_t;
 
 static int64_t now_us(void)
@@ -116,9 +118,10 @@
 }
 
 static void init(soak_t *soak, uint64_t seed, unsigned entries,
-		 unsigned servers, unsigned callers)
+		 unsigned servers, unsigned callers, const char *other_program)
 {
 	memset(soak, 0, sizeof(*soak));
+	soak->other_program = other_program;
 	soak->store_address = unused_address();
 	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
 	fake_store_start(&soak->store, soak->store_address);
@@ -281,6 +284,14 @@
 	}
 }
 
+/* Returns the program from which a VM is started again. */
+static const char *draw_program(soak_t *soak)
+{
+	bool other = soak->other_program && soak_random(&soak->world, 2) == 0;
+
+	return other ? soak->other_program : SOAK_PROGRAM;
+}
+
 /* Processes that have ended are started again, as the platform does. */
 static void restart_entries(soak_t *soak)
 {
@@ -291,8 +302,10 @@
 			soak_entry_check_end(entry, &soak->world);
 			soak_entry_stop(entry, SIGKILL);
 		}
-		if (!entry->running)
+		if (!entry->running) {
+			entry->program = draw_program(soak);
 			soak_entry_start(entry);
+		}
 		soak_entry_send_due(entry);
 	}
 }
@@ -411,13 +424,14 @@
 }
 
 static int run(uint64_t seed, unsigned seconds, unsigned entries,
-	       unsigned servers, unsigned callers, bool quiet)
+	       unsigned servers, unsigned callers, bool quiet,
+	       const char *other_program)
 {
 	static soak_t soak;
 	unsigned violations;
 	guint step;
 
-	init(&soak, seed, entries, servers, callers);
+	init(&soak, seed, entries, servers, callers, other_program);
 	soak.quiet = quiet;
 	soak.start_us = now_us() + START_US;
 	run_until(soak.start_us);
@@ -460,8 +474,11 @@
 		arg_int0(NULL, "servers", "N", "backend servers");
 	struct arg_int *callers = arg_int0(NULL, "callers", "N", "callers");
 	struct arg_lit *quiet = arg_lit0(NULL, "quiet", "no faults");
+	struct arg_str *other = arg_str0(NULL, "other-build", "PROGRAM",
+					 "start VMs from this as well");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {seed, seconds, entries, servers, callers, quiet, end};
+	void *table[] = {seed,	  seconds, entries, servers,
+			 callers, quiet,   other,   end};
 	int code = 2;
 
 	seed->ival[0] = 1;
@@ -477,7 +494,8 @@
 		code = run((uint64_t)seed->ival[0], (unsigned)seconds->ival[0],
 			   (unsigned)entries->ival[0],
 			   (unsigned)servers->ival[0],
-			   (unsigned)callers->ival[0], quiet->count > 0);
+			   (unsigned)callers->ival[0], quiet->count > 0,
+			   other->count ? other->sval[0] : NULL);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return code;
