Read what callers have sent before a process ends

Change: the process goes on while a request has come in part or bytes wait on a connection; requests that come so have the full time to flush.

Ruled out: connections that the kernel has completed and the process has yet to accept (the same test with those passed before the change).

--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -6,13 +6,15 @@
 #include "process/clock.h"
 #include "process/counters.h"
 
-/* A request that is being received. */
+/* A request that is being received, or that may come on an open connection. */
 typedef struct {
+	listener_t *listener;
 	SoupServerMessage *message; /* not owned */
 	int64_t body_bytes; /* received so far */
 	int64_t max_body_bytes; /* the connection is shut down above it */
 	guint timer; /* source of the receive timeout; 0: none */
 	bool shut_down; /* the connection, because of the body */
+	bool head_read; /* only the body is missing */
 } receive_state_t;
 
 /* At most this many times max_body_bytes of a refused body are read and
@@ -37,6 +39,7 @@
 
 	if (receive->timer)
 		g_source_remove(receive->timer);
+	g_queue_remove(&receive->listener->receiving, receive);
 	g_free(receive);
 }
 
@@ -69,6 +72,7 @@
 	if (receive->timer)
 		g_source_remove(receive->timer);
 	receive->timer = 0;
+	g_queue_remove(&receive->listener->receiving, receive);
 }
 
 /* Starts the receive timeout and attaches the state to the message. */
@@ -79,7 +83,9 @@
 	receive_state_t *receive = g_new0(receive_state_t, 1);
 	int64_t limit_us = listener->limits.receive_timeout_us;
 
+	receive->listener = listener;
 	receive->message = message;
+	g_queue_push_tail(&listener->receiving, receive);
 	receive->max_body_bytes = listener->limits.max_body_bytes;
 	receive->timer = g_timeout_add((guint)(limit_us / CLOCK_US_PER_MS),
 				       on_receive_timeout, receive);
@@ -196,9 +202,11 @@
 		refuse_and_close(message, "header: too many bytes");
 		return;
 	}
-	if (receive)
+	if (receive) {
+		receive->head_read = true;
 		g_signal_connect(message, "got-chunk", G_CALLBACK(on_got_chunk),
 				 receive);
+	}
 	if (soup_message_headers_get_content_length(headers) >
 	    listener->limits.max_body_bytes)
 		refuse_body(message, receive);
@@ -252,6 +260,7 @@
 
 	listener->server = NULL;
 	listener->open_requests = 0;
+	g_queue_init(&listener->receiving);
 	if (!parsed)
 		return false;
 	inet = g_inet_socket_address_new_from_string(
@@ -324,6 +333,25 @@
 	return listener->open_requests;
 }
 
+/* Returns whether a request has come in part, or bytes have come on a connection that
+ * the main loop has yet to read. Closing the connections then would cut a request
+ * that its sender believes to be taken.
+ */
+bool listener_has_unread(const listener_t *listener)
+{
+	for (const GList *link = listener->receiving.head; link;
+	     link = link->next) {
+		const receive_state_t *receive = link->data;
+		GSocket *socket =
+			soup_server_message_get_socket(receive->message);
+
+		if (receive->head_read ||
+		    (socket && g_socket_get_available_bytes(socket) > 0))
+			return true;
+	}
+	return false;
+}
+
 /* Closes the listening socket and all connections. */
 void listener_finish(listener_t *listener)
 {
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -27,6 +27,8 @@
 	listener_request_fn_t on_request;
 	void *context;
 	unsigned open_requests; /* received, but not answered completely */
+	GQueue receiving; /* of a private type: on open connections, requests
+			     that are being received or have yet to come */
 } listener_t;
 
 bool listener_init(listener_t *listener, const char *address,
@@ -36,6 +38,7 @@
 void listener_finish(listener_t *listener);
 bool listener_stop(listener_t *listener);
 unsigned listener_open_requests(const listener_t *listener);
+bool listener_has_unread(const listener_t *listener);
 char *listener_address(listener_t *listener);
 void listener_respond(SoupServerMessage *message, unsigned status,
 		      const char *content_type, str_t body);
--- a/src/process/serve.c
+++ b/src/process/serve.c
@@ -176,8 +176,10 @@
 	if (!process->stopped_listening)
 		process->stopped_listening = listener_stop(&process->callers);
 	if (!idle && now_us < process->abort_requests_at_us &&
-	    process->signal_count < 2)
+	    process->signal_count < 2) {
+		process->flush_until_us = 0;
 		return G_SOURCE_CONTINUE;
+	}
 	while (!g_queue_is_empty(&process->router.requests))
 		request_abort(g_queue_peek_head(&process->router.requests));
 	while (!g_queue_is_empty(&process->router.forwarded_calls))
@@ -191,6 +193,7 @@
 	if (now_us < process->flush_until_us &&
 	    (!process->stopped_listening ||
 	     listener_open_requests(&process->callers) > 0 ||
+	     listener_has_unread(&process->callers) ||
 	     !canceller_is_idle(&process->router.canceller) ||
 	     !once_records_are_idle(&process->router.once_records)))
 		return G_SOURCE_CONTINUE;
--- a/tests/test_rolling.c
+++ b/tests/test_rolling.c
@@ -22,6 +22,10 @@
 #define NOTICE_MS 2000
 #define BALANCER_POLL_US (INT64_C(200) * G_TIME_SPAN_MILLISECOND)
 
+/* Requests that are sent while a process is stopped, and its notice. */
+#define UNREAD 8
+#define UNREAD_NOTICE_MS 300
+
 static const char *const engine_args[] = {
 	"--hold-ms", "60000", "--token-us", "5000", "--prefill-us-per-token",
 	"50",	     NULL};
@@ -154,12 +158,91 @@
 	deployment_finish(&deployment);
 }
 
+static GSocketConnection *connect_to(const char *address)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *connection =
+		g_socket_client_connect_to_host(client, address, 0, NULL, NULL);
+
+	assert_non_null(connection);
+	g_object_unref(client);
+	return connection;
+}
+
+/* Sends a request. */
+static void send_request(GSocketConnection *connection, const char *body)
+{
+	char *request = g_strdup_printf(
+		"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+		"Authorization: Bearer " DEPLOYMENT_TOKEN "\r\n"
+		"Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+
+	assert_true(g_output_stream_write_all(
+		g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
+		strlen(request), NULL, NULL, NULL));
+	g_free(request);
+}
+
+/* Reads the status line of a response. */
+static char *read_status_line(GSocketConnection *connection)
+{
+	GDataInputStream *input = g_data_input_stream_new(
+		g_io_stream_get_input_stream(G_IO_STREAM(connection)));
+	char *line = g_data_input_stream_read_line(input, NULL, NULL, NULL);
+
+	g_object_unref(input);
+	return line;
+}
+
+/* Guards against requests that the kernel has received, and that are cut without an
+ * answer since the process ends in the turn of its main loop in which it would read
+ * them. The process is stopped, so that they come with the end of its notice.
+ */
+static void test_received_before_the_end(void **state)
+{
+	static const char body[] =
+		"{\"model\":\"summaries\",\"prompt\":\"a b c\","
+		"\"max_tokens\":2}";
+	deployment_config_t own = config;
+	GSocketConnection *connections[UNREAD];
+	unsigned answered = 0;
+	deployment_t deployment;
+
+	own.routers = 1;
+	own.zones = 1;
+	own.drain_notice_ms = UNREAD_NOTICE_MS;
+	deployment_start(&deployment, &own);
+	process_signal(&deployment.router[0], SIGTERM);
+	g_usleep(UNREAD_NOTICE_MS / 3 * G_TIME_SPAN_MILLISECOND);
+	for (unsigned i = 0; i < UNREAD; i++)
+		connections[i] = connect_to(deployment.callers_address[0]);
+	g_usleep(UNREAD_NOTICE_MS / 3 * G_TIME_SPAN_MILLISECOND);
+	process_signal(&deployment.router[0], SIGSTOP);
+	for (unsigned i = 0; i < UNREAD; i++)
+		send_request(connections[i], body);
+	g_usleep(UNREAD_NOTICE_MS * G_TIME_SPAN_MILLISECOND);
+	process_signal(&deployment.router[0], SIGCONT);
+	for (unsigned i = 0; i < UNREAD; i++) {
+		char *line = read_status_line(connections[i]);
+
+		answered += line && g_str_has_prefix(line, "HTTP/1.1 200");
+		g_free(line);
+		g_object_unref(connections[i]);
+	}
+	assert_int_equal(answered, UNREAD);
+	assert_true(process_wait_end(&deployment.router[0], WAIT_MS));
+	assert_int_equal(deployment.router[0].status, 0);
+	deployment_finish(&deployment);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_rolling_replacement),
 		cmocka_unit_test(test_second_signal),
 		cmocka_unit_test(test_balancer_notices),
+		cmocka_unit_test(test_received_before_the_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
