Let an entry process read what callers have sent before it ends

Bytes that have come on a kept connection, half a request, and connections that wait to be accepted were cut when it closed idle connections or ended.

test_unread_request_at_the_end fails without the check for unread bytes (the function did not exist before); test_half_a_request_at_the_end guards the rest.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -1,6 +1,7 @@
 #include "connection/ingress_connection.h"
 
 #include <glib-unix.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -409,7 +410,13 @@
 	ingress->closing = true;
 }
 
-/* Closes the connections on which no byte of a request has arrived. */
+/* Returns whether a part of the next request has arrived on a connection. */
+static bool has_unread(const ingress_connection_t *connection)
+{
+	return connection->message.started || tcp_has_unread(&connection->tcp);
+}
+
+/* Closes the connections on which no request has begun to arrive. */
 void ingress_close_idle(ingress_t *ingress)
 {
 	GList *link = ingress->connections.head;
@@ -419,7 +426,28 @@
 
 		link = link->next;
 		if (connection->state == CONNECTION_READING &&
-		    !connection->message.started)
+		    !has_unread(connection))
 			ingress_connection_close(connection);
 	}
 }
+
+/* Returns whether a request has come in part, bytes wait to be read on a connection,
+ * or a connection waits to be accepted. If the process ended now, requests would be
+ * cut whose senders believe them to be taken.
+ */
+bool ingress_has_unread(const ingress_t *ingress)
+{
+	struct pollfd listening = {.fd = ingress->fd, .events = POLLIN};
+
+	if (ingress->source && poll(&listening, 1, 0) > 0)
+		return true;
+	for (const GList *link = ingress->connections.head; link;
+	     link = link->next) {
+		const ingress_connection_t *connection = link->data;
+
+		if (connection->state == CONNECTION_READING &&
+		    has_unread(connection))
+			return true;
+	}
+	return false;
+}
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -176,6 +177,15 @@
 	g_source_attach(tcp->source, g_main_context_get_thread_default());
 }
 
+/* Returns whether bytes have arrived that were not read yet. */
+bool tcp_has_unread(const tcp_t *tcp)
+{
+	int bytes = 0;
+
+	return tcp->source && ioctl(tcp->fd, FIONREAD, &bytes) == 0 &&
+	       bytes > 0;
+}
+
 /*
  * Starts to open a connection. Returns false if that failed at once, and does
  * not call the handler then. Output may be written before the connection is
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -52,6 +52,7 @@
 	int keepalive_idle_s; /* idle time before the first keep-alive probe */
 } tcp_options_t;
 
+bool tcp_has_unread(const tcp_t *tcp);
 bool tcp_connect(tcp_t *tcp, GSocketAddress *address,
 		 const tcp_options_t *options, const tcp_handler_t *handler,
 		 void *context);
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -138,9 +138,13 @@
 /* Takes the next step of the shutdown when it is due. */
 static void check_drain(entry_t *entry, int64_t now_us)
 {
-	switch (drain_next(&entry->drain,
-			   entry->callers.active + entry->peers.active,
-			   now_us)) {
+	unsigned active = entry->callers.active + entry->peers.active;
+
+	/* What callers have sent counts, although it was not read yet. */
+	if (drain_has_started(&entry->drain))
+		active += (ingress_has_unread(&entry->callers) ? 1 : 0) +
+			  (ingress_has_unread(&entry->peers) ? 1 : 0);
+	switch (drain_next(&entry->drain, active, now_us)) {
 	case DRAIN_CONTINUE:
 		break;
 	case DRAIN_CLOSE_IDLE:
--- a/tests/test_ingress.c
+++ b/tests/test_ingress.c
@@ -294,6 +294,48 @@
 	finish(&server);
 }
 
+/* Guards against requests that are cut without an answer at the end of a process, as
+ * their bytes have come but were not read yet.
+ */
+static void test_unread_request_at_the_end(void **state)
+{
+	server_t server;
+
+	init(&server);
+	server.answer_at_once = true;
+	support_run_loop_ms(20);
+	assert_false(ingress_has_unread(&server.ingress));
+	send_text(&server, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	assert_true(ingress_has_unread(&server.ingress));
+	ingress_set_closing(&server.ingress);
+	ingress_close_idle(&server.ingress);
+	receive_for(&server, 50);
+	assert_int_equal(server.requests, 1);
+	assert_int_equal(count(&server, "HTTP/1.1 200"), 1);
+	assert_false(ingress_has_unread(&server.ingress));
+	finish(&server);
+}
+
+/* The same for a request of which a part has come, and for a connection that waits to
+ * be accepted.
+ */
+static void test_half_a_request_at_the_end(void **state)
+{
+	server_t server;
+
+	init(&server);
+	server.answer_at_once = true;
+	assert_true(ingress_has_unread(&server.ingress)); /* not accepted */
+	send_text(&server, "GET /a HTTP/1.1\r\nHo");
+	support_run_loop_ms(20);
+	assert_true(ingress_has_unread(&server.ingress));
+	ingress_close_idle(&server.ingress);
+	send_text(&server, "st: h\r\n\r\n");
+	receive_for(&server, 50);
+	assert_int_equal(count(&server, "HTTP/1.1 200"), 1);
+	finish(&server);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -304,6 +346,8 @@
 		cmocka_unit_test(test_closing),
 		cmocka_unit_test(test_idle),
 		cmocka_unit_test(test_cut_stream),
+		cmocka_unit_test(test_unread_request_at_the_end),
+		cmocka_unit_test(test_half_a_request_at_the_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
