Test answers that break off at each of their bytes

Hypothesis before the code was read: the parser takes the end of the connection for the end of a body whose length or last chunk is missing. It does not happen: plain answers and streams, by length, in chunks and until the close, cut by FIN and by RST at each byte (an orderly close of an unframed one cannot be told from its end).

Not covered: silence at each byte, requests that are passed on or resumed, callers with HTTP/1.0, `serve`.

--- /dev/null
+++ b/tests/test_broken_answers.c
@@ -0,0 +1,315 @@
+/* Answers of backend servers that break off, at each of their bytes, in each framing,
+ * by an orderly close and by a reset. None of them may reach the caller as a whole
+ * success.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "names.h"
+#include "support_address.h"
+#include "support_entry.h"
+#include "support_tcp_stub.h"
+
+#define WAIT_MS 5000
+
+#define PLAIN_HEAD "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+#define STREAM_HEAD PLAIN_HEAD "Content-Type: text/event-stream\r\n"
+#define EVENTS "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+#define PLAIN_LENGTH PLAIN_HEAD "Content-Length: 5\r\n\r\nwhole"
+#define PLAIN_CHUNKS                                                    \
+	PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\n" \
+		   "ole\r\n0\r\n\r\n"
+#define PLAIN_UNFRAMED PLAIN_HEAD "Connection: close\r\n\r\nwhole"
+#define STREAM_LENGTH STREAM_HEAD "Content-Length: 30\r\n\r\n" EVENTS
+#define STREAM_CHUNKS                                                 \
+	STREAM_HEAD "Transfer-Encoding: chunked\r\n\r\n1e\r\n" EVENTS \
+		    "\r\n0\r\n\r\n"
+
+typedef struct {
+	fake_store_t store;
+	char *store_address;
+	support_entry_t vm;
+	ingress_t prefill;
+	char *prefill_address;
+	tcp_stub_t plain;
+	tcp_stub_t decode;
+	http_pool_t callers;
+	unsigned requests; /* so far */
+	GString *body; /* of the answer to the caller */
+	unsigned status;
+	bool ended;
+	call_end_t end;
+} fixture_t;
+
+static void prefill_on_request(void *context, exchange_t *exchange)
+{
+	http_headers_t headers;
+
+	http_headers_init(&headers);
+	exchange_reply(exchange, 200, &headers,
+		       STR("{\"kvHandle\":\"h\",\"tokens\":10,"
+			   "\"version\":1}"));
+	http_headers_finish(&headers);
+}
+
+static void prefill_on_gone(void *context, exchange_t *exchange)
+{
+}
+
+static const ingress_handler_t prefill_handler = {
+	.on_request = prefill_on_request,
+	.on_gone = prefill_on_gone,
+};
+
+static void call_on_head(void *context, const http_head_t *head)
+{
+	((fixture_t *)context)->status = head->status;
+}
+
+static void call_on_body(void *context, const char *data, size_t len)
+{
+	g_string_append_len(((fixture_t *)context)->body, data, (gssize)len);
+}
+
+static void call_on_end(void *context, call_end_t end)
+{
+	fixture_t *fixture = context;
+
+	fixture->ended = true;
+	fixture->end = end;
+}
+
+static const call_handler_t call_handler = {
+	.on_head = call_on_head,
+	.on_body = call_on_body,
+	.on_end = call_on_end,
+};
+
+static bool is_ready(void *context)
+{
+	const entry_t *vm = &((fixture_t *)context)->vm.entry;
+
+	return vm->table && server_set_count_usable(&vm->servers) == 3;
+}
+
+static bool has_ended(void *context)
+{
+	return ((fixture_t *)context)->ended;
+}
+
+static void list_server(fixture_t *fixture, const char *id, const char *fields,
+			const char *address)
+{
+	char *entry = g_strdup_printf(
+		"{%s,\"address\":\"%s\",\"zone\":\"z\",\"slots\":6,"
+		"\"state\":\"ready\",\"sequence\":1,\"born\":1000}",
+		fields, address);
+
+	fake_store_put(&fixture->store, TABLE_SERVERS, id, entry);
+	g_free(entry);
+}
+
+static void start(fixture_t *fixture)
+{
+	static const tcp_stub_answer_t none = {NULL, TCP_STUB_CLOSE};
+	static const char config[] =
+		"{\"version\":1,\"routes\":["
+		"{\"name\":\"u\",\"host\":\"h\",\"pathPrefix\":\"/u/\","
+		"\"kind\":\"unsafe\",\"timeoutMs\":3000,"
+		"\"targetLatencyMs\":900,\"service\":\"app\","
+		"\"maxAttempts\":1},"
+		"{\"name\":\"l\",\"host\":\"h\",\"pathPrefix\":\"/l/\","
+		"\"kind\":\"streaming\",\"timeoutMs\":3000,"
+		"\"targetLatencyMs\":900,\"service\":\"llm\","
+		"\"maxAttempts\":1}],\"services\":["
+		"{\"name\":\"app\",\"healthPath\":\"/health\"},"
+		"{\"name\":\"llm\",\"healthPath\":\"/health\",\"engine\":{"
+		"\"slots\":12,\"kvTokenCapacity\":100000,\"stride\":1}}]}";
+
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->body = g_string_new(NULL);
+	fixture->store_address = unused_address();
+	fake_store_start(&fixture->store, fixture->store_address);
+	fake_store_put(&fixture->store, TABLE_CONFIG, KEY_CONFIG, config);
+	fixture->prefill_address =
+		support_server_start(&fixture->prefill, &fixture->store, "i-0",
+				     "\"service\":\"llm\",\"stage\":"
+				     "\"prefill\"",
+				     &prefill_handler, NULL);
+	tcp_stub_start(&fixture->plain, &none, 1);
+	tcp_stub_start(&fixture->decode, &none, 1);
+	list_server(fixture, "i-1", "\"service\":\"app\"",
+		    fixture->plain.address);
+	list_server(fixture, "i-2", "\"service\":\"llm\",\"stage\":\"decode\"",
+		    fixture->decode.address);
+	support_entry_start(&fixture->vm, "vm-1", fixture->store_address);
+	http_pool_init(&fixture->callers, clock_boottime(), 0, 0);
+	assert_true(support_run_loop_until(is_ready, fixture, WAIT_MS));
+}
+
+static void stop(fixture_t *fixture)
+{
+	http_pool_finish(&fixture->callers);
+	support_run_loop_ms(20);
+	support_entry_stop(&fixture->vm);
+	tcp_stub_stop(&fixture->plain);
+	tcp_stub_stop(&fixture->decode);
+	ingress_finish(&fixture->prefill);
+	fake_store_stop(&fixture->store);
+	g_string_free(fixture->body, TRUE);
+	g_free(fixture->prefill_address);
+	g_free(fixture->store_address);
+}
+
+/* Lets the VM forget what earlier requests have shown of its servers. */
+static void trust_servers(fixture_t *fixture)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fixture->vm.entry.servers.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server_t *server = value;
+
+		server->suspect_since_us = 0;
+		server->last_lost_us = 0;
+		server->avoided_until_us = 0;
+		server->consecutive_failures = 0;
+	}
+}
+
+/* Sends a request and waits for the end of its answer. */
+static void send_request(fixture_t *fixture, const char *path)
+{
+	GString *message = g_string_new(NULL);
+	http_call_options_t options = {
+		.address = support_entry_address(&fixture->vm),
+		.message = message,
+		.handler = &call_handler,
+		.context = fixture,
+	};
+
+	trust_servers(fixture);
+	g_string_printf(message,
+			"POST %s%u HTTP/1.1\r\nHost: h\r\n"
+			"X-Request-Id: r%u\r\nX-Deadline-Ms: 2500\r\n"
+			"X-Model-Name: m\r\nX-Token-Count: 1000,200\r\n"
+			"Content-Length: 0\r\n\r\n",
+			path, fixture->requests, fixture->requests);
+	fixture->requests++;
+	fixture->ended = false;
+	fixture->status = 0;
+	g_string_truncate(fixture->body, 0);
+	assert_non_null(http_pool_call(&fixture->callers, &options));
+	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
+	g_string_free(message, TRUE);
+}
+
+/* Returns whether the caller took the answer for a whole success. */
+static bool looks_whole(const fixture_t *fixture)
+{
+	return fixture->end == CALL_ANSWERED && fixture->status == 200;
+}
+
+/* Breaks an answer at each byte, and checks that it is whole only at its end. A reset
+ * there may overtake the last bytes, so that either may come of it.
+ */
+static void break_everywhere(fixture_t *fixture, tcp_stub_t *stub,
+			     const char *path, const char *whole,
+			     tcp_stub_then_t then)
+{
+	size_t len = strlen(whole);
+
+	for (size_t cut = 0; cut <= len; cut++) {
+		g_autofree char *bytes = g_strndup(whole, cut);
+		tcp_stub_answer_t answer = {bytes, then};
+		unsigned before = stub->requests;
+
+		stub->answers = &answer;
+		stub->n_answers = 1;
+		stub->next = 0;
+		send_request(fixture, path);
+		assert_true(stub->requests > before);
+		if (cut == len && then == TCP_STUB_RESET)
+			continue;
+		if (looks_whole(fixture) != (cut == len))
+			fail_msg("cut after %zu of %zu bytes (%s): status %u, "
+				 "end %d, body %s",
+				 cut, len,
+				 then == TCP_STUB_RESET ? "reset" : "close",
+				 fixture->status, (int)fixture->end,
+				 fixture->body->str);
+	}
+}
+
+/* Guards against plain answers that break off and look whole. */
+static void test_plain_answers(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture);
+	break_everywhere(&fixture, &fixture.plain, "/u/", PLAIN_LENGTH,
+			 TCP_STUB_CLOSE);
+	break_everywhere(&fixture, &fixture.plain, "/u/", PLAIN_LENGTH,
+			 TCP_STUB_RESET);
+	break_everywhere(&fixture, &fixture.plain, "/u/", PLAIN_CHUNKS,
+			 TCP_STUB_CLOSE);
+	break_everywhere(&fixture, &fixture.plain, "/u/", PLAIN_CHUNKS,
+			 TCP_STUB_RESET);
+	stop(&fixture);
+}
+
+/* Guards against the same after a reset, also of an answer that ends with its
+ * connection. Its orderly close cannot be told from its end.
+ */
+static void test_plain_answers_reset(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	size_t len = strlen(PLAIN_UNFRAMED);
+
+	start(&fixture);
+	for (size_t cut = 0; cut <= len; cut++) {
+		char *bytes = g_strndup(PLAIN_UNFRAMED, cut);
+		tcp_stub_answer_t answer = {bytes, TCP_STUB_RESET};
+
+		fixture.plain.answers = &answer;
+		fixture.plain.n_answers = 1;
+		fixture.plain.next = 0;
+		send_request(&fixture, "/u/");
+		assert_false(looks_whole(&fixture));
+		g_free(bytes);
+	}
+	stop(&fixture);
+}
+
+/* Guards against streams that break off and look whole. */
+static void test_streams(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture);
+	break_everywhere(&fixture, &fixture.decode, "/l/", STREAM_LENGTH,
+			 TCP_STUB_CLOSE);
+	break_everywhere(&fixture, &fixture.decode, "/l/", STREAM_LENGTH,
+			 TCP_STUB_RESET);
+	break_everywhere(&fixture, &fixture.decode, "/l/", STREAM_CHUNKS,
+			 TCP_STUB_CLOSE);
+	break_everywhere(&fixture, &fixture.decode, "/l/", STREAM_CHUNKS,
+			 TCP_STUB_RESET);
+	stop(&fixture);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_plain_answers),
+		cmocka_unit_test(test_plain_answers_reset),
+		cmocka_unit_test(test_streams),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
