Announce servers that leave to VMs that read the list late

No read failed and nothing was silent; reads come 1.2 s apart, and two answers over a link of 10 Mbit/s that a surge and a configuration of 1,538 routes had filled took about a second each (inferred from the times; the log has no line for a read).

Change: eight VMs on average announce for 3 s what they read to leave or to be gone, in the existing list of unavailable servers, so that VMs of the build before understand it. A plain server that is to be avoided is used only when no other is left, as a silent one.

--- a/src/process/decide/balance.c
+++ b/src/process/decide/balance.c
@@ -19,8 +19,8 @@
  */
 #define FAILURE_LOAD 4.0
 
-/* Large enough that a silent server, or one that is missing from the platform's
- * list, is used only when no other is left.
+/* Large enough that a server which is silent, to be avoided, or missing from the
+ * platform's list is used only when no other is left.
  */
 #define SUSPECT_LOAD 100.0
 #define UNLISTED_LOAD 10.0
@@ -72,7 +72,8 @@
 	if (!g_str_equal(server->entry.zone, request->zone))
 		load += OTHER_ZONE_LOAD;
 	load += FAILURE_LOAD * MAX(server->failure_share - least_failures, 0);
-	if (server_is_suspect(server))
+	if (server_is_suspect(server) ||
+	    server->avoided_until_us > request->now_us)
 		load += SUSPECT_LOAD;
 	if (server->expires_us)
 		load += UNLISTED_LOAD;
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -289,6 +289,7 @@
 	http_pool_init(&entry->store_pool, clock, USER_TIMEOUT_MS,
 		       CONNECT_TIMEOUT_US);
 	server_set_init(&entry->servers);
+	departures_init(&entry->departures);
 	occupancy_init(&entry->occupancy);
 	relay_init(&entry->relay, clock, &entry->server_pool, &entry->servers,
 		   &entry->occupancy, entry->settings.zone);
@@ -348,6 +349,7 @@
 	relay_finish(&entry->relay);
 	occupancy_finish(&entry->occupancy);
 	server_set_finish(&entry->servers);
+	departures_finish(&entry->departures);
 	http_pool_finish(&entry->server_pool);
 	http_pool_finish(&entry->peer_pool);
 	http_pool_finish(&entry->store_pool);
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -6,6 +6,7 @@
 
 #include "connection/announce.h"
 #include "connection/ingress.h"
+#include "process/decide/departures.h"
 #include "process/decide/drain.h"
 #include "process/entry/entry_settings.h"
 #include "process/entry/origin_rows.h"
@@ -35,6 +36,7 @@
 	http_pool_t peer_pool; /* connections to other VMs */
 	http_pool_t store_pool; /* connections to the platform's store */
 	server_set_t servers;
+	departures_t departures;
 	occupancy_t occupancy;
 	announce_t announce;
 	store_rows_t rows;
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -20,11 +20,24 @@
  */
 #define ROUND_ANNOUNCERS 32
 
+/* The same for servers that leave. Each of them is in the announcements of these VMs
+ * for a few seconds.
+ */
+#define DEPARTURE_ANNOUNCERS 8
+
 /* How long peers are asked to avoid a server whose address now belongs to
  * another server. The first server is gone, and its row in the store expires.
  */
 #define ADDRESS_REUSED_AVOID_US (3 * CLOCK_US_PER_S)
 
+/* Returns whether this VM is one of `n`, on average, that tell all VMs what all read
+ * from the store: for those that read it late or cannot reach the store.
+ */
+static bool is_among(const entry_t *entry, unsigned n)
+{
+	return g_str_hash(entry->settings.vm) % MAX(entry->vm_count, 1) < n;
+}
+
 /* Sets how many retries this VM may make: a share of its own requests, plus its
  * part of the further retries that all VMs together may make.
  */
@@ -76,6 +89,19 @@
 	schedule_admission(entry);
 }
 
+/* Lets the other VMs know at once that a server leaves, if this VM is one of those
+ * that tell them.
+ */
+static void on_departure(void *context, const char *server)
+{
+	entry_t *entry = context;
+
+	if (!is_among(entry, DEPARTURE_ANNOUNCERS))
+		return;
+	departures_add(&entry->departures, server, clock_now(&entry->clock));
+	announce_schedule(&entry->announce);
+}
+
 /* Stores the address of another VM, or removes the VM if its row was removed,
  * and adjusts what depends on the number of VMs.
  */
@@ -136,6 +162,7 @@
 const store_rows_handler_t entry_rows_handler = {
 	.on_config = on_config,
 	.on_servers = on_servers,
+	.on_departure = on_departure,
 	.on_vm = on_vm,
 	.on_round = on_round,
 	.on_crash_row = on_crash_row,
@@ -205,16 +232,6 @@
 					 clock_now(&entry->clock));
 }
 
-/* Returns whether this VM announces rounds of stage orders. All VMs read a
- * round from the store; it is announced for those that cannot reach the store,
- * and when there are many VMs a part of them is enough for that.
- */
-static bool announces_rounds(const entry_t *entry)
-{
-	return g_str_hash(entry->settings.vm) % MAX(entry->vm_count, 1) <
-	       ROUND_ANNOUNCERS;
-}
-
 /* Returns the time until which this VM announces a server as unavailable, so
  * that its peers send it no work; 0: not at all.
  */
@@ -225,7 +242,9 @@
 	if (server->address_reused)
 		return now_us + ADDRESS_REUSED_AVOID_US;
 	if (server->changing_until_us > now_us)
-		return announces_rounds(entry) ? server->changing_until_us : 0;
+		return is_among(entry, ROUND_ANNOUNCERS)
+			       ? server->changing_until_us
+			       : 0;
 	if (server->consecutive_failures >= ANNOUNCED_FAILURES &&
 	    server->avoided_until_us > now_us)
 		return server->avoided_until_us;
@@ -258,6 +277,7 @@
 
 	g_ptr_array_set_size(suspects, 0);
 	g_array_set_size(unavailable, 0);
+	departures_append_to(&entry->departures, unavailable, now_us);
 	g_hash_table_iter_init(&iter, entry->servers.by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const server_t *server = value;
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -155,6 +155,7 @@
 	if (!server)
 		return;
 	log_server(&server->entry, "removed");
+	rows->handler->on_departure(rows->context, id);
 	server_set_remove(rows->servers, id, clock_now(&rows->clock));
 	rows->handler->on_servers(rows->context);
 }
@@ -212,12 +213,14 @@
 			     g_string_new_len(row->value->str,
 					      (gssize)row->value->len));
 	server = server_set_put(rows->servers, &entry, clock_now(&rows->clock));
-	if (server->entry.leaving && !was_leaving)
+	if (server->entry.leaving && !was_leaving) {
 		log_server(&server->entry, "leaving");
-	else if (!was_known)
+		rows->handler->on_departure(rows->context, row->key);
+	} else if (!was_known) {
 		log_server(&server->entry, "added");
-	else if (server->entry.stage != stage)
+	} else if (server->entry.stage != stage) {
 		log_server(&server->entry, "stage");
+	}
 	rows->handler->on_servers(rows->context);
 }
 
--- a/tests/support_store_reader.c
+++ b/tests/support_store_reader.c
@@ -38,6 +38,10 @@
 {
 }
 
+static void on_departure(void *context, const char *server)
+{
+}
+
 static void on_own_sync(void *context)
 {
 }
@@ -48,6 +52,7 @@
 	.on_vm = on_vm,
 	.on_round = on_round,
 	.on_crash_row = on_crash_row,
+	.on_departure = on_departure,
 	.on_software_row = on_software_row,
 	.on_own_sync = on_own_sync,
 };
