Soak: streams whose rest callers ask for, two versions of engines, loss of all VMs

Engines have one of two versions, a route has streams that may be resumed, and callers whose stream broke off ask another VM for the rest, up to three times; the events have to be complete and of one version (ORDER). All VMs are killed at once as one more fault.

--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -6,6 +6,9 @@
 
 #define TIME_LEFT_MS 3000
 
+/* Requests for the rest of one stream. */
+#define MAX_TRIES 3
+
 /* The answer must have come by then, whatever is disturbed. */
 #define ANSWER_US (4500 * CLOCK_US_PER_MS)
 
@@ -16,6 +19,9 @@
 	http_call_t *call; /* NULL: none in progress */
 	soak_kind_t kind;
 	char *request;
+	char *first_request; /* began the stream of which the rest is to be
+				asked for; NULL: none */
+	unsigned tries; /* requests for the rest */
 	GString *body;
 	unsigned status;
 	bool has_signature;
@@ -42,7 +48,7 @@
 {
 	GString *expected = g_string_new(NULL);
 
-	for (unsigned i = 1; i <= 12; i++)
+	for (unsigned i = 1; i <= SOAK_EVENTS; i++)
 		g_string_append_printf(expected, "id: %u\ndata: %s\n\n", i,
 				       caller->request);
 	if (!g_string_equal(expected, caller->body))
@@ -52,6 +58,38 @@
 	g_string_free(expected, TRUE);
 }
 
+/* Returns the number of whole events that have come, and cuts the rest off. */
+static unsigned keep_whole_events(GString *body)
+{
+	const char *end = g_strrstr(body->str, "\n\n");
+	unsigned events = 0;
+
+	g_string_truncate(body, end ? (gsize)(end - body->str) + 2 : 0);
+	for (const char *at = body->str; (at = strstr(at, "id: ")); at++)
+		events++;
+	return events;
+}
+
+/* A stream has each event once, and all of one version. */
+static void check_resumable(soak_caller_t *caller)
+{
+	bool same = false;
+
+	for (unsigned version = 1; version <= 2; version++) {
+		GString *expected = g_string_new(NULL);
+
+		for (unsigned i = 1; i <= SOAK_EVENTS; i++)
+			g_string_append_printf(
+				expected, "id: %u\ndata: v%u\n\n", i, version);
+		same |= g_string_equal(expected, caller->body);
+		g_string_free(expected, TRUE);
+	}
+	if (!same)
+		soak_world_violate(caller->world,
+				   "ORDER: %s got another stream: %s",
+				   caller->request, caller->body->str);
+}
+
 static void check_success(soak_caller_t *caller)
 {
 	char *expected = g_strdup_printf("answer to %s", caller->request);
@@ -62,6 +100,8 @@
 				   caller->request);
 	if (caller->kind == SOAK_STREAM)
 		check_stream(caller);
+	else if (caller->kind == SOAK_RESUMABLE)
+		check_resumable(caller);
 	else if (!g_str_equal(expected, caller->body->str))
 		soak_world_violate(caller->world,
 				   "MIXED: %s got another answer: %s",
@@ -76,6 +116,19 @@
 	g_clear_pointer(&caller->request, g_free);
 }
 
+/* Remembers a stream that broke off after some events, to ask for its rest. */
+static void note_broken_stream(soak_caller_t *caller)
+{
+	if (caller->kind != SOAK_RESUMABLE ||
+	    keep_whole_events(caller->body) == 0 ||
+	    caller->tries >= MAX_TRIES) {
+		g_clear_pointer(&caller->first_request, g_free);
+		return;
+	}
+	if (!caller->first_request)
+		caller->first_request = g_strdup(caller->request);
+}
+
 static void on_head(void *context, const http_head_t *head)
 {
 	soak_caller_t *caller = context;
@@ -99,9 +152,11 @@
 
 	if (end != CALL_ANSWERED) {
 		caller->counts->broken++;
+		note_broken_stream(caller);
 	} else if (caller->status == 200) {
 		caller->counts->served++;
 		check_success(caller);
+		g_clear_pointer(&caller->first_request, g_free);
 	} else if (caller->status == 503) {
 		caller->counts->refused++;
 		check_not_run(caller);
@@ -126,6 +181,7 @@
 
 	caller->counts->broken++;
 	http_call_cancel(caller->call);
+	g_clear_pointer(&caller->first_request, g_free);
 	finish(caller);
 }
 
@@ -150,6 +206,7 @@
 		http_call_cancel(caller->call);
 	alarm_finish(&caller->alarm);
 	g_free(caller->request);
+	g_free(caller->first_request);
 	g_string_free(caller->body, TRUE);
 	g_free(caller);
 }
@@ -160,11 +217,19 @@
 	return caller->call != NULL;
 }
 
-/* Sends a request; the caller leaves at a time, or stays (0). */
-void soak_caller_send(soak_caller_t *caller, const char *address,
-		      soak_kind_t kind, int64_t leave_at_us)
+/* Tells whether the last stream broke off, and its rest is to be asked for. */
+bool soak_caller_wants_rest(const soak_caller_t *caller)
+{
+	return !caller->call && caller->first_request;
+}
+
+/* Sends a request. `fields` are further header fields. */
+static void send_message(soak_caller_t *caller, const char *address,
+			 const char *fields, int64_t leave_at_us)
 {
-	static const char *const paths[] = {"/safe/", "/unsafe/", "/stream/"};
+	static const char *const paths[] = {"/safe/", "/unsafe/", "/stream/",
+					    SOAK_RESUMABLE_PATH};
+	soak_kind_t kind = caller->kind;
 	clock_source_t clock = clock_boottime();
 	GString *message = g_string_new(NULL);
 	http_call_options_t options = {
@@ -174,18 +239,16 @@
 		.context = caller,
 	};
 
-	caller->kind = kind;
 	caller->request = g_strdup_printf("r%u", ++caller->world->next_id);
 	caller->status = 0;
 	caller->has_signature = false;
-	g_string_truncate(caller->body, 0);
 	g_string_printf(message,
 			"%s %sx HTTP/1.1\r\nHost: soak.example\r\n"
-			"X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n"
+			"X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s"
 			"X-Model-Name: m\r\nX-Token-Count: 1000,200\r\n"
 			"X-Length-Hint: 100\r\nContent-Length: %d\r\n\r\n%s",
 			kind == SOAK_SAFE ? "GET" : "POST", paths[kind],
-			caller->request, TIME_LEFT_MS,
+			caller->request, TIME_LEFT_MS, fields,
 			kind == SOAK_SAFE ? 0 : 4,
 			kind == SOAK_SAFE ? "" : "body");
 	caller->counts->sent++;
@@ -199,3 +262,26 @@
 	alarm_set(&caller->alarm,
 		  leave_at_us ? leave_at_us : clock_now(&clock) + ANSWER_US);
 }
+
+/* Asks for the rest of the stream that broke off. */
+void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address)
+{
+	char *fields = g_strdup_printf("Last-Event-Id: %u\r\nResumes: %s\r\n",
+				       keep_whole_events(caller->body),
+				       caller->first_request);
+
+	caller->tries++;
+	send_message(caller, address, fields, 0);
+	g_free(fields);
+}
+
+/* Sends a new request; the caller leaves at a time, or stays (0). */
+void soak_caller_send(soak_caller_t *caller, const char *address,
+		      soak_kind_t kind, int64_t leave_at_us)
+{
+	caller->kind = kind;
+	caller->tries = 0;
+	g_clear_pointer(&caller->first_request, g_free);
+	g_string_truncate(caller->body, 0);
+	send_message(caller, address, "", leave_at_us);
+}
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -11,6 +11,7 @@
 	SOAK_SAFE,
 	SOAK_UNSAFE,
 	SOAK_STREAM,
+	SOAK_RESUMABLE, /* a stream whose rest may be asked for */
 	SOAK_KINDS_N,
 } soak_kind_t;
 
@@ -28,6 +29,8 @@
 			       soak_counts_t *counts);
 void soak_caller_free(soak_caller_t *caller);
 bool soak_caller_is_busy(const soak_caller_t *caller);
+bool soak_caller_wants_rest(const soak_caller_t *caller);
+void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address);
 void soak_caller_send(soak_caller_t *caller, const char *address,
 		      soak_kind_t kind, int64_t leave_at_us);
 
--- a/tests/soak_server.c
+++ b/tests/soak_server.c
@@ -14,7 +14,6 @@
 #define EVENT_US (15 * CLOCK_US_PER_MS)
 #define HANDLE_US (500 * CLOCK_US_PER_MS)
 #define CHANGE_US (1000 * CLOCK_US_PER_MS)
-#define EVENTS 12
 #define SLOTS 12
 
 /* One answer in the making. */
@@ -26,6 +25,8 @@
 	unsigned events;
 	bool counted; /* as a run */
 	bool prefill;
+	bool resumable; /* a stream whose rest may be asked for */
+	bool head_sent;
 } work_t;
 
 static int64_t now_us(void)
@@ -158,20 +159,22 @@
 	http_headers_t headers;
 	char *event;
 
-	if (work->events == 0) {
+	if (!work->head_sent) {
+		work->head_sent = true;
 		add_common(work, &headers);
 		http_headers_add(&headers, STR("Content-Type"),
 				 STR("text/event-stream"));
 		exchange_start_stream(exchange, 200, &headers);
 		http_headers_finish(&headers);
 	}
-	if (work->events == EVENTS) {
+	if (work->events == SOAK_EVENTS) {
 		end_work(work, true);
 		exchange_end_stream(exchange);
 		return;
 	}
 	event = g_strdup_printf("id: %u\ndata: %s\n\n", ++work->events,
-				work->request);
+				work->resumable ? work->server->software
+						: work->request);
 	exchange_write(exchange, event, strlen(event));
 	g_free(event);
 	alarm_set(&work->next, now_us() + EVENT_US);
@@ -237,8 +240,11 @@
 		       bool prefill)
 {
 	const http_headers_t *headers = &exchange_head(exchange)->headers;
-	bool repeatable =
-		g_str_equal(exchange_head(exchange)->method->str, "GET");
+	const http_head_t *head = exchange_head(exchange);
+	bool resumable =
+		g_str_has_prefix(head->target->str, SOAK_RESUMABLE_PATH);
+	bool repeatable = resumable || g_str_equal(head->method->str, "GET");
+	int64_t last_event = 0;
 	work_t *work = g_new0(work_t, 1);
 	int64_t us = server->stage == SOAK_PLAIN     ? PLAIN_US
 		     : server->stage == SOAK_PREFILL ? PREFILL_US
@@ -247,6 +253,10 @@
 	work->server = server;
 	work->exchange = exchange;
 	work->prefill = prefill;
+	work->resumable = resumable;
+	if (http_parse_uint(http_headers_get(headers, "last-event-id"),
+			    &last_event))
+		work->events = (unsigned)last_event;
 	work->request = str_dup(http_headers_get(headers, "x-request-id"));
 	server->in_work++;
 	g_queue_push_tail(&server->works, work);
@@ -274,11 +284,11 @@
 					     ",\"stage\":\"decode\""};
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-		"\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
+		"\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\","
 		"\"coldRemainingMs\":0,\"sequence\":%u,\"born\":1%s}",
 		server->service, proxy_address(server->proxy), server->zone,
-		SLOTS, leaving ? "draining" : "ready", ++server->beats,
-		stages[server->stage]);
+		server->software, SLOTS, leaving ? "draining" : "ready",
+		++server->beats, stages[server->stage]);
 
 	fake_store_put(server->world->store, "servers", server->id, text);
 	g_free(text);
@@ -381,6 +391,7 @@
 
 	g_free(server->id);
 	server->id = g_strdup_printf("i-%u", ++server->world->next_id);
+	server->software = g_str_hash(server->id) % 2 ? "v1" : "v2";
 	server->up = true;
 	server->orders = 0;
 	server->leaves_by_us = 0;
--- a/tests/soak_server.h
+++ b/tests/soak_server.h
@@ -9,6 +9,12 @@
 #include "support_proxy.h"
 #include "support_store.h"
 
+/* Path of streams whose rest callers may ask for. */
+#define SOAK_RESUMABLE_PATH "/resumable/"
+
+/* Events of a stream. */
+#define SOAK_EVENTS 12
+
 typedef enum {
 	SOAK_PLAIN,
 	SOAK_PREFILL,
@@ -43,6 +49,7 @@
 	char *zone;
 	char *address; /* own, behind the proxy */
 	soak_stage_t stage;
+	const char *software; /* version of this process */
 	int64_t leaves_by_us; /* no request may begin later; 0: any time */
 	unsigned orders;
 	unsigned beats;
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -43,13 +43,14 @@
 	FAULT_STORE_BUSY,
 	FAULT_STORE_HISTORY,
 	FAULT_STORE_LOST,
+	FAULT_ALL_KILL,
 	FAULTS_N,
 } fault_kind_t;
 
 static const char *const fault_names[] = {
 	"entry_kill",	"entry_term",	 "entry_freeze", "entry_hup",
 	"server_crash", "server_leave",	 "server_link",	 "store_link",
-	"store_busy",	"store_history", "store_lost",
+	"store_busy",	"store_history", "store_lost",	 "all_kill",
 };
 
 typedef struct {
@@ -105,7 +106,12 @@
 		"{\"name\":\"l\",\"host\":\"soak.example\",\"pathPrefix\":"
 		"\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":3000,"
 		"\"targetLatencyMs\":900,\"service\":\"llm\","
-		"\"maxAttempts\":1}],\"services\":["
+		"\"maxAttempts\":1},"
+		"{\"name\":\"r\",\"host\":\"soak.example\",\"pathPrefix\":"
+		"\"" SOAK_RESUMABLE_PATH "\",\"kind\":\"streaming\","
+		"\"resumable\":true,\"timeoutMs\":3000,"
+		"\"targetLatencyMs\":900,\"service\":\"llm\","
+		"\"maxAttempts\":3}],\"services\":["
 		"{\"name\":\"app\",\"healthPath\":\"/health\"},"
 		"{\"name\":\"llm\",\"healthPath\":\"/health\",\"engine\":{"
 		"\"slots\":12,\"kvTokenCapacity\":100000,\"stride\":1,"
@@ -211,6 +217,15 @@
 	}
 }
 
+/* Kills all VMs at once. */
+static void kill_all_entries(soak_t *soak)
+{
+	for (unsigned i = 0; i < soak->n_entries; i++) {
+		if (soak->entries[i].running)
+			soak_entry_stop(&soak->entries[i], SIGKILL);
+	}
+}
+
 static void begin_fault(soak_t *soak)
 {
 	fault_t fault = {
@@ -233,6 +248,8 @@
 		begin_entry_fault(soak, &fault);
 	else if (on_server)
 		begin_server_fault(soak, &fault);
+	else if (fault.kind == FAULT_ALL_KILL)
+		kill_all_entries(soak);
 	else
 		begin_store_fault(soak, &fault);
 	g_array_append_val(soak->faults, fault);
@@ -339,6 +356,12 @@
 		if (soak_caller_is_busy(soak->callers[i]) ||
 		    soak_random(&soak->world, 4) != 0)
 			continue;
+		if (soak_caller_wants_rest(soak->callers[i])) {
+			entry = route_caller(soak, i + 1);
+			soak_caller_ask_for_rest(soak->callers[i],
+						 entry->callers_address);
+			continue;
+		}
 		entry = route_caller(soak, i);
 		kind = (soak_kind_t)soak_random(&soak->world, SOAK_KINDS_N);
 		if (soak_random(&soak->world, 10) == 0)
