--- /dev/null
+++ b/src/process/entry/entry_list.h
@@ -0,0 +1,12 @@
+/* What an entry process tells its peers of the list of backend servers, as their own
+ * reads of it may be late.
+ */
+#ifndef PROCESS_ENTRY_LIST_H
+#define PROCESS_ENTRY_LIST_H
+
+#include "process/entry/entry.h"
+
+bool entry_is_among(const entry_t *entry, unsigned n);
+void entry_on_departure(void *context, const char *server);
+
+#endif
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -1,6 +1,7 @@
 #include "process/entry/entry_updates.h"
 
 #include "process/decide/peer_choice.h"
+#include "process/entry/entry_list.h"
 #include "process/entry/entry_origins.h"
 #include "process/entry/entry_quarantine.h"
 #include "process/log.h"
@@ -20,24 +21,11 @@
  */
 #define ROUND_ANNOUNCERS 32
 
-/* The same for servers that leave. Each of them is in the announcements of these VMs
- * for a few seconds.
- */
-#define DEPARTURE_ANNOUNCERS 8
-
 /* How long peers are asked to avoid a server whose address now belongs to
  * another server. The first server is gone, and its row in the store expires.
  */
 #define ADDRESS_REUSED_AVOID_US (3 * CLOCK_US_PER_S)
 
-/* Returns whether this VM is one of `n`, on average, that tell all VMs what all read
- * from the store: for those that read it late or cannot reach the store.
- */
-static bool is_among(const entry_t *entry, unsigned n)
-{
-	return g_str_hash(entry->settings.vm) % MAX(entry->vm_count, 1) < n;
-}
-
 /* Sets how many retries this VM may make: a share of its own requests, plus its
  * part of the further retries that all VMs together may make.
  */
@@ -89,19 +77,6 @@
 	schedule_admission(entry);
 }
 
-/* Lets the other VMs know at once that a server leaves, if this VM is one of those
- * that tell them.
- */
-static void on_departure(void *context, const char *server)
-{
-	entry_t *entry = context;
-
-	if (!is_among(entry, DEPARTURE_ANNOUNCERS))
-		return;
-	departures_add(&entry->departures, server, clock_now(&entry->clock));
-	announce_schedule(&entry->announce);
-}
-
 /* Stores the address of another VM, or removes the VM if its row was removed,
  * and adjusts what depends on the number of VMs.
  */
@@ -162,7 +137,7 @@
 const store_rows_handler_t entry_rows_handler = {
 	.on_config = on_config,
 	.on_servers = on_servers,
-	.on_departure = on_departure,
+	.on_departure = entry_on_departure,
 	.on_vm = on_vm,
 	.on_round = on_round,
 	.on_crash_row = on_crash_row,
@@ -242,7 +217,7 @@
 	if (server->address_reused)
 		return now_us + ADDRESS_REUSED_AVOID_US;
 	if (server->changing_until_us > now_us)
-		return is_among(entry, ROUND_ANNOUNCERS)
+		return entry_is_among(entry, ROUND_ANNOUNCERS)
 			       ? server->changing_until_us
 			       : 0;
 	if (server->consecutive_failures >= ANNOUNCED_FAILURES &&
