Let a VM that starts again write no row of its own

Cause: each VM writes its row when it starts, also if it is there with the same address.

Change: the row is written once the first full read has shown that it is missing or names another address.

--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -293,7 +293,8 @@
 	if (row->value)
 		address = str_from_gstring(row->value);
 	if (row->value && g_str_equal(vm, rows->vm))
-		rows->own_row_read = true;
+		rows->own_row_read =
+			str_equal(address, str_from(rows->own_address));
 	/* Another VM considered this one dead and removed its row. */
 	if (!row->value && g_str_equal(vm, rows->vm) &&
 	    !store_call_is_busy(&rows->register_call))
@@ -311,8 +312,9 @@
 	rows->handler->on_own_sync(rows->context);
 }
 
-/* Writes this VM's row again if a full read lacks it, as after the store was
- * restored from a copy that is older than the row.
+/* Writes this VM's row if a full read lacks it: at the first start of the VM, at a new
+ * address, or after the store was restored from a copy that is older than the row. Each
+ * write ends the waiting reads of all VMs, so a VM that starts again writes nothing.
  */
 static void own_sync_end(void *context, bool outage)
 {
@@ -428,8 +430,8 @@
 	store_watch_init(watch, rows->pool, rows->clock, &options);
 }
 
-/* Registers this VM in the store and starts to follow the store's tables. The
- * addresses are copied; `vm`, `servers` and `handler` are borrowed.
+/* Starts to follow the store's tables, and registers this VM once its row is known to
+ * be missing or outdated. The addresses are copied; `vm`, `servers` and `handler` are borrowed.
  */
 void store_rows_init(store_rows_t *rows, http_pool_t *pool,
 		     clock_source_t clock, const char *store_address,
@@ -459,7 +461,6 @@
 	       SERVERS_PAUSE_US, SERVERS_WAIT_US, NULL);
 	follow(rows, &rows->own_table, TABLE_ROUTER, &own_handler, 0,
 	       FEED_WAIT_US, &rows->server_list);
-	register_vm(rows);
 }
 
 /* Stops following. The servers stay in their set. */
--- a/tests/test_store_rows.c
+++ b/tests/test_store_rows.c
@@ -226,6 +226,48 @@
 	store_reader_finish(&reader);
 }
 
+static bool has_read_own_row(void *context)
+{
+	const store_reader_t *reader = context;
+
+	return reader->vm_rows > 0;
+}
+
+/* Guards against a write by each VM that starts again, which ends the waiting reads of
+ * all VMs: after the loss of 195 VMs the square of their number.
+ */
+static void test_restart_writes_nothing(void **state)
+{
+	store_reader_t reader;
+	int64_t version;
+
+	store_reader_init(&reader);
+	fake_store_put(&reader.store, TABLE_ROUTER, "vm/vm-us", "10.0.0.9:80");
+	version =
+		fake_store_row_version(&reader.store, TABLE_ROUTER, "vm/vm-us");
+	assert_true(support_run_loop_until(has_read_own_row, &reader, 2000));
+	support_run_loop_ms(500);
+	assert_int_equal(fake_store_row_version(&reader.store, TABLE_ROUTER,
+						"vm/vm-us"),
+			 version);
+	store_reader_finish(&reader);
+}
+
+/* Guards against a VM that other VMs look for at its former address. */
+static void test_restart_at_another_address(void **state)
+{
+	store_reader_t reader;
+	char *address;
+
+	store_reader_init(&reader);
+	fake_store_put(&reader.store, TABLE_ROUTER, "vm/vm-us", "10.0.0.7:80");
+	support_run_loop_ms(1000);
+	address = fake_store_text(&reader.store, TABLE_ROUTER, "vm/vm-us");
+	assert_string_equal(address, "10.0.0.9:80");
+	g_free(address);
+	store_reader_finish(&reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -236,6 +278,8 @@
 		cmocka_unit_test(test_restored_store),
 		cmocka_unit_test(test_restored_store_lists_a_leaving_server),
 		cmocka_unit_test(test_reads_while_refused),
+		cmocka_unit_test(test_restart_writes_nothing),
+		cmocka_unit_test(test_restart_at_another_address),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
