Remember that a peer's process has just started when its row is read

The mark was part of the record of the peer, which each row replaces. A VM that is new altogether is heard before its row is read as well; then there was no record, and the mark was not set at all.

Change: names of VMs whose processes have just started are kept beside the peers, until the last of them is no longer new.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -31,7 +31,6 @@
 	char *address_text; /* "IP:port" */
 	int64_t added_us; /* time when it was added or its address set */
 	int64_t sent_us; /* time of the last announcement to it */
-	int64_t new_until_us; /* its process has just started */
 } announce_peer_t;
 
 static void free_peer(gpointer data)
@@ -104,6 +103,14 @@
 	announce->sent++;
 }
 
+/* Returns whether a peer's process has just started. */
+static bool is_new(const announce_t *announce, const char *vm, int64_t now_us)
+{
+	const int64_t *until_us = g_hash_table_lookup(announce->new_until, vm);
+
+	return until_us && now_us < *until_us;
+}
+
 /* Sends an announcement to the peers that have just started, or to all others.
  */
 static void send_to_peers(announce_t *announce, bool to_new, int64_t now_us)
@@ -122,7 +129,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		announce_peer_t *peer = value;
 
-		if ((now_us < peer->new_until_us) == to_new)
+		if (is_new(announce, peer->vm, now_us) == to_new)
 			send_to_peer(announce, peer, buffer, len, now_us);
 	}
 }
@@ -140,6 +147,8 @@
 	send_to_peers(announce, false, now_us);
 	if (now_us < announce->new_peers_until_us)
 		send_to_peers(announce, true, now_us);
+	else
+		g_hash_table_remove_all(announce->new_until);
 	if (now_us >= announce->workloads_at_us)
 		announce->workloads_at_us = now_us + WORKLOADS_INTERVAL_US;
 }
@@ -162,6 +171,8 @@
 		.occupancy = occupancy,
 		.peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       free_peer),
+		.new_until = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, g_free),
 	};
 	if (own)
 		announce->socket = g_socket_new(
@@ -194,6 +205,7 @@
 	}
 	g_clear_object(&announce->socket);
 	g_clear_pointer(&announce->peers, g_hash_table_unref);
+	g_clear_pointer(&announce->new_until, g_hash_table_unref);
 }
 
 /* Adds a peer, or changes its address. Ignores this VM itself and a malformed
@@ -267,16 +279,13 @@
 }
 
 /* Lets announcements to a peer hold the streams of all VMs until a time, as its
- * process has just started.
+ * process has just started. Its row may be read later, or again.
  */
 void announce_set_new_until(announce_t *announce, const char *vm,
 			    int64_t until_us)
 {
-	announce_peer_t *peer = g_hash_table_lookup(announce->peers, vm);
-
-	if (!peer)
-		return;
-	peer->new_until_us = until_us;
+	g_hash_table_replace(announce->new_until, g_strdup(vm),
+			     g_memdup2(&until_us, sizeof(until_us)));
 	announce->new_peers_until_us =
 		MAX(announce->new_peers_until_us, until_us);
 }
--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -20,6 +20,8 @@
 	GSocket *socket;
 	GSource *source;
 	GHashTable *peers; /* VM name to announce_peer_t */
+	GHashTable *new_until; /* name of a VM whose process has just started, to
+				  an int64_t time */
 	alarm_t next_send;
 	int64_t workloads_at_us; /* the next announcement from then on holds the
 				    observations of services */
--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -110,11 +110,27 @@
 	stop(&fixture);
 }
 
+/* Guards against the same when a VM that is new is heard before its row is read. */
+static void test_new_vm_is_heard_before_its_row_is_read(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	announce_t *announce;
+
+	start(&fixture);
+	announce = &fixture.announce[0];
+	announce_set_new_until(announce, "vm-1", now_us() + CLOCK_US_PER_S);
+	announce_set_peer(announce, "vm-1", fixture.addresses[1]);
+	announce_schedule_whole(announce);
+	assert_true(support_run_loop_until(has_heard, &fixture, WAIT_MS));
+	stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_new_process_at_a_new_address),
 		cmocka_unit_test(test_new_process_at_the_same_address),
+		cmocka_unit_test(test_new_vm_is_heard_before_its_row_is_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
