Pass the server list on from eight VMs to all others

Cause: each VM reads the changes of the server list from the store for itself, about once a second, whether anything changes or not, since each heartbeat of a server is a change. The list is also up to 2.2 s old.

Change: eight VMs (one in 24 in larger fleets) read the list, 2.5 times a second; all others ask one of them, as they would ask the store, and are answered when something but a heartbeat changes, or after a second. All VMs compute the readers from the announcements that they hear (process/decide/list_readers). A reader passes on only what it has itself read in the last 1.7 s, and refuses otherwise; a VM that is refused or hears nothing reads the store at once and asks another reader next. Answers name the newest rows of the other tables, so that a VM whose reads of these hang notices it. With eight VMs or fewer nothing changes.

--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -81,6 +81,10 @@
 	const table_route_t *route;
 	str_t path = http_path(str_from_gstring(head->target));
 
+	if (list_relay_is_request(exchange)) {
+		list_relay_request(&entry->rows.list_relay, exchange);
+		return;
+	}
 	counters_add(COUNTER_REQUESTS, 1);
 	if (!entry->table) {
 		refuse(exchange, UNKNOWN_RETRY_US,
@@ -114,8 +118,11 @@
 /* Informs the request, if one was started, that its caller has disconnected. */
 static void caller_gone(void *context, exchange_t *exchange)
 {
+	entry_t *entry = context;
 	relay_request_t *request = exchange_context(exchange);
 
+	if (list_relay_gone(&entry->rows.list_relay, exchange))
+		return;
 	if (request)
 		request->on_gone(request->owner);
 }
@@ -172,6 +179,7 @@
 	drain_start(&entry->drain, now_us, now_us + limit_us);
 	ingress_set_closing(&entry->callers);
 	ingress_set_closing(&entry->peers);
+	list_relay_close(&entry->rows.list_relay);
 	log_event(LOG_INFO, "draining",
 		  LOG_UINT("active", entry->callers.active));
 	return G_SOURCE_CONTINUE;
@@ -290,6 +298,7 @@
 		       CONNECT_TIMEOUT_US);
 	server_set_init(&entry->servers);
 	departures_init(&entry->departures);
+	list_readers_init(&entry->list_readers);
 	occupancy_init(&entry->occupancy);
 	relay_init(&entry->relay, clock, &entry->server_pool, &entry->servers,
 		   &entry->occupancy, entry->settings.zone);
@@ -350,6 +359,7 @@
 	occupancy_finish(&entry->occupancy);
 	server_set_finish(&entry->servers);
 	departures_finish(&entry->departures);
+	list_readers_finish(&entry->list_readers);
 	http_pool_finish(&entry->server_pool);
 	http_pool_finish(&entry->peer_pool);
 	http_pool_finish(&entry->store_pool);
@@ -379,4 +389,5 @@
 	entry_settings_finish(&entry->settings);
 	route_table_unref(entry->table);
 	g_main_loop_unref(entry->loop);
+	g_free(entry->list_reader);
 }
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -8,6 +8,7 @@
 #include "connection/ingress.h"
 #include "process/decide/departures.h"
 #include "process/decide/drain.h"
+#include "process/decide/list_readers.h"
 #include "process/entry/entry_settings.h"
 #include "process/entry/origin_rows.h"
 #include "process/entry/quarantine_rows.h"
@@ -37,6 +38,8 @@
 	http_pool_t store_pool; /* connections to the platform's store */
 	server_set_t servers;
 	departures_t departures;
+	list_readers_t list_readers;
+	char *list_reader; /* VM that passes the server list on; NULL: none */
 	occupancy_t occupancy;
 	announce_t announce;
 	store_rows_t rows;
--- a/src/process/entry/entry_status.c
+++ b/src/process/entry/entry_status.c
@@ -138,6 +138,10 @@
 	counters_set(COUNTER_RPC_MALFORMED, (int64_t)entry->announce.malformed);
 	counters_set(COUNTER_PLATFORM_READS,
 		     (int64_t)store_rows_reads(&entry->rows));
+	counters_set(COUNTER_LIST_READS,
+		     (int64_t)entry->rows.server_list.relayed_reads);
+	counters_set(COUNTER_LIST_ANSWERS,
+		     (int64_t)entry->rows.list_relay.answered);
 	counters_print(text);
 	route_metrics_print(text);
 	print_servers(entry, text);
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -143,6 +143,8 @@
 	.on_crash_row = on_crash_row,
 	.on_software_row = on_software_row,
 	.on_own_sync = on_own_sync,
+	.choose_list_reader = entry_choose_list_reader,
+	.on_list_reader_failed = entry_on_list_reader_failed,
 };
 
 /* Lets waiting streams use what a peer has announced. */
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -22,6 +22,17 @@
 #define SERVERS_PAUSE_PER_VM_US (10 * CLOCK_US_PER_MS)
 #define SERVERS_PAUSE_MAX_US (1200 * CLOCK_US_PER_MS)
 
+/* The same for a VM that passes the list on to others, and pause of those between what
+ * is passed on to them, so that changes in quick succession come together.
+ */
+#define READER_PAUSE_US (400 * CLOCK_US_PER_MS)
+#define RELAYED_PAUSE_US (100 * CLOCK_US_PER_MS)
+
+/* By then a VM has read a row that another one has read, unless its read is lost or
+ * pauses.
+ */
+#define BEHIND_US (300 * CLOCK_US_PER_MS)
+
 /* Pause between reads of this project's own table. Each VM that registers ends
  * the waiting reads of all others. When all start at once, feeds without a
  * pause make as many reads as the square of the number of VMs: with 300 VMs,
@@ -106,7 +117,11 @@
 /* Logs whether the configuration can be read. */
 static void config_reachable(void *context, bool reachable)
 {
+	store_rows_t *rows = context;
+
 	log_reachable(TABLE_CONFIG, reachable);
+	if (reachable)
+		store_watch_retry(&rows->own_table);
 }
 
 static const store_watch_handler_t config_handler = {
@@ -124,6 +139,7 @@
 {
 	store_rows_t *rows = context;
 
+	list_relay_begin_sync(&rows->list_relay);
 	rows->reading_copy = restored;
 	server_set_begin_sync(rows->servers);
 }
@@ -195,11 +211,13 @@
 	server_entry_t entry;
 
 	if (!row->value) {
+		list_relay_put(&rows->list_relay, row);
 		remove_server(rows, row->key, server);
 		return;
 	}
 	if (is_heartbeat(rows, row, server))
 		return;
+	list_relay_put(&rows->list_relay, row);
 	if (!server_row_read(row->key, str_from_gstring(row->value), &entry)) {
 		log_event(LOG_WARN, "server_entry_unreadable",
 			  LOG_CSTR("server", row->key));
@@ -233,6 +251,7 @@
 	int64_t now_us = clock_now(&rows->clock);
 
 	rows->reading_copy = false;
+	list_relay_end_sync(&rows->list_relay, rows->server_list.version);
 	server_set_end_sync(rows->servers,
 			    outage ? now_us + SERVER_RETURN_US : now_us);
 	alarm_set(&rows->expiry, outage ? now_us + SERVER_RETURN_US : now_us);
@@ -272,12 +291,79 @@
 	store_watch_retry(&rows->own_table);
 }
 
+/* Sets the pause after the next read: a VM that others have asked for the list lately
+ * reads it more often.
+ */
+static const char *choose_reader(void *context)
+{
+	store_rows_t *rows = context;
+
+	rows->server_list.options.pause_us =
+		list_relay_is_asked(&rows->list_relay) ? READER_PAUSE_US
+						       : rows->list_pause_us;
+	return rows->handler->choose_list_reader
+		       ? rows->handler->choose_list_reader(rows->context)
+		       : NULL;
+}
+
+static void on_reader_failed(void *context)
+{
+	store_rows_t *rows = context;
+
+	rows->handler->on_list_reader_failed(rows->context);
+}
+
+/* Reads a table at once if it lacks a row that another VM has read: the read that waits
+ * for it may be lost.
+ */
+static void recheck_if_behind(store_rows_t *rows, store_watch_t *watch,
+			      int64_t newest)
+{
+	if (newest <= watch->newest_row || !watch->waiting)
+		return;
+	log_event(LOG_WARN, "store_read_hangs",
+		  LOG_CSTR("table", watch->options.table),
+		  LOG_INT("newest_read", watch->newest_row),
+		  LOG_INT("newest_of_others", newest));
+	http_pool_close_idle(rows->pool, rows->address);
+	store_watch_recheck(watch);
+}
+
+/* Reads the tables of which this VM lacked rows a short time ago, and still does. */
+static void on_behind(void *context)
+{
+	store_rows_t *rows = context;
+
+	recheck_if_behind(rows, &rows->config, rows->newest_config);
+	recheck_if_behind(rows, &rows->own_table, rows->newest_own);
+}
+
+/* Notes which rows another VM has read in the other tables. This VM's reads of them
+ * wait for many seconds, and it does not read the server list from the store, so that
+ * nothing else shows that the store's answers are lost on the way to it.
+ */
+static void on_newest(void *context, int64_t config, int64_t own)
+{
+	store_rows_t *rows = context;
+
+	rows->newest_config = config;
+	rows->newest_own = own;
+	if ((config > rows->config.newest_row ||
+	     own > rows->own_table.newest_row) &&
+	    rows->behind_check.at_us < 0)
+		alarm_set(&rows->behind_check,
+			  clock_now(&rows->clock) + BEHIND_US);
+}
+
 static const store_watch_handler_t servers_handler = {
 	.on_sync_begin = servers_sync_begin,
 	.on_row = servers_row,
 	.on_sync_end = servers_sync_end,
 	.on_reachable = servers_reachable,
 	.on_silence = on_silence,
+	.choose_reader = choose_reader,
+	.on_reader_failed = on_reader_failed,
+	.on_newest = on_newest,
 };
 
 /* --- rows of this project ---------------------------------------------- */
@@ -421,6 +507,7 @@
 		.table = table,
 		.address = rows->address,
 		.pause_us = pause_us,
+		.relayed_pause_us = RELAYED_PAUSE_US,
 		.wait_us = wait_us,
 		.probe = probe,
 		.handler = handler,
@@ -448,10 +535,14 @@
 		.servers = servers,
 		.handler = handler,
 		.context = context,
+		.list_pause_us = SERVERS_PAUSE_US,
 	};
 	rows->server_rows = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, free_text);
+	list_relay_init(&rows->list_relay, clock, &rows->server_list,
+			&rows->config, &rows->own_table);
 	alarm_init(&rows->expiry, clock, on_expiry, rows);
+	alarm_init(&rows->behind_check, clock, on_behind, rows);
 	alarm_init(&rows->outdated_expiry, clock, on_outdated_expiry, rows);
 	alarm_init(&rows->register_retry, clock, register_vm, rows);
 	store_call_init(&rows->register_call, pool);
@@ -460,7 +551,7 @@
 	follow(rows, &rows->server_list, TABLE_SERVERS, &servers_handler,
 	       SERVERS_PAUSE_US, SERVERS_WAIT_US, NULL);
 	follow(rows, &rows->own_table, TABLE_ROUTER, &own_handler, 0,
-	       FEED_WAIT_US, &rows->server_list);
+	       FEED_WAIT_US, &rows->config);
 }
 
 /* Stops following. The servers stay in their set. */
@@ -469,9 +560,11 @@
 	store_watch_finish(&rows->config);
 	store_watch_finish(&rows->server_list);
 	store_watch_finish(&rows->own_table);
+	list_relay_finish(&rows->list_relay);
 	store_call_finish(&rows->register_call);
 	alarm_finish(&rows->register_retry);
 	alarm_finish(&rows->expiry);
+	alarm_finish(&rows->behind_check);
 	alarm_finish(&rows->outdated_expiry);
 	g_hash_table_unref(rows->server_rows);
 	g_free(rows->address);
@@ -481,7 +574,7 @@
 /* Sets the pauses between reads for a number of entry VMs. */
 void store_rows_set_vm_count(store_rows_t *rows, unsigned vm_count)
 {
-	rows->server_list.options.pause_us =
+	rows->list_pause_us =
 		MIN(SERVERS_PAUSE_US + vm_count * SERVERS_PAUSE_PER_VM_US,
 		    SERVERS_PAUSE_MAX_US);
 	rows->own_table.options.pause_us =
--- a/src/process/entry/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -5,6 +5,7 @@
 #define PROCESS_STORE_ROWS_H
 
 #include "process/decide/server_set.h"
+#include "process/entry/list_relay.h"
 #include "process/entry/store_watch.h"
 #include "version/route_table.h"
 
@@ -46,6 +47,13 @@
 				int64_t row_version);
 	/* A full read of this project's table begins. */
 	void (*on_own_sync)(void *context);
+	/* Returns the address of another VM that passes the changes of the server
+	 * list on, borrowed, or NULL to read them from the store. The callback may
+	 * be NULL.
+	 */
+	const char *(*choose_list_reader)(void *context);
+	/* The VM that was chosen last did not do so. */
+	void (*on_list_reader_failed)(void *context);
 } store_rows_handler_t;
 
 typedef struct {
@@ -62,6 +70,11 @@
 	store_watch_t config; /* watch of the configuration's table */
 	store_watch_t server_list; /* watch of the backend servers' table */
 	store_watch_t own_table; /* watch of this project's own table */
+	list_relay_t list_relay; /* passes the server list on to other VMs */
+	int64_t list_pause_us; /* between reads of the server list */
+	int64_t newest_config; /* versions of the newest rows of the other tables */
+	int64_t newest_own; /* that another VM has read */
+	alarm_t behind_check; /* of whether this VM has them by then */
 	bool own_row_read; /* the full read in progress brought this VM's row */
 	store_call_t register_call; /* writes the row of this VM */
 	alarm_t register_retry;
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -68,10 +68,13 @@
 /* Passes the rows of an answer to the user of the watch. */
 static void apply_rows(store_watch_t *watch, const store_page_t *page)
 {
-	for (guint i = 0; i < page->rows->len; i++)
-		watch->options.handler->on_row(watch->options.context,
-					       &g_array_index(page->rows,
-							      store_row_t, i));
+	for (guint i = 0; i < page->rows->len; i++) {
+		const store_row_t *row =
+			&g_array_index(page->rows, store_row_t, i);
+
+		watch->newest_row = MAX(watch->newest_row, row->version);
+		watch->options.handler->on_row(watch->options.context, row);
+	}
 }
 
 /* Begins a full read, unless the page is not its first. */
@@ -80,6 +83,7 @@
 	if (watch->from_key)
 		return;
 	watch->sync_version = page->version;
+	watch->newest_row = 0;
 	watch->options.handler->on_sync_begin(watch->options.context,
 					      watch->restored);
 }
@@ -134,6 +138,41 @@
 	return true;
 }
 
+/* Reads from the store what the VM that was asked last does not pass on. */
+static void abandon_reader(store_watch_t *watch)
+{
+	store_call_cancel(&watch->call);
+	watch->options.handler->on_reader_failed(watch->options.context);
+	watch->rechecking = true;
+	read_table(watch);
+}
+
+/* Applies the changes that another VM has passed on. One whose store has another era
+ * has not noticed yet that the store was restored, or knows it before this VM does.
+ */
+static void on_relayed(store_watch_t *watch, store_result_t result, str_t body)
+{
+	const store_watch_options_t *options = &watch->options;
+	int64_t now_us = clock_now(&watch->clock);
+	bool ok = result == STORE_OK && watch->call.era == watch->era;
+	store_page_t page = {0};
+
+	if (ok && store_page_read(body, &page)) {
+		watch->last_ok_us = now_us;
+		apply_changes(watch, &page);
+		alarm_set(&watch->next_read,
+			  now_us + options->relayed_pause_us);
+		if (options->handler->on_newest)
+			options->handler->on_newest(options->context,
+						    page.newest_config,
+						    page.newest_own);
+		store_page_finish(&page);
+		return;
+	}
+	store_page_finish(&page);
+	abandon_reader(watch);
+}
+
 /* Handles the end of a read, and schedules the next one. */
 static void on_read(void *context, store_result_t result, str_t body)
 {
@@ -144,6 +183,10 @@
 	watch->waiting = false;
 	watch->rechecking = false;
 	alarm_set(&watch->overdue, -1);
+	if (watch->relayed) {
+		on_relayed(watch, result, body);
+		return;
+	}
 	if (was_restored(watch)) {
 		read_table(watch);
 		return;
@@ -185,10 +228,25 @@
 	set_reachable(watch, true);
 }
 
+/* Returns the address of the VM from which the next read has the feed passed on, or
+ * NULL if it goes to the store.
+ */
+static const char *choose_reader(const store_watch_t *watch)
+{
+	const store_watch_options_t *options = &watch->options;
+
+	if (!options->handler->choose_reader || !watch->synced ||
+	    watch->failures > 0 || watch->rechecking || watch->outage)
+		return NULL;
+	return options->handler->choose_reader(options->context);
+}
+
 /* Sends the next read: of the feed, or of a page of a full read. */
 static void read_table(store_watch_t *watch)
 {
 	const store_watch_options_t *options = &watch->options;
+	const char *reader = choose_reader(watch);
+	const char *address = reader ? reader : options->address;
 	int64_t now_us = clock_now(&watch->clock);
 	int64_t deadline_us = now_us + READ_TIMEOUT_US;
 	/* When the store may be unreachable, the read does not wait for a
@@ -197,32 +255,38 @@
 	int64_t wait_us =
 		watch->failures || watch->rechecking ? 0 : options->wait_us;
 
+	watch->relayed = reader != NULL;
 	watch->waiting = watch->synced && wait_us > 0;
 	g_string_truncate(watch->message, 0);
 	if (watch->synced) {
-		store_append_feed(watch->message, options->address,
-				  options->table, watch->version, wait_us);
+		store_append_feed(watch->message, address, options->table,
+				  watch->version, wait_us);
 		deadline_us += wait_us;
 	} else {
 		store_append_get(watch->message, options->address,
 				 options->table, watch->from_key);
 	}
-	watch->reads++;
+	watch->reads += watch->relayed ? 0 : 1;
+	watch->relayed_reads += watch->relayed ? 1 : 0;
 	watch->sent_us = now_us;
 	alarm_set(&watch->overdue,
 		  watch->waiting ? now_us + wait_us + OVERDUE_US : -1);
-	store_call_send(&watch->call, options->address, watch->message,
-			deadline_us, on_read, watch);
+	store_call_send(&watch->call, address, watch->message, deadline_us,
+			on_read, watch);
 }
 
 /* Reports a silence of the store when a read that waited is not answered soon
- * after its wait, so that it is replaced before its deadline.
+ * after its wait, so that it is replaced before its deadline. After a silence of
+ * another VM the store is read.
  */
 static void on_overdue(void *context)
 {
 	store_watch_t *watch = context;
 
-	watch->options.handler->on_silence(watch->options.context);
+	if (watch->relayed)
+		abandon_reader(watch);
+	else
+		watch->options.handler->on_silence(watch->options.context);
 }
 
 /* Sends the read that was scheduled. */
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -30,6 +30,19 @@
 	 * store_watch_recheck() for each watch of this store.
 	 */
 	void (*on_silence)(void *context);
+	/* Returns the address of another VM that passes the table's feed on,
+	 * borrowed; NULL to read from the store. The callback may be NULL.
+	 */
+	const char *(*choose_reader)(void *context);
+	/* The VM that was chosen last has not answered, or does not pass the
+	 * feed on. The next read goes to the store. May be NULL only if
+	 * choose_reader is.
+	 */
+	void (*on_reader_failed)(void *context);
+	/* Another VM has read rows up to these versions in the tables of the
+	 * configuration and of this project. May be NULL.
+	 */
+	void (*on_newest)(void *context, int64_t config, int64_t own);
 } store_watch_handler_t;
 
 typedef struct store_watch store_watch_t;
@@ -38,6 +51,7 @@
 	const char *table; /* borrowed */
 	const char *address; /* of the store; borrowed */
 	int64_t pause_us; /* between reads of the feed */
+	int64_t relayed_pause_us; /* the same while another VM passes it on */
 	int64_t wait_us; /* longest wait of one read for a change */
 	/* Another watch of the same store, or NULL. While its reads fail, this
 	 * watch reads less often; its user calls store_watch_retry() when they
@@ -62,9 +76,12 @@
 	int64_t sent_us; /* when the latest read was sent */
 	int64_t last_ok_us; /* when a read last succeeded */
 	unsigned failures; /* reads that failed in a row */
-	uint64_t reads; /* sent so far */
+	uint64_t reads; /* sent to the store so far */
+	uint64_t relayed_reads; /* sent to other VMs so far */
 	bool synced; /* a full read has ended: the feed is read */
 	bool waiting; /* the read in progress may wait for a change */
+	bool relayed; /* the latest read is or was answered by another VM */
+	int64_t newest_row; /* version of the newest row that was read */
 	bool rechecking; /* it replaces one that waited */
 	bool outage; /* since the last full read */
 	bool restored; /* the store was, since the last full read */
