--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -198,6 +198,19 @@
 	return server;
 }
 
+/* Records that a server has said itself that it leaves, which the list may show later.
+ * Returns false if that was known.
+ */
+bool server_set_mark_leaving(server_set_t *set, server_t *server,
+			     int64_t now_us)
+{
+	if (server->entry.leaving)
+		return false;
+	server->entry.leaving = true;
+	set->last_leaving_us = now_us;
+	return true;
+}
+
 /* Removes a server after its entry was removed; an unknown ID is ignored. */
 void server_set_remove(server_set_t *set, const char *id, int64_t now_us)
 {
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -105,6 +105,8 @@
 server_t *server_set_put(server_set_t *set, server_entry_t *entry,
 			 int64_t now_us);
 void server_set_remove(server_set_t *set, const char *id, int64_t now_us);
+bool server_set_mark_leaving(server_set_t *set, server_t *server,
+			     int64_t now_us);
 void server_set_begin_sync(server_set_t *set);
 void server_set_end_sync(server_set_t *set, int64_t keep_until_us);
 bool server_set_expire(server_set_t *set, int64_t now_us);
--- a/src/process/entry/entry_list.c
+++ b/src/process/entry/entry_list.c
@@ -60,14 +60,23 @@
 }
 
 /* Lets the other VMs know at once that a server leaves, if this VM is one of those
- * that tell them.
+ * that tell them what all VMs read.
  */
 void entry_on_departure(void *context, const char *server)
 {
 	entry_t *entry = context;
 
-	if (!entry_is_among(entry, LIST_ANNOUNCERS))
-		return;
+	if (entry_is_among(entry, LIST_ANNOUNCERS))
+		entry_on_said_leaving(context, server);
+}
+
+/* The same for a server that has said so in an answer to this VM, which the others have
+ * not read.
+ */
+void entry_on_said_leaving(void *context, const char *server)
+{
+	entry_t *entry = context;
+
 	departures_add(&entry->departures, server, clock_now(&entry->clock));
 	announce_schedule(&entry->announce);
 }
--- a/src/process/entry/entry_list.h
+++ b/src/process/entry/entry_list.h
@@ -9,6 +9,7 @@
 bool entry_is_among(const entry_t *entry, unsigned n);
 const char *entry_choose_list_reader(void *context);
 void entry_on_list_reader_failed(void *context);
+void entry_on_said_leaving(void *context, const char *server);
 void entry_on_departure(void *context, const char *server);
 
 #endif
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -308,6 +308,7 @@
 void entry_set_callbacks(entry_t *entry)
 {
 	entry->relay.on_occupancy_changed = on_occupancy_changed;
+	entry->relay.on_departure = entry_on_said_leaving;
 	entry->relay.context = entry;
 	entry->relay.peer_pool = &entry->peer_pool;
 	entry->relay.peer_address = peer_address;
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -400,6 +400,25 @@
 			   fields->has_limit ? fields->limit_per_s : 0));
 }
 
+/* Records whether the server says that it leaves. An answer with status 421 comes from
+ * another server.
+ */
+static void record_leaving(relay_send_t *send, int64_t now_us)
+{
+	relay_t *relay = send->relay;
+	const char *id = send->server->entry.id;
+
+	if (!send->fields.leaving || send->status == 421 ||
+	    !server_set_mark_leaving(relay->servers, send->server, now_us))
+		return;
+	log_event(LOG_INFO, "server_changed", LOG_CSTR("server", id),
+		  LOG_CSTR("change", "says_leaving"),
+		  LOG_CSTR("zone", send->server->entry.zone),
+		  LOG_CSTR("address", send->server->entry.address));
+	if (relay->on_departure)
+		relay->on_departure(relay->context, id);
+}
+
 /* Keeps the head of the response and records the load and the limit that it
  * names.
  */
@@ -418,6 +437,7 @@
 		send->server->reported_us = now_us;
 	}
 	record_limit(send, now_us);
+	record_leaving(send, now_us);
 }
 
 /* Returns whether `more` bytes of a response may be kept until it is complete,
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -50,6 +50,8 @@
 	void (*on_loss)(void *context);
 	/* Called when this VM has added a stream to `origins`. */
 	void (*on_origin)(void *context);
+	/* A server has said in an answer that it leaves; may be NULL. */
+	void (*on_departure)(void *context, const char *server);
 	/* Called when a request waits in `unresolved`. */
 	void (*on_unresolved)(void *context);
 	/* Returns where a VM takes requests from others, "IP:port", borrowed, or
