Send nothing for a time to a server that wants a pause

Cause: Retry-After of a server's 503 was not read.

Change: a server that answers 503 with Retry-After (seconds, also fractions) gets no request and no probe from this VM for so long, at most 600 s. A value that is no number or not above zero has no effect; of two fields the first holds; a later one can only prolong the pause. Callers are told the shortest of the pauses when all servers of a plain service want one. Metric gooseberryspur_servers has the state "paused", the log server_paused.

--- a/src/process/decide/balance.c
+++ b/src/process/decide/balance.c
@@ -102,6 +102,7 @@
 		double load;
 
 		if (!server_takes_work(server) ||
+		    server_is_paused(server, request->now_us) ||
 		    !g_str_equal(server->entry.service, request->service) ||
 		    was_tried(request, server) ||
 		    (request->limits &&
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -1,5 +1,10 @@
 #include "process/decide/server_set.h"
 
+#include "process/clock.h"
+
+/* Longest time for which a server that asks for it gets no requests. */
+#define MAX_PAUSE_S 600.0
+
 /* Weight of the latest request in the moving average of failures. */
 #define FAILURE_WEIGHT 0.08
 
@@ -333,6 +338,45 @@
 	       !server->entry.leaving && !server->address_reused;
 }
 
+/* Returns whether a server wants no requests from this VM now. */
+bool server_is_paused(const server_t *server, int64_t now_us)
+{
+	return now_us < server->paused_until_us;
+}
+
+/* Records that a server wants no requests from this VM for a time in seconds. */
+void server_pause(server_t *server, double pause_s, int64_t now_us)
+{
+	int64_t pause_us =
+		(int64_t)(MIN(pause_s, MAX_PAUSE_S) * (double)CLOCK_US_PER_S);
+
+	server->paused_until_us =
+		MAX(server->paused_until_us, now_us + pause_us);
+}
+
+/* Returns how long it takes until the first server of a service that wants no requests
+ * from this VM wants some again; 0 if none is such a server.
+ */
+int64_t server_set_pause_us(const server_set_t *set, const char *service,
+			    int64_t now_us)
+{
+	int64_t first_us = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, set->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const server_t *server = value;
+		int64_t left_us = server->paused_until_us - now_us;
+
+		if (left_us <= 0 || !server_takes_work(server) ||
+		    !g_str_equal(server->entry.service, service))
+			continue;
+		first_us = first_us ? MIN(first_us, left_us) : left_us;
+	}
+	return first_us;
+}
+
 /* Returns whether an answer of a server is overdue and nothing has come from it
  * since.
  */
@@ -352,6 +396,8 @@
 		return SERVER_SUSPECT;
 	if (server->changing_until_us > now_us)
 		return SERVER_CHANGING;
+	if (server_is_paused(server, now_us))
+		return SERVER_PAUSED;
 	return server->avoided_until_us > now_us ? SERVER_AVOIDED
 						 : SERVER_USABLE;
 }
@@ -360,7 +406,8 @@
 const char *server_state_name(server_state_t state)
 {
 	static const char *const names[SERVER_STATES_N] = {
-		"usable", "suspect", "avoided", "changing", "leaving", "gone",
+		"usable",   "suspect", "avoided", "paused",
+		"changing", "leaving", "gone",
 	};
 
 	return names[state];
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -46,6 +46,7 @@
 	int64_t next_probe_us; /* while it is suspect */
 	int64_t changing_until_us; /* was ordered to change its stage */
 	int64_t avoided_until_us; /* its work failed, here or at a peer */
+	int64_t paused_until_us; /* it wants no requests from this VM */
 	unsigned consecutive_failures; /* seen by this VM */
 	int64_t suspicion_ended_us; /* when it last stopped being suspect */
 	unsigned in_flight; /* this VM's requests */
@@ -69,6 +70,7 @@
 	SERVER_USABLE,
 	SERVER_SUSPECT, /* silent */
 	SERVER_AVOIDED, /* its work failed */
+	SERVER_PAUSED, /* it wants no requests from this VM for a time */
 	SERVER_CHANGING, /* its stage */
 	SERVER_LEAVING,
 	SERVER_GONE, /* no longer listed, or its address is another server's */
@@ -113,6 +115,8 @@
 bool server_set_was_removed(const server_set_t *set,
 			    const server_entry_t *entry);
 bool server_set_reaches(const server_set_t *set, const char *service);
+int64_t server_set_pause_us(const server_set_t *set, const char *service,
+			    int64_t now_us);
 server_t *server_set_find(const server_set_t *set, const char *id);
 unsigned server_set_count_usable(const server_set_t *set);
 
@@ -121,6 +125,8 @@
 bool server_takes_work(const server_t *server);
 server_state_t server_state(const server_t *server, int64_t now_us);
 const char *server_state_name(server_state_t state);
+bool server_is_paused(const server_t *server, int64_t now_us);
+void server_pause(server_t *server, double pause_s, int64_t now_us);
 bool server_is_suspect(const server_t *server);
 void server_record_send(server_t *server, int64_t now_us);
 void server_record_end(server_t *server);
--- a/src/process/entry/server_probe.c
+++ b/src/process/entry/server_probe.c
@@ -130,6 +130,7 @@
 		server_t *server = value;
 
 		if (server_is_suspect(server) && !server->address_reused &&
+		    !server_is_paused(server, now_us) &&
 		    server->next_probe_us <= now_us)
 			send_probe(server, pool, table, now_us);
 	}
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -252,9 +252,17 @@
 /* Refuses a request for which no server is left. */
 static void refuse_without_server(plain_call_t *call)
 {
+	const relay_request_t *request = &call->request;
+	int64_t pause_us = server_set_pause_us(
+		request->relay->servers, request->service->name,
+		clock_now(&request->relay->clock));
+
 	if (pick_server(call, NULL))
 		refuse(call, LIMITED_RETRY_AFTER_US,
 		       "the limits of the backend servers are reached");
+	else if (pause_us > 0)
+		refuse(call, pause_us,
+		       "the backend servers want no requests for a time");
 	else
 		refuse(call, REFUSED_RETRY_AFTER_US,
 		       "no backend server is available");
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -419,6 +419,19 @@
 		relay->on_departure(relay->context, id);
 }
 
+/* Records whether the server wants no requests from this VM for a time. */
+static void record_pause(relay_send_t *send, int64_t now_us)
+{
+	double pause_s = send->fields.pause_s;
+
+	if (pause_s <= 0)
+		return;
+	server_pause(send->server, pause_s, now_us);
+	log_event(LOG_INFO, "server_paused",
+		  LOG_CSTR("server", send->server->entry.id),
+		  LOG_REAL("seconds", pause_s));
+}
+
 /* Keeps the head of the response and records the load and the limit that it
  * names.
  */
@@ -438,6 +451,7 @@
 	}
 	record_limit(send, now_us);
 	record_leaving(send, now_us);
+	record_pause(send, now_us);
 }
 
 /* Returns whether `more` bytes of a response may be kept until it is complete,
