Test that an empty stage is refilled (fails)

Two of the new tests fail. Two guard against the opposite: a round without costs while both stages have engines, and one while the list is not complete.

--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -8,6 +8,7 @@
 #include "process/entry/stage_orders.h"
 #include "support_address.h"
 #include "support_store.h"
+#include "support_tcp_stub.h"
 
 #define ENGINES 8
 #define ROUND_KEY STAGE_ROUND_PREFIX "llm"
@@ -181,6 +182,106 @@
 	finish(&vm);
 }
 
+/* A service is to have an engine in an empty stage again within this time, beside the
+ * time that the engine needs to change.
+ */
+#define REFILL_MS 2000
+
+/* Lets the VM check its stages for a time on its clock, without known costs. Returns
+ * whether it has begun a round by then.
+ */
+static bool begins_round_within(vm_t *vm, unsigned limit_ms)
+{
+	const stage_balance_t unknown = {0};
+	int64_t before =
+		fake_store_row_version(&vm->store, TABLE_ROUTER, ROUND_KEY);
+
+	for (unsigned ms = 0; ms < limit_ms; ms += 50) {
+		vm->skipped_us += 40 * CLOCK_US_PER_MS;
+		stage_orders_start_if_due(&vm->orders, &vm->service, &unknown);
+		support_run_loop_ms(10);
+	}
+	return fake_store_row_version(&vm->store, TABLE_ROUTER, ROUND_KEY) !=
+	       before;
+}
+
+/* Removes the only decode engine, as after its planned leave. */
+static void empty_decode_stage(vm_t *vm)
+{
+	char *id = g_strdup_printf("engine-%d", ENGINES - 1);
+
+	server_set_mark_leaving(&vm->servers, server_set_find(&vm->servers, id),
+				vm_now(vm));
+	g_free(id);
+}
+
+/* Both stages have engines; a VM that has just started knows no costs. Guards against
+ * a round that is begun all the same.
+ */
+static void test_no_round_without_costs(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	assert_false(begins_round_within(&vm, 3 * REFILL_MS));
+	finish(&vm);
+}
+
+/* The last decode engine leaves while nothing is known of the load. Guards against a
+ * stage that stays empty for good: no stream can be served by which costs would become
+ * known.
+ */
+static void test_empty_stage_is_refilled_without_costs(void **state)
+{
+	vm_t vm;
+	char *text;
+
+	init(&vm);
+	assert_false(begins_round_within(&vm, REFILL_MS));
+	empty_decode_stage(&vm);
+	assert_true(begins_round_within(&vm, REFILL_MS));
+	text = fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	assert_non_null(strstr(text, " decode engine-"));
+	g_free(text);
+	finish(&vm);
+}
+
+/* The row of an old round is read again and again, as when the store's history is
+ * compacted. Guards against a wait for the next round that starts anew each time.
+ */
+static void test_old_round_is_read_again(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	fake_store_put(&vm.store, TABLE_ROUTER, ROUND_KEY,
+		       "vm-other 1 0 decode engine-0");
+	for (unsigned i = 0; i < 5; i++) {
+		stage_orders_round_seen(
+			&vm.orders, STR("vm-other 1 0 decode engine-0"), NULL);
+		assert_false(begins_round_within(&vm, 2000));
+	}
+	stage_orders_round_seen(&vm.orders, STR("vm-other 1 0 decode engine-0"),
+				NULL);
+	empty_decode_stage(&vm);
+	assert_true(begins_round_within(&vm, REFILL_MS));
+	finish(&vm);
+}
+
+/* Engines enter the list one by one, and the first ones all have the same stage. Guards
+ * against orders to engines before the list is complete.
+ */
+static void test_list_that_is_not_complete(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	empty_decode_stage(&vm);
+	vm.servers.last_added_us = vm_now(&vm);
+	assert_false(begins_round_within(&vm, 1500));
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -188,6 +289,10 @@
 		cmocka_unit_test(test_round_after_a_cut),
 		cmocka_unit_test(test_round_seen_while_reading),
 		cmocka_unit_test(test_token_after_restore),
+		cmocka_unit_test(test_no_round_without_costs),
+		cmocka_unit_test(test_empty_stage_is_refilled_without_costs),
+		cmocka_unit_test(test_old_round_is_read_again),
+		cmocka_unit_test(test_list_that_is_not_complete),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
