Refill a stage that has no engine

A round is noted once, by its fencing token. The interval of 10 s between rounds and of 20 s between two orders to an engine stay as they are, as does the row's age by the store's clock, which every holder checks.

--- a/src/process/decide/stage_balance.c
+++ b/src/process/decide/stage_balance.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "process/str.h"
+
 /* Factor by which prefill engines are given more than their share of the work:
  * a request whose prompt has to queue misses its target, while one in a full
  * decode batch does not.
@@ -29,6 +31,33 @@
 #define MIN_LOADED_DIFFERENCE 1.2
 #define MIN_LOADED_SHARE 0.25
 
+/* Share of the engines that refill an empty stage while the work of a request is
+ * unknown.
+ */
+#define REFILL_SHARE 0.25
+
+/* Returns whether one stage has no engine although the service has two or more. */
+bool stage_balance_has_empty_stage(const stage_balance_t *balance)
+{
+	unsigned engines = balance->prefills + balance->decodes;
+
+	return engines >= 2 &&
+	       (balance->prefills == 0 || balance->decodes == 0);
+}
+
+/* Returns how many engines refill an empty stage, as stage_balance_changes() does; 0 if
+ * none is empty.
+ */
+static int refill_changes(const stage_balance_t *balance)
+{
+	int engines = (int)(balance->prefills + balance->decodes);
+	int share = MAX((int)(engines * REFILL_SHARE), 1);
+
+	if (!stage_balance_has_empty_stage(balance))
+		return 0;
+	return balance->decodes == 0 ? share : -share;
+}
+
 /* Returns the smallest difference that is corrected, in engines, where the stage
  * that lacks some should have `wanted`.
  */
@@ -42,7 +71,7 @@
 /*
  * Returns how many engines to change from prefill to decode, or as a negative
  * number from decode to prefill. At least one engine stays in each stage. 0 if
- * the work of a request is unknown.
+ * the work of a request is unknown and no stage is empty.
  */
 int stage_balance_changes(const stage_balance_t *balance)
 {
@@ -51,18 +80,22 @@
 	double wanted, difference;
 	int stage_changes;
 
-	if (engines < 2 || prefill <= 0 || balance->decode_us <= 0)
+	if (engines < 2)
 		return 0;
+	if (prefill <= 0 || balance->decode_us <= 0)
+		return refill_changes(balance);
 	wanted = engines * prefill / (prefill + balance->decode_us) +
 		 SPARE_PREFILLS;
 	wanted = fmin(fmax(wanted, 1), engines - 1);
 	difference = (double)balance->prefills - wanted;
 	if (fabs(difference) <
 	    min_difference(balance, difference < 0 ? wanted : engines - wanted))
-		return 0;
+		return refill_changes(balance);
 	stage_changes = (int)(fabs(difference) + ROUND_UP);
 	if (difference < 0)
 		stage_changes = -stage_changes;
+	if (stage_changes == 0)
+		return refill_changes(balance);
 	if (stage_changes > 0 && (unsigned)stage_changes >= balance->prefills)
 		stage_changes = (int)balance->prefills - 1;
 	if (stage_changes < 0 && (unsigned)-stage_changes >= balance->decodes)
--- a/src/process/decide/stage_balance.h
+++ b/src/process/decide/stage_balance.h
@@ -1,5 +1,6 @@
 /* How many model engines of a service should do prefill and how many decode.
- * Pure: no clock, no I/O.
+ * A stage without an engine is refilled whatever is known of the load. Pure: no clock,
+ * no I/O.
  */
 #ifndef PROCESS_STAGE_BALANCE_H
 #define PROCESS_STAGE_BALANCE_H
@@ -19,5 +20,6 @@
 } stage_balance_t;
 
 int stage_balance_changes(const stage_balance_t *balance);
+bool stage_balance_has_empty_stage(const stage_balance_t *balance);
 
 #endif
--- a/src/process/decide/stage_round.h
+++ b/src/process/decide/stage_round.h
@@ -18,6 +18,7 @@
 	int stage_changes; /* engines that should change their stage: > 0 to
 			      decode, < 0 to prefill, 0: none */
 	bool first; /* no round has changed the service's stages yet */
+	bool empty; /* one stage has no engine */
 	int64_t last_added_us; /* when an engine last entered the list */
 	int64_t last_leaving_us; /* when one last began to leave; 0: never */
 	int64_t no_round_before_us; /* for all services */
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -370,7 +370,9 @@
 	return NULL;
 }
 
-/* Records that a round was begun: no other one begins for ROUND_INTERVAL_US. */
+/* Records that a round was begun: no other one begins for ROUND_INTERVAL_US. To be
+ * called once for each round.
+ */
 static void note_round(stage_orders_t *orders, const round_row_t *round)
 {
 	orders->seen_fencing_token =
@@ -546,6 +548,7 @@
 	view = (stage_round_view_t){
 		.stage_changes = stage_changes,
 		.first = first,
+		.empty = stage_balance_has_empty_stage(&balance),
 		.last_added_us = orders->servers->last_added_us,
 		.last_leaving_us = orders->servers->last_leaving_us,
 		.no_round_before_us = orders->no_round_before_us,
@@ -563,7 +566,8 @@
 
 /* Applies the row of a round that any VM began: its engines get no work until
  * they have changed or are overdue, and no other round begins for
- * ROUND_INTERVAL_US. A row that cannot be parsed is ignored.
+ * ROUND_INTERVAL_US. A row that cannot be parsed is ignored, and so is one that was
+ * seen before, as a full read brings it again.
  */
 void stage_orders_round_seen(stage_orders_t *orders, str_t value,
 			     const route_table_t *table)
@@ -573,6 +577,10 @@
 
 	if (!parse_round(value, &round))
 		return;
+	if (round.fencing_token <= orders->seen_fencing_token) {
+		g_strfreev(round.words);
+		return;
+	}
 	for (char **id = round.servers; *id; id++) {
 		server_t *server = server_set_find(orders->servers, *id);
 		const table_service_t *service =
