--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -7,17 +7,10 @@
 /* Delay of an announcement, so that it holds all changes made meanwhile. */
 #define SEND_DELAY_US (1 * CLOCK_US_PER_MS)
 
-/* Interval of announcements that hold limits of servers, evidence on requests that
- * crash servers or versions of streams, which all VMs have to act on soon.
+/* Interval of announcements that hold the observations of services. These
+ * change slowly, and the others are sent at each change of the use of servers.
  */
-#define FACTS_INTERVAL_US (300 * CLOCK_US_PER_MS)
-
-/* Interval of those that hold observations of services only, for each peer. Together
- * with the bytes of the VMs' use they are most of the bytes between VMs, and change
- * slowly once there are some.
- */
-#define WORKLOADS_INTERVAL_PER_PEER_US (10 * CLOCK_US_PER_MS)
-#define FIRST_WORKLOADS_US (20 * CLOCK_US_PER_S)
+#define WORKLOADS_INTERVAL_US (300 * CLOCK_US_PER_MS)
 
 /* Shortest interval of announcements to a silent peer. */
 #define SILENT_PEER_INTERVAL_US (2 * CLOCK_US_PER_S)
@@ -141,19 +134,6 @@
 	}
 }
 
-/* Returns the interval of announcements that hold observations of services. It is
- * short for new processes, here or elsewhere, which know little.
- */
-static int64_t workloads_interval_us(const announce_t *announce, int64_t now_us)
-{
-	int64_t peers = g_hash_table_size(announce->peers);
-
-	if (now_us < announce->new_peers_until_us ||
-	    now_us < announce->started_us + FIRST_WORKLOADS_US)
-		return FACTS_INTERVAL_US;
-	return MAX(FACTS_INTERVAL_US, peers * WORKLOADS_INTERVAL_PER_PEER_US);
-}
-
 /* Sends an announcement to the peers and sets the time of the next one. */
 static void on_next_send(void *context)
 {
@@ -169,11 +149,8 @@
 		send_to_peers(announce, true, now_us);
 	else
 		g_hash_table_remove_all(announce->new_until);
-	if (announce_is_whole(announce, now_us)) {
-		announce->facts_at_us = now_us + FACTS_INTERVAL_US;
-		announce->workloads_at_us =
-			now_us + workloads_interval_us(announce, now_us);
-	}
+	if (now_us >= announce->workloads_at_us)
+		announce->workloads_at_us = now_us + WORKLOADS_INTERVAL_US;
 }
 
 /* Opens the socket on `address` ("IP:port") and schedules the first
@@ -192,7 +169,6 @@
 		.incarnation = incarnation,
 		.clock = clock,
 		.occupancy = occupancy,
-		.started_us = clock_now(&clock),
 		.peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       free_peer),
 		.new_until = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -312,7 +288,6 @@
 			     g_memdup2(&until_us, sizeof(until_us)));
 	announce->new_peers_until_us =
 		MAX(announce->new_peers_until_us, until_us);
-	announce_schedule_whole(announce);
 }
 
 /* Schedules an announcement of a change, within SEND_DELAY_US. */
--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -25,8 +25,6 @@
 	alarm_t next_send;
 	int64_t workloads_at_us; /* the next announcement from then on holds the
 				    observations of services */
-	int64_t facts_at_us; /* the same if there is more that changes slowly */
-	int64_t started_us;
 	int64_t new_peers_until_us; /* some peers have just started */
 	uint32_t sequence; /* number of the last announcement */
 	uint64_t sent; /* datagrams */
@@ -49,7 +47,6 @@
 void announce_schedule(announce_t *announce);
 void announce_schedule_whole(announce_t *announce);
 
-bool announce_is_whole(const announce_t *announce, int64_t now_us);
 bool announce_encode(const announce_t *announce, const GArray *origins,
 		     int64_t now_us, char *out, size_t size, size_t *len);
 bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -358,23 +358,9 @@
 	       encode_origins(xdrs, size, origins, now_us);
 }
 
-/* Returns whether an announcement holds what changes slowly: observations of services
- * are due, or those of what all VMs have to act on soon.
- */
-bool announce_is_whole(const announce_t *announce, int64_t now_us)
-{
-	const occupancy_t *occupancy = announce->occupancy;
-
-	if (now_us >= announce->workloads_at_us)
-		return true;
-	return now_us >= announce->facts_at_us &&
-	       (occupancy->limits->len > 0 || occupancy->origins->len > 0 ||
-		has_evidence(occupancy, now_us));
-}
-
 /* Encodes this router's announcement: its use of servers, its waiting requests
  * and their rate of arrival, the servers that it suspects to have failed, those
- * that are unavailable and, when it is due, what changes slowly, with
+ * that are unavailable and, from workloads_at_us on, what changes slowly, with
  * these versions of streams. Returns false if it does not fit into `size` bytes.
  */
 bool announce_encode(const announce_t *announce, const GArray *origins,
@@ -398,7 +384,7 @@
 	     xdr_rate(&xdrs, &arrivals) &&
 	     encode_suspects(&xdrs, occupancy->suspects) &&
 	     encode_unavailable(&xdrs, occupancy->unavailable, now_us) &&
-	     (!announce_is_whole(announce, now_us) ||
+	     (now_us < announce->workloads_at_us ||
 	      encode_slow_parts(&xdrs, occupancy, origins, size, now_us));
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
