Let a VM whose reads of the list fail ask the VMs whose reads do not

Cause: a VM that the store refuses or does not answer reads nothing until it is answered again, also while other VMs read the list and would pass it on (test_store_refuses_most_vms: 12 relayed VMs and five of eight readers refused; not all learn of a new server in 2 s).

Change: after a failed read the next one goes to another VM that reads the list, also at a reader, and in deployments of eight VMs or fewer; then the store is tried again. What such a VM is told is passed on to nobody. The store counts as lost for its own table and the configuration as before.

test_list_relay, test_list_readers (test_reader_whose_own_reads_fail).

--- a/src/process/decide/list_readers.c
+++ b/src/process/decide/list_readers.c
@@ -94,12 +94,12 @@
 }
 
 /* Returns the reader from which `vm`, this VM, has the list passed on, borrowed from
- * `occupancy`; NULL if it is to read the store itself: it is a reader, or all readers
- * have failed lately.
+ * `occupancy`; NULL if it is to read the store itself: it is a reader whose own reads do
+ * not fail, or all readers have failed lately.
  */
 const char *list_readers_choose(list_readers_t *readers,
 				const occupancy_t *occupancy, const char *vm,
-				int64_t now_us)
+				bool reads_fail, int64_t now_us)
 {
 	GArray *candidates = list_candidates(occupancy, vm, now_us);
 	unsigned n = list_readers_count(candidates->len);
@@ -112,11 +112,12 @@
 			&g_array_index(candidates, candidate_t, i);
 		uint64_t rank = hash_name(reader->vm, own);
 
-		if (reader->vm == vm) {
+		if (reader->vm == vm && !reads_fail) {
 			chosen = NULL;
 			break;
 		}
-		if (rank >= least || is_avoided(readers, reader->vm, now_us))
+		if (reader->vm == vm || rank >= least ||
+		    is_avoided(readers, reader->vm, now_us))
 			continue;
 		least = rank;
 		chosen = reader->vm;
--- a/src/process/decide/list_readers.h
+++ b/src/process/decide/list_readers.h
@@ -8,7 +8,9 @@
 
 #include "process/decide/occupancy.h"
 
-/* Fewest readers. A deployment with no more VMs has each of them read the store. */
+/* Fewest readers. A deployment with no more VMs has each of them read the store, as long
+ * as it can.
+ */
 #define LIST_READERS_MIN 8
 
 /* Most VMs, on average, to which one reader passes the list on. */
@@ -23,7 +25,7 @@
 unsigned list_readers_count(unsigned vms);
 const char *list_readers_choose(list_readers_t *readers,
 				const occupancy_t *occupancy, const char *vm,
-				int64_t now_us);
+				bool reads_fail, int64_t now_us);
 void list_readers_avoid(list_readers_t *readers, const char *reader,
 			int64_t now_us);
 
--- a/src/process/entry/entry_list.c
+++ b/src/process/entry/entry_list.c
@@ -32,12 +32,12 @@
 /* Returns the address of the VM that passes the server list on to this one, borrowed,
  * or NULL if this one reads it from the store.
  */
-const char *entry_choose_list_reader(void *context)
+const char *entry_choose_list_reader(void *context, bool store_fails)
 {
 	entry_t *entry = context;
 	const char *vm = list_readers_choose(&entry->list_readers,
 					     &entry->occupancy,
-					     entry->settings.vm,
+					     entry->settings.vm, store_fails,
 					     clock_now(&entry->clock));
 	const char *address = vm ? announce_peer_address(&entry->announce, vm)
 				 : NULL;
--- a/src/process/entry/entry_list.h
+++ b/src/process/entry/entry_list.h
@@ -7,7 +7,7 @@
 #include "process/entry/entry.h"
 
 bool entry_is_among(const entry_t *entry, unsigned n);
-const char *entry_choose_list_reader(void *context);
+const char *entry_choose_list_reader(void *context, bool store_fails);
 void entry_on_list_reader_failed(void *context);
 void entry_on_said_leaving(void *context, const char *server);
 void entry_on_departure(void *context, const char *server);
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -294,7 +294,7 @@
 /* Sets the pause after the next read: a VM that others have asked for the list lately
  * reads it more often.
  */
-static const char *choose_reader(void *context)
+static const char *choose_reader(void *context, bool store_fails)
 {
 	store_rows_t *rows = context;
 
@@ -302,7 +302,8 @@
 		list_relay_is_asked(&rows->list_relay) ? READER_PAUSE_US
 						       : rows->list_pause_us;
 	return rows->handler->choose_list_reader
-		       ? rows->handler->choose_list_reader(rows->context)
+		       ? rows->handler->choose_list_reader(rows->context,
+							   store_fails)
 		       : NULL;
 }
 
--- a/src/process/entry/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -48,10 +48,10 @@
 	/* A full read of this project's table begins. */
 	void (*on_own_sync)(void *context);
 	/* Returns the address of another VM that passes the changes of the server
-	 * list on, borrowed, or NULL to read them from the store. The callback may
-	 * be NULL.
+	 * list on, borrowed, or NULL to read them from the store; `store_fails`
+	 * tells that this VM's latest read has failed. The callback may be NULL.
 	 */
-	const char *(*choose_list_reader)(void *context);
+	const char *(*choose_list_reader)(void *context, bool store_fails);
 	/* The VM that was chosen last did not do so. */
 	void (*on_list_reader_failed)(void *context);
 } store_rows_handler_t;
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -158,6 +158,7 @@
 	store_page_t page = {0};
 
 	if (ok && store_page_read(body, &page)) {
+		watch->failures = 0;
 		watch->last_ok_us = now_us;
 		apply_changes(watch, &page);
 		alarm_set(&watch->next_read,
@@ -236,9 +237,10 @@
 	const store_watch_options_t *options = &watch->options;
 
 	if (!options->handler->choose_reader || !watch->synced ||
-	    watch->failures > 0 || watch->rechecking || watch->outage)
+	    watch->rechecking || watch->outage)
 		return NULL;
-	return options->handler->choose_reader(options->context);
+	return options->handler->choose_reader(options->context,
+					       watch->failures > 0);
 }
 
 /* Sends the next read: of the feed, or of a page of a full read. */
@@ -252,8 +254,9 @@
 	/* When the store may be unreachable, the read does not wait for a
 	 * change, so that its answer shows soon whether the store is back.
 	 */
-	int64_t wait_us =
-		watch->failures || watch->rechecking ? 0 : options->wait_us;
+	int64_t wait_us = (watch->failures && !reader) || watch->rechecking
+				  ? 0
+				  : options->wait_us;
 
 	watch->relayed = reader != NULL;
 	watch->waiting = watch->synced && wait_us > 0;
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -31,9 +31,10 @@
 	 */
 	void (*on_silence)(void *context);
 	/* Returns the address of another VM that passes the table's feed on,
-	 * borrowed; NULL to read from the store. The callback may be NULL.
+	 * borrowed; NULL to read from the store. `store_fails` tells that the
+	 * latest read from the store has failed. The callback may be NULL.
 	 */
-	const char *(*choose_reader)(void *context);
+	const char *(*choose_reader)(void *context, bool store_fails);
 	/* The VM that was chosen last has not answered, or does not pass the
 	 * feed on. The next read goes to the store. May be NULL only if
 	 * choose_reader is.
--- a/tests/test_list_readers.c
+++ b/tests/test_list_readers.c
@@ -59,7 +59,8 @@
 		hear(&occupancy, i, vms, silent, NOW);
 		g_snprintf(name, sizeof(name), "front-zone-%u-%u", i % 6,
 			   i / 6);
-		chosen = list_readers_choose(&readers, &occupancy, name, NOW);
+		chosen = list_readers_choose(&readers, &occupancy, name, false,
+					     NOW);
 		if (!chosen) {
 			outcome.reading++;
 		} else {
@@ -130,19 +131,42 @@
 	occupancy_init(&occupancy);
 	occupancy_set_peers(&occupancy, 199);
 	hear(&occupancy, 200, 200, NULL, NOW);
-	while ((chosen = list_readers_choose(&readers, &occupancy, "us",
+	while ((chosen = list_readers_choose(&readers, &occupancy, "us", false,
 					     NOW)) != NULL) {
 		assert_true(++asked <= LIST_READERS_MIN);
 		list_readers_avoid(&readers, chosen, NOW);
 	}
 	assert_int_equal(asked, LIST_READERS_MIN);
 	hear(&occupancy, 200, 200, NULL, NOW + 60 * CLOCK_US_PER_S);
-	assert_non_null(list_readers_choose(&readers, &occupancy, "us",
+	assert_non_null(list_readers_choose(&readers, &occupancy, "us", false,
 					    NOW + 60 * CLOCK_US_PER_S));
 	occupancy_finish(&occupancy);
 	list_readers_finish(&readers);
 }
 
+/* Guards against a reader, or a VM of a small deployment, that asks nobody although its
+ * own reads fail.
+ */
+static void test_reader_whose_own_reads_fail(void **state)
+{
+	list_readers_t readers;
+	occupancy_t occupancy;
+	const char *chosen;
+
+	list_readers_init(&readers);
+	occupancy_init(&occupancy);
+	occupancy_set_peers(&occupancy, 7);
+	hear(&occupancy, 0, 8, NULL, NOW);
+	assert_null(list_readers_choose(&readers, &occupancy, "front-zone-0-0",
+					false, NOW));
+	chosen = list_readers_choose(&readers, &occupancy, "front-zone-0-0",
+				     true, NOW);
+	assert_non_null(chosen);
+	assert_string_not_equal(chosen, "front-zone-0-0");
+	occupancy_finish(&occupancy);
+	list_readers_finish(&readers);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -150,6 +174,7 @@
 		cmocka_unit_test(test_small_deployments_read_the_store),
 		cmocka_unit_test(test_lost_zone),
 		cmocka_unit_test(test_readers_that_fail),
+		cmocka_unit_test(test_reader_whose_own_reads_fail),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_list_relay.c
+++ b/tests/test_list_relay.c
@@ -301,6 +301,31 @@
 	proxy_set_mode(proxy, PROXY_PASS);
 }
 
+/* Guards against VMs whose reads the store refuses, as those of some of the readers, and
+ * that do not ask the readers whose reads it answers.
+ */
+static void test_store_refuses_most_vms(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	unsigned readers = 0;
+
+	start(&fixture);
+	set_mode(&fixture, true, PROXY_REFUSE);
+	for (unsigned i = 0; i < VMS && readers < 5; i++) {
+		if (is_relayed(&fixture, i))
+			continue;
+		proxy_set_mode(fixture.proxies[i], PROXY_REFUSE);
+		readers++;
+	}
+	support_run_loop_ms(500);
+	fixture.awaited = "i-2";
+	start_server(&fixture, 2, "i-2");
+	assert_true(
+		support_run_loop_until(all_use_awaited, &fixture, DRAIN_MS));
+	expect_departure(&fixture, "i-0");
+	stop(&fixture);
+}
+
 /* Guards against a configuration that comes late to VMs whose open connections to the
  * store go silent, while new ones work: none of their own reads shows it, as they have
  * the server list passed on.
@@ -315,8 +340,8 @@
 			silence_open_connections(fixture.proxies[i]);
 	}
 	put_config(&fixture, 2);
-	assert_true(support_run_loop_until(all_have_config, &fixture,
-					   CONFIG_MS));
+	assert_true(
+		support_run_loop_until(all_have_config, &fixture, CONFIG_MS));
 	stop(&fixture);
 }
 
@@ -342,6 +367,7 @@
 		cmocka_unit_test(test_all_readers_end),
 		cmocka_unit_test(test_all_readers_lose_the_store),
 		cmocka_unit_test(test_others_lose_the_store),
+		cmocka_unit_test(test_store_refuses_most_vms),
 		cmocka_unit_test(test_config_behind_silent_connections),
 		cmocka_unit_test(test_store_is_restored),
 	};
