--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -6,6 +6,7 @@
 
 #include "names.h"
 #include "process/entry/stage_orders.h"
+#include "rows.h"
 #include "support_address.h"
 #include "support_store.h"
 #include "support_tcp_stub.h"
@@ -268,6 +269,31 @@
 	finish(&vm);
 }
 
+/* Rounds of two services are read, the one with the lower token last, as in a full read.
+ * Guards against a round that is taken for one that was seen, so that its engines get
+ * work while they change.
+ */
+static void test_rounds_of_two_services(void **state)
+{
+	route_table_t *table = config_row_read(
+		STR("{\"version\":1,\"routes\":[],\"services\":[{\"name\":"
+		    "\"llm\",\"healthPath\":\"/health\",\"engine\":{\"slots\":"
+		    "4,\"kvTokenCapacity\":1000,\"stride\":1}}]}"));
+	const server_t *server;
+	vm_t vm;
+
+	init(&vm);
+	assert_non_null(table);
+	stage_orders_round_seen(&vm.orders, STR("vm-other 9 0 decode other-1"),
+				table);
+	stage_orders_round_seen(&vm.orders, STR("vm-other 5 0 decode engine-0"),
+				table);
+	server = server_set_find(&vm.servers, "engine-0");
+	assert_int_equal(server_state(server, vm_now(&vm)), SERVER_CHANGING);
+	route_table_unref(table);
+	finish(&vm);
+}
+
 /* Engines enter the list one by one, and the first ones all have the same stage. Guards
  * against orders to engines before the list is complete.
  */
@@ -293,6 +319,7 @@
 		cmocka_unit_test(test_empty_stage_is_refilled_without_costs),
 		cmocka_unit_test(test_old_round_is_read_again),
 		cmocka_unit_test(test_list_that_is_not_complete),
+		cmocka_unit_test(test_rounds_of_two_services),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
