Tell rounds of stage orders apart by their holder and token

Change: a VM remembers the last 256 rounds that it has seen by holder and fencing token. Behaviour with one model service is as before.

test_rounds_of_two_services failed before; test_old_round_is_read_again still passes.

--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -45,6 +45,9 @@
  */
 #define CHANGE_MARGIN_US (10 * CLOCK_US_PER_S)
 
+/* Most rounds that are remembered as seen; then all are forgotten. */
+#define MAX_SEEN_ROUNDS 256
+
 /* What the row of a round says. */
 typedef struct {
 	int64_t fencing_token;
@@ -564,6 +567,17 @@
 	read_row(orders);
 }
 
+/* Returns whether a round was seen before, and remembers it. */
+static bool was_seen(stage_orders_t *orders, const round_row_t *round)
+{
+	if (g_hash_table_size(orders->seen_rounds) >= MAX_SEEN_ROUNDS)
+		g_hash_table_remove_all(orders->seen_rounds);
+	return !g_hash_table_add(orders->seen_rounds,
+				 g_strdup_printf("%s %" PRId64,
+						 round->words[WORD_HOLDER],
+						 round->fencing_token));
+}
+
 /* Applies the row of a round that any VM began: its engines get no work until
  * they have changed or are overdue, and no other round begins for
  * ROUND_INTERVAL_US. A row that cannot be parsed is ignored, and so is one that was
@@ -577,7 +591,7 @@
 
 	if (!parse_round(value, &round))
 		return;
-	if (round.fencing_token <= orders->seen_fencing_token) {
+	if (was_seen(orders, &round)) {
 		g_strfreev(round.words);
 		return;
 	}
@@ -617,6 +631,8 @@
 	};
 	orders->chosen =
 		g_ptr_array_new_with_free_func((GDestroyNotify)server_unref);
+	orders->seen_rounds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	orders->round_states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_call_init(&orders->call, store_pool);
@@ -628,6 +644,7 @@
 	store_call_finish(&orders->call);
 	g_ptr_array_unref(orders->chosen);
 	g_hash_table_unref(orders->round_states);
+	g_hash_table_unref(orders->seen_rounds);
 	g_free(orders->service);
 	g_free(orders->store_address);
 }
--- a/src/process/entry/stage_orders.h
+++ b/src/process/entry/stage_orders.h
@@ -44,6 +44,8 @@
 	GHashTable *round_states; /* service name to stage_round_state_t */
 	int64_t no_round_before_us; /* no round begins earlier */
 	int64_t seen_fencing_token; /* the highest of the rounds seen */
+	GHashTable
+		*seen_rounds; /* set of "HOLDER TOKEN", of rounds seen lately */
 	uint64_t seed;
 } stage_orders_t;
 
