--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -92,9 +92,8 @@
 		COUNTER("rpc_malformed", "Datagrams that did not decode."),
 	[COUNTER_PLATFORM_READS] =
 		COUNTER("platform_reads", "Reads sent to the platform."),
-	[COUNTER_LIST_READS] =
-		COUNTER("list_reads",
-			"Reads of the server list sent to other VMs."),
+	[COUNTER_LIST_READS] = COUNTER(
+		"list_reads", "Reads of the server list sent to other VMs."),
 	[COUNTER_LIST_ANSWERS] =
 		COUNTER("list_answers",
 			"Reads of the server list answered for other VMs."),
--- a/tests/test_slow_streams.c
+++ b/tests/test_slow_streams.c
@@ -19,10 +19,10 @@
  * times (0: for ever), and then the rest.
  */
 typedef struct {
-	unsigned pause_ms;
 	const char *bytes;
-	unsigned times;
 	const char *rest; /* NULL: the stream does not end */
+	unsigned pause_ms;
+	unsigned times;
 } script_t;
 
 typedef struct {
@@ -234,8 +234,8 @@
 /* Guards against a stream that is cut because its pauses are long. */
 static void test_slow_stream_ends_whole(void **state)
 {
-	static const script_t script = {1900, "id: 2\ndata: b\n\n", 3,
-					"id: 3\ndata: c\n\n"};
+	static const script_t script = {"id: 2\ndata: b\n\n",
+					"id: 3\ndata: c\n\n", 1900, 3};
 	static fixture_t fixture; /* outlives a failure */
 
 	start(&fixture, &script);
@@ -248,10 +248,10 @@
 
 /* Bytes that bring no event. */
 static const script_t stalls[] = {
-	{200, ":", 0, NULL},
-	{200, ": a comment\n\n", 0, NULL},
-	{200, "\n", 0, NULL},
-	{200, "data: half of an event\n", 0, NULL},
+	{":", NULL, 200, 0},
+	{": a comment\n\n", NULL, 200, 0},
+	{"\n", NULL, 200, 0},
+	{"data: half of an event\n", NULL, 200, 0},
 };
 
 /* Guards against a stalled stream that goes on after its caller's deadline as bytes come
@@ -274,8 +274,8 @@
 /* Guards against half of an event that reaches the caller. */
 static void test_half_an_event_is_not_passed_on(void **state)
 {
-	static const script_t script = {200, "data: half of an event\n", 0,
-					NULL};
+	static const script_t script = {"data: half of an event\n", NULL, 200,
+					0};
 	static fixture_t fixture; /* outlives a failure */
 
 	start(&fixture, &script);
