--- /dev/null
+++ b/src/process/entry/stage_order_call.h
@@ -0,0 +1,22 @@
+/* The order to one model engine that it changes its stage: the engine's report is read,
+ * then the order is sent. When orders are given, and to which engines, is decided in
+ * stage_orders.
+ */
+#ifndef PROCESS_STAGE_ORDER_CALL_H
+#define PROCESS_STAGE_ORDER_CALL_H
+
+#include "connection/http_pool.h"
+#include "process/decide/server_set.h"
+
+typedef struct {
+	http_pool_t *pool;
+	server_t *server; /* the engine */
+	const char *vm; /* name of the VM that gives the order; copied */
+	int64_t fencing_token;
+	int64_t valid_until_us; /* the order is not sent later */
+	stage_t to_stage;
+} stage_order_request_t;
+
+void stage_order_send(const stage_order_request_t *request);
+
+#endif
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 
 #include "names.h"
+#include "process/entry/stage_order_call.h"
 #include "process/log.h"
 #include "request/retry.h"
 #include "store_call.h"
-#include "wire_fields.h"
 
 /* Shortest time between the beginnings of two rounds. It is several times
  * HOLD_US, so that the orders of two holders do not overlap.
@@ -23,9 +23,6 @@
 /* How long a holder may give orders after it sent the write of its round. */
 #define HOLD_US (1500 * CLOCK_US_PER_MS)
 
-/* Largest body of an engine's answer to an order or a question. */
-#define MAX_BODY_BYTES 65536
-
 /* Deadline of a read or write of a round's row. */
 #define CALL_TIMEOUT_US (1000 * CLOCK_US_PER_MS)
 
@@ -61,143 +58,21 @@
  */
 enum { WORD_HOLDER, WORD_FENCING_TOKEN, WORD_TIME, WORD_STAGE, WORDS_N };
 
-/* --- order calls ------------------------------------------------------- */
-
-/* The order to one engine. The engine's report is read first, for the number of
- * orders that it has accepted. The order names that number and holds only while
- * it is unchanged, so that an order which arrives late does no harm. An order
- * frees itself at its end.
- */
-typedef struct {
-	http_pool_t *pool;
-	server_t *server; /* holds a reference */
-	char *vm; /* name of the VM that gives the order */
-	GString *body; /* of the answer, as far as received */
-	int64_t fencing_token;
-	int64_t valid_until_us; /* the order is not sent later */
-	bool to_prefill; /* the new stage; else decode */
-	bool sending_order; /* the call in progress sends the order; else it
-			       reads the report */
-	unsigned status;
-} order_t;
-
-static bool call_engine(order_t *order, const GString *message);
-
-/* Logs how an order ended, and frees it. */
-static void finish_order(order_t *order, const char *result)
-{
-	log_event(LOG_INFO, "order_ended",
-		  LOG_CSTR("server", order->server->entry.id),
-		  LOG_CSTR("result", result), LOG_UINT("status", order->status),
-		  LOG_INT("fence", order->fencing_token));
-	server_unref(order->server);
-	g_string_free(order->body, TRUE);
-	g_free(order->vm);
-	g_free(order);
-}
-
-/* Sends the order itself, after the engine's report was read. */
-static void send_order(order_t *order, const engine_report_t *report)
-{
-	GString *message = g_string_new(NULL);
-	stage_order_t fields = {
-		.address = order->server->entry.address,
-		.server_id = str_from(order->server->entry.id),
-		.prefill = order->to_prefill,
-		.holder = order->vm,
-		.fence = order->fencing_token,
-		.orders = report->orders,
-	};
-
-	order->sending_order = true;
-	append_stage_order(message, &fields);
-	if (!call_engine(order, message))
-		finish_order(order, "no connection");
-	g_string_free(message, TRUE);
-}
-
-/* Keeps the status of an answer. */
-static void order_head(void *context, const http_head_t *head)
-{
-	order_t *order = context;
-
-	order->status = head->status;
-}
-
-/* Keeps the body of an answer. */
-static void order_body(void *context, const char *data, size_t len)
-{
-	order_t *order = context;
-
-	g_string_append_len(order->body, data, (gssize)len);
-}
-
-/* Handles the end of a call. The order is sent only if the engine carries out
- * no other one and this VM may still give orders.
- */
-static void order_end(void *context, call_end_t end)
-{
-	order_t *order = context;
-	engine_report_t report;
-
-	if (end != CALL_ANSWERED)
-		finish_order(order, "unanswered");
-	else if (order->sending_order)
-		finish_order(order, "answered");
-	else if (order->status != 200 ||
-		 !engine_report_read(str_from_gstring(order->body), &report))
-		finish_order(order, "no report");
-	else if (report.busy)
-		finish_order(order, "busy");
-	else if (clock_now(&order->pool->clock) >= order->valid_until_us)
-		finish_order(order, "too late");
-	else
-		send_order(order, &report);
-}
-
-static const call_handler_t order_handler = {
-	.on_head = order_head,
-	.on_body = order_body,
-	.on_end = order_end,
-};
-
-/* Sends a request to the engine. False when no connection could be made. */
-static bool call_engine(order_t *order, const GString *message)
+/* Sends an order of the round being prepared to one of its engines. */
+static void start_order(const stage_orders_t *orders, server_t *server)
 {
-	http_call_options_t options = {
-		.address = order->server->entry.address,
-		.message = message,
-		.max_body_bytes = MAX_BODY_BYTES,
-		.handler = &order_handler,
-		.context = order,
+	stage_order_request_t request = {
+		.pool = orders->server_pool,
+		.server = server,
+		.vm = orders->vm,
+		.fencing_token = orders->fencing_token,
+		.valid_until_us = orders->write_sent_us + HOLD_US,
+		.to_stage = orders->to_stage,
 	};
 
-	g_string_truncate(order->body, 0);
-	return http_pool_call(order->pool, &options) != NULL;
+	stage_order_send(&request);
 }
 
-/* Starts an order of the round being prepared: reads the engine's report. */
-static void start_order(const stage_orders_t *orders, server_t *server)
-{
-	GString *message = g_string_new(NULL);
-	order_t *order = g_new0(order_t, 1);
-
-	order->pool = orders->server_pool;
-	order->server = server_ref(server);
-	order->vm = g_strdup(orders->vm);
-	order->body = g_string_new(NULL);
-	order->fencing_token = orders->fencing_token;
-	order->valid_until_us = orders->write_sent_us + HOLD_US;
-	order->to_prefill = orders->to_stage == STAGE_PREFILL;
-	append_probe(message, NULL, server->entry.address,
-		     str_from(server->entry.id));
-	if (!call_engine(order, message))
-		finish_order(order, "no connection");
-	g_string_free(message, TRUE);
-}
-
-/* --- rounds ------------------------------------------------------------ */
-
 /* Parses the value of a row. On success round->words has to be freed. */
 static bool parse_round(str_t value, round_row_t *round)
 {
