Test calls on idle connections with unread bytes or ends (fails)

Hypothesis: a health check that followed an earlier broken answer took the whole one and left its connection in the pool; the server's close had arrived but was not read, and the next request was sent on it. The pool looks at an idle connection only when the main loop does, so bytes that arrived before a request is written are not noticed either: a late second copy of an answer without an ID would be taken for the answer to the next request.

--- a/tests/support_tcp_stub.c
+++ b/tests/support_tcp_stub.c
@@ -5,6 +5,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* Time within which a segment arrives over loopback. */
+#define ARRIVAL_US (10 * G_TIME_SPAN_MILLISECOND)
+
 /* A connection that the stub accepted. */
 typedef struct {
 	tcp_stub_t *stub;
@@ -145,6 +148,30 @@
 	g_free(stub->address);
 }
 
+/* Sends bytes that no request asked for on each open connection. They have arrived when
+ * it returns, but the main loop has not run.
+ */
+void tcp_stub_send(tcp_stub_t *stub, const char *bytes)
+{
+	for (guint i = 0; i < stub->connections->len; i++) {
+		connection_t *connection =
+			g_ptr_array_index(stub->connections, i);
+
+		g_assert_true(g_socket_send(connection->socket, bytes,
+					    strlen(bytes), NULL, NULL) > 0);
+	}
+	g_usleep(ARRIVAL_US);
+}
+
+/* Closes all connections in order. The other side has their ends when it returns, but
+ * the main loop has not run.
+ */
+void tcp_stub_close_connections(tcp_stub_t *stub)
+{
+	g_ptr_array_set_size(stub->connections, 0);
+	g_usleep(ARRIVAL_US);
+}
+
 /* Opens a connection to a port of the loopback address and returns its socket,
  * which does not block.
  */
--- a/tests/support_tcp_stub.h
+++ b/tests/support_tcp_stub.h
@@ -39,6 +39,8 @@
 void tcp_stub_start(tcp_stub_t *stub, const tcp_stub_answer_t *answers,
 		    size_t n_answers);
 void tcp_stub_stop(tcp_stub_t *stub);
+void tcp_stub_send(tcp_stub_t *stub, const char *bytes);
+void tcp_stub_close_connections(tcp_stub_t *stub);
 GSocket *support_connect(const char *address);
 bool support_run_loop_until(bool (*done)(void *context), void *context,
 			    unsigned limit_ms);
--- a/tests/test_http_pool.c
+++ b/tests/test_http_pool.c
@@ -275,6 +275,26 @@
 	tcp_stub_stop(&peer);
 }
 
+/* Guards against calls that are lost because they are sent on an idle connection that
+ * the server has closed and whose end was not read yet.
+ */
+static void test_closed_while_idle(void **state)
+{
+	static const tcp_stub_answer_t answer = {WHOLE, TCP_STUB_KEEP_OPEN};
+	tcp_stub_t stub;
+	caller_t caller;
+
+	init(&caller);
+	tcp_stub_start(&stub, &answer, 1);
+	call_and_wait(&caller, stub.address, "POST");
+	tcp_stub_close_connections(&stub);
+	call_and_wait(&caller, stub.address, "POST");
+	assert_int_equal(caller.end, CALL_ANSWERED);
+	assert_int_equal(stub.accepted, 2);
+	finish(&caller);
+	tcp_stub_stop(&stub);
+}
+
 /* Guards against a failure to connect that is reported as a lost call, which
  * may have run.
  */
@@ -368,6 +388,7 @@
 		cmocka_unit_test(test_answers),
 		cmocka_unit_test(test_head),
 		cmocka_unit_test(test_idle_connections),
+		cmocka_unit_test(test_closed_while_idle),
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_cancel),
 		cmocka_unit_test(test_cancel_in_callback),
--- a/tests/test_late_copies.c
+++ b/tests/test_late_copies.c
@@ -151,11 +151,37 @@
 	g_string_free(caller.body, TRUE);
 }
 
+/* Guards against a copy without an ID that has arrived but was not read when the next
+ * call is sent: the connection is not used again.
+ */
+static void test_unread_copy(void **state)
+{
+	static const tcp_stub_answer_t answers[] = {
+		{HEAD_WITHOUT_ID WITH_LENGTH "first", TCP_STUB_KEEP_OPEN},
+		{HEAD_OF("a2") WITH_LENGTH "owned", TCP_STUB_KEEP_OPEN},
+	};
+	caller_t caller = {.body = g_string_new(NULL)};
+	tcp_stub_t stub;
+
+	http_pool_init(&caller.pool, clock_boottime(), 1000, 0);
+	tcp_stub_start(&stub, answers, G_N_ELEMENTS(answers));
+	call_and_wait(&caller, stub.address, "a1");
+	tcp_stub_send(&stub, answers[0].bytes);
+	call_and_wait(&caller, stub.address, "a2");
+	assert_int_equal(caller.end, CALL_ANSWERED);
+	assert_string_equal(caller.body->str, "owned");
+	assert_int_equal(stub.accepted, 2);
+	http_pool_finish(&caller.pool);
+	tcp_stub_stop(&stub);
+	g_string_free(caller.body, TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_copy_after_the_next_call),
 		cmocka_unit_test(test_copy_before_the_next_call),
+		cmocka_unit_test(test_unread_copy),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
