Do not reuse an idle connection with unread bytes or an unread end

Cause: the pool learns what happens on an idle connection from the main loop only. What has arrived when a call takes the connection, but was not handled yet, is not seen: a late copy of an answer without an ID becomes the answer to the next request, and a request is sent on a connection that the server has already closed, where it counts as lost and as run.

Change: an idle connection is polled when a call takes it; one that is readable is closed and the next one is tried. One system call for each reuse.

Ruled out: reading the bytes in place of closing the connection (bytes that no request asked for end a connection already); leaving a GET or a call that may run twice to a repeat (a call that may run once ends with 502).

Conclusion: a close or a copy that arrives after the request was written is told from an answer by the ID only, as before.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -340,8 +340,10 @@
 }
 
 /* Takes the idle connection that was used last, because the server is least
- * likely to close that one soon. Closes those that were idle for too long.
- * Returns NULL if none is left.
+ * likely to close that one soon. Closes those that were idle for too long, and
+ * those on which the server has sent something since or which it has closed:
+ * the bytes would pass for the answer to the next call. Returns NULL if none is
+ * left.
  */
 static http_call_t *take_idle_connection(http_host_t *host, int64_t now_us)
 {
@@ -350,8 +352,10 @@
 	while ((call = g_queue_peek_tail(&host->idle)) &&
 	       call->reuse_until_us <= now_us)
 		free_call(call);
-	call = g_queue_pop_head(&host->idle);
-	return call;
+	while ((call = g_queue_peek_head(&host->idle)) &&
+	       tcp_is_readable(&call->tcp))
+		free_call(call);
+	return g_queue_pop_head(&host->idle);
 }
 
 /* Begins to open a connection. Returns NULL if the address is malformed or no
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -186,6 +187,16 @@
 	       bytes > 0;
 }
 
+/* Returns whether the other side has sent bytes, closed or reset the connection, which
+ * the main loop has not handled yet.
+ */
+bool tcp_is_readable(const tcp_t *tcp)
+{
+	struct pollfd poll_fd = {.fd = tcp->fd, .events = POLLIN};
+
+	return tcp->source && poll(&poll_fd, 1, 0) != 0;
+}
+
 /*
  * Starts to open a connection. Returns false if that failed at once, and does
  * not call the handler then. Output may be written before the connection is
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -53,6 +53,7 @@
 } tcp_options_t;
 
 bool tcp_has_unread(const tcp_t *tcp);
+bool tcp_is_readable(const tcp_t *tcp);
 bool tcp_connect(tcp_t *tcp, GSocketAddress *address,
 		 const tcp_options_t *options, const tcp_handler_t *handler,
 		 void *context);
