Test prompts that were answered while the VM was paused (fails)

Seen: test_broken_answers, 12 at a time at a load of 32 on 6 cores: in 4 of some 500 runs a request ended with 503 "the prompt could not be read" although the prefill engine answers at once.

Hypothesis: after a pause of the process (a freeze, or no processor time) the main loop handles the tick before the sockets, as it is the older source. The tick finds prompts overdue and their engine silent, while the answers wait in the kernel.

The test pauses the process for 2 s right after the engine has answered: 503.

--- a/tests/test_slow_streams.c
+++ b/tests/test_slow_streams.c
@@ -33,6 +33,8 @@
 	support_entry_t vm;
 	http_pool_t callers;
 	const script_t *script;
+	unsigned pause_ms; /* of this process, VM included, after the prefill
+			      engine has answered */
 	exchange_t *open; /* at the decode engine; NULL: none */
 	unsigned sent; /* times */
 	alarm_t next;
@@ -54,12 +56,14 @@
 
 static void prefill_on_request(void *context, exchange_t *exchange)
 {
+	const fixture_t *fixture = context;
 	http_headers_t headers;
 
 	http_headers_init(&headers);
 	exchange_reply(exchange, 200, &headers,
 		       STR("{\"kvHandle\":\"h\",\"tokens\":10,\"version\":1}"));
 	http_headers_finish(&headers);
+	g_usleep(fixture->pause_ms * CLOCK_US_PER_MS);
 }
 
 static void ignore_gone(void *context, exchange_t *exchange)
@@ -218,6 +222,8 @@
 		.context = fixture,
 	};
 
+	fixture->ended = false;
+	g_string_truncate(fixture->body, 0);
 	g_string_printf(message,
 			"POST /l/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n"
 			"X-Deadline-Ms: %u\r\nX-Token-Count: 1000,200\r\n"
@@ -284,12 +290,31 @@
 	stop(&fixture);
 }
 
+/* Guards against prompts that are given up as not answered after the VM's process was
+ * paused, although their answers have come meanwhile.
+ */
+static void test_pause_after_an_answer(void **state)
+{
+	static const script_t script = {"id: 2\ndata: b\n\n",
+					"id: 3\ndata: c\n\n", 10, 1};
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture, &script);
+	(void)ask(&fixture, 14000); /* shows how fast the engine is */
+	fixture.pause_ms = 2000;
+	(void)ask(&fixture, 14000);
+	assert_int_equal(fixture.status, 200);
+	assert_int_equal(fixture.end, CALL_ANSWERED);
+	stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_slow_stream_ends_whole),
 		cmocka_unit_test(test_stalled_stream_ends_at_its_deadline),
 		cmocka_unit_test(test_half_an_event_is_not_passed_on),
+		cmocka_unit_test(test_pause_after_an_answer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
