Read what has arrived before judging silence after a pause

Cause: after a pause of the process the main loop handles the tick before the sockets, as its source is the older one. Prompts that were answered meanwhile count as overdue, their engines as silent, and peers whose announcements wait in the kernel as dead, so that waiting streams are admitted without their use.

Change: a tick that comes over 50 ms late is put off once, until the sockets that were ready with it were handled.

Ruled out: a lower priority for alarms (under load the sockets are always ready, and no alarm would run); longer margins for overdue prompts (engines that have failed would be found later). A VM whose every tick is late puts off every other one.

Looked for elsewhere: health checks and store reads have deadlines of their own, which a pause can end before their answers are read; the next one repairs that, and nothing is lost.

--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -38,6 +38,9 @@
 #define TICK_US (50 * CLOCK_US_PER_MS)
 #define WAITING_TICK_US (20 * CLOCK_US_PER_MS)
 
+/* A tick that comes later than this follows a pause of the process. */
+#define LATE_TICK_US (50 * CLOCK_US_PER_MS)
+
 /* Interval between checks of the balance of stages. */
 #define STAGE_CHECK_US (200 * CLOCK_US_PER_MS)
 
@@ -216,6 +219,24 @@
 	}
 }
 
+/* Sets the time of the next tick. */
+static void set_tick(entry_t *entry, int64_t at_us)
+{
+	entry->tick_due_us = at_us;
+	alarm_set(&entry->tick, at_us);
+}
+
+/* Returns whether a tick is the first one after a pause of the process. What servers
+ * and peers have sent meanwhile is not read yet, so that they would seem silent.
+ */
+static bool follows_pause(entry_t *entry, int64_t now_us)
+{
+	bool late = now_us > entry->tick_due_us + LATE_TICK_US;
+
+	entry->tick_put_off = late && !entry->tick_put_off;
+	return entry->tick_put_off;
+}
+
 /* Does the periodic work that no change triggers, and sets the next tick. */
 static void on_tick(void *context)
 {
@@ -223,7 +244,11 @@
 	int64_t now_us = clock_now(&entry->clock);
 	bool waiting = entry_has_waiting(entry);
 
-	alarm_set(&entry->tick, now_us + (waiting ? WAITING_TICK_US : TICK_US));
+	if (follows_pause(entry, now_us)) {
+		set_tick(entry, now_us);
+		return;
+	}
+	set_tick(entry, now_us + (waiting ? WAITING_TICK_US : TICK_US));
 	if (waiting)
 		stream_calls_admit(&entry->relay);
 	stream_calls_check_silence(&entry->relay);
@@ -329,7 +354,7 @@
 		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
 	entry_set_callbacks(entry);
 	entry_follow_store(entry);
-	alarm_set(&entry->tick, clock_now(&clock) + TICK_US);
+	set_tick(entry, clock_now(&clock) + TICK_US);
 	return true;
 }
 
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -56,6 +56,8 @@
 	GArray *logged_rules; /* of quarantine_rule_t: the log says they hold */
 	route_table_t *table; /* owns a reference; NULL: none was read yet */
 	alarm_t tick; /* next on_tick() */
+	int64_t tick_due_us; /* time for which that was set */
+	bool tick_put_off; /* until what has arrived is read */
 	alarm_t admission_alarm; /* next admission of waiting streams */
 	guint term_source;
 	guint hup_source;
