Forward announcements within availability zones

Cause: each VM sends each of its announcements to each other VM.

Change: where another zone has four VMs or more that forward, one of them gets the announcement and sends it unchanged to the others there. The next announcement takes the next one, so that a VM which forwards nothing costs a zone one announcement of as many as it has VMs, and nothing is handed over when it ends. A VM names its zone in the credentials of its calls, as long as it forwards; VMs of an earlier build ignore these and get announcements directly.

Ruled out: one fixed relay for each zone and sender (a zone would hear nothing of a VM until the loss is noticed, and a successor would have to be agreed on); the zone in a row of the store (after a restart with the earlier build it would still stand there); a new part at the end of the announcement (each part before it would have to be sent, and an empty list of losses withdraws earlier ones); zones with fewer than four others, where little is saved, so that the small sites send as before.

Conclusion: traffic between zones no longer grows with the square of the VMs; what each VM hears does.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -1,6 +1,7 @@
 #include "connection/announce.h"
 
 #include "connection/address.h"
+#include "process/decide/zone_forwarders.h"
 
 #define MAX_DATAGRAM_BYTES 8192
 
@@ -24,6 +25,11 @@
  */
 #define MIN_LIVE_DIVISOR 8
 
+/* A VM that was not heard for longer than this many repeats is not asked to forward
+ * announcements.
+ */
+#define FORWARDER_SILENT_REPEATS 2
+
 /* Another entry VM. */
 typedef struct {
 	char *vm;
@@ -43,29 +49,6 @@
 	g_free(peer);
 }
 
-/* Reads all datagrams that have arrived. */
-static gboolean on_readable(GSocket *socket, GIOCondition condition,
-			    gpointer data)
-{
-	announce_t *announce = data;
-	char buffer[MAX_DATAGRAM_BYTES];
-	bool any_accepted = false;
-	gssize n;
-
-	while ((n = g_socket_receive_from(socket, NULL, buffer, sizeof(buffer),
-					  NULL, NULL)) >= 0) {
-		announce->received++;
-		if (announce_decode(announce->occupancy, buffer, (size_t)n,
-				    clock_now(&announce->clock)))
-			any_accepted = true;
-		else
-			announce->malformed++;
-	}
-	if (any_accepted && announce->on_announcement)
-		announce->on_announcement(announce->context);
-	return G_SOURCE_CONTINUE;
-}
-
 /* Returns the time since the last announcement from a peer, or since the peer
  * was added if that is later.
  */
@@ -103,6 +86,64 @@
 	announce->sent++;
 }
 
+/* Returns the zone in which a peer forwards announcements; empty: in none. */
+static const char *forwarding_zone(const announce_t *announce,
+				   const announce_peer_t *peer)
+{
+	const occupancy_peer_t *known =
+		g_hash_table_lookup(announce->occupancy->peers, peer->vm);
+
+	return known ? known->zone : "";
+}
+
+/* Forwards another VM's announcement to the peers of the own zone. */
+static void forward(announce_t *announce, char *data, size_t len,
+		    int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	announce_ask_to_forward(data, false);
+	g_hash_table_iter_init(&iter, announce->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		announce_peer_t *peer = value;
+
+		if (!g_str_equal(forwarding_zone(announce, peer),
+				 announce->zone))
+			continue;
+		send_to_peer(announce, peer, data, len, now_us);
+		announce->forwarded++;
+	}
+}
+
+/* Reads all datagrams that have arrived. */
+static gboolean on_readable(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	announce_t *announce = data;
+	char buffer[MAX_DATAGRAM_BYTES];
+	bool any_accepted = false;
+	gssize n;
+
+	while ((n = g_socket_receive_from(socket, NULL, buffer, sizeof(buffer),
+					  NULL, NULL)) >= 0) {
+		int64_t now_us = clock_now(&announce->clock);
+
+		announce->received++;
+		if (!announce_decode(announce->occupancy, buffer, (size_t)n,
+				     now_us)) {
+			announce->malformed++;
+			continue;
+		}
+		any_accepted = true;
+		if (announce_asks_to_forward(buffer, (size_t)n))
+			forward(announce, buffer, (size_t)n, now_us);
+	}
+	if (any_accepted && announce->on_announcement)
+		announce->on_announcement(announce->context);
+	return G_SOURCE_CONTINUE;
+}
+
 /* Returns whether a peer's process has just started. */
 static bool is_new(const announce_t *announce, const char *vm, int64_t now_us)
 {
@@ -111,29 +152,83 @@
 	return until_us && now_us < *until_us;
 }
 
-/* Sends an announcement to the peers that have just started, or to all others.
+/* Sends an announcement to the peers that have just started, with the streams of all
+ * VMs.
  */
-static void send_to_peers(announce_t *announce, bool to_new, int64_t now_us)
+static void send_to_new_peers(announce_t *announce, int64_t now_us)
 {
-	const GArray *origins = to_new ? announce->occupancy->all_origins
-				       : announce->occupancy->origins;
 	char buffer[MAX_DATAGRAM_BYTES];
 	GHashTableIter iter;
 	gpointer value;
 	size_t len;
 
-	if (!announce_encode(announce, origins, now_us, buffer, sizeof(buffer),
-			     &len))
+	if (!announce_encode(announce, announce->occupancy->all_origins, now_us,
+			     buffer, sizeof(buffer), &len))
 		return;
 	g_hash_table_iter_init(&iter, announce->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		announce_peer_t *peer = value;
 
-		if (is_new(announce, peer->vm, now_us) == to_new)
+		if (is_new(announce, peer->vm, now_us))
 			send_to_peer(announce, peer, buffer, len, now_us);
 	}
 }
 
+/* Returns how a peer can take part in the spread of an announcement. One that may not
+ * get what is forwarded, as it is silent, gets it from this VM.
+ */
+static zone_peer_t zone_peer(const announce_t *announce,
+			     const announce_peer_t *peer, int64_t now_us)
+{
+	int64_t max_silent_us =
+		FORWARDER_SILENT_REPEATS *
+		occupancy_repeat_us(g_hash_table_size(announce->peers));
+
+	return (zone_peer_t){
+		.zone = is_silent(announce, peer, now_us)
+				? ""
+				: forwarding_zone(announce, peer),
+		.heard = silent_for_us(announce, peer, now_us) <= max_silent_us,
+	};
+}
+
+/* Sends an announcement to all peers but those that have just started. */
+static void send_to_peers(announce_t *announce, int64_t now_us)
+{
+	guint n_peers = g_hash_table_size(announce->peers);
+	g_autofree announce_peer_t **targets =
+		g_new(announce_peer_t *, n_peers);
+	g_autofree zone_peer_t *peers = g_new(zone_peer_t, n_peers);
+	g_autofree zone_send_t *sends = g_new(zone_send_t, n_peers);
+	char buffer[MAX_DATAGRAM_BYTES];
+	GHashTableIter iter;
+	gpointer value;
+	size_t n = 0;
+	size_t len;
+
+	if (!announce_encode(announce, announce->occupancy->origins, now_us,
+			     buffer, sizeof(buffer), &len))
+		return;
+	g_hash_table_iter_init(&iter, announce->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		targets[n] = value;
+		if (is_new(announce, targets[n]->vm, now_us))
+			continue;
+		peers[n] = zone_peer(announce, targets[n], now_us);
+		n++;
+	}
+	zone_forwarders_choose(announce->zone, peers, n,
+			       announce->sequence + g_str_hash(announce->vm),
+			       sends);
+	for (size_t i = 0; i < n; i++) {
+		if (sends[i] == ZONE_FORWARDED)
+			continue;
+		announce_ask_to_forward(buffer,
+					sends[i] == ZONE_SEND_TO_FORWARD);
+		send_to_peer(announce, targets[i], buffer, len, now_us);
+	}
+}
+
 /* Sends an announcement to the peers and sets the time of the next one. */
 static void on_next_send(void *context)
 {
@@ -144,9 +239,9 @@
 		  now_us + occupancy_repeat_us(
 				   g_hash_table_size(announce->peers)));
 	announce->sequence++;
-	send_to_peers(announce, false, now_us);
+	send_to_peers(announce, now_us);
 	if (now_us < announce->new_peers_until_us)
-		send_to_peers(announce, true, now_us);
+		send_to_new_peers(announce, now_us);
 	else
 		g_hash_table_remove_all(announce->new_until);
 	if (now_us >= announce->workloads_at_us)
@@ -166,6 +261,7 @@
 
 	*announce = (announce_t){
 		.vm = vm,
+		.zone = "",
 		.incarnation = incarnation,
 		.clock = clock,
 		.occupancy = occupancy,
--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -12,6 +12,10 @@
 /* Socket and peers of one router's announcements. */
 typedef struct {
 	const char *vm; /* name of this VM */
+	const char *zone; /* its availability zone; empty: not known. Set by the
+			     owner */
+	bool forwards; /* it forwards announcements in its zone. Set by the
+			  owner */
 	uint64_t incarnation; /* greater after each restart */
 	clock_source_t clock;
 	occupancy_t *occupancy;
@@ -27,7 +31,8 @@
 				    observations of services */
 	int64_t new_peers_until_us; /* some peers have just started */
 	uint32_t sequence; /* number of the last announcement */
-	uint64_t sent; /* datagrams */
+	uint64_t sent; /* datagrams, with forwarded ones */
+	uint64_t forwarded; /* datagrams */
 	uint64_t received; /* datagrams, with malformed ones */
 	uint64_t malformed; /* datagrams */
 } announce_t;
@@ -51,5 +56,7 @@
 		     int64_t now_us, char *out, size_t size, size_t *len);
 bool announce_decode(occupancy_t *occupancy, const char *data, size_t len,
 		     int64_t now_us);
+bool announce_asks_to_forward(const char *data, size_t len);
+void announce_ask_to_forward(char *data, bool ask);
 
 #endif
--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -10,6 +10,16 @@
 #define ANNOUNCE_PROGRAM 0x20a00b02
 #define ANNOUNCE_VERSION 2
 #define ANNOUNCE_PROCEDURE 1
+/* The same, and the receiver forwards the announcement in its zone. */
+#define FORWARD_PROCEDURE 2
+
+/* Position of the procedure in a call: it follows the transaction ID, the direction
+ * and the versions of RPC and of the program, and the program itself.
+ */
+#define PROCEDURE_OFFSET (5 * sizeof(uint32_t))
+
+/* Flavor of the credentials by which a VM names its availability zone. */
+#define ZONE_FLAVOR 0x20a00b02
 
 #define MAX_SERVERS 256 /* in one announcement */
 
@@ -21,11 +31,12 @@
  */
 #define MAX_USE (INT64_C(1) << 40)
 
-/* Encodes or decodes the header of the RPC call, without credentials. Like all
- * functions xdr_...(), it works in the direction of the stream and returns
- * false if that fails.
+/* Encodes or decodes the header of the RPC call, with the credentials to encode or
+ * none. Like all functions xdr_...(), it works in the direction of the stream and
+ * returns false if that fails.
  */
-static bool xdr_call_header(XDR *xdrs, struct rpc_msg *call, uint32_t xid)
+static bool xdr_call_header(XDR *xdrs, struct rpc_msg *call, uint32_t xid,
+			    const char *zone)
 {
 	static char credentials[2][MAX_AUTH_BYTES];
 
@@ -38,9 +49,41 @@
 	call->rm_call.cb_proc = ANNOUNCE_PROCEDURE;
 	call->rm_call.cb_cred.oa_base = credentials[0];
 	call->rm_call.cb_verf.oa_base = credentials[1];
+	if (zone) {
+		call->rm_call.cb_cred.oa_flavor = ZONE_FLAVOR;
+		call->rm_call.cb_cred.oa_base = (char *)zone;
+		call->rm_call.cb_cred.oa_length = (u_int)strlen(zone);
+	}
 	return xdr_callmsg(xdrs, call);
 }
 
+/* Returns whether a procedure number is one of an announcement. */
+static bool is_procedure(uint32_t procedure)
+{
+	return procedure == ANNOUNCE_PROCEDURE ||
+	       procedure == FORWARD_PROCEDURE;
+}
+
+/* Returns whether an encoded announcement asks its receiver to forward it. */
+bool announce_asks_to_forward(const char *data, size_t len)
+{
+	uint32_t procedure;
+
+	if (len < PROCEDURE_OFFSET + sizeof(procedure))
+		return false;
+	memcpy(&procedure, data + PROCEDURE_OFFSET, sizeof(procedure));
+	return g_ntohl(procedure) == FORWARD_PROCEDURE;
+}
+
+/* Makes an encoded announcement ask its receiver to forward it, or not to. */
+void announce_ask_to_forward(char *data, bool ask)
+{
+	uint32_t procedure =
+		g_htonl(ask ? FORWARD_PROCEDURE : ANNOUNCE_PROCEDURE);
+
+	memcpy(data + PROCEDURE_OFFSET, &procedure, sizeof(procedure));
+}
+
 /* Encodes or decodes a name. To decode, `name` must have room for
  * OCCUPANCY_NAME_BYTES and a null byte.
  */
@@ -375,7 +418,8 @@
 	XDR xdrs;
 
 	xdrmem_create(&xdrs, out, (u_int)size, XDR_ENCODE);
-	ok = xdr_call_header(&xdrs, &call, sequence) &&
+	ok = xdr_call_header(&xdrs, &call, sequence,
+			     announce->forwards ? announce->zone : NULL) &&
 	     xdr_name(&xdrs, (char *)announce->vm) &&
 	     xdr_uint64_t(&xdrs, &incarnation) &&
 	     xdr_uint32_t(&xdrs, &sequence) &&
@@ -398,7 +442,19 @@
 	       call->rm_call.cb_rpcvers == RPC_MSG_VERSION &&
 	       call->rm_call.cb_prog == ANNOUNCE_PROGRAM &&
 	       call->rm_call.cb_vers == ANNOUNCE_VERSION &&
-	       call->rm_call.cb_proc == ANNOUNCE_PROCEDURE;
+	       is_procedure(call->rm_call.cb_proc);
+}
+
+/* Reads the zone in which a VM forwards announcements, from its credentials. An
+ * announcement without one, as each one of an earlier release, leaves it empty.
+ */
+static void read_zone(const struct opaque_auth *credentials, char *zone)
+{
+	if (credentials->oa_flavor != ZONE_FLAVOR ||
+	    credentials->oa_length > OCCUPANCY_ZONE_BYTES)
+		return;
+	memcpy(zone, credentials->oa_base, credentials->oa_length);
+	zone[credentials->oa_length] = '\0';
 }
 
 /* Returns whether all counts are within bounds, so that a malformed
@@ -597,8 +653,10 @@
 {
 	struct rpc_msg call;
 
-	return xdr_call_header(xdrs, &call, 0) && is_announcement(&call) &&
-	       xdr_name(xdrs, announcement->vm) &&
+	if (!xdr_call_header(xdrs, &call, 0, NULL) || !is_announcement(&call))
+		return false;
+	read_zone(&call.rm_call.cb_cred, announcement->zone);
+	return xdr_name(xdrs, announcement->vm) &&
 	       xdr_uint64_t(xdrs, &announcement->incarnation) &&
 	       xdr_uint32_t(xdrs, &announcement->sequence) &&
 	       decode_uses(xdrs, announcement->use) &&
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -90,6 +90,9 @@
 		COUNTER("rpc_replayed", "Datagrams refused as replayed."),
 	[COUNTER_RPC_MALFORMED] =
 		COUNTER("rpc_malformed", "Datagrams that did not decode."),
+	[COUNTER_RPC_FORWARDED] =
+		COUNTER("rpc_forwarded", "Announcements that were forwarded to "
+					 "a VM of the own zone."),
 	[COUNTER_PLATFORM_READS] =
 		COUNTER("platform_reads", "Reads sent to the platform."),
 	[COUNTER_LIST_READS] = COUNTER(
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -463,6 +463,7 @@
 	peer->arrivals_per_s = announcement->arrivals_per_s;
 	peer->incarnation = announcement->incarnation;
 	peer->sequence = announcement->sequence;
+	g_strlcpy(peer->zone, announcement->zone, sizeof(peer->zone));
 	peer->received_us = now_us;
 	set_in_totals(occupancy, peer, true);
 	report_servers(occupancy, peer, announcement);
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -28,6 +28,9 @@
 /* Longest name of a VM or server, without the terminating NUL. */
 #define OCCUPANCY_NAME_BYTES 200
 
+/* Longest name of an availability zone that is announced. */
+#define OCCUPANCY_ZONE_BYTES 64
+
 /* Most suspect servers, and most unavailable ones, in one announcement. */
 #define OCCUPANCY_MAX_SUSPECTS 32
 
@@ -79,6 +82,8 @@
 	char vm[OCCUPANCY_NAME_BYTES + 1];
 	uint64_t incarnation; /* greater in each later process of the VM */
 	uint32_t sequence; /* greater in each later announcement; may wrap */
+	char zone[OCCUPANCY_ZONE_BYTES + 1]; /* in which the VM forwards
+						announcements; empty: in none */
 	GHashTable *use; /* server ID to occupancy_use_t */
 	GArray *waiters; /* of occupancy_urgency_t */
 	double arrivals_per_s; /* of new streams */
@@ -98,6 +103,7 @@
 	char *vm;
 	uint64_t incarnation;
 	uint32_t sequence; /* of its latest announcement */
+	char zone[OCCUPANCY_ZONE_BYTES + 1]; /* see occupancy_announcement_t */
 	int64_t received_us; /* when that arrived */
 	GHashTable *use; /* server ID to occupancy_use_t */
 	GArray *waiters; /* of occupancy_urgency_t */
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -183,6 +183,8 @@
 	ingress_set_closing(&entry->callers);
 	ingress_set_closing(&entry->peers);
 	list_relay_close(&entry->rows.list_relay);
+	entry->announce.forwards = false;
+	announce_schedule(&entry->announce);
 	log_event(LOG_INFO, "draining",
 		  LOG_UINT("active", entry->callers.active));
 	return G_SOURCE_CONTINUE;
--- a/src/process/entry/entry_status.c
+++ b/src/process/entry/entry_status.c
@@ -136,6 +136,7 @@
 	counters_set(COUNTER_RPC_SENT, (int64_t)entry->announce.sent);
 	counters_set(COUNTER_RPC_RECEIVED, (int64_t)entry->announce.received);
 	counters_set(COUNTER_RPC_MALFORMED, (int64_t)entry->announce.malformed);
+	counters_set(COUNTER_RPC_FORWARDED, (int64_t)entry->announce.forwarded);
 	counters_set(COUNTER_PLATFORM_READS,
 		     (int64_t)store_rows_reads(&entry->rows));
 	counters_set(COUNTER_LIST_READS,
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -318,6 +318,9 @@
 	entry_set_quarantine_callbacks(entry);
 	entry_set_origin_callbacks(entry);
 	entry->occupancy.context = entry;
+	entry->announce.zone = entry->settings.zone;
+	entry->announce.forwards = strlen(entry->settings.zone) <=
+				   OCCUPANCY_ZONE_BYTES;
 	entry->announce.on_announcement = on_announcement;
 	entry->announce.context = entry;
 }
--- a/tests/tool_wire_sample.c
+++ b/tests/tool_wire_sample.c
@@ -15,6 +15,10 @@
 #define ANNOUNCEMENT "announcement.bin"
 #define PASSED_ON "passed-on.http"
 
+/* Position of the credentials in a call, and their size if there are none. */
+#define CREDENTIALS_OFFSET 24
+#define NO_CREDENTIALS_BYTES 8
+
 /* A request as a caller has sent it. */
 #define REQUEST                                                               \
 	"POST /l/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9c41d07be2a35f68\r\n" \
@@ -122,7 +126,7 @@
 				      origin->software == 13;
 }
 
-static void check_announcement(const char *bytes, size_t len)
+static void check_decoded(const char *bytes, size_t len)
 {
 	occupancy_t occupancy;
 	told_t told = {0};
@@ -148,6 +152,28 @@
 	occupancy_finish(&occupancy);
 }
 
+/* Checks an announcement as it is, and with credentials of a flavor that the reader may
+ * not know, in place of none: newer builds name their availability zone there.
+ */
+static void check_announcement(const char *bytes, size_t len)
+{
+	static const char credentials[] = {0x20, (char)0xa0, 0x0b, 0x02,
+					   0,	 0,	     0,	   6,
+					   'z',	 'o',	     'n',  'e',
+					   '-',	 '1',	     0,	   0};
+	GString *with_zone = g_string_new_len(bytes, (gssize)len);
+
+	check_decoded(bytes, len);
+	if (len > CREDENTIALS_OFFSET + NO_CREDENTIALS_BYTES) {
+		g_string_erase(with_zone, CREDENTIALS_OFFSET,
+			       NO_CREDENTIALS_BYTES);
+		g_string_insert_len(with_zone, CREDENTIALS_OFFSET, credentials,
+				    sizeof(credentials));
+		check_decoded(with_zone->str, with_zone->len);
+	}
+	g_string_free(with_zone, TRUE);
+}
+
 /* --- requests that are passed on ---------------------------------------------- */
 
 /* Reads the head of a request; false if it is malformed. */
