Tell peers of an overdue answer only after a probe

Cause: a VM that waits 0.3 s for a plain server's answer, and has got nothing from it meanwhile, announced the server as suspect at once.

Change: the VM probes the server itself, and peers are told 0.25 s later if no answer has come. A server that is silent for more reasons (no connection, engines without events) is announced at once, as before.

Ruled out: a longer limit for the silence (each VM would notice its own requests to a failed server later); fewer VMs that probe what others suspect (the suspicion is the fault, not its check; those that do not probe would have to believe a VM whose own links are cut).

test_broken_answers: format.

--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -25,6 +25,11 @@
  */
 #define IGNORE_PEERS_US INT64_C(1000000)
 
+/* Time in which the answer to a probe can show that a server runs, before peers are
+ * told that it is suspect.
+ */
+#define CONFIRM_US INT64_C(250000)
+
 /* Weight of the latest prompt in the moving average of the slowness, and the
  * most that it may differ from what was expected.
  */
@@ -435,14 +440,33 @@
 	server->suspect_since_us = 0;
 }
 
-/* Records that an answer is overdue: the server is suspect and is probed. */
-void server_mark_suspect(server_t *server, int64_t now_us)
+/* Makes a server suspect, so that it is probed. Peers are told from a time on, or as
+ * they would have been told before if that is sooner.
+ */
+static void make_suspect(server_t *server, int64_t now_us, int64_t told_from_us)
 {
 	server->suspect_here_only = false;
 	if (server->suspect_since_us == 0) {
 		server->suspect_since_us = now_us;
 		server->next_probe_us = now_us;
+		server->told_from_us = told_from_us;
 	}
+	server->told_from_us = MIN(server->told_from_us, told_from_us);
+}
+
+/* Records that the server is silent: it is suspect and is probed. */
+void server_mark_suspect(server_t *server, int64_t now_us)
+{
+	make_suspect(server, now_us, now_us);
+}
+
+/* Records that one answer of the server is overdue. It may just take long, and a VM that
+ * sends the server little cannot tell: peers, each of which would probe the server, are
+ * told once a probe has had time for its answer.
+ */
+void server_mark_overdue(server_t *server, int64_t now_us)
+{
+	make_suspect(server, now_us, now_us + CONFIRM_US);
 }
 
 /* Records that this VM has no connection to the server: it is suspect here and is
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -232,9 +232,10 @@
  * connections of this VM alone concern them only if it reaches no server of the
  * service: then they pass no requests on to it.
  */
-static bool is_suspicion_announced(const entry_t *entry, const server_t *server)
+static bool is_suspicion_announced(const entry_t *entry, const server_t *server,
+				   int64_t now_us)
 {
-	if (!server_is_suspect(server))
+	if (!server_is_suspect(server) || now_us < server->told_from_us)
 		return false;
 	return !server->suspect_here_only ||
 	       !server_set_reaches(&entry->servers, server->entry.service);
@@ -259,7 +260,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const server_t *server = value;
 
-		if (is_suspicion_announced(entry, server))
+		if (is_suspicion_announced(entry, server, now_us))
 			g_ptr_array_add(suspects, g_strdup(server->entry.id));
 		if (announced_unavailable_until_us(entry, server, now_us) !=
 		    0) {
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -327,7 +327,7 @@
 	if (!server || call->send.status ||
 	    server->last_received_us >= call->send.sent_us)
 		return;
-	server_mark_suspect(server, clock_now(&call->request.relay->clock));
+	server_mark_overdue(server, clock_now(&call->request.relay->clock));
 	if (!table_route_is_repeatable(call->request.route) ||
 	    !may_retry_elsewhere(call) || !relay_take_retry(&call->request))
 		return;
--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -236,8 +236,7 @@
 		if (stub->requests == before)
 			fail_msg("cut after %zu of %zu bytes: not sent, "
 				 "status %u, body %s",
-				 cut, len, fixture->status,
-				 fixture->body->str);
+				 cut, len, fixture->status, fixture->body->str);
 		if (cut == len && then == TCP_STUB_RESET)
 			continue;
 		if (looks_whole(fixture) != (cut == len))
