--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -21,6 +21,8 @@
 	char *request;
 	char *first_request; /* began the stream of which the rest is to be
 				asked for; NULL: none */
+	const char *program; /* of the VM that began the stream */
+	bool changed_program; /* a request for the rest went to another build */
 	unsigned tries; /* requests for the rest */
 	GString *body;
 	unsigned status;
@@ -116,6 +118,16 @@
 	g_clear_pointer(&caller->request, g_free);
 }
 
+/* Counts a stream that went on to its end after it had broken off. */
+static void count_resumed(soak_caller_t *caller)
+{
+	if (!caller->first_request)
+		return;
+	caller->counts->resumed++;
+	if (caller->changed_program)
+		caller->counts->resumed_at_other_build++;
+}
+
 /* Remembers a stream that broke off after some events, to ask for its rest. */
 static void note_broken_stream(soak_caller_t *caller)
 {
@@ -156,6 +168,7 @@
 	} else if (caller->status == 200) {
 		caller->counts->served++;
 		check_success(caller);
+		count_resumed(caller);
 		g_clear_pointer(&caller->first_request, g_free);
 	} else if (caller->status == 503) {
 		caller->counts->refused++;
@@ -265,23 +278,30 @@
 		  leave_at_us ? leave_at_us : clock_now(&clock) + ANSWER_US);
 }
 
-/* Asks for the rest of the stream that broke off. */
-void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address)
+/* Asks a VM, which runs a program, for the rest of the stream that broke off. */
+void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address,
+			      const char *program)
 {
 	char *fields = g_strdup_printf("Last-Event-Id: %u\r\nResumes: %s\r\n",
 				       keep_whole_events(caller->body),
 				       caller->first_request);
 
 	caller->tries++;
+	caller->changed_program |= !g_str_equal(program, caller->program);
 	send_message(caller, address, fields, 0);
 	g_free(fields);
 }
 
-/* Sends a new request; the caller leaves at a time, or stays (0). */
+/* Sends a VM, which runs a program, a new request; the caller leaves at a time, or stays
+ * (0).
+ */
 void soak_caller_send(soak_caller_t *caller, const char *address,
-		      soak_kind_t kind, int64_t leave_at_us)
+		      const char *program, soak_kind_t kind,
+		      int64_t leave_at_us)
 {
 	caller->kind = kind;
+	caller->program = program;
+	caller->changed_program = false;
 	caller->tries = 0;
 	g_clear_pointer(&caller->first_request, g_free);
 	g_string_truncate(caller->body, 0);
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -21,6 +21,8 @@
 	unsigned refused;
 	unsigned failed; /* other answers */
 	unsigned broken; /* no whole answer */
+	unsigned resumed; /* streams that went on after they had broken off */
+	unsigned resumed_at_other_build; /* of these, at a VM of another one */
 } soak_counts_t;
 
 typedef struct soak_caller soak_caller_t;
@@ -30,8 +32,10 @@
 void soak_caller_free(soak_caller_t *caller);
 bool soak_caller_is_busy(const soak_caller_t *caller);
 bool soak_caller_wants_rest(const soak_caller_t *caller);
-void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address);
+void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address,
+			      const char *program);
 void soak_caller_send(soak_caller_t *caller, const char *address,
-		      soak_kind_t kind, int64_t leave_at_us);
+		      const char *program, soak_kind_t kind,
+		      int64_t leave_at_us);
 
 #endif
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -359,7 +359,8 @@
 		if (soak_caller_wants_rest(soak->callers[i])) {
 			entry = route_caller(soak, i + 1);
 			soak_caller_ask_for_rest(soak->callers[i],
-						 entry->callers_address);
+						 entry->callers_address,
+						 entry->program);
 			continue;
 		}
 		entry = route_caller(soak, i);
@@ -368,8 +369,8 @@
 			leave_us = now_us() +
 				   (int64_t)soak_random(&soak->world, 300) *
 					   CLOCK_US_PER_MS;
-		soak_caller_send(soak->callers[i], entry->callers_address, kind,
-				 leave_us);
+		soak_caller_send(soak->callers[i], entry->callers_address,
+				 entry->program, kind, leave_us);
 	}
 }
 
@@ -477,9 +478,11 @@
 	g_source_remove(step);
 	violations = soak.world.violations->len;
 	printf("seed %llu: %u sent, %u served, %u refused, %u failed, "
-	       "%u broken; %u violations; logs in %s\n",
+	       "%u broken, %u streams resumed, %u at another build; "
+	       "%u violations; logs in %s\n",
 	       (unsigned long long)seed, soak.counts.sent, soak.counts.served,
 	       soak.counts.refused, soak.counts.failed, soak.counts.broken,
+	       soak.counts.resumed, soak.counts.resumed_at_other_build,
 	       violations, soak.folder);
 	finish(&soak);
 	soak_world_finish(&soak.world);
