--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -440,18 +440,20 @@
 	server->suspect_since_us = 0;
 }
 
-/* Makes a server suspect, so that it is probed. Peers are told from a time on, or as
- * they would have been told before if that is sooner.
+/* Makes a server suspect, so that it is probed. Peers are told from `announced_from_us`
+ * on; if it is suspect already, from the earlier of the two times.
  */
-static void make_suspect(server_t *server, int64_t now_us, int64_t told_from_us)
+static void make_suspect(server_t *server, int64_t now_us,
+			 int64_t announced_from_us)
 {
 	server->suspect_here_only = false;
 	if (server->suspect_since_us == 0) {
 		server->suspect_since_us = now_us;
 		server->next_probe_us = now_us;
-		server->told_from_us = told_from_us;
+		server->announced_from_us = announced_from_us;
 	}
-	server->told_from_us = MIN(server->told_from_us, told_from_us);
+	server->announced_from_us =
+		MIN(server->announced_from_us, announced_from_us);
 }
 
 /* Records that the server is silent: it is suspect and is probed. */
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -43,7 +43,7 @@
 	int64_t suspect_since_us; /* since when it is silent; 0: it is not */
 	bool suspect_here_only; /* connections to it fail, which may be due to
 				   this VM's links: peers are not told */
-	int64_t told_from_us; /* while it is suspect: peers are told then */
+	int64_t announced_from_us; /* while it is suspect: peers are told then */
 	int64_t next_probe_us; /* while it is suspect */
 	int64_t changing_until_us; /* was ordered to change its stage */
 	int64_t avoided_until_us; /* its work failed, here or at a peer */
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -235,7 +235,7 @@
 static bool is_suspicion_announced(const entry_t *entry, const server_t *server,
 				   int64_t now_us)
 {
-	if (!server_is_suspect(server) || now_us < server->told_from_us)
+	if (!server_is_suspect(server) || now_us < server->announced_from_us)
 		return false;
 	return !server->suspect_here_only ||
 	       !server_set_reaches(&entry->servers, server->entry.service);
