--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -306,12 +306,96 @@
 	stop(&fixture);
 }
 
+/* A caller that speaks HTTP/1.0, which knows no chunks, and what it has received. */
+typedef struct {
+	GSocket *socket;
+	GString *received;
+	bool ended;
+	bool reset; /* the connection did not end in order */
+} old_caller_t;
+
+/* Receives what has come. Returns whether the connection has ended. */
+static bool receive_all(void *context)
+{
+	old_caller_t *caller = context;
+	GError *error = NULL;
+	char buffer[4096];
+	gssize n;
+
+	while (!caller->ended &&
+	       (n = g_socket_receive(caller->socket, buffer, sizeof(buffer),
+				     NULL, &error)) > 0)
+		g_string_append_len(caller->received, buffer, n);
+	if (error && error->code == G_IO_ERROR_WOULD_BLOCK) {
+		g_error_free(error);
+		return false;
+	}
+	caller->ended = true;
+	caller->reset = caller->reset || error;
+	g_clear_error(&error);
+	return true;
+}
+
+/* Sends a request as HTTP/1.0 and waits for the end of the connection. */
+static void ask_as_old_caller(fixture_t *fixture, old_caller_t *caller)
+{
+	g_autofree char *message = g_strdup_printf(
+		"POST /l/%u HTTP/1.0\r\nHost: h\r\nX-Request-Id: o%u\r\n"
+		"X-Deadline-Ms: 9000\r\nX-Model-Name: m\r\n"
+		"X-Token-Count: 1000,200\r\nContent-Length: 0\r\n\r\n",
+		fixture->requests, fixture->requests);
+
+	trust_servers(fixture);
+	fixture->requests++;
+	*caller = (old_caller_t){
+		.socket = support_connect(support_entry_address(&fixture->vm)),
+		.received = g_string_new(NULL),
+	};
+	assert_true(g_socket_send(caller->socket, message, strlen(message),
+				  NULL, NULL) > 0);
+	assert_true(support_run_loop_until(receive_all, caller, WAIT_MS));
+}
+
+/* Guards against streams to callers of HTTP/1.0, which take the end of the connection
+ * for that of the answer, that break off and look whole, and against chunks in them.
+ */
+static void test_streams_to_old_callers(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	size_t len = strlen(STREAM_LENGTH);
+
+	start(&fixture);
+	for (size_t cut = 0; cut <= len; cut++) {
+		g_autofree char *bytes = g_strndup(STREAM_LENGTH, cut);
+		tcp_stub_answer_t answer = {bytes, TCP_STUB_CLOSE};
+		old_caller_t caller;
+		bool looks_whole;
+
+		fixture.decode.answers = &answer;
+		fixture.decode.n_answers = 1;
+		fixture.decode.next = 0;
+		ask_as_old_caller(&fixture, &caller);
+		looks_whole =
+			!caller.reset &&
+			g_str_has_prefix(caller.received->str, "HTTP/1.1 200 ");
+		assert_int_equal(looks_whole, cut == len);
+		if (looks_whole)
+			assert_true(g_str_has_suffix(caller.received->str,
+						     "\r\n\r\n" EVENTS));
+		g_socket_close(caller.socket, NULL);
+		g_object_unref(caller.socket);
+		g_string_free(caller.received, TRUE);
+	}
+	stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_plain_answers),
 		cmocka_unit_test(test_plain_answers_reset),
 		cmocka_unit_test(test_streams),
+		cmocka_unit_test(test_streams_to_old_callers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
