Send streams without chunks to callers of HTTP/1.0

Cause: the router sent a response of unknown length in chunks whatever version the request had, and closed the connection in order when it could not be completed. A caller of HTTP/1.0 knows no chunks and takes the close for the end.

Change: such a caller gets the events alone, with Connection: close, and a reset when the stream breaks off.

Ruled out: refusing HTTP/1.0 (plain answers to it are right); collecting the whole stream for a length (its first event would come after its last).

Looked for elsewhere: serve answers through libsoup, not looked into.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -136,15 +136,22 @@
 	end_exchange(exchange);
 }
 
-/* Begins a response of unknown length by sending its head. */
+/* Begins a response of unknown length by sending its head. To a caller that knows no
+ * chunks, the response ends with its connection.
+ */
 void exchange_start_stream(exchange_t *exchange, unsigned status,
 			   const http_headers_t *headers)
 {
+	ingress_connection_t *connection = exchange->connection;
 	GString *out = g_string_sized_new(512);
 
 	exchange->streaming = true;
+	if (!connection->takes_chunks)
+		connection->keep_alive = false;
 	append_head(exchange, out, status, headers);
-	g_string_append(out, "Transfer-Encoding: chunked\r\n\r\n");
+	if (connection->takes_chunks)
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	g_string_append(out, "\r\n");
 	tcp_write(&exchange->connection->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
 }
@@ -158,6 +165,10 @@
 
 	if (len == 0)
 		return;
+	if (!exchange->connection->takes_chunks) {
+		tcp_write(&exchange->connection->tcp, data, len);
+		return;
+	}
 	out = g_string_sized_new(len + 16);
 	g_string_append_printf(out, "%zx\r\n", len);
 	g_string_append_len(out, data, (gssize)len);
@@ -169,17 +180,22 @@
 /* Ends a stream whose body is complete. Ends the exchange. */
 void exchange_end_stream(exchange_t *exchange)
 {
-	tcp_write(&exchange->connection->tcp, "0\r\n\r\n", 5);
+	if (exchange->connection->takes_chunks)
+		tcp_write(&exchange->connection->tcp, "0\r\n\r\n", 5);
 	end_exchange(exchange);
 }
 
 /* Closes the connection of a response that cannot be completed, so that the
- * caller can see that it is cut. Ends the exchange.
+ * caller can see that it is cut: without chunks, only a reset shows it. Ends the
+ * exchange.
  */
 void exchange_abort(exchange_t *exchange)
 {
 	ingress_connection_t *connection = exchange->connection;
 
-	tcp_finish(&connection->tcp);
+	if (exchange->streaming && !connection->takes_chunks)
+		tcp_finish_reset(&connection->tcp);
+	else
+		tcp_finish(&connection->tcp);
 	ingress_connection_close(connection);
 }
--- a/src/connection/http_head.c
+++ b/src/connection/http_head.c
@@ -215,6 +215,7 @@
 {
 	head->status = 0;
 	head->keep_alive = false;
+	head->takes_chunks = false;
 	head->body_until_close = false;
 	g_string_truncate(head->method, 0);
 	g_string_truncate(head->target, 0);
--- a/src/connection/http_head.h
+++ b/src/connection/http_head.h
@@ -27,6 +27,8 @@
 	GString *target; /* of a request: path and query as received */
 	http_headers_t headers;
 	bool keep_alive; /* the connection may carry further messages */
+	bool takes_chunks; /* the sender of a request knows chunks: not with
+			      HTTP/1.0 */
 	/* Of a response: neither a length nor chunks show where its body ends, but
 	 * the end of the connection.
 	 */
--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -101,6 +101,9 @@
 	parser->upgrade = 0;
 	message->head.status = message->is_request ? 0 : parser->status_code;
 	message->head.keep_alive = http_should_keep_alive(parser);
+	message->head.takes_chunks =
+		parser->http_major > 1 ||
+		(parser->http_major == 1 && parser->http_minor >= 1);
 	if (message->is_request)
 		g_string_assign(message->head.method,
 				http_method_str(parser->method));
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -156,6 +156,7 @@
 	int64_t length;
 
 	connection->keep_alive = head->keep_alive;
+	connection->takes_chunks = head->takes_chunks;
 	if (http_parse_uint(http_headers_get(&head->headers, "content-length"),
 			    &length) &&
 	    length > ingress->limits.max_body_bytes) {
--- a/src/connection/ingress_connection.h
+++ b/src/connection/ingress_connection.h
@@ -42,6 +42,7 @@
 	alarm_t alarm;
 	unsigned reject_status; /* for the request being read; 0: accepted */
 	bool keep_alive; /* the request lets the connection stay open */
+	bool takes_chunks; /* see http_head_t */
 	bool parsing; /* the parser runs, so it must not be freed */
 	bool close_pending; /* closed while parsing; freed after it */
 };
