Stop VMs of the soak only after their main()

A child of the soak was left, stopped, before it had executed its program (/proc: T, do_signal_stop, ret_from_fork), and held the soak's listeners.

Cause: the soak takes a VM that ignores SIGHUP to have reached its main(), and stops it then. Begun by nohup the soak ignores SIGHUP itself, and so does each child from its fork on.

Change: the soak takes the default action for SIGHUP.

Ruled out: that another test took the port (they are locked), and too few descriptors (20,000).

--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -538,6 +538,10 @@
 		arg_print_errors(stderr, end, "tool_soak");
 	} else {
 		signal(SIGPIPE, SIG_IGN);
+		/* A VM that ignores it has reached its main(), and does not
+		 * inherit that.
+		 */
+		signal(SIGHUP, SIG_DFL);
 		code = run((uint64_t)seed->ival[0], (unsigned)seconds->ival[0],
 			   (unsigned)entries->ival[0],
 			   (unsigned)servers->ival[0],
