--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -192,23 +192,17 @@
 	};
 }
 
-/* Sends an announcement to all peers but those that have just started. */
-static void send_to_peers(announce_t *announce, int64_t now_us)
+/* Sends an encoded announcement to all peers but those that have just started. */
+static void spread(announce_t *announce, char *data, size_t len, int64_t now_us)
 {
 	guint n_peers = g_hash_table_size(announce->peers);
-	g_autofree announce_peer_t **targets =
-		g_new(announce_peer_t *, n_peers);
-	g_autofree zone_peer_t *peers = g_new(zone_peer_t, n_peers);
-	g_autofree zone_send_t *sends = g_new(zone_send_t, n_peers);
-	char buffer[MAX_DATAGRAM_BYTES];
+	announce_peer_t **targets = g_new(announce_peer_t *, n_peers);
+	zone_peer_t *peers = g_new(zone_peer_t, n_peers);
+	zone_send_t *sends = g_new(zone_send_t, n_peers);
 	GHashTableIter iter;
 	gpointer value;
 	size_t n = 0;
-	size_t len;
 
-	if (!announce_encode(announce, announce->occupancy->origins, now_us,
-			     buffer, sizeof(buffer), &len))
-		return;
 	g_hash_table_iter_init(&iter, announce->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		targets[n] = value;
@@ -223,10 +217,23 @@
 	for (size_t i = 0; i < n; i++) {
 		if (sends[i] == ZONE_FORWARDED)
 			continue;
-		announce_ask_to_forward(buffer,
-					sends[i] == ZONE_SEND_TO_FORWARD);
-		send_to_peer(announce, targets[i], buffer, len, now_us);
+		announce_ask_to_forward(data, sends[i] == ZONE_SEND_TO_FORWARD);
+		send_to_peer(announce, targets[i], data, len, now_us);
 	}
+	g_free(targets);
+	g_free(peers);
+	g_free(sends);
+}
+
+/* Sends an announcement to all peers but those that have just started. */
+static void send_to_peers(announce_t *announce, int64_t now_us)
+{
+	char buffer[MAX_DATAGRAM_BYTES];
+	size_t len;
+
+	if (announce_encode(announce, announce->occupancy->origins, now_us,
+			    buffer, sizeof(buffer), &len))
+		spread(announce, buffer, len, now_us);
 }
 
 /* Sends an announcement to the peers and sets the time of the next one. */
--- a/tests/test_announce_zones.c
+++ b/tests/test_announce_zones.c
@@ -43,7 +43,7 @@
 	return clock_now(&clock);
 }
 
-static const char *zone_of(size_t vm)
+static const char *zone_of(unsigned vm)
 {
 	static const char *const zones[ZONES] = {"a", "b", "c"};
 
@@ -54,10 +54,10 @@
 static void start(fixture_t *fixture)
 {
 	memset(fixture, 0, sizeof(*fixture));
-	for (size_t i = 0; i < VMS; i++) {
+	for (unsigned i = 0; i < VMS; i++) {
 		vm_t *vm = &fixture->vms[i];
 
-		vm->name = g_strdup_printf("vm-%zu", i);
+		vm->name = g_strdup_printf("vm-%u", i);
 		vm->address = unused_address();
 		occupancy_init(&vm->occupancy);
 		assert_true(announce_init(&vm->announce, vm->address,
@@ -67,7 +67,7 @@
 		vm->announce.forwards = true;
 		vm->runs = true;
 	}
-	for (size_t i = 0; i < VMS * VMS; i++)
+	for (unsigned i = 0; i < VMS * VMS; i++)
 		announce_set_peer(&fixture->vms[i / VMS].announce,
 				  fixture->vms[i % VMS].name,
 				  fixture->vms[i % VMS].address);
@@ -83,7 +83,7 @@
 
 static void stop(fixture_t *fixture)
 {
-	for (size_t i = 0; i < VMS; i++) {
+	for (unsigned i = 0; i < VMS; i++) {
 		end_vm(&fixture->vms[i]);
 		occupancy_finish(&fixture->vms[i].occupancy);
 		g_free(fixture->vms[i].name);
@@ -96,7 +96,7 @@
 {
 	fixture_t *fixture = context;
 
-	for (size_t i = 0; i < VMS; i++) {
+	for (unsigned i = 0; i < VMS; i++) {
 		if (occupancy_live_peers(&fixture->vms[i].occupancy, now_us()) <
 		    VMS - 1)
 			return false;
@@ -109,7 +109,7 @@
 {
 	fixture_t *fixture = context;
 
-	for (size_t i = 0; i < VMS; i++) {
+	for (unsigned i = 0; i < VMS; i++) {
 		vm_t *vm = &fixture->vms[i];
 
 		if (vm->runs &&
@@ -180,7 +180,7 @@
 
 	start(&fixture);
 	assert_true(support_run_loop_until(have_met, &fixture, WAIT_MS));
-	for (size_t i = 1; i < ZONES; i++)
+	for (unsigned i = 1; i < ZONES; i++)
 		end_vm(&fixture.vms[i]);
 	for (unsigned i = 0; i < VMS_PER_ZONE; i++) {
 		use_stream(&fixture);
@@ -200,7 +200,7 @@
 	static fixture_t fixture; /* outlives a failure */
 
 	start(&fixture);
-	for (size_t i = 0; i < VMS; i++) {
+	for (unsigned i = 0; i < VMS; i++) {
 		if (zone_of(i) == zone_of(1))
 			fixture.vms[i].announce.forwards = false;
 	}
@@ -208,7 +208,7 @@
 	use_stream(&fixture);
 	assert_true(support_run_loop_until(know_use, &fixture, WAIT_MS));
 	check_sends(&fixture, SENDS - 1 + VMS_PER_ZONE);
-	for (size_t i = 0; i < VMS; i++) {
+	for (unsigned i = 0; i < VMS; i++) {
 		if (zone_of(i) == zone_of(1))
 			assert_int_equal(fixture.vms[i].announce.forwarded, 0);
 	}
