--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec "review/build/case-5" review/5/record.txt
--- a/review/lib/http.c
+++ b/review/lib/http.c
@@ -108,6 +108,22 @@
 	return false;
 }
 
+/* Connects as the caller with a number, from 127.0.1.NUMBER. */
+bool conn_open_from(conn_t *conn, int port, unsigned caller)
+{
+	struct sockaddr_in address = loopback(port);
+	struct sockaddr_in own = loopback(0);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	own.sin_addr.s_addr = htonl(0x7f000100 + caller % 250 + 1);
+	conn_init(conn, fd);
+	if (bind(fd, (struct sockaddr *)&own, sizeof(own)) == 0 &&
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return true;
+	conn_close(conn);
+	return false;
+}
+
 /* Sends all bytes. Returns false if the connection ended before. */
 bool send_all(int fd, const char *data, size_t len)
 {
--- a/review/lib/http.h
+++ b/review/lib/http.h
@@ -31,6 +31,7 @@
 void conn_init(conn_t *conn, int fd);
 void conn_close(conn_t *conn);
 bool conn_open(conn_t *conn, int port);
+bool conn_open_from(conn_t *conn, int port, unsigned caller);
 bool conn_open_slow(conn_t *conn, int port, int receive_bytes,
 		    int segment_bytes);
 bool send_all(int fd, const char *data, size_t len);
--- a/review/lib/server.c
+++ b/review/lib/server.c
@@ -1,11 +1,13 @@
 #define _GNU_SOURCE
 #include "server.h"
 
+#include <fcntl.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "run.h"
 #include "store.h"
@@ -36,9 +38,12 @@
 /* Writes the entry again and again. */
 static void *send_heartbeats(void *argument)
 {
-	for (;;) {
+	server_t *server = argument;
+
+	while (!server->down) {
 		sleep_ms(HEARTBEAT_MS);
-		write_entry(argument);
+		if (!server->down)
+			write_entry(server);
 	}
 	return NULL;
 }
@@ -70,6 +75,23 @@
 	       strcmp(expected, server->id) != 0;
 }
 
+/* Replaces a descriptor among those of the open connections. Returns false if it is not
+ * there.
+ */
+static bool replace_fd(server_t *server, int fd, int by)
+{
+	bool found = false;
+
+	pthread_mutex_lock(&server->lock);
+	for (int i = 0; i < MAX_SERVER_CONNECTIONS && !found; i++) {
+		found = server->fds[i] == fd;
+		if (found)
+			server->fds[i] = by;
+	}
+	pthread_mutex_unlock(&server->lock);
+	return found;
+}
+
 /* Answers the requests on one connection. */
 static void *serve(void *argument)
 {
@@ -94,27 +116,28 @@
 			break;
 	}
 	message_finish(&request);
+	(void)replace_fd(at->server, at->conn.fd, -1);
 	conn_close(&at->conn);
 	free(at);
 	return NULL;
 }
 
-/* Accepts connections. */
+/* Accepts connections until the server crashes. */
 static void *accept_all(void *argument)
 {
 	server_t *server = argument;
-	int fd = listen_on(server->port);
 
-	if (fd < 0)
-		give_up("a server cannot listen");
-	write_entry(server);
-	start_thread(send_heartbeats, server);
-	for (;;) {
-		int accepted = accept4(fd, NULL, NULL, SOCK_CLOEXEC);
+	while (!server->down) {
+		int accepted =
+			accept4(server->listener, NULL, NULL, SOCK_CLOEXEC);
 		server_conn_t *at;
 
 		if (accepted < 0)
 			continue;
+		if (server->down || !replace_fd(server, -1, accepted)) {
+			close(accepted);
+			continue;
+		}
 		at = malloc(sizeof(*at));
 		at->server = server;
 		conn_init(&at->conn, accepted);
@@ -123,6 +146,35 @@
 	return NULL;
 }
 
+/* Crashes a server: its connections are reset, and it takes no others and writes its entry
+ * no more. The stand-in of the platform removes the entry later.
+ */
+void server_crash(server_t *server)
+{
+	struct linger linger = {.l_onoff = 1};
+
+	server->down = true;
+	shutdown(server->listener, SHUT_RDWR);
+	close(server->listener);
+	pthread_mutex_lock(&server->lock);
+	for (int i = 0; i < MAX_SERVER_CONNECTIONS; i++) {
+		int fd = server->fds[i];
+
+		if (fd < 0)
+			continue;
+		/* The thread of the connection still has the descriptor, so that
+		 * it is only replaced here: closing the last copy resets.
+		 */
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+		int null = open("/dev/null", O_RDWR | O_CLOEXEC);
+
+		dup2(null, fd);
+		close(null);
+	}
+	pthread_mutex_unlock(&server->lock);
+	record("%s: crashes", server->id);
+}
+
 /* Starts a server, which ends with the process. Its `answer` must be set. */
 void server_start(server_t *server, const char *id, const char *service,
 		  const char *zone)
@@ -131,5 +183,13 @@
 	snprintf(server->service, sizeof(server->service), "%s", service);
 	snprintf(server->zone, sizeof(server->zone), "%s", zone);
 	server->port = free_port();
+	server->listener = listen_on(server->port);
+	if (server->listener < 0)
+		give_up("a server cannot listen");
+	pthread_mutex_init(&server->lock, NULL);
+	for (int i = 0; i < MAX_SERVER_CONNECTIONS; i++)
+		server->fds[i] = -1;
+	write_entry(server);
+	start_thread(send_heartbeats, server);
 	start_thread(accept_all, server);
 }
--- a/review/lib/server.h
+++ b/review/lib/server.h
@@ -3,9 +3,13 @@
 #define REVIEW_SERVER_H
 
 #include <stdbool.h>
+#include <pthread.h>
 
 #include "http.h"
 
+/* More connections than that are closed at once. */
+#define MAX_SERVER_CONNECTIONS 256
+
 /* A backend server. */
 typedef struct server server_t;
 struct server {
@@ -17,10 +21,15 @@
 	bool (*answer)(server_t *server, conn_t *conn, const message_t *request,
 		       unsigned number_on_connection);
 	unsigned heartbeats;
+	int listener;
+	volatile bool down; /* writes no entry and takes no connection */
+	pthread_mutex_t lock; /* of what follows */
+	int fds[MAX_SERVER_CONNECTIONS]; /* open connections; -1: none */
 };
 
 void server_start(server_t *server, const char *id, const char *service,
 		  const char *zone);
+void server_crash(server_t *server);
 bool server_reply(conn_t *conn, const message_t *request, const char *body,
 		  size_t len);
 
--- a/review/lib/store.c
+++ b/review/lib/store.c
@@ -80,6 +80,20 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Removes a row as the platform does when a server no longer writes it. */
+void store_remove(const char *table, const char *key)
+{
+	row_t *row;
+
+	pthread_mutex_lock(&lock);
+	row = get_row(table, key);
+	free(row->value);
+	row->value = NULL;
+	row->version = ++version;
+	pthread_cond_broadcast(&changed);
+	pthread_mutex_unlock(&lock);
+}
+
 /* Stores a parameter of a target's query; empty if there is none. */
 static void parameter(const char *target, const char *name, char *value,
 		      size_t size)
--- a/review/lib/store.h
+++ b/review/lib/store.h
@@ -4,5 +4,6 @@
 
 int store_start(void);
 void store_put(const char *table, const char *key, const char *text);
+void store_remove(const char *table, const char *key);
 
 #endif
