--- a/review/2/case.c
+++ b/review/2/case.c
@@ -53,6 +53,7 @@
 	const vm_t *vm;
 	long long sent_ms;
 	int status;
+	const char *run_by; /* the server that ran it last, or NULL */
 	volatile bool ended;
 } caller_t;
 
@@ -74,6 +75,17 @@
 static long long zero_ms; /* begin of the traffic */
 static volatile bool over;
 
+/* Notes which server runs a request. */
+static void note_run(const server_t *server, const message_t *request)
+{
+	char id[64];
+	unsigned number;
+
+	if (header(request, "X-Request-Id", id, sizeof(id)) &&
+	    sscanf(id, "request-%u", &number) == 1 && number < MAX_CALLERS)
+		callers[number].run_by = server->id;
+}
+
 /* Runs a request, or answers a health check. */
 static bool answer(server_t *server, conn_t *conn, const message_t *request,
 		   unsigned number)
@@ -83,6 +95,7 @@
 				 "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
 				 "Content-Length: 0\r\n\r\n",
 				 server->id);
+	note_run(server, request);
 	sleep_ms(WORK_MS);
 	return !server->down && server_reply(conn, request, "booth 7", 7);
 }
@@ -227,6 +240,10 @@
 	for (unsigned i = 0; i < n_callers; i++) {
 		if (!callers[i].ended)
 			give_up("a caller has not ended");
+		note("request-%u to %s: sent %lld ms, run by %s, status %d", i,
+		     callers[i].vm->name, callers[i].sent_ms,
+		     callers[i].run_by ? callers[i].run_by : "none",
+		     callers[i].status);
 	}
 	before = served_share(0, KILL_AT_MS);
 	after = served_share(START_AT_MS + RECOVER_MS,
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -229,6 +229,12 @@
 	for (int i = 0; i < n_callers; i++) {
 		if (!callers[i].ended)
 			give_up("a caller has not ended");
+		note("%s to %s: sent %lld ms, run %d, status %d, %s after %lld "
+		     "ms",
+		     callers[i].id, callers[i].vm->name, callers[i].sent_ms,
+		     callers[i].was_run, callers[i].status,
+		     callers[i].cut ? "cut" : "answered",
+		     callers[i].ended_ms - callers[i].sent_ms);
 		lost += is_lost(&callers[i], callers[i].vm != &vms[0]);
 		served += callers[i].status == 200;
 	}
--- a/review/lib/run.c
+++ b/review/lib/run.c
@@ -86,6 +86,19 @@
 	pthread_mutex_unlock(&record_lock);
 }
 
+/* Writes a line to the record only. */
+void note(const char *format, ...)
+{
+	va_list arguments;
+
+	va_start(arguments, format);
+	pthread_mutex_lock(&record_lock);
+	vfprintf(record_file, format, arguments);
+	fputc('\n', record_file);
+	pthread_mutex_unlock(&record_lock);
+	va_end(arguments);
+}
+
 /* Ends a case that takes too long. */
 static void *watch_limit(void *argument)
 {
@@ -140,6 +153,7 @@
 	}
 	remove_folder();
 	record("exit code %d", code);
+	fflush(record_file);
 	_exit(code);
 }
 
--- a/review/lib/run.h
+++ b/review/lib/run.h
@@ -36,6 +36,7 @@
 void run_end(int code) __attribute__((noreturn));
 void give_up(const char *reason) __attribute__((noreturn));
 void record(const char *format, ...) __attribute__((format(printf, 1, 2)));
+void note(const char *format, ...) __attribute__((format(printf, 1, 2)));
 bool has_trouble(void);
 void vm_init(vm_t *vm, const char *name, const char *zone);
 void vm_start(vm_t *vm, const deployment_t *deployment, bool bootstrap);
