Tell which of several entries has an address, and take it back

Cause: an address went to the server that was added last. In a full read rows come in the order of their keys, so that a server's old entry, which stays for three heartbeats, could take the address from the new one. `address_reused` was set by that, by a 421 to a request and by a 421 to a probe, and was cleared by nothing: not when the old entry went, not by the server's own answers.

Change: all servers that name an address are kept, and one of them has it: by what the address itself has answered, by the list, by the time of the start, by the version of the row. It is chosen again when any of this changes. A server whose address answers 421 is probed, with growing pauses, and gets work again once it answers as itself; peers are told only for as long as that lasts. A loss that was confirmed by a lost address is taken back with it.

Ruled out: 421 of the new servers (none), silence (no probe), content (the reason of the refusals).

The stand-in for the store now returns full reads in the order of keys, as the platform does, which it did not; the one for plain servers answers 421 to a request that is meant for another server.

--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -278,7 +278,7 @@
 static bool is_gone(const entry_t *entry)
 {
 	return !entry->server || entry->server->removed ||
-	       entry->server->address_reused;
+	       !server_has_address(entry->server);
 }
 
 /* Returns whether the server of a loss has turned out to run, by what this VM has
@@ -299,23 +299,27 @@
 }
 
 /* Finds out which losses were of servers that still run, and which of servers that
- * are gone. Drops those that are too old to count.
+ * are gone; one whose address was taken for another's may turn out to run. Drops those
+ * that are too old to count.
  */
 static void check_losses(quarantine_t *quarantine, int64_t now_us)
 {
 	for (guint i = quarantine->losses->len; i-- > 0;) {
 		entry_t *entry = get_entry(quarantine, i);
+		bool was_confirmed;
 
 		if (now_us - entry->loss.lost_us >= QUARANTINE_US) {
 			g_array_remove_index(quarantine->losses, i);
 			quarantine->changed = true;
 			continue;
 		}
-		if (entry->confirmed || entry->refuted)
+		if (entry->refuted)
 			continue;
+		was_confirmed = entry->confirmed;
 		entry->confirmed = is_gone(entry);
 		entry->refuted = !entry->confirmed && still_runs(entry, now_us);
-		quarantine->changed |= entry->confirmed || entry->refuted;
+		quarantine->changed |= entry->confirmed != was_confirmed ||
+				       entry->refuted;
 	}
 }
 
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -1,6 +1,7 @@
 #include "process/decide/server_set.h"
 
 #include "process/clock.h"
+#include "process/decide/server_addresses.h"
 
 /* Longest time for which a server that asks for it gets no requests. */
 #define MAX_PAUSE_S 600.0
@@ -78,7 +79,7 @@
 {
 	set->by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unlist);
-	set->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	set->by_address = server_addresses_new();
 	removed_servers_init(&set->removed);
 }
 
@@ -105,27 +106,6 @@
 	       !g_str_equal(server->entry.service, entry->service);
 }
 
-/* Assigns a server's address to it. A server that had the address before gets
- * no more work, as an address belongs to the server that was added last.
- */
-static void assign_address(server_set_t *set, server_t *server)
-{
-	server_t *before =
-		g_hash_table_lookup(set->by_address, server->entry.address);
-
-	if (before)
-		before->address_reused = true;
-	g_hash_table_replace(set->by_address, server->entry.address, server);
-}
-
-/* Releases a server's address, unless another server has it by now. */
-static void release_address(server_set_t *set, const server_t *server)
-{
-	if (g_hash_table_lookup(set->by_address, server->entry.address) ==
-	    server)
-		g_hash_table_remove(set->by_address, server->entry.address);
-}
-
 /* Remembers a server that is removed. */
 static void record_removal(server_set_t *set, const server_t *server)
 {
@@ -186,8 +166,8 @@
 		server->entry = *entry;
 		server->paused_until_us = removed ? removed->paused_until_us
 						  : 0;
-		assign_address(set, server);
 		g_hash_table_insert(set->by_id, server->entry.id, server);
+		server_addresses_add(set, server);
 	} else {
 		if (server->entry.stage != entry->stage) {
 			server->changing_until_us = 0;
@@ -198,11 +178,13 @@
 		server->entry.stage = entry->stage;
 		server->entry.slots = entry->slots;
 		server->entry.leaving = entry->leaving;
+		server->entry.row_version = entry->row_version;
 		server_entry_clear(entry);
 	}
 	memset(entry, 0, sizeof(*entry));
 	server->listed = true;
 	server->expires_us = 0;
+	server_addresses_update(set, server);
 	return server;
 }
 
@@ -264,15 +246,55 @@
 /* Removes a server after its entry was removed; an unknown ID is ignored. */
 void server_set_remove(server_set_t *set, const char *id, int64_t now_us)
 {
-	const server_t *server = g_hash_table_lookup(set->by_id, id);
+	server_t *server = g_hash_table_lookup(set->by_id, id);
 
 	if (!server)
 		return;
 	record_removal(set, server);
-	release_address(set, server);
+	server_addresses_remove(set, server);
 	(void)g_hash_table_remove(set->by_id, id);
 }
 
+/* Records a row that brings nothing but another heartbeat of a server. */
+void server_set_heartbeat(server_set_t *set, server_t *server,
+			  int64_t row_version)
+{
+	server->entry.row_version = row_version;
+	if (server->superseded)
+		server_addresses_update(set, server);
+}
+
+/* Records that the address of a server has answered, with 421 Misdirected Request, that
+ * another process has it. That process may come to its end, and the answer may have another
+ * reason, as an engine of the other stage answers so too: the server is probed, and gets
+ * work again once its address answers as the server. Returns false if that was known.
+ */
+bool server_set_mark_misdirected(server_set_t *set, server_t *server,
+				 int64_t now_us)
+{
+	if (server->misdirected)
+		return false;
+	server->misdirected = true;
+	server->misdirected_probes = 0;
+	server->next_probe_us = now_us;
+	if (!server->removed)
+		server_addresses_update(set, server);
+	return true;
+}
+
+/* Records that the address of a server has answered as the server. Returns false if it
+ * was not known to answer as another one.
+ */
+bool server_set_clear_misdirected(server_set_t *set, server_t *server)
+{
+	if (!server->misdirected)
+		return false;
+	server->misdirected = false;
+	if (!server->removed)
+		server_addresses_update(set, server);
+	return true;
+}
+
 /* Starts a full read of the list: each entry that is read has to be put. */
 void server_set_begin_sync(server_set_t *set)
 {
@@ -298,8 +320,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		server_t *server = value;
 
-		if (!server->listed && server->expires_us == 0)
-			server->expires_us = keep_until_us;
+		if (server->listed || server->expires_us != 0)
+			continue;
+		server->expires_us = keep_until_us;
+		server_addresses_update(set, server);
 	}
 }
 
@@ -316,7 +340,7 @@
 
 		if (server->expires_us != 0 && server->expires_us <= now_us) {
 			record_removal(set, server);
-			release_address(set, server);
+			server_addresses_remove(set, server);
 			g_hash_table_iter_remove(&iter);
 			removed = true;
 		}
@@ -373,6 +397,12 @@
 	return n;
 }
 
+/* Returns whether a server's address is its own, as far as is known. */
+bool server_has_address(const server_t *server)
+{
+	return !server->superseded && !server->misdirected;
+}
+
 /* Returns whether new requests may be sent to a server: it is listed or has not
  * expired yet, is not leaving, and its address is its own. A suspect server
  * counts too; server_state() tells the difference.
@@ -380,7 +410,7 @@
 bool server_takes_work(const server_t *server)
 {
 	return (server->listed || server->expires_us != 0) &&
-	       !server->entry.leaving && !server->address_reused;
+	       !server->entry.leaving && server_has_address(server);
 }
 
 /* Returns whether a server wants no requests from this VM now. */
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -28,6 +28,7 @@
 	stage_t stage;
 	int64_t slots; /* requests that it runs at the same time */
 	int64_t started_ms; /* wall clock time of its start; 0: unknown */
+	int64_t row_version; /* of the row that was read last; 0: unknown */
 	bool leaving; /* finishes its work and exits */
 } server_entry_t;
 
@@ -38,14 +39,16 @@
 	server_entry_t entry;
 	bool listed; /* the platform's list has it now */
 	bool removed; /* from the set; only requests in progress still hold it */
-	bool address_reused; /* its address answered as another server */
+	bool superseded; /* its address is that of another server of the set */
+	bool misdirected; /* its address answers that another process has it */
+	unsigned misdirected_probes; /* sent since then */
 	int64_t expires_us; /* a full read of the list missed it: removed then,
 			       unless it is listed again; 0: was not missed */
 	int64_t suspect_since_us; /* since when it is silent; 0: it is not */
 	bool suspect_here_only; /* connections to it fail, which may be due to
 				   this VM's links: peers are not told */
 	int64_t announced_from_us; /* while it is suspect: peers are told then */
-	int64_t next_probe_us; /* while it is suspect */
+	int64_t next_probe_us; /* while it is suspect or misdirected */
 	int64_t changing_until_us; /* was ordered to change its stage */
 	int64_t avoided_until_us; /* its work failed, here or at a peer */
 	int64_t paused_until_us; /* it wants no requests from this VM */
@@ -89,7 +92,7 @@
 /* All known servers. */
 typedef struct {
 	GHashTable *by_id; /* of server_t */
-	GHashTable *by_address; /* the server that was added last with it */
+	GHashTable *by_address; /* to a GPtrArray of the servers that name it */
 	removed_servers_t removed;
 	int64_t last_added_us; /* when a server was last added */
 	int64_t last_leaving_us; /* when a server last began to leave */
@@ -106,6 +109,11 @@
 			     int64_t now_us);
 void server_set_pause(server_set_t *set, server_t *server, double pause_s,
 		      int64_t now_us);
+void server_set_heartbeat(server_set_t *set, server_t *server,
+			  int64_t row_version);
+bool server_set_mark_misdirected(server_set_t *set, server_t *server,
+				 int64_t now_us);
+bool server_set_clear_misdirected(server_set_t *set, server_t *server);
 void server_set_begin_sync(server_set_t *set);
 void server_set_end_sync(server_set_t *set, int64_t keep_until_us);
 bool server_set_expire(server_set_t *set, int64_t now_us);
@@ -119,6 +127,7 @@
 
 server_t *server_ref(server_t *server);
 void server_unref(server_t *server);
+bool server_has_address(const server_t *server);
 bool server_takes_work(const server_t *server);
 server_state_t server_state(const server_t *server, int64_t now_us);
 const char *server_state_name(server_state_t state);
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -1,6 +1,7 @@
 #include "process/entry/entry_updates.h"
 
 #include "process/decide/peer_choice.h"
+#include "process/decide/server_addresses.h"
 #include "process/entry/entry_list.h"
 #include "process/entry/entry_origins.h"
 #include "process/entry/entry_quarantine.h"
@@ -22,10 +23,11 @@
  */
 #define ROUND_ANNOUNCERS 32
 
-/* How long peers are asked to avoid a server whose address now belongs to
- * another server. The first server is gone, and its row in the store expires.
+/* How long peers are asked to avoid a server whose address answers as another one. They
+ * are asked again for as long as that holds. If several servers name the address, each VM
+ * has to find out which one has it, and peers are not asked.
  */
-#define ADDRESS_REUSED_AVOID_US (3 * CLOCK_US_PER_S)
+#define MISDIRECTED_AVOID_US (1 * CLOCK_US_PER_S)
 
 /* Sets how many retries this VM may make: a share of its own requests, plus its
  * part of the further retries that all VMs together may make.
@@ -217,8 +219,10 @@
 					      const server_t *server,
 					      int64_t now_us)
 {
-	if (server->address_reused)
-		return now_us + ADDRESS_REUSED_AVOID_US;
+	if (server->misdirected)
+		return server_addresses_is_shared(&entry->servers, server)
+			       ? 0
+			       : now_us + MISDIRECTED_AVOID_US;
 	if (server->changing_until_us > now_us)
 		return entry_is_among(entry, ROUND_ANNOUNCERS)
 			       ? server->changing_until_us
--- a/src/process/entry/server_probe.c
+++ b/src/process/entry/server_probe.c
@@ -9,6 +9,11 @@
 #define PROBE_INTERVAL_US (800 * CLOCK_US_PER_MS)
 #define PROBE_TIMEOUT_US (500 * CLOCK_US_PER_MS)
 
+/* The time between probes doubles while the address of the server answers as another one,
+ * at most so often: an entry that names a wrong address may stay in the list.
+ */
+#define PROBE_MAX_DOUBLINGS 4
+
 /* Largest body of an answer to a probe. */
 #define MAX_BODY_BYTES 65536
 
@@ -28,19 +33,28 @@
 	g_free(probe);
 }
 
-/* Handles the answer to a probe. Any status but 421 shows that the server is
- * reachable again.
+/* Records that the address of a server answers as the server. */
+static void record_answer(relay_t *relay, server_t *server)
+{
+	server_record_received(server, clock_now(&relay->clock));
+	if (server_set_clear_misdirected(relay->servers, server))
+		log_event(LOG_INFO, "server_has_address",
+			  LOG_CSTR("server", server->entry.id),
+			  LOG_CSTR("address", server->entry.address));
+}
+
+/* Handles the answer to a probe. Any status but 421 Misdirected Request shows that the
+ * server is reachable again.
  */
 static void on_head(void *context, const http_head_t *head)
 {
 	probe_t *probe = context;
 
-	/* 421 Misdirected Request: another server has the address now. */
 	if (head->status == 421)
-		probe->server->address_reused = true;
+		relay_record_misdirected(probe->relay, probe->server,
+					 "health_check");
 	else
-		server_record_received(probe->server,
-				       clock_now(&probe->relay->clock));
+		record_answer(probe->relay, probe->server);
 	server_notice_read(probe->relay, probe->server, head, "health_check");
 	log_event(LOG_INFO, "server_probed",
 		  LOG_CSTR("server", probe->server->entry.id),
@@ -89,6 +103,18 @@
 		     str_from(server->entry.id));
 }
 
+/* Returns the time until the next probe of a server to which one is sent now. */
+static int64_t next_interval_us(server_t *server)
+{
+	unsigned doublings;
+
+	if (!server->misdirected)
+		return PROBE_INTERVAL_US;
+	doublings = MIN(server->misdirected_probes, PROBE_MAX_DOUBLINGS);
+	server->misdirected_probes++;
+	return PROBE_INTERVAL_US << doublings;
+}
+
 /* Sends one probe. */
 static void send_probe(relay_t *relay, server_t *server,
 		       const route_table_t *table, int64_t now_us)
@@ -103,7 +129,7 @@
 		.context = probe,
 	};
 
-	server->next_probe_us = now_us + PROBE_INTERVAL_US;
+	server->next_probe_us = now_us + next_interval_us(server);
 	/* No answer may ever come on connections that are older than the
 	 * silence, so the probe opens a new one.
 	 */
@@ -119,7 +145,18 @@
 	g_string_free(message, TRUE);
 }
 
-/* Probes the silent servers whose next probe is due. */
+/* Returns whether a server is probed: it is silent, or its address answers as another
+ * one.
+ */
+static bool is_probed(const server_t *server, int64_t now_us)
+{
+	if (server_is_paused(server, now_us))
+		return false;
+	return server->misdirected ||
+	       (server_is_suspect(server) && !server->superseded);
+}
+
+/* Probes the servers whose next probe is due. */
 void server_probe_send_due(relay_t *relay, const route_table_t *table,
 			   int64_t now_us)
 {
@@ -132,8 +169,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		server_t *server = value;
 
-		if (server_is_suspect(server) && !server->address_reused &&
-		    !server_is_paused(server, now_us) &&
+		if (is_probed(server, now_us) &&
 		    server->next_probe_us <= now_us)
 			send_probe(relay, server, table, now_us);
 	}
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -1,6 +1,7 @@
 #include "process/entry/store_rows.h"
 
 #include "names.h"
+#include "process/decide/server_addresses.h"
 #include "process/log.h"
 #include "process/entry/stage_orders.h"
 #include "rows.h"
@@ -153,6 +154,22 @@
 		  LOG_CSTR("software", entry->software));
 }
 
+/* Logs which server has the address of another one that was added or removed. */
+static void log_address(const store_rows_t *rows, const server_t *changed)
+{
+	const char *address = changed->entry.address;
+	const server_t *server = server_addresses_find(rows->servers, address);
+
+	if (!server || !server_addresses_is_shared(rows->servers, server))
+		return;
+	log_event(LOG_INFO, "address_shared",
+		  LOG_CSTR("changed", changed->entry.id),
+		  LOG_CSTR("server", server->entry.id),
+		  LOG_CSTR("address", address),
+		  LOG_INT("row_version", server->entry.row_version),
+		  LOG_INT("started_ms", server->entry.started_ms));
+}
+
 /* Returns whether a row brings nothing but another heartbeat of a server. */
 static bool is_heartbeat(const store_rows_t *rows, const store_row_t *row,
 			 const server_t *server)
@@ -172,6 +189,7 @@
 	if (!server)
 		return;
 	log_server(&server->entry, "removed");
+	log_address(rows, server);
 	rows->handler->on_departure(rows->context, id);
 	server_set_remove(rows->servers, id, clock_now(&rows->clock));
 	rows->handler->on_servers(rows->context);
@@ -226,14 +244,17 @@
 		remove_server(rows, row->key, server);
 		return;
 	}
-	if (is_heartbeat(rows, row, server))
+	if (is_heartbeat(rows, row, server)) {
+		server_set_heartbeat(rows->servers, server, row->version);
 		return;
+	}
 	list_relay_put(&rows->list_relay, row);
 	if (!server_row_read(row->key, str_from_gstring(row->value), &entry)) {
 		log_unreadable(rows, row->key);
 		return;
 	}
 	g_hash_table_remove(rows->unreadable, row->key);
+	entry.row_version = row->version;
 	if (is_outdated(rows, &entry)) {
 		server_entry_clear(&entry);
 		return;
@@ -247,6 +268,7 @@
 		rows->handler->on_departure(rows->context, row->key);
 	} else if (!was_known) {
 		log_server(&server->entry, "added");
+		log_address(rows, server);
 	} else if (server->entry.stage != stage) {
 		log_server(&server->entry, "stage");
 	}
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -493,6 +493,20 @@
 	relay_send_release(send);
 }
 
+/* Records that the address of a server has answered that another process has it. `call`
+ * names the kind of call in the log.
+ */
+void relay_record_misdirected(relay_t *relay, server_t *server,
+			      const char *call)
+{
+	if (!server_set_mark_misdirected(relay->servers, server,
+					 clock_now(&relay->clock)))
+		return;
+	log_event(LOG_WARN, "server_misdirected",
+		  LOG_CSTR("server", server->entry.id), LOG_CSTR("call", call),
+		  LOG_CSTR("address", server->entry.address));
+}
+
 /* Returns what a send that has ended or timed out means for the request, and
  * records success or failure for the server. A server that answers 421 is not
  * the one that the platform lists for its address.
@@ -517,7 +531,8 @@
 	if (send->server) {
 		server_record_result(send->server, outcome.failed);
 		if (send->status == 421 && send->is_own)
-			send->server->address_reused = true;
+			relay_record_misdirected(send->relay, send->server,
+						 "request");
 	}
 	return outcome;
 }
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -155,6 +155,8 @@
 void relay_send_keep(relay_send_t *send, const char *data, size_t len);
 void relay_send_release(relay_send_t *send);
 void relay_send_cancel(relay_send_t *send);
+void relay_record_misdirected(relay_t *relay, server_t *server,
+			      const char *call);
 outcome_t relay_send_record_outcome(relay_send_t *send, call_end_t end,
 				    bool timed_out, bool repeatable);
 
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -78,13 +78,15 @@
 /* Makes both engines get no work for a while when the decode engine refused
  * with 503 although it has free slots: the engine is changing its stage, or the
  * prefill result was gone. A refusal for lack of slots is not held against
- * them.
+ * them. One that answers 421 may be of the other stage by now.
  */
 static void record_refusal(stream_t *stream)
 {
 	const response_fields_t *fields = &stream->send.fields;
 	int64_t now_us = clock_now(&stream->request.relay->clock);
 
+	if (stream->send.status == 421)
+		server_work_failed(stream->decode, now_us);
 	if (stream->send.status != 503 || !fields->has_load ||
 	    fields->running + fields->waiting >= fields->slots)
 		return;
--- a/tests/support_plain.c
+++ b/tests/support_plain.c
@@ -44,6 +44,31 @@
 	http_headers_finish(&headers);
 }
 
+/* Returns whether a request is meant for another server than this one. */
+static bool is_misdirected(const plain_server_t *server,
+			   const http_head_t *head)
+{
+	str_t expected = http_headers_get(&head->headers, "x-expect-instance");
+
+	return expected.len && !str_equal(expected, str_from(server->id));
+}
+
+/* Answers that another server than the expected one has the address. */
+static void answer_misdirected(const plain_server_t *server,
+			       exchange_t *exchange)
+{
+	const http_headers_t *sent = &exchange_head(exchange)->headers;
+	str_t id = http_headers_get(sent, "x-request-id");
+	http_headers_t headers;
+
+	http_headers_init(&headers);
+	if (id.len)
+		http_headers_add(&headers, STR("X-Request-Id"), id);
+	http_headers_add(&headers, STR("X-Instance-Id"), str_from(server->id));
+	exchange_reply(exchange, 421, &headers, STR(""));
+	http_headers_finish(&headers);
+}
+
 static void on_request(void *context, exchange_t *exchange)
 {
 	plain_server_t *server = context;
@@ -56,6 +81,11 @@
 	};
 
 	g_free(vm);
+	if (is_misdirected(server, head)) {
+		server->misdirected++;
+		answer_misdirected(server, exchange);
+		return;
+	}
 	g_array_append_val(server->arrivals, arrival);
 	if (server->holds && !arrival.is_check)
 		g_ptr_array_add(server->held, exchange);
@@ -97,6 +127,21 @@
 		answer(server, g_ptr_array_remove_index(server->held, 0));
 }
 
+/* Writes an entry with the address of a server under another ID, as that of an earlier
+ * process there. `rest` is "" or further members, each after a comma.
+ */
+void plain_list_as(plain_fixture_t *fixture, const plain_server_t *server,
+		   const char *id, const char *rest)
+{
+	char *entry = g_strdup_printf(
+		"{\"service\":\"app\",\"address\":\"%s\",\"zone\":\"z\","
+		"\"slots\":6,\"state\":\"ready\",\"sequence\":1%s}",
+		server->address, rest);
+
+	fake_store_put(&fixture->store, TABLE_SERVERS, id, entry);
+	g_free(entry);
+}
+
 /* Writes the entry of a server. `rest` is "" or further members, each after a comma. */
 void plain_list(plain_fixture_t *fixture, const plain_server_t *server,
 		const char *state, const char *rest)
--- a/tests/support_plain.h
+++ b/tests/support_plain.h
@@ -24,6 +24,7 @@
 	char *id; /* its key in the store */
 	char *address;
 	GArray *arrivals; /* of plain_arrival_t */
+	unsigned misdirected; /* requests and checks meant for another server */
 	unsigned status;
 	const char *field;
 	const char *value;
@@ -49,6 +50,8 @@
 void plain_stop(plain_fixture_t *fixture);
 void plain_list(plain_fixture_t *fixture, const plain_server_t *server,
 		const char *state, const char *rest);
+void plain_list_as(plain_fixture_t *fixture, const plain_server_t *server,
+		   const char *id, const char *rest);
 void plain_unlist(plain_fixture_t *fixture, const plain_server_t *server);
 void plain_await_servers(plain_fixture_t *fixture, unsigned servers);
 void plain_say(plain_server_t *server, unsigned status, const char *field,
--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -56,6 +56,13 @@
 	return left->version < right->version ? -1 : 1;
 }
 
+/* Compares rows by their keys, in the order of a full read. */
+static int compare_keys(const void *a, const void *b)
+{
+	return strcmp((*(const fake_row_t *const *)a)->key,
+		      (*(const fake_row_t *const *)b)->key);
+}
+
 /* Appends the rows of a table that changed after a version, and returns their
  * number.
  */
@@ -64,7 +71,8 @@
 {
 	unsigned n = 0;
 
-	g_ptr_array_sort(store->rows, compare_versions);
+	g_ptr_array_sort(store->rows,
+			 removed_too ? compare_versions : compare_keys);
 	for (guint i = 0; i < store->rows->len; i++) {
 		const fake_row_t *row = g_ptr_array_index(store->rows, i);
 
--- a/tests/test_server_set.c
+++ b/tests/test_server_set.c
@@ -110,6 +110,78 @@
 	server_set_finish(&set);
 }
 
+/* Puts the entry of a process that does not state its start, from a row. */
+static server_t *put_row(server_set_t *set, const char *id, int64_t row_version)
+{
+	server_entry_t entry = {
+		.id = g_strdup(id),
+		.service = g_strdup("llm"),
+		.address = g_strdup("10.0.0.1:80"),
+		.zone = g_strdup("z0"),
+		.row_version = row_version,
+	};
+
+	return server_set_put(set, &entry, NOW);
+}
+
+/* Guards against an address that goes to the entry which is read last: a full read is in
+ * the order of the keys. Later starts and later rows tell, in any order.
+ */
+static void test_address_in_order_of_keys(void **state)
+{
+	server_set_t set;
+	server_t *newer, *older;
+
+	server_set_init(&set);
+	newer = put(&set, "i-1", "10.0.0.1:80", 2000);
+	older = put(&set, "i-2", "10.0.0.1:80", 1000);
+	assert_true(server_takes_work(newer));
+	assert_false(server_takes_work(older));
+	server_set_finish(&set);
+	server_set_init(&set);
+	newer = put_row(&set, "i-1", 20);
+	older = put_row(&set, "i-2", 10);
+	assert_true(server_takes_work(newer));
+	assert_false(server_takes_work(older));
+	/* The later row was a write of a process before, carried out late. */
+	server_set_heartbeat(&set, older, 30);
+	assert_true(server_takes_work(older));
+	server_set_heartbeat(&set, newer, 31);
+	assert_true(server_takes_work(newer));
+	assert_false(server_takes_work(older));
+	server_set_finish(&set);
+}
+
+/* Guards against an address that is lost with the entry of the server that had it last,
+ * or that another entry has only named: it goes back to the server that is left.
+ */
+static void test_address_given_back(void **state)
+{
+	server_set_t set;
+	server_t *server, *other;
+
+	server_set_init(&set);
+	server = put(&set, "i-1", "10.0.0.1:80", 1000);
+	other = put(&set, "i-2", "10.0.0.1:80", 2000);
+	assert_false(server_takes_work(server));
+	assert_true(server_set_mark_misdirected(&set, other, NOW));
+	assert_true(server_takes_work(server));
+	assert_false(server_takes_work(other));
+	assert_true(server_set_clear_misdirected(&set, other));
+	assert_true(server_takes_work(other));
+	server_set_remove(&set, "i-2", NOW);
+	assert_true(server_takes_work(server));
+	/* A full read that misses the later entry. */
+	(void)put(&set, "i-3", "10.0.0.1:80", 3000);
+	server_set_begin_sync(&set);
+	(void)put(&set, "i-1", "10.0.0.1:80", 1000);
+	server_set_end_sync(&set, NOW + 2000 * MS);
+	assert_true(server_takes_work(server));
+	assert_true(server_set_expire(&set, NOW + 2000 * MS));
+	assert_true(server_takes_work(server));
+	server_set_finish(&set);
+}
+
 /* Guards against a read of the list at each start of a VM whose cost grows with
  * the square of the number of servers: 64 million comparisons at 8,000.
  */
@@ -228,6 +300,8 @@
 		cmocka_unit_test(test_prefill_answer),
 		cmocka_unit_test(test_restart_under_old_id),
 		cmocka_unit_test(test_address_reused),
+		cmocka_unit_test(test_address_in_order_of_keys),
+		cmocka_unit_test(test_address_given_back),
 		cmocka_unit_test(test_many_servers_enter),
 		cmocka_unit_test(test_missing_after_outage),
 		cmocka_unit_test(test_suspicion_of_peers),
