Let requests show that a rule on them does not hold

Cause: the answers to requests like it before the losses counted for nothing; the losses of one instant counted as independent evidence; and a rule kept every request with its keys away, so that nothing could refute it, here, at peers, in the stored row or after a restart, for 600 s.

Change: the digests of requests that begin well are kept before any loss. A key with which requests had begun well makes a rule only after losses at five times. Under each rule one request is let through now and then, about one at a time over all VMs: 10 s after the last loss, or three times as long as the losses have gone on; 2 s, or as long as they have gone on, if requests like it had begun well. One that begins well ends the rule at all VMs and removes its row. Retry-After names the next trial. The row of a rule has two numbers more at its end, which earlier builds ignore.

Same cause elsewhere: parts of prompts and streams are under the same rules and are covered.

Ruled out: servers that are not used after they came back (the refusals name the rule), further losses (none after 1.2 ms).

A request that does crash servers is let through three times in 300 s at most.

Conclusion: fixed.

--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -35,6 +35,10 @@
 		COUNTER("requests_quarantined",
 			"Requests not sent because requests like them crash "
 			"backend servers."),
+	[COUNTER_QUARANTINE_TRIALS] =
+		COUNTER("quarantine_trials",
+			"Requests sent although requests like them are held, "
+			"to learn whether they still crash servers."),
 	[COUNTER_CALLER_GONE] =
 		COUNTER("caller_gone", "Requests whose caller left early."),
 	[COUNTER_PREFILLS] = COUNTER("prefills", "Prefill calls sent."),
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -322,6 +322,22 @@
 	return n;
 }
 
+/* Returns how many other VMs that are not dead come before a VM by their names. */
+unsigned occupancy_rank(const occupancy_t *occupancy, const char *vm,
+			int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer name, peer;
+	unsigned rank = 0;
+
+	g_hash_table_iter_init(&iter, occupancy->peers);
+	while (g_hash_table_iter_next(&iter, &name, &peer))
+		rank += strcmp(name, vm) < 0 && is_live(occupancy, peer, now_us)
+				? 1
+				: 0;
+	return rank;
+}
+
 /* Sets up an empty announcement. */
 void occupancy_announcement_init(occupancy_announcement_t *announcement)
 {
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -179,6 +179,8 @@
 workload_t *occupancy_own_workload(occupancy_t *occupancy, const char *service);
 const workload_t *occupancy_workload(occupancy_t *occupancy,
 				     const char *service, int64_t now_us);
+unsigned occupancy_rank(const occupancy_t *occupancy, const char *vm,
+			int64_t now_us);
 unsigned occupancy_live_peers(const occupancy_t *occupancy, int64_t now_us);
 bool occupancy_is_more_urgent(const occupancy_urgency_t *a,
 			      const occupancy_urgency_t *b);
--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -1,6 +1,7 @@
 #include "process/decide/quarantine.h"
 
 #include "process/decide/quarantine_rules.h"
+#include "process/decide/quarantine_trial.h"
 
 /* A server that sends something between these times after a loss still runs, so
  * that only the connection was lost. What a slow VM reads earlier may have been sent
@@ -20,8 +21,7 @@
 #define ANNOUNCE_US INT64_C(60000000)
 #define WITHDRAWN_UNTIL_US INT64_C(5000000)
 
-/* Most losses and sound keys that are kept. */
-#define MAX_LOSSES 128
+/* Most sound keys that are kept, in each of the tables and in `recent`. */
 #define MAX_SOUND 4096
 
 /* A loss that this VM has seen or that a peer has announced. */
@@ -64,12 +64,15 @@
 	quarantine->sound = new_times();
 	quarantine->sound_before = new_times();
 	quarantine->sound_at_peers = new_times();
+	quarantine->recent = g_new0(quarantine_sound_t, MAX_SOUND);
 	quarantine->stored =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
 	quarantine->rules =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
 	quarantine->confirmed =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
+	quarantine->trials =
+		g_array_new(FALSE, FALSE, sizeof(quarantine_trial_t));
 }
 
 /* Frees what the object owns. */
@@ -79,21 +82,33 @@
 	g_hash_table_unref(quarantine->sound);
 	g_hash_table_unref(quarantine->sound_before);
 	g_hash_table_unref(quarantine->sound_at_peers);
+	g_free(quarantine->recent);
 	g_array_unref(quarantine->stored);
 	g_array_unref(quarantine->rules);
 	g_array_unref(quarantine->confirmed);
+	g_array_unref(quarantine->trials);
 }
 
 /* --- evidence ----------------------------------------------------------- */
 
+/* Returns the place of a key among the recent ones. */
+static quarantine_sound_t *recent_place(const quarantine_t *quarantine,
+					uint64_t key)
+{
+	return &quarantine->recent[key % MAX_SOUND];
+}
+
 /* Returns when a request with a key last began well at this VM, or -1. */
 static int64_t sound_here_us(const quarantine_t *quarantine, uint64_t key)
 {
+	const quarantine_sound_t *recent = recent_place(quarantine, key);
 	const int64_t *at_us = g_hash_table_lookup(quarantine->sound, &key);
 
 	if (!at_us)
 		at_us = g_hash_table_lookup(quarantine->sound_before, &key);
-	return at_us ? *at_us : -1;
+	return MAX(at_us ? *at_us : -1,
+		   recent->key == key && recent->seen_us > 0 ? recent->seen_us
+							     : -1);
 }
 
 /* Returns when a request with a key last began well at any VM, or -1 if none is
@@ -116,7 +131,7 @@
 /* Adds an entry, in place of the oldest one when there are too many. */
 static void add_entry(quarantine_t *quarantine, const entry_t *entry)
 {
-	if (quarantine->losses->len >= MAX_LOSSES)
+	if (quarantine->losses->len >= QUARANTINE_LOSSES_MAX)
 		g_array_remove_index(quarantine->losses, 0);
 	g_array_append_vals(quarantine->losses, entry, 1);
 	quarantine->changed = true;
@@ -194,6 +209,16 @@
 	}
 }
 
+/* Records that a request with a key that is on no loss has begun well. Of keys that
+ * nearly each request has its own of, those that come often are kept.
+ */
+void quarantine_add_recent(quarantine_t *quarantine, uint64_t key,
+			   int64_t now_us)
+{
+	*recent_place(quarantine, key) =
+		(quarantine_sound_t){.key = key, .seen_us = now_us};
+}
+
 /* Records when a request with a key last began well at a peer. */
 void quarantine_add_peer_sound(quarantine_t *quarantine,
 			       const quarantine_sound_t *sound)
@@ -386,13 +411,26 @@
 	return all;
 }
 
+/* Lets a rule from the store reach to the last known loss under it. */
+static void extend_stored(const quarantine_t *quarantine,
+			  quarantine_rule_t *rule)
+{
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		const entry_t *entry = get_entry(quarantine, i);
+
+		if (!entry->refuted && has_all_keys(&entry->loss, rule))
+			rule->lost_us = MAX(rule->lost_us, entry->loss.lost_us);
+	}
+}
+
 /* Adds the rules from the store to those that the losses support. */
 static void add_stored(quarantine_t *quarantine)
 {
 	for (guint i = 0; i < quarantine->stored->len; i++) {
-		const quarantine_rule_t *rule = &g_array_index(
-			quarantine->stored, quarantine_rule_t, i);
+		quarantine_rule_t *rule = &g_array_index(quarantine->stored,
+							 quarantine_rule_t, i);
 
+		extend_stored(quarantine, rule);
 		if (!quarantine_find_equal(quarantine->rules, rule) &&
 		    !knows_losses_of(quarantine, rule))
 			g_array_append_vals(quarantine->rules, rule, 1);
@@ -476,6 +514,7 @@
 	g_array_unref(losses);
 	if (!quarantine->overflowed)
 		add_stored(quarantine);
+	quarantine_drop_trials(quarantine);
 	return true;
 }
 
@@ -521,6 +560,24 @@
 	return NULL;
 }
 
+/* Returns since when requests that have begun well at this VM show that a rule does not
+ * hold: each of its keys has been seen sound after the last loss. -1: they do not.
+ */
+int64_t quarantine_refuted_here_us(const quarantine_t *quarantine,
+				   const quarantine_rule_t *rule)
+{
+	int64_t since_us = -1;
+
+	for (unsigned i = 0; i < rule->n_keys; i++) {
+		int64_t sound_us = sound_here_us(quarantine, rule->keys[i]);
+
+		if (sound_us <= rule->lost_us)
+			return -1;
+		since_us = MAX(since_us, sound_us);
+	}
+	return since_us;
+}
+
 /* --- announcements ------------------------------------------------------ */
 
 /* Returns whether this VM has seen a loss under a rule itself. */
--- a/src/process/decide/quarantine.h
+++ b/src/process/decide/quarantine.h
@@ -7,6 +7,10 @@
  * Keys that were on all of the losses and are not known to be sound are
  * quarantined together, so that only requests with all of them are held back.
  *
+ * Servers may also crash at once for another reason. A key with which requests had begun
+ * well before is held only after losses at several times, and quarantine_trial.h lets a
+ * request through now and then.
+ *
  * The VMs announce their losses to each other, and which keys they know to be
  * sound. Rules are also kept in the platform's store. Pure: no clock, no I/O.
  */
@@ -21,6 +25,9 @@
 /* Most keys of one loss and of one rule. */
 #define QUARANTINE_KEYS_MAX 8
 
+/* Most losses that are kept. */
+#define QUARANTINE_LOSSES_MAX 128
+
 /* Most causes of losses at a time. More of them show that the servers are at
  * fault, not the requests: then no rule holds.
  */
@@ -52,7 +59,9 @@
 	unsigned n_keys;
 	uint64_t keys[QUARANTINE_KEYS_MAX]; /* ascending */
 	unsigned servers; /* lost under it; 0: not known */
-	int64_t lost_us; /* the last of them */
+	bool once_sound; /* requests with them had begun well before */
+	int64_t first_us; /* the first loss; 0: not known */
+	int64_t lost_us; /* the last one */
 } quarantine_rule_t;
 
 /* The evidence and the rules of one VM. */
@@ -64,9 +73,15 @@
 	GHashTable *sound;
 	GHashTable *sound_before;
 	GHashTable *sound_at_peers; /* the same, at the other VMs */
+	/* The same for keys that nearly each request has its own of: each place
+	 * is for the keys with one remainder, and holds the latest one.
+	 */
+	quarantine_sound_t *recent;
 	GArray *stored; /* of quarantine_rule_t, from the platform's store */
 	GArray *rules; /* of quarantine_rule_t, in force; from all the above */
 	GArray *confirmed; /* those of them under which all servers are gone */
+	GArray *trials; /* of quarantine_trial_t, under rules in force */
+	unsigned vm_rank; /* how many VMs come before this one in trials */
 	/* Finds the server of a process by its number, without a new reference;
 	 * NULL if it is not known (any more).
 	 */
@@ -85,6 +100,8 @@
 			 int64_t now_us);
 void quarantine_add_sound(quarantine_t *quarantine, const uint64_t *keys,
 			  size_t n_keys, int64_t now_us);
+void quarantine_add_recent(quarantine_t *quarantine, uint64_t key,
+			   int64_t now_us);
 void quarantine_add_peer_sound(quarantine_t *quarantine,
 			       const quarantine_sound_t *sound);
 void quarantine_apply_peer(quarantine_t *quarantine, uint64_t vm,
@@ -100,6 +117,8 @@
 const quarantine_rule_t *quarantine_match(quarantine_t *quarantine,
 					  const uint64_t *keys, size_t n_keys,
 					  int64_t now_us);
+int64_t quarantine_refuted_here_us(const quarantine_t *quarantine,
+				   const quarantine_rule_t *rule);
 bool quarantine_has_own_loss(const quarantine_t *quarantine,
 			     const quarantine_rule_t *rule);
 void quarantine_list_own(const quarantine_t *quarantine, GArray *losses,
--- a/src/process/decide/quarantine_rules.c
+++ b/src/process/decide/quarantine_rules.c
@@ -6,10 +6,16 @@
 #define MIN_SERVERS 3
 #define MIN_SERVERS_ONCE_SOUND 5
 
+/* Losses that are less than this apart may have one cause that is not in the requests, as
+ * when all servers lose power.
+ */
+#define SAME_TIME_US INT64_C(100000)
+
 /* How often a key was on losses. */
 typedef struct {
 	unsigned servers; /* distinct ones */
 	unsigned losses; /* of requests; several may be on one server */
+	int64_t first_us; /* time of the first loss */
 	int64_t last_us; /* time of the last loss */
 } evidence_t;
 
@@ -31,13 +37,55 @@
 	       quarantine_loss_has_key(loss, key);
 }
 
+/* Compares times for sorting. */
+static int compare_times(const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *)a;
+	int64_t right = *(const int64_t *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+/* Returns at how many different times servers were lost under a key. */
+static unsigned count_times(const quarantine_t *quarantine,
+			    const GArray *losses, uint64_t key)
+{
+	int64_t times[QUARANTINE_LOSSES_MAX];
+	unsigned n_times = 0;
+	unsigned different = 0;
+	int64_t begin_us = 0;
+
+	for (guint i = 0; i < losses->len; i++) {
+		const quarantine_loss_t *loss =
+			&g_array_index(losses, quarantine_loss_t, i);
+
+		if (counts(quarantine, loss, key))
+			times[n_times++] = loss->lost_us;
+	}
+	qsort(times, n_times, sizeof(*times), compare_times);
+	for (unsigned i = 0; i < n_times; i++) {
+		if (different > 0 && times[i] - begin_us < SAME_TIME_US)
+			continue;
+		begin_us = times[i];
+		different++;
+	}
+	return different;
+}
+
+/* Returns whether requests with a key had begun well before. */
+static bool is_once_sound(const quarantine_t *quarantine, uint64_t key)
+{
+	return quarantine_sound_at_us(quarantine, key) >= 0;
+}
+
 /* Returns whether enough servers were lost under a key for a rule. */
-static bool is_enough(const quarantine_t *quarantine, uint64_t key,
-		      const evidence_t *evidence)
+static bool is_enough(const quarantine_t *quarantine, const GArray *losses,
+		      uint64_t key, const evidence_t *evidence)
 {
-	return evidence->servers >= (quarantine_sound_at_us(quarantine, key) < 0
-					     ? MIN_SERVERS
-					     : MIN_SERVERS_ONCE_SOUND);
+	if (!is_once_sound(quarantine, key))
+		return evidence->servers >= MIN_SERVERS;
+	return evidence->servers >= MIN_SERVERS_ONCE_SOUND &&
+	       count_times(quarantine, losses, key) >= MIN_SERVERS_ONCE_SOUND;
 }
 
 /* Returns how often a key was on losses, an array of quarantine_loss_t. */
@@ -55,6 +103,9 @@
 			continue;
 		g_hash_table_add(servers, &loss->server);
 		evidence.losses++;
+		evidence.first_us = evidence.losses > 1 ? MIN(evidence.first_us,
+							      loss->lost_us)
+							: loss->lost_us;
 		evidence.last_us = MAX(evidence.last_us, loss->lost_us);
 	}
 	evidence.servers = g_hash_table_size(servers);
@@ -106,6 +157,8 @@
 	evidence_t evidence = weigh(quarantine, losses, key);
 
 	rule->servers = evidence.servers;
+	rule->once_sound = is_once_sound(quarantine, key);
+	rule->first_us = evidence.first_us;
 	rule->lost_us = evidence.last_us;
 	for (guint i = 0; !first; i++) {
 		first = &g_array_index(losses, quarantine_loss_t, i);
@@ -116,9 +169,12 @@
 		uint64_t other = first->keys[i];
 
 		evidence = weigh(quarantine, losses, other);
-		if (other == key || (is_enough(quarantine, other, &evidence) &&
-				     is_on_all(quarantine, losses, other, key)))
-			rule->keys[rule->n_keys++] = other;
+		if (other != key &&
+		    (!is_enough(quarantine, losses, other, &evidence) ||
+		     !is_on_all(quarantine, losses, other, key)))
+			continue;
+		rule->keys[rule->n_keys++] = other;
+		rule->once_sound &= is_once_sound(quarantine, other);
 	}
 	qsort(rule->keys, rule->n_keys, sizeof(*rule->keys), compare_keys);
 }
@@ -143,8 +199,9 @@
 {
 	evidence_t evidence = weigh(quarantine, losses, key);
 
-	return is_enough(quarantine, key, &evidence) ? explanation(&evidence)
-						     : 0;
+	return is_enough(quarantine, losses, key, &evidence)
+		       ? explanation(&evidence)
+		       : 0;
 }
 
 /* Finds the key that explains the losses best. Returns how well, 0 when too few
--- a/src/process/entry/entry_quarantine.c
+++ b/src/process/entry/entry_quarantine.c
@@ -115,6 +115,9 @@
 	quarantine_t *quarantine = &entry->relay.quarantine;
 	bool overflowed = quarantine->overflowed;
 
+	if (quarantine_has_evidence(quarantine))
+		quarantine->vm_rank = occupancy_rank(
+			&entry->occupancy, entry->settings.vm, now_us);
 	(void)quarantine_update(quarantine, now_us);
 	log_rules(entry);
 	if (quarantine->overflowed && !overflowed)
--- a/src/process/entry/quarantine_rows.c
+++ b/src/process/entry/quarantine_rows.c
@@ -20,8 +20,10 @@
  */
 #define OTHERS_WRITE_AFTER_US (4 * CLOCK_US_PER_S)
 
-/* A row is written again when losses go on for so long after the one in it. */
-#define RENEW_US (60 * CLOCK_US_PER_S)
+/* A row is written again when a loss comes so long after the one in it: the time of the
+ * next trial follows from it.
+ */
+#define RENEW_US (5 * CLOCK_US_PER_S)
 
 /* Each VM waits a part of this, by its name, before it removes a row. */
 #define REMOVAL_SPREAD_MS 30000
@@ -95,21 +97,39 @@
 	return (clock_now(&wall) - (now_us - rule->lost_us)) / CLOCK_US_PER_MS;
 }
 
-/* Reads the time of a rule's last loss and the number of servers lost under it
- * from the value of its row.
+/* Returns the value of a rule's row, freed with g_free(): the time of the last loss, the
+ * number of servers lost, the time from the first loss to the last one, and whether the
+ * requests had begun well before. Earlier builds write and read the first two.
  */
+static char *format_value(const quarantine_rule_t *rule, int64_t now_us)
+{
+	int64_t span_us = rule->first_us ? rule->lost_us - rule->first_us : 0;
+
+	return g_strdup_printf("%" PRId64 " %u %" PRId64 " %u",
+			       lost_at_ms(rule, now_us), rule->servers,
+			       span_us / CLOCK_US_PER_MS,
+			       rule->once_sound ? 1 : 0);
+}
+
+/* Reads the value of a rule's row. */
 static bool read_value(str_t value, int64_t now_us, quarantine_rule_t *rule)
 {
 	clock_source_t wall = clock_realtime();
 	char *text = str_dup(value);
 	int64_t lost_ms;
-	bool ok = sscanf(text, "%" SCNd64 " %u", &lost_ms, &rule->servers) == 2;
+	int64_t span_ms = 0;
+	unsigned once_sound = 0;
+	int n = sscanf(text, "%" SCNd64 " %u %" SCNd64 " %u", &lost_ms,
+		       &rule->servers, &span_ms, &once_sound);
 
 	g_free(text);
-	if (!ok || lost_ms < 0 || lost_ms > INT64_MAX / CLOCK_US_PER_MS)
+	if (n < 2 || lost_ms < 0 || lost_ms > INT64_MAX / CLOCK_US_PER_MS)
 		return false;
 	rule->lost_us =
 		now_us - MAX(clock_now(&wall) - lost_ms * CLOCK_US_PER_MS, 0);
+	span_ms = CLAMP(span_ms, 0, QUARANTINE_US / CLOCK_US_PER_MS);
+	rule->first_us = rule->lost_us - span_ms * CLOCK_US_PER_MS;
+	rule->once_sound = once_sound != 0;
 	return true;
 }
 
@@ -198,9 +218,7 @@
 
 		if (missing) {
 			GString *message = g_string_new(NULL);
-			char *value = g_strdup_printf("%" PRId64 " %u",
-						      lost_at_ms(rule, now_us),
-						      rule->servers);
+			char *value = format_value(rule, now_us);
 
 			store_append_put_if(message, store_address,
 					    TABLE_ROUTER, key, str_from(value),
@@ -218,6 +236,20 @@
 	return false;
 }
 
+/* Returns whether the row of a rule is to be removed: the rule has ended, or requests that
+ * have begun well at this VM show that it does not hold.
+ */
+static bool is_removable(const quarantine_rows_t *rows, const row_t *row,
+			 int64_t now_us)
+{
+	int64_t refuted_us =
+		quarantine_refuted_here_us(rows->quarantine, &row->rule);
+	int64_t ended_us = refuted_us >= 0 ? refuted_us
+					   : row->rule.lost_us + QUARANTINE_US;
+
+	return row->version && now_us >= ended_us + rows->removal_delay_us;
+}
+
 /* Removes one row whose rule has ended. The removal names the row's version, so
  * that a row which was written again stays.
  */
@@ -232,9 +264,7 @@
 		const row_t *row = value;
 		GString *message;
 
-		if (!row->version ||
-		    now_us - row->rule.lost_us <
-			    QUARANTINE_US + rows->removal_delay_us)
+		if (!is_removable(rows, row, now_us))
 			continue;
 		message = g_string_new(NULL);
 		store_append_remove_if(message, store_address, TABLE_ROUTER,
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -237,11 +237,12 @@
 /* Ends a call that must not be sent to a server, because requests like it crash
  * the servers that begin them. True when it was ended.
  */
-static bool end_if_quarantined(plain_call_t *call)
+static bool end_if_quarantined(plain_call_t *call, bool has_server)
 {
+	bool may_try = has_server && call->request.sends == 0;
 	int64_t until_us;
 
-	if (!request_is_quarantined(&call->request, &until_us))
+	if (!request_is_quarantined(&call->request, may_try, &until_us))
 		return false;
 	counters_add(COUNTER_REQUESTS_QUARANTINED, 1);
 	refuse(call, until_us - clock_now(&call->request.relay->clock),
@@ -278,7 +279,7 @@
 		.time_left_us = request->deadline_us - now_us,
 	};
 
-	if (end_if_quarantined(call) || pass_on_to_peer(call))
+	if (end_if_quarantined(call, server != NULL) || pass_on_to_peer(call))
 		return;
 	if (!server) {
 		refuse_without_server(call);
@@ -338,6 +339,7 @@
 		  LOG_CSTR("server", server->entry.id),
 		  LOG_CSTR("reason", "no answer"));
 	call->may_have_run |= outcome.run != RUN_NOT_RUN;
+	call->request.is_trial = false;
 	relay_send_cancel(&call->send);
 	send_next(call);
 }
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -112,6 +112,7 @@
 	/* When the answer, or its first event, is due by the route's target. */
 	int64_t answer_due_us;
 	bool from_peer; /* another VM has passed it on */
+	bool is_trial; /* sent although a rule holds requests like it */
 	unsigned sends; /* each to another server; prefills not counted */
 	/* Processes that were sent it, prefills included, the last
 	 * RELAY_SENT_TO_MAX of them.
--- a/src/request/request_keys.c
+++ b/src/request/request_keys.c
@@ -3,6 +3,13 @@
 #include <inttypes.h>
 #include <xxhash.h>
 
+#include "process/counters.h"
+#include "process/decide/quarantine_trial.h"
+#include "process/log.h"
+
+/* Least Retry-After of a request that is quarantined. */
+#define QUARANTINED_RETRY_US (1 * CLOCK_US_PER_S)
+
 /* Appends keys in hexadecimal, with a separator between them. */
 void request_keys_append(GString *out, const uint64_t *keys, size_t n,
 			 char separator)
@@ -73,24 +80,52 @@
 	return n + REQUEST_DIGESTS;
 }
 
-/* Returns whether a request must not be sent, because requests like it crash the
- * servers that begin them, and sets until when.
+/* Logs a request that is let through although a rule holds requests like it. */
+static void log_trial(const relay_request_t *request,
+		      const quarantine_rule_t *rule)
+{
+	GString *keys = g_string_new(NULL);
+
+	request_keys_append(keys, rule->keys, rule->n_keys, ',');
+	log_event(LOG_WARN, "quarantine_trial",
+		  LOG_STR("request", request->fields.id),
+		  LOG_CSTR("keys", keys->str),
+		  LOG_UINT("servers", rule->servers),
+		  LOG_INT("once_sound", rule->once_sound),
+		  LOG_UINT("rank", request->relay->quarantine.vm_rank));
+	g_string_free(keys, TRUE);
+}
+
+/*
+ * Returns whether a request must not be sent, because requests like it crash the
+ * servers that begin them, and sets when the caller may ask again: then one is let through
+ * to see whether they still do. If the request may be that one, because it would be sent
+ * now, it may be let through itself. It is not held again until it has lost a server.
  */
-bool request_is_quarantined(const relay_request_t *request, int64_t *until_us)
+bool request_is_quarantined(relay_request_t *request, bool may_try,
+			    int64_t *until_us)
 {
 	relay_t *relay = request->relay;
+	int64_t now_us = clock_now(&relay->clock);
 	const quarantine_rule_t *rule;
 	uint64_t keys[REQUEST_KEYS_MAX];
 	size_t n;
 
-	if (!quarantine_has_evidence(&relay->quarantine))
+	if (request->is_trial || !quarantine_has_evidence(&relay->quarantine))
 		return false;
 	n = collect_keys(request, keys);
-	rule = quarantine_match(&relay->quarantine, keys, n,
-				clock_now(&relay->clock));
+	rule = quarantine_match(&relay->quarantine, keys, n, now_us);
 	if (!rule)
 		return false;
-	*until_us = rule->lost_us + QUARANTINE_US;
+	if (may_try &&
+	    quarantine_take_trial(&relay->quarantine, rule, now_us)) {
+		request->is_trial = true;
+		counters_add(COUNTER_QUARANTINE_TRIALS, 1);
+		log_trial(request, rule);
+		return false;
+	}
+	*until_us = MAX(quarantine_trial_due_us(rule),
+			now_us + QUARANTINED_RETRY_US);
 	return true;
 }
 
@@ -109,12 +144,13 @@
 }
 
 /* Records that a server was lost while it began a request. */
-void request_record_loss(const relay_request_t *request, server_t *server)
+void request_record_loss(relay_request_t *request, server_t *server)
 {
 	relay_t *relay = request->relay;
 	uint64_t keys[REQUEST_KEYS_MAX];
 	size_t n = collect_keys(request, keys);
 
+	request->is_trial = false;
 	quarantine_add_loss(&relay->quarantine, server,
 			    request_process_number(&server->entry), keys, n,
 			    clock_now(&relay->clock));
@@ -122,9 +158,9 @@
 		relay->on_loss(relay->context);
 }
 
-/* Records that a server has begun a request well. Of digests only those count
- * that are on losses: nearly all requests have digests of their own, and these
- * would displace the parts of prompts.
+/* Records that a server has begun a request well. Digests that are on no loss are kept
+ * apart: nearly all requests have digests of their own, and these would displace the parts
+ * of prompts.
  */
 void request_record_sound(const relay_request_t *request)
 {
@@ -134,12 +170,12 @@
 
 	quarantine_add_sound(quarantine, request->fields.shared_parts,
 			     request->fields.n_shared_parts, now_us);
-	if (!quarantine_has_evidence(quarantine))
-		return;
 	request_digests(request->exchange, digests);
 	for (size_t i = 0; i < REQUEST_DIGESTS; i++) {
 		if (quarantine_is_suspect(quarantine, digests[i]))
 			quarantine_add_sound(quarantine, &digests[i], 1,
 					     now_us);
+		else
+			quarantine_add_recent(quarantine, digests[i], now_us);
 	}
 }
--- a/src/request/request_keys.h
+++ b/src/request/request_keys.h
@@ -21,8 +21,9 @@
 uint64_t request_process_number(const server_entry_t *entry);
 uint64_t request_software_number(const server_entry_t *entry);
 void request_digests(const exchange_t *exchange, uint64_t digests[]);
-bool request_is_quarantined(const relay_request_t *request, int64_t *until_us);
-void request_record_loss(const relay_request_t *request, server_t *server);
+bool request_is_quarantined(relay_request_t *request, bool may_try,
+			    int64_t *until_us);
+void request_record_loss(relay_request_t *request, server_t *server);
 void request_record_sound(const relay_request_t *request);
 
 #endif
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -191,10 +191,11 @@
  */
 bool stream_end_if_quarantined(stream_t *stream)
 {
-	const relay_request_t *request = &stream->request;
+	relay_request_t *request = &stream->request;
+	bool may_try = stream->state == STREAM_WAITING;
 	int64_t until_us;
 
-	if (!request_is_quarantined(request, &until_us))
+	if (!request_is_quarantined(request, may_try, &until_us))
 		return false;
 	counters_add(COUNTER_REQUESTS_QUARANTINED, 1);
 	if (stream->head_sent || stream->may_have_run)
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -117,7 +117,7 @@
 /* Records an engine that was lost with the stream, and the loss as evidence
  * against the request if the engine was about to begin it.
  */
-static void record_loss(const stream_t *stream)
+static void record_loss(stream_t *stream)
 {
 	stream_log_lost(stream, stream->decode);
 	if (!stream->begun_well)
@@ -213,7 +213,7 @@
 	int64_t until_us;
 
 	if (!request->route->resumable ||
-	    request_is_quarantined(request, &until_us) ||
+	    request_is_quarantined(request, false, &until_us) ||
 	    request->sends >= (unsigned)request->route->max_servers ||
 	    clock_now(&relay->clock) >= request->deadline_us)
 		return false;
--- a/tests/support_plain.c
+++ b/tests/support_plain.c
@@ -161,6 +161,21 @@
 	fake_store_remove(&fixture->store, TABLE_SERVERS, server->id);
 }
 
+/* Ends the process of a server, which cuts the requests that it holds. The next process
+ * at its address, with another ID, answers and is listed at once.
+ */
+void plain_crash(plain_fixture_t *fixture, plain_server_t *server,
+		 const char *next_id)
+{
+	while (server->held->len > 0)
+		exchange_abort(g_ptr_array_remove_index(server->held, 0));
+	plain_unlist(fixture, server);
+	g_free(server->id);
+	server->id = g_strdup(next_id);
+	server->holds = false;
+	plain_list(fixture, server, "ready", ",\"born\":2000");
+}
+
 static void start_server(plain_fixture_t *fixture, unsigned index)
 {
 	plain_server_t *server = &fixture->servers[index];
--- a/tests/support_plain.h
+++ b/tests/support_plain.h
@@ -53,6 +53,8 @@
 void plain_list_as(plain_fixture_t *fixture, const plain_server_t *server,
 		   const char *id, const char *rest);
 void plain_unlist(plain_fixture_t *fixture, const plain_server_t *server);
+void plain_crash(plain_fixture_t *fixture, plain_server_t *server,
+		 const char *next_id);
 void plain_await_servers(plain_fixture_t *fixture, unsigned servers);
 void plain_say(plain_server_t *server, unsigned status, const char *field,
 	       const char *value);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -10,6 +10,7 @@
 
 #include "process/clock.h"
 #include "process/decide/quarantine.h"
+#include "process/decide/quarantine_trial.h"
 
 #define START_US (1000 * CLOCK_US_PER_S)
 #define SERVERS 64
@@ -513,6 +514,174 @@
 	teardown(&fixture);
 }
 
+/* Loses servers under the part that is otherwise sound, all at the same time. */
+static void lose_at_once(fixture_t *fixture, unsigned servers)
+{
+	const uint64_t keys[] = {FIRST, SICK};
+
+	fixture->now_us += 100 * CLOCK_US_PER_MS;
+	for (unsigned i = 0; i < servers; i++) {
+		quarantine_add_loss(&fixture->quarantine,
+				    fixture->servers[fixture->lost],
+				    fixture->lost, keys, G_N_ELEMENTS(keys),
+				    fixture->now_us);
+		fixture->lost++;
+	}
+}
+
+/* Guards against a rule on requests that began well before, because all servers were lost
+ * at once, four times in a row; and against one that never forms although the servers are
+ * lost one after the other.
+ */
+static void test_servers_lost_at_once(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	begin_well(&fixture, SICK);
+	for (unsigned i = 0; i < 4; i++) {
+		lose_at_once(&fixture, 12);
+		assert_false(is_held(&fixture, FIRST, SICK));
+	}
+	lose_at_once(&fixture, 1);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Guards against the same for a whole request, of which only recent ones are kept. */
+static void test_recent_request(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	quarantine_add_recent(&fixture.quarantine, FIRST, fixture.now_us);
+	quarantine_add_recent(&fixture.quarantine, SICK, fixture.now_us);
+	lose_at_once(&fixture, 12);
+	assert_false(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
+/* Returns whether a request that a rule holds is let through now. */
+static bool take_trial(fixture_t *fixture)
+{
+	const uint64_t keys[] = {FIRST, SICK};
+	const quarantine_rule_t *rule =
+		quarantine_match(&fixture->quarantine, keys, G_N_ELEMENTS(keys),
+				 fixture->now_us);
+
+	return rule && quarantine_take_trial(&fixture->quarantine, rule,
+					     fixture->now_us);
+}
+
+/* Guards against requests that crash servers and are let through too often: three at most
+ * in 300 s, although one comes each 100 ms.
+ */
+static void test_trials_that_fail(void **state)
+{
+	fixture_t fixture;
+	unsigned trials = 0;
+
+	setup(&fixture);
+	lose_sick(&fixture, 3);
+	for (unsigned i = 0; i < 3000; i++) {
+		fixture.now_us += 100 * CLOCK_US_PER_MS;
+		if (!take_trial(&fixture))
+			continue;
+		trials++;
+		assert_false(take_trial(&fixture));
+		lose_sick(&fixture, 1);
+	}
+	assert_in_range(trials, 2, 3);
+	teardown(&fixture);
+}
+
+/* Guards against a rule that no request can refute before it ends, here and at a VM that
+ * has it from the store, and against a trial that comes at once.
+ */
+static void test_trial_that_begins_well(void **state)
+{
+	quarantine_rule_t rule;
+	fixture_t vm, later;
+
+	setup(&vm);
+	setup(&later);
+	lose_sick(&vm, 3);
+	(void)quarantine_update(&vm.quarantine, vm.now_us);
+	rule = g_array_index(vm.quarantine.rules, quarantine_rule_t, 0);
+	quarantine_put_stored(&later.quarantine, &rule);
+	vm.now_us += 9 * CLOCK_US_PER_S;
+	later.now_us = vm.now_us;
+	assert_true(is_held(&later, FIRST, SICK));
+	assert_false(take_trial(&vm));
+	assert_false(take_trial(&later));
+	vm.now_us += 2 * CLOCK_US_PER_S;
+	later.now_us = vm.now_us;
+	assert_true(take_trial(&vm));
+	assert_true(take_trial(&later));
+	begin_well(&vm, SICK);
+	begin_well(&later, SICK);
+	assert_false(is_held(&vm, FIRST, SICK));
+	assert_false(is_held(&later, FIRST, SICK));
+	assert_true(quarantine_refuted_here_us(&later.quarantine, &rule) > 0);
+	teardown(&vm);
+	teardown(&later);
+}
+
+/* Guards against trials of a rule from the store that go on at a short pace, as the losses
+ * on which it rests are not known here.
+ */
+static void test_trials_under_a_stored_rule(void **state)
+{
+	const quarantine_rule_t rule = {
+		.n_keys = 2,
+		.keys = {FIRST, SICK},
+		.servers = 3,
+		.first_us = START_US - 20 * CLOCK_US_PER_S,
+		.lost_us = START_US - 20 * CLOCK_US_PER_S,
+	};
+	fixture_t fixture;
+
+	setup(&fixture);
+	quarantine_put_stored(&fixture.quarantine, &rule);
+	assert_true(take_trial(&fixture));
+	lose_sick(&fixture, 1);
+	fixture.now_us += 50 * CLOCK_US_PER_S;
+	assert_false(take_trial(&fixture));
+	fixture.now_us += 15 * CLOCK_US_PER_S;
+	assert_true(take_trial(&fixture));
+	teardown(&fixture);
+}
+
+/* Guards against all VMs letting a request through at the same time, and against a request
+ * that comes at few VMs and is held there for long.
+ */
+static void test_trials_of_many_vms(void **state)
+{
+	static const unsigned vms[] = {8, 195, 750};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(vms); i++) {
+		unsigned at_once = 0;
+		unsigned later = 0;
+
+		for (unsigned rank = 0; rank < vms[i]; rank++) {
+			fixture_t vm;
+
+			setup(&vm);
+			vm.quarantine.vm_rank = rank;
+			lose_sick(&vm, 3);
+			vm.now_us += 9500 * CLOCK_US_PER_MS;
+			assert_false(take_trial(&vm));
+			vm.now_us += 1000 * CLOCK_US_PER_MS;
+			at_once += take_trial(&vm) ? 1 : 0;
+			vm.now_us += 10 * CLOCK_US_PER_S;
+			later += take_trial(&vm) ? 1 : 0;
+			teardown(&vm);
+		}
+		assert_int_equal(at_once, 1);
+		assert_int_equal(later, vms[i]);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -534,6 +703,12 @@
 		cmocka_unit_test(test_old_losses_of_other_vms),
 		cmocka_unit_test(test_rule_from_store),
 		cmocka_unit_test(test_confirmed_rules),
+		cmocka_unit_test(test_servers_lost_at_once),
+		cmocka_unit_test(test_recent_request),
+		cmocka_unit_test(test_trials_that_fail),
+		cmocka_unit_test(test_trial_that_begins_well),
+		cmocka_unit_test(test_trials_under_a_stored_rule),
+		cmocka_unit_test(test_trials_of_many_vms),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_quarantine_rows.c
+++ b/tests/test_quarantine_rows.c
@@ -173,6 +173,56 @@
 	finish(&vm);
 }
 
+/* Guards against a row that holds requests at VMs which start later although a request
+ * like them has begun well.
+ */
+static void test_refuted_rule_is_removed(void **state)
+{
+	const uint64_t key = SICK;
+	vm_t vm;
+
+	init(&vm);
+	lose_servers(&vm, 10 * CLOCK_US_PER_S);
+	check(&vm, 0);
+	read_row(&vm);
+	assert_true(row_version(&vm) > 0);
+	quarantine_add_sound(&vm.quarantine, &key, 1, vm.now_us);
+	assert_false(is_held(&vm));
+	check(&vm, 31 * CLOCK_US_PER_S);
+	assert_int_equal(row_version(&vm), 0);
+	finish(&vm);
+}
+
+/* Guards against trials that begin anew at each start of a VM: the row tells how long the
+ * losses have gone on. A row of an earlier build does not.
+ */
+static void test_trials_after_a_start(void **state)
+{
+	const quarantine_rule_t *rule;
+	vm_t vm;
+	char *text;
+	clock_source_t wall = clock_realtime();
+
+	init(&vm);
+	text = g_strdup_printf("%" G_GINT64_FORMAT " 5 20000 1",
+			       clock_now(&wall) / CLOCK_US_PER_MS);
+	quarantine_rows_put(&vm.rows, ROW, str_from(text), 5);
+	assert_true(is_held(&vm));
+	rule = &g_array_index(vm.quarantine.rules, quarantine_rule_t, 0);
+	assert_int_equal(rule->lost_us - rule->first_us, 20 * CLOCK_US_PER_S);
+	assert_true(rule->once_sound);
+	g_free(text);
+	text = g_strdup_printf("%" G_GINT64_FORMAT " 5",
+			       clock_now(&wall) / CLOCK_US_PER_MS);
+	quarantine_rows_put(&vm.rows, ROW, str_from(text), 6);
+	assert_true(is_held(&vm));
+	rule = &g_array_index(vm.quarantine.rules, quarantine_rule_t, 0);
+	assert_int_equal(rule->lost_us, rule->first_us);
+	assert_false(rule->once_sound);
+	g_free(text);
+	finish(&vm);
+}
+
 /* Guards against rows of another form that make a rule, or end the process. */
 static void test_unreadable_rows(void **state)
 {
@@ -204,6 +254,8 @@
 		cmocka_unit_test(test_rule_is_stored),
 		cmocka_unit_test(test_store_restored),
 		cmocka_unit_test(test_ended_rule_is_removed),
+		cmocka_unit_test(test_refuted_rule_is_removed),
+		cmocka_unit_test(test_trials_after_a_start),
 		cmocka_unit_test(test_unreadable_rows),
 	};
 
