Join nothing to a stream but events, and believe no empty end alone

Cause: an answer was joined to a stream by its status and signature alone; and a resumed stream without a length or chunks counted as whole without any event, whenever the caller had events already.

Change: a 2xx answer that states another type than text/event-stream is kept; it is passed on whole if the caller has nothing yet, else the stream goes on elsewhere or is cut. A resumed stream that ends with its connection and without an event is sent on, and is complete if a second engine says so.

Ruled out: errors with another status, ends in the head and before an event of a stream that the VM resumes, this process's own errors (held back already, by the same test).

--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -54,7 +54,9 @@
 	bool may_have_run; /* at an earlier decode engine */
 	bool begun_well; /* the latest send has made events for some time */
 	bool head_sent; /* the caller has the head of the response */
-	bool response_is_error; /* or not from a decode engine; kept in send */
+	bool response_is_error; /* or no engine's, or no stream; kept in send */
+	unsigned empty_ends; /* sends that ended without an event, and without a
+				length or chunks that would show an end */
 } stream_t;
 
 void stream_use_prefill(stream_t *stream, server_t *server);
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -42,16 +42,26 @@
 	request_record_sound(&stream->request);
 }
 
-/* Returns whether a response that has ended is a whole stream. One that ends
- * inside an event was broken off, and so was one without any event if only the
- * end of its connection shows where it ends.
+/* Returns whether the caller has events of the stream, from this answer or an earlier one. */
+static bool has_earlier_events(const stream_t *stream)
+{
+	return event_split_last_id(&stream->event_split).len > 0 ||
+	       stream->request.fields.last_event_id.len > 0;
+}
+
+/*
+ * Returns whether a response that has ended is a whole stream. One that ends inside an
+ * event was broken off, and so was one without any event if only the end of its connection
+ * shows where it ends. When the stream was resumed, nothing may be left of it: a second
+ * engine that says so too is believed.
  */
-static bool is_whole(const stream_t *stream)
+static bool is_whole(stream_t *stream)
 {
 	if (event_split_partial(&stream->event_split).len > 0)
 		return false;
-	return !stream->send.body_until_close || stream->begun_us != 0 ||
-	       stream->request.fields.last_event_id.len > 0;
+	if (!stream->send.body_until_close || stream->begun_us != 0)
+		return true;
+	return has_earlier_events(stream) && stream->empty_ends++ > 0;
 }
 
 /* Ends a stream whose engine has sent everything. */
@@ -95,8 +105,22 @@
 		server_work_failed(stream->prefilled_by, now_us);
 }
 
-/* Begins the answer to the caller, unless the response is an error or lacks a
- * server's signature: such a response is kept until its end decides on it.
+/* Returns whether the body of a response may be a stream of events: its type is that, or is
+ * not stated.
+ */
+static bool may_hold_events(const http_head_t *head)
+{
+	static const char events[] = "text/event-stream";
+	str_t type;
+
+	return !http_headers_find(&head->headers, "content-type", &type) ||
+	       (type.len >= sizeof(events) - 1 &&
+		g_ascii_strncasecmp(type.data, events, sizeof(events) - 1) ==
+			0);
+}
+
+/* Begins the answer to the caller, unless the response is an error, lacks a server's
+ * signature or is no stream: such a response is kept until its end decides on it.
  */
 static void decode_head(void *context, const http_head_t *head)
 {
@@ -106,7 +130,8 @@
 	if (head->status / 100 == 2)
 		record_hand_over(stream);
 	stream->response_is_error = head->status / 100 != 2 ||
-				    !stream->send.fields.has_signature;
+				    !stream->send.fields.has_signature ||
+				    !may_hold_events(head);
 	if (stream->response_is_error || stream->head_sent)
 		return;
 	stream->head_sent = true;
