--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -306,6 +306,48 @@
 	stop(&fixture);
 }
 
+/* Cuts the head of an answer at each byte, and checks that the caller gets no success. */
+static void cut_head(fixture_t *fixture, tcp_stub_t *stub, const char *path,
+		     const char *head, tcp_stub_then_t then)
+{
+	for (size_t cut = 0; cut < strlen(head); cut++) {
+		g_autofree char *bytes = g_strndup(head, cut);
+		tcp_stub_answer_t answer = {bytes, then};
+
+		stub->answers = &answer;
+		stub->n_answers = 1;
+		stub->next = 0;
+		send_request(fixture, path);
+		if (fixture->status / 100 == 2)
+			fail_msg("cut after %zu bytes: status %u, end %d, "
+				 "body %s",
+				 cut, fixture->status, (int)fixture->end,
+				 fixture->body->str);
+	}
+}
+
+/* Guards against answers that end in the middle of their heads and reach callers as a 200
+ * with an empty or short body. Nothing but the end of the connection would show where
+ * these end.
+ */
+static void test_cut_heads(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture);
+	cut_head(&fixture, &fixture.plain, "/u/",
+		 PLAIN_HEAD "Connection: close\r\n\r\n", TCP_STUB_CLOSE);
+	cut_head(&fixture, &fixture.plain, "/u/", PLAIN_HEAD "\r\n",
+		 TCP_STUB_CLOSE);
+	cut_head(&fixture, &fixture.plain, "/u/", PLAIN_HEAD "\r\n",
+		 TCP_STUB_RESET);
+	cut_head(&fixture, &fixture.decode, "/l/",
+		 STREAM_HEAD "Connection: close\r\n\r\n", TCP_STUB_CLOSE);
+	cut_head(&fixture, &fixture.decode, "/l/", STREAM_HEAD "\r\n",
+		 TCP_STUB_RESET);
+	stop(&fixture);
+}
+
 /* A caller that speaks HTTP/1.0, which knows no chunks, and what it has received. */
 typedef struct {
 	GSocket *socket;
@@ -396,6 +438,7 @@
 		cmocka_unit_test(test_plain_answers_reset),
 		cmocka_unit_test(test_streams),
 		cmocka_unit_test(test_streams_to_old_callers),
+		cmocka_unit_test(test_cut_heads),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_http_pool.c
+++ b/tests/test_http_pool.c
@@ -382,6 +382,53 @@
 	tcp_stub_stop(&peer);
 }
 
+/* Guards against a response that ends in the middle of its head, in order or with a reset,
+ * and counts as whole, with an empty or a short body: whatever would frame the body, and
+ * however lines end. Callers of `entry`, answers of other VMs, `serve` and the store all
+ * come through this pool.
+ */
+static void test_cut_heads(void **state)
+{
+	static const char *const heads[] = {
+		HEAD "Content-Length: 2\r\n\r\n",
+		HEAD "Content-Length: 0\r\n\r\n",
+		HEAD "Transfer-Encoding: chunked\r\n\r\n",
+		HEAD "Connection: close\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nX-Request-Id: a1\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nX-Request-Id: a1\r\n\r\n",
+		"HTTP/1.1 200 OK\nX-Request-Id: a1\nConnection: close\n\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" HEAD
+		"Connection: close\r\n\r\n",
+	};
+	caller_t caller;
+	tcp_stub_t stub;
+
+	init(&caller);
+	tcp_stub_start(&stub, NULL, 0);
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(heads); i++) {
+		const char *head = heads[i / 2];
+
+		for (size_t cut = 0; cut < strlen(head); cut++) {
+			g_autofree char *bytes = g_strndup(head, cut);
+			tcp_stub_answer_t answer = {
+				bytes, i % 2 ? TCP_STUB_RESET : TCP_STUB_CLOSE};
+
+			stub.answers = &answer;
+			stub.n_answers = 1;
+			stub.next = 0;
+			call_and_wait(&caller, stub.address, "POST");
+			if (caller.end == CALL_ANSWERED ||
+			    caller.status / 100 == 2)
+				fail_msg("head %zu cut after %zu bytes: end "
+					 "%d, status %u",
+					 i / 2, cut, (int)caller.end,
+					 caller.status);
+		}
+	}
+	tcp_stub_stop(&stub);
+	finish(&caller);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -392,6 +439,7 @@
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_cancel),
 		cmocka_unit_test(test_cancel_in_callback),
+		cmocka_unit_test(test_cut_heads),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
