Take no answer without an ID for "not run", nor a status alone

Cause: an answer without an ID, here a second copy of one to a health check, counted as the answer to a request unless an answer on the same connection had had an ID; and a 503 was passed on without the server's statement that the request has not run.

Change: whether a server repeats IDs is known for its address. If it does, an answer without one on a used connection is rejected; until that is known, a request does not follow a call without an ID on a connection. 408, 429 and 503 without the statement become 502 for requests that may not be repeated.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -36,6 +36,7 @@
 	GSocketAddress *socket_address; /* NULL: the address is malformed */
 	GQueue idle; /* of http_call_t without a call, last used first */
 	unsigned connections; /* open or being opened, idle or not */
+	bool repeats_ids; /* its answers to calls with an ID have had it */
 } http_host_t;
 
 /* A connection and the call that it carries, if any. */
@@ -55,6 +56,7 @@
 	unsigned interim_responses;
 	bool skip_response; /* the one being read belongs to another request */
 	bool reused; /* the connection has carried another call before */
+	bool carried_without_id; /* the connection has carried a call without ID */
 	bool answers_have_ids; /* an answer on the connection had one */
 	bool identified; /* the response being read has the ID of the call */
 	bool rejected; /* ends as malformed when the parser returns */
@@ -260,12 +262,24 @@
 }
 
 /* Returns whether the response being read may be a copy of an earlier one: it has no ID,
- * although the server repeats IDs on this connection.
+ * although the server repeats IDs. On a connection that has carried no other call there is
+ * nothing to copy.
  */
 static bool lacks_id(const http_call_t *call)
 {
 	return call->host->pool->id_header && call->id->len > 0 &&
-	       call->answers_have_ids && !call->identified;
+	       !call->identified &&
+	       (call->answers_have_ids ||
+		(call->reused && call->host->repeats_ids));
+}
+
+/* Notes whether the server repeats the IDs of calls, as far as a response to one shows. */
+static void note_repeated_id(const http_call_t *call)
+{
+	if (call->identified)
+		call->host->repeats_ids = true;
+	else if (call->id->len > 0 && !call->reused && !call->answers_have_ids)
+		call->host->repeats_ids = false;
 }
 
 /* Passes the head of a response to the handler, unless it is interim, to another
@@ -281,6 +295,8 @@
 	call->identified = !call->skip_response && has_id(call, head);
 	call->rejected = !call->skip_response && lacks_id(call);
 	call->answers_have_ids |= has_id(call, head);
+	if (!call->skip_response)
+		note_repeated_id(call);
 	if (call->skip_response || call->rejected)
 		call->host->pool->stale_responses++;
 	else if (call->handler->on_head)
@@ -370,23 +386,46 @@
 	return host;
 }
 
-/* Takes the idle connection that was used last, because the server is least
+/* Returns whether a connection may carry a call. Where servers repeat IDs, a call with one
+ * does not follow a call without, until the server is known to repeat them: nothing would
+ * tell a copy of the answer to that from its own answer.
+ */
+static bool may_carry(const http_call_t *connection, bool has_call_id)
+{
+	const http_host_t *host = connection->host;
+
+	return !host->pool->id_header || !has_call_id ||
+	       !connection->carried_without_id || host->repeats_ids;
+}
+
+/* Takes the idle connection for a call that was used last, because the server is least
  * likely to close that one soon. Closes those that were idle for too long, and
  * those on which the server has sent something since or which it has closed:
  * the bytes would pass for the answer to the next call. Returns NULL if none is
  * left.
  */
-static http_call_t *take_idle_connection(http_host_t *host, int64_t now_us)
+static http_call_t *take_idle_connection(http_host_t *host, bool has_call_id,
+					 int64_t now_us)
 {
 	http_call_t *call;
+	GList *link;
 
 	while ((call = g_queue_peek_tail(&host->idle)) &&
 	       call->reuse_until_us <= now_us)
 		free_call(call);
-	while ((call = g_queue_peek_head(&host->idle)) &&
-	       tcp_is_readable(&call->tcp))
+	link = host->idle.head;
+	while (link) {
+		call = link->data;
+		link = link->next;
+		if (!may_carry(call, has_call_id))
+			continue;
+		if (!tcp_is_readable(&call->tcp)) {
+			g_queue_remove(&host->idle, call);
+			return call;
+		}
 		free_call(call);
-	return g_queue_pop_head(&host->idle);
+	}
+	return NULL;
 }
 
 /* Begins to open a connection. Returns NULL if the address is malformed or no
@@ -435,7 +474,8 @@
 	http_call_t *call = NULL;
 
 	if (!options->new_connection)
-		call = take_idle_connection(host, clock_now(&pool->clock));
+		call = take_idle_connection(host, options->id.len > 0,
+					    clock_now(&pool->clock));
 	if (call)
 		call->reused = true;
 	else
@@ -444,6 +484,7 @@
 		return NULL;
 	call->handler = options->handler;
 	call->context = options->context;
+	call->carried_without_id |= options->id.len == 0;
 	call->id_header = options->id_header;
 	g_string_truncate(call->id, 0);
 	if (options->id.len)
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -13,6 +13,12 @@
 	};
 }
 
+/* Returns whether a status tells a caller that its request has not run and never will. */
+static bool says_not_run(unsigned status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /* Classifies a send that got a whole response. */
 static outcome_t classify_response(const outcome_input_t *input,
 				   bool repeatable)
@@ -24,6 +30,11 @@
 		return (outcome_t){.run = RUN_NOT_RUN,
 				   .may_retry = true,
 				   .answer = OUTCOME_NOT_RUN};
+	/* The caller would send it again, although the server does not state that
+	 * it has not run.
+	 */
+	if (says_not_run(input->status) && !repeatable)
+		return unknown_outcome(repeatable, OUTCOME_LOST);
 	/* A success without a signature does not come from the server itself,
 	 * so it does not show that the request has run. Any other response
 	 * counts as a request that has run.
--- a/tests/test_refusal_copies.c
+++ b/tests/test_refusal_copies.c
@@ -249,6 +249,121 @@
 	tcp_stub_stop(&server);
 }
 
+/* A server's answer to a health check, which has no ID. */
+#define ILL "HTTP/1.1 503 Service Unavailable\r\n" FIELDS "no"
+
+static server_t *find_plain_server(fixture_t *fixture)
+{
+	return server_set_find(&fixture->vm.entry.servers, "i-0");
+}
+
+static bool is_probed(void *context)
+{
+	fixture_t *fixture = context;
+
+	return !server_is_suspect(find_plain_server(fixture));
+}
+
+static bool has_two_requests(void *context)
+{
+	return ((const tcp_stub_t *)context)->requests == 2;
+}
+
+/* Lets the VM check the server's health. */
+static void probe(fixture_t *fixture)
+{
+	clock_source_t clock = clock_boottime();
+
+	server_mark_suspect(find_plain_server(fixture), clock_now(&clock));
+	assert_true(support_run_loop_until(is_probed, fixture, WAIT_MS));
+}
+
+static bool has_three_requests(void *context)
+{
+	return ((const tcp_stub_t *)context)->requests == 3;
+}
+
+/* Guards against a copy of an answer to a health check that passes for the answer to the
+ * request after it, which the server runs: the caller would send it again. Nothing is known
+ * of the server yet, so that the request has a connection of its own.
+ */
+static void test_copy_of_the_first_health_answer(void **state)
+{
+	static const tcp_stub_answer_t answers[] = {
+		{ILL, TCP_STUB_KEEP_OPEN},
+		{NULL, TCP_STUB_KEEP_OPEN},
+	};
+	static fixture_t fixture; /* outlives a failure */
+	tcp_stub_t server;
+
+	tcp_stub_start(&server, answers, G_N_ELEMENTS(answers));
+	start(&fixture);
+	list(&fixture, "i-0", server.address, "\"service\":\"app\"");
+	assert_true(support_run_loop_until(is_ready, &fixture, WAIT_MS));
+	probe(&fixture);
+	send_request(&fixture, "/u/x", "r1", 10);
+	assert_true(support_run_loop_until(has_two_requests, &server, WAIT_MS));
+	assert_int_equal(server.accepted, 2);
+	tcp_stub_send(&server, ILL);
+	assert_true(support_run_loop_until(has_ended, &fixture, WAIT_MS));
+	assert_false(says_not_run(fixture.status));
+	stop(&fixture);
+	tcp_stub_stop(&server);
+}
+
+/* The same of a server that is known to repeat IDs, on the connection of the check. */
+static void test_copy_of_a_health_answer(void **state)
+{
+	static const tcp_stub_answer_t answers[] = {
+		{ANSWER(ID("r1")), TCP_STUB_KEEP_OPEN},
+		{ILL, TCP_STUB_KEEP_OPEN},
+		{ILL ANSWER(ID("r2")), TCP_STUB_KEEP_OPEN},
+	};
+	static fixture_t fixture; /* outlives a failure */
+	tcp_stub_t server;
+
+	tcp_stub_start(&server, answers, G_N_ELEMENTS(answers));
+	start(&fixture);
+	list(&fixture, "i-0", server.address, "\"service\":\"app\"");
+	assert_true(support_run_loop_until(is_ready, &fixture, WAIT_MS));
+	assert_int_equal(ask(&fixture, "/u/x", "r1", 10), 200);
+	probe(&fixture);
+	send_request(&fixture, "/u/x", "r2", 10);
+	assert_true(
+		support_run_loop_until(has_three_requests, &server, WAIT_MS));
+	assert_true(support_run_loop_until(has_ended, &fixture, WAIT_MS));
+	assert_false(says_not_run(fixture.status));
+	stop(&fixture);
+	tcp_stub_stop(&server);
+}
+
+/* Guards against a status that tells a caller that its request has not run, of a server
+ * which does not say so: the request may not be repeated.
+ */
+static void test_refusal_without_a_statement(void **state)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 503 Busy\r\n" ID("r1") FIELDS "no",
+		"HTTP/1.1 429 Busy\r\n" ID("r1") FIELDS "no",
+		"HTTP/1.1 408 Slow\r\n" ID("r1") FIELDS "no",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		static fixture_t fixture; /* outlives a failure */
+		tcp_stub_answer_t answer = {answers[i], TCP_STUB_KEEP_OPEN};
+		tcp_stub_t server;
+
+		tcp_stub_start(&server, &answer, 1);
+		start(&fixture);
+		list(&fixture, "i-0", server.address, "\"service\":\"app\"");
+		assert_true(
+			support_run_loop_until(is_ready, &fixture, WAIT_MS));
+		assert_false(says_not_run(ask(&fixture, "/u/x", "r1", 10)));
+		stop(&fixture);
+		tcp_stub_stop(&server);
+	}
+}
+
 /* --- engines ------------------------------------------------------------- */
 
 static bool has_three_servers(void *context)
@@ -362,6 +477,9 @@
 		cmocka_unit_test(test_copy_after_the_next_request),
 		cmocka_unit_test(test_copy_on_an_idle_connection),
 		cmocka_unit_test(test_refusal_on_a_new_connection),
+		cmocka_unit_test(test_copy_of_the_first_health_answer),
+		cmocka_unit_test(test_copy_of_a_health_answer),
+		cmocka_unit_test(test_refusal_without_a_statement),
 		cmocka_unit_test(test_request_that_comes_back),
 		cmocka_unit_test(test_release_after_a_removal),
 	};
