Close a connection when its answer is sent, not when it is written

Cause: an answer counted as delivered once it was in the process's buffer. The connection was closed 1 s later, idle connections were closed in a stop, and the process ended, whatever was unsent.

Change: a closing connection ends its output when all is sent. A caller that reads nothing for 10 s is given up. Idle connections stay while output waits, and so does a stopping process, until the end of the grace.

Ruled out: a caller that counts as gone.

Tests: test_slow_readers, six forms and a caller that never reads; the first failed before.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -67,6 +67,7 @@
 		return;
 	}
 	ingress_connection_await_request(connection);
+	ingress_connection_watch_output(connection);
 	tcp_set_reading(&connection->tcp, true);
 	/* The alarm begins the next request in its own turn of the main loop,
 	 * not inside the call that ended this one.
@@ -165,16 +166,15 @@
 
 	if (len == 0)
 		return;
-	if (!exchange->connection->takes_chunks) {
-		tcp_write(&exchange->connection->tcp, data, len);
-		return;
-	}
 	out = g_string_sized_new(len + 16);
-	g_string_append_printf(out, "%zx\r\n", len);
+	if (exchange->connection->takes_chunks)
+		g_string_append_printf(out, "%zx\r\n", len);
 	g_string_append_len(out, data, (gssize)len);
-	g_string_append(out, "\r\n");
+	if (exchange->connection->takes_chunks)
+		g_string_append(out, "\r\n");
 	tcp_write(&exchange->connection->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
+	ingress_connection_watch_output(exchange->connection);
 }
 
 /* Ends a stream whose body is complete. Ends the exchange. */
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -29,6 +29,9 @@
  */
 #define LINGER_TIMEOUT_US (1 * CLOCK_US_PER_S)
 
+/* A caller that reads nothing of the output that waits for it is given up after this. */
+#define OUTPUT_STALL_US (10 * CLOCK_US_PER_S)
+
 /* An idle connection is closed this much later than callers are told, so that
  * it is never closed sooner than a caller expects.
  */
@@ -58,22 +61,70 @@
 		ingress->active--;
 	g_queue_delete_link(&ingress->connections, connection->link);
 	alarm_finish(&connection->alarm);
+	alarm_finish(&connection->output_alarm);
 	http_message_finish(&connection->message);
 	g_string_free(connection->unparsed, TRUE);
 	g_string_free(connection->exchange.body, TRUE);
 	g_free(connection);
 }
 
+/* Watches that the caller reads, if output waits for it. */
+void ingress_connection_watch_output(ingress_connection_t *connection)
+{
+	if (tcp_unsent_bytes(&connection->tcp) == 0 ||
+	    connection->output_alarm.at_us >= 0)
+		return;
+	connection->output_sent_bytes = connection->tcp.sent_bytes;
+	alarm_set(&connection->output_alarm,
+		  clock_now(&connection->ingress->clock) + OUTPUT_STALL_US);
+}
+
+/* Closes a connection whose caller has read nothing for too long. */
+static void on_output_alarm(void *context)
+{
+	ingress_connection_t *connection = context;
+	ingress_t *ingress = connection->ingress;
+
+	if (connection->tcp.sent_bytes != connection->output_sent_bytes ||
+	    tcp_unsent_bytes(&connection->tcp) == 0) {
+		ingress_connection_watch_output(connection);
+		return;
+	}
+	if (is_answering(connection))
+		ingress->handler->on_gone(ingress->context,
+					  &connection->exchange);
+	ingress_connection_close(connection);
+}
+
+/* Ends the output of a connection, and waits for the caller to close it. */
+static void end_output(ingress_connection_t *connection)
+{
+	tcp_shutdown_write(&connection->tcp);
+	alarm_set(&connection->alarm,
+		  clock_now(&connection->ingress->clock) + LINGER_TIMEOUT_US);
+}
+
 /* Ends a connection after its last response: sends what is left, then waits for
  * the caller to close.
  */
 void ingress_connection_linger(ingress_connection_t *connection)
 {
 	connection->state = CONNECTION_LINGERING;
+	alarm_set(&connection->alarm, -1);
 	if (tcp_unsent_bytes(&connection->tcp) == 0)
-		tcp_shutdown_write(&connection->tcp);
-	alarm_set(&connection->alarm,
-		  clock_now(&connection->ingress->clock) + LINGER_TIMEOUT_US);
+		end_output(connection);
+	else
+		ingress_connection_watch_output(connection);
+}
+
+/* Starts the idle timeout of a connection. */
+static void await_activity(ingress_connection_t *connection)
+{
+	const ingress_t *ingress = connection->ingress;
+
+	alarm_set(&connection->alarm, clock_now(&ingress->clock) +
+					      ingress->limits.idle_timeout_us +
+					      IDLE_MARGIN_US);
 }
 
 /* Resets a connection for its next request, and starts the idle timeout. */
@@ -89,9 +140,7 @@
 	http_message_restart(&connection->message);
 	connection->message.max_head_bytes =
 		(size_t)ingress->limits.max_head_bytes;
-	alarm_set(&connection->alarm, clock_now(&ingress->clock) +
-					      ingress->limits.idle_timeout_us +
-					      IDLE_MARGIN_US);
+	await_activity(connection);
 }
 
 /* Appends a response with a plain text, which the router gives by itself. A
@@ -140,6 +189,9 @@
 	else if (connection->state == CONNECTION_READING &&
 		 connection->message.started)
 		reject_request(connection, 408);
+	else if (connection->state == CONNECTION_READING &&
+		 tcp_unsent_bytes(&connection->tcp) > 0)
+		await_activity(connection); /* it reads the response still */
 	else if (!is_answering(connection))
 		ingress_connection_close(connection);
 }
@@ -283,8 +335,9 @@
 {
 	ingress_connection_t *connection = context;
 
+	alarm_set(&connection->output_alarm, -1);
 	if (connection->state == CONNECTION_LINGERING)
-		tcp_shutdown_write(&connection->tcp);
+		end_output(connection);
 }
 
 static const tcp_handler_t tcp_handler = {
@@ -307,6 +360,8 @@
 	connection->exchange.connection = connection;
 	connection->exchange.body = g_string_new(NULL);
 	alarm_init(&connection->alarm, ingress->clock, on_alarm, connection);
+	alarm_init(&connection->output_alarm, ingress->clock, on_output_alarm,
+		   connection);
 	http_message_init(&connection->message, true, &message_handler,
 			  connection);
 	g_queue_push_tail(&ingress->connections, connection);
@@ -417,7 +472,9 @@
 	return connection->message.started || tcp_has_unread(&connection->tcp);
 }
 
-/* Closes the connections on which no request has begun to arrive. */
+/* Closes the connections on which no request has begun to arrive, once their callers have
+ * all of the responses before.
+ */
 void ingress_close_idle(ingress_t *ingress)
 {
 	GList *link = ingress->connections.head;
@@ -426,8 +483,12 @@
 		ingress_connection_t *connection = link->data;
 
 		link = link->next;
-		if (connection->state == CONNECTION_READING &&
-		    !has_unread(connection))
+		if (connection->state != CONNECTION_READING ||
+		    has_unread(connection))
+			continue;
+		if (tcp_unsent_bytes(&connection->tcp) > 0)
+			ingress_connection_linger(connection);
+		else
 			ingress_connection_close(connection);
 	}
 }
@@ -453,6 +514,19 @@
 	return false;
 }
 
+/* Returns whether responses are written that the kernel has not accepted yet. */
+bool ingress_is_sending(const ingress_t *ingress)
+{
+	for (const GList *link = ingress->connections.head; link;
+	     link = link->next) {
+		const ingress_connection_t *connection = link->data;
+
+		if (tcp_unsent_bytes(&connection->tcp) > 0)
+			return true;
+	}
+	return false;
+}
+
 /* Calls a function for each exchange in progress, which may end that exchange. */
 void ingress_visit_exchanges(ingress_t *ingress,
 			     void (*visit)(void *context, exchange_t *exchange),
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -53,6 +53,7 @@
 void ingress_set_closing(ingress_t *ingress);
 void ingress_close_idle(ingress_t *ingress);
 bool ingress_has_unread(const ingress_t *ingress);
+bool ingress_is_sending(const ingress_t *ingress);
 void ingress_visit_exchanges(ingress_t *ingress,
 			     void (*visit)(void *context, exchange_t *exchange),
 			     void *context);
--- a/src/connection/ingress_connection.h
+++ b/src/connection/ingress_connection.h
@@ -40,6 +40,9 @@
 	 * request if it has been received already.
 	 */
 	alarm_t alarm;
+	/* Checks that the caller reads; set while output is unsent. */
+	alarm_t output_alarm;
+	uint64_t output_sent_bytes; /* when it was set */
 	unsigned reject_status; /* for the request being read; 0: accepted */
 	bool keep_alive; /* the request lets the connection stay open */
 	bool takes_chunks; /* see http_head_t */
@@ -48,6 +51,7 @@
 };
 
 void ingress_connection_await_request(ingress_connection_t *connection);
+void ingress_connection_watch_output(ingress_connection_t *connection);
 void ingress_connection_linger(ingress_connection_t *connection);
 void ingress_connection_close(ingress_connection_t *connection);
 void ingress_append_text_response(GString *out, unsigned status,
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -86,6 +86,7 @@
 		if (n < 0)
 			return errno == EAGAIN || errno == EWOULDBLOCK;
 		tcp->out_sent_bytes += (size_t)n;
+		tcp->sent_bytes += (uint64_t)n;
 	}
 	g_string_truncate(tcp->out, 0);
 	tcp->out_sent_bytes = 0;
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -38,6 +38,7 @@
 	gpointer fd_tag; /* of the file descriptor in the source */
 	GString *out; /* buffered output */
 	size_t out_sent_bytes; /* bytes of `out` that the kernel has accepted */
+	uint64_t sent_bytes; /* all bytes that it has accepted */
 	const tcp_handler_t *handler;
 	void *context;
 	bool *finished; /* set to true by tcp_finish() during a callback */
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -146,6 +146,14 @@
 
 /* --- shutdown ----------------------------------------------- */
 
+/* Returns whether callers would be cut off if a listener ended now, although no exchange is
+ * in progress.
+ */
+static bool is_busy(const ingress_t *ingress)
+{
+	return ingress_has_unread(ingress) || ingress_is_sending(ingress);
+}
+
 /* Answers a request that is still in progress when the process ends. */
 static void answer_at_stop(void *context, exchange_t *exchange)
 {
@@ -173,10 +181,12 @@
 {
 	unsigned active = entry->callers.active + entry->peers.active;
 
-	/* What callers have sent counts, although it was not read yet. */
+	/* What callers have sent counts, although it was not read yet, and so do
+	 * responses that they have not got yet.
+	 */
 	if (drain_has_started(&entry->drain))
-		active += (ingress_has_unread(&entry->callers) ? 1 : 0) +
-			  (ingress_has_unread(&entry->peers) ? 1 : 0);
+		active += (is_busy(&entry->callers) ? 1 : 0) +
+			  (is_busy(&entry->peers) ? 1 : 0);
 	switch (drain_next(&entry->drain, active, now_us)) {
 	case DRAIN_CONTINUE:
 		break;
