--- a/src/process/decide/server_addresses.c
+++ b/src/process/decide/server_addresses.c
@@ -34,22 +34,24 @@
 	return server->entry.row_version >= other->entry.row_version;
 }
 
+/* Returns one of the servers that name an address. */
+static server_t *server_at(const GPtrArray *servers, guint i)
+{
+	return g_ptr_array_index(servers, i);
+}
+
 /* Chooses the server of an address among those that name it. */
 static void choose(const GPtrArray *servers)
 {
-	server_t *chosen = NULL;
-
-	for (guint i = 0; i < servers->len; i++) {
-		server_t *server = g_ptr_array_index(servers, i);
+	guint chosen = 0;
 
-		if (!chosen || is_preferred(server, chosen))
-			chosen = server;
-	}
-	for (guint i = 0; i < servers->len; i++) {
-		server_t *server = g_ptr_array_index(servers, i);
-
-		server->superseded = server != chosen;
+	for (guint i = 1; i < servers->len; i++) {
+		if (is_preferred(server_at(servers, i),
+				 server_at(servers, chosen)))
+			chosen = i;
 	}
+	for (guint i = 0; i < servers->len; i++)
+		server_at(servers, i)->superseded = i != chosen;
 }
 
 /* Adds a server to those that name its address. */
@@ -89,10 +91,8 @@
 		g_hash_table_lookup(set->by_address, address);
 
 	for (guint i = 0; servers && i < servers->len; i++) {
-		const server_t *server = g_ptr_array_index(servers, i);
-
-		if (!server->superseded)
-			return server;
+		if (!server_at(servers, i)->superseded)
+			return server_at(servers, i);
 	}
 	return NULL;
 }
