--- a/src/process/decide/server.c
+++ b/src/process/decide/server.c
@@ -1,8 +1,5 @@
 #include "process/decide/server.h"
 
-#include <glib.h>
-#include <string.h>
-
 /* Weight of the latest request in the moving average of failures. */
 #define FAILURE_WEIGHT 0.08
 
