Log an address's server after a removal, and read a deadline once

From reading the diff: the line on a shared address named the server that was about to be removed; the fields of a request were read twice; a stop is asked for a request's deadline only once it has begun.

--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -110,7 +110,8 @@
 		exchange_reply_text(exchange, 404, 0, "no route");
 		return;
 	}
-	if (!drain_accepts(&entry->drain, relay_deadline_us(exchange, route),
+	if (drain_has_started(&entry->drain) &&
+	    !drain_accepts(&entry->drain, relay_deadline_us(exchange, route),
 			   clock_now(&entry->clock)))
 		refuse(exchange, RELAY_STOPPING_RETRY_US,
 		       RELAY_STOPPING_REASON);
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -154,13 +154,15 @@
 		  LOG_CSTR("software", entry->software));
 }
 
-/* Logs which server has the address of another one that was added or removed. */
+/* Logs which server has an address that several have named, after one of them was added
+ * or removed.
+ */
 static void log_address(const store_rows_t *rows, const server_t *changed)
 {
 	const char *address = changed->entry.address;
 	const server_t *server = server_addresses_find(rows->servers, address);
 
-	if (!server || !server_addresses_is_shared(rows->servers, server))
+	if (!server)
 		return;
 	log_event(LOG_INFO, "address_shared",
 		  LOG_CSTR("changed", changed->entry.id),
@@ -184,14 +186,20 @@
 /* Handles the removal of a server's row. `server` is NULL when not known. */
 static void remove_server(store_rows_t *rows, const char *id, server_t *server)
 {
+	bool shared;
+
 	g_hash_table_remove(rows->server_rows, id);
 	g_hash_table_remove(rows->unreadable, id);
 	if (!server)
 		return;
 	log_server(&server->entry, "removed");
-	log_address(rows, server);
 	rows->handler->on_departure(rows->context, id);
+	shared = server_addresses_is_shared(rows->servers, server);
+	(void)server_ref(server);
 	server_set_remove(rows->servers, id, clock_now(&rows->clock));
+	if (shared)
+		log_address(rows, server);
+	server_unref(server);
 	rows->handler->on_servers(rows->context);
 }
 
@@ -268,7 +276,8 @@
 		rows->handler->on_departure(rows->context, row->key);
 	} else if (!was_known) {
 		log_server(&server->entry, "added");
-		log_address(rows, server);
+		if (server_addresses_is_shared(rows->servers, server))
+			log_address(rows, server);
 	} else if (server->entry.stage != stage) {
 		log_server(&server->entry, "stage");
 	}
--- a/src/request/outcome.c
+++ b/src/request/outcome.c
@@ -34,7 +34,7 @@
 	 * it has not run.
 	 */
 	if (says_not_run(input->status) && !repeatable)
-		return unknown_outcome(repeatable, OUTCOME_LOST);
+		return unknown_outcome(false, OUTCOME_LOST);
 	/* A success without a signature does not come from the server itself,
 	 * so it does not show that the request has run. Any other response
 	 * counts as a request that has run.
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -137,15 +137,25 @@
 					: DEFAULT_TIME_LEFT_US;
 }
 
-/* Returns the deadline of a request: the earlier of the caller's and the route's. */
+/* Returns the deadline of a request with these fields: the earlier of the caller's and the
+ * route's.
+ */
+static int64_t deadline_us(const exchange_t *exchange,
+			   const request_fields_t *fields,
+			   const table_route_t *route)
+{
+	return exchange_arrived_us(exchange) +
+	       MIN(caller_time_left_us(fields), route->timeout_us);
+}
+
+/* Returns the deadline that a request would have. */
 int64_t relay_deadline_us(const exchange_t *exchange,
 			  const table_route_t *route)
 {
 	request_fields_t fields;
 
 	request_fields_read(exchange_head(exchange), &fields);
-	return exchange_arrived_us(exchange) +
-	       MIN(caller_time_left_us(&fields), route->timeout_us);
+	return deadline_us(exchange, &fields, route);
 }
 
 /*
@@ -174,7 +184,7 @@
 	request->from_peer = exchange_is_from_peer(exchange);
 	request->arrived_us = exchange_arrived_us(exchange);
 	request_fields_read(exchange_head(exchange), &request->fields);
-	request->deadline_us = relay_deadline_us(exchange, route);
+	request->deadline_us = deadline_us(exchange, &request->fields, route);
 	request->answer_due_us =
 		request->arrived_us + route->target_us -
 		caller_elapsed_us(relay, route,
