End no VM in a test while it checks a server's health

Cause, by the sanitizer's traces: cut_head() left the stub the address of an answer on its stack, which a health check after it read; and a health check that was still in progress when the test's VM ended used the freed pool. The latter is known of tests, where the loop goes on after a VM has ended; a process ends with its loop.

Change: the fixtures forget what made a server suspect, give the stubs an answer that lasts, and let calls end before the VM does. No check is changed.

--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -151,20 +151,6 @@
 	assert_true(support_run_loop_until(is_ready, fixture, WAIT_MS));
 }
 
-static void stop(fixture_t *fixture)
-{
-	http_pool_finish(&fixture->callers);
-	support_run_loop_ms(20);
-	support_entry_stop(&fixture->vm);
-	tcp_stub_stop(&fixture->plain);
-	tcp_stub_stop(&fixture->decode);
-	ingress_finish(&fixture->prefill);
-	fake_store_stop(&fixture->store);
-	g_string_free(fixture->body, TRUE);
-	g_free(fixture->prefill_address);
-	g_free(fixture->store_address);
-}
-
 /* Lets the VM forget what earlier requests have shown of its servers. */
 static void trust_servers(fixture_t *fixture)
 {
@@ -182,6 +168,34 @@
 	}
 }
 
+/* Sets the answer of a server to all further requests; borrowed. */
+static void set_answer(tcp_stub_t *stub, const tcp_stub_answer_t *answer)
+{
+	stub->answers = answer;
+	stub->n_answers = 1;
+	stub->next = 0;
+}
+
+static void stop(fixture_t *fixture)
+{
+	static const tcp_stub_answer_t none = {NULL, TCP_STUB_CLOSE};
+
+	http_pool_finish(&fixture->callers);
+	/* No check of a server is in progress when the VM ends. */
+	trust_servers(fixture);
+	set_answer(&fixture->plain, &none);
+	set_answer(&fixture->decode, &none);
+	support_run_loop_ms(50);
+	support_entry_stop(&fixture->vm);
+	tcp_stub_stop(&fixture->plain);
+	tcp_stub_stop(&fixture->decode);
+	ingress_finish(&fixture->prefill);
+	fake_store_stop(&fixture->store);
+	g_string_free(fixture->body, TRUE);
+	g_free(fixture->prefill_address);
+	g_free(fixture->store_address);
+}
+
 /* Sends a request and waits for the end of its answer. */
 static void send_request(fixture_t *fixture, const char *path)
 {
@@ -229,9 +243,7 @@
 		tcp_stub_answer_t answer = {bytes, then};
 		unsigned before = stub->requests;
 
-		stub->answers = &answer;
-		stub->n_answers = 1;
-		stub->next = 0;
+		set_answer(stub, &answer);
 		send_request(fixture, path);
 		if (stub->requests == before)
 			fail_msg("cut after %zu of %zu bytes: not sent, "
@@ -314,9 +326,7 @@
 		g_autofree char *bytes = g_strndup(head, cut);
 		tcp_stub_answer_t answer = {bytes, then};
 
-		stub->answers = &answer;
-		stub->n_answers = 1;
-		stub->next = 0;
+		set_answer(stub, &answer);
 		send_request(fixture, path);
 		if (fixture->status / 100 == 2)
 			fail_msg("cut after %zu bytes: status %u, end %d, "
--- a/tests/test_resumed_streams.c
+++ b/tests/test_resumed_streams.c
@@ -148,20 +148,6 @@
 	assert_true(support_run_loop_until(is_ready, fixture, WAIT_MS));
 }
 
-static void stop(fixture_t *fixture)
-{
-	http_pool_finish(&fixture->callers);
-	support_run_loop_ms(20);
-	support_entry_stop(&fixture->vm);
-	for (unsigned i = 0; i < ENGINES; i++)
-		tcp_stub_stop(&fixture->engines[i]);
-	ingress_finish(&fixture->prefill);
-	fake_store_stop(&fixture->store);
-	g_string_free(fixture->body, TRUE);
-	g_free(fixture->prefill_address);
-	g_free(fixture->store_address);
-}
-
 /* Lets the VM forget what earlier requests have shown of its servers. */
 static void trust_servers(fixture_t *fixture)
 {
@@ -180,6 +166,24 @@
 	}
 }
 
+static void stop(fixture_t *fixture)
+{
+	http_pool_finish(&fixture->callers);
+	/* No check of an engine is in progress when the VM ends. */
+	trust_servers(fixture);
+	for (unsigned i = 0; i < ENGINES; i++)
+		tcp_stub_close_connections(&fixture->engines[i]);
+	support_run_loop_ms(50);
+	support_entry_stop(&fixture->vm);
+	for (unsigned i = 0; i < ENGINES; i++)
+		tcp_stub_stop(&fixture->engines[i]);
+	ingress_finish(&fixture->prefill);
+	fake_store_stop(&fixture->store);
+	g_string_free(fixture->body, TRUE);
+	g_free(fixture->prefill_address);
+	g_free(fixture->store_address);
+}
+
 static void set_answer(tcp_stub_t *engine, const tcp_stub_answer_t *answer)
 {
 	tcp_stub_close_connections(engine);
