Log why the connection of a lost call ended

Of a call that was lost the log did not say whether the server closed its connection or reset it, or TCP gave it up since nothing came, not even an acknowledgment; and nothing at all was logged of a caller's connection that is closed as idle although a request has arrived that was not read. With that three of the four hypotheses of docs/incidents/silent-servers.md look alike.

A connection that TCP gives up ends with a reason of its own (ETIMEDOUT), and call_lost names it with the time since the last byte; closed_unread names connections closed with unread bytes. Nothing is decided by either.

test_http_pool, test_ingress, test_layers, test_slow_streams pass.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -4,6 +4,7 @@
 #include "connection/http_message.h"
 #include "connection/tcp.h"
 #include "process/alarm.h"
+#include "process/log.h"
 
 /* An idle connection is not used this close to the end of the time for which
  * the server keeps it open: the server could close it while a request is on
@@ -49,6 +50,7 @@
 	const char *id_header; /* see http_call_options_t */
 	GString *id;
 	int64_t reuse_until_us; /* while idle: not used after this time */
+	int64_t heard_us; /* when bytes came last, or the request was sent */
 	alarm_t connect_alarm; /* ends a connection not established in time */
 	size_t max_body_bytes; /* see http_call_options_t */
 	size_t body_bytes; /* of the response, so far */
@@ -159,6 +161,7 @@
 {
 	http_call_t *call = context;
 
+	call->heard_us = clock_now(&call->host->pool->clock);
 	while (len > 0) {
 		bool interim;
 		size_t used;
@@ -202,6 +205,20 @@
 	}
 }
 
+/* Logs why a connection ended before the response that it was to carry. */
+static void log_lost(const http_call_t *call, tcp_end_t end)
+{
+	log_event(LOG_WARN, "call_lost",
+		  LOG_STR("request", str_from_gstring(call->id)),
+		  LOG_CSTR("address", call->host->address),
+		  LOG_CSTR("connection", tcp_end_text(end)),
+		  LOG_INT("reused", call->reused),
+		  LOG_INT("answer_begun", call->message.started),
+		  LOG_INT("silent_ms", (clock_now(&call->host->pool->clock) -
+					call->heard_us) /
+					       CLOCK_US_PER_MS));
+}
+
 /* Ends the call after the connection was closed. A response without a length
  * becomes complete by an orderly close.
  */
@@ -223,6 +240,7 @@
 		end_call(call, CALL_ANSWERED);
 		return;
 	}
+	log_lost(call, end);
 	end_call(call, CALL_LOST);
 }
 
@@ -495,6 +513,7 @@
 	call->body_bytes = 0;
 	call->skipped_bytes = 0;
 	call->interim_responses = 0;
+	call->heard_us = clock_now(&pool->clock);
 	expect_response(call);
 	tcp_write(&call->tcp, options->message->str, options->message->len);
 	return call;
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "connection/address.h"
+#include "process/log.h"
 
 /* Connections that may wait in the kernel's queue to be accepted. When the
  * queue is full, the kernel drops a caller's first packet, and the caller
@@ -176,6 +177,20 @@
 	ingress_connection_linger(connection);
 }
 
+/* Closes a connection whose time is over, and logs it if bytes have arrived that were not
+ * read: its caller may have sent a request.
+ */
+static void close_idle(ingress_connection_t *connection)
+{
+	if (connection->state == CONNECTION_READING &&
+	    tcp_has_unread(&connection->tcp))
+		log_event(LOG_WARN, "closed_unread",
+			  LOG_INT("idle_ms",
+				  connection->ingress->limits.idle_timeout_us /
+					  CLOCK_US_PER_MS));
+	ingress_connection_close(connection);
+}
+
 /* Goes on with the bytes received, or ends a connection whose time is over:
  * with a status 408 if a request has begun, without a response if not.
  */
@@ -193,7 +208,7 @@
 		 tcp_unsent_bytes(&connection->tcp) > 0)
 		await_activity(connection); /* it reads the response still */
 	else if (!is_answering(connection))
-		ingress_connection_close(connection);
+		close_idle(connection);
 }
 
 /* Checks the head of a request, and sends the interim response that a caller
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -62,6 +62,27 @@
 	g_source_modify_unix_fd(tcp->source, tcp->fd_tag, events);
 }
 
+/* Returns the name of a reason for log lines. */
+const char *tcp_end_text(tcp_end_t end)
+{
+	static const char *const texts[] = {
+		[TCP_END_NOT_CONNECTED] = "not_connected",
+		[TCP_END_EOF] = "closed",
+		[TCP_END_RESET] = "reset",
+		[TCP_END_TIMED_OUT] = "timed_out",
+	};
+
+	return texts[end];
+}
+
+/* Returns why a connection ended on which a call of the kernel failed with this errno
+ * value.
+ */
+static tcp_end_t end_of_error(int error)
+{
+	return error == ETIMEDOUT ? TCP_END_TIMED_OUT : TCP_END_RESET;
+}
+
 /* Closes the connection and reports why. */
 static void end_connection(tcp_t *tcp, tcp_end_t reason)
 {
@@ -115,7 +136,7 @@
 		tcp->connecting = false;
 	}
 	if (!flush(tcp)) {
-		end_connection(tcp, TCP_END_RESET);
+		end_connection(tcp, end_of_error(errno));
 		return;
 	}
 	update_events(tcp);
@@ -134,7 +155,7 @@
 	else if (n == 0)
 		end_connection(tcp, TCP_END_EOF);
 	else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
-		end_connection(tcp, TCP_END_RESET);
+		end_connection(tcp, end_of_error(errno));
 }
 
 /* Handles the events of a connection, which a callback may have closed. */
@@ -151,10 +172,11 @@
 		if (ready & G_IO_IN && tcp->reading)
 			read_ready(tcp);
 		else if (ready & (G_IO_ERR | G_IO_HUP))
-			/* The connection was reset, or both directions
-			 * are closed, and nothing is read any more.
+			/* The connection was reset or timed out, or both
+			 * directions are closed, and nothing is read any more.
 			 */
-			end_connection(tcp, TCP_END_RESET);
+			end_connection(tcp,
+				       end_of_error(socket_error(tcp->fd)));
 	}
 	if (!finished)
 		tcp->finished = NULL;
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -14,7 +14,8 @@
 typedef enum {
 	TCP_END_NOT_CONNECTED, /* the connection was never established */
 	TCP_END_EOF, /* the other side closed it in order */
-	TCP_END_RESET, /* reset, or the other side was silent for too long */
+	TCP_END_RESET, /* the other side reset it, or closed both directions */
+	TCP_END_TIMED_OUT, /* nothing came for too long, not even an acknowledgment */
 } tcp_end_t;
 
 /* Callbacks of a connection. Each may call tcp_finish(). */
@@ -53,6 +54,7 @@
 	int keepalive_idle_s; /* idle time before the first keep-alive probe */
 } tcp_options_t;
 
+const char *tcp_end_text(tcp_end_t end);
 bool tcp_has_unread(const tcp_t *tcp);
 bool tcp_is_readable(const tcp_t *tcp);
 bool tcp_connect(tcp_t *tcp, GSocketAddress *address,
