--- /dev/null
+++ b/tests/support_vm_process.c
@@ -0,0 +1,86 @@
+#include "support_vm_process.h"
+
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "support_address.h"
+
+#define END_MS 6000
+
+/* Writes settings with free addresses, in the zone "z". */
+static void write_settings(vm_process_t *vm, const char *name,
+			   const char *store_address, unsigned shutdown_limit_s)
+{
+	char *ready = unused_address();
+	char *metrics = unused_address();
+	char *text = g_strdup_printf("vm = \"%s\"\nzone = \"z\"\n"
+				     "callers_address = \"%s\"\n"
+				     "ready_address = \"%s\"\n"
+				     "metrics_address = \"%s\"\n"
+				     "peer_address = \"%s\"\n"
+				     "store_address = \"%s\"\n"
+				     "shutdown_limit_s = %u\n",
+				     name, vm->callers_address, ready, metrics,
+				     vm->peer_address, store_address,
+				     shutdown_limit_s);
+
+	assert_true(g_file_set_contents(vm->settings_path, text, -1, NULL));
+	g_free(text);
+	g_free(ready);
+	g_free(metrics);
+}
+
+/* Starts the process of a VM; it is not ready yet on return. */
+void vm_process_start(vm_process_t *vm, const char *name,
+		      const char *store_address, unsigned shutdown_limit_s)
+{
+	const char *program = g_getenv(VM_PROGRAM_VARIABLE);
+	const char *args[] = {"entry", NULL, NULL};
+
+	vm->folder = g_dir_make_tmp("vm-XXXXXX", NULL);
+	vm->settings_path = g_build_filename(vm->folder, "vm.toml", NULL);
+	vm->log_path = g_build_filename(vm->folder, "log", NULL);
+	vm->callers_address = unused_address();
+	vm->peer_address = unused_address();
+	write_settings(vm, name, store_address, shutdown_limit_s);
+	args[1] = vm->settings_path;
+	assert_true(process_start_logged(&vm->process,
+					 program ? program : "gooseberryspur",
+					 args, vm->log_path, vm->log_path));
+}
+
+/* Returns how often a text stands in the log of the process. */
+unsigned vm_process_count_logged(const vm_process_t *vm, const char *text)
+{
+	char *log = NULL;
+	unsigned n = 0;
+
+	assert_true(g_file_get_contents(vm->log_path, &log, NULL, NULL));
+	for (const char *at = log; (at = strstr(at, text)); at++)
+		n++;
+	g_free(log);
+	return n;
+}
+
+/* Ends the process and removes its files. */
+void vm_process_finish(vm_process_t *vm)
+{
+	process_signal(&vm->process, SIGCONT);
+	process_signal(&vm->process, SIGKILL);
+	(void)process_wait_end(&vm->process, END_MS);
+	process_finish(&vm->process);
+	(void)g_remove(vm->log_path);
+	(void)g_remove(vm->settings_path);
+	(void)g_rmdir(vm->folder);
+	g_free(vm->folder);
+	g_free(vm->settings_path);
+	g_free(vm->log_path);
+	g_free(vm->callers_address);
+	g_free(vm->peer_address);
+}
--- /dev/null
+++ b/tests/support_vm_process.h
@@ -0,0 +1,24 @@
+/* The process of an entry VM, started from the program under test. */
+#ifndef SUPPORT_VM_PROCESS_H
+#define SUPPORT_VM_PROCESS_H
+
+#include "support_process.h"
+
+/* Names another program to start VMs from, as a path; not set: the build under test. */
+#define VM_PROGRAM_VARIABLE "VM_PROGRAM"
+
+typedef struct {
+	process_t process;
+	char *folder;
+	char *settings_path;
+	char *log_path;
+	char *callers_address;
+	char *peer_address;
+} vm_process_t;
+
+void vm_process_start(vm_process_t *vm, const char *name,
+		      const char *store_address, unsigned shutdown_limit_s);
+unsigned vm_process_count_logged(const vm_process_t *vm, const char *text);
+void vm_process_finish(vm_process_t *vm);
+
+#endif
