Wait longer for a link that passes nothing, and to the deadline where no other server may help

Cause: TCP gave the server's connection up. Its user timeout was 1.5 s, its first keep-alive probe goes out after 1 s without a segment, and on Linux the user timeout decides at each due probe whether to give up. A call whose server had had nothing to send for 0.8 s was ended by a silence of 1.2 s, 2.0 s after the last segment.

Class: a constant that takes silence for loss, where nothing is gained by it. A call is given up for two reasons: to go on at another server, and to tell the caller. So: - where the request may go on elsewhere, a link to a server or a VM may pass nothing for 2.8 s, which lets any silence of up to 1.8 s pass whatever the phase of the probes, and leaves time before a caller gives its stream up (3.6 s); - where no other server may take the request afterwards, the call waits until its deadline, as for a server that is slow. The store keeps 1.5 s: its calls are made again.

Ruled out: that the server closes (the log names the reason), that the process of the VM was late (silent_ms), a change of the configuration (none in the test).

After: 0 of 6 streams and 0 of 6 unsafe requests. A dead link ends a resumable stream 3.06 s after its last event (bound 3.6 s), any other at its deadline. 23 tests around streams, plain calls and the pool pass.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -30,6 +30,9 @@
 /* Silence after which TCP keepalive probes the server. */
 #define KEEPALIVE_IDLE_S 1
 
+/* Longest user timeout of a connection. */
+#define MAX_USER_TIMEOUT_MS (3600 * 1000)
+
 /* The connections to one address. */
 typedef struct {
 	http_pool_t *pool;
@@ -51,6 +54,7 @@
 	GString *id;
 	int64_t reuse_until_us; /* while idle: not used after this time */
 	int64_t heard_us; /* when bytes came last, or the request was sent */
+	unsigned user_timeout_ms; /* that is set on the connection */
 	alarm_t connect_alarm; /* ends a connection not established in time */
 	size_t max_body_bytes; /* see http_call_options_t */
 	size_t body_bytes; /* of the response, so far */
@@ -475,12 +479,32 @@
 				  host->pool->connect_timeout_us);
 	host->connections++;
 	host->pool->connections_opened++;
+	call->user_timeout_ms = options.user_timeout_ms;
 	call->id = g_string_new(NULL);
 	call->handler = handler;
 	http_message_init(&call->message, false, &message_handler, call);
 	return call;
 }
 
+/* Sets how long the link of a connection may pass nothing while it carries a call. */
+static void set_user_timeout(http_call_t *call,
+			     const http_call_options_t *options)
+{
+	const http_pool_t *pool = call->host->pool;
+	int64_t left_ms = (options->keep_until_us - clock_now(&pool->clock)) /
+			  CLOCK_US_PER_MS;
+	unsigned timeout_ms = pool->user_timeout_ms;
+
+	if (timeout_ms == 0)
+		return;
+	if (left_ms > timeout_ms)
+		timeout_ms = (unsigned)MIN(left_ms, MAX_USER_TIMEOUT_MS);
+	if (timeout_ms == call->user_timeout_ms)
+		return;
+	tcp_set_user_timeout(&call->tcp, timeout_ms);
+	call->user_timeout_ms = timeout_ms;
+}
+
 /* Sends a request. Returns NULL if no connection can be begun; the handler is
  * not called then. It is never called before this function returns. The call
  * belongs to the pool.
@@ -514,6 +538,7 @@
 	call->skipped_bytes = 0;
 	call->interim_responses = 0;
 	call->heard_us = clock_now(&pool->clock);
+	set_user_timeout(call, options);
 	expect_response(call);
 	tcp_write(&call->tcp, options->message->str, options->message->len);
 	return call;
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -39,7 +39,7 @@
 /* The connections of one user, by address. */
 typedef struct {
 	clock_source_t clock;
-	unsigned user_timeout_ms; /* for data to be acknowledged */
+	unsigned user_timeout_ms; /* for which a link may pass nothing */
 	int64_t connect_timeout_us; /* for a connection to open; 0: none */
 	/* Name of the header field in which servers repeat the ID of a request, in
 	 * lower case; NULL: they do not. Set by the owner. A call without an ID
@@ -57,6 +57,10 @@
 	const GString *message; /* head and body of the request; copied */
 	bool new_connection; /* don't use one that is open already */
 	bool is_head; /* the method is HEAD: the response has no body */
+	/* A link that passes nothing does not end the call before this time, if that
+	 * is later than the pool's user timeout allows; 0: that holds.
+	 */
+	int64_t keep_until_us;
 	/* The call ends as malformed when its response has a larger body; 0: any
 	 * size is allowed.
 	 */
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -279,6 +279,16 @@
 	update_events(tcp);
 }
 
+/* Sets how long the link may pass nothing, not even an acknowledgment, before the connection
+ * ends. Does nothing on a closed connection.
+ */
+void tcp_set_user_timeout(tcp_t *tcp, unsigned timeout_ms)
+{
+	if (tcp->source)
+		set_socket_option(tcp->fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+				  (int)timeout_ms);
+}
+
 /* Starts or stops reading. While stopped, an orderly close by the other side is
  * not noticed.
  */
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -14,10 +14,14 @@
 #include "request/plain_call.h"
 #include "request/stream_call.h"
 
-/* A connection to a server or the store is closed when data stays
- * unacknowledged for this long.
+/* How long the link to a server or a peer may pass nothing before its connections count as
+ * lost, probes of TCP included. A sound server falls silent for a second or so and goes on,
+ * and the first probe is sent up to a second after the last segment.
  */
-#define USER_TIMEOUT_MS 1500
+#define SERVER_USER_TIMEOUT_MS 2800
+
+/* The same for the store, whose calls can be made again. */
+#define STORE_USER_TIMEOUT_MS 1500
 
 /* A packet reaches any server within milliseconds. TCP sends a lost opening
  * packet again only after a second; by then another server could have answered,
@@ -348,12 +352,12 @@
 	 */
 	entry->term_source = g_unix_signal_add(SIGTERM, on_sigterm, entry);
 	entry->hup_source = g_unix_signal_add(SIGHUP, on_sighup, entry);
-	http_pool_init(&entry->server_pool, clock, USER_TIMEOUT_MS,
+	http_pool_init(&entry->server_pool, clock, SERVER_USER_TIMEOUT_MS,
 		       CONNECT_TIMEOUT_US);
 	entry->server_pool.id_header = "x-request-id";
-	http_pool_init(&entry->peer_pool, clock, USER_TIMEOUT_MS,
+	http_pool_init(&entry->peer_pool, clock, SERVER_USER_TIMEOUT_MS,
 		       CONNECT_TIMEOUT_US);
-	http_pool_init(&entry->store_pool, clock, USER_TIMEOUT_MS,
+	http_pool_init(&entry->store_pool, clock, STORE_USER_TIMEOUT_MS,
 		       CONNECT_TIMEOUT_US);
 	server_set_init(&entry->servers);
 	departures_init(&entry->departures);
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -85,17 +85,24 @@
 
 static server_t *pick_server(const plain_call_t *call, server_limits_t *limits);
 
-/* Returns whether the request may be sent to another server and there is one. A
- * misdirected send doesn't count against the route's limit, as it didn't reach
- * its server.
+/* Returns whether further sends of the request are allowed. A misdirected send doesn't
+ * count against the route's limit, as it didn't reach its server.
  */
-static bool may_retry_elsewhere(const plain_call_t *call)
+static bool has_sends_left(const plain_call_t *call)
 {
 	const relay_request_t *request = &call->request;
 	unsigned limit = (unsigned)MIN(request->route->max_servers, MAX_SENDS);
 
 	return request->sends - call->misdirected < limit &&
-	       request->sends < MAX_SENDS &&
+	       request->sends < MAX_SENDS;
+}
+
+/* Returns whether the request may be sent to another server and there is one. */
+static bool may_retry_elsewhere(const plain_call_t *call)
+{
+	const relay_request_t *request = &call->request;
+
+	return has_sends_left(call) &&
 	       clock_now(&request->relay->clock) < request->deadline_us &&
 	       pick_server(call, &request->relay->limits);
 }
@@ -292,6 +299,8 @@
 	fields.server_id = str_from(server->entry.id);
 	call->tried[request->sends++] = server;
 	relay_log_send(request, server, "plain");
+	call->send.is_last = !table_route_is_repeatable(request->route) ||
+			     !has_sends_left(call);
 	if (!relay_send_start(&call->send, request, server, &fields, &handler,
 			      call)) {
 		server_mark_unreached(server, now_us);
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -402,6 +402,9 @@
 	stream->begun_us = 0;
 	stream->begun_well = false;
 	stream->response_is_error = false;
+	stream->send.is_last = !request->route->resumable ||
+			       request->sends + 1 >=
+				       (unsigned)request->route->max_servers;
 	if (!relay_send_start(&stream->send, request, stream->decode, &fields,
 			      &decode_handler, stream))
 		return false;
--- a/tests/test_silent_links.c
+++ b/tests/test_silent_links.c
@@ -47,6 +47,7 @@
 	unsigned events;
 	bool link_up;
 	alarm_t next;
+	int64_t last_event_us;
 	GString *body; /* of the answer to the caller */
 	unsigned status;
 	bool ended;
@@ -130,6 +131,7 @@
 	char *event = g_strdup_printf("id: %u\ndata: a\n\n", ++fixture->events);
 
 	exchange_write(fixture->open, event, strlen(event));
+	fixture->last_event_us = now_us();
 	g_free(event);
 }
 
@@ -316,6 +318,14 @@
 		"\"pathPrefix\":\"/l/\",\"kind\":\"streaming\","
 		"\"timeoutMs\":14000,\"targetLatencyMs\":900,"
 		"\"gapAimMs\":300,\"service\":\"llm\",\"maxAttempts\":1},"
+		"{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/r/\","
+		"\"kind\":\"streaming\",\"resumable\":true,"
+		"\"timeoutMs\":14000,\"targetLatencyMs\":900,"
+		"\"gapAimMs\":300,\"service\":\"llm\",\"maxAttempts\":2},"
+		"{\"name\":\"t\",\"host\":\"h\",\"pathPrefix\":\"/t/\","
+		"\"kind\":\"streaming\",\"timeoutMs\":5000,"
+		"\"targetLatencyMs\":900,\"gapAimMs\":300,"
+		"\"service\":\"llm\",\"maxAttempts\":1},"
 		"{\"name\":\"u\",\"host\":\"h\",\"pathPrefix\":\"/s/u/\","
 		"\"kind\":\"unsafe\",\"timeoutMs\":9000,\"service\":\"app\","
 		"\"maxAttempts\":1},"
@@ -376,6 +386,16 @@
 /* Silences of sound servers last a second or so. */
 #define SILENT_MS 1300
 
+/* A link that does not come back during a test. */
+#define DEAD_MS 60000
+
+/* A caller leaves after so long without an event: four times the target of the route. */
+#define CALLER_LEAVES_MS 3600
+
+/* Timeout of the route "/t/", and how much later its requests may end. */
+#define SHORT_TIMEOUT_MS 5000
+#define END_SLACK_MS 500
+
 /* Sends a request for each quiet time, whose link then falls silent. Returns how many of
  * them did not get a whole answer of the server.
  */
@@ -419,11 +439,59 @@
 	finish(&fixture);
 }
 
+/* Sends a request whose link passes nothing any more after some events. Returns how long
+ * after the last event its answer ended, in ms.
+ */
+static int ask_over_dead_link(fixture_t *fixture, const char *path,
+			      unsigned quiet_ms)
+{
+	await_served(fixture);
+	fixture->silence = (silence_t){quiet_ms, DEAD_MS};
+	ask(fixture, "POST", path);
+	assert_int_not_equal(fixture->end, CALL_ANSWERED);
+	return (int)((now_us() - fixture->last_event_us) / CLOCK_US_PER_MS);
+}
+
+/* Guards against streams that could go on elsewhere and wait for a dead link until their
+ * caller has left.
+ */
+static void test_dead_link_of_resumable_stream(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS(quiet_times_ms); i++) {
+		int after_ms =
+			ask_over_dead_link(&fixture, "/r/x", quiet_times_ms[i]);
+
+		print_message("/r/x, quiet for %u ms before: ended %d ms after "
+			      "the last event\n",
+			      quiet_times_ms[i], after_ms);
+		assert_true(after_ms < CALLER_LEAVES_MS);
+	}
+	finish(&fixture);
+}
+
+/* Guards against a stream over a dead link that does not end at its deadline. */
+static void test_dead_link_of_other_stream(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	int after_ms;
+
+	start(&fixture);
+	after_ms = ask_over_dead_link(&fixture, "/t/x", EVENT_MS);
+	print_message("/t/x: ended %d ms after the last event\n", after_ms);
+	assert_true(after_ms < SHORT_TIMEOUT_MS + END_SLACK_MS);
+	finish(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_stream_outlasts_a_silence),
 		cmocka_unit_test(test_plain_request_outlasts_a_silence),
+		cmocka_unit_test(test_dead_link_of_resumable_stream),
+		cmocka_unit_test(test_dead_link_of_other_stream),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
