Learn the timeout of callers from two requests, not from one

What callers saw: after one request of a route that states an odd time to its deadline, an hour, the first attempts of all others counted as retries that had spent that hour: they ranked as late behind all that were on time, at that VM, for good.

Cause: the longest time that any one request has stated was taken for the timeout of the callers, and nothing ever took it back. Now a time longer than all before counts once a second request has stated about as much (within the 16 % by which the timeouts of first attempts differ).

test_one_odd_timeout in test_caller_timeout fails on the code before (missing 3,586 s), and passes. The other tests of the module pass unchanged.

--- a/src/request/caller_timeout.c
+++ b/src/request/caller_timeout.c
@@ -1,6 +1,8 @@
 #include "request/caller_timeout.h"
 
+#include <glib.h>
 #include <stdbool.h>
+#include <stdlib.h>
 
 /* A request that states less than the longest time by no more than this counts
  * as stating the same.
@@ -21,6 +23,31 @@
  */
 #define RETRY_MISSING_SHARE 0.16
 
+/* Returns whether two times are those of first attempts of callers of one route. */
+static bool are_alike(int64_t one_us, int64_t other_us)
+{
+	int64_t longer_us = MAX(one_us, other_us);
+
+	return (double)llabs(one_us - other_us) <=
+	       RETRY_MISSING_SHARE * (double)longer_us;
+}
+
+/* Takes a time that is longer than all before once a second request has stated about as
+ * much: a single one may be odd.
+ */
+static void note_longer(caller_timeout_t *timeout, int64_t time_left_us)
+{
+	int64_t confirmed_us = MIN(timeout->unconfirmed_us, time_left_us);
+	bool is_confirmed = are_alike(timeout->unconfirmed_us, time_left_us);
+
+	timeout->unconfirmed_us = time_left_us;
+	if (!is_confirmed || confirmed_us <= timeout->longest_us)
+		return;
+	if (!are_alike(timeout->longest_us, confirmed_us))
+		timeout->longest_share = 1;
+	timeout->longest_us = confirmed_us;
+}
+
 /*
  * Records the time that a request's caller still waits. Returns how long the
  * caller has waited in earlier attempts, or 0 when that is unknown.
@@ -31,11 +58,9 @@
 	int64_t missing_us;
 	bool same;
 
-	if (time_left_us > timeout->longest_us) {
-		timeout->longest_us = time_left_us;
-		timeout->longest_share = 1;
-	}
-	missing_us = timeout->longest_us - time_left_us;
+	if (time_left_us > timeout->longest_us)
+		note_longer(timeout, time_left_us);
+	missing_us = MAX(timeout->longest_us - time_left_us, 0);
 	same = missing_us <= TOLERANCE_US;
 	timeout->longest_share +=
 		LATEST_WEIGHT * ((same ? 1.0 : 0.0) - timeout->longest_share);
--- a/src/request/caller_timeout.h
+++ b/src/request/caller_timeout.h
@@ -12,6 +12,7 @@
 /* The callers of one route. Zeroed before the first request. */
 typedef struct {
 	int64_t longest_us; /* longest time that a request stated */
+	int64_t unconfirmed_us; /* a longer time that one request has stated; 0: none */
 	/* Moving average: share of requests that stated about as much. */
 	double longest_share;
 } caller_timeout_t;
--- a/tests/test_caller_timeout.c
+++ b/tests/test_caller_timeout.c
@@ -44,11 +44,29 @@
 	assert_true(caller_timeout_elapsed_us(&timeout, 9000 * MS) > 4000 * MS);
 }
 
+/* Guards against one caller with an odd timeout, after which the first attempts of all
+ * others count as retries.
+ */
+static void test_one_odd_timeout(void **state)
+{
+	caller_timeout_t timeout = {0};
+
+	for (int i = 0; i < 50; i++)
+		(void)caller_timeout_elapsed_us(&timeout, 14000 * MS);
+	(void)caller_timeout_elapsed_us(&timeout, 3600000 * MS);
+	for (int i = 0; i < 50; i++)
+		assert_int_equal(
+			caller_timeout_elapsed_us(&timeout, 14000 * MS), 0);
+	assert_int_equal(caller_timeout_elapsed_us(&timeout, 10000 * MS),
+			 4000 * MS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_same_timeouts),
 		cmocka_unit_test(test_different_timeouts),
+		cmocka_unit_test(test_one_odd_timeout),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
