Let no single request set the means that all requests are judged by

What callers saw: after one request with X-Token-Count: 1000000000,80 all VMs refused all streams of the service as full, for over 50 s.

Cause: sizes that a caller states went into sums over all requests as they were; the VMs announce these, and they decay within 20 s.

- A prompt that no engine of the service has memory for gets 400 at once and counts for nothing.
An expected output is limited to the memory that the prompt leaves.
- One request raises a mean of stated sizes by a fifth at most, from ten observations on; an odd estimate of an output counts as twenty times the mean at most; a prompt far larger than others says nothing of an engine's speed.
- Sums that another VM announces are refused if no requests can have brought their means.

--- a/src/process/decide/output_model.c
+++ b/src/process/decide/output_model.c
@@ -17,6 +17,12 @@
 #define WINDOW_REQUESTS 200.0
 #define WINDOW_STREAMS 200.0
 
+/* From so many requests on, an estimate that is further from the mean counts as this far,
+ * as the difference of the logarithms: twenty times as long or as short.
+ */
+#define MAX_DEVIATION 3.0
+#define LIMITED_FROM_REQUESTS 10.0
+
 /* Sets up a model that has seen no request. */
 void output_model_init(output_model_t *model)
 {
@@ -28,10 +34,21 @@
 	};
 }
 
+/* Returns the logarithm of an estimate, no further from the mean than one request may be. */
+static double limited_log(const output_model_t *model, int64_t estimate_tokens)
+{
+	double estimate = log(fmax((double)estimate_tokens, 1));
+
+	if (model->requests < LIMITED_FROM_REQUESTS)
+		return estimate;
+	return fmin(fmax(estimate, model->estimate_mean - MAX_DEVIATION),
+		    model->estimate_mean + MAX_DEVIATION);
+}
+
 /* Adds the estimate of a request that has arrived to the mean. */
 void output_model_note_estimate(output_model_t *model, int64_t estimate_tokens)
 {
-	double estimate = log(fmax((double)estimate_tokens, 1));
+	double estimate = limited_log(model, estimate_tokens);
 
 	model->requests = fmin(model->requests + 1, WINDOW_REQUESTS);
 	model->estimate_mean +=
@@ -57,7 +74,7 @@
 void output_model_note_output(output_model_t *model, int64_t estimate_tokens,
 			      int64_t output_tokens)
 {
-	double estimate = log(fmax((double)estimate_tokens, 1));
+	double estimate = limited_log(model, estimate_tokens);
 	double output = log(fmax((double)output_tokens, 1));
 	double deviation = estimate - model->estimate_mean;
 	double residual = output - predict_log(model, estimate);
--- a/src/process/decide/workload.c
+++ b/src/process/decide/workload.c
@@ -43,6 +43,17 @@
 /* Upper bound for a sum that a peer announces, so that totals stay finite. */
 #define MAX_SUM 1e15
 
+/* Upper bound for the mean sizes that a peer announces, in tokens: no VM takes a larger
+ * number from a caller.
+ */
+#define MAX_MEAN_TOKENS 2e7
+
+/* Share by which a single request may raise a mean of the sizes that callers state, once
+ * there are as many observations as this.
+ */
+#define MAX_MEAN_RISE 0.2
+#define RISE_LIMITED_FROM 10.0
+
 /* Lets the sums decay until now. */
 void workload_decay(workload_t *workload, int64_t now_us)
 {
@@ -57,14 +68,35 @@
 	workload->updated_us = now_us;
 }
 
+/* Returns the largest value that raises the mean of a sum by no more than a single request
+ * may.
+ */
+static double largest_usual(const workload_t *workload, workload_sum_t sum,
+			    workload_sum_t count)
+{
+	double n = workload->sums[count];
+
+	if (n < RISE_LIMITED_FROM)
+		return INFINITY;
+	return workload->sums[sum] / n * (1 + MAX_MEAN_RISE * (n + 1));
+}
+
+/* Adds a size that a caller stated to a sum, before its observation is counted. */
+static void add_stated(workload_t *workload, workload_sum_t sum, int64_t tokens)
+{
+	workload->sums[sum] +=
+		fmin((double)tokens,
+		     largest_usual(workload, sum, WORKLOAD_REQUESTS));
+}
+
 /* Adds a request that has arrived. */
 void workload_observe_request(workload_t *workload, int64_t now_us,
 			      int64_t prompt_tokens, int64_t output_tokens)
 {
 	workload_decay(workload, now_us);
+	add_stated(workload, WORKLOAD_PROMPT_TOKENS, prompt_tokens);
+	add_stated(workload, WORKLOAD_OUTPUT_TOKENS, output_tokens);
 	workload->sums[WORKLOAD_REQUESTS] += 1;
-	workload->sums[WORKLOAD_PROMPT_TOKENS] += (double)prompt_tokens;
-	workload->sums[WORKLOAD_OUTPUT_TOKENS] += (double)output_tokens;
 }
 
 /* Returns the quotient of two sums, or 0 if nothing was observed. */
@@ -98,13 +130,17 @@
 }
 
 /* Adds the prefill of a prompt that was sent when the engine had
- * `backlog_tokens` of other prompts.
+ * `backlog_tokens` of other prompts. The size is the caller's word; one that is far larger
+ * than others says nothing of the engine's speed.
  */
 void workload_observe_prefill(workload_t *workload, int64_t now_us,
 			      int64_t tokens, int64_t backlog_tokens,
 			      int64_t duration_us)
 {
 	workload_decay(workload, now_us);
+	if ((double)tokens >
+	    largest_usual(workload, WORKLOAD_PREFILL_TOKENS, WORKLOAD_PREFILLS))
+		return;
 	if (backlog_tokens > 0) {
 		observe_queued(workload, tokens, backlog_tokens, duration_us);
 		return;
@@ -150,6 +186,13 @@
 		total->sums[i] += part->sums[i];
 }
 
+/* Returns whether the mean of a sum of sizes is one that requests can bring. */
+static bool is_valid_size(const workload_t *workload, workload_sum_t sum,
+			  workload_sum_t count)
+{
+	return workload->sums[sum] <= MAX_MEAN_TOKENS * workload->sums[count];
+}
+
 /* Returns whether all sums that a peer has announced are within bounds. */
 bool workload_is_valid(const workload_t *workload)
 {
@@ -157,7 +200,12 @@
 		if (!(workload->sums[i] >= 0 && workload->sums[i] <= MAX_SUM))
 			return false;
 	}
-	return true;
+	return is_valid_size(workload, WORKLOAD_PROMPT_TOKENS,
+			     WORKLOAD_REQUESTS) &&
+	       is_valid_size(workload, WORKLOAD_OUTPUT_TOKENS,
+			     WORKLOAD_REQUESTS) &&
+	       is_valid_size(workload, WORKLOAD_PREFILL_TOKENS,
+			     WORKLOAD_PREFILLS);
 }
 
 /* Returns whether there are enough observations of each kind to decide on the
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -263,6 +263,20 @@
 	exchange_reply_text(request->exchange, 503, retry_after_us, reason);
 }
 
+/* Answers with an error of the caller's, for which the request is not sent to a server. */
+void relay_reject(const relay_request_t *request, unsigned status,
+		  const char *reason)
+{
+	counters_add(COUNTER_REQUESTS_REFUSED, 1);
+	route_metrics_count(request->route->name, RESULT_REFUSED);
+	log_event(LOG_INFO, "request_rejected",
+		  LOG_STR("request", request->fields.id),
+		  LOG_CSTR("route", request->route->name),
+		  LOG_UINT("status", status), LOG_CSTR("reason", reason),
+		  LOG_INT("prompt_tokens", request->fields.prompt_tokens));
+	exchange_reply_text(request->exchange, status, 0, reason);
+}
+
 /* Answers with an error that the request may have run. */
 void relay_fail(const relay_request_t *request, unsigned status,
 		const char *reason)
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -149,6 +149,8 @@
 bool relay_take_retry(const relay_request_t *request);
 void relay_refuse(const relay_request_t *request, int64_t retry_after_us,
 		  const char *reason);
+void relay_reject(const relay_request_t *request, unsigned status,
+		  const char *reason);
 void relay_fail(const relay_request_t *request, unsigned status,
 		const char *reason);
 void relay_count_end(const relay_request_t *request, request_result_t result);
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -230,24 +230,44 @@
 	return (int64_t)((double)MAX(limit, 0) * UNKNOWN_OUTPUT_SHARE);
 }
 
+/* Returns the longest output that a request can have: the limit that the caller states,
+ * and no more than an engine has memory for beside the prompt.
+ */
+static int64_t longest_output_tokens(const relay_request_t *request)
+{
+	const request_fields_t *fields = &request->fields;
+	int64_t limit = fields->max_output_tokens > 0
+				? fields->max_output_tokens
+				: INT64_MAX;
+	int64_t memory = request->service->engine.kv_tokens;
+
+	if (memory <= 0)
+		return limit;
+	return MIN(limit, MAX(memory - fields->prompt_tokens, 0));
+}
+
 /* Returns the output expected of a request, from the caller's estimate,
- * corrected by the real lengths of earlier outputs, and at most the limit that
- * the caller states.
+ * corrected by the real lengths of earlier outputs.
  */
 static int64_t expected_output_tokens(const relay_request_t *request)
 {
-	const request_fields_t *fields = &request->fields;
-	int64_t max_tokens = fields->max_output_tokens > 0
-				     ? fields->max_output_tokens
-				     : INT64_MAX;
+	int64_t longest = longest_output_tokens(request);
+	int64_t estimate = MIN(request->fields.output_estimate_tokens, longest);
 	output_model_t *model;
 
-	if (fields->output_estimate_tokens <= 0)
-		return output_without_estimate(request);
+	if (estimate <= 0)
+		return MIN(output_without_estimate(request), longest);
 	model = relay_output_model(request);
-	output_model_note_estimate(model, fields->output_estimate_tokens);
-	return MIN(output_model_expect(model, fields->output_estimate_tokens),
-		   max_tokens);
+	output_model_note_estimate(model, estimate);
+	return MIN(output_model_expect(model, estimate), longest);
+}
+
+/* Returns whether no engine of the service can hold the prompt of a request. */
+static bool is_too_large(const relay_request_t *request)
+{
+	int64_t memory = request->service->engine.kv_tokens;
+
+	return memory > 0 && request->fields.prompt_tokens > memory;
 }
 
 /* Returns the mean engine time that one request to a service costs in each
@@ -292,6 +312,14 @@
 		g_free(stream);
 		return false;
 	}
+	if (is_too_large(request)) {
+		relay_reject(request, 400,
+			     "the prompt is larger than the memory of a model "
+			     "engine");
+		relay_request_finish(request);
+		g_free(stream);
+		return true;
+	}
 	/* Not counted among the arrivals: the other VM does that. */
 	if (!server_set_reaches(relay->servers, request->service->name) &&
 	    peer_call_start(request)) {
--- a/tests/test_output_model.c
+++ b/tests/test_output_model.c
@@ -125,12 +125,35 @@
 	assert_in_range(output_model_expect(&model, 80), 60, 120);
 }
 
+/* Guards against one odd estimate that moves what is expected of all other streams. */
+static void test_one_odd_estimate(void **state)
+{
+	output_model_t model;
+	int64_t before, after;
+	load_t load = {.seed = 5, .error = 0.5};
+	int64_t estimate, output;
+
+	output_model_init(&model);
+	for (int i = 0; i < 40; i++) {
+		draw(&load, &estimate, &output);
+		output_model_note_estimate(&model, estimate);
+		output_model_note_output(&model, estimate, output);
+	}
+	before = output_model_expect(&model, 3600);
+	output_model_note_estimate(&model, 100000000);
+	output_model_note_output(&model, 100000000, 3600);
+	after = output_model_expect(&model, 3600);
+	assert_true((double)after > 0.8 * (double)before);
+	assert_true((double)after < 1.2 * (double)before);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_sum_of_expectations),
 		cmocka_unit_test(test_learns_accuracy_of_estimates),
 		cmocka_unit_test(test_no_size_is_assumed),
+		cmocka_unit_test(test_one_odd_estimate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_workload.c
+++ b/tests/test_workload.c
@@ -121,9 +121,39 @@
 	assert_in_range(workload_output_tokens(&workload), 1800, 2000);
 }
 
+/* Guards against one request whose stated sizes move the means of all by more than a fifth. */
+static void test_one_odd_request(void **state)
+{
+	workload_t workload = {.updated_us = NOW};
+	double prompt_tokens, us_per_token;
+
+	add_prefills(&workload, 20, 3000, 46000, 31);
+	prompt_tokens = workload_prompt_tokens(&workload);
+	us_per_token = workload_prefill(&workload).us_per_token;
+	workload_observe_request(&workload, NOW, 100000000, 100000000);
+	workload_observe_prefill(&workload, NOW, 100000000, 0, 139000);
+	assert_true(workload_prompt_tokens(&workload) < 1.21 * prompt_tokens);
+	assert_true(workload_output_tokens(&workload) < 1.21 * 700);
+	assert_float_equal(workload_prefill(&workload).us_per_token,
+			   us_per_token, us_per_token * 0.2);
+}
+
+/* Guards against sums of another VM that no requests can have brought. */
+static void test_odd_sums_are_invalid(void **state)
+{
+	workload_t workload = {.updated_us = NOW};
+
+	add_prefills(&workload, 20, 3000, 46000, 31);
+	assert_true(workload_is_valid(&workload));
+	workload.sums[WORKLOAD_PROMPT_TOKENS] = 1e14;
+	assert_false(workload_is_valid(&workload));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_one_odd_request),
+		cmocka_unit_test(test_odd_sums_are_invalid),
 		cmocka_unit_test(test_prefill_speed),
 		cmocka_unit_test(test_prefill_speed_of_a_full_queue),
 		cmocka_unit_test(test_pace_of_a_full_engine),
