Read the head of a request in one way only, or answer 400

What was seen: a field with a space before its colon (Transfer-Encoding : chunked, X-Pin-Ms : 3) was understood as a field of another name and forwarded as it was, so that a server which is less strict reads a body, or a field that only the router may set, of which the VM knows nothing. Two Host or X-Request-Id fields, two encodings, gzip, chunked, chunks of HTTP/1.0, and a request without a version were taken too.

Cause: http_parser takes a space in a name, the last word of Transfer-Encoding, and any number of other fields, and nothing checked what it had read. Now names are tokens and values have no control bytes; the only encoding is chunked, once, and not in HTTP/1.0; Host and X-Request-Id stand once. A request that breaks this gets 400 and is not forwarded; a response is malformed.

test_request_heads: 58 heads on the listeners for callers and for other VMs, each with the status and with what reaches the server.

--- a/src/connection/http_head.c
+++ b/src/connection/http_head.c
@@ -146,6 +146,31 @@
 	return false;
 }
 
+/* Returns whether a byte may stand in the name of a field (RFC 9110, 5.6.2). */
+static bool is_name_byte(char byte)
+{
+	return g_ascii_isalnum(byte) ||
+	       (byte != '\0' && strchr("!#$%&'*+-.^_`|~", byte));
+}
+
+/* Returns whether a field has a valid name and no control bytes in its value. A reader that
+ * is less strict could take the name for another one.
+ */
+bool http_is_valid_field(str_t name, str_t value)
+{
+	if (name.len == 0)
+		return false;
+	for (size_t i = 0; i < name.len; i++) {
+		if (!is_name_byte(name.data[i]))
+			return false;
+	}
+	for (size_t i = 0; i < value.len; i++) {
+		if (g_ascii_iscntrl(value.data[i]) && value.data[i] != '\t')
+			return false;
+	}
+	return true;
+}
+
 /* Returns whether a field must not be forwarded, because it concerns only the
  * connection on which it came: one of the names below, or one that a Connection
  * field among the headers lists.
--- a/src/connection/http_head.h
+++ b/src/connection/http_head.h
@@ -46,6 +46,7 @@
 		       str_t *value);
 str_t http_headers_get(const http_headers_t *headers, const char *name);
 bool http_name_is(str_t name, const char *lower);
+bool http_is_valid_field(str_t name, str_t value);
 bool http_is_hop_by_hop(const http_headers_t *headers, str_t name);
 bool http_parse_uint(str_t text, int64_t *number);
 
--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -14,16 +14,23 @@
 	return !message->too_large;
 }
 
-/* Adds the header field that was read to the head, if there is one. */
-static void add_field(http_message_t *message)
+/* Adds the header field that was read to the head, if there is one. Returns false if it is
+ * not valid.
+ */
+static bool add_field(http_message_t *message)
 {
-	if (message->in_value)
-		http_headers_add(&message->head.headers,
-				 str_from_gstring(message->field_name),
-				 str_from_gstring(message->field_value));
+	str_t name = str_from_gstring(message->field_name);
+	str_t value = str_from_gstring(message->field_value);
+
+	if (message->in_value) {
+		if (!http_is_valid_field(name, value))
+			return false;
+		http_headers_add(&message->head.headers, name, value);
+	}
 	message->in_value = false;
 	g_string_truncate(message->field_name, 0);
 	g_string_truncate(message->field_value, 0);
+	return true;
 }
 
 /* Notes that the first byte of a message was read. */
@@ -53,8 +60,8 @@
 
 	if (message->head_done)
 		return 0; /* a trailer field */
-	if (message->in_value)
-		add_field(message);
+	if (message->in_value && !add_field(message))
+		return 1;
 	g_string_append_len(message->field_name, at, (gssize)len);
 	return !count_head_bytes(message, len);
 }
@@ -86,6 +93,45 @@
 	       parser->content_length == ULLONG_MAX;
 }
 
+/* Returns whether at most one field has a name, given in lower case. */
+static bool is_single(const http_message_t *message, const char *name)
+{
+	const http_headers_t *headers = &message->head.headers;
+	unsigned n = 0;
+
+	for (size_t i = 0; i < http_headers_count(headers); i++)
+		n += http_name_is(http_headers_at(headers, i).name, name);
+	return n <= 1;
+}
+
+/* Returns whether every reader of the head finds the same end of the body: it has no
+ * encoding but chunks, which HTTP/1.0 does not have.
+ */
+static bool has_one_framing(const http_message_t *message)
+{
+	str_t encoding;
+
+	if (!http_headers_find(&message->head.headers, "transfer-encoding",
+			       &encoding))
+		return true;
+	return is_single(message, "transfer-encoding") &&
+	       http_name_is(encoding, "chunked") &&
+	       (message->parser.http_major > 1 ||
+		message->parser.http_minor >= 1);
+}
+
+/* Returns whether the head can be read in one way only. Fields that say whose request it is
+ * may stand in a request once; HTTP/0.9 has no fields.
+ */
+static bool is_unambiguous(const http_message_t *message)
+{
+	if (!has_one_framing(message))
+		return false;
+	return !message->is_request ||
+	       (message->parser.http_major >= 1 && is_single(message, "host") &&
+		is_single(message, "x-request-id"));
+}
+
 /* Completes the head and passes it to the handler. Returns what http_parser
  * expects: 1 for a message without a body, -1 to stop.
  */
@@ -93,7 +139,8 @@
 {
 	http_message_t *message = parser->data;
 
-	add_field(message);
+	if (!add_field(message) || !is_unambiguous(message))
+		return -1;
 	message->head_done = true;
 	/* Protocol upgrades are not supported: what follows is parsed as
 	 * HTTP.
