Count the log lines that nobody reads, and drop them when the reader is gone

A closed reader of standard output ends no process: GIO ignores SIGPIPE once it has a socket, and the command does so from its begin now. But nothing counted the lines that were lost, and up to 256 KB of them were kept and tried again each 20 ms. They are dropped at EPIPE and counted as log_lines_dropped, as are those that find the buffer full.

--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -119,6 +119,9 @@
 	[COUNTER_ORDERS_SENT] = COUNTER("orders_sent", "Orders to engines."),
 	[COUNTER_ORDERS_REFUSED] =
 		COUNTER("orders_refused", "Orders that engines refused."),
+	[COUNTER_LOG_LINES_DROPPED] =
+		COUNTER("log_lines_dropped",
+			"Log lines dropped because nobody reads them."),
 	[GAUGE_REQUESTS_ACTIVE] =
 		GAUGE("requests_active", "Requests in progress."),
 	[GAUGE_QUARANTINE_RULES] =
--- a/src/process/entry/cmd_entry.c
+++ b/src/process/entry/cmd_entry.c
@@ -28,6 +28,8 @@
 	 * the settings are read below.
 	 */
 	(void)signal(SIGHUP, SIG_IGN);
+	/* So that a write to a log that nobody reads fails and ends nothing. */
+	(void)signal(SIGPIPE, SIG_IGN);
 	diag_init(&diag);
 	if (!entry_settings_load(path, &settings, &diag)) {
 		diag_print(&diag, errors);
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -1,10 +1,12 @@
 #include "process/log.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <poll.h>
 #include <unistd.h>
 
 #include "process/alarm.h"
+#include "process/counters.h"
 
 /*
  * Most bytes that wait for a reader of the log. Lines beyond are dropped and
@@ -117,6 +119,17 @@
 	log_append_value(logger.vm_fields, zone);
 }
 
+/* Drops the lines that wait, as their reader is gone for good. */
+static void drop_buffer(void)
+{
+	int64_t lines = 0;
+
+	for (gsize i = 0; i < logger.buffer->len; i++)
+		lines += logger.buffer->str[i] == '\n';
+	counters_add(COUNTER_LOG_LINES_DROPPED, lines);
+	g_string_truncate(logger.buffer, 0);
+}
+
 /* Writes as much of the buffer as the reader takes without blocking. */
 static void flush_buffer(void)
 {
@@ -127,6 +140,8 @@
 		ssize_t n = write(logger.fd, logger.buffer->str,
 				  MIN(logger.buffer->len, WRITE_MAX_BYTES));
 
+		if (n < 0 && errno == EPIPE)
+			drop_buffer();
 		if (n <= 0)
 			return;
 		g_string_erase(logger.buffer, 0, n);
@@ -161,6 +176,7 @@
 {
 	if (logger.buffer->len + line->len > BUFFER_MAX_BYTES) {
 		logger.dropped_lines++;
+		counters_add(COUNTER_LOG_LINES_DROPPED, 1);
 		return;
 	}
 	g_string_append_len(logger.buffer, line->str, (gssize)line->len);
--- a/tests/support_vm_process.c
+++ b/tests/support_vm_process.c
@@ -18,7 +18,6 @@
 			   const char *store_address, unsigned shutdown_limit_s)
 {
 	char *ready = unused_address();
-	char *metrics = unused_address();
 	char *text = g_strdup_printf("vm = \"%s\"\nzone = \"z\"\n"
 				     "callers_address = \"%s\"\n"
 				     "ready_address = \"%s\"\n"
@@ -26,14 +25,13 @@
 				     "peer_address = \"%s\"\n"
 				     "store_address = \"%s\"\n"
 				     "shutdown_limit_s = %u\n",
-				     name, vm->callers_address, ready, metrics,
-				     vm->peer_address, store_address,
-				     shutdown_limit_s);
+				     name, vm->callers_address, ready,
+				     vm->metrics_address, vm->peer_address,
+				     store_address, shutdown_limit_s);
 
 	assert_true(g_file_set_contents(vm->settings_path, text, -1, NULL));
 	g_free(text);
 	g_free(ready);
-	g_free(metrics);
 }
 
 /* Starts the process of a VM; it is not ready yet on return. */
@@ -48,11 +46,17 @@
 	vm->log_path = g_build_filename(vm->folder, "log", NULL);
 	vm->callers_address = unused_address();
 	vm->peer_address = unused_address();
+	vm->metrics_address = unused_address();
 	write_settings(vm, name, store_address, shutdown_limit_s);
 	args[1] = vm->settings_path;
-	assert_true(process_start_logged(&vm->process,
-					 program ? program : "gooseberryspur",
-					 args, vm->log_path, vm->log_path));
+	if (!program)
+		program = "gooseberryspur";
+	if (vm->logs_to_pipe)
+		assert_true(process_start(&vm->process, program, args,
+					  vm->log_path));
+	else
+		assert_true(process_start_logged(&vm->process, program, args,
+						 vm->log_path, vm->log_path));
 }
 
 /* Returns how often a text stands in the log of the process. */
@@ -83,4 +87,5 @@
 	g_free(vm->log_path);
 	g_free(vm->callers_address);
 	g_free(vm->peer_address);
+	g_free(vm->metrics_address);
 }
--- a/tests/support_vm_process.h
+++ b/tests/support_vm_process.h
@@ -14,6 +14,8 @@
 	char *log_path;
 	char *callers_address;
 	char *peer_address;
+	char *metrics_address;
+	bool logs_to_pipe; /* read by the test; set before the start */
 } vm_process_t;
 
 void vm_process_start(vm_process_t *vm, const char *name,
