--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -12,6 +12,7 @@
 #include "process/log.h"
 #include "process/entry/server_probe.h"
 #include "request/plain_call.h"
+#include "request/prefill_release.h"
 #include "request/stream_call.h"
 
 /* How long the link to a server or a peer may pass nothing before its connections count as
@@ -415,6 +416,7 @@
 	ingress_finish(&entry->peers);
 	ingress_finish(&entry->ready);
 	ingress_finish(&entry->metrics);
+	prefill_releases_cancel(&entry->relay);
 	relay_finish(&entry->relay);
 	occupancy_finish(&entry->occupancy);
 	server_set_finish(&entry->servers);
--- a/src/process/entry/stage_order_call.c
+++ b/src/process/entry/stage_order_call.c
@@ -1,20 +1,27 @@
 #include "process/entry/stage_order_call.h"
 
+#include "process/alarm.h"
 #include "process/log.h"
 #include "wire_fields.h"
 
 /* Largest body of an engine's answer to an order or a question. */
 #define MAX_BODY_BYTES 65536
 
+/* How long an engine may take to answer the question or the order. */
+#define ANSWER_TIMEOUT_US (2 * CLOCK_US_PER_S)
+
 /* The order to one engine. The engine's report is read first, for the number of
  * orders that it has accepted. The order names that number and holds only while
  * it is unchanged, so that an order which arrives late does no harm. An order
  * frees itself at its end.
  */
 typedef struct {
+	GQueue *calls; /* holds the order until its end */
 	http_pool_t *pool;
 	server_t *server; /* holds a reference */
 	char *vm; /* name of the VM that gives the order */
+	http_call_t *call; /* in progress; NULL: none */
+	alarm_t deadline; /* of that call */
 	GString *body; /* of the answer, as far as received */
 	int64_t fencing_token;
 	int64_t valid_until_us; /* the order is not sent later */
@@ -35,6 +42,8 @@
 		  LOG_CSTR("server", order->server->entry.id),
 		  LOG_CSTR("result", result), LOG_UINT("status", order->status),
 		  LOG_INT("fence", order->fencing_token));
+	g_queue_remove(order->calls, order);
+	alarm_finish(&order->deadline);
 	server_unref(order->server);
 	g_string_free(order->body, TRUE);
 	g_free(order->vm);
@@ -87,6 +96,7 @@
 	order_t *order = context;
 	engine_report_t report;
 
+	order->call = NULL;
 	if (end != CALL_ANSWERED)
 		finish_order(order, "unanswered");
 	else if (order->sending_order)
@@ -120,7 +130,22 @@
 	};
 
 	g_string_truncate(order->body, 0);
-	return http_pool_call(order->pool, &options) != NULL;
+	order->call = http_pool_call(order->pool, &options);
+	if (order->call)
+		alarm_set(&order->deadline,
+			  clock_now(&order->pool->clock) + ANSWER_TIMEOUT_US);
+	return order->call != NULL;
+}
+
+/* Ends a call that the engine does not answer. Whether it took the order is unknown; the
+ * order names the number of those before it, so that a late one does no harm.
+ */
+static void on_deadline(void *context)
+{
+	order_t *order = context;
+
+	http_call_cancel(order->call);
+	finish_order(order, "timeout");
 }
 
 /* Sends an order to an engine, after its report was read. Nothing is reported; how the
@@ -131,10 +156,13 @@
 	GString *message = g_string_new(NULL);
 	order_t *order = g_new0(order_t, 1);
 
+	order->calls = request->calls;
+	g_queue_push_tail(order->calls, order);
 	order->pool = request->pool;
 	order->server = server_ref(request->server);
 	order->vm = g_strdup(request->vm);
 	order->body = g_string_new(NULL);
+	alarm_init(&order->deadline, order->pool->clock, on_deadline, order);
 	order->fencing_token = request->fencing_token;
 	order->valid_until_us = request->valid_until_us;
 	order->to_prefill = request->to_stage == STAGE_PREFILL;
@@ -146,3 +174,15 @@
 		finish_order(order, "no connection");
 	g_string_free(message, TRUE);
 }
+
+/* Cancels the calls in progress. Whether an engine took its order is unknown. */
+void stage_orders_cancel(GQueue *calls)
+{
+	while (!g_queue_is_empty(calls)) {
+		order_t *order = g_queue_peek_head(calls);
+
+		if (order->call)
+			http_call_cancel(order->call);
+		finish_order(order, "cancelled");
+	}
+}
--- a/src/process/entry/stage_order_call.h
+++ b/src/process/entry/stage_order_call.h
@@ -19,10 +19,12 @@
 	int64_t fencing_token;
 	int64_t valid_until_us; /* the order is not sent later */
 	stage_t to_stage;
+	GQueue *calls; /* to which the call belongs while it is in progress */
 	stage_order_answer_fn_t on_answer; /* NULL: none */
 	void *context; /* for on_answer; outlives the call */
 } stage_order_request_t;
 
 void stage_order_send(const stage_order_request_t *request);
+void stage_orders_cancel(GQueue *calls);
 
 #endif
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -62,7 +62,7 @@
 enum { WORD_HOLDER, WORD_FENCING_TOKEN, WORD_TIME, WORD_STAGE, WORDS_N };
 
 /* Sends an order of the round being prepared to one of its engines. */
-static void start_order(const stage_orders_t *orders, server_t *server)
+static void start_order(stage_orders_t *orders, server_t *server)
 {
 	stage_order_request_t request = {
 		.pool = orders->server_pool,
@@ -71,6 +71,7 @@
 		.fencing_token = orders->fencing_token,
 		.valid_until_us = orders->write_sent_us + HOLD_US,
 		.to_stage = orders->to_stage,
+		.calls = &orders->order_calls,
 		.on_answer = orders->on_answer,
 		.context = orders->context,
 	};
@@ -526,9 +527,10 @@
 	store_call_init(&orders->call, store_pool);
 }
 
-/* Drops a round that is being prepared. Orders already started go on. */
+/* Drops a round that is being prepared, and cancels the calls to engines. */
 void stage_orders_finish(stage_orders_t *orders)
 {
+	stage_orders_cancel(&orders->order_calls);
 	store_call_finish(&orders->call);
 	g_ptr_array_unref(orders->chosen);
 	g_hash_table_unref(orders->round_states);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -74,6 +74,7 @@
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
 	size_t kept_bytes; /* of responses that are kept until complete */
+	GQueue releases; /* of prefill results, in progress */
 } relay_t;
 
 /* Retry-After of a request that a process refuses because it ends (another VM may take it
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -3,8 +3,8 @@
 #include "process/counters.h"
 #include "process/log.h"
 #include "request/peer_call.h"
+#include "request/prefill_release.h"
 #include "request/request_keys.h"
-#include "request/server_notice.h"
 
 /* Counts the prompt as work of a prefill engine in the occupancy that all VMs
  * see. Keeps a reference to the engine.
@@ -58,77 +58,15 @@
 	stream->decode = NULL;
 }
 
-/* The release of a prefill result. It frees itself at its end. */
-typedef struct {
-	relay_t *relay;
-	server_t *server; /* holds a reference */
-} release_t;
-
-/* Records what the engine says of itself. */
-static void on_release_head(void *context, const http_head_t *head)
-{
-	release_t *release = context;
-
-	server_notice_read(release->relay, release->server, head, "release");
-}
-
-/* Frees a release; how it ended does not matter. */
-static void on_released(void *context, call_end_t end)
-{
-	release_t *release = context;
-
-	server_unref(release->server);
-	g_free(release);
-}
-
-/* Ignores the answer to the release of a prefill result. */
-static void ignore_body(void *context, const char *data, size_t len)
-{
-}
-
-static const call_handler_t release_handler = {
-	.on_head = on_release_head,
-	.on_body = ignore_body,
-	.on_end = on_released,
-};
-
-/* Largest answer to the release of a prefill result. */
-#define MAX_RELEASE_BYTES 65536
-
-/* Asks the prefill engine to free a result that no decode engine will fetch.
- * Nothing depends on the answer: the engine soon drops the result by itself.
- */
+/* Asks the prefill engine to free a result that no decode engine will fetch. */
 static void release_prefill_result(stream_t *stream)
 {
-	GString *message;
-	http_call_options_t options;
-	release_t *release;
-
 	if (!stream->kv_handle || !stream->kv_source || !stream->prefilled_by)
 		return;
 	counters_add(COUNTER_PREFILL_TOKENS_WASTED,
 		     stream->request.fields.prompt_tokens);
-	if (server_is_paused(stream->prefilled_by,
-			     clock_now(&stream->request.relay->clock)))
-		return;
-	message = g_string_new(NULL);
-	release = g_new(release_t, 1);
-	release->relay = stream->request.relay;
-	release->server = server_ref(stream->prefilled_by);
-	options = (http_call_options_t){
-		.message = message,
-		.max_body_bytes = MAX_RELEASE_BYTES,
-		.handler = &release_handler,
-		.context = release,
-	};
-	options.address = g_strndup(stream->kv_source,
-				    strlen(stream->kv_source) -
-					    strlen(stream->kv_handle) - 1);
-	append_handle_release(message, options.address, stream->kv_handle);
-	if (!http_pool_call(release->relay->pool, &options))
-		on_released(release, CALL_NOT_SENT);
-	g_free((char *)options.address);
-	g_string_free(message, TRUE);
+	prefill_release_start(stream->request.relay, stream->prefilled_by,
+			      stream->kv_source, stream->kv_handle);
 }
 
 /* Forgets a prefill result that was fetched or is not needed. */
