Read what callers have sent before their connection counts as late

After a pause of a VM's process (stopped, or a long turn of its main loop) in which a connection's idle time, or the time for the rest of a request, had ended, requests that had arrived meanwhile were closed without an answer or answered with 408. A change of idleTimeoutMs to a small value makes that time short.

Both listeners, for callers and for other VMs, share the code and are in the test.

A connection whose time is over first reads the bytes that wait in the kernel, in the same turn, and is ended only if that brings nothing whole. Reading in the alarm, not in the next turn, leaves no turn in which the alarm comes first once more.

Bytes that arrive between the last look and the close are not read.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -118,14 +118,19 @@
 		ingress_connection_watch_output(connection);
 }
 
+/* Sets the deadline by which the next part of a request must have come. */
+static void await_part(ingress_connection_t *connection, int64_t timeout_us)
+{
+	connection->alarm_put_off = false;
+	alarm_set(&connection->alarm,
+		  clock_now(&connection->ingress->clock) + timeout_us);
+}
+
 /* Starts the idle timeout of a connection. */
 static void await_activity(ingress_connection_t *connection)
 {
-	const ingress_t *ingress = connection->ingress;
-
-	alarm_set(&connection->alarm, clock_now(&ingress->clock) +
-					      ingress->limits.idle_timeout_us +
-					      IDLE_MARGIN_US);
+	await_part(connection, connection->ingress->limits.idle_timeout_us +
+				       IDLE_MARGIN_US);
 }
 
 /* Resets a connection for its next request, and starts the idle timeout. */
@@ -191,18 +196,13 @@
 	ingress_connection_close(connection);
 }
 
-/* Goes on with the bytes received, or ends a connection whose time is over:
- * with a status 408 if a request has begun, without a response if not.
+/* Ends a connection whose time is over: with a status 408 if a request has begun,
+ * without a response if not.
  */
-static void on_alarm(void *context)
+static void end_late(ingress_connection_t *connection)
 {
-	ingress_connection_t *connection = context;
-
 	if (connection->state == CONNECTION_READING &&
-	    connection->unparsed->len > 0)
-		parse_requests(connection);
-	else if (connection->state == CONNECTION_READING &&
-		 connection->message.started)
+	    connection->message.started)
 		reject_request(connection, 408);
 	else if (connection->state == CONNECTION_READING &&
 		 tcp_unsent_bytes(&connection->tcp) > 0)
@@ -211,6 +211,48 @@
 		close_idle(connection);
 }
 
+/* Reads what has arrived on a connection whose time is over. If that is not the whole part
+ * that was awaited, the caller gets the same time for the rest, once: while the
+ * process did not run, the kernel may have had no room for it.
+ */
+static void read_late(ingress_connection_t *connection)
+{
+	const ingress_limits_t *limits = &connection->ingress->limits;
+	bool in_head = connection->message.started &&
+		       !connection->message.head_done;
+	bool put_off = connection->alarm_put_off;
+
+	if (!tcp_read_unread(&connection->tcp))
+		return;
+	if (connection->state != CONNECTION_READING ||
+	    connection->alarm.at_us >= 0)
+		return;
+	if (put_off) {
+		end_late(connection);
+		return;
+	}
+	await_part(connection,
+		   in_head ? limits->head_timeout_us : limits->idle_timeout_us);
+	connection->alarm_put_off = true;
+}
+
+/* Goes on with the bytes received, or ends a connection whose time is over. After a pause
+ * of the process, bytes that came on time may be unread; they are read first.
+ */
+static void on_alarm(void *context)
+{
+	ingress_connection_t *connection = context;
+
+	if (connection->state == CONNECTION_READING &&
+	    connection->unparsed->len > 0)
+		parse_requests(connection);
+	else if (connection->state == CONNECTION_READING &&
+		 tcp_has_unread(&connection->tcp))
+		read_late(connection);
+	else
+		end_late(connection);
+}
+
 /* Checks the head of a request, and sends the interim response that a caller
  * may wait for before it sends the body. Returns false if the request is
  * rejected.
@@ -239,8 +281,7 @@
 		tcp_write(&connection->tcp, "HTTP/1.1 100 Continue\r\n\r\n",
 			  25);
 	/* The time for the body is the idle timeout, counted from here. */
-	alarm_set(&connection->alarm,
-		  clock_now(&ingress->clock) + ingress->limits.idle_timeout_us);
+	await_part(connection, ingress->limits.idle_timeout_us);
 	return true;
 }
 
@@ -301,10 +342,8 @@
 		g_string_erase(connection->unparsed, 0, (gssize)used);
 		if (!started && connection->message.started &&
 		    !connection->message.head_done)
-			alarm_set(&connection->alarm,
-				  clock_now(&connection->ingress->clock) +
-					  connection->ingress->limits
-						  .head_timeout_us);
+			await_part(connection,
+				   connection->ingress->limits.head_timeout_us);
 		if (connection->reject_status ||
 		    (result != HTTP_FEED_MORE && result != HTTP_FEED_DONE))
 			reject_request(connection,
--- a/src/connection/ingress_connection.h
+++ b/src/connection/ingress_connection.h
@@ -40,6 +40,7 @@
 	 * request if it has been received already.
 	 */
 	alarm_t alarm;
+	bool alarm_put_off; /* once, as bytes had arrived that were not read */
 	/* Checks that the caller reads; set while output is unsent. */
 	alarm_t output_alarm;
 	uint64_t output_sent_bytes; /* when it was set */
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -144,6 +144,16 @@
 		tcp->handler->on_output_flushed(tcp->context);
 }
 
+/* Returns the number of bytes that have arrived and were not read yet. */
+static int unread_bytes(const tcp_t *tcp)
+{
+	int bytes = 0;
+
+	if (!tcp->source || ioctl(tcp->fd, FIONREAD, &bytes) < 0)
+		return 0;
+	return bytes;
+}
+
 /* Reads once when the socket is readable and reports the data or the end. */
 static void read_ready(tcp_t *tcp)
 {
@@ -158,6 +168,24 @@
 		end_connection(tcp, end_of_error(errno));
 }
 
+/* Reads the bytes that have arrived on an open connection, without waiting for the main
+ * loop, and reports them or the end. Returns whether the connection is still open.
+ */
+bool tcp_read_unread(tcp_t *tcp)
+{
+	GSource *source = g_source_ref(tcp->source);
+	int bytes = unread_bytes(tcp);
+	bool open = true;
+
+	while (open && tcp->reading && bytes > 0) {
+		read_ready(tcp);
+		bytes -= READ_BUFFER_BYTES;
+		open = !g_source_is_destroyed(source);
+	}
+	g_source_unref(source);
+	return open;
+}
+
 /* Handles the events of a connection, which a callback may have closed. */
 static gboolean dispatch(GSource *source, GSourceFunc fn, gpointer data)
 {
@@ -204,10 +232,7 @@
 /* Returns whether bytes have arrived that were not read yet. */
 bool tcp_has_unread(const tcp_t *tcp)
 {
-	int bytes = 0;
-
-	return tcp->source && ioctl(tcp->fd, FIONREAD, &bytes) == 0 &&
-	       bytes > 0;
+	return unread_bytes(tcp) > 0;
 }
 
 /* Returns whether the other side has sent bytes, closed or reset the connection, which
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -56,6 +56,7 @@
 
 const char *tcp_end_text(tcp_end_t end);
 bool tcp_has_unread(const tcp_t *tcp);
+bool tcp_read_unread(tcp_t *tcp);
 bool tcp_is_readable(const tcp_t *tcp);
 bool tcp_connect(tcp_t *tcp, GSocketAddress *address,
 		 const tcp_options_t *options, const tcp_handler_t *handler,
--- a/tests/test_idle_callers.c
+++ b/tests/test_idle_callers.c
@@ -655,36 +655,72 @@
 /* A request may be put off once, for as long as its time is. */
 #define DRIBBLE_LIMIT_MS (2 * MAX(HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS) + 500)
 #define DRIBBLE_STEP_US 2000
+#define MAX_STOPS 6
 
-/* Sends a byte at a time, from a byte on that is not the last part of the request, and
- * returns the time until the VM has answered.
- */
-static int64_t dribble_us(fixture_t *fixture, bool body)
+/* Bytes of a part that is sent in single bytes; more than a test sends. */
+#define DRIBBLE_BYTES 30000
+
+/* Sends a request up to the middle of its head or its body. */
+static caller_t *begin_to_dribble(fixture_t *fixture, bool body)
 {
 	caller_t *caller = connect_caller(fixture, false, false);
-	int64_t start_us;
 
 	begin_request(caller);
 	g_free(caller->request);
-	caller->request =
-		g_strdup_printf("POST /u/x HTTP/1.1\r\nHost: h\r\n"
-				"X-Request-Id: r%u-%u\r\nContent-Length: %d"
-				"\r\n%s%0*d",
-				caller->number, caller->begun, 60000,
-				body ? "\r\n" : "X-Long: ", 30000, 0);
-	send_until(caller, strlen(caller->request) - 30000);
-	start_us = now_us();
-	while (!caller->answer->len && !caller->ended &&
+	caller->request = g_strdup_printf(
+		"POST /u/x HTTP/1.1\r\nHost: h\r\n"
+		"X-Request-Id: r%u-%u\r\nContent-Length: %d"
+		"\r\n%s%0*d",
+		caller->number, caller->begun, 2 * DRIBBLE_BYTES,
+		body ? "\r\n" : "X-Long: ", DRIBBLE_BYTES, 0);
+	send_until(caller, strlen(caller->request) - DRIBBLE_BYTES);
+	return caller;
+}
+
+/* Returns whether a caller's request was ended before it was whole. */
+static bool is_cut_short(const caller_t *caller)
+{
+	return g_str_has_prefix(caller->answer->str, "HTTP/1.1 408 ") ||
+	       caller->ended;
+}
+
+/* Sends single bytes, and returns the time until the VM ends the request. */
+static int64_t dribble_us(fixture_t *fixture, bool body)
+{
+	caller_t *caller = begin_to_dribble(fixture, body);
+	int64_t start_us = now_us();
+
+	while (!is_cut_short(caller) &&
 	       now_us() < start_us + WAIT_MS * CLOCK_US_PER_MS) {
 		send_until(caller, caller->sent + 1);
 		run_until(fixture, now_us() + DRIBBLE_STEP_US);
 	}
-	assert_true(!caller->answer->len ||
-		    g_str_has_prefix(caller->answer->str, "HTTP/1.1 408 "));
 	disconnect_callers(fixture);
 	return now_us() - start_us;
 }
 
+/* Sends one byte each time that the VM is stopped over the end of a request's time, and
+ * returns how often until the VM ends the request.
+ */
+static unsigned count_put_off(fixture_t *fixture, bool body)
+{
+	caller_t *caller = begin_to_dribble(fixture, body);
+	unsigned stops = 0;
+
+	run_until(fixture, now_us() + 50 * CLOCK_US_PER_MS);
+	while (!is_cut_short(caller) && stops < MAX_STOPS) {
+		stops++;
+		process_signal(&fixture->vm.process, SIGSTOP);
+		run_until(fixture,
+			  now_us() + (HEAD_TIMEOUT_MS + 100) * CLOCK_US_PER_MS);
+		send_until(caller, caller->sent + 1);
+		process_signal(&fixture->vm.process, SIGCONT);
+		run_until(fixture, now_us() + 50 * CLOCK_US_PER_MS);
+	}
+	disconnect_callers(fixture);
+	return stops;
+}
+
 /* Guards against callers that hold connections for ever, by a byte of a request now and
  * then.
  */
@@ -702,6 +738,13 @@
 			      (int)(took_us / CLOCK_US_PER_MS));
 		assert_true(took_us < DRIBBLE_LIMIT_MS * CLOCK_US_PER_MS);
 	}
+	for (unsigned i = 0; i < 2; i++) {
+		unsigned stops = count_put_off(&fixture, i);
+
+		print_message("%s, a byte in each stop: ended after %u\n",
+			      i ? "body" : "head", stops);
+		assert_true(stops <= 2);
+	}
 	finish(&fixture);
 	g_source_remove(wake);
 }
