Test requests whose rest arrives while serve is stopped (fails)

None of the 12 was run. Of requests that came meanwhile from their first byte on, 12 of 12 were answered.

--- a/tests/test_listener.c
+++ b/tests/test_listener.c
@@ -26,6 +26,8 @@
  */
 #define CONNECT_TIMEOUT_MS 500
 
+#define STOPS_PER_TIMING 4
+
 static deployment_t deployment;
 
 /* Starts a deployment with low limits. */
@@ -205,6 +207,137 @@
 	assert_int_equal(connected, BURST_CONNECTIONS);
 }
 
+/* Sends a part of a text, from a byte on up to another one. */
+static void send_part(int fd, const char *text, size_t from, size_t to)
+{
+	assert_int_equal(write(fd, text + from, to - from), to - from);
+}
+
+/* Reads an answer whose body is a JSON object, and returns its status; 0: the connection
+ * ended before.
+ */
+static int read_status(int fd)
+{
+	struct pollfd wait = {fd, POLLIN, 0};
+	char text[4096];
+	size_t len = 0;
+
+	do {
+		ssize_t n;
+
+		assert_int_equal(poll(&wait, 1, CLOSE_TIMEOUT_MS), 1);
+		n = read(fd, text + len, sizeof(text) - 1 - len);
+		if (n <= 0)
+			return 0;
+		len += (size_t)n;
+		text[len] = '\0';
+	} while (!g_str_has_suffix(text, "}") &&
+		 !g_str_has_suffix(text, "}\n"));
+	return atoi(text + strlen("HTTP/1.1 "));
+}
+
+/* Up to where a request is sent. */
+typedef enum {
+	SENT_NOTHING,
+	SENT_HALF_A_HEAD,
+	SENT_HEAD,
+	SENT_WHOLE,
+	SENT_N,
+} sent_part_t;
+
+/* What is sent before the router is stopped and before it goes on; the rest is sent after
+ * that.
+ */
+typedef struct {
+	const char *name;
+	sent_part_t before, meanwhile;
+} stop_timing_t;
+
+/* Sends a second request on a kept connection whose receive time ends while the router is
+ * stopped. Returns the status of the answer.
+ */
+static int status_after_stop(const char *request, const stop_timing_t *timing)
+{
+	size_t head_len = (size_t)(strstr(request, "\r\n\r\n") + 4 - request);
+	const size_t ends[SENT_N] = {0, head_len / 2, head_len,
+				     strlen(request)};
+	int fd = connect_to_callers();
+	int status;
+
+	send_part(fd, request, 0, ends[SENT_WHOLE]);
+	assert_int_equal(read_status(fd), 200);
+	g_usleep(200 * 1000);
+	send_part(fd, request, 0, ends[timing->before]);
+	g_usleep(50 * 1000);
+	process_signal(&deployment.router[0], SIGSTOP);
+	g_usleep(20 * 1000);
+	send_part(fd, request, ends[timing->before], ends[timing->meanwhile]);
+	g_usleep(300 * 1000);
+	process_signal(&deployment.router[0], SIGCONT);
+	g_usleep(30 * 1000);
+	/* The router may have closed the connection. */
+	(void)send(fd, request + ends[timing->meanwhile],
+		   ends[SENT_WHOLE] - ends[timing->meanwhile], MSG_NOSIGNAL);
+	status = read_status(fd);
+	close(fd);
+	return status;
+}
+
+/* Returns how many prefills the engine has been sent. */
+static int64_t count_prefills(void)
+{
+	http_answer_t answer =
+		http_get(deployment.operators_address[0], "/metrics");
+	static const char key[] = "\ngooseberryspur_prefills_total ";
+	const char *at = strstr(answer.text, key);
+	int64_t value;
+
+	assert_non_null(at);
+	value = strtoll(at + strlen(key), NULL, 10);
+	http_answer_finish(&answer);
+	return value;
+}
+
+/* Guards against requests that have arrived on time and are cut, as they are or after they
+ * were passed on, because the router's process did not run as their connection's time
+ * ended.
+ */
+static void test_stop_over_the_end_of_the_time(void **state)
+{
+	static const char body[] =
+		"{\"model\":\"summaries\",\"prompt\":\"a\",\"max_tokens\":1}";
+	static const stop_timing_t timings[] = {
+		{"whole", SENT_NOTHING, SENT_WHOLE},
+		{"head only", SENT_NOTHING, SENT_HEAD},
+		{"half a head", SENT_NOTHING, SENT_HALF_A_HEAD},
+		{"rest of a head", SENT_HALF_A_HEAD, SENT_WHOLE},
+		{"rest of a head without the body", SENT_HALF_A_HEAD,
+		 SENT_HEAD},
+		{"body after the head", SENT_HEAD, SENT_WHOLE},
+	};
+	char *request = g_strdup_printf(
+		"POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+		"Authorization: Bearer " DEPLOYMENT_TOKEN "\r\n"
+		"Content-Type: application/json\r\nContent-Length: %zu\r\n"
+		"\r\n%s",
+		strlen(body), body);
+	unsigned all_lost = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(timings); i++) {
+		int64_t prefills = count_prefills() + STOPS_PER_TIMING;
+		unsigned lost = 0;
+
+		for (unsigned round = 0; round < STOPS_PER_TIMING; round++)
+			lost += status_after_stop(request, &timings[i]) != 200;
+		print_message("%s: %u of %d lost, %d had run\n",
+			      timings[i].name, lost, STOPS_PER_TIMING,
+			      (int)(count_prefills() - prefills));
+		all_lost += lost;
+	}
+	g_free(request);
+	assert_int_equal(all_lost, 0);
+}
+
 /* Guards against more requests in progress than a VM allows. */
 static void test_requests_in_progress_are_bounded(void **state)
 {
@@ -263,6 +396,7 @@
 		cmocka_unit_test(test_large_requests_are_refused),
 		cmocka_unit_test(test_endless_body_is_cut),
 		cmocka_unit_test(test_burst_connects),
+		cmocka_unit_test(test_stop_over_the_end_of_the_time),
 		cmocka_unit_test(test_requests_in_progress_are_bounded),
 		cmocka_unit_test(test_still_serves),
 	};
