Give a request in serve time when its rest has arrived but is not read

Requests to serve that had begun, and whose rest arrived while the process was stopped over the end of the receive time, were cut without an answer, as the timer is handled before the socket when both are ready in one turn of the main loop.

When the time of a request is over and bytes wait to be read, it gets the same time once more; libsoup reads them in the same turn or the next. That happens once for each request: a caller that sends a byte in each of several pauses is ended in the second one, and nothing is run of it (test_bytes_in_several_stops).

--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -14,6 +14,7 @@
 	int64_t max_body_bytes; /* the connection is shut down above it */
 	guint timer; /* source of the receive timeout; 0: none */
 	bool shut_down; /* the connection, because of the body */
+	bool put_off; /* the timeout, as bytes had arrived that were not read */
 	bool head_read; /* only the body is missing */
 } receive_state_t;
 
@@ -52,18 +53,43 @@
 		g_socket_shutdown(socket, TRUE, TRUE, NULL);
 }
 
+/* Returns whether bytes have arrived on a connection that libsoup has yet to read. */
+static bool has_unread(const receive_state_t *receive)
+{
+	GSocket *socket = soup_server_message_get_socket(receive->message);
+
+	return socket && g_socket_get_available_bytes(socket) > 0;
+}
+
+static void start_receive_timer(receive_state_t *receive);
+
 /* Shuts down the connection of a client that sends too slowly, without a
- * response: such a client may be holding many connections open.
+ * response: such a client may be holding many connections open. If bytes wait to be
+ * read, as after a pause of the process, the client gets the same time once more.
  */
 static gboolean on_receive_timeout(gpointer data)
 {
 	receive_state_t *receive = data;
 
 	receive->timer = 0;
-	shut_down_socket(receive->message);
+	if (!receive->put_off && has_unread(receive)) {
+		receive->put_off = true;
+		start_receive_timer(receive);
+	} else {
+		shut_down_socket(receive->message);
+	}
 	return G_SOURCE_REMOVE;
 }
 
+/* Starts the receive timeout of a request. */
+static void start_receive_timer(receive_state_t *receive)
+{
+	int64_t limit_us = receive->listener->limits.receive_timeout_us;
+
+	receive->timer = g_timeout_add((guint)(limit_us / CLOCK_US_PER_MS),
+				       on_receive_timeout, receive);
+}
+
 /* Stops the receive timeout once the request is complete. */
 static void on_got_body(SoupServerMessage *message, gpointer data)
 {
@@ -81,14 +107,12 @@
 {
 	listener_t *listener = data;
 	receive_state_t *receive = g_new0(receive_state_t, 1);
-	int64_t limit_us = listener->limits.receive_timeout_us;
 
 	receive->listener = listener;
 	receive->message = message;
 	g_queue_push_tail(&listener->receiving, receive);
 	receive->max_body_bytes = listener->limits.max_body_bytes;
-	receive->timer = g_timeout_add((guint)(limit_us / CLOCK_US_PER_MS),
-				       on_receive_timeout, receive);
+	start_receive_timer(receive);
 	g_object_set_data_full(G_OBJECT(message), RECEIVE_KEY, receive,
 			       free_receive_state);
 	g_signal_connect(message, "got-body", G_CALLBACK(on_got_body), receive);
@@ -342,11 +366,8 @@
 	for (const GList *link = listener->receiving.head; link;
 	     link = link->next) {
 		const receive_state_t *receive = link->data;
-		GSocket *socket =
-			soup_server_message_get_socket(receive->message);
 
-		if (receive->head_read ||
-		    (socket && g_socket_get_available_bytes(socket) > 0))
+		if (receive->head_read || has_unread(receive))
 			return true;
 	}
 	return false;
--- a/tests/test_listener.c
+++ b/tests/test_listener.c
@@ -27,6 +27,7 @@
 #define CONNECT_TIMEOUT_MS 500
 
 #define STOPS_PER_TIMING 4
+#define MAX_STOPS 6
 
 static deployment_t deployment;
 
@@ -153,7 +154,7 @@
 				     filler);
 	char *body =
 		g_strdup_printf("POST /v1/completions HTTP/1.1\r\n"
-				"Host: a\r\nContent-Length: 5000\r\n\r\n%s",
+				"Host: a\r\nContent-Length: 4900\r\n\r\n%s",
 				filler);
 
 	assert_refused(head, "HTTP/1.1 413");
@@ -207,6 +208,11 @@
 	assert_int_equal(connected, BURST_CONNECTIONS);
 }
 
+static void sleep_ms(gulong ms)
+{
+	g_usleep(ms * 1000);
+}
+
 /* Sends a part of a text, from a byte on up to another one. */
 static void send_part(int fd, const char *text, size_t from, size_t to)
 {
@@ -266,15 +272,15 @@
 
 	send_part(fd, request, 0, ends[SENT_WHOLE]);
 	assert_int_equal(read_status(fd), 200);
-	g_usleep(200 * 1000);
+	sleep_ms(200);
 	send_part(fd, request, 0, ends[timing->before]);
-	g_usleep(50 * 1000);
+	sleep_ms(50);
 	process_signal(&deployment.router[0], SIGSTOP);
-	g_usleep(20 * 1000);
+	sleep_ms(20);
 	send_part(fd, request, ends[timing->before], ends[timing->meanwhile]);
-	g_usleep(300 * 1000);
+	sleep_ms(300);
 	process_signal(&deployment.router[0], SIGCONT);
-	g_usleep(30 * 1000);
+	sleep_ms(30);
 	/* The router may have closed the connection. */
 	(void)send(fd, request + ends[timing->meanwhile],
 		   ends[SENT_WHOLE] - ends[timing->meanwhile], MSG_NOSIGNAL);
@@ -338,6 +344,51 @@
 	assert_int_equal(all_lost, 0);
 }
 
+/* Returns whether a connection has ended without an answer. */
+static bool has_ended(int fd)
+{
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT);
+
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/* Guards against a caller that holds a connection for ever by a byte in each pause of the
+ * process, and against a request that is run although its connection was ended, as the
+ * rest of it came with the last byte.
+ */
+static void test_bytes_in_several_stops(void **state)
+{
+	static const char request[] =
+		"POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+		"Authorization: Bearer " DEPLOYMENT_TOKEN "\r\n"
+		"Content-Type: application/json\r\nContent-Length: 49\r\n"
+		"\r\n{\"model\":\"summaries\",\"prompt\":\"a\","
+		"\"max_tokens\":1}";
+	int64_t prefills = count_prefills();
+	int fd = connect_to_callers();
+	size_t sent = 20;
+	unsigned stops = 0;
+
+	send_part(fd, request, 0, sent);
+	sleep_ms(50);
+	while (stops < MAX_STOPS && !has_ended(fd)) {
+		size_t end = stops ? strlen(request) : sent + 1;
+
+		process_signal(&deployment.router[0], SIGSTOP);
+		sleep_ms(350);
+		(void)send(fd, request + sent, end - sent, MSG_NOSIGNAL);
+		sent = end;
+		process_signal(&deployment.router[0], SIGCONT);
+		sleep_ms(100);
+		stops++;
+	}
+	close(fd);
+	print_message("ended after %u stops\n", stops);
+	assert_int_equal(stops, 2);
+	assert_int_equal(count_prefills(), prefills);
+}
+
 /* Guards against more requests in progress than a VM allows. */
 static void test_requests_in_progress_are_bounded(void **state)
 {
@@ -397,6 +448,7 @@
 		cmocka_unit_test(test_endless_body_is_cut),
 		cmocka_unit_test(test_burst_connects),
 		cmocka_unit_test(test_stop_over_the_end_of_the_time),
+		cmocka_unit_test(test_bytes_in_several_stops),
 		cmocka_unit_test(test_requests_in_progress_are_bounded),
 		cmocka_unit_test(test_still_serves),
 	};
