--- a/tests/support_deployment.c
+++ b/tests/support_deployment.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "support_http.h"
+#include "support_vm_process.h"
 
 #define READY_TIMEOUT_MS 20000
 #define RPC_SECRET "000102030405060708090a0b0c0d0e0f"
@@ -294,9 +295,11 @@
 	char *path = settings_path(deployment, index);
 	const char *const args[] = {"serve", "--settings", path, NULL};
 	process_t *process = &deployment->router[index];
+	const char *program = g_getenv(VM_PROGRAM_VARIABLE);
 	char *rest;
 
-	if (!process_start(process, "gooseberryspur", args, NULL))
+	if (!process_start(process, program ? program : "gooseberryspur", args,
+			   NULL))
 		give_up("gooseberryspur cannot be started");
 	rest = process_wait_line(process, "ready", READY_TIMEOUT_MS);
 	if (!rest)
