Keep a stream of serve while no other engine could go on with it

When all decode engines were silent for 1.0 to 1.3 s, serve gave each stream up after its 1.0 s and the resumed one 0.15 s later, and paid for another prefill of each out of the retry budget; when that was empty, streams ended with "retry budget empty" that needed nothing but the engine that they had.

A stream that is silent for too long is kept if its engine and all others of its pool that are not leaving have left a load poll unanswered for over 0.3 s, and checked again each 50 ms: until tokens come, another engine answers, or the request's deadline or TCP ends the call. The time is counted from the first poll without an answer, as idle engines are polled only each second, so that a late poll does not count as silence. The call's own limit of 1.0 s without bytes is gone, which the timer for silence has covered all along; it would have ended the call before that question.

What remains: when all engines are gone without a reset, such streams end at their deadline or when TCP gives up, no longer when the retries are spent.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -81,6 +81,7 @@
 		return;
 	}
 	entry->load_answered_at_us = clock_now(&entry->backends->clock);
+	entry->unanswered_since_us = 0;
 	entry->kv_total = load->kv_total;
 	entry->kv_used = load->kv_used;
 	entry->running = load->running;
@@ -131,9 +132,12 @@
 	str_t address = str_from(entry->address);
 	int64_t deadline_us = now_us + POLL_TIMEOUT_US;
 
-	if (!entry->poll && is_load_due(backends, entry))
+	if (!entry->poll && is_load_due(backends, entry)) {
+		if (!entry->unanswered_since_us)
+			entry->unanswered_since_us = now_us;
 		entry->poll = engine_fetch_load(backends->client, address,
 						deadline_us, on_load, entry);
+	}
 	if (!entry->cache_poll && entry->prefill &&
 	    backends->poll_count % POLLS_PER_SLOW_POLL == 0)
 		entry->cache_poll = engine_fetch_cache_events(
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -41,6 +41,7 @@
 	int64_t queued; /* requests */
 	int64_t reported_at_us; /* 0: no report yet */
 	int64_t load_answered_at_us; /* last answer to a load poll */
+	int64_t unanswered_since_us; /* first load poll after it; 0: none */
 	int64_t failed_until_us; /* gets no new work before, after failures */
 	int failures; /* in a row */
 	int64_t in_flight; /* calls of this process */
--- a/src/request/execute_decode.c
+++ b/src/request/execute_decode.c
@@ -23,6 +23,12 @@
 #define RESUMED_POLL_MISSED_TIMEOUT_US (150 * CLOCK_US_PER_MS)
 #define LOAD_POLL_MISSED_US (300 * CLOCK_US_PER_MS)
 
+/* Of the call itself: its silence timer looks at the other engines too. */
+#define NO_IDLE_LIMIT 0
+
+/* How often a stream that no engine could take over is checked. */
+#define SILENCE_CHECK_MS 50
+
 /* How often an import that waits for a transfer slot asks for one; short
  * compared with the time for which a prefill result is retained.
  */
@@ -240,8 +246,36 @@
 			      on_silence_timer, request);
 }
 
-/* Cancels the stream if it has been silent for too long; otherwise sets the
- * timer again.
+/* Returns whether an engine has left a load poll unanswered. */
+static bool is_engine_silent(const backend_entry_t *engine, int64_t now_us)
+{
+	return engine->unanswered_since_us &&
+	       now_us - engine->unanswered_since_us > LOAD_POLL_MISSED_US;
+}
+
+/* Returns whether all engines that could go on with the stream are silent, the one that
+ * runs it too. To give the stream up would gain nothing then, and cost a prefill.
+ */
+static bool is_pool_silent(const request_t *request)
+{
+	const GPtrArray *entries = request->router->backends.entries;
+	int64_t now_us = execute_now(request);
+
+	if (!is_engine_silent(request->engine, now_us))
+		return false;
+	for (guint i = 0; i < entries->len; i++) {
+		const backend_entry_t *entry = g_ptr_array_index(entries, i);
+
+		if (entry->present && !entry->leaving &&
+		    g_str_equal(entry->pool, request->engine->pool) &&
+		    !is_engine_silent(entry, now_us))
+			return false;
+	}
+	return true;
+}
+
+/* Cancels the stream if it has been silent for too long and another engine could go on
+ * with it; otherwise sets the timer again.
  */
 static gboolean on_silence_timer(gpointer data)
 {
@@ -256,6 +290,11 @@
 		start_silence_timer(request);
 		return G_SOURCE_REMOVE;
 	}
+	if (is_pool_silent(request)) {
+		request->timer = g_timeout_add(SILENCE_CHECK_MS,
+					       on_silence_timer, request);
+		return G_SOURCE_REMOVE;
+	}
 	execute_log_call(request, "decode", ENGINE_TIMED_OUT);
 	scheduler_decode_ended(request->ticket, request->engine, false, 0, 0);
 	execute_abort_call(request);
@@ -285,7 +324,7 @@
 	args.id = execute_attempt_id(request);
 	request->call = engine_decode(&request->router->client,
 				      str_from(request->engine->address), &args,
-				      request->deadline_us, STREAM_IDLE_MAX_US,
+				      request->deadline_us, NO_IDLE_LIMIT,
 				      on_token, on_decode_end, request);
 	if (!request->call)
 		request_feed(request,
