Set no user timeout for a call that is kept to its deadline

Where no other server may help, silence must not end the call at all: such a call has no user timeout now, and as many keep-alive probes as its deadline is away; a call that may go on elsewhere has the limits of the pool again.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -30,8 +30,8 @@
 /* Silence after which TCP keepalive probes the server. */
 #define KEEPALIVE_IDLE_S 1
 
-/* Longest user timeout of a connection. */
-#define MAX_USER_TIMEOUT_MS (3600 * 1000)
+/* The kernel takes no larger number of keep-alive probes. */
+#define MAX_KEEPALIVE_PROBES 127
 
 /* The connections to one address. */
 typedef struct {
@@ -54,7 +54,7 @@
 	GString *id;
 	int64_t reuse_until_us; /* while idle: not used after this time */
 	int64_t heard_us; /* when bytes came last, or the request was sent */
-	unsigned user_timeout_ms; /* that is set on the connection */
+	bool is_kept; /* see keep_until_us in http_call_options_t */
 	alarm_t connect_alarm; /* ends a connection not established in time */
 	size_t max_body_bytes; /* see http_call_options_t */
 	size_t body_bytes; /* of the response, so far */
@@ -479,30 +479,40 @@
 				  host->pool->connect_timeout_us);
 	host->connections++;
 	host->pool->connections_opened++;
-	call->user_timeout_ms = options.user_timeout_ms;
 	call->id = g_string_new(NULL);
 	call->handler = handler;
 	http_message_init(&call->message, false, &message_handler, call);
 	return call;
 }
 
-/* Sets how long the link of a connection may pass nothing while it carries a call. */
-static void set_user_timeout(http_call_t *call,
-			     const http_call_options_t *options)
+/* Returns how many probes, one a second, keep a connection beyond a time. */
+static int probes_until(const http_call_t *call, int64_t until_us)
 {
-	const http_pool_t *pool = call->host->pool;
-	int64_t left_ms = (options->keep_until_us - clock_now(&pool->clock)) /
-			  CLOCK_US_PER_MS;
-	unsigned timeout_ms = pool->user_timeout_ms;
+	int64_t left_us = until_us - clock_now(&call->host->pool->clock);
 
-	if (timeout_ms == 0)
-		return;
-	if (left_ms > timeout_ms)
-		timeout_ms = (unsigned)MIN(left_ms, MAX_USER_TIMEOUT_MS);
-	if (timeout_ms == call->user_timeout_ms)
+	return (int)CLAMP(left_us / CLOCK_US_PER_S + 1, TCP_KEEPALIVE_PROBES,
+			  MAX_KEEPALIVE_PROBES);
+}
+
+/* Sets what ends a connection that carries a call when the link passes nothing. A call that
+ * is kept has no user timeout: the kernel may count it from an earlier time at which the
+ * other side took no bytes, and the connection has carried other calls.
+ */
+static void set_silence_limits(http_call_t *call,
+			       const http_call_options_t *options)
+{
+	unsigned user_timeout_ms = call->host->pool->user_timeout_ms;
+
+	if (user_timeout_ms == 0)
 		return;
-	tcp_set_user_timeout(&call->tcp, timeout_ms);
-	call->user_timeout_ms = timeout_ms;
+	if (options->keep_until_us > 0)
+		tcp_set_silence_limits(&call->tcp, 0,
+				       probes_until(call,
+						    options->keep_until_us));
+	else if (call->is_kept)
+		tcp_set_silence_limits(&call->tcp, user_timeout_ms,
+				       TCP_KEEPALIVE_PROBES);
+	call->is_kept = options->keep_until_us > 0;
 }
 
 /* Sends a request. Returns NULL if no connection can be begun; the handler is
@@ -538,7 +548,7 @@
 	call->skipped_bytes = 0;
 	call->interim_responses = 0;
 	call->heard_us = clock_now(&pool->clock);
-	set_user_timeout(call, options);
+	set_silence_limits(call, options);
 	expect_response(call);
 	tcp_write(&call->tcp, options->message->str, options->message->len);
 	return call;
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -57,8 +57,8 @@
 	const GString *message; /* head and body of the request; copied */
 	bool new_connection; /* don't use one that is open already */
 	bool is_head; /* the method is HEAD: the response has no body */
-	/* A link that passes nothing does not end the call before this time, if that
-	 * is later than the pool's user timeout allows; 0: that holds.
+	/* A link that passes nothing does not end the call before this time; 0: the
+	 * pool's user timeout holds.
 	 */
 	int64_t keep_until_us;
 	/* The call ends as malformed when its response has a larger body; 0: any
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -9,11 +9,8 @@
 #include <unistd.h>
 
 #define READ_BUFFER_BYTES 16384
-/* Time between keep-alive probes, and how many in a row without a reply end the
- * connection.
- */
+/* Time between keep-alive probes. */
 #define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 2
 
 /* The event source of a connection. */
 typedef struct {
@@ -44,7 +41,7 @@
 		set_socket_option(fd, IPPROTO_TCP, TCP_KEEPINTVL,
 				  KEEPALIVE_INTERVAL_S);
 		set_socket_option(fd, IPPROTO_TCP, TCP_KEEPCNT,
-				  KEEPALIVE_PROBES);
+				  TCP_KEEPALIVE_PROBES);
 	}
 }
 
@@ -304,14 +301,18 @@
 	update_events(tcp);
 }
 
-/* Sets how long the link may pass nothing, not even an acknowledgment, before the connection
- * ends. Does nothing on a closed connection.
+/* Sets what ends the connection when the link passes nothing, not even an acknowledgment: the
+ * user timeout (0: none), or without one so many probes in a row without a reply, after the
+ * idle time and each at an interval of a second. Does nothing on a closed connection.
  */
-void tcp_set_user_timeout(tcp_t *tcp, unsigned timeout_ms)
+void tcp_set_silence_limits(tcp_t *tcp, unsigned user_timeout_ms,
+			    int keepalive_probes)
 {
-	if (tcp->source)
-		set_socket_option(tcp->fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-				  (int)timeout_ms);
+	if (!tcp->source)
+		return;
+	set_socket_option(tcp->fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			  (int)user_timeout_ms);
+	set_socket_option(tcp->fd, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
 /* Starts or stops reading. While stopped, an orderly close by the other side is
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -10,6 +10,11 @@
 
 #include "process/str.h"
 
+/* How many keep-alive probes in a row without a reply end a connection that has no user
+ * timeout.
+ */
+#define TCP_KEEPALIVE_PROBES 2
+
 /* Why a connection ended. */
 typedef enum {
 	TCP_END_NOT_CONNECTED, /* the connection was never established */
@@ -64,7 +69,8 @@
 void tcp_adopt(tcp_t *tcp, int fd, const tcp_options_t *options,
 	       const tcp_handler_t *handler, void *context);
 void tcp_write(tcp_t *tcp, const char *data, size_t len);
-void tcp_set_user_timeout(tcp_t *tcp, unsigned timeout_ms);
+void tcp_set_silence_limits(tcp_t *tcp, unsigned user_timeout_ms,
+			    int keepalive_probes);
 void tcp_set_reading(tcp_t *tcp, bool reading);
 void tcp_shutdown_write(tcp_t *tcp);
 size_t tcp_unsent_bytes(const tcp_t *tcp);
