Use a server again as soon as its entry is back

What callers saw: the entries of all engines lapsed for half a second while the engines were silent, and for 5 s after they were back all VMs refused streams with no_engine, where there were two VMs or more.

Cause: a VM that reads that an entry is gone announces the server as departed for 3 s, and the others give it no work until 6 s after that was read. The return of the entry ended neither.

A VM that reads the return announces the departure no longer. A VM that has read the return itself does not take an announcement that may be of the time before it: the other one may read later. A server that had begun to leave stays so.

--- a/src/process/decide/departures.c
+++ b/src/process/decide/departures.c
@@ -43,6 +43,28 @@
 	g_array_append_val(departures->list, departure);
 }
 
+/* Forgets a server whose entry is back in the list. */
+void departures_cancel(departures_t *departures, const char *server)
+{
+	for (guint i = 0; i < departures->list->len; i++) {
+		const departure_t *departure =
+			&g_array_index(departures->list, departure_t, i);
+
+		if (g_str_equal(departure->server, server)) {
+			g_array_remove_index(departures->list, i);
+			return;
+		}
+	}
+}
+
+/* Returns whether an announcement that a server gets no work until a time may tell of a
+ * departure that was read before the server's entry came back.
+ */
+bool departures_may_be_before(int64_t until_us, int64_t returned_us)
+{
+	return returned_us != 0 && until_us <= returned_us + AVOIDED_US;
+}
+
 /* Appends the servers that are announced to an array of occupancy_unavailable_t, and
  * forgets those that have been announced for long enough.
  */
--- a/src/process/decide/departures.h
+++ b/src/process/decide/departures.h
@@ -6,6 +6,8 @@
 #ifndef PROCESS_DEPARTURES_H
 #define PROCESS_DEPARTURES_H
 
+#include <stdbool.h>
+
 #include "process/decide/occupancy.h"
 
 /* A server that leaves or has left. */
@@ -22,6 +24,8 @@
 void departures_finish(departures_t *departures);
 void departures_add(departures_t *departures, const char *server,
 		    int64_t now_us);
+void departures_cancel(departures_t *departures, const char *server);
+bool departures_may_be_before(int64_t until_us, int64_t returned_us);
 void departures_append_to(departures_t *departures, GArray *unavailable,
 			  int64_t now_us);
 
--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -51,6 +51,7 @@
 	int64_t changing_until_us; /* was ordered to change its stage */
 	int64_t avoided_until_us; /* its work failed, here or at a peer */
 	int64_t paused_until_us; /* it wants no requests from this VM */
+	int64_t returned_us; /* when its entry came back; 0: was never gone */
 	unsigned consecutive_failures; /* seen by this VM */
 	int64_t suspicion_ended_us; /* when it last stopped being suspect */
 	unsigned in_flight; /* this VM's requests */
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -108,6 +108,7 @@
 		server->entry = *entry;
 		server->paused_until_us = removed ? removed->paused_until_us
 						  : 0;
+		server->returned_us = removed ? now_us : 0;
 		g_hash_table_insert(set->by_id, server->entry.id, server);
 		server_addresses_add(set, server);
 	} else {
--- a/src/process/entry/entry_list.c
+++ b/src/process/entry/entry_list.c
@@ -80,3 +80,11 @@
 	departures_add(&entry->departures, server, clock_now(&entry->clock));
 	announce_schedule(&entry->announce);
 }
+
+/* Tells the other VMs no longer that a server has left whose entry is back. */
+void entry_on_return(void *context, const char *server)
+{
+	entry_t *entry = context;
+
+	departures_cancel(&entry->departures, server);
+}
--- a/src/process/entry/entry_list.h
+++ b/src/process/entry/entry_list.h
@@ -11,5 +11,6 @@
 void entry_on_list_reader_failed(void *context);
 void entry_on_said_leaving(void *context, const char *server);
 void entry_on_departure(void *context, const char *server);
+void entry_on_return(void *context, const char *server);
 
 #endif
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -141,6 +141,7 @@
 	.on_config = on_config,
 	.on_servers = on_servers,
 	.on_departure = entry_on_departure,
+	.on_return = entry_on_return,
 	.on_vm = on_vm,
 	.on_round = on_round,
 	.on_crash_row = on_crash_row,
@@ -187,14 +188,15 @@
 
 /* Applies a peer's announcement that a server gets no work until a time. The
  * server changes its stage, which this VM may not know if it cannot reach the
- * store, or its work failed.
+ * store, or its work failed, or it has left. The last does not hold if this VM has read
+ * since that its entry is back, which the peer may read later.
  */
 static void on_peer_unavailable(void *context, const char *id, int64_t until_us)
 {
 	entry_t *entry = context;
 	server_t *server = server_set_find(&entry->servers, id);
 
-	if (server)
+	if (server && !departures_may_be_before(until_us, server->returned_us))
 		server->avoided_until_us =
 			MAX(server->avoided_until_us, until_us);
 }
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -276,6 +276,8 @@
 		rows->handler->on_departure(rows->context, row->key);
 	} else if (!was_known) {
 		log_server(&server->entry, "added");
+		if (server->returned_us != 0 && !server->entry.leaving)
+			rows->handler->on_return(rows->context, row->key);
 		if (server_addresses_is_shared(rows->servers, server))
 			log_address(rows, server);
 	} else if (server->entry.stage != stage) {
--- a/src/process/entry/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -28,6 +28,8 @@
 	void (*on_servers)(void *context);
 	/* A server was read to be leaving, or to be gone from the list. */
 	void (*on_departure)(void *context, const char *server);
+	/* The entry of a server that was gone is back. */
+	void (*on_return)(void *context, const char *server);
 	/* A VM's row was read or has changed. When it was removed, `address`
 	 * is empty and `row_version` 0.
 	 */
--- a/tests/support_store_reader.c
+++ b/tests/support_store_reader.c
@@ -53,6 +53,7 @@
 	.on_round = on_round,
 	.on_crash_row = on_crash_row,
 	.on_departure = on_departure,
+	.on_return = on_departure,
 	.on_software_row = on_software_row,
 	.on_own_sync = on_own_sync,
 };
