Drop the rest of a request whose call is given up

What was seen: a caller leaves 0.25 s after its request was sent over a link that passes nothing; 1.3 s later, when the link is back, the request reaches its server and runs, safe or unsafe.

Cause: close() does not withdraw what the other side has not acknowledged; the kernel sends it for as long as the user timeout allows, or its own limits. A call that is cancelled, or has failed, closes its connection with a reset if something is not acknowledged. A server that has the request and whose acknowledgment was lost gets the reset, or one in answer to its own next segment.

test_request_of_a_caller_that_left: before, 1 request of each kind after its caller had left; now 0. The tests of the pool, of callers that leave and of broken answers pass.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -74,13 +74,25 @@
 static const tcp_handler_t tcp_handler;
 static const http_message_handler_t message_handler;
 
+/* Closes the connection of a call that is given up or has failed. If parts of the request are
+ * not acknowledged, the kernel would go on to send them, and the server could run a request
+ * that nobody waits for: a reset drops them.
+ */
+static void close_connection(http_call_t *call)
+{
+	if (tcp_has_unacknowledged(&call->tcp))
+		tcp_finish_reset(&call->tcp);
+	else
+		tcp_finish(&call->tcp);
+}
+
 /* Closes the connection and frees its memory. The handler is not called. */
 static void free_call(http_call_t *call)
 {
 	if (!call->handler)
 		g_queue_remove(&call->host->idle, call);
 	call->host->connections--;
-	tcp_finish(&call->tcp);
+	close_connection(call);
 	alarm_finish(&call->connect_alarm);
 	http_message_finish(&call->message);
 	g_string_free(call->id, TRUE);
@@ -562,7 +574,7 @@
 		return;
 	}
 	call->cancelled = true;
-	tcp_finish(&call->tcp);
+	close_connection(call);
 }
 
 /* Ends a call as malformed, because of what its response holds. To be called by the
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -1,6 +1,7 @@
 #include "connection/tcp.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -339,6 +340,19 @@
 	return tcp->out ? tcp->out->len - tcp->out_sent_bytes : 0;
 }
 
+/* Returns whether output may not have arrived: it is buffered here, or the other side has
+ * not acknowledged it.
+ */
+bool tcp_has_unacknowledged(const tcp_t *tcp)
+{
+	int bytes = 0;
+
+	if (!tcp->source)
+		return false;
+	return tcp_unsent_bytes(tcp) > 0 ||
+	       (ioctl(tcp->fd, SIOCOUTQ, &bytes) == 0 && bytes > 0);
+}
+
 /* Closes the connection without calling the handler, and drops buffered output.
  * May be called again.
  */
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -61,6 +61,7 @@
 
 const char *tcp_end_text(tcp_end_t end);
 bool tcp_has_unread(const tcp_t *tcp);
+bool tcp_has_unacknowledged(const tcp_t *tcp);
 bool tcp_read_unread(tcp_t *tcp);
 bool tcp_is_readable(const tcp_t *tcp);
 bool tcp_connect(tcp_t *tcp, GSocketAddress *address,
--- a/tests/test_silent_links.c
+++ b/tests/test_silent_links.c
@@ -48,6 +48,7 @@
 	bool link_up;
 	alarm_t next;
 	int64_t last_event_us;
+	unsigned plain_requests; /* that came to the plain server */
 	GString *body; /* of the answer to the caller */
 	unsigned status;
 	bool ended;
@@ -204,6 +205,7 @@
 
 static void plain_on_request(void *context, exchange_t *exchange)
 {
+	((fixture_t *)context)->plain_requests++;
 	begin(context, exchange, false);
 }
 
@@ -261,9 +263,11 @@
 	return ((fixture_t *)context)->ended;
 }
 
-/* Sends a request over a new connection and waits for the end of its answer. */
-static void ask(fixture_t *fixture, const char *method, const char *path)
+/* Sends a request over a new connection. Returns its call, or NULL. */
+static http_call_t *begin_asking(fixture_t *fixture, const char *method,
+				 const char *path)
 {
+	http_call_t *call;
 	GString *message = g_string_new(NULL);
 	http_call_options_t options = {
 		.address = fixture->vm.callers_address,
@@ -281,9 +285,16 @@
 			"X-Deadline-Ms: 14000\r\nX-Token-Count: 1000,200\r\n"
 			"Content-Length: 0\r\n\r\n",
 			method, path);
-	if (!http_pool_call(&fixture->callers, &options))
-		fixture->ended = true;
+	call = http_pool_call(&fixture->callers, &options);
 	g_string_free(message, TRUE);
+	return call;
+}
+
+/* Sends a request and waits for the end of its answer. */
+static void ask(fixture_t *fixture, const char *method, const char *path)
+{
+	if (!begin_asking(fixture, method, path))
+		fixture->ended = true;
 	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
 }
 
@@ -386,6 +397,15 @@
 /* Silences of sound servers last a second or so. */
 #define SILENT_MS 1300
 
+/* How long a caller waits that leaves during a silence. */
+#define CALLER_WAITS_MS 250
+
+/* Its requests. */
+static const struct {
+	const char *method;
+	const char *path;
+} left_paths[] = {{"GET", "/s/x"}, {"POST", "/s/u/x"}};
+
 /* A link that does not come back during a test. */
 #define DEAD_MS 60000
 
@@ -487,6 +507,36 @@
 	finish(&fixture);
 }
 
+/* Guards against a request that reaches its server when its link passes segments again,
+ * although its caller has left meanwhile.
+ */
+static void test_request_of_a_caller_that_left(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	http_call_t *call;
+	unsigned before;
+
+	start(&fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS(left_paths); i++) {
+		await_served(&fixture);
+		before = fixture.plain_requests;
+		set_all_links_up(&fixture, false);
+		call = begin_asking(&fixture, left_paths[i].method,
+				    left_paths[i].path);
+
+		support_run_loop_ms(CALLER_WAITS_MS);
+		http_call_cancel(call);
+		support_run_loop_ms(SILENT_MS - CALLER_WAITS_MS);
+		set_all_links_up(&fixture, true);
+		support_run_loop_ms(2 * SILENT_MS);
+		print_message("%s: %u requests after the caller had left\n",
+			      left_paths[i].path,
+			      fixture.plain_requests - before);
+		assert_int_equal(fixture.plain_requests, before);
+	}
+	finish(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -494,6 +544,7 @@
 		cmocka_unit_test(test_plain_request_outlasts_a_silence),
 		cmocka_unit_test(test_dead_link_of_resumable_stream),
 		cmocka_unit_test(test_dead_link_of_other_stream),
+		cmocka_unit_test(test_request_of_a_caller_that_left),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
