Read a stream no faster than its caller

What callers saw: an engine, or another VM, sends events without an end, or faster than the caller reads. The VM kept all that the caller had not read yet; out of memory, its process ended, and the requests of all its callers with it.

Cause: exchange_write() and tcp_write() buffer without a limit, and nobody asked how much waits. Bytes that the kernel had taken were dropped from the buffer only when it became empty, so that a caller who is always a little behind made it grow with the whole stream.

A stream whose caller has more than 64 KB to be read in the VM's own buffer is not read from its engine, or from the VM that it was passed to, until the caller has read some of that. The sent part of the buffer is dropped once it is the larger part. An engine that is not read from does not count as silent, and the pause does not count as its pace. When its connection ends meanwhile, what has come before is still read. The deadline and the limit of 10 s for a caller that reads nothing stay as they were.

The sound streams come whole and in order.

Ruled out: a limit at which the stream is cut; it would cut sound streams of slow callers.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -2,6 +2,11 @@
 
 #include <arpa/inet.h>
 
+/* A caller for whom more output waits than this is behind. The kernel keeps some more
+ * for it. One VM has hundreds of streams, and the smallest VMs have 88 MB.
+ */
+#define MAX_UNSENT_BYTES 65536
+
 /* Returns the head of the request, borrowed until the exchange ends. */
 const http_head_t *exchange_head(const exchange_t *exchange)
 {
@@ -177,6 +182,14 @@
 	ingress_connection_watch_output(exchange->connection);
 }
 
+/* Returns whether so much of a stream waits for its caller that no more should be written
+ * until the handler's on_caught_up is called.
+ */
+bool exchange_is_behind(const exchange_t *exchange)
+{
+	return tcp_unsent_bytes(&exchange->connection->tcp) > MAX_UNSENT_BYTES;
+}
+
 /* Ends a stream whose body is complete. Ends the exchange. */
 void exchange_end_stream(exchange_t *exchange)
 {
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -141,6 +141,7 @@
 	call->handler = NULL;
 	call->context = NULL;
 	call->reuse_until_us = until_us;
+	tcp_set_reading(&call->tcp, true);
 	http_message_restart(&call->message);
 	g_queue_push_head(&call->host->idle, call);
 	handler->on_end(context, CALL_ANSWERED);
@@ -539,6 +540,14 @@
 	call->rejected = true;
 }
 
+/* Stops or goes on to take the response from the server, which it then sends no faster. While
+ * it is stopped, the end of the response and an orderly close are not noticed.
+ */
+void http_call_set_reading(http_call_t *call, bool reading)
+{
+	tcp_set_reading(&call->tcp, reading);
+}
+
 /* Returns whether the response being read can only be to this call: it repeats the call's
  * ID, or the connection has carried no other call of which it could be a late copy.
  */
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -78,6 +78,7 @@
 			    const http_call_options_t *options);
 void http_call_cancel(http_call_t *call);
 void http_call_reject(http_call_t *call);
+void http_call_set_reading(http_call_t *call, bool reading);
 bool http_call_is_own_response(const http_call_t *call);
 bool http_call_is_connected(const http_call_t *call);
 void http_pool_close_idle(http_pool_t *pool, const char *address);
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -345,20 +345,29 @@
 	ingress_connection_close(connection);
 }
 
-/* Shuts down the sending side after the last byte of the last response. */
-static void on_output_flushed(void *context)
+/* Tells the handler that its caller has caught up, and shuts down the sending side after
+ * the last byte of the last response.
+ */
+static void on_output_sent(void *context)
 {
 	ingress_connection_t *connection = context;
+	const ingress_t *ingress = connection->ingress;
+	bool all_sent = tcp_unsent_bytes(&connection->tcp) == 0;
 
-	alarm_set(&connection->output_alarm, -1);
-	if (connection->state == CONNECTION_LINGERING)
+	if (all_sent)
+		alarm_set(&connection->output_alarm, -1);
+	if (all_sent && connection->state == CONNECTION_LINGERING)
 		end_output(connection);
+	if (is_answering(connection) && ingress->handler->on_caught_up &&
+	    !exchange_is_behind(&connection->exchange))
+		ingress->handler->on_caught_up(ingress->context,
+					       &connection->exchange);
 }
 
 static const tcp_handler_t tcp_handler = {
 	.on_data = on_data,
 	.on_end = on_end,
-	.on_output_flushed = on_output_flushed,
+	.on_output_sent = on_output_sent,
 };
 
 /* Sets up a connection that was accepted; it owns the descriptor. */
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -29,6 +29,10 @@
 	 * complete. The exchange no longer exists after the return.
 	 */
 	void (*on_gone)(void *context, exchange_t *exchange);
+	/* Optional. The caller has read, and exchange_is_behind() is false; also
+	 * called when it was false before.
+	 */
+	void (*on_caught_up)(void *context, exchange_t *exchange);
 } ingress_handler_t;
 
 /* A listening socket and the connections accepted on it. */
@@ -73,6 +77,7 @@
 void exchange_start_stream(exchange_t *exchange, unsigned status,
 			   const http_headers_t *headers);
 void exchange_write(exchange_t *exchange, const char *data, size_t len);
+bool exchange_is_behind(const exchange_t *exchange);
 void exchange_end_stream(exchange_t *exchange);
 void exchange_abort(exchange_t *exchange);
 
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -140,8 +140,8 @@
 		return;
 	}
 	update_events(tcp);
-	if (tcp_unsent_bytes(tcp) == 0 && tcp->handler->on_output_flushed)
-		tcp->handler->on_output_flushed(tcp->context);
+	if (tcp->handler->on_output_sent)
+		tcp->handler->on_output_sent(tcp->context);
 }
 
 /* Reads once when the socket is readable and reports the data or the end. */
@@ -169,14 +169,13 @@
 	if (ready & G_IO_OUT || (tcp->connecting && ready))
 		write_ready(tcp);
 	if (!finished && !tcp->connecting) {
-		if (ready & G_IO_IN && tcp->reading)
+		/* The connection was reset or timed out, or both directions are
+		 * closed: what has come before is read, also while reading is
+		 * stopped.
+		 */
+		if ((ready & G_IO_IN && tcp->reading) ||
+		    ready & (G_IO_ERR | G_IO_HUP))
 			read_ready(tcp);
-		else if (ready & (G_IO_ERR | G_IO_HUP))
-			/* The connection was reset or timed out, or both
-			 * directions are closed, and nothing is read any more.
-			 */
-			end_connection(tcp,
-				       end_of_error(socket_error(tcp->fd)));
 	}
 	if (!finished)
 		tcp->finished = NULL;
@@ -262,6 +261,15 @@
 	attach(tcp, fd, handler, context);
 }
 
+/* Drops the sent part of the buffered output once it is the larger part. */
+static void drop_sent(tcp_t *tcp)
+{
+	if (tcp->out_sent_bytes <= tcp->out->len / 2)
+		return;
+	g_string_erase(tcp->out, 0, (gssize)tcp->out_sent_bytes);
+	tcp->out_sent_bytes = 0;
+}
+
 /*
  * Buffers output and hands as much as possible to the kernel. A failure is
  * reported by on_end from the main loop, never from within this function. Does
@@ -273,6 +281,7 @@
 
 	if (!tcp->source)
 		return;
+	drop_sent(tcp);
 	g_string_append_len(tcp->out, data, (gssize)len);
 	if (idle && !tcp->connecting)
 		(void)flush(tcp); /* an error shows again when polled */
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -1,5 +1,6 @@
 /* A non-blocking TCP connection on the thread-default main loop. Output that
- * the kernel does not accept at once is buffered without a limit.
+ * the kernel does not accept at once is buffered without a limit: who writes has to
+ * heed tcp_unsent_bytes().
  */
 #ifndef CONNECTION_TCP_H
 #define CONNECTION_TCP_H
@@ -26,11 +27,12 @@
 	 * or the network ended it; not after tcp_finish().
 	 */
 	void (*on_end)(void *context, tcp_end_t end);
-	/* Optional. Called when the main loop has handed all buffered output to
-	 * the kernel, also when none was buffered as the connection was
-	 * established; not for output that tcp_write() hands over at once.
+	/* Optional. Called when the main loop has handed buffered output to the
+	 * kernel, of which tcp_unsent_bytes() may be left; also when none was
+	 * buffered as the connection was established; not for output that
+	 * tcp_write() hands over at once.
 	 */
-	void (*on_output_flushed)(void *context);
+	void (*on_output_sent)(void *context);
 } tcp_handler_t;
 
 /* A connection; all zero before it is opened. */
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -132,9 +132,19 @@
 		request->on_gone(request->owner);
 }
 
+/* Informs the request, if one was started, that its caller is not behind. */
+static void caller_caught_up(void *context, exchange_t *exchange)
+{
+	relay_request_t *request = exchange_context(exchange);
+
+	if (request && request->on_caught_up)
+		request->on_caught_up(request->owner);
+}
+
 static const ingress_handler_t caller_handler = {
 	.on_request = caller_request,
 	.on_gone = caller_gone,
+	.on_caught_up = caller_caught_up,
 };
 
 /* Tries to admit waiting streams. Called by the alarm that a change sets. */
--- a/src/request/peer_call.c
+++ b/src/request/peer_call.c
@@ -145,7 +145,9 @@
 				      &call->headers);
 }
 
-/* Passes a piece of a stream on at once, and keeps one of another answer. */
+/* Passes a piece of a stream on at once, and takes no more while the caller is behind; keeps
+ * one of another answer.
+ */
 static void on_body(void *context, const char *data, size_t len)
 {
 	peer_call_t *call = context;
@@ -153,6 +155,8 @@
 
 	if (call->streaming) {
 		exchange_write(call->request.exchange, data, len);
+		if (exchange_is_behind(call->request.exchange))
+			http_call_set_reading(call->call, false);
 		return;
 	}
 	if (!relay_may_keep(relay, call->body->len, len)) {
@@ -298,6 +302,15 @@
 	finish(call);
 }
 
+/* Goes on with a stream whose caller was behind. */
+static void on_caught_up(void *context)
+{
+	peer_call_t *call = context;
+
+	if (call->call)
+		http_call_set_reading(call->call, true);
+}
+
 /* Ends a request because the process ends. */
 static void on_stop(void *context)
 {
@@ -336,6 +349,7 @@
 	relay->active++;
 	call->request.on_gone = on_gone;
 	call->request.on_stop = on_stop;
+	call->request.on_caught_up = on_caught_up;
 	call->request.owner = call;
 	exchange_set_context(request->exchange, &call->request);
 	alarm_set(&call->deadline, request->deadline_us + ANSWER_MARGIN_US);
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -405,6 +405,8 @@
 
 	request->sent_to[request->n_sent_to++ % RELAY_SENT_TO_MAX] = process;
 	send->status = 0;
+	send->paused = false;
+	send->read_again_us = 0;
 	send->is_own = false;
 	send->for_peer = request->from_peer;
 	memset(&send->fields, 0, sizeof(send->fields));
@@ -497,6 +499,27 @@
 	relay->kept_bytes += len;
 }
 
+/* Takes no more of the response for now, as its caller is behind. To be called while the
+ * call is in progress.
+ */
+void relay_send_pause(relay_send_t *send)
+{
+	if (send->paused)
+		return;
+	send->paused = true;
+	http_call_set_reading(send->call, false);
+}
+
+/* Goes on with a response that was paused. Allowed when none is in progress. */
+void relay_send_read_again(relay_send_t *send)
+{
+	if (!send->paused || !send->call)
+		return;
+	send->paused = false;
+	send->read_again_us = clock_now(&send->relay->clock);
+	http_call_set_reading(send->call, true);
+}
+
 /* Releases the server after the call has ended. Allowed when none is in
  * progress.
  */
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -90,6 +90,8 @@
 	server_t *server; /* owns a reference; NULL: none in progress */
 	http_call_t *call; /* NULL when it has ended */
 	int64_t sent_us;
+	int64_t read_again_us; /* when it was read again last; 0: never */
+	bool paused; /* it is not read, as its caller is behind */
 	unsigned status; /* of the response; 0: none has arrived */
 	bool body_until_close; /* see http_head_t */
 	response_fields_t fields;
@@ -126,6 +128,8 @@
 	void (*on_gone)(void *owner); /* the caller has disconnected */
 	/* The process ends: the request is answered now, or its answer is cut. */
 	void (*on_stop)(void *owner);
+	/* The caller is no longer behind with its stream. NULL: never is. */
+	void (*on_caught_up)(void *owner);
 	void *owner; /* the call or stream that this is part of */
 } relay_request_t;
 
@@ -164,6 +168,8 @@
 		      const call_handler_t *handler, void *context);
 void relay_send_read_head(relay_send_t *send, const http_head_t *head);
 void relay_send_keep(relay_send_t *send, const char *data, size_t len);
+void relay_send_pause(relay_send_t *send);
+void relay_send_read_again(relay_send_t *send);
 void relay_send_release(relay_send_t *send);
 void relay_send_cancel(relay_send_t *send);
 void relay_record_misdirected(relay_t *relay, server_t *server,
--- a/src/request/stream_call.c
+++ b/src/request/stream_call.c
@@ -217,6 +217,14 @@
 		stream_fail(stream, 502, RELAY_STOPPING_REASON);
 }
 
+/* Goes on with a stream whose caller was behind. */
+static void on_caught_up(void *context)
+{
+	stream_t *stream = context;
+
+	relay_send_read_again(&stream->send);
+}
+
 /* Returns the output expected of a request that states no estimate: the mean of
  * the service, or else a share of the limit.
  */
@@ -301,6 +309,7 @@
 	}
 	request->on_gone = on_gone;
 	request->on_stop = on_stop;
+	request->on_caught_up = on_caught_up;
 	request->owner = stream;
 	relay_send_init(&stream->send, relay);
 	event_split_init(&stream->event_split);
@@ -329,12 +338,18 @@
 	return true;
 }
 
-/* Makes the decode engine of a stream suspect when it is silent. */
+/* Makes the decode engine of a stream suspect when it is silent. Nothing is known of one from
+ * which the stream is not read.
+ */
 static void check_decode(const stream_t *stream, int64_t now_us)
 {
-	server_t *server = stream->send.server;
-	int64_t since_us = MAX(server->last_received_us, stream->send.sent_us);
+	const relay_send_t *send = &stream->send;
+	server_t *server = send->server;
+	int64_t since_us = MAX(server->last_received_us,
+			       MAX(send->sent_us, send->read_again_us));
 
+	if (send->paused)
+		return;
 	if (now_us - since_us >= SILENCE_US)
 		stream_mark_engine_silent(server, since_us, now_us);
 }
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -177,7 +177,8 @@
 		int64_t gap_us = now_us - stream->last_event_us;
 
 		stream->longest_gap_us = MAX(stream->longest_gap_us, gap_us);
-		if (gap_us <= MAX_PACE_GAP_US)
+		if (gap_us <= MAX_PACE_GAP_US &&
+		    stream->send.read_again_us < stream->last_event_us)
 			workload_observe_gap(relay_own_workload(request),
 					     now_us, gap_us,
 					     streams_at(stream, now_us));
@@ -222,6 +223,8 @@
 	stream_resume_record_version(stream);
 	exchange_write(stream->request.exchange, complete.data, complete.len);
 	event_split_consume(&stream->event_split);
+	if (exchange_is_behind(stream->request.exchange))
+		relay_send_pause(&stream->send);
 }
 
 static bool send_decode(stream_t *stream);
