Search each byte of a stream for the end of an event once

Cause: event_split_add() searched the whole part of an event again for each piece of the body. 256 KB, the most that is taken, in chunks of one byte are 34 billion steps. The search now goes on where it ended.

--- a/src/request/event_split.c
+++ b/src/request/event_split.c
@@ -6,6 +6,8 @@
 	split->buffer = g_string_new(NULL);
 	split->last_id = g_string_new(NULL);
 	split->complete_len = 0;
+	split->searched_len = 0;
+	split->line_start = 0;
 	split->events_with_id = 0;
 }
 
@@ -37,23 +39,25 @@
 	g_string_append_len(split->last_id, line, (gssize)len);
 }
 
-/* Returns the offset after the last complete event, which an empty line ends;
- * 0 if there is none after `from`.
+/* Searches the bytes added since the last search for ends of events, which are empty lines.
+ * Returns the offset after the last one; 0 if there is none.
  */
-static size_t find_complete_end(const GString *bytes, size_t from)
+static size_t find_complete_end(event_split_t *split)
 {
+	const GString *bytes = split->buffer;
 	size_t end = 0;
-	size_t line_start = from;
 
-	for (size_t i = from; i < bytes->len; i++) {
-		size_t len = i - line_start;
+	for (size_t i = split->searched_len; i < bytes->len; i++) {
+		size_t len = i - split->line_start;
 
 		if (bytes->str[i] != '\n')
 			continue;
-		if (len == 0 || (len == 1 && bytes->str[line_start] == '\r'))
+		if (len == 0 ||
+		    (len == 1 && bytes->str[split->line_start] == '\r'))
 			end = i + 1;
-		line_start = i + 1;
+		split->line_start = i + 1;
 	}
+	split->searched_len = bytes->len;
 	return end;
 }
 
@@ -77,7 +81,7 @@
 str_t event_split_add(event_split_t *split, str_t bytes)
 {
 	g_string_append_len(split->buffer, bytes.data, (gssize)bytes.len);
-	split->complete_len = find_complete_end(split->buffer, 0);
+	split->complete_len = find_complete_end(split);
 	read_ids(split, split->complete_len);
 	return (str_t){split->buffer->str, split->complete_len};
 }
@@ -86,6 +90,8 @@
 void event_split_consume(event_split_t *split)
 {
 	g_string_erase(split->buffer, 0, (gssize)split->complete_len);
+	split->searched_len -= split->complete_len;
+	split->line_start -= split->complete_len;
 	split->complete_len = 0;
 }
 
@@ -102,6 +108,8 @@
 {
 	g_string_truncate(split->buffer, 0);
 	split->complete_len = 0;
+	split->searched_len = 0;
+	split->line_start = 0;
 }
 
 /* Returns the ID of the last complete event that had one, or an empty string;
--- a/src/request/event_split.h
+++ b/src/request/event_split.h
@@ -12,6 +12,8 @@
 	GString *buffer;
 	GString *last_id; /* of the last complete event that had an ID */
 	size_t complete_len; /* bytes of the complete events in the buffer */
+	size_t searched_len; /* bytes of the buffer without further ends of lines */
+	size_t line_start; /* offset of the line that is being read */
 	int64_t events_with_id; /* complete ones, since the start */
 } event_split_t;
 
