Bound what all streams keep of parts of events together

What callers saw: engines that send events without an end to many streams at once made a VM keep up to 256 KB for each of them. 400 such streams grew it by 61 MB in test_endless_memory (56 allowed; the VM has 88 MB at least), and the number of streams had no bound of its own.

A partial event now counts among the 16 MB that a VM keeps of responses together; a stream whose part does not fit any more ends its call as malformed, as for an event of more than 256 KB. So that large responses and events of one server cannot cut small ones of others, the first 16 KB of each are always kept.

--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -14,6 +14,11 @@
 #define MAX_KEPT_BYTES ((size_t)8 << 20)
 #define MAX_KEPT_BYTES_IN_ALL ((size_t)16 << 20)
 
+/* So much of a response is kept whatever is kept of others, so that these cannot cut small
+ * ones.
+ */
+#define SMALL_KEPT_BYTES 16384
+
 /* Frees a retry budget. */
 static void free_budget(gpointer data)
 {
@@ -471,10 +476,12 @@
 
 /* Returns whether `more` bytes of a response may be kept until it is complete,
  * of which `kept` are kept already: neither this one nor all that are kept at the
- * time may take too much memory.
+ * time may take too much memory. A small one is always kept.
  */
 bool relay_may_keep(const relay_t *relay, size_t kept, size_t more)
 {
+	if (kept + more <= SMALL_KEPT_BYTES)
+		return true;
 	return kept + more <= MAX_KEPT_BYTES &&
 	       relay->kept_bytes + more <= MAX_KEPT_BYTES_IN_ALL;
 }
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -73,7 +73,7 @@
 			      known yet */
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
-	size_t kept_bytes; /* of responses that are kept until complete */
+	size_t kept_bytes; /* of responses and events that are kept until complete */
 } relay_t;
 
 /* Retry-After of a request that a process refuses because it ends (another VM may take it
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -138,6 +138,17 @@
 	g_clear_pointer(&stream->kv_source, g_free);
 }
 
+/* Counts what the stream keeps of a partial event among what the VM keeps of responses. To be
+ * called when it has changed.
+ */
+void stream_count_partial(stream_t *stream)
+{
+	size_t kept = event_split_partial(&stream->event_split).len;
+
+	stream->request.relay->kept_bytes += kept - stream->kept_bytes;
+	stream->kept_bytes = kept;
+}
+
 /* Frees a stream whose exchange has ended. Cancels its send, and releases the
  * engines that it uses and a prefill result that was not fetched.
  */
@@ -158,6 +169,8 @@
 	stream_clear_handle(stream);
 	if (stream->prefilled_by)
 		server_unref(stream->prefilled_by);
+	event_split_drop_partial(&stream->event_split);
+	stream_count_partial(stream);
 	event_split_finish(&stream->event_split);
 	relay_request_finish(&stream->request);
 	g_free(stream);
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -191,14 +191,21 @@
 		record_begun_well(stream);
 }
 
-/* Ends the call as malformed when an event does not end. */
+/* Ends the call as malformed when an event does not end, or parts of events of many streams
+ * take too much memory.
+ */
 static void check_event_size(stream_t *stream)
 {
-	if (event_split_partial(&stream->event_split).len <= MAX_EVENT_BYTES)
+	const relay_t *relay = stream->request.relay;
+	size_t bytes = event_split_partial(&stream->event_split).len;
+
+	if (bytes <= MAX_EVENT_BYTES && relay_may_keep(relay, bytes, 0))
 		return;
 	log_event(LOG_WARN, "event_too_large",
 		  LOG_STR("request", stream->request.fields.id),
-		  LOG_CSTR("server", stream->decode->entry.id));
+		  LOG_CSTR("server", stream->decode->entry.id),
+		  LOG_UINT("bytes", bytes),
+		  LOG_UINT("all_bytes", relay->kept_bytes));
 	http_call_reject(stream->send.call);
 }
 
@@ -216,6 +223,7 @@
 	server_record_received(stream->send.server, now_us);
 	complete = event_split_add(&stream->event_split, (str_t){data, len});
 	if (complete.len == 0) {
+		stream_count_partial(stream);
 		check_event_size(stream);
 		return;
 	}
@@ -223,6 +231,7 @@
 	stream_resume_record_version(stream);
 	exchange_write(stream->request.exchange, complete.data, complete.len);
 	event_split_consume(&stream->event_split);
+	stream_count_partial(stream);
 	if (exchange_is_behind(stream->request.exchange))
 		relay_send_pause(&stream->send);
 }
@@ -251,6 +260,7 @@
 		return false;
 	stream->may_have_run = true;
 	event_split_drop_partial(&stream->event_split);
+	stream_count_partial(stream);
 	stream_release_decode(stream);
 	stream_use_decode(stream, next);
 	log_event(LOG_WARN, "stream_resumed",
--- a/tests/test_endless_memory.c
+++ b/tests/test_endless_memory.c
@@ -568,7 +568,7 @@
 	"\"kind\":\"safe\",\"timeoutMs\":1000,\"service\":\"sound\","
 	"\"maxAttempts\":2}],"
 	"\"services\":[{\"name\":\"llm\",\"healthPath\":\"/health\","
-	"\"engine\":{\"slots\":256,\"kvTokenCapacity\":10000000,"
+	"\"engine\":{\"slots\":512,\"kvTokenCapacity\":10000000,"
 	"\"stride\":1}},{\"name\":\"app\",\"healthPath\":\"/health\"},"
 	"{\"name\":\"sound\",\"healthPath\":\"/health\"}]}";
 
@@ -581,7 +581,7 @@
 	};
 	char *id = g_strdup_printf("i-%d", (int)role);
 	char *entry = g_strdup_printf(
-		"{%s,\"address\":\"%s\",\"zone\":\"z\",\"slots\":256,"
+		"{%s,\"address\":\"%s\",\"zone\":\"z\",\"slots\":512,"
 		"\"state\":\"ready\",\"sequence\":1,\"born\":1000}",
 		fields[role], address);
 
@@ -983,7 +983,7 @@
 			.first = CHUNKED,
 			.again = CHUNK,
 			.reading = READS_ALL,
-			.callers = 200,
+			.callers = 400,
 			.stop_bytes = 250000,
 		},
 		{
