Count the memory of a response's fields against the limit of its head

What callers saw: a server whose heads do not end, as many short fields, on many connections at once, filled a VM's memory.

Cause: the limit of a head, 64 KB, counted the text of its fields only. Of fields with four bytes of text 16,384 fit, and each takes 32 bytes more for its position; the lists are enlarged by doubling.

A field of a response now counts 32 bytes beside its text, so that 1,820 such fields fit; and a piece is counted before it is kept, so that it is not kept beyond the limit. The heads of requests are counted as before: their limit is a setting.

--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -5,6 +5,11 @@
 /* Limit of the head for owners that set none. */
 #define DEFAULT_MAX_HEAD_BYTES 65536
 
+/* What each field of a response counts beside its text: about the memory that it takes. Not
+ * with requests, whose limit callers are told as that of the text.
+ */
+#define FIELD_BYTES 32
+
 /* Counts bytes of the head; returns false once they exceed the limit. */
 static bool count_head_bytes(http_message_t *message, size_t len)
 {
@@ -17,10 +22,12 @@
 /* Adds the header field that was read to the head, if there is one. */
 static void add_field(http_message_t *message)
 {
-	if (message->in_value)
+	if (message->in_value) {
 		http_headers_add(&message->head.headers,
 				 str_from_gstring(message->field_name),
 				 str_from_gstring(message->field_value));
+		message->head_bytes += message->is_request ? 0 : FIELD_BYTES;
+	}
 	message->in_value = false;
 	g_string_truncate(message->field_name, 0);
 	g_string_truncate(message->field_value, 0);
@@ -40,8 +47,10 @@
 {
 	http_message_t *message = parser->data;
 
+	if (!count_head_bytes(message, len))
+		return 1;
 	g_string_append_len(message->head.target, at, (gssize)len);
-	return !count_head_bytes(message, len);
+	return 0;
 }
 
 /* Appends a piece of a field name, and adds the field before it. Fields after
@@ -55,8 +64,10 @@
 		return 0; /* a trailer field */
 	if (message->in_value)
 		add_field(message);
+	if (!count_head_bytes(message, len))
+		return 1;
 	g_string_append_len(message->field_name, at, (gssize)len);
-	return !count_head_bytes(message, len);
+	return 0;
 }
 
 /* Appends a piece of a field value. */
@@ -67,8 +78,10 @@
 	if (message->head_done)
 		return 0;
 	message->in_value = true;
+	if (!count_head_bytes(message, len))
+		return 1;
 	g_string_append_len(message->field_value, at, (gssize)len);
-	return !count_head_bytes(message, len);
+	return 0;
 }
 
 /* Returns whether the body of a response ends when the peer closes the
--- a/src/connection/http_message.h
+++ b/src/connection/http_message.h
@@ -35,7 +35,7 @@
 	GString *field_value;
 	const http_message_handler_t *handler;
 	void *context;
-	size_t max_head_bytes; /* of target, field names and values */
+	size_t max_head_bytes; /* of target, fields and their memory */
 	size_t head_bytes; /* read so far */
 	bool is_request;
 	bool in_value; /* the name of the current field is complete */
--- a/tests/test_endless_memory.c
+++ b/tests/test_endless_memory.c
@@ -869,6 +869,14 @@
 			.reading = READS_ALL,
 			.callers = 400,
 		},
+		{
+			.name = "field",
+			.role = ROLE_PLAIN,
+			.first = "HTTP/1.1 200 OK\r\nX-Y: ",
+			.again = "z",
+			.reading = READS_ALL,
+			.callers = 400,
+		},
 		{
 			.name = "status line",
 			.role = ROLE_PLAIN,
