Give up no caller that reads slowly

What callers saw: a large answer or stream cut after 10 s, although the caller read 33 KB/s all the time.

Cause: a caller counted as reading nothing when the kernel had taken none of its waiting output for 10 s. The kernel takes more when a third of its buffer, of up to some MB, is free; a slow caller needs longer for that.

What the caller has acknowledged shows whether it reads. That is compared each second, and the caller is given up when it is the same for 10 s.

Not mended: with a receive buffer smaller than one segment (4 KB at 64 KB in a trial on loopback) the kernel's own limit, TCP_USER_TIMEOUT of 10 s, ends the connection, as its probes never find room for a whole segment.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -30,8 +30,11 @@
  */
 #define LINGER_TIMEOUT_US (1 * CLOCK_US_PER_S)
 
-/* A caller that reads nothing of the output that waits for it is given up after this. */
+/* A caller that reads nothing of the output that waits for it is given up after this, and time
+ * between two checks of whether it reads.
+ */
 #define OUTPUT_STALL_US (10 * CLOCK_US_PER_S)
+#define OUTPUT_CHECK_US (1 * CLOCK_US_PER_S)
 
 /* An idle connection is closed this much later than callers are told, so that
  * it is never closed sooner than a caller expects.
@@ -72,12 +75,30 @@
 /* Watches that the caller reads, if output waits for it. */
 void ingress_connection_watch_output(ingress_connection_t *connection)
 {
+	int64_t now_us = clock_now(&connection->ingress->clock);
+
 	if (tcp_unsent_bytes(&connection->tcp) == 0 ||
 	    connection->output_alarm.at_us >= 0)
 		return;
-	connection->output_sent_bytes = connection->tcp.sent_bytes;
-	alarm_set(&connection->output_alarm,
-		  clock_now(&connection->ingress->clock) + OUTPUT_STALL_US);
+	connection->acknowledged_bytes =
+		tcp_acknowledged_bytes(&connection->tcp);
+	connection->stalled_since_us = now_us;
+	alarm_set(&connection->output_alarm, now_us + OUTPUT_CHECK_US);
+}
+
+/* Returns whether the caller has read nothing of the output that waits for it for too long.
+ * What the kernel takes does not show that: it takes the next bytes when a third of its
+ * buffer is free, for which a slow caller may need longer.
+ */
+static bool is_stalled(ingress_connection_t *connection, int64_t now_us)
+{
+	uint64_t bytes = tcp_acknowledged_bytes(&connection->tcp);
+
+	if (bytes != connection->acknowledged_bytes) {
+		connection->acknowledged_bytes = bytes;
+		connection->stalled_since_us = now_us;
+	}
+	return now_us - connection->stalled_since_us >= OUTPUT_STALL_US;
 }
 
 /* Closes a connection whose caller has read nothing for too long. */
@@ -85,10 +106,12 @@
 {
 	ingress_connection_t *connection = context;
 	ingress_t *ingress = connection->ingress;
+	int64_t now_us = clock_now(&ingress->clock);
 
-	if (connection->tcp.sent_bytes != connection->output_sent_bytes ||
-	    tcp_unsent_bytes(&connection->tcp) == 0) {
-		ingress_connection_watch_output(connection);
+	if (tcp_unsent_bytes(&connection->tcp) == 0)
+		return;
+	if (!is_stalled(connection, now_us)) {
+		alarm_set(&connection->output_alarm, now_us + OUTPUT_CHECK_US);
 		return;
 	}
 	if (is_answering(connection))
--- a/src/connection/ingress_connection.h
+++ b/src/connection/ingress_connection.h
@@ -42,7 +42,11 @@
 	alarm_t alarm;
 	/* Checks that the caller reads; set while output is unsent. */
 	alarm_t output_alarm;
-	uint64_t output_sent_bytes; /* when it was set */
+	/* What the caller had acknowledged at the last check, and since when it has not
+	 * acknowledged more.
+	 */
+	uint64_t acknowledged_bytes;
+	int64_t stalled_since_us;
 	unsigned reject_status; /* for the request being read; 0: accepted */
 	bool keep_alive; /* the request lets the connection stay open */
 	bool takes_chunks; /* see http_head_t */
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -1,6 +1,7 @@
 #include "connection/tcp.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -312,6 +313,18 @@
 	return tcp->out ? tcp->out->len - tcp->out_sent_bytes : 0;
 }
 
+/* Returns the bytes of output that the other side has acknowledged. Its kernel acknowledges what
+ * it can keep; more only when the other side reads.
+ */
+uint64_t tcp_acknowledged_bytes(const tcp_t *tcp)
+{
+	int bytes = 0;
+
+	if (!tcp->source || ioctl(tcp->fd, SIOCOUTQ, &bytes) < 0)
+		return tcp->sent_bytes;
+	return tcp->sent_bytes - MIN((uint64_t)bytes, tcp->sent_bytes);
+}
+
 /* Closes the connection without calling the handler, and drops buffered output.
  * May be called again.
  */
