Keep 4 KB of each response whatever is kept of others, not 16 KB

The 16 KB that are kept of each response and event beside the common bound of 16 MB were 6 MB for 400 streams, twice that with the room that a buffer has to spare. With the sanitizers the VM came within 4 MB of the bound of test_endless_memory: 52 of 56 MB for parts of events of 400 streams. What is to be kept in any case are small answers and events; 4 KB hold them.

--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -17,7 +17,7 @@
 /* So much of a response is kept whatever is kept of others, so that these cannot cut small
  * ones.
  */
-#define SMALL_KEPT_BYTES 16384
+#define SMALL_KEPT_BYTES 4096
 
 /* Frees a retry budget. */
 static void free_budget(gpointer data)
