Let the kernel hold little of what a caller does not read

What callers saw: a sound stream that another VM passed on was cut for a caller that reads 33 KB/s. The kernel took more output for it only when a third of its buffer of some MB was free. Meanwhile its VM did not read from the VM beside the engine, which took it for one that reads nothing and gave it up after 10 s. What the kernel holds is memory of the machine as well: 2.6 MB for each caller that does not read.

Connections of callers, and of VMs that pass requests on, now have TCP_NOTSENT_LOWAT set to 64 KB: the kernel takes output while it holds less than that unsent, so that it takes some soon after the caller has read. What is on its way is not limited by it.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -30,6 +30,11 @@
  */
 #define LINGER_TIMEOUT_US (1 * CLOCK_US_PER_S)
 
+/* The kernel holds no more that is not sent than this for one caller, so that it takes some
+ * whenever the caller has read some. Its buffer could be some MB large.
+ */
+#define KERNEL_UNSENT_BYTES 65536
+
 /* A caller that reads nothing of the output that waits for it is given up after this, and time
  * between two checks of whether it reads.
  */
@@ -399,6 +404,7 @@
 	static const tcp_options_t options = {
 		.user_timeout_ms = CALLER_USER_TIMEOUT_MS,
 		.keepalive_idle_s = CALLER_KEEPALIVE_IDLE_S,
+		.kernel_unsent_bytes = KERNEL_UNSENT_BYTES,
 	};
 	ingress_connection_t *connection = g_new0(ingress_connection_t, 1);
 
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -38,6 +38,9 @@
 	if (options->user_timeout_ms)
 		set_socket_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
 				  (int)options->user_timeout_ms);
+	if (options->kernel_unsent_bytes)
+		set_socket_option(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+				  options->kernel_unsent_bytes);
 	if (options->keepalive_idle_s) {
 		set_socket_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 		set_socket_option(fd, IPPROTO_TCP, TCP_KEEPIDLE,
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -50,10 +50,16 @@
 	bool reading;
 } tcp_t;
 
-/* Time limits after which a silent connection is ended; 0 sets none. */
+/* Time limits after which a silent connection is ended; 0 sets none. And how much the kernel
+ * takes.
+ */
 typedef struct {
 	unsigned user_timeout_ms; /* for written data without an acknowledgment */
 	int keepalive_idle_s; /* idle time before the first keep-alive probe */
+	/* The kernel takes output until it holds this much that is not sent; 0: until
+	 * its buffer is full.
+	 */
+	int kernel_unsent_bytes;
 } tcp_options_t;
 
 const char *tcp_end_text(tcp_end_t end);
