--- a/tests/test_endless_memory.c
+++ b/tests/test_endless_memory.c
@@ -77,15 +77,15 @@
 /* What a server sends once for each request, and then again and again. */
 typedef struct {
 	const char *name;
-	role_t role;
 	const char *first;
 	const char *again;
+	size_t stop_bytes; /* of one connection; 0: none of its own */
+	role_t role;
 	reading_t reading; /* of the callers */
 	unsigned callers;
+	unsigned events; /* not 0: a sound stream of so many events */
 	bool over_peer; /* the callers ask a VM that passes their requests on */
 	bool health_only; /* only health checks are answered */
-	size_t stop_bytes; /* of one connection; 0: none of its own */
-	unsigned events; /* not 0: a sound stream of so many events */
 } flood_t;
 
 typedef struct fixture fixture_t;
