--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -35,6 +35,9 @@
 	if (options->user_timeout_ms)
 		set_socket_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
 				  (int)options->user_timeout_ms);
+	if (options->kernel_unsent_bytes)
+		set_socket_option(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+				  options->kernel_unsent_bytes);
 	if (options->keepalive_idle_s) {
 		set_socket_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
 		set_socket_option(fd, IPPROTO_TCP, TCP_KEEPIDLE,
@@ -138,8 +141,8 @@
 		return;
 	}
 	update_events(tcp);
-	if (tcp_unsent_bytes(tcp) == 0 && tcp->handler->on_output_flushed)
-		tcp->handler->on_output_flushed(tcp->context);
+	if (tcp->handler->on_output_sent)
+		tcp->handler->on_output_sent(tcp->context);
 }
 
 /* Returns the number of bytes that have arrived and were not read yet. */
@@ -195,14 +198,13 @@
 	if (ready & G_IO_OUT || (tcp->connecting && ready))
 		write_ready(tcp);
 	if (!finished && !tcp->connecting) {
-		if (ready & G_IO_IN && tcp->reading)
+		/* The connection was reset or timed out, or both directions are
+		 * closed: what has come before is read, also while reading is
+		 * stopped.
+		 */
+		if ((ready & G_IO_IN && tcp->reading) ||
+		    ready & (G_IO_ERR | G_IO_HUP))
 			read_ready(tcp);
-		else if (ready & (G_IO_ERR | G_IO_HUP))
-			/* The connection was reset or timed out, or both
-			 * directions are closed, and nothing is read any more.
-			 */
-			end_connection(tcp,
-				       end_of_error(socket_error(tcp->fd)));
 	}
 	if (!finished)
 		tcp->finished = NULL;
@@ -285,6 +287,15 @@
 	attach(tcp, fd, handler, context);
 }
 
+/* Drops the sent part of the buffered output once it is the larger part. */
+static void drop_sent(tcp_t *tcp)
+{
+	if (tcp->out_sent_bytes <= tcp->out->len / 2)
+		return;
+	g_string_erase(tcp->out, 0, (gssize)tcp->out_sent_bytes);
+	tcp->out_sent_bytes = 0;
+}
+
 /*
  * Buffers output and hands as much as possible to the kernel. A failure is
  * reported by on_end from the main loop, never from within this function. Does
@@ -296,6 +307,7 @@
 
 	if (!tcp->source)
 		return;
+	drop_sent(tcp);
 	g_string_append_len(tcp->out, data, (gssize)len);
 	if (idle && !tcp->connecting)
 		(void)flush(tcp); /* an error shows again when polled */
@@ -340,17 +352,25 @@
 	return tcp->out ? tcp->out->len - tcp->out_sent_bytes : 0;
 }
 
+/* Returns the bytes of output that the other side has acknowledged. Its kernel acknowledges what
+ * it can keep; more only when the other side reads.
+ */
+uint64_t tcp_acknowledged_bytes(const tcp_t *tcp)
+{
+	int bytes = 0;
+
+	if (!tcp->source || ioctl(tcp->fd, SIOCOUTQ, &bytes) < 0)
+		return tcp->sent_bytes;
+	return tcp->sent_bytes - MIN((uint64_t)bytes, tcp->sent_bytes);
+}
+
 /* Returns whether output may not have arrived: it is buffered here, or the other side has
  * not acknowledged it.
  */
 bool tcp_has_unacknowledged(const tcp_t *tcp)
 {
-	int bytes = 0;
-
-	if (!tcp->source)
-		return false;
 	return tcp_unsent_bytes(tcp) > 0 ||
-	       (ioctl(tcp->fd, SIOCOUTQ, &bytes) == 0 && bytes > 0);
+	       (tcp->source && tcp_acknowledged_bytes(tcp) < tcp->sent_bytes);
 }
 
 /* Closes the connection without calling the handler, and drops buffered output.
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -1,5 +1,6 @@
 /* A non-blocking TCP connection on the thread-default main loop. Output that
- * the kernel does not accept at once is buffered without a limit.
+ * the kernel does not accept at once is buffered without a limit: who writes has to
+ * heed tcp_unsent_bytes().
  */
 #ifndef CONNECTION_TCP_H
 #define CONNECTION_TCP_H
@@ -31,11 +32,12 @@
 	 * or the network ended it; not after tcp_finish().
 	 */
 	void (*on_end)(void *context, tcp_end_t end);
-	/* Optional. Called when the main loop has handed all buffered output to
-	 * the kernel, also when none was buffered as the connection was
-	 * established; not for output that tcp_write() hands over at once.
+	/* Optional. Called when the main loop has handed buffered output to the
+	 * kernel, of which tcp_unsent_bytes() may be left; also when none was
+	 * buffered as the connection was established; not for output that
+	 * tcp_write() hands over at once.
 	 */
-	void (*on_output_flushed)(void *context);
+	void (*on_output_sent)(void *context);
 } tcp_handler_t;
 
 /* A connection; all zero before it is opened. */
@@ -53,10 +55,16 @@
 	bool reading;
 } tcp_t;
 
-/* Time limits after which a silent connection is ended; 0 sets none. */
+/* Time limits after which a silent connection is ended; 0 sets none. And how much the kernel
+ * takes.
+ */
 typedef struct {
 	unsigned user_timeout_ms; /* for written data without an acknowledgment */
 	int keepalive_idle_s; /* idle time before the first keep-alive probe */
+	/* The kernel takes output until it holds this much that is not sent; 0: until
+	 * its buffer is full.
+	 */
+	int kernel_unsent_bytes;
 } tcp_options_t;
 
 const char *tcp_end_text(tcp_end_t end);
@@ -75,6 +83,7 @@
 void tcp_set_reading(tcp_t *tcp, bool reading);
 void tcp_shutdown_write(tcp_t *tcp);
 size_t tcp_unsent_bytes(const tcp_t *tcp);
+uint64_t tcp_acknowledged_bytes(const tcp_t *tcp);
 void tcp_finish(tcp_t *tcp);
 void tcp_finish_reset(tcp_t *tcp);
 
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -14,6 +14,11 @@
 #define MAX_KEPT_BYTES ((size_t)8 << 20)
 #define MAX_KEPT_BYTES_IN_ALL ((size_t)16 << 20)
 
+/* So much of a response is kept whatever is kept of others, so that these cannot cut small
+ * ones.
+ */
+#define SMALL_KEPT_BYTES 4096
+
 /* Frees a retry budget. */
 static void free_budget(gpointer data)
 {
@@ -421,6 +426,8 @@
 
 	request->sent_to[request->n_sent_to++ % RELAY_SENT_TO_MAX] = process;
 	send->status = 0;
+	send->paused = false;
+	send->read_again_us = 0;
 	send->is_own = false;
 	send->for_peer = request->from_peer;
 	memset(&send->fields, 0, sizeof(send->fields));
@@ -485,10 +492,12 @@
 
 /* Returns whether `more` bytes of a response may be kept until it is complete,
  * of which `kept` are kept already: neither this one nor all that are kept at the
- * time may take too much memory.
+ * time may take too much memory. A small one is always kept.
  */
 bool relay_may_keep(const relay_t *relay, size_t kept, size_t more)
 {
+	if (kept + more <= SMALL_KEPT_BYTES)
+		return true;
 	return kept + more <= MAX_KEPT_BYTES &&
 	       relay->kept_bytes + more <= MAX_KEPT_BYTES_IN_ALL;
 }
@@ -513,6 +522,27 @@
 	relay->kept_bytes += len;
 }
 
+/* Takes no more of the response for now, as its caller is behind. To be called while the
+ * call is in progress.
+ */
+void relay_send_pause(relay_send_t *send)
+{
+	if (send->paused)
+		return;
+	send->paused = true;
+	http_call_set_reading(send->call, false);
+}
+
+/* Goes on with a response that was paused. Allowed when none is in progress. */
+void relay_send_read_again(relay_send_t *send)
+{
+	if (!send->paused || !send->call)
+		return;
+	send->paused = false;
+	send->read_again_us = clock_now(&send->relay->clock);
+	http_call_set_reading(send->call, true);
+}
+
 /* Releases the server after the call has ended. Allowed when none is in
  * progress.
  */
