Wait to the deadline by what the request is, not by which send it is

Whether a call waits for a silent link to its deadline was decided when it was sent, by the sends that were left: a safe request with a send left but no other server was given up after 3 s, and a resumable stream at its last send, or at another VM, was held for longer than its caller waits, although the caller could ask for the rest elsewhere. Now plain requests wait, as their own alarm moves those that may run twice to a server that answers; streams wait unless they are resumable, at this VM and at another one. A connection that is kept idle has the limits of the pool again, not those of its last call: an idle one to a server that has lost power ends within 3 s, as before.

test_silent_links, test_full_buffers, test_http_pool and the tests of streams, plain requests and peers pass: 14 of 14.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -137,6 +137,37 @@
 	       REUSE_MARGIN_US;
 }
 
+/* Returns how many probes, one a second, keep a connection beyond a time. */
+static int probes_until(const http_call_t *call, int64_t until_us)
+{
+	int64_t left_us = until_us - clock_now(&call->host->pool->clock);
+
+	return (int)CLAMP(left_us / CLOCK_US_PER_S + 1, TCP_KEEPALIVE_PROBES,
+			  MAX_KEEPALIVE_PROBES);
+}
+
+/* Keeps a connection that carries a call until a time, also if the link passes nothing. It has
+ * no user timeout: the kernel may count that from an earlier time at which the other side took
+ * no bytes, and the connection has carried other calls.
+ */
+static void keep_until(http_call_t *call, int64_t until_us)
+{
+	call->is_kept = call->host->pool->user_timeout_ms > 0;
+	if (call->is_kept)
+		tcp_set_silence_limits(&call->tcp, 0,
+				       probes_until(call, until_us));
+}
+
+/* Sets the pool's limits again on a connection that was kept. */
+static void restore_silence_limits(http_call_t *call)
+{
+	if (call->is_kept)
+		tcp_set_silence_limits(&call->tcp,
+				       call->host->pool->user_timeout_ms,
+				       TCP_KEEPALIVE_PROBES);
+	call->is_kept = false;
+}
+
 /* Ends a call whose response is complete. The connection is kept if it can
  * carry another call: not if the server closes it, bytes of the request are
  * still unsent, or more bytes came than belong to the response.
@@ -157,6 +188,7 @@
 	call->handler = NULL;
 	call->context = NULL;
 	call->reuse_until_us = until_us;
+	restore_silence_limits(call);
 	tcp_set_reading(&call->tcp, true);
 	http_message_restart(&call->message);
 	g_queue_push_head(&call->host->idle, call);
@@ -498,36 +530,6 @@
 	return call;
 }
 
-/* Returns how many probes, one a second, keep a connection beyond a time. */
-static int probes_until(const http_call_t *call, int64_t until_us)
-{
-	int64_t left_us = until_us - clock_now(&call->host->pool->clock);
-
-	return (int)CLAMP(left_us / CLOCK_US_PER_S + 1, TCP_KEEPALIVE_PROBES,
-			  MAX_KEEPALIVE_PROBES);
-}
-
-/* Sets what ends a connection that carries a call when the link passes nothing. A call that
- * is kept has no user timeout: the kernel may count it from an earlier time at which the
- * other side took no bytes, and the connection has carried other calls.
- */
-static void set_silence_limits(http_call_t *call,
-			       const http_call_options_t *options)
-{
-	unsigned user_timeout_ms = call->host->pool->user_timeout_ms;
-
-	if (user_timeout_ms == 0)
-		return;
-	if (options->keep_until_us > 0)
-		tcp_set_silence_limits(&call->tcp, 0,
-				       probes_until(call,
-						    options->keep_until_us));
-	else if (call->is_kept)
-		tcp_set_silence_limits(&call->tcp, user_timeout_ms,
-				       TCP_KEEPALIVE_PROBES);
-	call->is_kept = options->keep_until_us > 0;
-}
-
 /* Sends a request. Returns NULL if no connection can be begun; the handler is
  * not called then. It is never called before this function returns. The call
  * belongs to the pool.
@@ -561,7 +563,8 @@
 	call->skipped_bytes = 0;
 	call->interim_responses = 0;
 	call->heard_us = clock_now(&pool->clock);
-	set_silence_limits(call, options);
+	if (options->keep_until_us > 0)
+		keep_until(call, options->keep_until_us);
 	expect_response(call);
 	tcp_write(&call->tcp, options->message->str, options->message->len);
 	return call;
--- a/src/request/peer_call.c
+++ b/src/request/peer_call.c
@@ -262,7 +262,8 @@
 				 request->deadline_us - now_us,
 				 request->table->version);
 	options.message = message;
-	if (!table_route_is_repeatable(request->route))
+	if (!table_route_is_repeatable(request->route) &&
+	    !request->route->resumable)
 		options.keep_until_us = request->deadline_us;
 	call->status = 0;
 	drop_kept(call);
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -299,8 +299,8 @@
 	fields.server_id = str_from(server->entry.id);
 	call->tried[request->sends++] = server;
 	relay_log_send(request, server, "plain");
-	call->send.is_last = !table_route_is_repeatable(request->route) ||
-			     !has_sends_left(call);
+	/* on_silence() moves the request if another server may take it. */
+	call->send.waits_for_deadline = true;
 	if (!relay_send_start(&call->send, request, server, &fields, &handler,
 			      call)) {
 		server_mark_unreached(server, now_us);
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -419,7 +419,8 @@
 		.id_header = "x-request-id",
 		.id = request->fields.id,
 		.new_connection = was_sent_to(request, process),
-		.keep_until_us = send->is_last ? request->deadline_us : 0,
+		.keep_until_us = send->waits_for_deadline ? request->deadline_us
+							  : 0,
 		.handler = handler,
 		.context = context,
 	};
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -97,8 +97,8 @@
 	bool body_until_close; /* see http_head_t */
 	response_fields_t fields;
 	http_headers_t headers; /* of the response, as the caller gets them */
-	bool is_last; /* no other server may take the request afterwards: a silent
-			 one is waited for until the deadline; set by the owner */
+	bool waits_for_deadline; /* a silent link does not end the send sooner, as that
+				    would help nobody; set by the owner */
 	bool for_peer; /* the caller is another VM */
 	bool is_own; /* the response can be to no earlier request */
 	GString *body; /* of a response that is kept until it is complete */
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -415,9 +415,8 @@
 	stream->begun_us = 0;
 	stream->begun_well = false;
 	stream->response_is_error = false;
-	stream->send.is_last = !request->route->resumable ||
-			       request->sends + 1 >=
-				       (unsigned)request->route->max_servers;
+	/* The rest of a resumable stream can be had elsewhere, by this VM or its caller. */
+	stream->send.waits_for_deadline = !request->route->resumable;
 	if (!relay_send_start(&stream->send, request, stream->decode, &fields,
 			      &decode_handler, stream))
 		return false;
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -188,7 +188,7 @@
 	counters_add(COUNTER_PREFILLS, 1);
 	counters_add(COUNTER_PREFILL_TOKENS, request->fields.prompt_tokens);
 	relay_log_send(request, prefill, "prefill");
-	stream->send.is_last = false;
+	stream->send.waits_for_deadline = false;
 	if (!relay_send_start(&stream->send, request, prefill, &fields,
 			      &prefill_handler, stream)) {
 		server_mark_suspect(prefill, now_us);
