Let the engines fall silent beside changes of the configuration in the soak

What it plays: 0 to 0.8 s after a change of the configuration, all engines or at least 0.6 of them pass nothing for 1.0 to 1.3 s and then go on. Their proxies hold the bytes and the closes of both directions and pass them on afterwards (PROXY_HOLD, not among the modes that are drawn for a lasting fault); no connection is lost. Between two silences are 3.1 s, so that a request, which has 3 s, meets one. idleTimeoutMs is drawn among 600, 1000, 4000 and 15000 with each configuration. TCP acknowledges while bytes are held, as for a process that is stopped, and the servers' reports to the store go on; limits of TCP are not reached.

--quiet has these silences only, and there a request of a caller who waits and that ends without a whole answer breaks LOST.

--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -28,6 +28,7 @@
 	unsigned status;
 	bool has_signature;
 	bool leaves; /* the alarm is the caller's own departure */
+	int64_t sent_us;
 	alarm_t alarm;
 };
 
@@ -141,6 +142,24 @@
 		caller->first_request = g_strdup(caller->request);
 }
 
+/* Counts a request that ended without a whole answer. */
+static void count_broken(soak_caller_t *caller, const char *how)
+{
+	static const char *const kinds[] = {"safe", "unsafe", "stream",
+					    "resumable"};
+	clock_source_t clock = clock_boottime();
+	int64_t after_us = clock_now(&clock) - caller->sent_us;
+
+	caller->counts->broken++;
+	if (caller->world->lossless && !caller->leaves)
+		soak_world_violate(
+			caller->world,
+			"LOST: %s (%s) %s after %d ms, status %u, %u bytes",
+			caller->request, kinds[caller->kind], how,
+			(int)(after_us / CLOCK_US_PER_MS), caller->status,
+			(unsigned)caller->body->len);
+}
+
 static void on_head(void *context, const http_head_t *head)
 {
 	soak_caller_t *caller = context;
@@ -163,7 +182,7 @@
 	soak_caller_t *caller = context;
 
 	if (end != CALL_ANSWERED) {
-		caller->counts->broken++;
+		count_broken(caller, end == CALL_NOT_SENT ? "not sent" : "cut");
 		note_broken_stream(caller);
 	} else if (caller->status == 200) {
 		caller->counts->served++;
@@ -194,7 +213,7 @@
 {
 	soak_caller_t *caller = context;
 
-	caller->counts->broken++;
+	count_broken(caller, "not answered");
 	http_call_cancel(caller->call);
 	g_clear_pointer(&caller->first_request, g_free);
 	finish(caller);
@@ -257,6 +276,8 @@
 	caller->request = g_strdup_printf("r%u", ++caller->world->next_id);
 	caller->status = 0;
 	caller->has_signature = false;
+	caller->leaves = leave_at_us != 0;
+	caller->sent_us = clock_now(&clock);
 	g_string_printf(message,
 			"%s %sx HTTP/1.1\r\nHost: soak.example\r\n"
 			"X-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s"
--- a/tests/soak_server.h
+++ b/tests/soak_server.h
@@ -38,6 +38,7 @@
 	GPtrArray *violations; /* text */
 	uint64_t seed;
 	unsigned next_id;
+	bool lossless; /* no fault may end a request without a whole answer */
 } soak_world_t;
 
 typedef struct {
--- a/tests/support_proxy.c
+++ b/tests/support_proxy.c
@@ -23,6 +23,8 @@
 	GString *held; /* bytes for this end that wait */
 	int64_t due_us; /* when held bytes go on */
 	bool is_server;
+	bool has_ended; /* while the proxy held what came */
+	tcp_end_t end;
 } end_t;
 
 struct link {
@@ -65,7 +67,7 @@
 {
 	proxy_mode_t mode = to->link->proxy->mode;
 
-	if (to->link->lost || mode == PROXY_SILENT)
+	if (to->link->lost || mode == PROXY_SILENT || mode == PROXY_HOLD)
 		return true;
 	return mode == PROXY_ONE_WAY && !to->is_server;
 }
@@ -102,18 +104,27 @@
 }
 
 /* An end that closes in order: what is held goes on first. */
-static void on_end(void *context, tcp_end_t end)
+static void pass_end(end_t *from)
 {
-	end_t *from = context;
 	link_t *link = from->link;
 	end_t *to = from->is_server ? &link->caller : &link->server;
 
 	deliver(to);
-	if (end == TCP_END_EOF && !is_held(to))
+	if (from->end == TCP_END_EOF && !is_held(to))
 		tcp_finish(&to->tcp);
 	drop(link);
 }
 
+static void on_end(void *context, tcp_end_t end)
+{
+	end_t *from = context;
+
+	from->has_ended = true;
+	from->end = end;
+	if (from->link->proxy->mode != PROXY_HOLD)
+		pass_end(from);
+}
+
 static const tcp_handler_t handler = {
 	.on_data = on_data,
 	.on_end = on_end,
@@ -190,12 +201,35 @@
 	return proxy->address;
 }
 
+/* Passes on what was held, and the ends. */
+static void release(proxy_t *proxy)
+{
+	for (guint i = proxy->links->len; i > 0; i--) {
+		link_t *link = g_ptr_array_index(proxy->links, i - 1);
+
+		deliver(&link->caller);
+		deliver(&link->server);
+		if (link->server.has_ended)
+			pass_end(&link->server);
+		else if (link->caller.has_ended)
+			pass_end(&link->caller);
+	}
+}
+
+/* How the connections are disturbed. */
+proxy_mode_t proxy_mode(const proxy_t *proxy)
+{
+	return proxy->mode;
+}
+
 /*
  * Disturbs the connections, or ends that. Connections that were silent stay so
  * for good; only new ones work again.
  */
 void proxy_set_mode(proxy_t *proxy, proxy_mode_t mode)
 {
+	bool held = proxy->mode == PROXY_HOLD;
+
 	for (guint i = 0; i < proxy->links->len; i++) {
 		link_t *link = g_ptr_array_index(proxy->links, i);
 
@@ -203,6 +237,8 @@
 			link->lost = true;
 	}
 	proxy->mode = mode;
+	if (held && mode != PROXY_HOLD)
+		release(proxy);
 	if (mode == PROXY_REFUSE)
 		g_ptr_array_set_size(proxy->links, 0);
 }
@@ -214,6 +250,7 @@
 		[PROXY_PASS] = "pass",	   [PROXY_DELAY] = "delay",
 		[PROXY_SILENT] = "silent", [PROXY_ONE_WAY] = "one_way",
 		[PROXY_REFUSE] = "refuse", [PROXY_REFUSE_NEW] = "refuse_new",
+		[PROXY_HOLD] = "hold",
 	};
 
 	return texts[mode];
--- a/tests/support_proxy.h
+++ b/tests/support_proxy.h
@@ -14,6 +14,7 @@
 	PROXY_REFUSE, /* open connections are reset, new ones too */
 	PROXY_MODES_N, /* the soak draws from those above */
 	PROXY_REFUSE_NEW, /* open connections live on, new ones are reset */
+	PROXY_HOLD, /* bytes and closes wait, and go on when this ends */
 } proxy_mode_t;
 
 typedef struct proxy proxy_t;
@@ -21,6 +22,7 @@
 proxy_t *proxy_new(const char *target);
 void proxy_free(proxy_t *proxy);
 const char *proxy_address(const proxy_t *proxy);
+proxy_mode_t proxy_mode(const proxy_t *proxy);
 void proxy_set_mode(proxy_t *proxy, proxy_mode_t mode);
 const char *proxy_mode_text(proxy_mode_t mode);
 
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -38,7 +38,7 @@
 }
 
 /* Guards against requests to a server that has left, and lost answers, when
- * nothing is disturbed.
+ * nothing is disturbed but engines fall silent for a second.
  */
 static void test_quiet(void **state)
 {
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -28,6 +28,17 @@
 /* Longest fault. */
 #define MAX_FAULT_MS 2500
 
+/* Engines fall silent at most this long after a change of the configuration. */
+#define MAX_SILENCE_DELAY_MS 800
+#define MIN_SILENCE_MS 1000
+#define MAX_SILENCE_MS 1300
+
+/* Of the engines at least this share is silent. */
+#define MIN_SILENT_SHARE 0.6
+
+/* Longer than a request has time, so that it meets one silence at most. */
+#define SILENCE_PAUSE_US (3100 * CLOCK_US_PER_MS)
+
 /* In the calm at the end at least this share is served. */
 #define CALM_SERVED 0.9
 
@@ -81,7 +92,12 @@
 	int64_t last_start_us; /* when a VM was last started */
 	int64_t end_us;
 	int64_t next_fault_us;
-	bool quiet; /* no faults at all */
+	bool quiet; /* no faults but the silences */
+	GRand *silence_rand; /* of its own, so that it changes no other draws */
+	unsigned idle_timeout_ms; /* of callers, in the configuration */
+	int64_t silence_from_us; /* the last one, or the next */
+	int64_t silence_until_us;
+	bool silent;
 	const char *other_program; /* of another build, from which VMs are
 				      started as well; NULL: none */
 } soak_t;
@@ -95,7 +111,12 @@
 
 static void put_config(soak_t *soak)
 {
-	char *text = g_strdup_printf(
+	static const unsigned idle_timeouts_ms[] = {600, 1000, 4000, 15000};
+	char *text;
+
+	soak->idle_timeout_ms = idle_timeouts_ms[g_rand_int_range(
+		soak->silence_rand, 0, G_N_ELEMENTS(idle_timeouts_ms))];
+	text = g_strdup_printf(
 		"{\"version\":%u,\"routes\":["
 		"{\"name\":\"s\",\"host\":\"soak.example\",\"pathPrefix\":"
 		"\"/safe/\",\"kind\":\"safe\",\"timeoutMs\":2500,"
@@ -118,8 +139,8 @@
 		"{\"name\":\"llm\",\"healthPath\":\"/health\",\"engine\":{"
 		"\"slots\":12,\"kvTokenCapacity\":100000,\"stride\":1,"
 		"\"handleTtlS\":0.5,\"reconfigureS\":1.0}}],"
-		"\"limits\":{\"idleTimeoutMs\":4000}}",
-		++soak->version);
+		"\"limits\":{\"idleTimeoutMs\":%u}}",
+		++soak->version, soak->idle_timeout_ms);
 
 	fake_store_put(&soak->store, "op", "config", text);
 	g_free(text);
@@ -130,6 +151,7 @@
 {
 	memset(soak, 0, sizeof(*soak));
 	soak->other_program = other_program;
+	soak->silence_rand = g_rand_new_with_seed((guint32)seed);
 	soak->store_address = unused_address();
 	soak->folder = g_dir_make_tmp("soak-XXXXXX", NULL);
 	fake_store_start(&soak->store, soak->store_address);
@@ -303,6 +325,77 @@
 	}
 }
 
+/* Sets a silence of the engines beside the new configuration, if none is due or has
+ * just been.
+ */
+static void plan_silence(soak_t *soak)
+{
+	int64_t now = now_us();
+
+	if (now < soak->silence_until_us + SILENCE_PAUSE_US)
+		return;
+	soak->silence_from_us =
+		now + g_rand_int_range(soak->silence_rand, 0,
+				       MAX_SILENCE_DELAY_MS + 1) *
+			      CLOCK_US_PER_MS;
+	soak->silence_until_us =
+		soak->silence_from_us + g_rand_int_range(soak->silence_rand,
+							 MIN_SILENCE_MS,
+							 MAX_SILENCE_MS + 1) *
+						CLOCK_US_PER_MS;
+}
+
+/* All or most engines pass nothing; those whose link is disturbed stay as they are. */
+static void begin_silence(soak_t *soak)
+{
+	double share = g_rand_boolean(soak->silence_rand)
+			       ? 1
+			       : g_rand_double_range(soak->silence_rand,
+						     MIN_SILENT_SHARE, 1);
+	unsigned engines = 0;
+	unsigned silent = 0;
+
+	for (unsigned i = 0; i < soak->n_servers; i++) {
+		soak_server_t *server = &soak->servers[i];
+
+		if (server->stage == SOAK_PLAIN ||
+		    proxy_mode(server->proxy) != PROXY_PASS)
+			continue;
+		engines++;
+		if ((double)silent >= share * (double)engines)
+			continue;
+		silent++;
+		proxy_set_mode(server->proxy, PROXY_HOLD);
+	}
+	soak->silent = true;
+	printf("%6.2f s silence of %u of %u engines until %.2f s, "
+	       "configuration %u, idle timeout %u ms\n",
+	       (double)(now_us() - soak->start_us) / 1e6, silent, engines,
+	       (double)(soak->silence_until_us - soak->start_us) / 1e6,
+	       soak->version, soak->idle_timeout_ms);
+}
+
+static void end_silence(soak_t *soak)
+{
+	for (unsigned i = 0; i < soak->n_servers; i++) {
+		if (proxy_mode(soak->servers[i].proxy) == PROXY_HOLD)
+			proxy_set_mode(soak->servers[i].proxy, PROXY_PASS);
+	}
+	soak->silent = false;
+}
+
+/* Begins and ends the silences of the engines. */
+static void step_silence(soak_t *soak, bool calm)
+{
+	int64_t now = now_us();
+
+	if (soak->silent && (calm || now >= soak->silence_until_us))
+		end_silence(soak);
+	else if (!soak->silent && !calm && now >= soak->silence_from_us &&
+		 now < soak->silence_until_us)
+		begin_silence(soak);
+}
+
 /* Returns the program from which a VM is started again. */
 static const char *draw_program(soak_t *soak)
 {
@@ -420,8 +513,11 @@
 			now + (int64_t)soak_random(&soak->world, 500) *
 				      CLOCK_US_PER_MS;
 	}
-	if (soak_random(&soak->world, 50) == 0)
+	if (soak_random(&soak->world, 50) == 0) {
 		put_config(soak);
+		plan_silence(soak);
+	}
+	step_silence(soak, calm);
 	/* The first seconds of the calm are for the recovery. */
 	if (calm && soak->calm.sent == 0 &&
 	    now >= soak->calm_from_us + CALM_US / 2)
@@ -477,6 +573,7 @@
 	for (unsigned i = 0; i < soak->n_servers; i++)
 		soak_server_stop(&soak->servers[i]);
 	fake_store_stop(&soak->store);
+	g_rand_free(soak->silence_rand);
 }
 
 static int run(uint64_t seed, unsigned seconds, unsigned entries,
@@ -489,6 +586,7 @@
 
 	init(&soak, seed, entries, servers, callers, other_program);
 	soak.quiet = quiet;
+	soak.world.lossless = quiet;
 	soak.start_us = now_us() + START_US;
 	run_until(soak.start_us);
 	soak.next_fault_us = soak.start_us;
@@ -532,7 +630,8 @@
 	struct arg_int *servers =
 		arg_int0(NULL, "servers", "N", "backend servers");
 	struct arg_int *callers = arg_int0(NULL, "callers", "N", "callers");
-	struct arg_lit *quiet = arg_lit0(NULL, "quiet", "no faults");
+	struct arg_lit *quiet =
+		arg_lit0(NULL, "quiet", "no faults but silences");
 	struct arg_str *other = arg_str0(NULL, "other-build", "PROGRAM",
 					 "start VMs from this as well");
 	struct arg_end *end = arg_end(4);
