Count failures of work that was sent side by side once

What callers saw: after all engines had been silent for a second and were back, all VMs refused streams with no_engine for 3.2 s.

Cause: the prompts that waited reached the one prefill engine at once; it refused 13 to 40 of them with 503 as full, and each refusal counted as a further failure in a row, which doubles the time without work: 0.2 s four times. All were sent before the first refusal had come. Work that was sent before the last failure was known does not count now.

test_failures_of_one_moment_count_once in test_server_set (21 failures counted before, 1 now).

--- a/src/process/decide/server.c
+++ b/src/process/decide/server.c
@@ -207,13 +207,17 @@
  * although it has free slots: it gets no work for a while. A server that fails
  * at once never has a queue and would otherwise attract all work. Either side
  * of a hand-over may be at fault; the healthy one soon succeeds with another
- * server and is used again.
+ * server and is used again. Work that was sent before the last failure was known
+ * does not count: it failed for the same reason.
  */
-void server_work_failed(server_t *server, int64_t now_us)
+void server_work_failed(server_t *server, int64_t sent_us, int64_t now_us)
 {
 	unsigned doublings =
 		MIN(server->consecutive_failures, AVOID_MAX_DOUBLINGS);
 
+	if (sent_us < server->last_failed_us)
+		return;
+	server->last_failed_us = now_us;
 	server->avoided_until_us = now_us + (AVOID_US << doublings);
 	server->consecutive_failures++;
 }
--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -53,6 +53,7 @@
 	int64_t paused_until_us; /* it wants no requests from this VM */
 	int64_t returned_us; /* when its entry came back; 0: was never gone */
 	unsigned consecutive_failures; /* seen by this VM */
+	int64_t last_failed_us; /* the last of them */
 	int64_t suspicion_ended_us; /* when it last stopped being suspect */
 	unsigned in_flight; /* this VM's requests */
 	int64_t reported_load; /* requests running and waiting, as it last
@@ -107,7 +108,7 @@
 void server_mark_suspect(server_t *server, int64_t now_us);
 void server_mark_overdue(server_t *server, int64_t now_us);
 void server_suspected_by_peer(server_t *server, int64_t now_us);
-void server_work_failed(server_t *server, int64_t now_us);
+void server_work_failed(server_t *server, int64_t sent_us, int64_t now_us);
 void server_work_succeeded(server_t *server);
 void server_record_result(server_t *server, bool failed);
 void server_record_prefill(server_t *server, int64_t sent_us, int64_t now_us,
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -96,13 +96,15 @@
 	int64_t now_us = clock_now(&stream->request.relay->clock);
 
 	if (stream->send.status == 421)
-		server_work_failed(stream->decode, now_us);
+		server_work_failed(stream->decode, stream->send.sent_us,
+				   now_us);
 	if (stream->send.status != 503 || !fields->has_load ||
 	    fields->running + fields->waiting >= fields->slots)
 		return;
-	server_work_failed(stream->decode, now_us);
+	server_work_failed(stream->decode, stream->send.sent_us, now_us);
 	if (stream->prefilled_by)
-		server_work_failed(stream->prefilled_by, now_us);
+		server_work_failed(stream->prefilled_by, stream->send.sent_us,
+				   now_us);
 }
 
 /* Returns whether the body of a response may be a stream of events: its type is that, or is
@@ -368,7 +370,7 @@
 	if (end == CALL_LOST)
 		record_loss(stream);
 	if (outcome.failed && end == CALL_ANSWERED)
-		server_work_failed(stream->decode,
+		server_work_failed(stream->decode, stream->send.sent_us,
 				   clock_now(&stream->request.relay->clock));
 	if (outcome.answer == OUTCOME_PASS_ON && !stream->head_sent) {
 		stream_log_end(stream, stream->send.status, RESULT_SERVER_ERROR,
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -133,7 +133,7 @@
 		server_mark_suspect(stream->prefill,
 				    clock_now(&stream->request.relay->clock));
 	else
-		server_work_failed(stream->prefill,
+		server_work_failed(stream->prefill, stream->send.sent_us,
 				   clock_now(&stream->request.relay->clock));
 	retry_or_refuse(stream, end == CALL_ANSWERED ? "refused" : "lost");
 }
--- a/tests/test_server_set.c
+++ b/tests/test_server_set.c
@@ -75,7 +75,7 @@
 	server_set_init(&set);
 	server = put(&set, "i-1", "10.0.0.1:80", 1000);
 	server_mark_suspect(server, NOW);
-	server_work_failed(server, NOW);
+	server_work_failed(server, NOW, NOW);
 	server = put(&set, "i-1", "10.0.0.1:80", 1000);
 	assert_true(server_is_suspect(server));
 	server = put(&set, "i-1", "10.0.0.1:80", 2000);
@@ -257,13 +257,13 @@
 	server_t server = {0};
 	int64_t first_us;
 
-	server_work_failed(&server, NOW);
+	server_work_failed(&server, NOW, NOW);
 	first_us = server.avoided_until_us - NOW;
 	assert_true(first_us > 0);
-	server_work_failed(&server, NOW);
+	server_work_failed(&server, NOW, NOW);
 	assert_int_equal(server.avoided_until_us - NOW, 2 * first_us);
 	for (int i = 0; i < 100; i++)
-		server_work_failed(&server, NOW);
+		server_work_failed(&server, NOW, NOW);
 	assert_true(server.avoided_until_us - NOW <= 5000 * MS);
 	server_work_succeeded(&server);
 	assert_int_equal(server.avoided_until_us, 0);
@@ -294,9 +294,29 @@
 	server_set_finish(&set);
 }
 
+/* Guards against a server that is avoided for seconds because several requests that were
+ * sent to it side by side met the same moment in which it was full.
+ */
+static void test_failures_of_one_moment_count_once(void **state)
+{
+	server_t server = {.entry = {.slots = 6}};
+	int64_t first_us;
+
+	server_work_failed(&server, NOW - 1, NOW);
+	first_us = server.avoided_until_us;
+	for (int i = 1; i <= 20; i++)
+		server_work_failed(&server, NOW - 1, NOW + i);
+	assert_int_equal(server.consecutive_failures, 1);
+	assert_int_equal(server.avoided_until_us, first_us);
+	server_work_failed(&server, first_us, first_us + 1);
+	assert_int_equal(server.consecutive_failures, 2);
+	assert_true(server.avoided_until_us - first_us > first_us - NOW);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_failures_of_one_moment_count_once),
 		cmocka_unit_test(test_prefill_answer),
 		cmocka_unit_test(test_restart_under_old_id),
 		cmocka_unit_test(test_address_reused),
