--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -92,11 +92,11 @@
 	int64_t last_start_us; /* when a VM was last started */
 	int64_t end_us;
 	int64_t next_fault_us;
-	bool quiet; /* no faults but the silences */
 	GRand *silence_rand; /* of its own, so that it changes no other draws */
-	unsigned idle_timeout_ms; /* of callers, in the configuration */
 	int64_t silence_from_us; /* the last one, or the next */
 	int64_t silence_until_us;
+	unsigned idle_timeout_ms; /* of callers, in the configuration */
+	bool quiet; /* no faults but the silences */
 	bool silent;
 	const char *other_program; /* of another build, from which VMs are
 				      started as well; NULL: none */
