Count the memory that kept responses take, not their length

Cause: the bound of 16 MB was one on the bytes in the buffers. GString allocates the next power of two, so that buffers took up to 32 MB; the sanitizer's allocator keeps the smaller blocks that a growing buffer leaves and gives them to no other size, which doubles it again. Beside it, by reading: a stream's buffer stayed as large as its largest event, and the ID of the last event, up to 256 KB, counted nowhere.

Change: process/memory_budget counts what is allocated; responses at a server, at another VM, parts of events and event IDs use it. A buffer gives the room of a large message back. The longest response is a byte below 8 MB, which fits a buffer of 8 MB.

Ruled out: the sanitizer's store of freed memory.

--- /dev/null
+++ b/src/process/memory_budget.h
@@ -0,0 +1,37 @@
+/* A bound on the memory that a process takes for what it keeps of messages, whatever their
+ * number. A buffer counts with the bytes that it has allocated, whether they are filled or not.
+ */
+#ifndef PROCESS_MEMORY_BUDGET_H
+#define PROCESS_MEMORY_BUDGET_H
+
+#include "process/str.h"
+
+/* So much of each message is kept whatever is kept of others, and a buffer that is empty holds
+ * on to no more.
+ */
+#define MEMORY_SMALL_BYTES 4096
+
+typedef struct {
+	size_t used_bytes;
+	size_t max_bytes;
+} memory_budget_t;
+
+/* Bytes of one message that are kept until it is complete. */
+typedef struct {
+	memory_budget_t *budget;
+	GString *bytes;
+	size_t counted_bytes; /* in the budget */
+} kept_buffer_t;
+
+void memory_budget_init(memory_budget_t *budget, size_t max_bytes);
+bool memory_budget_has_room(const memory_budget_t *budget, size_t more);
+void memory_budget_recount(memory_budget_t *budget, size_t *counted_bytes,
+			   size_t bytes);
+
+void kept_buffer_init(kept_buffer_t *buffer, memory_budget_t *budget);
+void kept_buffer_finish(kept_buffer_t *buffer);
+bool kept_buffer_append(kept_buffer_t *buffer, str_t bytes, size_t max_len);
+void kept_buffer_clear(kept_buffer_t *buffer);
+str_t kept_buffer_bytes(const kept_buffer_t *buffer);
+
+#endif
--- a/src/request/event_split.c
+++ b/src/request/event_split.c
@@ -1,5 +1,7 @@
 #include "request/event_split.h"
 
+#include "process/memory_budget.h"
+
 /* Sets up an empty splitter. */
 void event_split_init(event_split_t *split)
 {
@@ -86,6 +88,18 @@
 	return (str_t){split->buffer->str, split->complete_len};
 }
 
+/* Gives back the room that a large event has left in the buffer. */
+static void shrink_buffer(event_split_t *split)
+{
+	GString *bytes = split->buffer;
+
+	if (bytes->allocated_len <= MEMORY_SMALL_BYTES ||
+	    bytes->len > bytes->allocated_len / 4)
+		return;
+	split->buffer = g_string_new_len(bytes->str, (gssize)bytes->len);
+	g_string_free(bytes, TRUE);
+}
+
 /* Removes the complete events that the last event_split_add() returned. */
 void event_split_consume(event_split_t *split)
 {
@@ -93,6 +107,7 @@
 	split->searched_len -= split->complete_len;
 	split->line_start -= split->complete_len;
 	split->complete_len = 0;
+	shrink_buffer(split);
 }
 
 /* Returns what has arrived of an incomplete event, borrowed until the next call
@@ -110,6 +125,7 @@
 	split->complete_len = 0;
 	split->searched_len = 0;
 	split->line_start = 0;
+	shrink_buffer(split);
 }
 
 /* Returns the ID of the last complete event that had one, or an empty string;
@@ -119,3 +135,9 @@
 {
 	return str_from_gstring(split->last_id);
 }
+
+/* Returns the bytes of memory that a splitter takes for events and their ID. */
+size_t event_split_memory(const event_split_t *split)
+{
+	return split->buffer->allocated_len + split->last_id->allocated_len;
+}
--- a/src/request/event_split.h
+++ b/src/request/event_split.h
@@ -24,5 +24,6 @@
 str_t event_split_partial(const event_split_t *split);
 void event_split_drop_partial(event_split_t *split);
 str_t event_split_last_id(const event_split_t *split);
+size_t event_split_memory(const event_split_t *split);
 
 #endif
--- a/src/request/peer_call.c
+++ b/src/request/peer_call.c
@@ -19,7 +19,7 @@
 	unsigned status; /* of the answer; 0: none has arrived */
 	bool signed_by_server; /* the answer comes from a backend server */
 	http_headers_t headers;
-	GString *body; /* of an answer that is kept until it is complete */
+	kept_buffer_t body; /* of an answer that is kept until it is complete */
 	bool streaming; /* the caller has the head of a stream */
 	bool may_have_run;
 } peer_call_t;
@@ -43,13 +43,6 @@
 		peer->passed_on_us = clock_now(&call->request.relay->clock);
 }
 
-/* Forgets what was kept of an answer. */
-static void drop_kept(peer_call_t *call)
-{
-	call->request.relay->kept_bytes -= call->body->len;
-	g_string_truncate(call->body, 0);
-}
-
 /* Ends the call to the VM that has the request, if there is one. */
 static void end_call(peer_call_t *call)
 {
@@ -67,10 +60,9 @@
 	if (call->call)
 		http_call_cancel(call->call);
 	end_call(call);
-	drop_kept(call);
 	alarm_finish(&call->deadline);
 	peer_tries_finish(&call->tries);
-	g_string_free(call->body, TRUE);
+	kept_buffer_finish(&call->body);
 	http_headers_finish(&call->headers);
 	relay_request_finish(&call->request);
 	g_free(call);
@@ -151,7 +143,6 @@
 static void on_body(void *context, const char *data, size_t len)
 {
 	peer_call_t *call = context;
-	relay_t *relay = call->request.relay;
 
 	if (call->streaming) {
 		exchange_write(call->request.exchange, data, len);
@@ -159,12 +150,8 @@
 			http_call_set_reading(call->call, false);
 		return;
 	}
-	if (!relay_may_keep(relay, call->body->len, len)) {
+	if (!relay_keep(&call->body, (str_t){data, len}))
 		http_call_reject(call->call);
-		return;
-	}
-	g_string_append_len(call->body, data, (gssize)len);
-	relay->kept_bytes += len;
 }
 
 static bool send_to_peer(peer_call_t *call);
@@ -189,7 +176,7 @@
 		exchange_end_stream(exchange);
 	else
 		exchange_reply(exchange, call->status, &call->headers,
-			       str_from_gstring(call->body));
+			       kept_buffer_bytes(&call->body));
 	finish(call);
 }
 
@@ -266,7 +253,7 @@
 	    !request->route->resumable)
 		options.keep_until_us = request->deadline_us;
 	call->status = 0;
-	drop_kept(call);
+	kept_buffer_clear(&call->body);
 	call->call = http_pool_call(relay->peer_pool, &options);
 	g_string_free(message, TRUE);
 	if (!call->call)
@@ -337,12 +324,12 @@
 		return false;
 	call = g_new0(peer_call_t, 1);
 	call->request = *request;
-	call->body = g_string_new(NULL);
+	kept_buffer_init(&call->body, &relay->kept);
 	http_headers_init(&call->headers);
 	alarm_init(&call->deadline, relay->clock, on_deadline, call);
 	if (!send_to_peer(call)) {
 		peer_tries_finish(&call->tries);
-		g_string_free(call->body, TRUE);
+		kept_buffer_finish(&call->body);
 		http_headers_finish(&call->headers);
 		alarm_finish(&call->deadline);
 		g_free(call);
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -77,7 +77,7 @@
 		      call->send.status / 100 == 2 ? RESULT_OK
 						   : RESULT_SERVER_ERROR);
 	exchange_reply(call->request.exchange, call->send.status,
-		       &call->send.headers, str_from_gstring(call->send.body));
+		       &call->send.headers, kept_buffer_bytes(&call->send.body));
 	finish(call);
 }
 
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -8,16 +8,11 @@
 /* Time that a caller is assumed to wait if its request states none. */
 #define DEFAULT_TIME_LEFT_US (30 * CLOCK_US_PER_S)
 
-/* Most bytes that are kept of one response, and of all of them at a VM. The
- * smallest VMs have 88 MB.
+/* Most bytes that are kept of one response, and the memory for all of them at a VM. The length
+ * leaves room for the NUL in a buffer of 8 MB. The smallest VMs have 88 MB.
  */
-#define MAX_KEPT_BYTES ((size_t)8 << 20)
-#define MAX_KEPT_BYTES_IN_ALL ((size_t)16 << 20)
-
-/* So much of a response is kept whatever is kept of others, so that these cannot cut small
- * ones.
- */
-#define SMALL_KEPT_BYTES 4096
+#define MAX_KEPT_BYTES (((size_t)8 << 20) - 1)
+#define MAX_KEPT_MEMORY_BYTES ((size_t)16 << 20)
 
 /* Frees a retry budget. */
 static void free_budget(gpointer data)
@@ -65,6 +60,7 @@
 	quarantine_init(&relay->quarantine, find_server, relay);
 	stream_origins_init(&relay->origins);
 	software_history_init(&relay->software);
+	memory_budget_init(&relay->kept, MAX_KEPT_MEMORY_BYTES);
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 	g_queue_init(&relay->unresolved);
@@ -370,23 +366,15 @@
 {
 	memset(send, 0, sizeof(*send));
 	send->relay = relay;
-	send->body = g_string_new(NULL);
+	kept_buffer_init(&send->body, &relay->kept);
 	http_headers_init(&send->headers);
 }
 
-/* Forgets what was kept of a response. */
-static void drop_kept(relay_send_t *send)
-{
-	send->relay->kept_bytes -= send->body->len;
-	g_string_truncate(send->body, 0);
-}
-
 /* Cancels a send in progress, if any, and frees what the object owns. */
 void relay_send_finish(relay_send_t *send)
 {
 	relay_send_cancel(send);
-	drop_kept(send);
-	g_string_free(send->body, TRUE);
+	kept_buffer_finish(&send->body);
 	http_headers_finish(&send->headers);
 }
 
@@ -432,7 +420,7 @@
 	send->is_own = false;
 	send->for_peer = request->from_peer;
 	memset(&send->fields, 0, sizeof(send->fields));
-	drop_kept(send);
+	kept_buffer_clear(&send->body);
 	http_headers_clear(&send->headers);
 	send->sent_us = clock_now(&send->relay->clock);
 	append_forwarded_request(message, head,
@@ -491,16 +479,12 @@
 			     &send->fields, "request");
 }
 
-/* Returns whether `more` bytes of a response may be kept until it is complete,
- * of which `kept` are kept already: neither this one nor all that are kept at the
- * time may take too much memory. A small one is always kept.
+/* Keeps a piece of a response until it is complete. Returns false if this one, or all that
+ * are kept at the time, would take too much memory.
  */
-bool relay_may_keep(const relay_t *relay, size_t kept, size_t more)
+bool relay_keep(kept_buffer_t *buffer, str_t bytes)
 {
-	if (kept + more <= SMALL_KEPT_BYTES)
-		return true;
-	return kept + more <= MAX_KEPT_BYTES &&
-	       relay->kept_bytes + more <= MAX_KEPT_BYTES_IN_ALL;
+	return kept_buffer_append(buffer, bytes, MAX_KEPT_BYTES);
 }
 
 /* Keeps a piece of the response's body. Ends the call as malformed when this
@@ -509,18 +493,13 @@
  */
 void relay_send_keep(relay_send_t *send, const char *data, size_t len)
 {
-	relay_t *relay = send->relay;
-
-	if (!relay_may_keep(relay, send->body->len, len)) {
+	if (!relay_keep(&send->body, (str_t){data, len})) {
 		log_event(LOG_WARN, "response_too_large",
 			  LOG_CSTR("server", send->server->entry.id),
-			  LOG_UINT("bytes", send->body->len),
-			  LOG_UINT("all_bytes", relay->kept_bytes));
+			  LOG_UINT("bytes", send->body.bytes->len),
+			  LOG_UINT("all_bytes", send->relay->kept.used_bytes));
 		http_call_reject(send->call);
-		return;
 	}
-	g_string_append_len(send->body, data, (gssize)len);
-	relay->kept_bytes += len;
 }
 
 /* Takes no more of the response for now, as its caller is behind. To be called while the
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -16,6 +16,7 @@
 #include "process/decide/server_set.h"
 #include "process/decide/software_history.h"
 #include "process/decide/stream_origins.h"
+#include "process/memory_budget.h"
 #include "process/route_metrics.h"
 #include "request/caller_timeout.h"
 #include "request/outcome.h"
@@ -73,7 +74,7 @@
 			      known yet */
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
-	size_t kept_bytes; /* of responses and events that are kept until complete */
+	memory_budget_t kept; /* responses and parts of events */
 	GQueue releases; /* of prefill results, in progress */
 } relay_t;
 
@@ -101,7 +102,7 @@
 				    would help nobody; set by the owner */
 	bool for_peer; /* the caller is another VM */
 	bool is_own; /* the response can be to no earlier request */
-	GString *body; /* of a response that is kept until it is complete */
+	kept_buffer_t body; /* of a response that is kept until it is complete */
 } relay_send_t;
 
 /* A caller's request, its route and its time limits. */
@@ -165,7 +166,7 @@
 void relay_log_end(const relay_request_t *request, const server_t *server,
 		   unsigned status, request_result_t result);
 
-bool relay_may_keep(const relay_t *relay, size_t kept, size_t more);
+bool relay_keep(kept_buffer_t *buffer, str_t bytes);
 void relay_send_init(relay_send_t *send, relay_t *relay);
 void relay_send_finish(relay_send_t *send);
 bool relay_send_start(relay_send_t *send, relay_request_t *request,
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -76,15 +76,13 @@
 	g_clear_pointer(&stream->kv_source, g_free);
 }
 
-/* Counts what the stream keeps of a partial event among what the VM keeps of responses. To be
- * called when it has changed.
+/* Counts what the stream keeps of events among what the VM keeps of responses. To be called when
+ * it has changed.
  */
-void stream_count_partial(stream_t *stream)
+void stream_count_events(stream_t *stream)
 {
-	size_t kept = event_split_partial(&stream->event_split).len;
-
-	stream->request.relay->kept_bytes += kept - stream->kept_bytes;
-	stream->kept_bytes = kept;
+	memory_budget_recount(&stream->request.relay->kept, &stream->kept_bytes,
+			      event_split_memory(&stream->event_split));
 }
 
 /* Frees a stream whose exchange has ended. Cancels its send, and releases the
@@ -107,8 +105,7 @@
 	stream_clear_handle(stream);
 	if (stream->prefilled_by)
 		server_unref(stream->prefilled_by);
-	event_split_drop_partial(&stream->event_split);
-	stream_count_partial(stream);
+	memory_budget_recount(&relay->kept, &stream->kept_bytes, 0);
 	event_split_finish(&stream->event_split);
 	relay_request_finish(&stream->request);
 	g_free(stream);
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -49,7 +49,7 @@
 			    kv_handle */
 	char *kv_handle; /* its ID at the prefill engine */
 	event_split_t event_split;
-	size_t kept_bytes; /* of a partial event, as counted in the relay */
+	size_t kept_bytes; /* of events, as counted in the relay */
 	bool prefill_retried; /* it was sent to a second prefill engine */
 	bool resumed; /* the caller asks for the rest of a stream */
 	bool may_have_run; /* at an earlier decode engine */
@@ -65,7 +65,7 @@
 void stream_use_decode(stream_t *stream, server_t *server);
 void stream_release_decode(stream_t *stream);
 void stream_clear_handle(stream_t *stream);
-void stream_count_partial(stream_t *stream);
+void stream_count_events(stream_t *stream);
 
 void stream_refuse(stream_t *stream, int64_t retry_after_us,
 		   const char *reason);
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -193,21 +193,23 @@
 		record_begun_well(stream);
 }
 
-/* Ends the call as malformed when an event does not end, or parts of events of many streams
+/* Ends the call as malformed when an event or its ID does not end, or events of many streams
  * take too much memory.
  */
-static void check_event_size(stream_t *stream)
+static void check_kept_events(stream_t *stream)
 {
-	const relay_t *relay = stream->request.relay;
-	size_t bytes = event_split_partial(&stream->event_split).len;
+	const memory_budget_t *kept = &stream->request.relay->kept;
+	size_t bytes = event_split_partial(&stream->event_split).len +
+		       event_split_last_id(&stream->event_split).len;
 
-	if (bytes <= MAX_EVENT_BYTES && relay_may_keep(relay, bytes, 0))
+	if (bytes <= MEMORY_SMALL_BYTES ||
+	    (bytes <= MAX_EVENT_BYTES && memory_budget_has_room(kept, 0)))
 		return;
 	log_event(LOG_WARN, "event_too_large",
 		  LOG_STR("request", stream->request.fields.id),
 		  LOG_CSTR("server", stream->decode->entry.id),
 		  LOG_UINT("bytes", bytes),
-		  LOG_UINT("all_bytes", relay->kept_bytes));
+		  LOG_UINT("all_bytes", kept->used_bytes));
 	http_call_reject(stream->send.call);
 }
 
@@ -224,18 +226,17 @@
 	}
 	server_record_received(stream->send.server, now_us);
 	complete = event_split_add(&stream->event_split, (str_t){data, len});
-	if (complete.len == 0) {
-		stream_count_partial(stream);
-		check_event_size(stream);
-		return;
+	if (complete.len > 0) {
+		record_event(stream, now_us);
+		stream_resume_record_version(stream);
+		exchange_write(stream->request.exchange, complete.data,
+			       complete.len);
+		event_split_consume(&stream->event_split);
+		if (exchange_is_behind(stream->request.exchange))
+			relay_send_pause(&stream->send);
 	}
-	record_event(stream, now_us);
-	stream_resume_record_version(stream);
-	exchange_write(stream->request.exchange, complete.data, complete.len);
-	event_split_consume(&stream->event_split);
-	stream_count_partial(stream);
-	if (exchange_is_behind(stream->request.exchange))
-		relay_send_pause(&stream->send);
+	stream_count_events(stream);
+	check_kept_events(stream);
 }
 
 static bool send_decode(stream_t *stream);
@@ -262,7 +263,7 @@
 		return false;
 	stream->may_have_run = true;
 	event_split_drop_partial(&stream->event_split);
-	stream_count_partial(stream);
+	stream_count_events(stream);
 	stream_release_decode(stream);
 	stream_use_decode(stream, next);
 	log_event(LOG_WARN, "stream_resumed",
@@ -377,7 +378,7 @@
 			       "engine_error");
 		exchange_reply(stream->request.exchange, stream->send.status,
 			       &stream->send.headers,
-			       str_from_gstring(stream->send.body));
+			       kept_buffer_bytes(&stream->send.body));
 		stream_finish(stream);
 		return;
 	}
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -118,7 +118,7 @@
 	 */
 	(void)relay_send_record_outcome(&stream->send, end, false, true);
 	if (end == CALL_ANSWERED && stream->send.status == 200 &&
-	    prefill_result_read(str_from_gstring(stream->send.body),
+	    prefill_result_read(kept_buffer_bytes(&stream->send.body),
 				&stream->kv_handle)) {
 		relay_send_release(&stream->send);
 		start_decode_stage(stream);
--- a/tests/test_event_split.c
+++ b/tests/test_event_split.c
@@ -6,6 +6,7 @@
 #include <cmocka.h>
 
 #include "process/clock.h"
+#include "process/memory_budget.h"
 #include "request/event_split.h"
 
 /* Largest event that a VM takes, and the time in which it must have read one. */
@@ -75,11 +76,40 @@
 	event_split_finish(&split);
 }
 
+/* Guards against room for a large event that each stream holds on to after the event, and
+ * against IDs that are kept uncounted.
+ */
+static void test_memory(void **state)
+{
+	char *text = g_strnfill(EVENT_BYTES / 2, 'a');
+	char *large = g_strconcat("data: ", text, "\n\nda", NULL);
+	char *large_id = g_strconcat("id: ", text, "\n\n", NULL);
+	event_split_t split;
+
+	event_split_init(&split);
+	assert_true(event_split_add(&split, str_from(large)).len > 0);
+	event_split_consume(&split);
+	assert_true(str_equal(event_split_partial(&split), STR("da")));
+	assert_true(event_split_memory(&split) <= 2 * MEMORY_SMALL_BYTES);
+	(void)event_split_add(&split, str_from(text));
+	assert_true(event_split_memory(&split) >= EVENT_BYTES / 2);
+	event_split_drop_partial(&split);
+	assert_true(event_split_memory(&split) <= 2 * MEMORY_SMALL_BYTES);
+	(void)event_split_add(&split, str_from(large_id));
+	event_split_consume(&split);
+	assert_true(event_split_memory(&split) >= EVENT_BYTES / 2);
+	event_split_finish(&split);
+	g_free(text);
+	g_free(large);
+	g_free(large_id);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pieces),
 		cmocka_unit_test(test_time),
+		cmocka_unit_test(test_memory),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
