Say what a connection that TCP gives up has not got

The text said that not even an acknowledgment had come. A server without room for more acknowledges, and its connection ends in the same way.

--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -21,7 +21,7 @@
 	TCP_END_NOT_CONNECTED, /* the connection was never established */
 	TCP_END_EOF, /* the other side closed it in order */
 	TCP_END_RESET, /* the other side reset it, or closed both directions */
-	TCP_END_TIMED_OUT, /* nothing came for too long, not even an acknowledgment */
+	TCP_END_TIMED_OUT, /* the other side took nothing, or answered no probe, for too long */
 } tcp_end_t;
 
 /* Callbacks of a connection. Each may call tcp_finish(). */
