--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -170,6 +170,16 @@
 	add_entry(quarantine, &entry);
 }
 
+/* Returns whether a loss has a key. */
+static bool has_key(const quarantine_loss_t *loss, uint64_t key)
+{
+	for (unsigned i = 0; i < loss->n_keys; i++) {
+		if (loss->keys[i] == key)
+			return true;
+	}
+	return false;
+}
+
 /* Returns whether a key was on a loss after a time. */
 static bool is_lost_after(const quarantine_t *quarantine, uint64_t key,
 			  int64_t after_us)
@@ -177,8 +187,7 @@
 	for (guint i = 0; i < quarantine->losses->len; i++) {
 		const quarantine_loss_t *loss = &get_entry(quarantine, i)->loss;
 
-		if (loss->lost_us > after_us &&
-		    quarantine_loss_has_key(loss, key))
+		if (loss->lost_us > after_us && has_key(loss, key))
 			return true;
 	}
 	return false;
@@ -385,7 +394,7 @@
 			 const quarantine_rule_t *rule)
 {
 	for (unsigned i = 0; i < rule->n_keys; i++) {
-		if (!quarantine_loss_has_key(loss, rule->keys[i]))
+		if (!has_key(loss, rule->keys[i]))
 			return false;
 	}
 	return true;
