Keep the losses on which a rule rests when others need the room

What callers see: a request that crashes servers, and is held back for it, crashes three more after many servers were lost at once for another reason, as when a zone ends: a VM keeps 128 losses and forgot the oldest, also those of a rule in force, unless the rule had come back from the store.

Change: the latest losses of eight servers under each rule in force stay; of the others the oldest makes room. Eight are more than a rule needs (three, five if requests had begun well before), and eight rules leave half of the room.

test_more_losses_than_are_kept fails before: the request is sent again after 128 other losses. test_cause_after_many_losses, which held before, guards the other side: a cause is found after 256 losses under an earlier one.

--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -21,6 +21,11 @@
 #define ANNOUNCE_US INT64_C(60000000)
 #define WITHDRAWN_UNTIL_US INT64_C(5000000)
 
+/* Losses of different servers that are kept of a rule in force when others need the room: more
+ * than any rule has to rest on.
+ */
+#define LOSSES_KEPT_OF_RULE 8
+
 /* Most sound keys that are kept, in each of the tables and in `recent`. */
 #define MAX_SOUND 4096
 
@@ -128,11 +133,75 @@
 	return &g_array_index(quarantine->losses, entry_t, i);
 }
 
-/* Adds an entry, in place of the oldest one when there are too many. */
+/* Returns whether a loss has a key. */
+static bool has_key(const quarantine_loss_t *loss, uint64_t key)
+{
+	for (unsigned i = 0; i < loss->n_keys; i++) {
+		if (loss->keys[i] == key)
+			return true;
+	}
+	return false;
+}
+
+/* Returns whether a loss has all keys of a rule. */
+static bool has_all_keys(const quarantine_loss_t *loss,
+			 const quarantine_rule_t *rule)
+{
+	for (unsigned i = 0; i < rule->n_keys; i++) {
+		if (!has_key(loss, rule->keys[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Marks the latest losses under a rule, each of another server. */
+static void mark_latest(const quarantine_t *quarantine,
+			const quarantine_rule_t *rule, bool *marked)
+{
+	uint64_t servers[LOSSES_KEPT_OF_RULE];
+	unsigned n = 0;
+
+	for (guint i = quarantine->losses->len;
+	     i-- > 0 && n < LOSSES_KEPT_OF_RULE;) {
+		const entry_t *entry = get_entry(quarantine, i);
+		bool known = false;
+
+		if (entry->refuted || !has_all_keys(&entry->loss, rule))
+			continue;
+		for (unsigned k = 0; k < n && !known; k++)
+			known = servers[k] == entry->loss.server;
+		if (known)
+			continue;
+		marked[i] = true;
+		servers[n++] = entry->loss.server;
+	}
+}
+
+/* Makes room for a loss when as many are kept as may be: removes the oldest one on which no rule
+ * in force rests, or the oldest one.
+ */
+static void make_room(quarantine_t *quarantine)
+{
+	bool needed[QUARANTINE_LOSSES_MAX] = {false};
+	guint i = 0;
+
+	if (quarantine->losses->len < QUARANTINE_LOSSES_MAX)
+		return;
+	for (guint k = 0; k < quarantine->rules->len; k++)
+		mark_latest(quarantine,
+			    &g_array_index(quarantine->rules, quarantine_rule_t,
+					   k),
+			    needed);
+	while (i < QUARANTINE_LOSSES_MAX && needed[i])
+		i++;
+	g_array_remove_index(quarantine->losses,
+			     i < QUARANTINE_LOSSES_MAX ? i : 0);
+}
+
+/* Adds an entry. */
 static void add_entry(quarantine_t *quarantine, const entry_t *entry)
 {
-	if (quarantine->losses->len >= QUARANTINE_LOSSES_MAX)
-		g_array_remove_index(quarantine->losses, 0);
+	make_room(quarantine);
 	g_array_append_vals(quarantine->losses, entry, 1);
 	quarantine->changed = true;
 }
@@ -170,16 +239,6 @@
 	add_entry(quarantine, &entry);
 }
 
-/* Returns whether a loss has a key. */
-static bool has_key(const quarantine_loss_t *loss, uint64_t key)
-{
-	for (unsigned i = 0; i < loss->n_keys; i++) {
-		if (loss->keys[i] == key)
-			return true;
-	}
-	return false;
-}
-
 /* Returns whether a key was on a loss after a time. */
 static bool is_lost_after(const quarantine_t *quarantine, uint64_t key,
 			  int64_t after_us)
@@ -389,17 +448,6 @@
 	return losses;
 }
 
-/* Returns whether a loss has all keys of a rule. */
-static bool has_all_keys(const quarantine_loss_t *loss,
-			 const quarantine_rule_t *rule)
-{
-	for (unsigned i = 0; i < rule->n_keys; i++) {
-		if (!has_key(loss, rule->keys[i]))
-			return false;
-	}
-	return true;
-}
-
 /* Returns whether this VM knows all losses on which a rule from the store rested,
  * so that its own rules take the place of that one.
  */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -409,6 +409,55 @@
 	teardown(&fixture);
 }
 
+/* Guards against a request that crashes servers again because a VM has forgotten the losses
+ * under its rule, for others that came at once, as when a zone ends.
+ */
+static void test_more_losses_than_are_kept(void **state)
+{
+	fixture_t fixture;
+
+	setup(&fixture);
+	lose_sick(&fixture, 3);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	for (unsigned i = 0; i < 2 * QUARANTINE_LOSSES_MAX; i++) {
+		unsigned server = 8 + i % (SERVERS - 8);
+		uint64_t key = SOUND + i;
+
+		quarantine_add_loss(&fixture.quarantine,
+				    fixture.servers[server], server, &key, 1,
+				    fixture.now_us);
+		assert_true(is_held(&fixture, FIRST, SICK));
+		assert_false(is_held(&fixture, FIRST, key));
+	}
+	teardown(&fixture);
+}
+
+/* Guards against a cause that is not found because the losses under an earlier one take all
+ * the room.
+ */
+static void test_cause_after_many_losses(void **state)
+{
+	const uint64_t keys[] = {FIRST, SICK};
+	const uint64_t others[] = {FIRST, SOUND};
+	fixture_t fixture;
+
+	setup(&fixture);
+	for (unsigned i = 0; i < 2 * QUARANTINE_LOSSES_MAX; i++) {
+		unsigned server = 8 + i % (SERVERS - 8);
+
+		fixture.now_us += 100 * CLOCK_US_PER_MS;
+		quarantine_add_loss(&fixture.quarantine,
+				    fixture.servers[server], server, keys,
+				    G_N_ELEMENTS(keys), fixture.now_us);
+	}
+	assert_true(is_held(&fixture, FIRST, SICK));
+	for (unsigned i = 0; i < 3; i++)
+		(void)lose(&fixture, others, G_N_ELEMENTS(others));
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_true(is_held(&fixture, FIRST, SOUND));
+	teardown(&fixture);
+}
+
 /* Guards against rules that never end. */
 static void test_rule_ends(void **state)
 {
@@ -698,6 +747,8 @@
 		cmocka_unit_test(test_servers_that_fail),
 		cmocka_unit_test(test_servers_that_crash_always),
 		cmocka_unit_test(test_part_that_was_sound),
+		cmocka_unit_test(test_more_losses_than_are_kept),
+		cmocka_unit_test(test_cause_after_many_losses),
 		cmocka_unit_test(test_rule_ends),
 		cmocka_unit_test(test_losses_of_other_vms),
 		cmocka_unit_test(test_old_losses_of_other_vms),
