Keep the keys of sound requests in a module of its own

No change in what is kept. test_quarantine, test_quarantine_rows, test_occupancy, test_announce and test_wire pass.

--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -274,7 +274,7 @@
 }
 
 /* Encodes or decodes a key with which a request has begun well. */
-static bool xdr_sound(XDR *xdrs, quarantine_sound_t *sound, int64_t now_us)
+static bool xdr_sound(XDR *xdrs, sound_key_t *sound, int64_t now_us)
 {
 	return xdr_uint64_t(xdrs, &sound->key) &&
 	       xdr_time_left(xdrs, &sound->seen_us, now_us);
@@ -303,8 +303,7 @@
 	if (!xdr_uint32_t(xdrs, &n))
 		return false;
 	for (uint32_t i = 0; i < n; i++) {
-		quarantine_sound_t item =
-			g_array_index(sound, quarantine_sound_t, i);
+		sound_key_t item = g_array_index(sound, sound_key_t, i);
 
 		if (!xdr_sound(xdrs, &item, now_us))
 			return false;
@@ -615,7 +614,7 @@
 	if (!xdr_uint32_t(xdrs, &n) || n > QUARANTINE_SOUND_ANNOUNCED)
 		return false;
 	while (n-- > 0) {
-		quarantine_sound_t item = {.seen_us = now_us};
+		sound_key_t item = {.seen_us = now_us};
 
 		if (!xdr_sound(xdrs, &item, now_us))
 			return false;
--- a/src/process/decide/occupancy.c
+++ b/src/process/decide/occupancy.c
@@ -50,8 +50,7 @@
 		g_array_new(FALSE, FALSE, sizeof(occupancy_limit_t));
 	occupancy->losses =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
-	occupancy->sound =
-		g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
+	occupancy->sound = g_array_new(FALSE, FALSE, sizeof(sound_key_t));
 	occupancy->origins = g_array_new(FALSE, FALSE, sizeof(stream_origin_t));
 	occupancy->all_origins =
 		g_array_new(FALSE, FALSE, sizeof(stream_origin_t));
@@ -354,8 +353,7 @@
 		g_array_new(FALSE, FALSE, sizeof(occupancy_limit_t));
 	announcement->losses =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
-	announcement->sound =
-		g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
+	announcement->sound = g_array_new(FALSE, FALSE, sizeof(sound_key_t));
 	announcement->origins =
 		g_array_new(FALSE, FALSE, sizeof(stream_origin_t));
 }
--- a/src/process/decide/occupancy.h
+++ b/src/process/decide/occupancy.h
@@ -94,7 +94,7 @@
 	GArray *limits; /* of occupancy_limit_t */
 	bool has_losses; /* else what was known of the VM's holds on */
 	GArray *losses; /* of quarantine_loss_t */
-	GArray *sound; /* of quarantine_sound_t */
+	GArray *sound; /* of sound_key_t */
 	GArray *origins; /* of stream_origin_t */
 } occupancy_announcement_t;
 
@@ -130,7 +130,7 @@
 	GArray *unavailable;
 	GArray *limits; /* own, of occupancy_limit_t; set by the owner */
 	GArray *losses; /* own, of quarantine_loss_t; set by the owner */
-	GArray *sound; /* own, of quarantine_sound_t; set by the owner */
+	GArray *sound; /* own, of sound_key_t; set by the owner */
 	/* Of stream_origin_t, to announce to all peers, and to those that have
 	 * just started; set by the owner.
 	 */
--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -26,9 +26,6 @@
  */
 #define LOSSES_KEPT_OF_RULE 8
 
-/* Most sound keys that are kept, in each of the tables and in `recent`. */
-#define MAX_SOUND 4096
-
 /* A loss that this VM has seen or that a peer has announced. */
 typedef struct {
 	quarantine_loss_t loss;
@@ -49,13 +46,6 @@
 		server_unref(entry->server);
 }
 
-/* Returns an empty table of 64-bit key to int64_t. */
-static GHashTable *new_times(void)
-{
-	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-				     g_free);
-}
-
 /* Sets up an object without evidence and rules. */
 void quarantine_init(quarantine_t *quarantine,
 		     server_t *(*find_server)(void *context, uint64_t process),
@@ -66,10 +56,7 @@
 	quarantine->context = context;
 	quarantine->losses = g_array_new(FALSE, FALSE, sizeof(entry_t));
 	g_array_set_clear_func(quarantine->losses, clear_entry);
-	quarantine->sound = new_times();
-	quarantine->sound_before = new_times();
-	quarantine->sound_at_peers = new_times();
-	quarantine->recent = g_new0(quarantine_sound_t, MAX_SOUND);
+	sound_keys_init(&quarantine->sound);
 	quarantine->stored =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
 	quarantine->rules =
@@ -84,10 +71,7 @@
 void quarantine_finish(quarantine_t *quarantine)
 {
 	g_array_unref(quarantine->losses);
-	g_hash_table_unref(quarantine->sound);
-	g_hash_table_unref(quarantine->sound_before);
-	g_hash_table_unref(quarantine->sound_at_peers);
-	g_free(quarantine->recent);
+	sound_keys_finish(&quarantine->sound);
 	g_array_unref(quarantine->stored);
 	g_array_unref(quarantine->rules);
 	g_array_unref(quarantine->confirmed);
@@ -96,37 +80,6 @@
 
 /* --- evidence ----------------------------------------------------------- */
 
-/* Returns the place of a key among the recent ones. */
-static quarantine_sound_t *recent_place(const quarantine_t *quarantine,
-					uint64_t key)
-{
-	return &quarantine->recent[key % MAX_SOUND];
-}
-
-/* Returns when a request with a key last began well at this VM, or -1. */
-static int64_t sound_here_us(const quarantine_t *quarantine, uint64_t key)
-{
-	const quarantine_sound_t *recent = recent_place(quarantine, key);
-	const int64_t *at_us = g_hash_table_lookup(quarantine->sound, &key);
-
-	if (!at_us)
-		at_us = g_hash_table_lookup(quarantine->sound_before, &key);
-	return MAX(at_us ? *at_us : -1,
-		   recent->key == key && recent->seen_us > 0 ? recent->seen_us
-							     : -1);
-}
-
-/* Returns when a request with a key last began well at any VM, or -1 if none is
- * known.
- */
-int64_t quarantine_sound_at_us(const quarantine_t *quarantine, uint64_t key)
-{
-	const int64_t *at_us =
-		g_hash_table_lookup(quarantine->sound_at_peers, &key);
-
-	return MAX(at_us ? *at_us : -1, sound_here_us(quarantine, key));
-}
-
 /* Returns an entry of the losses. */
 static entry_t *get_entry(const quarantine_t *quarantine, guint i)
 {
@@ -214,7 +167,8 @@
 {
 	for (size_t i = 0; i < n_keys && loss->n_keys < QUARANTINE_KEYS_MAX;
 	     i++) {
-		if ((quarantine_sound_at_us(quarantine, keys[i]) >= 0) == sound)
+		if ((sound_keys_anywhere_us(&quarantine->sound, keys[i]) >=
+		     0) == sound)
 			loss->keys[loss->n_keys++] = keys[i];
 	}
 }
@@ -252,26 +206,15 @@
 	return false;
 }
 
-/* Sets the time at which a request with a key last began well. */
-static void set_time(GHashTable *times, uint64_t key, int64_t at_us)
-{
-	g_hash_table_replace(times, g_memdup2(&key, sizeof(key)),
-			     g_memdup2(&at_us, sizeof(at_us)));
-}
-
 /* Records that a request with these keys has begun well. */
 void quarantine_add_sound(quarantine_t *quarantine, const uint64_t *keys,
 			  size_t n_keys, int64_t now_us)
 {
 	for (size_t i = 0; i < n_keys; i++) {
-		int64_t before_us = quarantine_sound_at_us(quarantine, keys[i]);
+		int64_t before_us =
+			sound_keys_anywhere_us(&quarantine->sound, keys[i]);
 
-		if (g_hash_table_size(quarantine->sound) >= MAX_SOUND) {
-			g_hash_table_unref(quarantine->sound_before);
-			quarantine->sound_before = quarantine->sound;
-			quarantine->sound = new_times();
-		}
-		set_time(quarantine->sound, keys[i], now_us);
+		sound_keys_add(&quarantine->sound, keys[i], now_us);
 		quarantine->changed |=
 			is_lost_after(quarantine, keys[i], before_us);
 	}
@@ -283,21 +226,19 @@
 void quarantine_add_recent(quarantine_t *quarantine, uint64_t key,
 			   int64_t now_us)
 {
-	*recent_place(quarantine, key) =
-		(quarantine_sound_t){.key = key, .seen_us = now_us};
+	sound_keys_add_recent(&quarantine->sound, key, now_us);
 }
 
 /* Records when a request with a key last began well at a peer. */
 void quarantine_add_peer_sound(quarantine_t *quarantine,
-			       const quarantine_sound_t *sound)
+			       const sound_key_t *sound)
 {
-	int64_t before_us = quarantine_sound_at_us(quarantine, sound->key);
+	int64_t before_us =
+		sound_keys_anywhere_us(&quarantine->sound, sound->key);
 
 	if (sound->seen_us <= before_us)
 		return;
-	if (g_hash_table_size(quarantine->sound_at_peers) >= MAX_SOUND)
-		g_hash_table_remove_all(quarantine->sound_at_peers);
-	set_time(quarantine->sound_at_peers, sound->key, sound->seen_us);
+	sound_keys_add_peer(&quarantine->sound, sound);
 	quarantine->changed |= is_lost_after(quarantine, sound->key, before_us);
 }
 
@@ -587,7 +528,7 @@
 	for (unsigned i = 0; i < rule->n_keys; i++) {
 		bool found = false;
 
-		if (quarantine_sound_at_us(quarantine, rule->keys[i]) >
+		if (sound_keys_anywhere_us(&quarantine->sound, rule->keys[i]) >
 		    rule->lost_us)
 			continue;
 		for (size_t k = 0; k < n_keys && !found; k++)
@@ -626,7 +567,8 @@
 	int64_t since_us = -1;
 
 	for (unsigned i = 0; i < rule->n_keys; i++) {
-		int64_t sound_us = sound_here_us(quarantine, rule->keys[i]);
+		int64_t sound_us =
+			sound_keys_here_us(&quarantine->sound, rule->keys[i]);
 
 		if (sound_us <= rule->lost_us)
 			return -1;
@@ -674,19 +616,20 @@
 static void list_if_sound(const quarantine_t *quarantine, uint64_t key,
 			  GArray *sound)
 {
-	quarantine_sound_t item = {.key = key,
-				   .seen_us = sound_here_us(quarantine, key)};
+	sound_key_t item = {.key = key,
+			    .seen_us = sound_keys_here_us(&quarantine->sound,
+							  key)};
 
 	if (item.seen_us < 0 || sound->len >= QUARANTINE_SOUND_ANNOUNCED)
 		return;
 	for (guint i = 0; i < sound->len; i++) {
-		if (g_array_index(sound, quarantine_sound_t, i).key == key)
+		if (g_array_index(sound, sound_key_t, i).key == key)
 			return;
 	}
 	g_array_append_val(sound, item);
 }
 
-/* Replaces `sound`, of quarantine_sound_t, by the keys that this VM knows to be
+/* Replaces `sound`, of sound_key_t, by the keys that this VM knows to be
  * sound and that are to be announced: those of rules and of recent losses.
  */
 void quarantine_list_sound(const quarantine_t *quarantine, GArray *sound,
--- a/src/process/decide/quarantine.h
+++ b/src/process/decide/quarantine.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 
 #include "process/decide/server_set.h"
+#include "process/decide/sound_keys.h"
 
 /* Most keys of one loss and of one rule. */
 #define QUARANTINE_KEYS_MAX 8
@@ -48,12 +49,6 @@
 	uint64_t keys[QUARANTINE_KEYS_MAX];
 } quarantine_loss_t;
 
-/* A key with which a request has begun well. */
-typedef struct {
-	uint64_t key;
-	int64_t seen_us; /* when one last did */
-} quarantine_sound_t;
-
 /* Requests with all of these keys are not sent. */
 typedef struct {
 	unsigned n_keys;
@@ -67,16 +62,7 @@
 /* The evidence and the rules of one VM. */
 typedef struct {
 	GArray *losses; /* of a private type: those of all VMs */
-	/* Key to the time at which a request with it last began well at this VM.
-	 * A key that is not in the first table may be in the one before.
-	 */
-	GHashTable *sound;
-	GHashTable *sound_before;
-	GHashTable *sound_at_peers; /* the same, at the other VMs */
-	/* The same for keys that nearly each request has its own of: each place
-	 * is for the keys with one remainder, and holds the latest one.
-	 */
-	quarantine_sound_t *recent;
+	sound_keys_t sound; /* keys with which requests have begun well */
 	GArray *stored; /* of quarantine_rule_t, from the platform's store */
 	GArray *rules; /* of quarantine_rule_t, in force; from all the above */
 	GArray *confirmed; /* those of them under which all servers are gone */
@@ -103,7 +89,7 @@
 void quarantine_add_recent(quarantine_t *quarantine, uint64_t key,
 			   int64_t now_us);
 void quarantine_add_peer_sound(quarantine_t *quarantine,
-			       const quarantine_sound_t *sound);
+			       const sound_key_t *sound);
 void quarantine_apply_peer(quarantine_t *quarantine, uint64_t vm,
 			   const quarantine_loss_t *losses, size_t n_losses,
 			   int64_t now_us);
--- a/src/process/decide/quarantine_evidence.c
+++ b/src/process/decide/quarantine_evidence.c
@@ -1,7 +1,5 @@
 #include "process/decide/quarantine_evidence.h"
 
-#include "process/decide/quarantine_rules.h"
-
 #define WORD_BITS 64u
 
 /* Adds a number to a set. */
@@ -75,8 +73,8 @@
 		if (n > evidence->keys->len) {
 			evidence_key_t added = {
 				.key = loss->keys[i],
-				.sound_us = quarantine_sound_at_us(
-					quarantine, loss->keys[i]),
+				.sound_us = sound_keys_anywhere_us(
+					&quarantine->sound, loss->keys[i]),
 			};
 
 			g_array_append_val(evidence->keys, added);
--- a/src/process/decide/quarantine_rules.h
+++ b/src/process/decide/quarantine_rules.h
@@ -6,7 +6,6 @@
 
 #include "process/decide/quarantine.h"
 
-int64_t quarantine_sound_at_us(const quarantine_t *quarantine, uint64_t key);
 bool quarantine_find_rules(const quarantine_t *quarantine, const GArray *losses,
 			   GArray *rules);
 quarantine_rule_t *quarantine_find_equal(const GArray *rules,
--- a/src/process/entry/entry_quarantine.c
+++ b/src/process/entry/entry_quarantine.c
@@ -53,9 +53,9 @@
 		(const quarantine_loss_t *)announcement->losses->data,
 		announcement->losses->len, clock_now(&entry->clock));
 	for (guint i = 0; i < announcement->sound->len; i++)
-		quarantine_add_peer_sound(
-			quarantine, &g_array_index(announcement->sound,
-						   quarantine_sound_t, i));
+		quarantine_add_peer_sound(quarantine,
+					  &g_array_index(announcement->sound,
+							 sound_key_t, i));
 }
 
 /* Sets the callbacks for losses that this VM has seen or that peers announce. */
--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -295,7 +295,7 @@
 				  .lost_us = NOW - 200 * MS,
 				  .n_keys = 2,
 				  .keys = {7, UINT64_MAX}};
-	quarantine_sound_t sound = {.key = 9, .seen_us = NOW - 100 * MS};
+	sound_key_t sound = {.key = 9, .seen_us = NOW - 100 * MS};
 	occupancy_announcement_t received;
 	const quarantine_loss_t *got;
 	char data[4096];
@@ -327,9 +327,8 @@
 	assert_int_equal(got->n_keys, 2);
 	assert_true(got->keys[1] == UINT64_MAX);
 	assert_int_equal(received.sound->len, 1);
-	assert_int_equal(
-		g_array_index(received.sound, quarantine_sound_t, 0).seen_us,
-		NOW - 95 * MS);
+	assert_int_equal(g_array_index(received.sound, sound_key_t, 0).seen_us,
+			 NOW - 95 * MS);
 	g_array_index(a.occupancy.losses, quarantine_loss_t, 0).n_keys =
 		QUARANTINE_KEYS_MAX + 1;
 	assert_false(announce_encode(&a.announce, a.occupancy.origins, NOW,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -99,7 +99,7 @@
 static void announce(fixture_t *from, fixture_t *to, uint64_t vm)
 {
 	GArray *losses = g_array_new(FALSE, FALSE, sizeof(quarantine_loss_t));
-	GArray *sound = g_array_new(FALSE, FALSE, sizeof(quarantine_sound_t));
+	GArray *sound = g_array_new(FALSE, FALSE, sizeof(sound_key_t));
 
 	to->now_us = MAX(to->now_us, from->now_us);
 	quarantine_list_own(&from->quarantine, losses, to->now_us);
@@ -109,8 +109,7 @@
 	quarantine_list_sound(&from->quarantine, sound, to->now_us);
 	for (guint i = 0; i < sound->len; i++)
 		quarantine_add_peer_sound(
-			&to->quarantine,
-			&g_array_index(sound, quarantine_sound_t, i));
+			&to->quarantine, &g_array_index(sound, sound_key_t, i));
 	g_array_unref(losses);
 	g_array_unref(sound);
 }
