--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -435,18 +435,42 @@
 	}
 }
 
-/* Adds or replaces a rule from the store. */
-void quarantine_put_stored(quarantine_t *quarantine,
+/* Returns the rule from the store under which the last loss is the oldest; there must be one. */
+static quarantine_rule_t *oldest_stored(const quarantine_t *quarantine)
+{
+	quarantine_rule_t *oldest =
+		&g_array_index(quarantine->stored, quarantine_rule_t, 0);
+
+	for (guint i = 1; i < quarantine->stored->len; i++) {
+		quarantine_rule_t *rule = &g_array_index(quarantine->stored,
+							 quarantine_rule_t, i);
+
+		if (rule->lost_us < oldest->lost_us)
+			oldest = rule;
+	}
+	return oldest;
+}
+
+/* Adds or replaces a rule from the store; when there are QUARANTINE_STORED_MAX others, in place
+ * of the oldest. Returns false if it is not used, as it is older than all of them.
+ */
+bool quarantine_put_stored(quarantine_t *quarantine,
 			   const quarantine_rule_t *rule)
 {
-	quarantine_rule_t *known =
+	quarantine_rule_t *place =
 		quarantine_find_equal(quarantine->stored, rule);
 
-	if (known)
-		*known = *rule;
+	if (!place && quarantine->stored->len >= QUARANTINE_STORED_MAX) {
+		place = oldest_stored(quarantine);
+		if (place->lost_us >= rule->lost_us)
+			return false;
+	}
+	if (place)
+		*place = *rule;
 	else
 		g_array_append_vals(quarantine->stored, rule, 1);
 	quarantine->changed = true;
+	return true;
 }
 
 /* Ends a rule that was removed from the store, with the losses under it. */
--- a/src/process/decide/quarantine.h
+++ b/src/process/decide/quarantine.h
@@ -34,6 +34,9 @@
  */
 #define QUARANTINE_CAUSES_MAX 8
 
+/* Most rules from the store that are used: each request is checked against them. */
+#define QUARANTINE_STORED_MAX 64
+
 /* How long a rule holds after the last loss under it. */
 #define QUARANTINE_US (600 * INT64_C(1000000))
 
@@ -93,7 +96,7 @@
 void quarantine_apply_peer(quarantine_t *quarantine, uint64_t vm,
 			   const quarantine_loss_t *losses, size_t n_losses,
 			   int64_t now_us);
-void quarantine_put_stored(quarantine_t *quarantine,
+bool quarantine_put_stored(quarantine_t *quarantine,
 			   const quarantine_rule_t *rule);
 void quarantine_remove_stored(quarantine_t *quarantine,
 			      const quarantine_rule_t *rule);
--- a/src/process/entry/quarantine_rows.c
+++ b/src/process/entry/quarantine_rows.c
@@ -28,6 +28,9 @@
 /* Each VM waits a part of this, by its name, before it removes a row. */
 #define REMOVAL_SPREAD_MS 30000
 
+/* Most rows that are kept: this VM removes those of them whose rules have ended. */
+#define MAX_ROWS 4096
+
 /* What is known of a row. */
 typedef struct {
 	quarantine_rule_t rule;
@@ -141,6 +144,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	rows->has_left_rows = false;
 	g_hash_table_iter_init(&iter, rows->rows);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((row_t *)value)->version = 0;
@@ -149,16 +153,25 @@
 /* Applies the removal of a row. */
 static void remove_row(quarantine_rows_t *rows, const char *key)
 {
-	const row_t *row = g_hash_table_lookup(rows->rows, key);
+	quarantine_rule_t rule = {0};
 
-	if (!row)
+	if (!read_key(key, &rule))
 		return;
-	quarantine_remove_stored(rows->quarantine, &row->rule);
+	quarantine_remove_stored(rows->quarantine, &rule);
 	g_hash_table_remove(rows->rows, key);
 }
 
+/* Logs that there are more rows than are used, once until the next full read. */
+static void log_left(quarantine_rows_t *rows, const char *key)
+{
+	if (!rows->has_left_rows)
+		log_event(LOG_WARN, "crash_row_left", LOG_CSTR("key", key),
+			  LOG_UINT("rows", g_hash_table_size(rows->rows)));
+	rows->has_left_rows = true;
+}
+
 /* Applies a row, or its removal if the version is 0. One that cannot be read
- * changes nothing.
+ * changes nothing, nor does one beyond the number that is used.
  */
 void quarantine_rows_put(quarantine_rows_t *rows, const char *key, str_t value,
 			 int64_t row_version)
@@ -176,9 +189,12 @@
 			  LOG_CSTR("key", key));
 		return;
 	}
-	g_hash_table_replace(rows->rows, g_strdup(key),
-			     g_memdup2(&row, sizeof(row)));
-	quarantine_put_stored(rows->quarantine, &row.rule);
+	if (g_hash_table_size(rows->rows) < MAX_ROWS ||
+	    g_hash_table_contains(rows->rows, key))
+		g_hash_table_replace(rows->rows, g_strdup(key),
+				     g_memdup2(&row, sizeof(row)));
+	if (!quarantine_put_stored(rows->quarantine, &row.rule))
+		log_left(rows, key);
 }
 
 /* Logs how a write or a removal ended. A failed one is tried again when a later
--- a/src/process/entry/quarantine_rows.h
+++ b/src/process/entry/quarantine_rows.h
@@ -15,6 +15,7 @@
 	store_call_t call;
 	int64_t next_check_us;
 	int64_t removal_delay_us; /* differs between VMs */
+	bool has_left_rows; /* there are more than are used; logged */
 } quarantine_rows_t;
 
 void quarantine_rows_init(quarantine_rows_t *rows, clock_source_t clock,
--- a/tests/test_quarantine_rows.c
+++ b/tests/test_quarantine_rows.c
@@ -5,6 +5,8 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <inttypes.h>
+
 #include "names.h"
 #include "process/entry/quarantine_rows.h"
 #include "support_address.h"
@@ -12,6 +14,7 @@
 #include "support_tcp_stub.h"
 
 #define SERVERS 3
+#define ROWS 10000
 #define SICK 0x91bd3f06
 #define ROW "crash/91bd3f06"
 
@@ -248,6 +251,36 @@
 	finish(&vm);
 }
 
+/* Guards against rows of another writer, without an end, that take a VM's memory and its time for
+ * each request.
+ */
+static void test_too_many_rows(void **state)
+{
+	clock_source_t wall = clock_realtime();
+	int64_t begin_ms = clock_now(&wall) / CLOCK_US_PER_MS - 100000;
+	char *latest;
+	vm_t vm;
+
+	init(&vm);
+	for (int64_t i = 1; i <= ROWS; i++) {
+		char *key = g_strdup_printf("crash/%" PRIx64, i);
+		char *value = g_strdup_printf("%" PRId64 " 3", begin_ms + i);
+
+		quarantine_rows_put(&vm.rows, key, str_from(value), 5);
+		g_free(key);
+		g_free(value);
+	}
+	latest = g_strdup_printf("%" PRId64 " 3", begin_ms + ROWS + 1);
+	quarantine_rows_put(&vm.rows, ROW, str_from(latest), 5);
+	g_free(latest);
+	assert_true(is_held(&vm));
+	assert_int_equal(vm.quarantine.rules->len, QUARANTINE_STORED_MAX);
+	assert_true(g_hash_table_size(vm.rows.rows) <= ROWS / 2);
+	quarantine_rows_put(&vm.rows, ROW, STR(""), 0);
+	assert_false(is_held(&vm));
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -257,6 +290,7 @@
 		cmocka_unit_test(test_refuted_rule_is_removed),
 		cmocka_unit_test(test_trials_after_a_start),
 		cmocka_unit_test(test_unreadable_rows),
+		cmocka_unit_test(test_too_many_rows),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
