Check that a VM has given back all that it counted for responses

Guards a part without a test: every way in which a call or a stream ends, also with its VM, gives back what it kept.

--- a/tests/support_entry.c
+++ b/tests/support_entry.c
@@ -69,6 +69,8 @@
 void support_entry_stop(support_entry_t *vm)
 {
 	entry_finish(&vm->entry);
+	/* Whatever way its calls have ended, what they kept is given back. */
+	assert_int_equal(vm->entry.relay.kept.used_bytes, 0);
 	(void)g_remove(vm->path);
 	(void)g_rmdir(vm->folder);
 	g_free(vm->path);
