--- a/tests/test_event_split.c
+++ b/tests/test_event_split.c
@@ -104,12 +104,32 @@
 	g_free(large_id);
 }
 
+/* Guards against room for a long ID that a stream holds on to when its later IDs are short: it
+ * counts for as long as the stream lasts, and no check of what the stream keeps ends it.
+ */
+static void test_memory_after_long_id(void **state)
+{
+	char *text = g_strnfill(EVENT_BYTES / 2, 'a');
+	char *long_id = g_strconcat("id: ", text, "\n\nid: 2\n\n", NULL);
+	event_split_t split;
+
+	event_split_init(&split);
+	(void)event_split_add(&split, str_from(long_id));
+	event_split_consume(&split);
+	assert_true(str_equal(event_split_last_id(&split), STR("2")));
+	assert_true(event_split_memory(&split) <= 2 * MEMORY_SMALL_BYTES);
+	event_split_finish(&split);
+	g_free(text);
+	g_free(long_id);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pieces),
 		cmocka_unit_test(test_time),
 		cmocka_unit_test(test_memory),
+		cmocka_unit_test(test_memory_after_long_id),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
