Leave room for responses beside parts of events, and give that of a long ID back

What callers see, found by the review of: six bodies of 2.2 MB at a time at a sound server, 13.2 MB, got 502 twice, as their buffers of 4 MB passed the 16 MB for all; a body of 8 KB got 502 while the engine of another service stopped 130 streams inside events. A long event ID left its room with the stream when later IDs were short, and counted until its end.

Change: what is kept of responses may take 32 MB, allocated; events 16 MB of it. The smallest VM has 88 MB: 16 for the system, 16 for the kernel's buffers, 8.3 at rest. Buffers and IDs that have become small give their room back in the same way.

Open: streams whose engines stop inside events of 140 KB are ended from the 64th on, where 119 stayed before: a buffer takes the next power of two. A response that this VM has no room for counts as a failure of its server, as before.

--- a/src/request/event_split.c
+++ b/src/request/event_split.c
@@ -20,6 +20,18 @@
 	g_string_free(split->last_id, TRUE);
 }
 
+/* Gives back the room that something larger has left in a string. */
+static void shrink(GString **string)
+{
+	GString *old = *string;
+
+	if (old->allocated_len <= MEMORY_SMALL_BYTES ||
+	    old->len > old->allocated_len / 4)
+		return;
+	*string = g_string_new_len(old->str, (gssize)old->len);
+	g_string_free(old, TRUE);
+}
+
 /* Records the event ID that a line sets, if it is an "id" field. */
 static void read_line(event_split_t *split, const char *line, size_t len)
 {
@@ -39,6 +51,7 @@
 	split->events_with_id++;
 	g_string_truncate(split->last_id, 0);
 	g_string_append_len(split->last_id, line, (gssize)len);
+	shrink(&split->last_id);
 }
 
 /* Searches the bytes added since the last search for ends of events, which are empty lines.
@@ -88,18 +101,6 @@
 	return (str_t){split->buffer->str, split->complete_len};
 }
 
-/* Gives back the room that a large event has left in the buffer. */
-static void shrink_buffer(event_split_t *split)
-{
-	GString *bytes = split->buffer;
-
-	if (bytes->allocated_len <= MEMORY_SMALL_BYTES ||
-	    bytes->len > bytes->allocated_len / 4)
-		return;
-	split->buffer = g_string_new_len(bytes->str, (gssize)bytes->len);
-	g_string_free(bytes, TRUE);
-}
-
 /* Removes the complete events that the last event_split_add() returned. */
 void event_split_consume(event_split_t *split)
 {
@@ -107,7 +108,7 @@
 	split->searched_len -= split->complete_len;
 	split->line_start -= split->complete_len;
 	split->complete_len = 0;
-	shrink_buffer(split);
+	shrink(&split->buffer);
 }
 
 /* Returns what has arrived of an incomplete event, borrowed until the next call
@@ -125,7 +126,7 @@
 	split->complete_len = 0;
 	split->searched_len = 0;
 	split->line_start = 0;
-	shrink_buffer(split);
+	shrink(&split->buffer);
 }
 
 /* Returns the ID of the last complete event that had one, or an empty string;
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -9,10 +9,12 @@
 #define DEFAULT_TIME_LEFT_US (30 * CLOCK_US_PER_S)
 
 /* Most bytes that are kept of one response, and the memory for all of them at a VM. The length
- * leaves room for the NUL in a buffer of 8 MB. The smallest VMs have 88 MB.
+ * leaves room for the NUL in a buffer of 8 MB. The smallest VMs have 88 MB. Events have a part of
+ * it, so that streams whose engines stop inside events leave room for responses.
  */
 #define MAX_KEPT_BYTES (((size_t)8 << 20) - 1)
-#define MAX_KEPT_MEMORY_BYTES ((size_t)16 << 20)
+#define MAX_KEPT_MEMORY_BYTES ((size_t)32 << 20)
+#define MAX_KEPT_EVENTS_BYTES ((size_t)16 << 20)
 
 /* Frees a retry budget. */
 static void free_budget(gpointer data)
@@ -61,6 +63,7 @@
 	stream_origins_init(&relay->origins);
 	software_history_init(&relay->software);
 	memory_budget_init(&relay->kept, MAX_KEPT_MEMORY_BYTES);
+	memory_budget_init(&relay->kept_events, MAX_KEPT_EVENTS_BYTES);
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 	g_queue_init(&relay->unresolved);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -75,6 +75,7 @@
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
 	memory_budget_t kept; /* responses and parts of events */
+	memory_budget_t kept_events; /* the events among them */
 	GQueue releases; /* of prefill results, in progress */
 } relay_t;
 
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -76,13 +76,22 @@
 	g_clear_pointer(&stream->kv_source, g_free);
 }
 
+/* Counts `bytes` for what the stream keeps of events. */
+static void count_kept(stream_t *stream, size_t bytes)
+{
+	relay_t *relay = stream->request.relay;
+	size_t counted_bytes = stream->kept_bytes;
+
+	memory_budget_recount(&relay->kept_events, &counted_bytes, bytes);
+	memory_budget_recount(&relay->kept, &stream->kept_bytes, bytes);
+}
+
 /* Counts what the stream keeps of events among what the VM keeps of responses. To be called when
  * it has changed.
  */
 void stream_count_events(stream_t *stream)
 {
-	memory_budget_recount(&stream->request.relay->kept, &stream->kept_bytes,
-			      event_split_memory(&stream->event_split));
+	count_kept(stream, event_split_memory(&stream->event_split));
 }
 
 /* Frees a stream whose exchange has ended. Cancels its send, and releases the
@@ -105,7 +114,7 @@
 	stream_clear_handle(stream);
 	if (stream->prefilled_by)
 		server_unref(stream->prefilled_by);
-	memory_budget_recount(&relay->kept, &stream->kept_bytes, 0);
+	count_kept(stream, 0);
 	event_split_finish(&stream->event_split);
 	relay_request_finish(&stream->request);
 	g_free(stream);
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -198,18 +198,20 @@
  */
 static void check_kept_events(stream_t *stream)
 {
-	const memory_budget_t *kept = &stream->request.relay->kept;
+	const relay_t *relay = stream->request.relay;
 	size_t bytes = event_split_partial(&stream->event_split).len +
 		       event_split_last_id(&stream->event_split).len;
 
 	if (bytes <= MEMORY_SMALL_BYTES ||
-	    (bytes <= MAX_EVENT_BYTES && memory_budget_has_room(kept, 0)))
+	    (bytes <= MAX_EVENT_BYTES &&
+	     memory_budget_has_room(&relay->kept_events, 0) &&
+	     memory_budget_has_room(&relay->kept, 0)))
 		return;
 	log_event(LOG_WARN, "event_too_large",
 		  LOG_STR("request", stream->request.fields.id),
 		  LOG_CSTR("server", stream->decode->entry.id),
 		  LOG_UINT("bytes", bytes),
-		  LOG_UINT("all_bytes", kept->used_bytes));
+		  LOG_UINT("all_bytes", relay->kept.used_bytes));
 	http_call_reject(stream->send.call);
 }
 
