Reset a stream without chunks that the end of the process cuts

A caller of HTTP/1.0 gets a stream that ends with its connection. If the whole stream had come from the engine, its rest still waited for a caller that reads slowly and the process ended after its grace period, then the caller saw an orderly close after a part of the events: a whole answer by all that it can tell. The same for every such stream when the process is killed.

Cause: the reset was asked for only where a stream is given up. The kernel closes the connections of a process that ends in order, and what the process still held is lost.

The connection of such a stream is set to end with a reset when its head is sent, and to an orderly end when the kernel has all of it. This holds for whatever ends the connection, also the kill of the process.

Streams with chunks and answers with a length are unchanged: there the framing shows a cut.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -143,7 +143,8 @@
 }
 
 /* Begins a response of unknown length by sending its head. To a caller that knows no
- * chunks, the response ends with its connection.
+ * chunks, the response ends with its connection, which is reset if it ends before the kernel
+ * has the whole response.
  */
 void exchange_start_stream(exchange_t *exchange, unsigned status,
 			   const http_headers_t *headers)
@@ -151,9 +152,10 @@
 	ingress_connection_t *connection = exchange->connection;
 	GString *out = g_string_sized_new(512);
 
-	exchange->streaming = true;
-	if (!connection->takes_chunks)
+	if (!connection->takes_chunks) {
 		connection->keep_alive = false;
+		tcp_set_reset_at_end(&connection->tcp, true);
+	}
 	append_head(exchange, out, status, headers);
 	if (connection->takes_chunks)
 		g_string_append(out, "Transfer-Encoding: chunked\r\n");
@@ -199,16 +201,9 @@
 }
 
 /* Closes the connection of a response that cannot be completed, so that the
- * caller can see that it is cut: without chunks, only a reset shows it. Ends the
- * exchange.
+ * caller can see that it is cut: without chunks, a reset shows it. Ends the exchange.
  */
 void exchange_abort(exchange_t *exchange)
 {
-	ingress_connection_t *connection = exchange->connection;
-
-	if (exchange->streaming && !connection->takes_chunks)
-		tcp_finish_reset(&connection->tcp);
-	else
-		tcp_finish(&connection->tcp);
-	ingress_connection_close(connection);
+	ingress_connection_close(exchange->connection);
 }
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -125,9 +125,12 @@
 	ingress_connection_close(connection);
 }
 
-/* Ends the output of a connection, and waits for the caller to close it. */
+/* Ends the output of a connection, all of which the kernel has, and waits for the caller to
+ * close it.
+ */
 static void end_output(ingress_connection_t *connection)
 {
+	tcp_set_reset_at_end(&connection->tcp, false);
 	tcp_shutdown_write(&connection->tcp);
 	alarm_set(&connection->alarm,
 		  clock_now(&connection->ingress->clock) + LINGER_TIMEOUT_US);
@@ -170,7 +173,6 @@
 	connection->reject_status = 0;
 	g_string_truncate(connection->exchange.body, 0);
 	connection->exchange.context = NULL;
-	connection->exchange.streaming = false;
 	http_message_restart(&connection->message);
 	connection->message.max_head_bytes =
 		(size_t)ingress->limits.max_head_bytes;
--- a/src/connection/ingress_connection.h
+++ b/src/connection/ingress_connection.h
@@ -24,7 +24,6 @@
 	GString *body; /* of the request */
 	void *context; /* of the handler, see exchange_set_context() */
 	int64_t arrived_us; /* when the request was complete */
-	bool streaming; /* the head of a stream was sent */
 };
 
 /* A connection from a caller. */
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -392,15 +392,24 @@
 	tcp->out_sent_bytes = 0;
 }
 
-/* Closes the connection with a reset, so that the other side cannot take a
- * truncated answer for a complete one.
+/* Sets whether the end of the connection is a reset, which drops what the other side has not
+ * got. It also holds when the process ends or is killed. Does nothing on a closed
+ * connection; a failure is ignored, the close is an orderly one then.
  */
-void tcp_finish_reset(tcp_t *tcp)
+void tcp_set_reset_at_end(tcp_t *tcp, bool reset)
 {
-	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+	struct linger linger = {.l_onoff = reset ? 1 : 0, .l_linger = 0};
 
 	if (tcp->source)
 		(void)setsockopt(tcp->fd, SOL_SOCKET, SO_LINGER, &linger,
 				 sizeof(linger));
+}
+
+/* Closes the connection with a reset, so that the other side cannot take a
+ * truncated answer for a complete one.
+ */
+void tcp_finish_reset(tcp_t *tcp)
+{
+	tcp_set_reset_at_end(tcp, true);
 	tcp_finish(tcp);
 }
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -84,6 +84,7 @@
 void tcp_shutdown_write(tcp_t *tcp);
 size_t tcp_unsent_bytes(const tcp_t *tcp);
 uint64_t tcp_acknowledged_bytes(const tcp_t *tcp);
+void tcp_set_reset_at_end(tcp_t *tcp, bool reset);
 void tcp_finish(tcp_t *tcp);
 void tcp_finish_reset(tcp_t *tcp);
 
