Let servers take work during a full read of the list

While a VM read the server list in full and the list had several pages, it answered 503 to requests for servers that the pages read so far did not hold.

Cause: the begin of a full read took all servers off the list, to find those that it does not bring.

What the read in progress has not brought is a mark of its own, and the servers take work until the end of the read. Lists of one page begin and end at once and are handled as before. A row that seems a mere heartbeat is still put, so that the mark goes.

--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -37,6 +37,7 @@
 typedef struct {
 	server_entry_t entry;
 	bool listed; /* the platform's list has it now */
+	bool unread; /* the full read in progress has not brought it so far */
 	bool removed; /* from the set; only requests in progress still hold it */
 	bool superseded; /* its address is that of another server of the set */
 	bool misdirected; /* its address answers that another process has it */
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -126,6 +126,7 @@
 	}
 	memset(entry, 0, sizeof(*entry));
 	server->listed = true;
+	server->unread = false;
 	server->expires_us = 0;
 	server_addresses_update(set, server);
 	return server;
@@ -238,7 +239,9 @@
 	return true;
 }
 
-/* Starts a full read of the list: each entry that is read has to be put. */
+/* Starts a full read of the list: each entry that is read has to be put. Until its end
+ * the servers take work as before.
+ */
 void server_set_begin_sync(server_set_t *set)
 {
 	GHashTableIter iter;
@@ -246,7 +249,7 @@
 
 	g_hash_table_iter_init(&iter, set->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &server))
-		((server_t *)server)->listed = false;
+		((server_t *)server)->unread = true;
 }
 
 /*
@@ -263,6 +266,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		server_t *server = value;
 
+		server->listed &= !server->unread;
+		server->unread = false;
 		if (server->listed || server->expires_us != 0)
 			continue;
 		server->expires_us = keep_until_us;
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -135,7 +135,7 @@
 
 /* --- backend servers --------------------------------------------------- */
 
-/* Marks all servers as not listed until the full read brings them. */
+/* Marks all servers as not read until the full read brings them. */
 static void servers_sync_begin(void *context, bool restored)
 {
 	store_rows_t *rows = context;
@@ -178,7 +178,7 @@
 {
 	const GString *entry = g_hash_table_lookup(rows->server_rows, row->key);
 
-	return entry && server && server->listed &&
+	return entry && server && server->listed && !server->unread &&
 	       server_row_is_heartbeat(str_from_gstring(entry),
 				       str_from_gstring(row->value));
 }
--- a/tests/test_server_set.c
+++ b/tests/test_server_set.c
@@ -206,6 +206,32 @@
 	server_set_finish(&set);
 }
 
+/* Guards against servers that get no requests while a full read of several pages has not
+ * brought them yet, and against ones that stay although it has ended without them.
+ */
+static void test_full_read_in_progress(void **state)
+{
+	server_set_t set;
+	server_t *later, *gone;
+
+	server_set_init(&set);
+	later = put(&set, "i-1", "10.0.0.1:80", 1);
+	gone = put(&set, "i-2", "10.0.0.2:80", 1);
+	server_set_begin_sync(&set);
+	assert_true(server_takes_work(later));
+	assert_true(server_takes_work(gone));
+	/* A read that begins anew. */
+	server_set_begin_sync(&set);
+	assert_ptr_equal(put(&set, "i-1", "10.0.0.1:80", 1), later);
+	assert_true(server_takes_work(gone));
+	server_set_end_sync(&set, NOW);
+	assert_true(later->listed);
+	assert_false(gone->listed);
+	assert_true(server_set_expire(&set, NOW));
+	assert_null(server_set_find(&set, "i-2"));
+	server_set_finish(&set);
+}
+
 /* Guards against losing all servers after an outage of the store: servers that
  * a full read does not contain are kept until they had time to enter themselves
  * again.
@@ -323,6 +349,7 @@
 		cmocka_unit_test(test_address_in_order_of_keys),
 		cmocka_unit_test(test_address_given_back),
 		cmocka_unit_test(test_many_servers_enter),
+		cmocka_unit_test(test_full_read_in_progress),
 		cmocka_unit_test(test_missing_after_outage),
 		cmocka_unit_test(test_suspicion_of_peers),
 		cmocka_unit_test(test_failures_in_row),
