Give all bodies of requests at a VM one bound

What callers saw: all requests at a VM end at the same moment, as the VM runs out of memory while many callers send large bodies slowly; before that, small requests wait for up to a second.

Cause: maxBodyBytes is a limit for each body, all together had none. Each body was kept three times while it was sent, and the buffers of kept connections stayed as large as their largest message.

Change: a VM keeps 32 MiB of requests and answers together, of which bodies take at most 24 and answers 16. The length of a body, or maxBodyBytes for one in chunks, is reserved when its head is complete, and given back when its request has ended. No room: 503 with Retry-After, before the body and without 100 Continue, logged and counted as refused. Up to 4 KiB are always taken. A body that alone is longer than 24 MiB is taken when there is no other. Bodies are shared with the connections that send them, and buffers that have been emptied give large memory back. Reading of requests moves to ingress_read.c.

Ruled out: the copies alone.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -16,7 +16,18 @@
 /* Returns the body of the request, borrowed until the exchange ends. */
 str_t exchange_body(const exchange_t *exchange)
 {
-	return str_from_gstring(exchange->body);
+	size_t len;
+	const char *data = g_bytes_get_data(exchange->body, &len);
+
+	return len > 0 ? (str_t){data, len} : STR("");
+}
+
+/* Returns the body of the request for those who hold on to it, borrowed until the exchange
+ * ends.
+ */
+GBytes *exchange_shared_body(const exchange_t *exchange)
+{
+	return exchange->body;
 }
 
 /* Returns the time at which the request was complete. */
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -566,7 +566,8 @@
 	if (options->keep_until_us > 0)
 		keep_until(call, options->keep_until_us);
 	expect_response(call);
-	tcp_write(&call->tcp, options->message->str, options->message->len);
+	tcp_write_with_body(&call->tcp, str_from_gstring(options->message),
+			    options->body);
 	return call;
 }
 
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -55,6 +55,7 @@
 typedef struct {
 	const char *address; /* IP:port */
 	const GString *message; /* head and body of the request; copied */
+	GBytes *body; /* sent after `message`; shared, not copied; may be NULL */
 	bool new_connection; /* don't use one that is open already */
 	bool is_head; /* the method is HEAD: the response has no body */
 	/* A link that passes nothing does not end the call before this time; 0: the
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -7,6 +7,7 @@
 
 #include "connection/address.h"
 #include "process/log.h"
+#include "process/memory_budget.h"
 
 /* Connections that may wait in the kernel's queue to be accepted. When the
  * queue is full, the kernel drops a caller's first packet, and the caller
@@ -54,6 +55,13 @@
 	return connection->state == CONNECTION_ANSWERING;
 }
 
+/* Drops the body of a request that has ended, and gives back its memory. */
+static void drop_body(ingress_connection_t *connection)
+{
+	g_clear_pointer(&connection->exchange.body, g_bytes_unref);
+	request_body_clear(&connection->body);
+}
+
 /* Closes a connection and frees it, at once or when its parser returns. An
  * exchange in progress ends with it, and the handler is not called.
  */
@@ -73,7 +81,7 @@
 	alarm_finish(&connection->output_alarm);
 	http_message_finish(&connection->message);
 	g_string_free(connection->unparsed, TRUE);
-	g_string_free(connection->exchange.body, TRUE);
+	drop_body(connection);
 	g_free(connection);
 }
 
@@ -139,6 +147,7 @@
 void ingress_connection_linger(ingress_connection_t *connection)
 {
 	connection->state = CONNECTION_LINGERING;
+	drop_body(connection);
 	alarm_set(&connection->alarm, -1);
 	if (tcp_unsent_bytes(&connection->tcp) == 0)
 		end_output(connection);
@@ -147,7 +156,8 @@
 }
 
 /* Sets the deadline by which the next part of a request must have come. */
-static void await_part(ingress_connection_t *connection, int64_t timeout_us)
+void ingress_connection_await_part(ingress_connection_t *connection,
+				   int64_t timeout_us)
 {
 	connection->alarm_put_off = false;
 	alarm_set(&connection->alarm,
@@ -157,8 +167,9 @@
 /* Starts the idle timeout of a connection. */
 static void await_activity(ingress_connection_t *connection)
 {
-	await_part(connection, connection->ingress->limits.idle_timeout_us +
-				       IDLE_MARGIN_US);
+	ingress_connection_await_part(
+		connection,
+		connection->ingress->limits.idle_timeout_us + IDLE_MARGIN_US);
 }
 
 /* Resets a connection for its next request, and starts the idle timeout. */
@@ -168,7 +179,7 @@
 
 	connection->state = CONNECTION_READING;
 	connection->reject_status = 0;
-	g_string_truncate(connection->exchange.body, 0);
+	drop_body(connection);
 	connection->exchange.context = NULL;
 	connection->exchange.streaming = false;
 	http_message_restart(&connection->message);
@@ -177,39 +188,6 @@
 	await_activity(connection);
 }
 
-/* Appends a response with a plain text, which the router gives by itself. A
- * retry_after_us of 0 leaves Retry-After out.
- */
-void ingress_append_text_response(GString *out, unsigned status,
-				  int64_t retry_after_us, const char *text,
-				  bool keep_alive)
-{
-	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
-			       http_reason(status));
-	if (retry_after_us > 0)
-		g_string_append_printf(out, "Retry-After: %.3f\r\n",
-				       (double)retry_after_us /
-					       (double)CLOCK_US_PER_S);
-	if (!keep_alive)
-		g_string_append(out, "Connection: close\r\n");
-	g_string_append_printf(out,
-			       "Content-Type: text/plain\r\n"
-			       "Content-Length: %zu\r\n\r\n%s\n",
-			       strlen(text) + 1, text);
-}
-
-/* Answers a request that cannot be read to its end, and closes. */
-static void reject_request(ingress_connection_t *connection, unsigned status)
-{
-	GString *out = g_string_new(NULL);
-
-	ingress_append_text_response(out, status, 0, http_reason(status),
-				     false);
-	tcp_write(&connection->tcp, out->str, out->len);
-	g_string_free(out, TRUE);
-	ingress_connection_linger(connection);
-}
-
 /* Closes a connection whose time is over, and logs it if bytes have arrived that were not
  * read: its caller may have sent a request.
  */
@@ -231,7 +209,7 @@
 {
 	if (connection->state == CONNECTION_READING &&
 	    connection->message.started)
-		reject_request(connection, 408);
+		ingress_connection_reject(connection, 408);
 	else if (connection->state == CONNECTION_READING &&
 		 tcp_unsent_bytes(&connection->tcp) > 0)
 		await_activity(connection); /* it reads the response still */
@@ -259,8 +237,9 @@
 		end_late(connection);
 		return;
 	}
-	await_part(connection,
-		   in_head ? limits->head_timeout_us : limits->idle_timeout_us);
+	ingress_connection_await_part(connection,
+				      in_head ? limits->head_timeout_us
+					      : limits->idle_timeout_us);
 	connection->alarm_put_off = true;
 }
 
@@ -281,57 +260,6 @@
 		end_late(connection);
 }
 
-/* Checks the head of a request, and sends the interim response that a caller
- * may wait for before it sends the body. Returns false if the request is
- * rejected.
- */
-static bool on_head(void *context, http_head_t *head)
-{
-	ingress_connection_t *connection = context;
-	const ingress_t *ingress = connection->ingress;
-	str_t expect;
-	int64_t length;
-
-	connection->keep_alive = head->keep_alive;
-	connection->takes_chunks = head->takes_chunks;
-	if (http_parse_uint(http_headers_get(&head->headers, "content-length"),
-			    &length) &&
-	    length > ingress->limits.max_body_bytes) {
-		connection->reject_status = 413;
-		return false;
-	}
-	if (g_str_equal(head->method->str, "CONNECT")) {
-		connection->reject_status = 405;
-		return false;
-	}
-	if (http_headers_find(&head->headers, "expect", &expect) &&
-	    http_name_is(expect, "100-continue"))
-		tcp_write(&connection->tcp, "HTTP/1.1 100 Continue\r\n\r\n",
-			  25);
-	/* The time for the body is the idle timeout, counted from here. */
-	await_part(connection, ingress->limits.idle_timeout_us);
-	return true;
-}
-
-/* Appends a piece of the body, or rejects a body that is too large. */
-static void on_body(void *context, const char *data, size_t len)
-{
-	ingress_connection_t *connection = context;
-	GString *body = connection->exchange.body;
-
-	if (body->len + len >
-	    (size_t)connection->ingress->limits.max_body_bytes) {
-		connection->reject_status = 413;
-		return;
-	}
-	g_string_append_len(body, data, (gssize)len);
-}
-
-static const http_message_handler_t message_handler = {
-	.on_head = on_head,
-	.on_body = on_body,
-};
-
 /* Passes a complete request to the handler. */
 static void begin_exchange(ingress_connection_t *connection)
 {
@@ -339,6 +267,7 @@
 
 	alarm_set(&connection->alarm, -1);
 	connection->state = CONNECTION_ANSWERING;
+	connection->exchange.body = request_body_complete(&connection->body);
 	connection->exchange.arrived_us = clock_now(&ingress->clock);
 	ingress->active++;
 	ingress->handler->on_request(ingress->context, &connection->exchange);
@@ -370,18 +299,22 @@
 		g_string_erase(connection->unparsed, 0, (gssize)used);
 		if (!started && connection->message.started &&
 		    !connection->message.head_done)
-			await_part(connection,
-				   connection->ingress->limits.head_timeout_us);
+			ingress_connection_await_part(
+				connection,
+				connection->ingress->limits.head_timeout_us);
 		if (connection->reject_status ||
 		    (result != HTTP_FEED_MORE && result != HTTP_FEED_DONE))
-			reject_request(connection,
-				       rejection_status(connection, result));
+			ingress_connection_reject(connection,
+						  rejection_status(connection,
+								   result));
 		else if (result == HTTP_FEED_DONE)
 			begin_exchange(connection);
 	}
 	connection->parsing = false;
 	if (connection->close_pending)
 		ingress_connection_close(connection);
+	else if (connection->unparsed->len == 0)
+		memory_empty_buffer(&connection->unparsed);
 }
 
 /* Keeps the bytes received and parses them, unless a request is in progress. */
@@ -450,11 +383,10 @@
 	connection->ingress = ingress;
 	connection->unparsed = g_string_new(NULL);
 	connection->exchange.connection = connection;
-	connection->exchange.body = g_string_new(NULL);
 	alarm_init(&connection->alarm, ingress->clock, on_alarm, connection);
 	alarm_init(&connection->output_alarm, ingress->clock, on_output_alarm,
 		   connection);
-	http_message_init(&connection->message, true, &message_handler,
+	http_message_init(&connection->message, true, &ingress_message_handler,
 			  connection);
 	g_queue_push_tail(&ingress->connections, connection);
 	connection->link = g_queue_peek_tail_link(&ingress->connections);
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -6,6 +6,7 @@
 
 #include "connection/http_head.h"
 #include "process/clock.h"
+#include "process/memory_budget.h"
 
 /* One request and its response. It exists from on_request until its response is
  * complete (exchange_reply(), exchange_reply_text() or exchange_end_stream()),
@@ -13,6 +14,9 @@
  */
 typedef struct exchange exchange_t;
 
+/* Text of the answer to a request for whose body there is no room. */
+#define INGRESS_NO_ROOM_REASON "no memory for the body"
+
 /* What callers may send, and how long they may take. */
 typedef struct {
 	int64_t max_head_bytes;
@@ -33,6 +37,11 @@
 	 * called when it was false before.
 	 */
 	void (*on_caught_up)(void *context, exchange_t *exchange);
+	/* Optional. A request was answered with 503 before its body was read, as
+	 * there is no room for it. Of the exchange only the head is known.
+	 */
+	void (*on_no_room)(void *context, const exchange_t *exchange,
+			   int64_t retry_after_us);
 } ingress_handler_t;
 
 /* A listening socket and the connections accepted on it. */
@@ -47,6 +56,10 @@
 	unsigned active; /* exchanges in progress */
 	bool closing; /* every response tells the caller to close */
 	bool from_peers; /* the callers are other VMs; set by the owner */
+	/* Bodies of requests count there until their exchanges have ended; borrowed, set by the
+	 * owner before any request; NULL: they count nowhere.
+	 */
+	memory_budget_t *bodies;
 } ingress_t;
 
 bool ingress_init(ingress_t *ingress, const char *address, clock_source_t clock,
@@ -64,6 +77,7 @@
 
 const http_head_t *exchange_head(const exchange_t *exchange);
 str_t exchange_body(const exchange_t *exchange);
+GBytes *exchange_shared_body(const exchange_t *exchange);
 int64_t exchange_arrived_us(const exchange_t *exchange);
 bool exchange_is_from_peer(const exchange_t *exchange);
 char *exchange_caller_address(const exchange_t *exchange);
--- a/src/connection/ingress_connection.h
+++ b/src/connection/ingress_connection.h
@@ -1,11 +1,12 @@
-/* A caller's connection and the exchange on it, shared by ingress.c and
- * exchange.c only.
+/* A caller's connection and the exchange on it, shared by ingress.c,
+ * ingress_read.c and exchange.c only.
  */
 #ifndef CONNECTION_INGRESS_CONNECTION_H
 #define CONNECTION_INGRESS_CONNECTION_H
 
 #include "connection/http_message.h"
 #include "connection/ingress.h"
+#include "connection/request_body.h"
 #include "connection/tcp.h"
 #include "process/alarm.h"
 
@@ -21,7 +22,7 @@
 /* The exchange of a connection; in use while the connection is answering. */
 struct exchange {
 	ingress_connection_t *connection;
-	GString *body; /* of the request */
+	GBytes *body; /* of the request */
 	void *context; /* of the handler, see exchange_set_context() */
 	int64_t arrived_us; /* when the request was complete */
 	bool streaming; /* the head of a stream was sent */
@@ -34,6 +35,8 @@
 	tcp_t tcp;
 	http_message_t message;
 	GString *unparsed; /* received, not yet parsed */
+	request_body_t
+		body; /* of the request; holds its bytes while it is read */
 	connection_state_t state;
 	exchange_t exchange;
 	/* Deadline of the head, body, idle or linger time. Also begins the next
@@ -55,6 +58,12 @@
 	bool close_pending; /* closed while parsing; freed after it */
 };
 
+extern const http_message_handler_t ingress_message_handler;
+
+void ingress_connection_await_part(ingress_connection_t *connection,
+				   int64_t timeout_us);
+void ingress_connection_reject(ingress_connection_t *connection,
+			       unsigned status);
 void ingress_connection_await_request(ingress_connection_t *connection);
 void ingress_connection_watch_output(ingress_connection_t *connection);
 void ingress_connection_linger(ingress_connection_t *connection);
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -9,6 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "process/memory_budget.h"
+
 #define READ_BUFFER_BYTES 16384
 /* Time between keep-alive probes. */
 #define KEEPALIVE_INTERVAL_S 1
@@ -94,24 +96,61 @@
 	handler->on_end(context, reason);
 }
 
-/* Hands buffered output to the kernel until it accepts no more. Returns false
- * if the connection failed.
+/* Returns the bytes of `body` that the kernel has not accepted yet. */
+static str_t unsent_body(const tcp_t *tcp)
+{
+	size_t len = 0;
+	const char *data = tcp->body ? g_bytes_get_data(tcp->body, &len) : NULL;
+
+	if (!data)
+		return STR("");
+	return (str_t){data + tcp->body_sent_bytes, len - tcp->body_sent_bytes};
+}
+
+/* Lets go of a body. */
+static void drop_body(tcp_t *tcp)
+{
+	g_clear_pointer(&tcp->body, g_bytes_unref);
+	tcp->body_sent_bytes = 0;
+}
+
+/* Hands output to the kernel once: what is buffered, or else the body. Returns what send()
+ * does.
+ */
+static ssize_t send_once(tcp_t *tcp)
+{
+	size_t len = tcp->out->len - tcp->out_sent_bytes;
+	str_t body = unsent_body(tcp);
+	ssize_t n;
+
+	if (len > 0) {
+		n = send(tcp->fd, tcp->out->str + tcp->out_sent_bytes, len,
+			 MSG_NOSIGNAL | (body.len > 0 ? MSG_MORE : 0));
+		tcp->out_sent_bytes += n > 0 ? (size_t)n : 0;
+	} else {
+		n = send(tcp->fd, body.data, body.len, MSG_NOSIGNAL);
+		tcp->body_sent_bytes += n > 0 ? (size_t)n : 0;
+	}
+	return n;
+}
+
+/* Hands output to the kernel until it accepts no more. Returns false if the connection
+ * failed.
  */
 static bool flush(tcp_t *tcp)
 {
 	while (tcp_unsent_bytes(tcp) > 0) {
-		ssize_t n = send(tcp->fd, tcp->out->str + tcp->out_sent_bytes,
-				 tcp_unsent_bytes(tcp), MSG_NOSIGNAL);
+		ssize_t n = send_once(tcp);
 
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0)
 			return errno == EAGAIN || errno == EWOULDBLOCK;
-		tcp->out_sent_bytes += (size_t)n;
 		tcp->sent_bytes += (uint64_t)n;
 	}
-	g_string_truncate(tcp->out, 0);
+	memory_empty_buffer(&tcp->out);
 	tcp->out_sent_bytes = 0;
+	drop_body(tcp);
 	return true;
 }
 
@@ -302,13 +341,31 @@
  * nothing on a closed connection.
  */
 void tcp_write(tcp_t *tcp, const char *data, size_t len)
+{
+	tcp_write_with_body(tcp, (str_t){data, len}, NULL);
+}
+
+/* The same with a body after it, or NULL. A large one is not copied: the connection shares it
+ * until the kernel has accepted it.
+ */
+void tcp_write_with_body(tcp_t *tcp, str_t head, GBytes *body)
 {
 	bool idle = tcp_unsent_bytes(tcp) == 0;
+	str_t before = unsent_body(tcp);
+	size_t len = 0;
+	const char *data = body ? g_bytes_get_data(body, &len) : NULL;
 
 	if (!tcp->source)
 		return;
 	drop_sent(tcp);
-	g_string_append_len(tcp->out, data, (gssize)len);
+	if (before.len > 0)
+		g_string_append_len(tcp->out, before.data, (gssize)before.len);
+	drop_body(tcp);
+	g_string_append_len(tcp->out, head.data, (gssize)head.len);
+	if (len > MEMORY_SMALL_BYTES)
+		tcp->body = g_bytes_ref(body);
+	else if (len > 0)
+		g_string_append_len(tcp->out, data, (gssize)len);
 	if (idle && !tcp->connecting)
 		(void)flush(tcp); /* an error shows again when polled */
 	update_events(tcp);
@@ -349,7 +406,9 @@
 /* Returns the bytes of output that the kernel has not accepted yet. */
 size_t tcp_unsent_bytes(const tcp_t *tcp)
 {
-	return tcp->out ? tcp->out->len - tcp->out_sent_bytes : 0;
+	if (!tcp->out)
+		return 0;
+	return tcp->out->len - tcp->out_sent_bytes + unsent_body(tcp).len;
 }
 
 /* Returns the bytes of output that the other side has acknowledged. Its kernel acknowledges what
@@ -388,6 +447,7 @@
 	tcp->source = NULL;
 	close(tcp->fd);
 	g_string_free(tcp->out, TRUE);
+	drop_body(tcp);
 	tcp->out = NULL;
 	tcp->out_sent_bytes = 0;
 }
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -46,6 +46,8 @@
 	gpointer fd_tag; /* of the file descriptor in the source */
 	GString *out; /* buffered output */
 	size_t out_sent_bytes; /* bytes of `out` that the kernel has accepted */
+	GBytes *body; /* sent after `out`; NULL: none */
+	size_t body_sent_bytes; /* bytes of `body` that the kernel has accepted */
 	uint64_t sent_bytes; /* all bytes that it has accepted */
 	const tcp_handler_t *handler;
 	void *context;
@@ -78,6 +80,7 @@
 void tcp_adopt(tcp_t *tcp, int fd, const tcp_options_t *options,
 	       const tcp_handler_t *handler, void *context);
 void tcp_write(tcp_t *tcp, const char *data, size_t len);
+void tcp_write_with_body(tcp_t *tcp, str_t head, GBytes *body);
 void tcp_set_silence_limits(tcp_t *tcp, unsigned user_timeout_ms,
 			    int keepalive_probes);
 void tcp_set_reading(tcp_t *tcp, bool reading);
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -58,6 +58,14 @@
 	.idle_timeout_us = 15 * CLOCK_US_PER_S,
 };
 
+/* Memory for all that is kept of requests and responses, and the part of it that bodies of
+ * requests may take: the rest is enough for the longest response. The smallest VMs have 88 MB:
+ * 16 MB are the system's, 16 MB the kernel's for connections, and 9 MB a process takes without
+ * requests.
+ */
+#define MAX_KEPT_BYTES ((size_t)32 << 20)
+#define MAX_BODIES_BYTES ((size_t)24 << 20)
+
 /* --- requests ---------------------------------------------------------- */
 
 /* Answers 503 and counts the refusal. */
@@ -137,6 +145,32 @@
 		request->on_gone(request->owner);
 }
 
+/* Counts and logs a request that the listener has refused. */
+static void caller_refused(void *context, const exchange_t *exchange,
+			   int64_t retry_after_us)
+{
+	const entry_t *entry = context;
+	const http_head_t *head = exchange_head(exchange);
+	str_t path = http_path(str_from_gstring(head->target));
+	str_t host = http_headers_get(&head->headers, "host");
+	const table_route_t *route = NULL;
+
+	if (entry->table)
+		route = route_table_match(entry->table, host, path);
+	if (route)
+		route_metrics_count(route->name, RESULT_REFUSED);
+	counters_add(COUNTER_REQUESTS, 1);
+	counters_add(COUNTER_REQUESTS_REFUSED, 1);
+	log_event(LOG_INFO, "request_refused",
+		  LOG_STR("request",
+			  http_headers_get(&head->headers, "x-request-id")),
+		  LOG_CSTR("route", route ? route->name : ""),
+		  LOG_CSTR("reason", INGRESS_NO_ROOM_REASON),
+		  LOG_UINT("bodies_bytes", entry->bodies.used_bytes),
+		  LOG_UINT("all_bytes", entry->kept.used_bytes),
+		  LOG_INT("retry_after_ms", retry_after_us / CLOCK_US_PER_MS));
+}
+
 /* Informs the request, if one was started, that its caller is not behind. */
 static void caller_caught_up(void *context, exchange_t *exchange)
 {
@@ -150,6 +184,7 @@
 	.on_request = caller_request,
 	.on_gone = caller_gone,
 	.on_caught_up = caller_caught_up,
+	.on_no_room = caller_refused,
 };
 
 /* Tries to admit waiting streams. Called by the alarm that a change sets. */
@@ -376,12 +411,18 @@
 	occupancy_init(&entry->occupancy);
 	relay_init(&entry->relay, clock, &entry->server_pool, &entry->servers,
 		   &entry->occupancy, entry->settings.zone);
+	memory_budget_init(&entry->kept, MAX_KEPT_BYTES);
+	memory_budget_init(&entry->bodies, MAX_BODIES_BYTES);
+	entry->bodies.whole = &entry->kept;
+	entry->relay.kept.whole = &entry->kept;
 	entry_set_retry_budget(entry);
 	alarm_init(&entry->tick, clock, on_tick, entry);
 	alarm_init(&entry->admission_alarm, clock, on_admit, entry);
 	if (!listen_all(entry))
 		return false;
 	entry->peers.from_peers = true;
+	entry->peers.bodies = &entry->bodies;
+	entry->callers.bodies = &entry->bodies;
 	entry_init_orders(entry);
 	vm_expiry_init(&entry->vm_expiry, clock, &entry->store_pool,
 		       &entry->announce);
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -43,6 +43,9 @@
 	occupancy_t occupancy;
 	announce_t announce;
 	store_rows_t rows;
+	memory_budget_t
+		kept; /* bodies of requests and all that the relay keeps */
+	memory_budget_t bodies; /* the part of it for requests */
 	relay_t relay; /* passes requests on to backend servers */
 	stage_orders_t orders;
 	vm_expiry_t vm_expiry;
--- a/src/process/memory_budget.c
+++ b/src/process/memory_budget.c
@@ -5,23 +5,40 @@
 {
 	budget->used_bytes = 0;
 	budget->max_bytes = max_bytes;
+	budget->whole = NULL;
 }
 
 /* Returns whether `more` bytes may be allocated. */
 bool memory_budget_has_room(const memory_budget_t *budget, size_t more)
 {
-	return budget->used_bytes <= budget->max_bytes &&
-	       more <= budget->max_bytes - budget->used_bytes;
+	for (; budget; budget = budget->whole) {
+		if (budget->used_bytes > budget->max_bytes ||
+		    more > budget->max_bytes - budget->used_bytes)
+			return false;
+	}
+	return true;
 }
 
 /* Counts `bytes` for what was counted with `*counted_bytes` up to now, also beyond the bound. */
 void memory_budget_recount(memory_budget_t *budget, size_t *counted_bytes,
 			   size_t bytes)
 {
-	budget->used_bytes += bytes - *counted_bytes;
+	for (; budget; budget = budget->whole)
+		budget->used_bytes += bytes - *counted_bytes;
 	*counted_bytes = bytes;
 }
 
+/* Drops the bytes of a buffer, and its memory if it is large. */
+void memory_empty_buffer(GString **bytes)
+{
+	if ((*bytes)->allocated_len <= MEMORY_SMALL_BYTES) {
+		g_string_truncate(*bytes, 0);
+		return;
+	}
+	g_string_free(*bytes, TRUE);
+	*bytes = g_string_new(NULL);
+}
+
 /* Sets up an empty buffer, which counts nothing. */
 void kept_buffer_init(kept_buffer_t *buffer, memory_budget_t *budget)
 {
@@ -75,12 +92,7 @@
 void kept_buffer_clear(kept_buffer_t *buffer)
 {
 	memory_budget_recount(buffer->budget, &buffer->counted_bytes, 0);
-	if (buffer->bytes->allocated_len <= MEMORY_SMALL_BYTES) {
-		g_string_truncate(buffer->bytes, 0);
-		return;
-	}
-	g_string_free(buffer->bytes, TRUE);
-	buffer->bytes = g_string_new(NULL);
+	memory_empty_buffer(&buffer->bytes);
 }
 
 /* Returns the bytes, borrowed until the buffer is changed. */
--- a/src/process/memory_budget.h
+++ b/src/process/memory_budget.h
@@ -11,9 +11,13 @@
  */
 #define MEMORY_SMALL_BYTES 4096
 
-typedef struct {
+typedef struct memory_budget {
 	size_t used_bytes;
 	size_t max_bytes;
+	/* A larger budget, in which all that is used of this one counts too; NULL: none. Set
+	 * by the owner before anything is used.
+	 */
+	struct memory_budget *whole;
 } memory_budget_t;
 
 /* Bytes of one message that are kept until it is complete. */
@@ -28,6 +32,8 @@
 void memory_budget_recount(memory_budget_t *budget, size_t *counted_bytes,
 			   size_t bytes);
 
+void memory_empty_buffer(GString **bytes);
+
 void kept_buffer_init(kept_buffer_t *buffer, memory_budget_t *budget);
 void kept_buffer_finish(kept_buffer_t *buffer);
 bool kept_buffer_append(kept_buffer_t *buffer, str_t bytes, size_t max_len);
--- a/src/request/peer_call.c
+++ b/src/request/peer_call.c
@@ -244,11 +244,12 @@
 		return false;
 	peer_tries_add(&call->tries, peer->vm);
 	message = g_string_sized_new(1024);
-	append_passed_on_request(message, exchange_head(request->exchange),
-				 exchange_body(request->exchange),
-				 request->deadline_us - now_us,
-				 request->table->version);
+	append_passed_on_head(message, exchange_head(request->exchange),
+			      exchange_body(request->exchange).len,
+			      request->deadline_us - now_us,
+			      request->table->version);
 	options.message = message;
+	options.body = exchange_shared_body(request->exchange);
 	if (!table_route_is_repeatable(request->route) &&
 	    !request->route->resumable)
 		options.keep_until_us = request->deadline_us;
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -403,6 +403,7 @@
 	http_call_options_t options = {
 		.address = server->entry.address,
 		.message = message,
+		.body = exchange_shared_body(request->exchange),
 		.is_head = g_str_equal(head->method->str, "HEAD"),
 		.id_header = "x-request-id",
 		.id = request->fields.id,
@@ -423,8 +424,8 @@
 	kept_buffer_clear(&send->body);
 	http_headers_clear(&send->headers);
 	send->sent_us = clock_now(&send->relay->clock);
-	append_forwarded_request(message, head,
-				 exchange_body(request->exchange), fields);
+	append_forwarded_head(message, head,
+			      exchange_body(request->exchange).len, fields);
 	send->call = http_pool_call(send->relay->pool, &options);
 	g_string_free(message, TRUE);
 	if (!send->call)
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -74,7 +74,8 @@
 			      known yet */
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
-	memory_budget_t kept; /* responses and parts of events */
+	/* Of responses and parts of events; may be part of a larger one. */
+	memory_budget_t kept;
 	GQueue releases; /* of prefill results, in progress */
 } relay_t;
 
