--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -64,6 +64,7 @@
 	software_history_init(&relay->software);
 	memory_budget_init(&relay->kept, MAX_KEPT_MEMORY_BYTES);
 	memory_budget_init(&relay->kept_events, MAX_KEPT_EVENTS_BYTES);
+	relay->kept_events.whole = &relay->kept;
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 	g_queue_init(&relay->unresolved);
@@ -406,6 +407,7 @@
 	http_call_options_t options = {
 		.address = server->entry.address,
 		.message = message,
+		.body = exchange_shared_body(request->exchange),
 		.is_head = g_str_equal(head->method->str, "HEAD"),
 		.id_header = "x-request-id",
 		.id = request->fields.id,
@@ -426,8 +428,8 @@
 	kept_buffer_clear(&send->body);
 	http_headers_clear(&send->headers);
 	send->sent_us = clock_now(&send->relay->clock);
-	append_forwarded_request(message, head,
-				 exchange_body(request->exchange), fields);
+	append_forwarded_head(message, head,
+			      exchange_body(request->exchange).len, fields);
 	send->call = http_pool_call(send->relay->pool, &options);
 	g_string_free(message, TRUE);
 	if (!send->call)
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -204,8 +204,7 @@
 
 	if (bytes <= MEMORY_SMALL_BYTES ||
 	    (bytes <= MAX_EVENT_BYTES &&
-	     memory_budget_has_room(&relay->kept_events, 0) &&
-	     memory_budget_has_room(&relay->kept, 0)))
+	     memory_budget_has_room(&relay->kept_events, 0)))
 		return;
 	log_event(LOG_WARN, "event_too_large",
 		  LOG_STR("request", stream->request.fields.id),
