Resume a stream at a third engine when the second one has not run it

What callers saw: a stream that had begun, on a resumable route, was cut 0.3 s after its engine was lost, because the engine that it was resumed at could not be connected to within 0.3 s, although a third engine was there. So was one whose next engine refused it, where the route allows a third.

Cause: retry_decode(), which handles a send that has not run, goes on only with the prefill result and before the head has gone to the caller; a resumed stream has neither, and nothing else was tried.

Change: go_on_elsewhere() decides after a send that has not run: a stream that has begun, or whose prefill result is used, is resumed elsewhere like one that broke off; another one is sent on with its prefill result as before. For both, a send that no engine got (no connection, or 421) does not count against the route's limit of servers, and a refusal does. Each send still takes a retry from the budget, none begins after the deadline, and an engine that cannot be connected to is suspect, so that a stream is cut once no usable engine is left.

The test now waits for checks of engines to end before it stops the VM, as a check may be connecting then.

--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -275,37 +275,46 @@
 	return send_decode(stream);
 }
 
-/*
- * Sends a request that has not run to another decode engine, with the same
- * prefill result. An engine that refused counts against the route's limit of
- * servers. One that never got the request does not: no connection could be
- * made, or another server has its address (421).
+/* Sends a request that its engine has not run to another decode engine, with the same prefill
+ * result. False when the route does not allow it, or no usable engine or no retry is left.
  */
 static bool retry_decode(stream_t *stream)
 {
 	relay_request_t *request = &stream->request;
-	relay_t *relay = request->relay;
-	bool received = stream->send.status != 0 && stream->send.status != 421;
 	server_t *next;
 
-	if (stream->head_sent || !stream->kv_source ||
-	    (received &&
-	     request->sends >= (unsigned)request->route->max_servers))
+	if (request->sends >= (unsigned)request->route->max_servers)
 		return false;
 	next = stream_engines_pick_decode(request, stream->kv_tokens,
 					  stream->decode);
 	if (!next || !relay_take_retry(request))
 		return false;
-	if (!received && request->sends > 0)
-		request->sends--;
 	stream_release_decode(stream);
 	stream_use_decode(stream, next);
 	if (send_decode(stream))
 		return true;
-	server_mark_suspect(next, clock_now(&relay->clock));
+	server_mark_suspect(next, clock_now(&request->relay->clock));
 	return false;
 }
 
+/*
+ * Goes on at another engine after one that has not run the request: a stream that has begun
+ * after its last event, another one with the same prefill result. An engine that refused
+ * counts against the route's limit of servers. One that never got the request does not: no
+ * connection could be made, or another server has its address (421).
+ */
+static bool go_on_elsewhere(stream_t *stream)
+{
+	relay_request_t *request = &stream->request;
+	bool received = stream->send.status != 0 && stream->send.status != 421;
+
+	if (!received && request->sends > 0)
+		request->sends--;
+	return !stream->head_sent && stream->kv_source
+		       ? retry_decode(stream)
+		       : resume_elsewhere(stream);
+}
+
 /* Handles a decode that has not run: logs it with what all VMs count at the
  * engine, tries another engine and otherwise ends the stream.
  */
@@ -330,7 +339,7 @@
 				  CLOCK_US_PER_MS));
 	counters_add(COUNTER_IMPORTS_FAILED, 1);
 	record_refusal(stream);
-	if (stream_end_if_quarantined(stream) || retry_decode(stream) ||
+	if (stream_end_if_quarantined(stream) || go_on_elsewhere(stream) ||
 	    stream_pass_on_to_peer(stream))
 		return;
 	if (stream->head_sent || stream->may_have_run)
--- a/tests/test_resumed_streams.c
+++ b/tests/test_resumed_streams.c
@@ -11,10 +11,22 @@
 #include "names.h"
 #include "support_address.h"
 #include "support_entry.h"
+#include "support_link.h"
 #include "support_tcp_stub.h"
 
 #define WAIT_MS 6000
 #define ENGINES 2
+#define MAX_ENGINES 3
+#define MAX_ATTEMPTS 2
+
+/* A check of a server ends within this time. */
+#define CHECK_MS 600
+
+/* A stream goes on at the third engine, or ends, after an attempt of 0.3 s to connect to each
+ * silent one.
+ */
+#define NEXT_ENGINE_MS 900
+#define ALL_ENGINES_MS 1500
 
 #define SIGNED "X-Response-Signature: s\r\n"
 #define OK_HEAD "HTTP/1.1 200 OK\r\n" SIGNED
@@ -33,15 +45,25 @@
 	support_entry_t vm;
 	ingress_t prefill;
 	char *prefill_address;
-	tcp_stub_t engines[ENGINES];
+	tcp_stub_t engines[MAX_ENGINES];
+	unsigned n_engines;
 	http_pool_t callers;
 	unsigned requests; /* so far */
+	unsigned first, next; /* engines of a stream that is resumed */
+	int64_t broken_us;
 	GString *body; /* of the answer to the caller */
 	unsigned status;
 	bool ended;
 	call_end_t end;
 } fixture_t;
 
+static int64_t now_us(void)
+{
+	clock_source_t clock = clock_boottime();
+
+	return clock_now(&clock);
+}
+
 static void prefill_on_request(void *context, exchange_t *exchange)
 {
 	http_headers_t headers;
@@ -88,10 +110,11 @@
 
 static bool is_ready(void *context)
 {
-	const entry_t *vm = &((fixture_t *)context)->vm.entry;
+	const fixture_t *fixture = context;
+	const entry_t *vm = &fixture->vm.entry;
 
 	return vm->table &&
-	       server_set_count_usable(&vm->servers) == ENGINES + 1;
+	       server_set_count_usable(&vm->servers) == fixture->n_engines + 1;
 }
 
 static bool has_ended(void *context)
@@ -118,28 +141,33 @@
 	g_free(id);
 }
 
-static void start(fixture_t *fixture)
+/* Starts a VM and decode engines; a request may be sent to some of them. */
+static void start_with(fixture_t *fixture, unsigned n_engines,
+		       unsigned max_attempts)
 {
 	static const tcp_stub_answer_t none = {NULL, TCP_STUB_CLOSE};
-	static const char config[] =
+	char *config = g_strdup_printf(
 		"{\"version\":1,\"routes\":[{\"name\":\"l\",\"host\":\"h\","
 		"\"pathPrefix\":\"/l/\",\"kind\":\"streaming\","
 		"\"resumable\":true,\"timeoutMs\":5000,"
 		"\"targetLatencyMs\":900,\"service\":\"llm\","
-		"\"maxAttempts\":2}],\"services\":[{\"name\":\"llm\","
+		"\"maxAttempts\":%u}],\"services\":[{\"name\":\"llm\","
 		"\"healthPath\":\"/health\",\"engine\":{\"slots\":12,"
-		"\"kvTokenCapacity\":100000,\"stride\":1}}]}";
+		"\"kvTokenCapacity\":100000,\"stride\":1}}]}",
+		max_attempts);
 
 	memset(fixture, 0, sizeof(*fixture));
+	fixture->n_engines = n_engines;
 	fixture->body = g_string_new(NULL);
 	fixture->store_address = unused_address();
 	fake_store_start(&fixture->store, fixture->store_address);
 	fake_store_put(&fixture->store, TABLE_CONFIG, KEY_CONFIG, config);
+	g_free(config);
 	fixture->prefill_address = support_server_start(
 		&fixture->prefill, &fixture->store, "i-0",
 		"\"service\":\"llm\",\"stage\":\"prefill\"", &prefill_handler,
 		NULL);
-	for (unsigned i = 0; i < ENGINES; i++) {
+	for (unsigned i = 0; i < fixture->n_engines; i++) {
 		tcp_stub_start(&fixture->engines[i], &none, 1);
 		list_engine(fixture, i);
 	}
@@ -148,6 +176,11 @@
 	assert_true(support_run_loop_until(is_ready, fixture, WAIT_MS));
 }
 
+static void start(fixture_t *fixture)
+{
+	start_with(fixture, ENGINES, MAX_ATTEMPTS);
+}
+
 /* Lets the VM forget what earlier requests have shown of its servers. */
 static void trust_servers(fixture_t *fixture)
 {
@@ -171,11 +204,11 @@
 	http_pool_finish(&fixture->callers);
 	/* No check of an engine is in progress when the VM ends. */
 	trust_servers(fixture);
-	for (unsigned i = 0; i < ENGINES; i++)
+	for (unsigned i = 0; i < fixture->n_engines; i++)
 		tcp_stub_close_connections(&fixture->engines[i]);
-	support_run_loop_ms(50);
+	support_run_loop_ms(CHECK_MS);
 	support_entry_stop(&fixture->vm);
-	for (unsigned i = 0; i < ENGINES; i++)
+	for (unsigned i = 0; i < fixture->n_engines; i++)
 		tcp_stub_stop(&fixture->engines[i]);
 	ingress_finish(&fixture->prefill);
 	fake_store_stop(&fixture->store);
@@ -336,6 +369,158 @@
 	stop(&fixture);
 }
 
+/* Begins a stream at one of the engines. Returns which one. The others then complete it. */
+static unsigned begin(fixture_t *fixture)
+{
+	static const tcp_stub_answer_t first_part = {BEGIN, TCP_STUB_KEEP_OPEN};
+	static const tcp_stub_answer_t rest = {
+		STREAM_HEAD "Content-Length: 15\r\n\r\n" SECOND,
+		TCP_STUB_KEEP_OPEN};
+	unsigned first = 0;
+
+	for (unsigned i = 0; i < fixture->n_engines; i++)
+		set_answer(&fixture->engines[i], &first_part);
+	send_request(fixture, "");
+	assert_true(support_run_loop_until(has_begun, fixture, WAIT_MS));
+	for (unsigned i = 0; i < fixture->n_engines; i++) {
+		if (has_request(&fixture->engines[i]))
+			first = i;
+		else
+			set_answer(&fixture->engines[i], &rest);
+	}
+	return first;
+}
+
+/* Breaks the stream off; its engine answers nothing any more. */
+static void break_first(fixture_t *fixture, unsigned first)
+{
+	static const tcp_stub_answer_t none = {NULL, TCP_STUB_CLOSE};
+
+	fixture->first = first;
+	fixture->broken_us = now_us();
+	set_answer(&fixture->engines[first], &none);
+}
+
+static void set_listener_up(fixture_t *fixture, unsigned i, bool up)
+{
+	support_link_set_socket(g_socket_get_fd(fixture->engines[i].listener),
+				up);
+}
+
+/* Returns whether another engine than the first one has been sent the stream, or is being
+ * connected to for it, and notes which.
+ */
+static bool has_next(void *context)
+{
+	fixture_t *fixture = context;
+
+	for (unsigned i = 0; i < fixture->n_engines; i++) {
+		char *id = g_strdup_printf("i-%u", i + 1);
+		const server_t *server =
+			server_set_find(&fixture->vm.entry.servers, id);
+
+		g_free(id);
+		if (i != fixture->first && server->in_flight > 0) {
+			fixture->next = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static int ended_ms(const fixture_t *fixture)
+{
+	return (int)((now_us() - fixture->broken_us) / CLOCK_US_PER_MS);
+}
+
+/* Guards against a stream that is cut because the engine that it is resumed at cannot be
+ * connected to, although a third one is there.
+ */
+static void test_next_engine_is_silent(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	unsigned first;
+
+	start_with(&fixture, MAX_ENGINES, MAX_ATTEMPTS);
+	first = begin(&fixture);
+	for (unsigned i = 0; i < MAX_ENGINES; i++) {
+		if (i != first)
+			set_listener_up(&fixture, i, false);
+	}
+	break_first(&fixture, first);
+	assert_true(support_run_loop_until(has_next, &fixture, WAIT_MS));
+	set_listener_up(&fixture, MAX_ENGINES - first - fixture.next, true);
+	assert_true(support_run_loop_until(has_ended, &fixture, WAIT_MS));
+	print_message("end %d after %d ms\n", (int)fixture.end,
+		      ended_ms(&fixture));
+	assert_int_equal(fixture.end, CALL_ANSWERED);
+	assert_string_equal(fixture.body->str, FIRST SECOND);
+	assert_true(ended_ms(&fixture) < NEXT_ENGINE_MS);
+	stop(&fixture);
+}
+
+/* Guards against a wait for an engine when none is left that can be connected to. */
+static void test_all_other_engines_are_silent(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	unsigned first;
+
+	start_with(&fixture, MAX_ENGINES, MAX_ATTEMPTS);
+	first = begin(&fixture);
+	for (unsigned i = 0; i < MAX_ENGINES; i++) {
+		if (i != first)
+			set_listener_up(&fixture, i, false);
+	}
+	break_first(&fixture, first);
+	assert_true(support_run_loop_until(has_ended, &fixture, WAIT_MS));
+	print_message("end %d after %d ms\n", (int)fixture.end,
+		      ended_ms(&fixture));
+	assert_int_not_equal(fixture.end, CALL_ANSWERED);
+	assert_string_equal(fixture.body->str, FIRST);
+	assert_true(ended_ms(&fixture) < ALL_ENGINES_MS);
+	stop(&fixture);
+}
+
+/* Resumes a stream of three engines at one that refuses it. Returns how many of the others
+ * were sent the request in the end.
+ */
+static unsigned resume_refused(fixture_t *fixture, unsigned max_attempts)
+{
+	static const tcp_stub_answer_t refusal = {
+		"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+		"Content-Length: 0\r\n\r\n",
+		TCP_STUB_KEEP_OPEN};
+	unsigned asked = 0;
+	unsigned first;
+
+	start_with(fixture, MAX_ENGINES, max_attempts);
+	first = begin(fixture);
+	for (unsigned i = 0; i < MAX_ENGINES; i++) {
+		if (i != first)
+			set_answer(&fixture->engines[i], &refusal);
+	}
+	break_first(fixture, first);
+	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
+	for (unsigned i = 0; i < MAX_ENGINES; i++) {
+		if (i != first && has_request(&fixture->engines[i]))
+			asked++;
+	}
+	assert_int_not_equal(fixture->end, CALL_ANSWERED);
+	stop(fixture);
+	return asked;
+}
+
+/* Guards against a resumed stream that is sent to fewer or more engines than its route
+ * allows when they refuse it.
+ */
+static void test_refusals_count(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	assert_int_equal(resume_refused(&fixture, MAX_ATTEMPTS), 1);
+	assert_int_equal(resume_refused(&fixture, MAX_ATTEMPTS + 1), 2);
+}
+
 /* Asks for the rest of a stream after its first event. The engines answer in turn. */
 static void ask_for_rest(fixture_t *fixture, const tcp_stub_answer_t *answer)
 {
@@ -379,6 +564,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_second_engine_fails),
 		cmocka_unit_test(test_second_engine_completes),
+		cmocka_unit_test(test_next_engine_is_silent),
+		cmocka_unit_test(test_all_other_engines_are_silent),
+		cmocka_unit_test(test_refusals_count),
 		cmocka_unit_test(test_rest_without_events),
 	};
 
