Let servers of other services not put off the refill of a stage

What callers saw: none of a service's streams are served while servers of another service enter the list one by one: an empty stage is refilled 1.6 s after a server was last added, so that a round waits for a complete list, and that time was one for all services.

Change: the time is that of the service's own servers.

test_refill_while_other_servers_start fails before (by the reviewer's run) and passes; the tests of stages, orders and the server set pass. test_list_that_is_not_complete sets the time at an engine of the service, the same check. Open: a round of another service still puts the refill off by 10 s (no_round_before_us is one for all services).

--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -36,6 +36,7 @@
  */
 typedef struct {
 	server_entry_t entry;
+	int64_t added_us; /* when it entered the set */
 	bool listed; /* the platform's list has it now */
 	bool unread; /* the full read in progress has not brought it so far */
 	bool removed; /* from the set; only requests in progress still hold it */
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -102,9 +102,9 @@
 	if (entry->leaving && server && !server->entry.leaving)
 		set->last_leaving_us = now_us;
 	if (!server) {
-		set->last_added_us = now_us;
 		server = g_new0(server_t, 1);
 		server->refs = 1;
+		server->added_us = now_us;
 		server->entry = *entry;
 		server->paused_until_us = removed ? removed->paused_until_us
 						  : 0;
--- a/src/process/decide/server_set.h
+++ b/src/process/decide/server_set.h
@@ -12,7 +12,6 @@
 	GHashTable *by_id; /* of server_t */
 	GHashTable *by_address; /* to a GPtrArray of the servers that name it */
 	removed_servers_t removed;
-	int64_t last_added_us; /* when a server was last added */
 	int64_t last_leaving_us; /* when a server last began to leave */
 } server_set_t;
 
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -339,6 +339,23 @@
 						    : STAGE_PREFILL;
 }
 
+/* Returns when a server of a service last entered the list; 0 if it has none. */
+static int64_t last_added_us(const stage_orders_t *orders, const char *service)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int64_t added_us = 0;
+
+	g_hash_table_iter_init(&iter, orders->servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const server_t *server = value;
+
+		if (g_str_equal(server->entry.service, service))
+			added_us = MAX(added_us, server->added_us);
+	}
+	return added_us;
+}
+
 /* Counts the engines of a service that take work in a stage, or will when a
  * change that was ordered is done.
  */
@@ -441,7 +458,7 @@
 		.stage_changes = stage_changes,
 		.first = first,
 		.empty = stage_balance_has_empty_stage(&balance),
-		.last_added_us = orders->servers->last_added_us,
+		.last_added_us = last_added_us(orders, service->name),
 		.last_leaving_us = orders->servers->last_leaving_us,
 		.no_round_before_us = orders->no_round_before_us,
 	};
--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -303,11 +303,43 @@
 
 	init(&vm);
 	empty_decode_stage(&vm);
-	vm.servers.last_added_us = vm_now(&vm);
+	server_set_find(&vm.servers, "engine-0")->added_us = vm_now(&vm);
 	assert_false(begins_round_within(&vm, 1500));
 	finish(&vm);
 }
 
+/* Lists a server of another service. */
+static void list_other_server(vm_t *vm, unsigned number)
+{
+	server_entry_t entry = {
+		.id = g_strdup_printf("other-%u", number),
+		.service = g_strdup("other"),
+		.address = unused_address(),
+		.zone = g_strdup("z"),
+		.slots = 4,
+	};
+
+	server_set_put(&vm->servers, &entry, vm_now(vm));
+}
+
+/* Guards against an empty stage that is not refilled while servers of other services enter
+ * the list one by one, so that the wait for a complete list begins anew with each.
+ */
+static void test_refill_while_other_servers_start(void **state)
+{
+	bool begun = false;
+	vm_t vm;
+
+	init(&vm);
+	empty_decode_stage(&vm);
+	for (unsigned i = 0; i < 3 && !begun; i++) {
+		list_other_server(&vm, i);
+		begun = begins_round_within(&vm, REFILL_MS / 2);
+	}
+	assert_true(begun);
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -320,6 +352,7 @@
 		cmocka_unit_test(test_old_round_is_read_again),
 		cmocka_unit_test(test_list_that_is_not_complete),
 		cmocka_unit_test(test_rounds_of_two_services),
+		cmocka_unit_test(test_refill_while_other_servers_start),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
