Count large heads of responses in the memory budget

Callers would see a VM that runs out of memory with more connections.

Cause: a head has a limit, all together counted in no budget; the buffers of a connection stayed as large as its largest head.

Change: what the head of a response beyond 4 KB has allocated counts among what is kept of answers (16 MB). A call whose head finds no room ends as malformed. Buffers give large memory back after each field and each message. Not counted: the copy of the fields that a request holds, and heads of the store's answers.

Ruled out: the number of fields.

--- a/src/connection/http_head.c
+++ b/src/connection/http_head.c
@@ -2,6 +2,8 @@
 
 #include <inttypes.h>
 
+#include "process/memory_budget.h"
+
 /* Offsets and lengths in bytes of a field's name and value in the text of the
  * list.
  */
@@ -26,10 +28,10 @@
 	g_array_unref(headers->fields);
 }
 
-/* Removes all fields and keeps the memory for others. */
+/* Removes all fields, and keeps a little memory for others. */
 void http_headers_clear(http_headers_t *headers)
 {
-	g_string_truncate(headers->text, 0);
+	memory_empty_buffer(&headers->text);
 	g_array_set_size(headers->fields, 0);
 }
 
--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -19,6 +19,40 @@
 	return !message->too_large;
 }
 
+/* Returns the memory that the head has allocated, but for small fields of fixed size. */
+static size_t head_memory(const http_message_t *message)
+{
+	return message->field_name->allocated_len +
+	       message->field_value->allocated_len +
+	       message->head.headers.text->allocated_len +
+	       FIELD_BYTES * http_headers_count(&message->head.headers);
+}
+
+/* Gives back what is counted in the budget for the head. */
+static void uncount_head(http_message_t *message)
+{
+	if (message->budget)
+		memory_budget_recount(message->budget, &message->counted_bytes,
+				      0);
+}
+
+/* Counts the head in the budget, unless it is small. Returns false if there is no room. */
+static bool has_room(http_message_t *message)
+{
+	size_t bytes = head_memory(message);
+
+	if (!message->budget || message->head_bytes <= MEMORY_SMALL_BYTES)
+		return true;
+	if (bytes > message->counted_bytes &&
+	    !memory_budget_has_room(message->budget,
+				    bytes - message->counted_bytes)) {
+		message->too_large = true;
+		return false;
+	}
+	memory_budget_recount(message->budget, &message->counted_bytes, bytes);
+	return true;
+}
+
 /* Adds the header field that was read to the head, if there is one. Returns false if it is
  * not valid.
  */
@@ -34,9 +68,9 @@
 		message->head_bytes += message->is_request ? 0 : FIELD_BYTES;
 	}
 	message->in_value = false;
-	g_string_truncate(message->field_name, 0);
-	g_string_truncate(message->field_value, 0);
-	return true;
+	memory_empty_buffer(&message->field_name);
+	memory_empty_buffer(&message->field_value);
+	return has_room(message);
 }
 
 /* Notes that the first byte of a message was read. */
@@ -73,7 +107,7 @@
 	if (!count_head_bytes(message, len))
 		return 1;
 	g_string_append_len(message->field_name, at, (gssize)len);
-	return 0;
+	return has_room(message) ? 0 : 1;
 }
 
 /* Appends a piece of a field value. */
@@ -87,7 +121,7 @@
 	if (!count_head_bytes(message, len))
 		return 1;
 	g_string_append_len(message->field_value, at, (gssize)len);
-	return 0;
+	return has_room(message) ? 0 : 1;
 }
 
 /* Returns whether the body of a response ends when the peer closes the
@@ -224,6 +258,7 @@
 /* Frees the memory of a parser. */
 void http_message_finish(http_message_t *message)
 {
+	uncount_head(message);
 	g_string_free(message->field_name, TRUE);
 	g_string_free(message->field_value, TRUE);
 	http_head_finish(&message->head);
@@ -237,9 +272,10 @@
 	http_parser_init(&message->parser,
 			 message->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
 	message->parser.data = message;
+	uncount_head(message);
 	http_head_clear(&message->head);
-	g_string_truncate(message->field_name, 0);
-	g_string_truncate(message->field_value, 0);
+	memory_empty_buffer(&message->field_name);
+	memory_empty_buffer(&message->field_value);
 	message->head_bytes = 0;
 	message->in_value = false;
 	message->started = false;
--- a/src/connection/http_message.h
+++ b/src/connection/http_message.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 
 #include "connection/http_head.h"
+#include "process/memory_budget.h"
 
 /* What a parser calls while it reads a message. */
 typedef struct {
@@ -23,7 +24,7 @@
 	HTTP_FEED_MORE, /* incomplete: more bytes are needed */
 	HTTP_FEED_DONE, /* complete; bytes after its end were not used */
 	HTTP_FEED_MALFORMED, /* not valid HTTP */
-	HTTP_FEED_HEAD_TOO_LARGE, /* the head exceeds max_head_bytes */
+	HTTP_FEED_HEAD_TOO_LARGE, /* the head exceeds max_head_bytes, or the budget */
 	HTTP_FEED_REFUSED, /* on_head returned false */
 } http_feed_t;
 
@@ -37,13 +38,18 @@
 	void *context;
 	size_t max_head_bytes; /* of target, fields and their memory */
 	size_t head_bytes; /* read so far */
+	/* What the head takes beyond a small one counts there until the message is restarted;
+	 * borrowed, set by the owner; NULL: it counts nowhere.
+	 */
+	memory_budget_t *budget;
+	size_t counted_bytes; /* in the budget */
 	bool is_request;
 	bool in_value; /* the name of the current field is complete */
 	bool started; /* a byte of the message has been read */
 	bool head_done;
 	bool done; /* the message is complete */
 	bool refused; /* by on_head */
-	bool too_large; /* the head is */
+	bool too_large; /* the head is, or the budget has no room for it */
 	bool no_body; /* set by the owner: the response is to a HEAD request */
 } http_message_t;
 
--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -527,6 +527,7 @@
 	call->id = g_string_new(NULL);
 	call->handler = handler;
 	http_message_init(&call->message, false, &message_handler, call);
+	call->message.budget = host->pool->heads;
 	return call;
 }
 
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -10,6 +10,7 @@
 
 #include "connection/http_head.h"
 #include "process/clock.h"
+#include "process/memory_budget.h"
 
 /* How a call ended. */
 typedef enum {
@@ -46,6 +47,10 @@
 	 * takes no answer that has one.
 	 */
 	const char *id_header;
+	/* Heads of responses count there, but for small ones; borrowed, set by the owner; NULL:
+	 * they count nowhere. A call whose head finds no room ends as malformed.
+	 */
+	memory_budget_t *heads;
 	uint64_t connections_opened; /* since the start */
 	uint64_t stale_responses; /* skipped: they were to other requests */
 	GHashTable *hosts; /* "IP:port" to http_host_t */
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -415,6 +415,8 @@
 	memory_budget_init(&entry->bodies, MAX_BODIES_BYTES);
 	entry->bodies.whole = &entry->kept;
 	entry->relay.kept.whole = &entry->kept;
+	entry->server_pool.heads = &entry->relay.kept;
+	entry->peer_pool.heads = &entry->relay.kept;
 	entry_set_retry_budget(entry);
 	alarm_init(&entry->tick, clock, on_tick, entry);
 	alarm_init(&entry->admission_alarm, clock, on_admit, entry);
