--- a/tests/test_event_split.c
+++ b/tests/test_event_split.c
@@ -90,11 +90,11 @@
 	assert_true(event_split_add(&split, str_from(large)).len > 0);
 	event_split_consume(&split);
 	assert_true(str_equal(event_split_partial(&split), STR("da")));
-	assert_true(event_split_memory(&split) <= 2 * MEMORY_SMALL_BYTES);
+	assert_true(event_split_memory(&split) <= (size_t)2 * MEMORY_SMALL_BYTES);
 	(void)event_split_add(&split, str_from(text));
 	assert_true(event_split_memory(&split) >= EVENT_BYTES / 2);
 	event_split_drop_partial(&split);
-	assert_true(event_split_memory(&split) <= 2 * MEMORY_SMALL_BYTES);
+	assert_true(event_split_memory(&split) <= (size_t)2 * MEMORY_SMALL_BYTES);
 	(void)event_split_add(&split, str_from(large_id));
 	event_split_consume(&split);
 	assert_true(event_split_memory(&split) >= EVENT_BYTES / 2);
@@ -117,7 +117,7 @@
 	(void)event_split_add(&split, str_from(long_id));
 	event_split_consume(&split);
 	assert_true(str_equal(event_split_last_id(&split), STR("2")));
-	assert_true(event_split_memory(&split) <= 2 * MEMORY_SMALL_BYTES);
+	assert_true(event_split_memory(&split) <= (size_t)2 * MEMORY_SMALL_BYTES);
 	event_split_finish(&split);
 	g_free(text);
 	g_free(long_id);
