Play answers without an end to releases of prompt results

test_endless_memory, a new case: the decode engine fails, so that results are released, and the prefill engine answers each of 64 releases with a head, or with a body, that does not end. The bound of 64 KB for each was known by reading only.

--- a/tests/test_endless_memory.c
+++ b/tests/test_endless_memory.c
@@ -78,6 +78,7 @@
 	unsigned events; /* not 0: a sound stream of so many events */
 	bool over_peer; /* the callers ask a VM that passes their requests on */
 	bool health_only; /* only health checks are answered */
+	bool releases_only; /* the decode engine fails, which has results released */
 } flood_t;
 
 typedef struct fixture fixture_t;
@@ -152,6 +153,10 @@
 
 /* --- servers ------------------------------------------------------------- */
 
+#define ENGINE_ERROR                                       \
+	"HTTP/1.1 500 Oops\r\nX-Response-Signature: s\r\n" \
+	"Connection: close\r\nContent-Length: 0\r\n\r\n"
+
 static const char *sound_answer(role_t role)
 {
 	if (role == ROLE_PREFILL)
@@ -216,9 +221,19 @@
 	role_t role = connection->server->role;
 	const flood_t *bytes = fixture->flood;
 	bool is_check = g_str_has_prefix(connection->received->str, "GET /h");
+	bool is_release =
+		g_str_has_prefix(connection->received->str, "DELETE ");
+	bool sound = role != bytes->role ||
+		     (bytes->releases_only && !is_release);
 	const char *text;
 
-	if (!fixture->flood_begun || role != bytes->role) {
+	if (fixture->flood_begun && bytes->releases_only &&
+	    role == ROLE_DECODE) {
+		(void)send(connection->fd, ENGINE_ERROR, strlen(ENGINE_ERROR),
+			   MSG_NOSIGNAL);
+		return false;
+	}
+	if (!fixture->flood_begun || sound) {
 		text = sound_answer(role);
 		(void)send(connection->fd, text, strlen(text), MSG_NOSIGNAL);
 		return false;
@@ -933,6 +948,35 @@
 	assert_int_equal(count_bad(floods, G_N_ELEMENTS(floods)), 0);
 }
 
+/* Guards against answers to releases of prompt results that are kept without a bound, one more
+ * with each request.
+ */
+static void test_releases(void **state)
+{
+	static const flood_t floods[] = {
+		{
+			.name = "head of a release",
+			.role = ROLE_PREFILL,
+			.first = "HTTP/1.1 200 OK\r\n",
+			.again = "X-Y: z\r\n",
+			.reading = READS_NOTHING,
+			.callers = 64,
+			.releases_only = true,
+		},
+		{
+			.name = "body of a release",
+			.role = ROLE_PREFILL,
+			.first = CHUNKED,
+			.again = CHUNK,
+			.reading = READS_NOTHING,
+			.callers = 64,
+			.releases_only = true,
+		},
+	};
+
+	assert_int_equal(count_bad(floods, G_N_ELEMENTS(floods)), 0);
+}
+
 /* Guards against answers of the store that are kept without a bound. */
 static void test_store(void **state)
 {
@@ -1084,6 +1128,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_answers),
 		cmocka_unit_test(test_health_checks),
+		cmocka_unit_test(test_releases),
 		cmocka_unit_test(test_store),
 		cmocka_unit_test(test_parts_of_events),
 		cmocka_unit_test(test_events),
