--- a/tests/test_endless_memory.c
+++ b/tests/test_endless_memory.c
@@ -34,14 +34,6 @@
 /* Small, so that the kernel keeps little for servers and callers. */
 #define SOCKET_BUFFER_BYTES 32768
 
-/* The smallest VMs have 88 MB in all. The system and a VM without work take some of it,
- * and so do the kernel's buffers of its connections.
- */
-#define VM_BYTES (INT64_C(88) << 20)
-#define SYSTEM_BYTES (INT64_C(16) << 20)
-#define KERNEL_BUFFER_BYTES (INT64_C(16) << 20)
-#define ALLOWED_BYTES (VM_BYTES - SYSTEM_BYTES - KERNEL_BUFFER_BYTES)
-
 /* A flood stops after so many bytes on all connections, to spare the machine. */
 #define STOP_BYTES (INT64_C(256) << 20)
 #define WRITE_BYTES 65536
@@ -86,6 +78,7 @@
 	unsigned events; /* not 0: a sound stream of so many events */
 	bool over_peer; /* the callers ask a VM that passes their requests on */
 	bool health_only; /* only health checks are answered */
+	bool releases_only; /* the decode engine fails, which has results released */
 } flood_t;
 
 typedef struct fixture fixture_t;
@@ -160,6 +153,10 @@
 
 /* --- servers ------------------------------------------------------------- */
 
+#define ENGINE_ERROR                                       \
+	"HTTP/1.1 500 Oops\r\nX-Response-Signature: s\r\n" \
+	"Connection: close\r\nContent-Length: 0\r\n\r\n"
+
 static const char *sound_answer(role_t role)
 {
 	if (role == ROLE_PREFILL)
@@ -224,9 +221,19 @@
 	role_t role = connection->server->role;
 	const flood_t *bytes = fixture->flood;
 	bool is_check = g_str_has_prefix(connection->received->str, "GET /h");
+	bool is_release =
+		g_str_has_prefix(connection->received->str, "DELETE ");
+	bool sound = role != bytes->role ||
+		     (bytes->releases_only && !is_release);
 	const char *text;
 
-	if (!fixture->flood_begun || role != bytes->role) {
+	if (fixture->flood_begun && bytes->releases_only &&
+	    role == ROLE_DECODE) {
+		(void)send(connection->fd, ENGINE_ERROR, strlen(ENGINE_ERROR),
+			   MSG_NOSIGNAL);
+		return false;
+	}
+	if (!fixture->flood_begun || sound) {
 		text = sound_answer(role);
 		(void)send(connection->fd, text, strlen(text), MSG_NOSIGNAL);
 		return false;
@@ -714,23 +721,6 @@
 		g_string_free(fixture->body, TRUE);
 }
 
-/* Returns the most memory that a process has used at a time, in bytes; 0: it has ended. */
-static int64_t peak_bytes(const vm_process_t *vm)
-{
-	char *path = g_strdup_printf("/proc/%d/status", (int)vm->process.pid);
-	char *text = NULL;
-	const char *at;
-	int64_t kib = 0;
-
-	if (g_file_get_contents(path, &text, NULL, NULL)) {
-		at = strstr(text, "VmHWM:");
-		kib = at ? g_ascii_strtoll(at + strlen("VmHWM:"), NULL, 10) : 0;
-	}
-	g_free(text);
-	g_free(path);
-	return kib << 10;
-}
-
 /* Puts a flood in the place of the store. */
 static void replace_store(fixture_t *fixture)
 {
@@ -800,7 +790,7 @@
 
 	start(&fixture, bytes);
 	for (unsigned i = 0; i < fixture.n_vms; i++)
-		quiet[i] = peak_bytes(&fixture.vms[i]);
+		quiet[i] = vm_process_peak_bytes(&fixture.vms[i]);
 	fixture.others_sent = fixture.others_ended = fixture.others_served = 0;
 	fixture.flood_begun = true;
 	alarm_set(&fixture.next_other, now_us());
@@ -817,7 +807,7 @@
 	alarm_set(&fixture.next_other, -1);
 	(void)support_run_loop_until(others_have_ended, &fixture, 2000);
 	for (unsigned i = 0; i < fixture.n_vms; i++) {
-		int64_t peak = peak_bytes(&fixture.vms[i]);
+		int64_t peak = vm_process_peak_bytes(&fixture.vms[i]);
 
 		alive &= peak > 0;
 		grown = MAX(grown, peak - quiet[i]);
@@ -828,7 +818,7 @@
 		      bytes->name, grown >> 10, quiet[0] >> 10,
 		      fixture.sent_bytes >> 10, fixture.others_served,
 		      fixture.others_sent, alive ? "" : ", ended");
-	alive &= fixture.sent_bytes > 0 && grown <= ALLOWED_BYTES &&
+	alive &= fixture.sent_bytes > 0 && grown <= VM_GROWTH_ALLOWED_BYTES &&
 		 fixture.others_served == fixture.others_sent &&
 		 (!bytes->events || all_got_the_stream(&fixture));
 	finish(&fixture);
@@ -958,6 +948,35 @@
 	assert_int_equal(count_bad(floods, G_N_ELEMENTS(floods)), 0);
 }
 
+/* Guards against answers to releases of prompt results that are kept without a bound, one more
+ * with each request.
+ */
+static void test_releases(void **state)
+{
+	static const flood_t floods[] = {
+		{
+			.name = "head of a release",
+			.role = ROLE_PREFILL,
+			.first = "HTTP/1.1 200 OK\r\n",
+			.again = "X-Y: z\r\n",
+			.reading = READS_NOTHING,
+			.callers = 64,
+			.releases_only = true,
+		},
+		{
+			.name = "body of a release",
+			.role = ROLE_PREFILL,
+			.first = CHUNKED,
+			.again = CHUNK,
+			.reading = READS_NOTHING,
+			.callers = 64,
+			.releases_only = true,
+		},
+	};
+
+	assert_int_equal(count_bad(floods, G_N_ELEMENTS(floods)), 0);
+}
+
 /* Guards against answers of the store that are kept without a bound. */
 static void test_store(void **state)
 {
@@ -1109,6 +1128,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_answers),
 		cmocka_unit_test(test_health_checks),
+		cmocka_unit_test(test_releases),
 		cmocka_unit_test(test_store),
 		cmocka_unit_test(test_parts_of_events),
 		cmocka_unit_test(test_events),
