Count a plain server as heard while its body comes

What callers see: since a sound server whose body takes longer than 2.8 s, and which answers nothing else meanwhile, counts as silent; a safe request goes to a second server as well, and the first one is suspect.

Cause: bytes of a plain body were not recorded as received from the server, only heads, probes and events were.

Change: they are.

test_dead_links, test_body_that_comes_slowly fails before (the first send ends as the second is answered) and passes; the other cases and test_two_silent pass.

--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -218,7 +218,9 @@
 static void on_body(void *context, const char *data, size_t len)
 {
 	plain_send_t *sent = context;
+	const relay_t *relay = sent->call->request.relay;
 
+	server_record_received(sent->send.server, clock_now(&relay->clock));
 	relay_send_keep(&sent->send, data, len);
 }
 
@@ -403,14 +405,14 @@
 
 /* Sends a repeatable request to another server as well, if there is one that may take it. The
  * send in progress goes on, as the other server may be silent too, or refuse the request; the
- * first answer ends both. Returns false if it is not sent.
+ * first answer ends both.
  */
-static bool send_beside(plain_send_t *sent)
+static void send_beside(plain_send_t *sent)
 {
 	plain_call_t *call = sent->call;
 
 	if (!may_retry_elsewhere(call) || !relay_take_retry(&call->request))
-		return false;
+		return;
 	/* Called to count the failure against the server. */
 	(void)relay_send_record_outcome(&sent->send, CALL_LOST, true, true);
 	log_event(LOG_WARN, "request_moved",
@@ -419,7 +421,6 @@
 		  LOG_CSTR("reason", "no answer"));
 	call->request.is_trial = false;
 	send_next(call);
-	return true;
 }
 
 /* Handles a send that has not been answered in time. The server counts as silent if it has
@@ -448,8 +449,12 @@
 		}
 	}
 	server_mark_overdue(server, now_us);
-	if (repeatable && !send_beside(sent))
-		alarm_set(&sent->silence, now_us + LINK_SILENCE_US);
+	if (!repeatable)
+		return;
+	/* Another server may be free later, or not take the request now. */
+	alarm_set(&sent->silence, now_us + LINK_SILENCE_US);
+	if (!is_in_progress(call, (unsigned)(sent - call->sends) + 1))
+		send_beside(sent);
 }
 
 /* Ends a call whose caller has disconnected. Closing the connections to the
--- a/tests/test_dead_links.c
+++ b/tests/test_dead_links.c
@@ -34,6 +34,10 @@
  */
 #define WORK_MS 100
 
+/* A body that takes longer than a link may be silent. */
+#define PIECES 10
+#define PIECE_GAP_MS 400
+
 /* What the server has sent before its link is dead. */
 typedef enum { SENT_NOTHING, SENT_OTHER_ANSWER, SENT_HEAD } sent_t;
 
@@ -54,6 +58,7 @@
 	sent_t sent;
 	backend_t *holder; /* of the first request for "/s/hold" */
 	exchange_t *held;
+	unsigned holds; /* requests for "/s/hold" */
 	unsigned ended, served;
 	unsigned status; /* of the last answer */
 };
@@ -104,6 +109,7 @@
 	const char *target = exchange_head(exchange)->target->str;
 	http_headers_t headers;
 
+	fixture->holds += g_str_has_prefix(target, "/s/hold") ? 1 : 0;
 	add_fields(exchange, &headers);
 	if (!g_str_has_prefix(target, "/s/hold") || fixture->holder) {
 		exchange_reply(exchange, 200, &headers,
@@ -295,12 +301,38 @@
 	assert_true(is_moved(SENT_HEAD));
 }
 
+/* Guards against a sound server that counts as silent, and a request that is sent to another
+ * one as well, while a long body comes in pieces.
+ */
+static void test_body_that_comes_slowly(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture, SENT_HEAD);
+	fixture.ended = fixture.served = 0;
+	ask(&fixture, "/s/hold");
+	assert_true(support_run_loop_until(is_held, &fixture, WAIT_MS));
+	for (unsigned i = 0; i < PIECES; i++) {
+		support_run_loop_ms(PIECE_GAP_MS);
+		assert_non_null(fixture.held);
+		exchange_write(fixture.held, "a", 1);
+	}
+	exchange_end_stream(fixture.held);
+	assert_true(support_run_loop_until(has_ended, &fixture, WAIT_MS));
+	assert_int_equal(fixture.served, 1);
+	assert_int_equal(fixture.holds, 1);
+	assert_int_equal(
+		vm_process_count_logged(&fixture.vm, "event=request_moved"), 0);
+	finish(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_nothing_sent),
 		cmocka_unit_test(test_other_answer_sent),
 		cmocka_unit_test(test_head_sent),
+		cmocka_unit_test(test_body_that_comes_slowly),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
