--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -21,7 +21,7 @@
 	TCP_END_NOT_CONNECTED, /* the connection was never established */
 	TCP_END_EOF, /* the other side closed it in order */
 	TCP_END_RESET, /* the other side reset it, or closed both directions */
-	TCP_END_TIMED_OUT, /* nothing came for too long, not even an acknowledgment */
+	TCP_END_TIMED_OUT, /* the other side took nothing, or answered no probe, for too long */
 } tcp_end_t;
 
 /* Callbacks of a connection. Each may call tcp_finish(). */
@@ -46,6 +46,8 @@
 	gpointer fd_tag; /* of the file descriptor in the source */
 	GString *out; /* buffered output */
 	size_t out_sent_bytes; /* bytes of `out` that the kernel has accepted */
+	GBytes *body; /* sent after `out`; NULL: none */
+	size_t body_sent_bytes; /* bytes of `body` that the kernel has accepted */
 	uint64_t sent_bytes; /* all bytes that it has accepted */
 	const tcp_handler_t *handler;
 	void *context;
@@ -78,12 +80,14 @@
 void tcp_adopt(tcp_t *tcp, int fd, const tcp_options_t *options,
 	       const tcp_handler_t *handler, void *context);
 void tcp_write(tcp_t *tcp, const char *data, size_t len);
+void tcp_write_with_body(tcp_t *tcp, str_t head, GBytes *body);
 void tcp_set_silence_limits(tcp_t *tcp, unsigned user_timeout_ms,
 			    int keepalive_probes);
 void tcp_set_reading(tcp_t *tcp, bool reading);
 void tcp_shutdown_write(tcp_t *tcp);
 size_t tcp_unsent_bytes(const tcp_t *tcp);
 uint64_t tcp_acknowledged_bytes(const tcp_t *tcp);
+void tcp_set_reset_at_end(tcp_t *tcp, bool reset);
 void tcp_finish(tcp_t *tcp);
 void tcp_finish_reset(tcp_t *tcp);
 
--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -21,8 +21,10 @@
 #define ANNOUNCE_US INT64_C(60000000)
 #define WITHDRAWN_UNTIL_US INT64_C(5000000)
 
-/* Most sound keys that are kept, in each of the tables and in `recent`. */
-#define MAX_SOUND 4096
+/* Losses of different servers that are kept of a rule in force when others need the room: more
+ * than any rule has to rest on.
+ */
+#define LOSSES_KEPT_OF_RULE 8
 
 /* A loss that this VM has seen or that a peer has announced. */
 typedef struct {
@@ -44,13 +46,6 @@
 		server_unref(entry->server);
 }
 
-/* Returns an empty table of 64-bit key to int64_t. */
-static GHashTable *new_times(void)
-{
-	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-				     g_free);
-}
-
 /* Sets up an object without evidence and rules. */
 void quarantine_init(quarantine_t *quarantine,
 		     server_t *(*find_server)(void *context, uint64_t process),
@@ -61,10 +56,7 @@
 	quarantine->context = context;
 	quarantine->losses = g_array_new(FALSE, FALSE, sizeof(entry_t));
 	g_array_set_clear_func(quarantine->losses, clear_entry);
-	quarantine->sound = new_times();
-	quarantine->sound_before = new_times();
-	quarantine->sound_at_peers = new_times();
-	quarantine->recent = g_new0(quarantine_sound_t, MAX_SOUND);
+	sound_keys_init(&quarantine->sound);
 	quarantine->stored =
 		g_array_new(FALSE, FALSE, sizeof(quarantine_rule_t));
 	quarantine->rules =
@@ -79,10 +71,7 @@
 void quarantine_finish(quarantine_t *quarantine)
 {
 	g_array_unref(quarantine->losses);
-	g_hash_table_unref(quarantine->sound);
-	g_hash_table_unref(quarantine->sound_before);
-	g_hash_table_unref(quarantine->sound_at_peers);
-	g_free(quarantine->recent);
+	sound_keys_finish(&quarantine->sound);
 	g_array_unref(quarantine->stored);
 	g_array_unref(quarantine->rules);
 	g_array_unref(quarantine->confirmed);
@@ -91,48 +80,81 @@
 
 /* --- evidence ----------------------------------------------------------- */
 
-/* Returns the place of a key among the recent ones. */
-static quarantine_sound_t *recent_place(const quarantine_t *quarantine,
-					uint64_t key)
+/* Returns an entry of the losses. */
+static entry_t *get_entry(const quarantine_t *quarantine, guint i)
 {
-	return &quarantine->recent[key % MAX_SOUND];
+	return &g_array_index(quarantine->losses, entry_t, i);
 }
 
-/* Returns when a request with a key last began well at this VM, or -1. */
-static int64_t sound_here_us(const quarantine_t *quarantine, uint64_t key)
+/* Returns whether a loss has a key. */
+static bool has_key(const quarantine_loss_t *loss, uint64_t key)
 {
-	const quarantine_sound_t *recent = recent_place(quarantine, key);
-	const int64_t *at_us = g_hash_table_lookup(quarantine->sound, &key);
+	for (unsigned i = 0; i < loss->n_keys; i++) {
+		if (loss->keys[i] == key)
+			return true;
+	}
+	return false;
+}
 
-	if (!at_us)
-		at_us = g_hash_table_lookup(quarantine->sound_before, &key);
-	return MAX(at_us ? *at_us : -1,
-		   recent->key == key && recent->seen_us > 0 ? recent->seen_us
-							     : -1);
+/* Returns whether a loss has all keys of a rule. */
+static bool has_all_keys(const quarantine_loss_t *loss,
+			 const quarantine_rule_t *rule)
+{
+	for (unsigned i = 0; i < rule->n_keys; i++) {
+		if (!has_key(loss, rule->keys[i]))
+			return false;
+	}
+	return true;
 }
 
-/* Returns when a request with a key last began well at any VM, or -1 if none is
- * known.
- */
-int64_t quarantine_sound_at_us(const quarantine_t *quarantine, uint64_t key)
+/* Marks the latest losses under a rule, each of another server. */
+static void mark_latest(const quarantine_t *quarantine,
+			const quarantine_rule_t *rule, bool *marked)
 {
-	const int64_t *at_us =
-		g_hash_table_lookup(quarantine->sound_at_peers, &key);
+	uint64_t servers[LOSSES_KEPT_OF_RULE];
+	unsigned n = 0;
+
+	for (guint i = quarantine->losses->len;
+	     i-- > 0 && n < LOSSES_KEPT_OF_RULE;) {
+		const entry_t *entry = get_entry(quarantine, i);
+		bool known = false;
 
-	return MAX(at_us ? *at_us : -1, sound_here_us(quarantine, key));
+		if (entry->refuted || !has_all_keys(&entry->loss, rule))
+			continue;
+		for (unsigned k = 0; k < n && !known; k++)
+			known = servers[k] == entry->loss.server;
+		if (known)
+			continue;
+		marked[i] = true;
+		servers[n++] = entry->loss.server;
+	}
 }
 
-/* Returns an entry of the losses. */
-static entry_t *get_entry(const quarantine_t *quarantine, guint i)
+/* Makes room for a loss when as many are kept as may be: removes the oldest one on which no rule
+ * in force rests, or the oldest one.
+ */
+static void make_room(quarantine_t *quarantine)
 {
-	return &g_array_index(quarantine->losses, entry_t, i);
-}
+	bool needed[QUARANTINE_LOSSES_MAX] = {false};
+	guint i = 0;
 
-/* Adds an entry, in place of the oldest one when there are too many. */
+	if (quarantine->losses->len < QUARANTINE_LOSSES_MAX)
+		return;
+	for (guint k = 0; k < quarantine->rules->len; k++)
+		mark_latest(quarantine,
+			    &g_array_index(quarantine->rules, quarantine_rule_t,
+					   k),
+			    needed);
+	while (i < QUARANTINE_LOSSES_MAX && needed[i])
+		i++;
+	g_array_remove_index(quarantine->losses,
+			     i < QUARANTINE_LOSSES_MAX ? i : 0);
+}
+
+/* Adds an entry. */
 static void add_entry(quarantine_t *quarantine, const entry_t *entry)
 {
-	if (quarantine->losses->len >= QUARANTINE_LOSSES_MAX)
-		g_array_remove_index(quarantine->losses, 0);
+	make_room(quarantine);
 	g_array_append_vals(quarantine->losses, entry, 1);
 	quarantine->changed = true;
 }
@@ -145,7 +167,8 @@
 {
 	for (size_t i = 0; i < n_keys && loss->n_keys < QUARANTINE_KEYS_MAX;
 	     i++) {
-		if ((quarantine_sound_at_us(quarantine, keys[i]) >= 0) == sound)
+		if ((sound_keys_anywhere_us(&quarantine->sound, keys[i]) >=
+		     0) == sound)
 			loss->keys[loss->n_keys++] = keys[i];
 	}
 }
@@ -177,33 +200,21 @@
 	for (guint i = 0; i < quarantine->losses->len; i++) {
 		const quarantine_loss_t *loss = &get_entry(quarantine, i)->loss;
 
-		if (loss->lost_us > after_us &&
-		    quarantine_loss_has_key(loss, key))
+		if (loss->lost_us > after_us && has_key(loss, key))
 			return true;
 	}
 	return false;
 }
 
-/* Sets the time at which a request with a key last began well. */
-static void set_time(GHashTable *times, uint64_t key, int64_t at_us)
-{
-	g_hash_table_replace(times, g_memdup2(&key, sizeof(key)),
-			     g_memdup2(&at_us, sizeof(at_us)));
-}
-
 /* Records that a request with these keys has begun well. */
 void quarantine_add_sound(quarantine_t *quarantine, const uint64_t *keys,
 			  size_t n_keys, int64_t now_us)
 {
 	for (size_t i = 0; i < n_keys; i++) {
-		int64_t before_us = quarantine_sound_at_us(quarantine, keys[i]);
+		int64_t before_us =
+			sound_keys_anywhere_us(&quarantine->sound, keys[i]);
 
-		if (g_hash_table_size(quarantine->sound) >= MAX_SOUND) {
-			g_hash_table_unref(quarantine->sound_before);
-			quarantine->sound_before = quarantine->sound;
-			quarantine->sound = new_times();
-		}
-		set_time(quarantine->sound, keys[i], now_us);
+		sound_keys_add(&quarantine->sound, keys[i], now_us);
 		quarantine->changed |=
 			is_lost_after(quarantine, keys[i], before_us);
 	}
@@ -215,21 +226,19 @@
 void quarantine_add_recent(quarantine_t *quarantine, uint64_t key,
 			   int64_t now_us)
 {
-	*recent_place(quarantine, key) =
-		(quarantine_sound_t){.key = key, .seen_us = now_us};
+	sound_keys_add_recent(&quarantine->sound, key, now_us);
 }
 
 /* Records when a request with a key last began well at a peer. */
 void quarantine_add_peer_sound(quarantine_t *quarantine,
-			       const quarantine_sound_t *sound)
+			       const sound_key_t *sound)
 {
-	int64_t before_us = quarantine_sound_at_us(quarantine, sound->key);
+	int64_t before_us =
+		sound_keys_anywhere_us(&quarantine->sound, sound->key);
 
 	if (sound->seen_us <= before_us)
 		return;
-	if (g_hash_table_size(quarantine->sound_at_peers) >= MAX_SOUND)
-		g_hash_table_remove_all(quarantine->sound_at_peers);
-	set_time(quarantine->sound_at_peers, sound->key, sound->seen_us);
+	sound_keys_add_peer(&quarantine->sound, sound);
 	quarantine->changed |= is_lost_after(quarantine, sound->key, before_us);
 }
 
@@ -380,17 +389,6 @@
 	return losses;
 }
 
-/* Returns whether a loss has all keys of a rule. */
-static bool has_all_keys(const quarantine_loss_t *loss,
-			 const quarantine_rule_t *rule)
-{
-	for (unsigned i = 0; i < rule->n_keys; i++) {
-		if (!quarantine_loss_has_key(loss, rule->keys[i]))
-			return false;
-	}
-	return true;
-}
-
 /* Returns whether this VM knows all losses on which a rule from the store rested,
  * so that its own rules take the place of that one.
  */
@@ -437,18 +435,42 @@
 	}
 }
 
-/* Adds or replaces a rule from the store. */
-void quarantine_put_stored(quarantine_t *quarantine,
+/* Returns the rule from the store under which the last loss is the oldest; there must be one. */
+static quarantine_rule_t *oldest_stored(const quarantine_t *quarantine)
+{
+	quarantine_rule_t *oldest =
+		&g_array_index(quarantine->stored, quarantine_rule_t, 0);
+
+	for (guint i = 1; i < quarantine->stored->len; i++) {
+		quarantine_rule_t *rule = &g_array_index(quarantine->stored,
+							 quarantine_rule_t, i);
+
+		if (rule->lost_us < oldest->lost_us)
+			oldest = rule;
+	}
+	return oldest;
+}
+
+/* Adds or replaces a rule from the store; when there are QUARANTINE_STORED_MAX others, in place
+ * of the oldest. Returns false if it is not used, as it is older than all of them.
+ */
+bool quarantine_put_stored(quarantine_t *quarantine,
 			   const quarantine_rule_t *rule)
 {
-	quarantine_rule_t *known =
+	quarantine_rule_t *place =
 		quarantine_find_equal(quarantine->stored, rule);
 
-	if (known)
-		*known = *rule;
+	if (!place && quarantine->stored->len >= QUARANTINE_STORED_MAX) {
+		place = oldest_stored(quarantine);
+		if (place->lost_us >= rule->lost_us)
+			return false;
+	}
+	if (place)
+		*place = *rule;
 	else
 		g_array_append_vals(quarantine->stored, rule, 1);
 	quarantine->changed = true;
+	return true;
 }
 
 /* Ends a rule that was removed from the store, with the losses under it. */
@@ -530,7 +552,7 @@
 	for (unsigned i = 0; i < rule->n_keys; i++) {
 		bool found = false;
 
-		if (quarantine_sound_at_us(quarantine, rule->keys[i]) >
+		if (sound_keys_anywhere_us(&quarantine->sound, rule->keys[i]) >
 		    rule->lost_us)
 			continue;
 		for (size_t k = 0; k < n_keys && !found; k++)
@@ -569,7 +591,8 @@
 	int64_t since_us = -1;
 
 	for (unsigned i = 0; i < rule->n_keys; i++) {
-		int64_t sound_us = sound_here_us(quarantine, rule->keys[i]);
+		int64_t sound_us =
+			sound_keys_here_us(&quarantine->sound, rule->keys[i]);
 
 		if (sound_us <= rule->lost_us)
 			return -1;
@@ -617,19 +640,20 @@
 static void list_if_sound(const quarantine_t *quarantine, uint64_t key,
 			  GArray *sound)
 {
-	quarantine_sound_t item = {.key = key,
-				   .seen_us = sound_here_us(quarantine, key)};
+	sound_key_t item = {.key = key,
+			    .seen_us = sound_keys_here_us(&quarantine->sound,
+							  key)};
 
 	if (item.seen_us < 0 || sound->len >= QUARANTINE_SOUND_ANNOUNCED)
 		return;
 	for (guint i = 0; i < sound->len; i++) {
-		if (g_array_index(sound, quarantine_sound_t, i).key == key)
+		if (g_array_index(sound, sound_key_t, i).key == key)
 			return;
 	}
 	g_array_append_val(sound, item);
 }
 
-/* Replaces `sound`, of quarantine_sound_t, by the keys that this VM knows to be
+/* Replaces `sound`, of sound_key_t, by the keys that this VM knows to be
  * sound and that are to be announced: those of rules and of recent losses.
  */
 void quarantine_list_sound(const quarantine_t *quarantine, GArray *sound,
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -81,7 +81,8 @@
  */
 void stream_count_events(stream_t *stream)
 {
-	memory_budget_recount(&stream->request.relay->kept, &stream->kept_bytes,
+	memory_budget_recount(&stream->request.relay->kept_events,
+			      &stream->kept_bytes,
 			      event_split_memory(&stream->event_split));
 }
 
@@ -105,7 +106,7 @@
 	stream_clear_handle(stream);
 	if (stream->prefilled_by)
 		server_unref(stream->prefilled_by);
-	memory_budget_recount(&relay->kept, &stream->kept_bytes, 0);
+	memory_budget_recount(&relay->kept_events, &stream->kept_bytes, 0);
 	event_split_finish(&stream->event_split);
 	relay_request_finish(&stream->request);
 	g_free(stream);
--- a/tests/test_memory_budget.c
+++ b/tests/test_memory_budget.c
@@ -34,7 +34,8 @@
 	memory_budget_init(&budget, BUDGET_BYTES);
 	for (size_t i = 0; i < MESSAGES; i++)
 		kept_buffer_init(&buffers[i], &budget);
-	for (size_t len = 0; len < 20 * PIECE_BYTES; len += PIECE_BYTES) {
+	for (size_t len = 0; len < (size_t)20 * PIECE_BYTES;
+	     len += PIECE_BYTES) {
 		for (size_t i = 0; i < MESSAGES; i++)
 			refused += !kept_buffer_append(
 				&buffers[i], (str_t){piece, PIECE_BYTES},
