Let the sample of messages build with the build in production

A request is formatted whole by the names of before, which append the body to the head; tool_wire_sample.c and test_platform_wire.c are as they were in production.

--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -137,8 +137,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++)
 		add_field(&head, dropped[i], "forged");
 	add_field(&head, "Connection", "close, x-mine");
-	append_forwarded_head(out, &head, 4, &fields);
-	g_string_append(out, "body");
+	append_forwarded_request(out, &head, STR("body"), &fields);
 	assert_true(g_str_has_prefix(out->str, "POST /a/b?c=d HTTP/1.1\r\n"));
 	assert_null(strstr(out->str, "forged"));
 	assert_null(strstr(out->str, "14000"));
--- a/tests/tool_wire_sample.c
+++ b/tests/tool_wire_sample.c
@@ -216,7 +216,8 @@
 	http_head_t head = {0};
 
 	expect(read_head(REQUEST, strlen(REQUEST), &head), "request");
-	append_passed_on_head(bytes, &head, 0, 9000 * CLOCK_US_PER_MS, 12);
+	append_passed_on_request(bytes, &head, STR(""), 9000 * CLOCK_US_PER_MS,
+				 12);
 	finish_head(&head);
 	return bytes;
 }
