Take the slowness of a prefill engine from what was known when a prompt was sent

What callers saw: after a burst, streams refused as "full" or late with engines free; a VM of the sanitizer build ended with "signed integer overflow" in admission.c, and its other requests with it (test_endless_memory, parts of events).

Cause: the answer to a prompt multiplied the engine's slowness by 1 + 0.2 (ratio - 1), up to 1.6, where the ratio was against a duration expected at the time of the send. All prompts that were sent before the first answer so multiplied one after the other: 300 prompts that take four times as long make an engine 1.6^300 times slower. Estimates of its duration became infinite; as integers they overflowed. A silence of a sound engine with prompts in progress does the same in small: ten prompts, a hundred times. An engine that is held to be that slow gets no prompts that would correct it.

Change: a prompt gives an observation of the slowness itself, the ratio times the slowness known when it was sent, and the moving average goes to that. With one prompt at a time nothing changes.

Ruled out: an address taken by another process (the log ends with the sanitizer's line), memory (the VM had not grown), floods (nothing of the flood had been sent).

Evidence: test_slowness_of_prompts_sent_together fails before (<= 4 asked, 1.6^300 had) and passes now; test_slowness_follows passes on both.

--- a/src/process/decide/server.c
+++ b/src/process/decide/server.c
@@ -248,12 +248,12 @@
 
 /* Records that a server has answered a prompt that was sent at `sent_us`, and
  * updates its slowness. `expected_us` is how long it was expected to take, with
- * the slowness known then; 0 if nothing was known.
+ * `slowness`, what was known of it then; 0 if nothing was known.
  */
 void server_record_prefill(server_t *server, int64_t sent_us, int64_t now_us,
-			   int64_t expected_us)
+			   int64_t expected_us, double slowness)
 {
-	double ratio;
+	double ratio, known;
 
 	server->answered_prompt_sent_us =
 		MAX(server->answered_prompt_sent_us, sent_us);
@@ -261,8 +261,9 @@
 		return;
 	ratio = (double)(now_us - sent_us) / (double)expected_us;
 	ratio = CLAMP(ratio, 1 / MAX_SLOWNESS_RATIO, MAX_SLOWNESS_RATIO);
-	server->prefill_slowness = server_prefill_slowness(server) *
-				   (1 + PREFILL_WEIGHT * (ratio - 1));
+	known = server_prefill_slowness(server);
+	server->prefill_slowness =
+		known + PREFILL_WEIGHT * (slowness * ratio - known);
 }
 
 /*
--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -114,7 +114,7 @@
 void server_work_succeeded(server_t *server);
 void server_record_result(server_t *server, bool failed);
 void server_record_prefill(server_t *server, int64_t sent_us, int64_t now_us,
-			   int64_t expected_us);
+			   int64_t expected_us, double slowness);
 double server_prefill_slowness(const server_t *server);
 prefill_answer_t server_prefill_answer(const server_t *server, int64_t sent_us,
 				       int64_t due_us, int64_t now_us);
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -34,6 +34,7 @@
 	int64_t prefill_backlog_tokens; /* of prompts queued before it */
 	int64_t prefill_expected_us; /* how long it is expected to take; 0:
 					unknown */
+	double prefill_slowness; /* of the engine, when that was expected */
 	int64_t prefilled_us;
 	int64_t decode_started_us; /* latest send to a decode engine */
 	int64_t begun_us; /* first event of that send; 0: none yet */
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -37,8 +37,8 @@
 
 	stream->prefilled_us = clock_now(&relay->clock);
 	server_record_prefill(stream->prefill, stream->send.sent_us,
-			      stream->prefilled_us,
-			      stream->prefill_expected_us);
+			      stream->prefilled_us, stream->prefill_expected_us,
+			      stream->prefill_slowness);
 	workload_observe_prefill(relay_own_workload(&stream->request),
 				 stream->prefilled_us,
 				 stream->request.fields.prompt_tokens,
@@ -183,6 +183,7 @@
 
 	stream->prefill_backlog_tokens = backlog_tokens;
 	stream->prefill_expected_us = is_speed_known(stream) ? duration_us : 0;
+	stream->prefill_slowness = server_prefill_slowness(prefill);
 	stream->prefill_due_us = overdue_at_us(stream, duration_us, now_us);
 	stream_use_prefill(stream, prefill);
 	counters_add(COUNTER_PREFILLS, 1);
--- a/tests/support_model.c
+++ b/tests/support_model.c
@@ -34,6 +34,7 @@
 	unsigned prefill, decode; /* engines */
 	int64_t sent_us; /* to its current engine */
 	int64_t expected_us, backlog_tokens;
+	double slowness; /* of the prefill engine, when that was expected */
 	int64_t next_us; /* when its step ends */
 	int64_t last_event_us;
 	int64_t tokens_sent;
@@ -311,6 +312,8 @@
 		engine_index(engines.prefill_servers[decision.prefill.index]);
 	request->decode = engine_index(engines.decode_servers[decision.decode]);
 	request->expected_us = decision.prefill.duration_us;
+	request->slowness = server_prefill_slowness(
+		engines.prefill_servers[decision.prefill.index]);
 	request->backlog_tokens =
 		engines.prefills[decision.prefill.index].backlog_tokens;
 	start_prefill(model, request);
@@ -379,7 +382,7 @@
 
 	server_record_prefill(server_of(vm, &model->engines[request->prefill]),
 			      request->sent_us, model->now_us,
-			      request->expected_us);
+			      request->expected_us, request->slowness);
 	workload_observe_prefill(
 		occupancy_own_workload(&vm->occupancy, SERVICE), model->now_us,
 		request->prompt_tokens, request->backlog_tokens, duration_us);
--- a/tests/test_server_set.c
+++ b/tests/test_server_set.c
@@ -55,7 +55,7 @@
 
 		print_message("case %zu\n", i);
 		server_record_prefill(&server, NOW + cases[i].answered_ms * MS,
-				      NOW + cases[i].received_ms * MS, 1000);
+				      NOW + cases[i].received_ms * MS, 1000, 1);
 		assert_int_equal(
 			server_prefill_answer(&server, NOW, NOW + 1000 * MS,
 					      NOW + cases[i].now_ms * MS),
@@ -63,6 +63,45 @@
 	}
 }
 
+/* Guards against an engine that counts as many times slower than it has ever been, because
+ * each of the prompts that were sent to it before the first answer makes it slower again.
+ */
+static void test_slowness_of_prompts_sent_together(void **state)
+{
+	server_t server = {0};
+
+	for (int i = 0; i < 300; i++)
+		server_record_prefill(&server, NOW, NOW + 400 * MS, 100 * MS,
+				      1);
+	assert_true(server_prefill_slowness(&server) > 3.9);
+	assert_true(server_prefill_slowness(&server) <= 4);
+}
+
+/* Guards against an estimate that does not follow an engine which has become slower, or fast
+ * again, one prompt after the other.
+ */
+static void test_slowness_follows(void **state)
+{
+	static const double speeds[] = {3, 1};
+	server_t server = {0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(speeds); i++) {
+		for (int n = 0; n < 40; n++) {
+			double slowness = server_prefill_slowness(&server);
+			double expected_us = 100.0 * MS * slowness;
+			double took_us = 100.0 * MS * speeds[i];
+
+			server_record_prefill(&server, NOW,
+					      NOW + (int64_t)took_us,
+					      (int64_t)expected_us, slowness);
+		}
+		assert_true(server_prefill_slowness(&server) >
+			    speeds[i] * 0.99);
+		assert_true(server_prefill_slowness(&server) <
+			    speeds[i] * 1.01);
+	}
+}
+
 /* Guards against treating a server that restarted under its old ID as the old
  * process: neither its requests nor its failures are those of the new one.
  */
@@ -344,6 +383,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_failures_of_one_moment_count_once),
 		cmocka_unit_test(test_prefill_answer),
+		cmocka_unit_test(test_slowness_of_prompts_sent_together),
+		cmocka_unit_test(test_slowness_follows),
 		cmocka_unit_test(test_restart_under_old_id),
 		cmocka_unit_test(test_address_reused),
 		cmocka_unit_test(test_address_in_order_of_keys),
