Print how many requests were sent when a limit is gone, in a test

It was not known how many callers sent in that time, so that a VM that holds requests back could not be told from a test that did not keep up. The bound stays.

--- a/tests/test_limit_all_vms.c
+++ b/tests/test_limit_all_vms.c
@@ -161,6 +161,16 @@
 
 /* --- callers ------------------------------------------------------------ */
 
+/* Returns the requests that callers have sent from a time on. */
+static unsigned sent_since(const fixture_t *fixture, int64_t from_us)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < fixture->sent; i++)
+		n += fixture->calls[i].sent_us >= from_us;
+	return n;
+}
+
 static void call_on_head(void *context, const http_head_t *head)
 {
 	call_t *call = context;
@@ -331,6 +341,9 @@
 	lifted_us = now_us();
 	limited->limit = NULL;
 	support_run_loop_ms(5000);
+	print_message("without its limit: %u of %u requests\n",
+		      arrivals_since(limited, lifted_us + SETTLE_US),
+		      sent_since(fixture, lifted_us + SETTLE_US));
 	assert_true(arrivals_since(limited, lifted_us + SETTLE_US) > 20);
 	stop(fixture);
 }
