Hold crashing requests at a VM whose machine started after the last loss

Cause: the clock begins with the machine, so that a loss before it, which the store or another VM tells, has a negative time. A request key with which nothing is known to have begun well had the time -1, later than such a loss: it passed for one that began well after the loss, which ends a rule.

Change: SOUND_NEVER_US, the earliest time there is, stands for "not seen", at each place that compared with -1 or 0.

Evidence: test_losses_before_the_start fails before (the rule from the store holds nothing) and passes now, for a rule from the store, for losses that another VM announces, for the removal, and for a request that does begin well. The other 26 tests of test_quarantine and the 7 of test_quarantine_rows pass before and after.

Times in announcements of occupancy are ages against the receiver's clock and are not compared with "not seen" (by reading).

--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -167,8 +167,8 @@
 {
 	for (size_t i = 0; i < n_keys && loss->n_keys < QUARANTINE_KEYS_MAX;
 	     i++) {
-		if ((sound_keys_anywhere_us(&quarantine->sound, keys[i]) >=
-		     0) == sound)
+		if ((sound_keys_anywhere_us(&quarantine->sound, keys[i]) !=
+		     SOUND_NEVER_US) == sound)
 			loss->keys[loss->n_keys++] = keys[i];
 	}
 }
@@ -510,7 +510,7 @@
 				return true;
 		}
 	}
-	return is_lost_after(quarantine, key, -1);
+	return is_lost_after(quarantine, key, INT64_MIN);
 }
 
 /* Checks the evidence and computes the rules again if it has changed. Returns
@@ -583,19 +583,19 @@
 }
 
 /* Returns since when requests that have begun well at this VM show that a rule does not
- * hold: each of its keys has been seen sound after the last loss. -1: they do not.
+ * hold: each of its keys has been seen sound after the last loss. SOUND_NEVER_US: they do not.
  */
 int64_t quarantine_refuted_here_us(const quarantine_t *quarantine,
 				   const quarantine_rule_t *rule)
 {
-	int64_t since_us = -1;
+	int64_t since_us = SOUND_NEVER_US;
 
 	for (unsigned i = 0; i < rule->n_keys; i++) {
 		int64_t sound_us =
 			sound_keys_here_us(&quarantine->sound, rule->keys[i]);
 
 		if (sound_us <= rule->lost_us)
-			return -1;
+			return SOUND_NEVER_US;
 		since_us = MAX(since_us, sound_us);
 	}
 	return since_us;
@@ -644,7 +644,8 @@
 			    .seen_us = sound_keys_here_us(&quarantine->sound,
 							  key)};
 
-	if (item.seen_us < 0 || sound->len >= QUARANTINE_SOUND_ANNOUNCED)
+	if (item.seen_us == SOUND_NEVER_US ||
+	    sound->len >= QUARANTINE_SOUND_ANNOUNCED)
 		return;
 	for (guint i = 0; i < sound->len; i++) {
 		if (g_array_index(sound, sound_key_t, i).key == key)
--- a/src/process/decide/quarantine_evidence.h
+++ b/src/process/decide/quarantine_evidence.h
@@ -16,7 +16,8 @@
 /* What is known of a key. */
 typedef struct {
 	uint64_t key;
-	int64_t sound_us; /* when a request with it last began well; -1: never */
+	int64_t sound_us; /* when a request with it last began well, or
+			     SOUND_NEVER_US */
 	evidence_set_t losses; /* with the key, and later than that time */
 	evidence_set_t servers; /* those lost in them */
 	double weight; /* how well it explains the losses; 0: not enough */
--- a/src/process/decide/quarantine_rules.c
+++ b/src/process/decide/quarantine_rules.c
@@ -48,7 +48,7 @@
 /* Returns whether requests with a key had begun well before. */
 static bool is_once_sound(const evidence_key_t *key)
 {
-	return key->sound_us >= 0;
+	return key->sound_us != SOUND_NEVER_US;
 }
 
 /* Returns whether enough servers were lost under a key for a rule. */
--- a/src/process/decide/sound_keys.c
+++ b/src/process/decide/sound_keys.c
@@ -34,7 +34,7 @@
 	return &keys->recent[key % MAX_KEYS];
 }
 
-/* Returns when a request with a key last began well at this VM, or -1. */
+/* Returns when a request with a key last began well at this VM, or SOUND_NEVER_US. */
 int64_t sound_keys_here_us(const sound_keys_t *keys, uint64_t key)
 {
 	const sound_key_t *recent = recent_place(keys, key);
@@ -42,19 +42,20 @@
 
 	if (!at_us)
 		at_us = g_hash_table_lookup(keys->here_before, &key);
-	return MAX(at_us ? *at_us : -1,
+	return MAX(at_us ? *at_us : SOUND_NEVER_US,
 		   recent->key == key && recent->seen_us > 0 ? recent->seen_us
-							     : -1);
+							     : SOUND_NEVER_US);
 }
 
-/* Returns when a request with a key last began well at any VM, or -1 if none is
+/* Returns when a request with a key last began well at any VM, or SOUND_NEVER_US if none is
  * known.
  */
 int64_t sound_keys_anywhere_us(const sound_keys_t *keys, uint64_t key)
 {
 	const int64_t *at_us = g_hash_table_lookup(keys->at_peers, &key);
 
-	return MAX(at_us ? *at_us : -1, sound_keys_here_us(keys, key));
+	return MAX(at_us ? *at_us : SOUND_NEVER_US,
+		   sound_keys_here_us(keys, key));
 }
 
 /* Sets the time at which a request with a key last began well. */
--- a/src/process/decide/sound_keys.h
+++ b/src/process/decide/sound_keys.h
@@ -8,6 +8,11 @@
 
 #include "process/str.h"
 
+/* Stands for the time of something that has not been seen. Times of other VMs, and those in the
+ * store, may lie before the start of this machine's clock and are negative then.
+ */
+#define SOUND_NEVER_US INT64_MIN
+
 /* A key with which a request has begun well. */
 typedef struct {
 	uint64_t key;
--- a/src/process/entry/quarantine_rows.c
+++ b/src/process/entry/quarantine_rows.c
@@ -260,8 +260,9 @@
 {
 	int64_t refuted_us =
 		quarantine_refuted_here_us(rows->quarantine, &row->rule);
-	int64_t ended_us = refuted_us >= 0 ? refuted_us
-					   : row->rule.lost_us + QUARANTINE_US;
+	int64_t ended_us = refuted_us != SOUND_NEVER_US
+				   ? refuted_us
+				   : row->rule.lost_us + QUARANTINE_US;
 
 	return row->version && now_us >= ended_us + rows->removal_delay_us;
 }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -542,6 +542,40 @@
 	teardown(&fixture);
 }
 
+/* Guards against a VM whose machine has started after the last loss: its clock begins with the
+ * machine, so that the loss has a negative time, and it takes requests with keys of which nothing
+ * is known for sound ones. It would send them, and remove the rule from the store.
+ */
+static void test_losses_before_the_start(void **state)
+{
+	const quarantine_rule_t rule = {
+		.n_keys = 2,
+		.keys = {FIRST, SICK},
+		.lost_us = -30 * CLOCK_US_PER_S,
+	};
+	quarantine_loss_t loss = {
+		.lost_us = -30 * CLOCK_US_PER_S,
+		.n_keys = 1,
+		.keys = {SICK + 1},
+	};
+	fixture_t fixture;
+
+	setup(&fixture);
+	fixture.now_us = 60 * CLOCK_US_PER_S;
+	quarantine_put_stored(&fixture.quarantine, &rule);
+	assert_true(is_held(&fixture, FIRST, SICK));
+	assert_int_equal(quarantine_refuted_here_us(&fixture.quarantine, &rule),
+			 SOUND_NEVER_US);
+	for (; loss.server < 3; loss.server++)
+		quarantine_apply_peer(&fixture.quarantine, 1, &loss, 1,
+				      fixture.now_us);
+	assert_true(is_held(&fixture, FIRST, SICK + 1));
+	assert_false(is_held(&fixture, FIRST, SOUND));
+	begin_well(&fixture, SICK);
+	assert_false(is_held(&fixture, FIRST, SICK));
+	teardown(&fixture);
+}
+
 /* Guards against rules in the store that rest on losses of servers which may still
  * run.
  */
@@ -752,6 +786,7 @@
 		cmocka_unit_test(test_losses_of_other_vms),
 		cmocka_unit_test(test_old_losses_of_other_vms),
 		cmocka_unit_test(test_rule_from_store),
+		cmocka_unit_test(test_losses_before_the_start),
 		cmocka_unit_test(test_confirmed_rules),
 		cmocka_unit_test(test_servers_lost_at_once),
 		cmocka_unit_test(test_recent_request),
