Bound each estimated time in admission, also one that is not a number

What callers saw: a VM of the sanitizer build ended with "signed integer overflow" in prefill_us() and its requests with it; in the normal build a prefill engine with an infinite duration is chosen before all sound ones, and a stream that can't be on time waits.

Cause: a double that is infinite, not a number or beyond an int64_t was converted as it is. The result is undefined: on arm64 INT64_MAX, or 0 for what is not a number; on x86-64 INT64_MIN (not run). Sums of such times overflow. "No slot ever becomes free" was INT64_MAX / 4, of which five overflow.

Change: duration_estimate_us() is the one conversion. It holds a time between 0 and DURATION_MAX_ESTIMATE_US, 24 hours; what is not a number counts as the longest, so that an engine with such a duration is the last choice. The usable part of a decode memory has a lower bound, minus the memory itself.

Evidence: test_odd_prefill_durations (engine 0 is chosen, whose duration is infinite) and test_odd_mean_durations (a stream waits in place of a refusal) fail before on arm64. test_odd_mean_outputs passes before in the normal build; with -fsanitize=float-cast-overflow it ended with "-inf is outside the range of representable values". All 13 pass now, with and without the sanitizer.

--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "process/duration.h"
+
 /* A late request is one that can no longer have the first event of its answer
  * by its target time.
  */
@@ -86,7 +88,8 @@
 }
 
 /* Returns the part of an engine's decode memory that may be filled with streams
- * of a mean size; the rest is the margin.
+ * of a mean size; the rest is the margin. Negative when the margin is larger than
+ * the memory, down to the size of the memory.
  */
 static int64_t kv_less_margin(int64_t kv_tokens,
 			      const admission_stream_t *stream)
@@ -97,8 +100,8 @@
 	double margin =
 		KV_MARGIN_OUTPUTS * stream->output_tokens * sqrt(streams);
 
-	return (int64_t)(tokens -
-			 fmax(margin, MIN_KV_MARGIN * stream->kv_tokens));
+	tokens -= fmax(margin, MIN_KV_MARGIN * stream->kv_tokens);
+	return tokens > -(double)kv_tokens ? (int64_t)tokens : -kv_tokens;
 }
 
 /* Returns the share of a decode engine that one stream of a mean size takes: of
@@ -185,7 +188,7 @@
 			    view->stream.prompt_tokens / 2) *
 			   prefill->us_per_token;
 
-	return (int64_t)fmax(unread_us - prefill->fixed_us, 0);
+	return duration_estimate_us(unread_us - prefill->fixed_us);
 }
 
 /* Estimates the time until an engine has answered a prompt of `tokens`. */
@@ -193,8 +196,8 @@
 			  const admission_prefill_t *prefill, int64_t tokens)
 {
 	return prefill_wait_us(view, prefill) +
-	       (int64_t)(prefill->fixed_us +
-			 (double)tokens * prefill->us_per_token);
+	       duration_estimate_us(prefill->fixed_us +
+				    (double)tokens * prefill->us_per_token);
 }
 
 /* Chooses the prefill engine that would first have read a prompt of `tokens`,
@@ -264,8 +267,9 @@
 	if (missing <= 0)
 		return 0;
 	if (used <= 0)
-		return INT64_MAX / 4;
-	return (int64_t)((double)missing * view->stream_us / (double)used);
+		return DURATION_MAX_ESTIMATE_US;
+	return duration_estimate_us((double)missing * view->stream_us /
+				    (double)used);
 }
 
 /* Estimates the time until `missing` slots have become free for late requests.
@@ -282,8 +286,8 @@
 	left_per_us = free_per_us - view->arrivals_per_s / 1e6;
 	left_per_us = fmax(left_per_us, free_per_us * MIN_LATE_SHARE);
 	if (left_per_us <= 0)
-		return INT64_MAX / 4;
-	return (int64_t)((double)missing / left_per_us);
+		return DURATION_MAX_ESTIMATE_US;
+	return duration_estimate_us((double)missing / left_per_us);
 }
 
 /* Estimates the time until the backlog of the least loaded prefill engine, which
@@ -304,8 +308,9 @@
 	}
 	left_share = 1 - view->arrivals_per_s / 1e6 *
 				 view->stream.prompt_tokens / tokens_per_us;
-	return (int64_t)((double)(backlog_us - LATE_PREFILL_WAIT_US) /
-			 fmax(left_share, MIN_LATE_SHARE));
+	return duration_estimate_us(
+		(double)(backlog_us - LATE_PREFILL_WAIT_US) /
+		fmax(left_share, MIN_LATE_SHARE));
 }
 
 /* Returns whether any decode engine is usable. */
@@ -361,7 +366,7 @@
 /* Returns the time from the end of the prefill to the first event. */
 static int64_t after_prefill_us(const admission_view_t *view)
 {
-	return CALLS_US + (int64_t)view->hand_over_us;
+	return CALLS_US + duration_estimate_us(view->hand_over_us);
 }
 
 /* Decides on a request that can be on time. It waits only if its first event is
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -5,6 +6,7 @@
 #include <cmocka.h>
 
 #include "process/decide/admission.h"
+#include "process/duration.h"
 
 #define MS INT64_C(1000)
 #define NOW (1000 * MS)
@@ -316,6 +318,93 @@
 	assert_int_not_equal(decision.prefill.index, 1);
 }
 
+/* Durations that are no usual numbers, and the largest of them. */
+static const double odd_us[] = {INFINITY, NAN, 1e300, 1e19, 9.3e18};
+
+/* The duration of an engine's prefills is infinite, not a number or beyond an int64_t.
+ * Guards against an estimate that is negative and makes that engine the best one, and
+ * against sums that overflow.
+ */
+static void test_odd_prefill_durations(void **state)
+{
+	for (size_t i = 0; i < 3 * G_N_ELEMENTS(odd_us); i++) {
+		admission_request_t request = on_time(0);
+		admission_prefill_choice_t choice;
+		fleet_t fleet;
+
+		print_message("case %zu\n", i);
+		init(&fleet, 6);
+		fleet.prefills[0].us_per_token = i % 3 == 1 ? 20
+							    : odd_us[i / 3];
+		fleet.prefills[0].fixed_us = i % 3 == 0 ? 0 : odd_us[i / 3];
+		fleet.prefills[0].backlog_tokens = 20000;
+		assert_true(admission_pick_prefill(
+			&fleet.view, request.prompt_tokens, &choice));
+		assert_int_not_equal(choice.index, 0);
+		assert_int_equal(
+			admission_decide(&fleet.view, &request, NOW).action,
+			ADMISSION_START);
+		fleet.view.n_prefills = 1;
+		assert_true(admission_pick_prefill(
+			&fleet.view, request.prompt_tokens, &choice));
+		assert_in_range(choice.duration_us, DURATION_MAX_ESTIMATE_US,
+				2 * DURATION_MAX_ESTIMATE_US);
+		assert_in_range(choice.wait_us, 0, DURATION_MAX_ESTIMATE_US);
+	}
+}
+
+/* The mean duration of a stream or of its hand-over is no usual number. Guards against
+ * waits that are negative, by which a request that can't be on time waits, and against
+ * sums that overflow.
+ */
+static void test_odd_mean_durations(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_us); i++) {
+		admission_request_t request = on_time(0);
+		admission_decision_t decision;
+		fleet_t fleet;
+
+		print_message("case %zu\n", i);
+		init(&fleet, 13);
+		fleet.view.stream_us = odd_us[i];
+		decision = admission_decide(&fleet.view, &request, NOW);
+		assert_int_equal(decision.reason, ADMISSION_FULL);
+		assert_int_equal(decision.wait_us, DURATION_MAX_ESTIMATE_US);
+		request.urgency.late = true;
+		decision = admission_decide(&fleet.view, &request, NOW);
+		assert_int_equal(decision.reason, ADMISSION_FULL);
+		init(&fleet, 13);
+		fleet.view.hand_over_us = odd_us[i];
+		assert_in_range(admission_first_event_us(&fleet.view, 5000),
+				DURATION_MAX_ESTIMATE_US,
+				2 * DURATION_MAX_ESTIMATE_US);
+		request = on_time(0);
+		assert_int_equal(
+			admission_decide(&fleet.view, &request, NOW).reason,
+			ADMISSION_FULL);
+	}
+}
+
+/* The mean output of streams is no usual number. Guards against a usable memory that
+ * is larger than the engine's.
+ */
+static void test_odd_mean_outputs(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_us); i++) {
+		admission_request_t request = on_time(0);
+		fleet_t fleet;
+
+		print_message("case %zu\n", i);
+		init(&fleet, 6);
+		fleet.view.stream.output_tokens = odd_us[i];
+		if (isnan(odd_us[i]))
+			fleet.view.stream.kv_tokens = NAN;
+		assert_int_not_equal(
+			admission_decide(&fleet.view, &request, NOW).action,
+			ADMISSION_START);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -329,6 +418,9 @@
 		cmocka_unit_test(test_prefill_limits),
 		cmocka_unit_test(test_no_engine),
 		cmocka_unit_test(test_late_requests_wait_only_with_a_chance),
+		cmocka_unit_test(test_odd_prefill_durations),
+		cmocka_unit_test(test_odd_mean_durations),
+		cmocka_unit_test(test_odd_mean_outputs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
