Bound the mean durations that a VM announces and accepts

What callers saw: with a mean duration of a peer that no request can have brought, all streams of a service are refused as full, or estimates overflow.

Cause: workload_is_valid() bounds the mean sizes that a peer announces, but not its mean durations: with a sum of 1e15 us over one or (almost) no observation the mean is 1e15 us or infinite. A VM that was suspended for long measures such a duration itself.

Change: a peer's mean duration is at most an hour, as callers wait no longer; so is each duration that is observed here, so that the own sums are never beyond what peers accept.

Ruled out: NaN and infinite sums, which were refused before; the sizes, bounded before.

Evidence: test_odd_mean_durations_are_invalid (18 cases) and test_longest_durations_are_valid (a negative duration gave an invalid sum) fail before and pass. Open: sums above MAX_SUM (1e15) make peers drop an announcement; with durations of an hour three prompts of 100,000 tokens reach it.

--- a/src/process/decide/workload.c
+++ b/src/process/decide/workload.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "process/clock.h"
+#include "process/str.h"
 
 /* Time in which the weight of an observation decays to 1/e. It is longer than
  * an engine takes to change its stage, so that a short surge of one kind of
@@ -48,12 +49,26 @@
  */
 #define MAX_MEAN_TOKENS 2e7
 
+/* Longest duration that is observed, and upper bound for the mean durations that a peer
+ * announces. Callers wait an hour at most, so a longer time is that of a process that was
+ * suspended. The bound leaves room for rounding.
+ */
+#define MAX_DURATION_US (3600 * CLOCK_US_PER_S)
+#define MAX_MEAN_US (1.01 * (double)MAX_DURATION_US)
+
 /* Share by which a single request may raise a mean of the sizes that callers state, once
  * there are as many observations as this.
  */
 #define MAX_MEAN_RISE 0.2
 #define RISE_LIMITED_FROM 10.0
 
+/* The largest mean of one kind that is accepted from a peer. */
+typedef struct {
+	workload_sum_t sum;
+	workload_sum_t count;
+	double max;
+} mean_bound_t;
+
 /* Lets the sums decay until now. */
 void workload_decay(workload_t *workload, int64_t now_us)
 {
@@ -114,6 +129,12 @@
 	return mean(workload, WORKLOAD_PROMPT_TOKENS, WORKLOAD_REQUESTS);
 }
 
+/* Returns a duration that was observed, within bounds. */
+static double limited_us(int64_t duration_us)
+{
+	return (double)CLAMP(duration_us, 0, MAX_DURATION_US);
+}
+
 /* Adds the prefill of a prompt that had to queue. Of the backlog, half a prompt
  * is read already on average; a shorter one says little.
  */
@@ -126,7 +147,7 @@
 		return;
 	workload->sums[WORKLOAD_QUEUED_TOKENS] +=
 		(double)(tokens + backlog_tokens) - prompt / 2;
-	workload->sums[WORKLOAD_QUEUED_US] += (double)duration_us;
+	workload->sums[WORKLOAD_QUEUED_US] += limited_us(duration_us);
 }
 
 /* Adds the prefill of a prompt that was sent when the engine had
@@ -147,11 +168,11 @@
 	}
 	workload->sums[WORKLOAD_PREFILLS] += 1;
 	workload->sums[WORKLOAD_PREFILL_TOKENS] += (double)tokens;
-	workload->sums[WORKLOAD_PREFILL_US] += (double)duration_us;
+	workload->sums[WORKLOAD_PREFILL_US] += limited_us(duration_us);
 	workload->sums[WORKLOAD_PREFILL_TOKENS_SQUARED] +=
 		(double)tokens * (double)tokens;
 	workload->sums[WORKLOAD_PREFILL_TOKENS_US] +=
-		(double)tokens * (double)duration_us;
+		(double)tokens * limited_us(duration_us);
 }
 
 /* Adds the time from the send to a decode engine to its first event. */
@@ -160,7 +181,7 @@
 {
 	workload_decay(workload, now_us);
 	workload->sums[WORKLOAD_HAND_OVERS] += 1;
-	workload->sums[WORKLOAD_HAND_OVER_US] += (double)duration_us;
+	workload->sums[WORKLOAD_HAND_OVER_US] += limited_us(duration_us);
 }
 
 /* Adds the time between two events of a stream, while its engine had `streams`
@@ -173,10 +194,10 @@
 
 	workload_decay(workload, now_us);
 	workload->sums[WORKLOAD_GAPS] += 1;
-	workload->sums[WORKLOAD_GAP_US] += (double)gap_us;
+	workload->sums[WORKLOAD_GAP_US] += limited_us(gap_us);
 	workload->sums[WORKLOAD_GAP_STREAMS] += n;
 	workload->sums[WORKLOAD_GAP_STREAMS_SQUARED] += n * n;
-	workload->sums[WORKLOAD_GAP_STREAMS_US] += n * (double)gap_us;
+	workload->sums[WORKLOAD_GAP_STREAMS_US] += n * limited_us(gap_us);
 }
 
 /* Adds the sums of one VM to a total. */
@@ -186,26 +207,40 @@
 		total->sums[i] += part->sums[i];
 }
 
-/* Returns whether the mean of a sum of sizes is one that requests can bring. */
-static bool is_valid_size(const workload_t *workload, workload_sum_t sum,
-			  workload_sum_t count)
+/* Returns whether the mean of a sum is one that observations can bring. The mean of
+ * durations that are weighted, by tokens or streams, has the bound of a duration.
+ */
+static bool is_valid_mean(const workload_t *workload, const mean_bound_t *bound)
 {
-	return workload->sums[sum] <= MAX_MEAN_TOKENS * workload->sums[count];
+	return workload->sums[bound->sum] <=
+	       bound->max * workload->sums[bound->count];
 }
 
 /* Returns whether all sums that a peer has announced are within bounds. */
 bool workload_is_valid(const workload_t *workload)
 {
+	static const mean_bound_t bounds[] = {
+		{WORKLOAD_PROMPT_TOKENS, WORKLOAD_REQUESTS, MAX_MEAN_TOKENS},
+		{WORKLOAD_OUTPUT_TOKENS, WORKLOAD_REQUESTS, MAX_MEAN_TOKENS},
+		{WORKLOAD_PREFILL_TOKENS, WORKLOAD_PREFILLS, MAX_MEAN_TOKENS},
+		{WORKLOAD_PREFILL_US, WORKLOAD_PREFILLS, MAX_MEAN_US},
+		{WORKLOAD_PREFILL_TOKENS_US, WORKLOAD_PREFILL_TOKENS,
+		 MAX_MEAN_US},
+		{WORKLOAD_QUEUED_US, WORKLOAD_QUEUED_TOKENS, MAX_MEAN_US},
+		{WORKLOAD_HAND_OVER_US, WORKLOAD_HAND_OVERS, MAX_MEAN_US},
+		{WORKLOAD_GAP_US, WORKLOAD_GAPS, MAX_MEAN_US},
+		{WORKLOAD_GAP_STREAMS_US, WORKLOAD_GAP_STREAMS, MAX_MEAN_US},
+	};
+
 	for (int i = 0; i < WORKLOAD_SUMS_N; i++) {
 		if (!(workload->sums[i] >= 0 && workload->sums[i] <= MAX_SUM))
 			return false;
 	}
-	return is_valid_size(workload, WORKLOAD_PROMPT_TOKENS,
-			     WORKLOAD_REQUESTS) &&
-	       is_valid_size(workload, WORKLOAD_OUTPUT_TOKENS,
-			     WORKLOAD_REQUESTS) &&
-	       is_valid_size(workload, WORKLOAD_PREFILL_TOKENS,
-			     WORKLOAD_PREFILLS);
+	for (size_t i = 0; i < G_N_ELEMENTS(bounds); i++) {
+		if (!is_valid_mean(workload, &bounds[i]))
+			return false;
+	}
+	return true;
 }
 
 /* Returns whether there are enough observations of each kind to decide on the
--- a/tests/test_workload.c
+++ b/tests/test_workload.c
@@ -6,6 +6,7 @@
 
 #include "process/clock.h"
 #include "process/decide/workload.h"
+#include "process/str.h"
 
 #define NOW (100 * CLOCK_US_PER_S)
 
@@ -149,11 +150,73 @@
 	assert_false(workload_is_valid(&workload));
 }
 
+/* Guards against mean durations of another VM that no requests can have brought, up to
+ * infinite ones, from which times are estimated.
+ */
+static void test_odd_mean_durations_are_invalid(void **state)
+{
+	static const struct {
+		workload_sum_t sum, count;
+	} cases[] = {
+		{WORKLOAD_PREFILL_US, WORKLOAD_PREFILLS},
+		{WORKLOAD_PREFILL_TOKENS_US, WORKLOAD_PREFILL_TOKENS},
+		{WORKLOAD_QUEUED_US, WORKLOAD_QUEUED_TOKENS},
+		{WORKLOAD_HAND_OVER_US, WORKLOAD_HAND_OVERS},
+		{WORKLOAD_GAP_US, WORKLOAD_GAPS},
+		{WORKLOAD_GAP_STREAMS_US, WORKLOAD_GAP_STREAMS},
+	};
+	static const double counts[] = {0, 5e-324, 1};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (size_t j = 0; j < G_N_ELEMENTS(counts); j++) {
+			workload_t workload = {.updated_us = NOW};
+
+			print_message("case %zu, %zu\n", i, j);
+			workload.sums[WORKLOAD_PREFILLS] = 1;
+			workload.sums[cases[i].count] = counts[j];
+			assert_true(workload_is_valid(&workload));
+			workload.sums[cases[i].sum] = 1e15;
+			assert_false(workload_is_valid(&workload));
+		}
+	}
+}
+
+/* A VM that was suspended for a day measures the day as the duration of whatever was in
+ * progress. Guards against a mean that makes the other VMs drop its announcements, and
+ * against durations that are negative.
+ */
+static void test_longest_durations_are_valid(void **state)
+{
+	static const int64_t durations_us[] = {INT64_C(24) * 3600 *
+						       CLOCK_US_PER_S,
+					       3600 * CLOCK_US_PER_S,
+					       CLOCK_US_PER_S,
+					       -CLOCK_US_PER_S,
+					       INT64_MIN,
+					       INT64_MAX};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(durations_us); i++) {
+		workload_t workload = {.updated_us = NOW};
+		int64_t us = durations_us[i];
+
+		print_message("case %zu\n", i);
+		workload_observe_request(&workload, NOW, 100, 700);
+		workload_observe_prefill(&workload, NOW, 100, 0, us);
+		workload_observe_prefill(&workload, NOW, 100, 100, us);
+		workload_observe_hand_over(&workload, NOW, us);
+		workload_observe_gap(&workload, NOW, us, 4);
+		workload_decay(&workload, NOW + 7 * CLOCK_US_PER_S);
+		assert_true(workload_is_valid(&workload));
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_one_odd_request),
 		cmocka_unit_test(test_odd_sums_are_invalid),
+		cmocka_unit_test(test_odd_mean_durations_are_invalid),
+		cmocka_unit_test(test_longest_durations_are_valid),
 		cmocka_unit_test(test_prefill_speed),
 		cmocka_unit_test(test_prefill_speed_of_a_full_queue),
 		cmocka_unit_test(test_pace_of_a_full_engine),
