Bound the output that is expected of a stream

What callers saw: nothing so far; a stream whose expected output is negative would count for no memory.

Cause: the prediction is the exponential of a sum with half a variance. Beyond 2^63, or infinite, its conversion is undefined, and the expected output a number without meaning.

Change: at most 16,777,216 tokens are expected, the largest number that is read from a caller.

Ruled out: a variance of that size by usual streams (outputs of 1 to 100,000 tokens in turn give 33, and an expectation below 2^63): by reading.

Evidence: test_odd_models fails before (2^63 - 1 tokens, on arm64) and passes.

--- a/src/process/decide/output_model.c
+++ b/src/process/decide/output_model.c
@@ -23,6 +23,9 @@
 #define MAX_DEVIATION 3.0
 #define LIMITED_FROM_REQUESTS 10.0
 
+/* Longest output that is expected, in tokens: no larger number is read from a caller. */
+#define MAX_EXPECTED_TOKENS 16777216.0
+
 /* Sets up a model that has seen no request. */
 void output_model_init(output_model_t *model)
 {
@@ -97,13 +100,15 @@
 
 /* Returns the expected output, in tokens, of a stream with this estimate. Half
  * the residual variance makes it the mean of the log-normal distribution, where
- * the predicted logarithm alone would give the median.
+ * the predicted logarithm alone would give the median. At most MAX_EXPECTED_TOKENS, also
+ * when the prediction is not a number.
  */
 int64_t output_model_expect(const output_model_t *model,
 			    int64_t estimate_tokens)
 {
 	double estimate = log(fmax((double)estimate_tokens, 1));
 
-	return llround(exp(predict_log(model, estimate) +
-			   model->residual_variance / 2));
+	return llround(fmin(exp(predict_log(model, estimate) +
+				model->residual_variance / 2),
+			    MAX_EXPECTED_TOKENS));
 }
--- a/tests/test_output_model.c
+++ b/tests/test_output_model.c
@@ -147,6 +147,24 @@
 	assert_true((double)after < 1.2 * (double)before);
 }
 
+/* Guards against an expected output that is negative, as the prediction is beyond an
+ * int64_t, infinite or not a number.
+ */
+static void test_odd_models(void **state)
+{
+	static const double variances[] = {90, 1e4, INFINITY, NAN};
+
+	for (size_t i = 0; i < sizeof(variances) / sizeof(variances[0]); i++) {
+		output_model_t model;
+
+		print_message("case %zu\n", i);
+		output_model_init(&model);
+		output_model_note_estimate(&model, 3600);
+		model.residual_variance = variances[i];
+		assert_int_equal(output_model_expect(&model, 3600), 1 << 24);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -154,6 +172,7 @@
 		cmocka_unit_test(test_learns_accuracy_of_estimates),
 		cmocka_unit_test(test_no_size_is_assumed),
 		cmocka_unit_test(test_one_odd_estimate),
+		cmocka_unit_test(test_odd_models),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
