Take costs that are not finite as unknown when engines are ordered to another stage

What callers saw: with an infinite cost of prompts, engines would be ordered away from the prefill stage, which lacks them.

Cause: the wanted number of engines is not a number then, which fmax() turns into one engine.

Change: a cost counts as known only if it is above zero and finite.

Ruled out: an infinite cost by what peers announce, since mean durations have bounds.

--- a/src/process/decide/stage_balance.c
+++ b/src/process/decide/stage_balance.c
@@ -58,6 +58,12 @@
 	return balance->decodes == 0 ? share : -share;
 }
 
+/* Returns whether the work of a request in one stage, in microseconds, is known. */
+static bool is_known(double us)
+{
+	return us > 0 && isfinite(us);
+}
+
 /* Returns the smallest difference that is corrected, in engines, where the stage
  * that lacks some should have `wanted`.
  */
@@ -82,7 +88,7 @@
 
 	if (engines < 2)
 		return 0;
-	if (prefill <= 0 || balance->decode_us <= 0)
+	if (!is_known(balance->prefill_us) || !is_known(balance->decode_us))
 		return refill_changes(balance);
 	wanted = engines * prefill / (prefill + balance->decode_us) +
 		 SPARE_PREFILLS;
--- a/tests/test_stages.c
+++ b/tests/test_stages.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -41,6 +42,13 @@
 		{1, 1, 500000, 1000, false, 0},
 		{2, 0, 110000, 292000, false, 1},
 		{1, 0, 110000, 292000, false, 0},
+		/* The work of a request is not known. */
+		{3, 6, INFINITY, 292000, false, 0},
+		{3, 6, INFINITY, INFINITY, true, 0},
+		{3, 6, NAN, 292000, false, 0},
+		{3, 6, 110000, INFINITY, false, 0},
+		{3, 6, 110000, NAN, true, 0},
+		{0, 8, INFINITY, NAN, true, -2},
 		{0, 0, 110000, 292000, false, 0},
 	};
 
