Bound the times that the router estimates for prompts

What callers saw: nothing so far; an engine whose speed has become infinite would be chosen before all others.

Cause: as in admission, doubles beyond an int64_t are converted as they are, and their sums overflow.

Change: route.c converts by duration_estimate_us() as well.

Evidence: test_odd_speeds fails before (-2 us for a prompt, on arm64) and passes.

--- a/src/process/route.c
+++ b/src/process/route.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "process/clock.h"
+#include "process/duration.h"
 
 /* For this time, free memory as told by the ledger owner is preferred to that
  * of the engine's report. The report is late and doesn't contain memory
@@ -163,7 +164,7 @@
 	double us = estimate_us(&engine->estimate.prefill,
 				&route->typical.prefill, now_us);
 
-	return (int64_t)(us * (double)tokens);
+	return duration_estimate_us(us * (double)tokens);
 }
 
 /* Returns the expected time until an engine has computed the prompts that it
@@ -390,9 +391,8 @@
  */
 int64_t route_prefill_margin_us(const route_pool_t *route)
 {
-	return (int64_t)fmax(route->prefill_excess_us +
-				     2 * route->prefill_excess_deviation_us,
-			     0);
+	return duration_estimate_us(route->prefill_excess_us +
+				    2 * route->prefill_excess_deviation_us);
 }
 
 /* Returns the latest time at which a prefill can start on a typical idle engine
@@ -403,7 +403,7 @@
 {
 	double us = exp(route->typical.prefill.log_us);
 
-	return finish_by_us - (int64_t)(us * (double)tokens) -
+	return finish_by_us - duration_estimate_us(us * (double)tokens) -
 	       route_prefill_margin_us(route);
 }
 
@@ -426,8 +426,8 @@
 
 	set_now(route, now_us);
 	if (engine->estimate.prefill.samples > 0 && expected_us > 0)
-		sample = (int64_t)(compute_us * (double)elapsed_us /
-				   (double)expected_us);
+		sample = duration_estimate_us(compute_us * (double)elapsed_us /
+					      (double)expected_us);
 	if (route->typical.prefill.samples > 0 && expected_us > 0) {
 		excess = CLAMP(excess, -EXCESS_MAX_US, EXCESS_MAX_US);
 		route->prefill_excess_us +=
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -5,6 +6,7 @@
 #include <cmocka.h>
 
 #include "process/clock.h"
+#include "process/duration.h"
 #include "process/route.h"
 
 #define SEED 20261203u
@@ -367,6 +369,31 @@
 	teardown(&f);
 }
 
+/* The estimated speed of engines is no usual number. Guards against times that are
+ * negative, by which the slowest engine counts as the fastest, and against sums that
+ * overflow.
+ */
+static void test_odd_speeds(void **state)
+{
+	static const double logs_us[] = {40, 800, INFINITY, NAN};
+
+	for (size_t i = 0; i < sizeof(logs_us) / sizeof(logs_us[0]); i++) {
+		fixture_t f;
+
+		print_message("case %zu\n", i);
+		setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 1, 0);
+		f.engines[0]->estimate.prefill.log_us = logs_us[i];
+		f.route.typical.prefill.log_us = logs_us[i];
+		route_request_begin(&f.route, f.engines[0], 1000);
+		assert_int_equal(route_expected_prefill_us(
+					 &f.route, f.engines[0], 1000, 0),
+				 2 * DURATION_MAX_ESTIMATE_US);
+		assert_true(route_latest_start_us(&f.route, 1000, FAR_US) < 0);
+		route_request_end(&f.route, f.engines[0], 1000);
+		teardown(&f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -382,6 +409,7 @@
 		cmocka_unit_test(test_slow_engine_gets_less),
 		cmocka_unit_test(test_old_reports_count_less),
 		cmocka_unit_test(test_added_and_removed_engines),
+		cmocka_unit_test(test_odd_speeds),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
