Count the interval between rounds of stage orders for each service

What callers saw: none of a service's streams are served for up to 10 s longer than needed, while one of its stages is empty and another service has just had a round of stage orders.

Cause: the time before which no round begins was one for all services. It keeps the orders of two holders apart; orders count by replica, and an engine belongs to one service, whose row is written by one holder at a time.

Change: the time, and the highest fencing token seen, are kept for each service. The latter also decides whether a VM was cut off while a round began: with a higher token of another service, a VM began a second round at once, by an old list of servers. Tokens are still above all that were seen, and an engine is asked as rarely as before. What the first round may change is still limited once a round of any service was seen.

Evidence: test_refill_after_round_of_another_service (bound 2 s) and test_round_after_a_cut_beside_another_service (the row was written again) fail before and pass; test_two_holders, test_stages and the ten other tests of stage orders pass. Signature: a row's service is given beside its value.

--- a/src/process/decide/stage_round.h
+++ b/src/process/decide/stage_round.h
@@ -21,7 +21,7 @@
 	bool empty; /* one stage has no engine */
 	int64_t last_added_us; /* when an engine last entered the list */
 	int64_t last_leaving_us; /* when one last began to leave; 0: never */
-	int64_t no_round_before_us; /* for all services */
+	int64_t no_round_before_us; /* after the latest round of the service */
 } stage_round_view_t;
 
 bool stage_round_is_due(stage_round_state_t *round,
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -103,12 +103,12 @@
 }
 
 /* Applies a round of stage orders that was read from the store. */
-static void on_round(void *context, str_t value)
+static void on_round(void *context, const char *service, str_t value)
 {
 	entry_t *entry = context;
 
 	log_event(LOG_INFO, "round_seen", LOG_STR("round", value));
-	stage_orders_round_seen(&entry->orders, value, entry->table);
+	stage_orders_round_seen(&entry->orders, service, value, entry->table);
 }
 
 /* Applies a row on requests that crash servers, or its removal. */
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -9,7 +9,7 @@
 #include "request/retry.h"
 #include "store_call.h"
 
-/* Shortest time between the beginnings of two rounds. It is several times
+/* Shortest time between the beginnings of two rounds of one service. It is several times
  * HOLD_US, so that the orders of two holders do not overlap.
  */
 #define ROUND_INTERVAL_US (10 * CLOCK_US_PER_S)
@@ -57,6 +57,15 @@
 	char **servers; /* server IDs: the end of words, NULL-terminated */
 } round_row_t;
 
+/* What is known of the rounds of one service. Engines belong to one service only, so the
+ * rounds of another one name none of its engines.
+ */
+typedef struct {
+	stage_round_state_t next; /* the wait before the next one */
+	int64_t no_round_before_us;
+	int64_t seen_fencing_token; /* the highest of those seen */
+} service_rounds_t;
+
 /* The words of a row's value; the IDs of the engines that get an order follow.
  */
 enum { WORD_HOLDER, WORD_FENCING_TOKEN, WORD_TIME, WORD_STAGE, WORDS_N };
@@ -131,6 +140,55 @@
 	g_ptr_array_set_size(orders->chosen, 0);
 }
 
+/* Resets the wait before the next attempt to begin a round: the imbalance has
+ * to persist for the full time from now on, and the attempt gets a new random
+ * delay.
+ */
+static void reset_attempt(stage_orders_t *orders, service_rounds_t *rounds)
+{
+	rounds->next.unbalanced_since_us = 0;
+	rounds->next.jitter_us = (int64_t)(retry_random(&orders->seed) %
+					   (uint64_t)MAX_JITTER_US);
+}
+
+/* Returns what is known of a service's rounds. The first use creates it. */
+static service_rounds_t *get_rounds(stage_orders_t *orders, const char *service)
+{
+	service_rounds_t *rounds =
+		g_hash_table_lookup(orders->service_rounds, service);
+
+	if (!rounds) {
+		rounds = g_new0(service_rounds_t, 1);
+		reset_attempt(orders, rounds);
+		g_hash_table_insert(orders->service_rounds, g_strdup(service),
+				    rounds);
+	}
+	return rounds;
+}
+
+/* Lets no round of a service begin for ROUND_INTERVAL_US. */
+static void put_off_rounds(stage_orders_t *orders, service_rounds_t *rounds)
+{
+	rounds->no_round_before_us =
+		clock_now(&orders->clock) + ROUND_INTERVAL_US;
+	orders->round_seen = true;
+}
+
+/* Records that a round of a service was begun: no other one begins for
+ * ROUND_INTERVAL_US. To be called once for each round.
+ */
+static void note_round(stage_orders_t *orders, const char *service,
+		       int64_t fencing_token)
+{
+	service_rounds_t *rounds = get_rounds(orders, service);
+
+	rounds->seen_fencing_token =
+		MAX(rounds->seen_fencing_token, fencing_token);
+	orders->seen_fencing_token =
+		MAX(orders->seen_fencing_token, fencing_token);
+	put_off_rounds(orders, rounds);
+}
+
 /* Handles the end of the write of the row. If it succeeded, this VM is the
  * holder, until HOLD_US after it sent the write. A VM that was suspended for
  * longer than that is not the holder any more and gives no orders.
@@ -140,7 +198,7 @@
 	stage_orders_t *orders = context;
 	int64_t now_us = clock_now(&orders->clock);
 
-	orders->no_round_before_us = now_us + ROUND_INTERVAL_US;
+	put_off_rounds(orders, get_rounds(orders, orders->service));
 	log_event(LOG_INFO, "round_written", LOG_INT("result", result),
 		  LOG_INT("fence", orders->fencing_token));
 	if (result == STORE_OK && now_us - orders->write_sent_us < HOLD_US) {
@@ -262,17 +320,6 @@
 	return NULL;
 }
 
-/* Records that a round was begun: no other one begins for ROUND_INTERVAL_US. To be
- * called once for each round.
- */
-static void note_round(stage_orders_t *orders, const round_row_t *round)
-{
-	orders->seen_fencing_token =
-		MAX(orders->seen_fencing_token, round->fencing_token);
-	orders->no_round_before_us =
-		clock_now(&orders->clock) + ROUND_INTERVAL_US;
-}
-
 /* Handles the read of the row of the service's latest round. Another round
  * begins only when enough time has passed since, on the store's clock.
  */
@@ -280,6 +327,7 @@
 {
 	stage_orders_t *orders = context;
 	char *key = round_key(orders);
+	const service_rounds_t *rounds = get_rounds(orders, orders->service);
 	const store_row_t *row = NULL;
 	int64_t version = 0;
 	bool recent = false, has_row = false;
@@ -303,14 +351,15 @@
 		/* This VM decided without knowing of that round: it was cut off
 		 * from the store, and its list of servers may be as old.
 		 */
-		if (round.fencing_token > orders->seen_fencing_token) {
-			note_round(orders, &round);
+		if (round.fencing_token > rounds->seen_fencing_token) {
+			note_round(orders, orders->service,
+				   round.fencing_token);
 			recent = true;
 		}
 	}
 	/* Another round may have been seen while the row was read. */
 	recent = recent ||
-		 clock_now(&orders->clock) < orders->no_round_before_us;
+		 clock_now(&orders->clock) < rounds->no_round_before_us;
 	/* The store may have lost the latest round with its row. Its clock does
 	 * not fall, so no token that was given out is above it.
 	 */
@@ -382,33 +431,6 @@
 	return n;
 }
 
-/* Resets the wait before the next attempt to begin a round: the imbalance has
- * to persist for the full time from now on, and the attempt gets a new random
- * delay.
- */
-static void reset_attempt(stage_orders_t *orders, stage_round_state_t *round)
-{
-	round->unbalanced_since_us = 0;
-	round->jitter_us = (int64_t)(retry_random(&orders->seed) %
-				     (uint64_t)MAX_JITTER_US);
-}
-
-/* Returns the state of a service's rounds. The first use creates it. */
-static stage_round_state_t *get_round_state(stage_orders_t *orders,
-					    const char *service)
-{
-	stage_round_state_t *round =
-		g_hash_table_lookup(orders->round_states, service);
-
-	if (!round) {
-		round = g_new0(stage_round_state_t, 1);
-		reset_attempt(orders, round);
-		g_hash_table_insert(orders->round_states, g_strdup(service),
-				    round);
-	}
-	return round;
-}
-
 /* Reads the row of the service's latest round, to prepare another one. */
 static void read_row(stage_orders_t *orders)
 {
@@ -437,7 +459,7 @@
 
 /*
  * Begins a round of orders if the stages of a service are out of balance and no
- * round was begun lately. `mean_cost` holds the cost of a request in each
+ * round of it was begun lately. `mean_cost` holds the cost of a request in each
  * stage, 0 while it is unknown; its other fields are not used.
  */
 void stage_orders_start_if_due(stage_orders_t *orders,
@@ -445,8 +467,8 @@
 			       const stage_balance_t *mean_cost)
 {
 	stage_balance_t balance = *mean_cost;
-	stage_round_state_t *round = get_round_state(orders, service->name);
-	bool first = orders->no_round_before_us == 0;
+	service_rounds_t *rounds = get_rounds(orders, service->name);
+	bool first = !orders->round_seen;
 	stage_round_view_t view;
 	int stage_changes;
 
@@ -460,12 +482,13 @@
 		.empty = stage_balance_has_empty_stage(&balance),
 		.last_added_us = last_added_us(orders, service->name),
 		.last_leaving_us = orders->servers->last_leaving_us,
-		.no_round_before_us = orders->no_round_before_us,
+		.no_round_before_us = rounds->no_round_before_us,
 	};
-	if (!stage_round_is_due(round, &view, clock_now(&orders->clock)) ||
+	if (!stage_round_is_due(&rounds->next, &view,
+				clock_now(&orders->clock)) ||
 	    store_call_is_busy(&orders->call))
 		return;
-	reset_attempt(orders, round);
+	reset_attempt(orders, rounds);
 	orders->service = g_strdup(service->name);
 	orders->to_stage = stage_changes > 0 ? STAGE_DECODE : STAGE_PREFILL;
 	orders->stage_changes =
@@ -485,12 +508,12 @@
 }
 
 /* Applies the row of a round that any VM began: its engines get no work until
- * they have changed or are overdue, and no other round begins for
+ * they have changed or are overdue, and no other round of the service begins for
  * ROUND_INTERVAL_US. A row that cannot be parsed is ignored, and so is one that was
  * seen before, as a full read brings it again.
  */
-void stage_orders_round_seen(stage_orders_t *orders, str_t value,
-			     const route_table_t *table)
+void stage_orders_round_seen(stage_orders_t *orders, const char *service,
+			     str_t value, const route_table_t *table)
 {
 	int64_t now_us = clock_now(&orders->clock);
 	round_row_t round;
@@ -503,18 +526,18 @@
 	}
 	for (char **id = round.servers; *id; id++) {
 		server_t *server = server_set_find(orders->servers, *id);
-		const table_service_t *service =
+		const table_service_t *settings =
 			server && table
 				? route_table_service(table,
 						      server->entry.service)
 				: NULL;
 
-		if (service && server->entry.stage != round.to_stage)
+		if (settings && server->entry.stage != round.to_stage)
 			server->changing_until_us =
-				now_us + service->engine.stage_change_us +
+				now_us + settings->engine.stage_change_us +
 				CHANGE_MARGIN_US;
 	}
-	note_round(orders, &round);
+	note_round(orders, service, round.fencing_token);
 	g_strfreev(round.words);
 }
 
@@ -539,7 +562,7 @@
 		g_ptr_array_new_with_free_func((GDestroyNotify)server_unref);
 	orders->seen_rounds =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	orders->round_states =
+	orders->service_rounds =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store_call_init(&orders->call, store_pool);
 }
@@ -550,7 +573,7 @@
 	stage_orders_cancel(&orders->order_calls);
 	store_call_finish(&orders->call);
 	g_ptr_array_unref(orders->chosen);
-	g_hash_table_unref(orders->round_states);
+	g_hash_table_unref(orders->service_rounds);
 	g_hash_table_unref(orders->seen_rounds);
 	g_free(orders->service);
 	g_free(orders->store_address);
--- a/src/process/entry/stage_orders.h
+++ b/src/process/entry/stage_orders.h
@@ -3,8 +3,8 @@
  * A round of orders begins with a conditional write to the store that names the
  * VM that gives the orders (the holder), its fencing token and the engines. All
  * VMs follow that row: they send the engines no work until the change is done,
- * and none begins another round for ROUND_INTERVAL_US (10 s) or names the same
- * engines for ENGINE_INTERVAL_US (20 s), after which none of the holder's orders
+ * and none begins another round of the service for ROUND_INTERVAL_US (10 s) or names
+ * the same engines for ENGINE_INTERVAL_US (20 s), after which none of the holder's orders
  * can be carried out any more. A model engine is a
  * backend server that has a stage, so engines are held as server_t.
  */
@@ -43,8 +43,8 @@
 	unsigned stage_changes; /* number of engines to choose */
 	int64_t fencing_token; /* of the round being prepared */
 	int64_t write_sent_us; /* when the write of the row was sent */
-	GHashTable *round_states; /* service name to stage_round_state_t */
-	int64_t no_round_before_us; /* no round begins earlier */
+	GHashTable *service_rounds; /* service name to service_rounds_t */
+	bool round_seen; /* or attempted, of any service */
 	int64_t seen_fencing_token; /* the highest of the rounds seen */
 	GHashTable
 		*seen_rounds; /* set of "HOLDER TOKEN", of rounds seen lately */
@@ -64,7 +64,7 @@
 void stage_orders_start_if_due(stage_orders_t *orders,
 			       const table_service_t *service,
 			       const stage_balance_t *mean_cost);
-void stage_orders_round_seen(stage_orders_t *orders, str_t value,
-			     const route_table_t *table);
+void stage_orders_round_seen(stage_orders_t *orders, const char *service,
+			     str_t value, const route_table_t *table);
 
 #endif
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -572,6 +572,7 @@
 	else if (row->value && row->value->len &&
 		 g_str_has_prefix(row->key, STAGE_ROUND_PREFIX))
 		rows->handler->on_round(rows->context,
+					row->key + strlen(STAGE_ROUND_PREFIX),
 					str_from_gstring(row->value));
 }
 
--- a/src/process/entry/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -36,7 +36,7 @@
 	void (*on_vm)(void *context, const char *vm, str_t address,
 		      int64_t row_version);
 	/* A round of stage orders was begun. */
-	void (*on_round)(void *context, str_t value);
+	void (*on_round)(void *context, const char *service, str_t value);
 	/* A row on requests that crash servers was read or has changed. When it
 	 * was removed, `value` is empty and `row_version` 0.
 	 */
--- a/tests/support_store_reader.c
+++ b/tests/support_store_reader.c
@@ -25,7 +25,7 @@
 	store_rows_set_vm_count(&reader->rows, ++reader->vm_rows);
 }
 
-static void on_round(void *context, str_t value)
+static void on_round(void *context, const char *service, str_t value)
 {
 }
 
--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -151,7 +151,7 @@
 		stage_orders_start_if_due(&vm.orders, &vm.service, &cost);
 		g_usleep(1000);
 	}
-	stage_orders_round_seen(&vm.orders, str_from(text), NULL);
+	stage_orders_round_seen(&vm.orders, "llm", str_from(text), NULL);
 	while (store_call_is_busy(&vm.orders.call))
 		g_main_context_iteration(NULL, TRUE);
 	assert_int_equal(fake_store_row_version(&vm.store, TABLE_ROUTER,
@@ -258,12 +258,13 @@
 	fake_store_put(&vm.store, TABLE_ROUTER, ROUND_KEY,
 		       "vm-other 1 0 decode engine-0");
 	for (unsigned i = 0; i < 5; i++) {
-		stage_orders_round_seen(
-			&vm.orders, STR("vm-other 1 0 decode engine-0"), NULL);
+		stage_orders_round_seen(&vm.orders, "llm",
+					STR("vm-other 1 0 decode engine-0"),
+					NULL);
 		assert_false(begins_round_within(&vm, 2000));
 	}
-	stage_orders_round_seen(&vm.orders, STR("vm-other 1 0 decode engine-0"),
-				NULL);
+	stage_orders_round_seen(&vm.orders, "llm",
+				STR("vm-other 1 0 decode engine-0"), NULL);
 	empty_decode_stage(&vm);
 	assert_true(begins_round_within(&vm, REFILL_MS));
 	finish(&vm);
@@ -284,10 +285,10 @@
 
 	init(&vm);
 	assert_non_null(table);
-	stage_orders_round_seen(&vm.orders, STR("vm-other 9 0 decode other-1"),
-				table);
-	stage_orders_round_seen(&vm.orders, STR("vm-other 5 0 decode engine-0"),
-				table);
+	stage_orders_round_seen(&vm.orders, "other",
+				STR("vm-other 9 0 decode other-1"), table);
+	stage_orders_round_seen(&vm.orders, "llm",
+				STR("vm-other 5 0 decode engine-0"), table);
 	server = server_set_find(&vm.servers, "engine-0");
 	assert_int_equal(server_state(server, vm_now(&vm)), SERVER_CHANGING);
 	route_table_unref(table);
@@ -340,6 +341,45 @@
 	finish(&vm);
 }
 
+/* A round of another service has just begun. Guards against an empty stage that is not
+ * refilled for the interval between rounds, which concerns the engines of one service.
+ */
+static void test_refill_after_round_of_another_service(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	stage_orders_round_seen(&vm.orders, "other",
+				STR("vm-other 9 0 decode other-1"), NULL);
+	empty_decode_stage(&vm);
+	assert_true(begins_round_within(&vm, REFILL_MS));
+	finish(&vm);
+}
+
+/* A VM that knows a round of another service, with a higher token, is cut off from the
+ * store while a round of this one begins. Guards against another round at once, by a list
+ * of servers from before.
+ */
+static void test_round_after_a_cut_beside_another_service(void **state)
+{
+	int64_t version;
+	vm_t vm;
+
+	init(&vm);
+	stage_orders_round_seen(&vm.orders, "other",
+				STR("vm-other 9 0 decode other-1"), NULL);
+	fake_store_put(&vm.store, TABLE_ROUTER, ROUND_KEY,
+		       "vm-other 1 0 decode engine-0 engine-1 engine-2");
+	version = fake_store_row_version(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	/* Out of balance since the first of these checks. */
+	check_stages(&vm);
+	check_stages(&vm);
+	assert_int_equal(fake_store_row_version(&vm.store, TABLE_ROUTER,
+						ROUND_KEY),
+			 version);
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -353,6 +393,8 @@
 		cmocka_unit_test(test_list_that_is_not_complete),
 		cmocka_unit_test(test_rounds_of_two_services),
 		cmocka_unit_test(test_refill_while_other_servers_start),
+		cmocka_unit_test(test_refill_after_round_of_another_service),
+		cmocka_unit_test(test_round_after_a_cut_beside_another_service),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_two_holders.c
+++ b/tests/test_two_holders.c
@@ -240,8 +240,8 @@
 	if (!text)
 		return;
 	for (unsigned i = 0; i < VMS; i++)
-		stage_orders_round_seen(&fixture->vms[i].orders, str_from(text),
-					NULL);
+		stage_orders_round_seen(&fixture->vms[i].orders, "llm",
+					str_from(text), NULL);
 	words = g_strsplit(text, " ", 4);
 	g_free(text);
 	text = g_strjoin(" ", words[0], words[1], "0", words[3], NULL);
