Refill a stage whose engines are lost before their entries have gone

What callers saw: all streams of a service refused with no_engine while the only engine of a stage has crashed, until its entry has gone (three heartbeats) and a round was begun 1 s later.

Cause: an engine counts as one of its stage for as long as it is listed, also when it answers nothing, so that the stage does not count as empty.

Change: if all engines of a stage have been silent for 1.5 s, and another engine of the same service and zone has answered since, the stage counts as empty; a sound engine may be silent for about a second. Then the wait of an empty stage holds, as after the entry has gone. A stage with one sound engine counts as before. Who begins a round, the fencing and how often an engine is asked do not change; a silent engine gets no order, as before.

Ruled out: counting each silent engine as missing, which would begin rounds for single crashes in a stage that still serves; the word of a VM that is cut off from the engines or their zone (tests).

Evidence: test_refill_after_a_crash (1.5 s + the bound of 2 s) fails before and passes. Three tests hold before and after: no order after a second's silence, by a VM that is cut off, or beside a sound engine. Not covered: a zone with a single engine of the service, where the refill waits for the entry as before.

--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -42,6 +42,11 @@
  */
 #define CHANGE_MARGIN_US (10 * CLOCK_US_PER_S)
 
+/* An engine that is silent for longer counts as lost; a sound one may be silent for about
+ * a second.
+ */
+#define SILENT_US (1500 * CLOCK_US_PER_MS)
+
 /* Most rounds that are remembered as seen; then all are forgotten. */
 #define MAX_SEEN_ROUNDS 256
 
@@ -405,8 +410,43 @@
 	return added_us;
 }
 
+/* Returns whether another engine of a server's service and zone has answered since the
+ * server fell silent, so that the links of this VM to the zone are not the cause.
+ */
+static bool neighbour_answers(const stage_orders_t *orders,
+			      const server_t *silent)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, orders->servers->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const server_t *server = value;
+
+		if (!server_is_suspect(server) &&
+		    server->last_received_us > silent->suspect_since_us &&
+		    g_str_equal(server->entry.service, silent->entry.service) &&
+		    g_str_equal(server->entry.zone, silent->entry.zone))
+			return true;
+	}
+	return false;
+}
+
+/* Returns whether an engine that is still listed counts as lost. One that was ordered to
+ * change its stage may be silent meanwhile.
+ */
+static bool is_lost(const stage_orders_t *orders, const server_t *server,
+		    int64_t now_us)
+{
+	return server_is_suspect(server) &&
+	       now_us - server->suspect_since_us > SILENT_US &&
+	       server->changing_until_us <= now_us &&
+	       neighbour_answers(orders, server);
+}
+
 /* Counts the engines of a service that take work in a stage, or will when a
- * change that was ordered is done.
+ * change that was ordered is done. 0 if all of them are lost; otherwise those that
+ * are lost count too, as they may be back soon.
  */
 static unsigned count_engines(const stage_orders_t *orders, const char *service,
 			      stage_t stage)
@@ -414,21 +454,21 @@
 	int64_t now_us = clock_now(&orders->clock);
 	GHashTableIter iter;
 	gpointer value;
-	unsigned n = 0;
+	unsigned n = 0, lost = 0;
 
 	g_hash_table_iter_init(&iter, orders->servers->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const server_t *server = value;
 
-		n += server->entry.stage != STAGE_NONE &&
-				     stage_after_change(server, now_us) ==
-					     stage &&
-				     server_takes_work(server) &&
-				     g_str_equal(server->entry.service, service)
-			     ? 1
-			     : 0;
+		if (server->entry.stage == STAGE_NONE ||
+		    stage_after_change(server, now_us) != stage ||
+		    !server_takes_work(server) ||
+		    !g_str_equal(server->entry.service, service))
+			continue;
+		n++;
+		lost += is_lost(orders, server, now_us) ? 1 : 0;
 	}
-	return n;
+	return lost < n ? n : 0;
 }
 
 /* Reads the row of the service's latest round, to prepare another one. */
--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -380,6 +380,101 @@
 	finish(&vm);
 }
 
+/* A sound engine may be silent for about a second. Beyond this time it counts as lost. */
+#define SILENT_MS 1500
+
+/* Lets the VM check its stages for a time on its clock, without known costs, while the
+ * engines below `answering` answer requests. Returns whether it has begun a round by then.
+ */
+static bool begins_round_beside_answers(vm_t *vm, unsigned limit_ms,
+					unsigned answering)
+{
+	bool begun = false;
+
+	for (unsigned ms = 0; ms < limit_ms && !begun; ms += 50) {
+		for (unsigned i = 0; i < answering; i++) {
+			char *id = g_strdup_printf("engine-%u", i);
+
+			server_record_received(
+				server_set_find(&vm->servers, id), vm_now(vm));
+			g_free(id);
+		}
+		begun = begins_round_within(vm, 50);
+	}
+	return begun;
+}
+
+/* The only decode engine crashes; its entry stays for some seconds. Guards against a stage
+ * that is not refilled before the entry has gone.
+ */
+static void test_refill_after_a_crash(void **state)
+{
+	char *text;
+	vm_t vm;
+
+	init(&vm);
+	server_mark_suspect(server_set_find(&vm.servers, "engine-7"),
+			    vm_now(&vm));
+	assert_true(begins_round_beside_answers(&vm, SILENT_MS + REFILL_MS,
+						ENGINES - 1));
+	text = fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	assert_non_null(strstr(text, " decode engine-"));
+	assert_null(strstr(text, "engine-7"));
+	g_free(text);
+	finish(&vm);
+}
+
+/* Guards against orders because the only engine of a stage is silent for a second and then
+ * goes on.
+ */
+static void test_no_refill_after_a_short_silence(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	server_mark_suspect(server_set_find(&vm.servers, "engine-7"),
+			    vm_now(&vm));
+	assert_false(begins_round_beside_answers(&vm, SILENT_MS, ENGINES - 1));
+	assert_false(begins_round_beside_answers(&vm, 2 * REFILL_MS, ENGINES));
+	finish(&vm);
+}
+
+/* A VM is cut off from all engines, or from those in one zone, and the first it notices is
+ * the only decode engine. Guards against orders by a VM whose links are at fault.
+ */
+static void test_no_refill_by_a_vm_that_is_cut_off(void **state)
+{
+	for (unsigned others = 0; others < 2; others++) {
+		server_t *server;
+		vm_t vm;
+
+		init(&vm);
+		server = server_set_find(&vm.servers, "engine-7");
+		if (others > 0) {
+			g_free(server->entry.zone);
+			server->entry.zone = g_strdup("y");
+		}
+		server_mark_suspect(server, vm_now(&vm));
+		assert_false(begins_round_beside_answers(
+			&vm, 3 * REFILL_MS, others * (ENGINES - 1)));
+		finish(&vm);
+	}
+}
+
+/* Guards against orders while another engine of the stage serves. */
+static void test_no_refill_beside_a_sound_engine(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	server_set_find(&vm.servers, "engine-6")->entry.stage = STAGE_DECODE;
+	server_mark_suspect(server_set_find(&vm.servers, "engine-7"),
+			    vm_now(&vm));
+	assert_false(
+		begins_round_beside_answers(&vm, 3 * REFILL_MS, ENGINES - 1));
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -395,6 +490,10 @@
 		cmocka_unit_test(test_refill_while_other_servers_start),
 		cmocka_unit_test(test_refill_after_round_of_another_service),
 		cmocka_unit_test(test_round_after_a_cut_beside_another_service),
+		cmocka_unit_test(test_refill_after_a_crash),
+		cmocka_unit_test(test_no_refill_after_a_short_silence),
+		cmocka_unit_test(test_no_refill_by_a_vm_that_is_cut_off),
+		cmocka_unit_test(test_no_refill_beside_a_sound_engine),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
