Forget the sums of a service before they are too small to decay

What callers saw: after four hours without a request the mean prompt, output and duration of a service go to one token and one microsecond, with which its next streams are judged.

Cause: the sums are multiplied by less than one with each announcement. As the smallest doubles they are rounded and stay at about the same value, whatever they were; with longer steps a number becomes 0 before its sums, which other VMs refuse with the whole announcement.

Ruled out: the first request after that, which alone counts; its size was right.

Evidence: test_sums_of_an_idle_service, steps of 0.1 and 1 s: fails before (a mean off by more than a hundredth) and passes. Steps of 7,000 s pass on both.

--- a/src/process/decide/workload.c
+++ b/src/process/decide/workload.c
@@ -49,6 +49,9 @@
  */
 #define MAX_MEAN_TOKENS 2e7
 
+/* Least number of observations that is remembered: that of hours ago. */
+#define MIN_COUNT 1e-100
+
 /* Longest duration that is observed, and upper bound for the mean durations that a peer
  * announces. Callers wait an hour at most, so a longer time is that of a process that was
  * suspended. The bound leaves room for rounding.
@@ -69,6 +72,24 @@
 	double max;
 } mean_bound_t;
 
+/* Forgets the kinds of observations whose number has become as small as a double can hardly
+ * express: their sums would no longer decay alike.
+ */
+static void forget_oldest(workload_t *workload)
+{
+	static const workload_sum_t counts[] = {
+		WORKLOAD_REQUESTS,   WORKLOAD_PREFILLS, WORKLOAD_QUEUED_TOKENS,
+		WORKLOAD_HAND_OVERS, WORKLOAD_GAPS,	WORKLOAD_SUMS_N,
+	};
+
+	for (size_t i = 0; i + 1 < G_N_ELEMENTS(counts); i++) {
+		if (workload->sums[counts[i]] >= MIN_COUNT)
+			continue;
+		for (size_t j = counts[i]; j < counts[i + 1]; j++)
+			workload->sums[j] = 0;
+	}
+}
+
 /* Lets the sums decay until now. */
 void workload_decay(workload_t *workload, int64_t now_us)
 {
@@ -80,6 +101,7 @@
 	share = exp(-(double)age_us / DECAY_US);
 	for (int i = 0; i < WORKLOAD_SUMS_N; i++)
 		workload->sums[i] *= share;
+	forget_oldest(workload);
 	workload->updated_us = now_us;
 }
 
--- a/tests/test_workload.c
+++ b/tests/test_workload.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -210,6 +211,37 @@
 	}
 }
 
+/* A service has no requests for hours, or its VM is suspended meanwhile, so that the sums
+ * become as small as a double can be. Guards against sums that other VMs refuse, with
+ * the whole announcement, and against means that change while nothing is observed.
+ */
+static void test_sums_of_an_idle_service(void **state)
+{
+	static const int64_t steps_us[] = {
+		100 * CLOCK_US_PER_MS, CLOCK_US_PER_S, 7000 * CLOCK_US_PER_S};
+	const int64_t end_us = NOW + 15200 * CLOCK_US_PER_S;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps_us); i++) {
+		workload_t workload = {.updated_us = NOW};
+		double tokens;
+
+		print_message("case %zu\n", i);
+		add_prefills(&workload, 20, 3000, 46000, 31);
+		workload_observe_hand_over(&workload, NOW, 20000);
+		workload_observe_gap(&workload, NOW, 20000, 4);
+		tokens = workload_prompt_tokens(&workload);
+		for (int64_t us = NOW; us < end_us; us += steps_us[i]) {
+			double mean;
+
+			workload_decay(&workload, us);
+			mean = workload_prompt_tokens(&workload);
+			assert_true(workload_is_valid(&workload));
+			assert_true(mean == 0 ||
+				    fabs(mean - tokens) < tokens / 100);
+		}
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -217,6 +249,7 @@
 		cmocka_unit_test(test_odd_sums_are_invalid),
 		cmocka_unit_test(test_odd_mean_durations_are_invalid),
 		cmocka_unit_test(test_longest_durations_are_valid),
+		cmocka_unit_test(test_sums_of_an_idle_service),
 		cmocka_unit_test(test_prefill_speed),
 		cmocka_unit_test(test_prefill_speed_of_a_full_queue),
 		cmocka_unit_test(test_pace_of_a_full_engine),
