Leave sums that peers would refuse out of an announcement

What callers saw: once the sums of one service at a VM are beyond 1e15, the other VMs drop all that it announces: they count none of its streams and give engines more than they hold.

Cause: the bounds of workload_is_valid() are checked when an announcement is read only, and then the whole of it is dropped. Three prompts of 100,000 tokens whose answers were observed after an hour, as by a VM that was suspended, reach them.

Change: a service whose sums are beyond the bounds is left out by the VM that announces; what was observed decays first, as before.

Ruled out: a higher bound, which earlier releases would not know.

Evidence: test_large_sums_are_not_announced fails before (the announcement is refused) and passes; the other 11 tests of the occupancy pass.

--- a/src/connection/announce_wire.c
+++ b/src/connection/announce_wire.c
@@ -343,27 +343,41 @@
 	return true;
 }
 
-/* Returns how many services have names that an announcement can hold, at most
- * OCCUPANCY_MAX_WORKLOADS.
+/* Returns whether an announcement can hold what this VM has observed of a service: peers
+ * drop one whose sums are beyond the bounds, with all else that it says.
  */
-static uint32_t count_announced_services(GHashTable *workloads)
+static bool is_announced(const char *service,
+			 const occupancy_workload_t *workload)
+{
+	return strlen(service) <= OCCUPANCY_SERVICE_BYTES &&
+	       workload_is_valid(&workload->own);
+}
+
+/* Returns how many services are announced, at most OCCUPANCY_MAX_WORKLOADS. Lets what this
+ * VM has observed decay until now.
+ */
+static uint32_t count_announced_services(GHashTable *workloads, int64_t now_us)
 {
 	uint32_t n = 0;
 	GHashTableIter iter;
-	gpointer service;
+	gpointer service, value;
 
 	g_hash_table_iter_init(&iter, workloads);
-	while (g_hash_table_iter_next(&iter, &service, NULL))
-		n += strlen(service) <= OCCUPANCY_SERVICE_BYTES ? 1 : 0;
+	while (g_hash_table_iter_next(&iter, &service, &value)) {
+		occupancy_workload_t *workload = value;
+
+		workload_decay(&workload->own, now_us);
+		n += is_announced(service, workload) ? 1 : 0;
+	}
 	return MIN(n, OCCUPANCY_MAX_WORKLOADS);
 }
 
-/* Encodes what this VM has observed of services. Those with names that are too
- * long are left out.
+/* Encodes what this VM has observed of services, without those that peers would not
+ * accept.
  */
 static bool encode_workloads(XDR *xdrs, GHashTable *workloads, int64_t now_us)
 {
-	uint32_t left = count_announced_services(workloads);
+	uint32_t left = count_announced_services(workloads, now_us);
 	GHashTableIter iter;
 	gpointer service, value;
 
@@ -373,9 +387,8 @@
 	while (left > 0 && g_hash_table_iter_next(&iter, &service, &value)) {
 		occupancy_workload_t *workload = value;
 
-		if (strlen(service) > OCCUPANCY_SERVICE_BYTES)
+		if (!is_announced(service, workload))
 			continue;
-		workload_decay(&workload->own, now_us);
 		if (!xdr_workload(xdrs, service, &workload->own))
 			return false;
 		left--;
--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -489,6 +489,32 @@
 	}
 }
 
+/* The sums that a VM has observed of one service are larger than those that others accept.
+ * Guards against an announcement that is dropped as a whole, so that the VM's use and the
+ * other services count for nothing.
+ */
+static void test_large_sums_are_not_announced(void **state)
+{
+	router_t a, b;
+
+	init(&a, "a", 1);
+	init(&b, "b", 1);
+	use(&b, "s1", 4);
+	workload_observe_request(occupancy_own_workload(&b.occupancy, "llm"),
+				 NOW, 3000, 700);
+	for (int i = 0; i < 3; i++)
+		workload_observe_prefill(occupancy_own_workload(&b.occupancy,
+								"slow"),
+					 NOW, 100000, 0, 3600 * 1000 * MS);
+	assert_true(announce_to(&b, &a, 1, NOW));
+	assert_int_equal(streams(&a, "s1", NOW), 4);
+	assert_float_equal(workload_prompt_tokens(occupancy_workload(
+				   &a.occupancy, "llm", NOW)),
+			   3000, 1);
+	occupancy_finish(&a.occupancy);
+	occupancy_finish(&b.occupancy);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -502,6 +528,7 @@
 		cmocka_unit_test(test_origins),
 		cmocka_unit_test(test_observations_of_peers),
 		cmocka_unit_test(test_implausible_use),
+		cmocka_unit_test(test_large_sums_are_not_announced),
 		cmocka_unit_test(test_many_routers),
 	};
 
