Leave a sound engine in the stage that a round of orders takes engines from

What callers saw: all streams refused with no_engine for about four seconds from the moment of a round on.

Cause: a round leaves at least one engine in each stage, but counts crashed ones that are still listed, while it orders only those that answer.

Change: of the engines that answer, take requests and change no stage, at least one gets no order.

Ruled out: an empty stage that is refilled late, as the stage was not empty when the round was decided on.

Evidence: test_round_leaves_a_sound_engine fails before (five of five sound engines are ordered away, two crashed ones stay) and passes; the other tests of stage orders and test_two_holders pass. A VM that does not know of the crash yet decides as before.

--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -234,20 +234,29 @@
 	return GPOINTER_TO_UINT(number);
 }
 
-/* Returns whether an engine may get an order: it is reachable, changes no stage
- * and was not named by the latest round if that is recent. `named` may be NULL.
+/* Returns whether an engine serves its stage: it is reachable, takes requests and changes
+ * no stage.
  */
-static bool may_change(const server_t *server, char **named, int64_t now_us)
+static bool is_sound(const server_t *server, int64_t now_us)
 {
 	return !server_is_suspect(server) &&
 	       !server_is_paused(server, now_us) &&
-	       server->changing_until_us <= now_us &&
+	       server->changing_until_us <= now_us;
+}
+
+/* Returns whether an engine may get an order: it is sound and was not named by the
+ * latest round if that is recent. `named` may be NULL.
+ */
+static bool may_change(const server_t *server, char **named, int64_t now_us)
+{
+	return is_sound(server, now_us) &&
 	       !(named && g_strv_contains((const gchar *const *)named,
 					  server->entry.id));
 }
 
 /* Chooses the engines of the round being prepared; possibly none. Engines in
- * `named`, which may be NULL, are left out.
+ * `named`, which may be NULL, are left out. At least one sound engine stays in the stage
+ * that gives some.
  */
 static void choose_engines(stage_orders_t *orders, char **named)
 {
@@ -256,6 +265,7 @@
 		g_array_new(FALSE, FALSE, sizeof(stage_candidate_t));
 	GPtrArray *engines = g_ptr_array_new();
 	int64_t now_us = clock_now(&orders->clock);
+	unsigned sound = 0;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -270,6 +280,7 @@
 		    !server_takes_work(server) ||
 		    !g_str_equal(server->entry.service, orders->service))
 			continue;
+		sound += is_sound(server, now_us) ? 1 : 0;
 		candidate.zone = zone_number(zones, server->entry.zone);
 		candidate.streams = occupancy_total(orders->occupancy,
 						    server->entry.id, now_us)
@@ -279,7 +290,7 @@
 	}
 	stage_choose((stage_candidate_t *)(void *)candidates->data,
 		     candidates->len, g_hash_table_size(zones),
-		     orders->stage_changes);
+		     MIN(orders->stage_changes, MAX(sound, 1) - 1));
 	for (guint i = 0; i < candidates->len; i++) {
 		if (g_array_index(candidates, stage_candidate_t, i).chosen)
 			g_ptr_array_add(
--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -475,6 +475,39 @@
 	finish(&vm);
 }
 
+/* Engines of the prefill stage crash just before the first round, which is to change five of
+ * the seven. Guards against a round that leaves the stage with crashed engines only, so that
+ * it serves nothing.
+ */
+static void test_round_leaves_a_sound_engine(void **state)
+{
+	unsigned left = 0;
+	char *text;
+	vm_t vm;
+
+	init(&vm);
+	for (unsigned i = 0; i < 2; i++) {
+		char *id = g_strdup_printf("engine-%u", i);
+
+		server_mark_suspect(server_set_find(&vm.servers, id),
+				    vm_now(&vm));
+		g_free(id);
+	}
+	check_stages(&vm);
+	text = fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	assert_non_null(text);
+	assert_non_null(strstr(text, " decode engine-"));
+	for (unsigned i = 2; i < ENGINES - 1; i++) {
+		char *id = g_strdup_printf(" engine-%u", i);
+
+		left += strstr(text, id) ? 0 : 1;
+		g_free(id);
+	}
+	assert_int_equal(left, 1);
+	g_free(text);
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -494,6 +527,7 @@
 		cmocka_unit_test(test_no_refill_after_a_short_silence),
 		cmocka_unit_test(test_no_refill_by_a_vm_that_is_cut_off),
 		cmocka_unit_test(test_no_refill_beside_a_sound_engine),
+		cmocka_unit_test(test_round_leaves_a_sound_engine),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
