--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -151,7 +151,7 @@
 		stage_orders_start_if_due(&vm.orders, &vm.service, &cost);
 		g_usleep(1000);
 	}
-	stage_orders_round_seen(&vm.orders, str_from(text), NULL);
+	stage_orders_round_seen(&vm.orders, "llm", str_from(text), NULL);
 	while (store_call_is_busy(&vm.orders.call))
 		g_main_context_iteration(NULL, TRUE);
 	assert_int_equal(fake_store_row_version(&vm.store, TABLE_ROUTER,
@@ -258,12 +258,13 @@
 	fake_store_put(&vm.store, TABLE_ROUTER, ROUND_KEY,
 		       "vm-other 1 0 decode engine-0");
 	for (unsigned i = 0; i < 5; i++) {
-		stage_orders_round_seen(
-			&vm.orders, STR("vm-other 1 0 decode engine-0"), NULL);
+		stage_orders_round_seen(&vm.orders, "llm",
+					STR("vm-other 1 0 decode engine-0"),
+					NULL);
 		assert_false(begins_round_within(&vm, 2000));
 	}
-	stage_orders_round_seen(&vm.orders, STR("vm-other 1 0 decode engine-0"),
-				NULL);
+	stage_orders_round_seen(&vm.orders, "llm",
+				STR("vm-other 1 0 decode engine-0"), NULL);
 	empty_decode_stage(&vm);
 	assert_true(begins_round_within(&vm, REFILL_MS));
 	finish(&vm);
@@ -284,10 +285,10 @@
 
 	init(&vm);
 	assert_non_null(table);
-	stage_orders_round_seen(&vm.orders, STR("vm-other 9 0 decode other-1"),
-				table);
-	stage_orders_round_seen(&vm.orders, STR("vm-other 5 0 decode engine-0"),
-				table);
+	stage_orders_round_seen(&vm.orders, "other",
+				STR("vm-other 9 0 decode other-1"), table);
+	stage_orders_round_seen(&vm.orders, "llm",
+				STR("vm-other 5 0 decode engine-0"), table);
 	server = server_set_find(&vm.servers, "engine-0");
 	assert_int_equal(server_state(server, vm_now(&vm)), SERVER_CHANGING);
 	route_table_unref(table);
@@ -340,6 +341,173 @@
 	finish(&vm);
 }
 
+/* A round of another service has just begun. Guards against an empty stage that is not
+ * refilled for the interval between rounds, which concerns the engines of one service.
+ */
+static void test_refill_after_round_of_another_service(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	stage_orders_round_seen(&vm.orders, "other",
+				STR("vm-other 9 0 decode other-1"), NULL);
+	empty_decode_stage(&vm);
+	assert_true(begins_round_within(&vm, REFILL_MS));
+	finish(&vm);
+}
+
+/* A VM that knows a round of another service, with a higher token, is cut off from the
+ * store while a round of this one begins. Guards against another round at once, by a list
+ * of servers from before.
+ */
+static void test_round_after_a_cut_beside_another_service(void **state)
+{
+	int64_t version;
+	vm_t vm;
+
+	init(&vm);
+	stage_orders_round_seen(&vm.orders, "other",
+				STR("vm-other 9 0 decode other-1"), NULL);
+	fake_store_put(&vm.store, TABLE_ROUTER, ROUND_KEY,
+		       "vm-other 1 0 decode engine-0 engine-1 engine-2");
+	version = fake_store_row_version(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	/* Out of balance since the first of these checks. */
+	check_stages(&vm);
+	check_stages(&vm);
+	assert_int_equal(fake_store_row_version(&vm.store, TABLE_ROUTER,
+						ROUND_KEY),
+			 version);
+	finish(&vm);
+}
+
+/* A sound engine may be silent for about a second. Beyond this time it counts as lost. */
+#define SILENT_MS 1500
+
+/* Lets the VM check its stages for a time on its clock, without known costs, while the
+ * engines below `answering` answer requests. Returns whether it has begun a round by then.
+ */
+static bool begins_round_beside_answers(vm_t *vm, unsigned limit_ms,
+					unsigned answering)
+{
+	bool begun = false;
+
+	for (unsigned ms = 0; ms < limit_ms && !begun; ms += 50) {
+		for (unsigned i = 0; i < answering; i++) {
+			char *id = g_strdup_printf("engine-%u", i);
+
+			server_record_received(
+				server_set_find(&vm->servers, id), vm_now(vm));
+			g_free(id);
+		}
+		begun = begins_round_within(vm, 50);
+	}
+	return begun;
+}
+
+/* The only decode engine crashes; its entry stays for some seconds. Guards against a stage
+ * that is not refilled before the entry has gone.
+ */
+static void test_refill_after_a_crash(void **state)
+{
+	char *text;
+	vm_t vm;
+
+	init(&vm);
+	server_mark_suspect(server_set_find(&vm.servers, "engine-7"),
+			    vm_now(&vm));
+	assert_true(begins_round_beside_answers(&vm, SILENT_MS + REFILL_MS,
+						ENGINES - 1));
+	text = fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	assert_non_null(strstr(text, " decode engine-"));
+	assert_null(strstr(text, "engine-7"));
+	g_free(text);
+	finish(&vm);
+}
+
+/* Guards against orders because the only engine of a stage is silent for a second and then
+ * goes on.
+ */
+static void test_no_refill_after_a_short_silence(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	server_mark_suspect(server_set_find(&vm.servers, "engine-7"),
+			    vm_now(&vm));
+	assert_false(begins_round_beside_answers(&vm, SILENT_MS, ENGINES - 1));
+	assert_false(begins_round_beside_answers(&vm, 2 * REFILL_MS, ENGINES));
+	finish(&vm);
+}
+
+/* A VM is cut off from all engines, or from those in one zone, and the first it notices is
+ * the only decode engine. Guards against orders by a VM whose links are at fault.
+ */
+static void test_no_refill_by_a_vm_that_is_cut_off(void **state)
+{
+	for (unsigned others = 0; others < 2; others++) {
+		server_t *server;
+		vm_t vm;
+
+		init(&vm);
+		server = server_set_find(&vm.servers, "engine-7");
+		if (others > 0) {
+			g_free(server->entry.zone);
+			server->entry.zone = g_strdup("y");
+		}
+		server_mark_suspect(server, vm_now(&vm));
+		assert_false(begins_round_beside_answers(
+			&vm, 3 * REFILL_MS, others * (ENGINES - 1)));
+		finish(&vm);
+	}
+}
+
+/* Guards against orders while another engine of the stage serves. */
+static void test_no_refill_beside_a_sound_engine(void **state)
+{
+	vm_t vm;
+
+	init(&vm);
+	server_set_find(&vm.servers, "engine-6")->entry.stage = STAGE_DECODE;
+	server_mark_suspect(server_set_find(&vm.servers, "engine-7"),
+			    vm_now(&vm));
+	assert_false(
+		begins_round_beside_answers(&vm, 3 * REFILL_MS, ENGINES - 1));
+	finish(&vm);
+}
+
+/* Engines of the prefill stage crash just before the first round, which is to change five of
+ * the seven. Guards against a round that leaves the stage with crashed engines only, so that
+ * it serves nothing.
+ */
+static void test_round_leaves_a_sound_engine(void **state)
+{
+	unsigned left = 0;
+	char *text;
+	vm_t vm;
+
+	init(&vm);
+	for (unsigned i = 0; i < 2; i++) {
+		char *id = g_strdup_printf("engine-%u", i);
+
+		server_mark_suspect(server_set_find(&vm.servers, id),
+				    vm_now(&vm));
+		g_free(id);
+	}
+	check_stages(&vm);
+	text = fake_store_text(&vm.store, TABLE_ROUTER, ROUND_KEY);
+	assert_non_null(text);
+	assert_non_null(strstr(text, " decode engine-"));
+	for (unsigned i = 2; i < ENGINES - 1; i++) {
+		char *id = g_strdup_printf(" engine-%u", i);
+
+		left += strstr(text, id) ? 0 : 1;
+		g_free(id);
+	}
+	assert_int_equal(left, 1);
+	g_free(text);
+	finish(&vm);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -353,6 +521,13 @@
 		cmocka_unit_test(test_list_that_is_not_complete),
 		cmocka_unit_test(test_rounds_of_two_services),
 		cmocka_unit_test(test_refill_while_other_servers_start),
+		cmocka_unit_test(test_refill_after_round_of_another_service),
+		cmocka_unit_test(test_round_after_a_cut_beside_another_service),
+		cmocka_unit_test(test_refill_after_a_crash),
+		cmocka_unit_test(test_no_refill_after_a_short_silence),
+		cmocka_unit_test(test_no_refill_by_a_vm_that_is_cut_off),
+		cmocka_unit_test(test_no_refill_beside_a_sound_engine),
+		cmocka_unit_test(test_round_leaves_a_sound_engine),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
