Count the requests that one silence leaves unanswered as one failure

What callers see: a sound plain server that was silent for a second gets no requests afterwards while others have less than about three times their slots in progress, so that requests queue at the others. Nothing but requests withdraws that, which it does not get.

Cause: each safe request in progress at the server that is sent to another one as well counted as a failure of the server: 20 of them make its share of failures 0.8, and the balance adds 4 times the share to its load, where 1 is a full server. The answer to the first send, which would count as a success, is not waited for when the other server has answered.

Change: a send that ends without an answer counts only if it was sent after the last such failure was known, or if the server has sent something since then. Failures that a server states in answers count as before, and so does each lost request of a server that answers others meanwhile.

Ruled out: to count none at all, as a server that leaves requests unanswered between answers has to count as failing.

What remains: one failure still adds a third of a server's load, and time does not withdraw it.

--- a/src/process/decide/server.c
+++ b/src/process/decide/server.c
@@ -238,6 +238,19 @@
 		FAILURE_WEIGHT * ((failed ? 1.0 : 0.0) - server->failure_share);
 }
 
+/* Records that a request which was sent at `sent_us` has got no answer. One that was sent before
+ * the last such failure was known counts only if the server has sent something since: otherwise
+ * both failed for the same reason, as a server that is silent is so for all requests.
+ */
+void server_record_unanswered(server_t *server, int64_t sent_us, int64_t now_us)
+{
+	if (sent_us < server->last_unanswered_us &&
+	    server->last_received_us <= server->last_unanswered_us)
+		return;
+	server->last_unanswered_us = now_us;
+	server_record_result(server, true);
+}
+
 /* Returns how much longer the server's prefills take than those of the service's
  * engines in the mean.
  */
--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -62,6 +62,8 @@
 				  reported in an answer */
 	int64_t reported_us;
 	double failure_share; /* moving average over this VM's requests */
+	int64_t last_unanswered_us; /* when the last failure without an answer
+				       was counted in it */
 	int64_t last_received_us; /* any byte of an answer */
 	int64_t last_lost_us; /* a connection ended before its answer */
 	int64_t last_sent_us;
@@ -113,6 +115,8 @@
 void server_work_failed(server_t *server, int64_t sent_us, int64_t now_us);
 void server_work_succeeded(server_t *server);
 void server_record_result(server_t *server, bool failed);
+void server_record_unanswered(server_t *server, int64_t sent_us,
+			      int64_t now_us);
 void server_record_prefill(server_t *server, int64_t sent_us, int64_t now_us,
 			   int64_t expected_us, double slowness);
 double server_prefill_slowness(const server_t *server);
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -563,6 +563,17 @@
 		  LOG_CSTR("address", server->entry.address));
 }
 
+/* Records whether a send has failed for its server: with an answer, or without one. */
+static void record_result(const relay_send_t *send, call_end_t end,
+			  bool timed_out, bool failed)
+{
+	if (failed && (timed_out || end != CALL_ANSWERED))
+		server_record_unanswered(send->server, send->sent_us,
+					 clock_now(&send->relay->clock));
+	else
+		server_record_result(send->server, failed);
+}
+
 /* Returns what a send that has ended or timed out means for the request, and
  * records success or failure for the server. A server that answers 421 is not
  * the one that the platform lists for its address.
@@ -585,7 +596,7 @@
 			  LOG_CSTR("server", send->server->entry.id),
 			  LOG_UINT("status", send->status));
 	if (send->server) {
-		server_record_result(send->server, outcome.failed);
+		record_result(send, end, timed_out, outcome.failed);
 		if (send->status == 421 && send->is_own)
 			relay_record_misdirected(send->relay, send->server,
 						 "request");
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -114,6 +114,33 @@
 	server_set_finish(&set);
 }
 
+/* Guards against a sound server that gets no requests while the other one is full, as many were
+ * in progress at it in one moment of silence; and against one that counts as sound although it
+ * leaves some of its requests unanswered, while it answers others.
+ */
+static void test_unanswered_requests(void **state)
+{
+	server_t *silent, *other;
+	server_set_t set;
+
+	memset(&set, 0, sizeof(set));
+	server_set_init(&set);
+	silent = add(&set, "i-silent", "z0");
+	other = add(&set, "i-other", "z0");
+	for (int64_t i = 0; i < 20; i++)
+		server_record_unanswered(silent, NOW + i, NOW + 300 * MS + i);
+	for (int i = 0; i < 6; i++)
+		server_record_send(other, NOW);
+	assert_ptr_equal(pick(&set, NULL), silent);
+	for (int64_t i = 0; i < 20; i++) {
+		server_record_received(silent, NOW + 400 * MS + 2 * i);
+		server_record_unanswered(silent, NOW + i,
+					 NOW + 400 * MS + 2 * i + 1);
+	}
+	assert_ptr_equal(pick(&set, NULL), other);
+	server_set_finish(&set);
+}
+
 /* Guards against preferring a silent server because it seems idle, and against
  * refusing requests while silent servers are left.
  */
@@ -142,6 +169,7 @@
 		cmocka_unit_test(test_idle_servers_take_turns),
 		cmocka_unit_test(test_same_zone_until_loaded),
 		cmocka_unit_test(test_failing_server),
+		cmocka_unit_test(test_unanswered_requests),
 		cmocka_unit_test(test_silent_server_is_last),
 	};
 
--- a/tests/test_two_silent.c
+++ b/tests/test_two_silent.c
@@ -33,6 +33,10 @@
 /* A check of a server's health ends within this time. */
 #define CHECK_MS 600
 
+/* Requests that are in progress together, and the share of failures that one failure makes. */
+#define MANY 20
+#define SHARE_OF_ONE_FAILURE 0.08
+
 /* What a server does with a request. */
 typedef enum {
 	ANSWERS,
@@ -59,6 +63,7 @@
 	unsigned sent; /* requests of the caller */
 	unsigned status;
 	unsigned answers;
+	unsigned many_ended; /* requests that were sent at once */
 	int64_t sent_us, ended_us;
 	bool ended;
 	call_end_t end;
@@ -181,6 +186,58 @@
 	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
 }
 
+static void one_of_many_on_head(void *context, const http_head_t *head)
+{
+	if (head->status == 200)
+		((fixture_t *)context)->answers++;
+}
+
+static void one_of_many_on_body(void *context, const char *data, size_t len)
+{
+}
+
+static void one_of_many_on_end(void *context, call_end_t end)
+{
+	((fixture_t *)context)->many_ended++;
+}
+
+static const call_handler_t one_of_many_handler = {
+	.on_head = one_of_many_on_head,
+	.on_body = one_of_many_on_body,
+	.on_end = one_of_many_on_end,
+};
+
+static bool have_many_ended(void *context)
+{
+	return ((fixture_t *)context)->many_ended == MANY;
+}
+
+/* Sends requests at once, each on a connection of its own, and waits for all answers. */
+static void ask_many(fixture_t *fixture)
+{
+	GString *message = g_string_new(NULL);
+	http_call_options_t options = {
+		.address = support_entry_address(&fixture->vm),
+		.message = message,
+		.new_connection = true,
+		.handler = &one_of_many_handler,
+		.context = fixture,
+	};
+
+	fixture->many_ended = 0;
+	fixture->answers = 0;
+	for (unsigned i = 0; i < MANY; i++) {
+		g_string_printf(message,
+				"GET /s/x HTTP/1.1\r\nHost: h\r\n"
+				"X-Request-Id: r%u\r\nX-Deadline-Ms: %u\r\n"
+				"Content-Length: 0\r\n\r\n",
+				fixture->sent++, DEADLINE_MS);
+		assert_non_null(http_pool_call(&fixture->callers, &options));
+	}
+	g_string_free(message, TRUE);
+	assert_true(support_run_loop_until(have_many_ended, fixture, WAIT_MS));
+}
+
 static int took_ms(const fixture_t *fixture)
 {
 	return (int)((fixture->ended_us - fixture->sent_us) / CLOCK_US_PER_MS);
@@ -440,6 +497,29 @@
 	stop(&fixture);
 }
 
+/* Guards against a sound server that counts as failing because many requests were in progress
+ * at it in the one second in which it was silent: each would count as a failure, and nothing
+ * but requests, which it then does not get, would withdraw that.
+ */
+static void test_one_silence_is_one_failure(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	unsigned first;
+	double share;
+
+	start(&fixture);
+	first = prepare(&fixture);
+	silence(&fixture, first);
+	ask_many(&fixture);
+	assert_int_equal(fixture.answers, MANY);
+	share = known_server(&fixture, first)->failure_share;
+	print_message("share of failures after the silence: %.3f\n", share);
+	assert_true(share > 0);
+	assert_true(share <= SHARE_OF_ONE_FAILURE * 1.001);
+	support_run_loop_ms(SILENT_MS);
+	stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -450,6 +530,7 @@
 		cmocka_unit_test(test_deadline_in_the_silence),
 		cmocka_unit_test(test_unsafe_request_runs_once),
 		cmocka_unit_test(test_closed_servers),
+		cmocka_unit_test(test_one_silence_is_one_failure),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
