Begin no further request of a caller that has not read the answers before

What callers saw: a caller that sends many requests on one connection and reads no answer ends the VM for want of memory, and the requests of all others end with it.

Cause: a request counted as ended when its answer was written, not when it was read. The next one on the connection was then begun, and its answer appended to the connection's buffer, which has no bound.

Change: while more than 64 KB wait in the VM's buffer for the caller, the connection is not read and what was read of it is not begun; both go on when the caller has caught up. The time of an idle connection begins then. A connection with requests that were read but not begun no longer counts as idle in a stop.

Ruled out: requests that are not begun yet as the cause (64 KB of them are kept at most). A bound that closes the connection: it would cut answers that a slow caller still reads.

What many connections keep together has no bound still.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -71,7 +71,7 @@
 }
 
 /* Ends an exchange whose response is complete. The connection goes on with its
- * next request, or is closed.
+ * next request once the caller is not behind, or is closed.
  */
 static void end_exchange(exchange_t *exchange)
 {
@@ -84,13 +84,7 @@
 	}
 	ingress_connection_await_request(connection);
 	ingress_connection_watch_output(connection);
-	tcp_set_reading(&connection->tcp, true);
-	/* The alarm begins the next request in its own turn of the main loop,
-	 * not inside the call that ended this one.
-	 */
-	if (connection->unparsed->len > 0 && !connection->parsing)
-		alarm_set(&connection->alarm,
-			  clock_now(&connection->ingress->clock));
+	ingress_connection_read_on(connection);
 }
 
 /* Returns whether the connection closes after the response. */
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -152,6 +152,8 @@
 	connection->state = CONNECTION_LINGERING;
 	drop_body(connection);
 	alarm_set(&connection->alarm, -1);
+	/* Bytes that are not read would make the close a reset. */
+	tcp_set_reading(&connection->tcp, true);
 	if (tcp_unsent_bytes(&connection->tcp) == 0)
 		end_output(connection);
 	else
@@ -190,6 +192,32 @@
 	await_activity(connection);
 }
 
+/* Returns whether a connection may take its next request, or more of it. While the caller is
+ * behind with the responses before, what it sends stays in the kernel, whose buffer
+ * slows the caller down.
+ */
+static bool takes_requests(const ingress_connection_t *connection)
+{
+	return connection->state == CONNECTION_READING &&
+	       !exchange_is_behind(&connection->exchange);
+}
+
+/* Reads further requests, and begins with what has been received of them, unless the caller is
+ * behind with the responses before.
+ */
+void ingress_connection_read_on(ingress_connection_t *connection)
+{
+	bool takes = takes_requests(connection);
+
+	tcp_set_reading(&connection->tcp, takes);
+	/* The alarm begins the next request in its own turn of the main loop,
+	 * not inside the call that ended the one before.
+	 */
+	if (takes && connection->unparsed->len > 0 && !connection->parsing)
+		alarm_set(&connection->alarm,
+			  clock_now(&connection->ingress->clock));
+}
+
 /* Closes a connection whose time is over, and logs it if bytes have arrived that were not
  * read: its caller may have sent a request.
  */
@@ -253,7 +281,10 @@
 	ingress_connection_t *connection = context;
 
 	if (connection->state == CONNECTION_READING &&
-	    connection->unparsed->len > 0)
+	    !takes_requests(connection))
+		await_activity(connection); /* it reads the response still */
+	else if (connection->state == CONNECTION_READING &&
+		 connection->unparsed->len > 0)
 		parse_requests(connection);
 	else if (connection->state == CONNECTION_READING &&
 		 tcp_has_unread(&connection->tcp))
@@ -285,13 +316,13 @@
 }
 
 /* Parses the bytes received. Stops when a request is in progress, because a
- * connection carries one exchange at a time.
+ * connection carries one exchange at a time, or the caller is behind.
  */
 static void parse_requests(ingress_connection_t *connection)
 {
 	connection->parsing = true;
 	while (!connection->close_pending && connection->unparsed->len > 0 &&
-	       connection->state == CONNECTION_READING) {
+	       takes_requests(connection)) {
 		bool started = connection->message.started;
 		size_t used;
 		http_feed_t result = http_message_feed(
@@ -319,7 +350,9 @@
 		memory_empty_buffer(&connection->unparsed);
 }
 
-/* Keeps the bytes received and parses them, unless a request is in progress. */
+/* Keeps the bytes received and parses them, unless a request is in progress or the caller is
+ * behind.
+ */
 static void on_data(void *context, const char *data, size_t len)
 {
 	ingress_connection_t *connection = context;
@@ -327,7 +360,7 @@
 	if (connection->state == CONNECTION_LINGERING)
 		return;
 	g_string_append_len(connection->unparsed, data, (gssize)len);
-	if (connection->state == CONNECTION_READING)
+	if (takes_requests(connection))
 		parse_requests(connection);
 	else if (connection->unparsed->len > MAX_UNPARSED_BYTES)
 		tcp_set_reading(&connection->tcp, false);
@@ -347,8 +380,8 @@
 	ingress_connection_close(connection);
 }
 
-/* Tells the handler that its caller has caught up, and shuts down the sending side after
- * the last byte of the last response.
+/* Tells the handler that its caller has caught up, reads the next request of a caller that was
+ * behind, and shuts down the sending side after the last byte of the last response.
  */
 static void on_output_sent(void *context)
 {
@@ -360,6 +393,10 @@
 		alarm_set(&connection->output_alarm, -1);
 	if (all_sent && connection->state == CONNECTION_LINGERING)
 		end_output(connection);
+	if (takes_requests(connection) && !connection->tcp.reading) {
+		await_activity(connection);
+		ingress_connection_read_on(connection);
+	}
 	if (is_answering(connection) && ingress->handler->on_caught_up &&
 	    !exchange_is_behind(&connection->exchange))
 		ingress->handler->on_caught_up(ingress->context,
@@ -495,7 +532,8 @@
 /* Returns whether a part of the next request has arrived on a connection. */
 static bool has_unread(const ingress_connection_t *connection)
 {
-	return connection->message.started || tcp_has_unread(&connection->tcp);
+	return connection->message.started || connection->unparsed->len > 0 ||
+	       tcp_has_unread(&connection->tcp);
 }
 
 /* Closes the connections on which no request has begun to arrive, once their callers have
--- a/src/connection/ingress_connection.h
+++ b/src/connection/ingress_connection.h
@@ -64,6 +64,7 @@
 void ingress_connection_reject(ingress_connection_t *connection,
 			       unsigned status);
 void ingress_connection_await_request(ingress_connection_t *connection);
+void ingress_connection_read_on(ingress_connection_t *connection);
 void ingress_connection_watch_output(ingress_connection_t *connection);
 void ingress_connection_linger(ingress_connection_t *connection);
 void ingress_connection_close(ingress_connection_t *connection);
--- a/tests/test_slow_readers.c
+++ b/tests/test_slow_readers.c
@@ -228,10 +228,53 @@
 	stop(&fixture);
 }
 
+/* Reads what has come, and returns whether three answers have. */
+static bool read_three(void *context)
+{
+	fixture_t *fixture = context;
+
+	(void)read_all(fixture);
+	return fixture->received > 3 * BODY_BYTES;
+}
+
+/* Sends further requests while the answer to the first one is not read. */
+static void send_more(fixture_t *fixture, unsigned n)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+	for (unsigned i = 0; i < n; i++)
+		assert_true(g_socket_send(fixture->caller, request,
+					  strlen(request), NULL, NULL) > 0);
+}
+
+/* Guards against a caller that sends further requests, reads no answer, and has all of them
+ * begun and their answers kept; and against such requests that are never begun, or dropped as the
+ * connection counts as idle, once it reads.
+ */
+static void test_requests_of_a_slow_reader(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture, END_WHEN_IDLE, false, SMALL_BUFFER_BYTES);
+	send_more(&fixture, 2);
+	support_run_loop_ms(PAUSE_MS);
+	assert_int_equal(fixture.requests, 1);
+	assert_true(ingress_has_unread(&fixture.ingress));
+	ingress_close_idle(&fixture.ingress);
+	assert_true(support_run_loop_until(read_all, &fixture, 10000));
+	assert_true(fixture.requests <= 2);
+	assert_true(support_run_loop_until(read_three, &fixture, 10000));
+	assert_int_equal(fixture.requests, 3);
+	assert_false(fixture.ended);
+	assert_false(ingress_is_sending(&fixture.ingress));
+	stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_slow_reader),
+		cmocka_unit_test(test_requests_of_a_slow_reader),
 		cmocka_unit_test(test_trickle),
 		cmocka_unit_test(test_caller_that_never_reads),
 	};
