Apply the row of a server without a look at all that share its address

What callers see: while a list in which many servers name one address is read, requests of other callers wait for seconds at each VM.

Cause: each heartbeat, each changed row and each server that a full read has missed chose the server of the address again among all that name it. With 20,000 servers, which is what a list takes, a heartbeat of each is 400 million looks, and they come each second.

Change: what decides for a server is kept as its claim. A server that does not have the address is compared only with the one that has it; the one that has it is confirmed if its claim is no weaker than when it was last looked at. All are looked at only when the one that has the address goes or its claim becomes weaker. A full read that has missed servers chooses once for each address. A server knows its place among the others, so that it is taken out without a search.

Ruled out: an ordered tree of claims, as a start that is not stated equals any other, so that claims have no order as a whole.

--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -40,6 +40,7 @@
 	bool listed; /* the platform's list has it now */
 	bool unread; /* the full read in progress has not brought it so far */
 	bool removed; /* from the set; only requests in progress still hold it */
+	GList *address_link; /* see server_addresses.c */
 	bool superseded; /* its address is that of another server of the set */
 	bool misdirected; /* its address answers that another process has it */
 	unsigned misdirected_probes; /* sent since then */
--- a/src/process/decide/server_addresses.h
+++ b/src/process/decide/server_addresses.h
@@ -17,6 +17,7 @@
 				      const char *address);
 bool server_addresses_is_shared(const server_set_t *set,
 				const server_t *server);
-void server_addresses_update(server_set_t *set, const server_t *server);
+void server_addresses_update(server_set_t *set, server_t *server);
+void server_addresses_update_all(server_set_t *set);
 
 #endif
--- a/src/process/decide/server_set.c
+++ b/src/process/decide/server_set.c
@@ -207,8 +207,7 @@
 			  int64_t row_version)
 {
 	server->entry.row_version = row_version;
-	if (server->superseded)
-		server_addresses_update(set, server);
+	server_addresses_update(set, server);
 }
 
 /* Records that the address of a server has answered, with 421 Misdirected Request, that
@@ -264,6 +263,7 @@
 {
 	GHashTableIter iter;
 	gpointer value;
+	bool missed = false;
 
 	g_hash_table_iter_init(&iter, set->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -274,8 +274,10 @@
 		if (server->listed || server->expires_us != 0)
 			continue;
 		server->expires_us = keep_until_us;
-		server_addresses_update(set, server);
+		missed = true;
 	}
+	if (missed)
+		server_addresses_update_all(set);
 }
 
 /* Removes servers that have expired. Returns true when there were any. */
--- a/tests/test_server_set.c
+++ b/tests/test_server_set.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <time.h>
 #include <cmocka.h>
 
 #include "process/clock.h"
@@ -245,6 +246,121 @@
 	server_set_finish(&set);
 }
 
+/* Number of servers that a VM's list holds if their rows are short, and most processor time
+ * for a heartbeat of each of them: a quarter of the second in which they come.
+ */
+#define SHARERS 20000
+#define ROUND_CPU_US (250 * MS)
+
+/* Returns the processor time that this thread has used, in microseconds, which does not
+ * count how long it waited for a processor.
+ */
+static int64_t cpu_us(void)
+{
+	struct timespec time;
+
+	assert_int_equal(clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time), 0);
+	return (int64_t)time.tv_sec * CLOCK_US_PER_S + time.tv_nsec / 1000;
+}
+
+/* Writes the rows of all servers of an address once more, each with a change. */
+static void rewrite_rows(server_set_t *set, int64_t row_version)
+{
+	for (unsigned i = 0; i < SHARERS; i++) {
+		char *id = g_strdup_printf("i-%u", i);
+
+		(void)put_row(set, id, row_version + i);
+		g_free(id);
+	}
+}
+
+/* Guards against heartbeats, changed rows and a full read without the servers that cost a
+ * look at each of the servers which name the same address: a VM that is busy for seconds
+ * with a list in which all do, and serves no one meanwhile.
+ */
+static void test_many_servers_of_one_address(void **state)
+{
+	int64_t start_us, heartbeats_us, rows_us, missed_us;
+	server_t **servers = g_new0(server_t *, SHARERS);
+	server_set_t set;
+
+	memset(&set, 0, sizeof(set));
+	server_set_init(&set);
+	for (unsigned i = 0; i < SHARERS; i++) {
+		char *id = g_strdup_printf("i-%u", i);
+
+		servers[i] = put_row(&set, id, i + 1);
+		g_free(id);
+	}
+	assert_int_equal(server_set_count_usable(&set), 1);
+	start_us = cpu_us();
+	for (unsigned i = 0; i < SHARERS; i++) {
+		server_set_heartbeat(&set, servers[i], SHARERS + i + 1);
+		assert_false(servers[i]->superseded);
+	}
+	heartbeats_us = cpu_us() - start_us;
+	assert_true(server_takes_work(servers[SHARERS - 1]));
+	assert_int_equal(server_set_count_usable(&set), 1);
+	start_us = cpu_us();
+	rewrite_rows(&set, 2 * SHARERS + 1);
+	rows_us = cpu_us() - start_us;
+	assert_true(server_takes_work(servers[SHARERS - 1]));
+	start_us = cpu_us();
+	server_set_begin_sync(&set);
+	(void)put_row(&set, "i-7", 3 * SHARERS + 1);
+	server_set_end_sync(&set, NOW);
+	assert_true(server_takes_work(servers[7]));
+	assert_true(server_set_expire(&set, NOW));
+	missed_us = cpu_us() - start_us;
+	print_message("%d servers of one address: heartbeats %" G_GINT64_FORMAT
+		      " us, rows %" G_GINT64_FORMAT
+		      " us, removal %" G_GINT64_FORMAT " us\n",
+		      SHARERS, heartbeats_us, rows_us, missed_us);
+	assert_true(heartbeats_us < ROUND_CPU_US);
+	assert_true(rows_us < ROUND_CPU_US);
+	assert_true(missed_us < ROUND_CPU_US);
+	assert_int_equal(server_set_count_usable(&set), 1);
+	server_set_finish(&set);
+	g_free(servers);
+}
+
+/* Guards against a server that keeps an address when what is known of it has become worse:
+ * it is looked for among the others then, also among those that were not preferred before.
+ */
+static void test_address_of_a_weaker_claim(void **state)
+{
+	server_set_t set;
+	server_t *first, *second, *third;
+
+	server_set_init(&set);
+	first = put_row(&set, "i-1", 10);
+	second = put_row(&set, "i-2", 20);
+	(void)put_row(&set, "i-3", 30);
+	/* A store that was restored from a copy gives out versions again. */
+	third = put_row(&set, "i-3", 15);
+	assert_true(server_takes_work(second));
+	assert_false(server_takes_work(third));
+	second = put_row(&set, "i-2", 12);
+	assert_true(server_takes_work(third));
+	assert_true(server_set_mark_misdirected(&set, third, NOW));
+	assert_true(server_takes_work(second));
+	assert_true(server_set_mark_misdirected(&set, second, NOW));
+	assert_true(server_takes_work(first));
+	assert_true(server_set_mark_misdirected(&set, first, NOW));
+	assert_false(third->superseded);
+	server_set_remove(&set, "i-3", NOW);
+	assert_false(second->superseded);
+	assert_true(first->superseded);
+	/* The heartbeats of the one that has the address count too. */
+	server_set_heartbeat(&set, second, 50);
+	server_set_heartbeat(&set, first, 45);
+	assert_false(second->superseded);
+	(void)put_row(&set, "i-2", 44);
+	assert_true(second->superseded);
+	assert_false(first->superseded);
+	server_set_finish(&set);
+}
+
 /* Guards against servers that get no requests while a full read of several pages has not
  * brought them yet, and against ones that stay although it has ended without them.
  */
@@ -389,6 +505,8 @@
 		cmocka_unit_test(test_address_reused),
 		cmocka_unit_test(test_address_in_order_of_keys),
 		cmocka_unit_test(test_address_given_back),
+		cmocka_unit_test(test_many_servers_of_one_address),
+		cmocka_unit_test(test_address_of_a_weaker_claim),
 		cmocka_unit_test(test_many_servers_enter),
 		cmocka_unit_test(test_full_read_in_progress),
 		cmocka_unit_test(test_missing_after_outage),
