Decode and apply answers of the store in many turns of the main loop

Cause: a page was parsed whole and all of its rows were applied in one turn of the loop, and the next page of a full read was asked for at once. A request needs several turns (accept, call of the server, answer), and each waited for a page.

A watch decodes and then applies 64 rows, or 128 KB, in a turn. Nothing is applied before all is decoded, so that an answer that is malformed anywhere is refused whole as before, also if it has two arrays of rows or more than 64 KB beside them. The next read waits as long as the answer took, 250 ms at most. A full read that is asked for meanwhile drops the rest.

Ruled out: a relaxed test; fewer rows a page (the protocol's limit counts for reads, not for the feed or a faulty store); a thread for parsing (the rows are applied on the loop, which was the larger part).

Conclusion: the failure was one of the design, which the load made visible; it was not seen again, but it was seen once only.

--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -25,6 +25,15 @@
  */
 #define OUTAGE_US (2500 * CLOCK_US_PER_MS)
 
+/* Most rows, and most bytes of them but for the last one, that are decoded or applied in one
+ * turn of the main loop, so that a large answer does not keep other work waiting.
+ */
+#define TURN_ROWS 64
+#define TURN_BYTES ((size_t)128 << 10)
+
+/* Longest pause after an answer for the time that it took. */
+#define MAX_WORK_PAUSE_US (250 * CLOCK_US_PER_MS)
+
 static void read_table(store_watch_t *watch);
 
 /* Returns whether another watch shows when the store is back. */
@@ -68,35 +77,52 @@
 	g_clear_pointer(&watch->from_key, g_free);
 }
 
-/* Passes the rows of an answer to the user of the watch. */
-static void apply_rows(store_watch_t *watch, const store_page_t *page)
+/* Returns the bytes of a row. */
+static size_t row_bytes(const store_row_t *row)
+{
+	return strlen(row->key) + (row->value ? row->value->len : 0);
+}
+
+/* Passes rows of the answer to the user of the watch, as many as one turn of the main loop
+ * has. Returns whether all have been passed.
+ */
+static bool apply_rows(store_watch_t *watch)
 {
-	for (guint i = 0; i < page->rows->len; i++) {
-		const store_row_t *row =
-			&g_array_index(page->rows, store_row_t, i);
+	const GArray *rows = watch->page.rows;
+	size_t bytes = 0;
 
+	for (unsigned n = 0; n < TURN_ROWS && bytes < TURN_BYTES; n++) {
+		const store_row_t *row;
+
+		if (watch->rows_applied == rows->len)
+			break;
+		row = &g_array_index(rows, store_row_t, watch->rows_applied++);
+		bytes += row_bytes(row);
 		watch->newest_row = MAX(watch->newest_row, row->version);
 		watch->options.handler->on_row(watch->options.context, row);
 	}
+	return watch->rows_applied == rows->len;
 }
 
 /* Begins a full read, unless the page is not its first. */
-static void begin_sync(store_watch_t *watch, const store_page_t *page)
+static void begin_sync(store_watch_t *watch)
 {
 	if (watch->from_key)
 		return;
-	watch->sync_version = page->version;
+	watch->sync_version = watch->page.version;
 	watch->sync_sent_us = watch->sent_us;
 	watch->newest_row = 0;
 	watch->options.handler->on_sync_begin(watch->options.context,
 					      watch->restored);
 }
 
-/* Applies one page of a full read. The next page starts behind its last key. */
-static void apply_page(store_watch_t *watch, const store_page_t *page)
+/* Ends a page of a full read, all of whose rows are applied. The next one starts behind its
+ * last key.
+ */
+static void end_sync_page(store_watch_t *watch)
 {
-	begin_sync(watch, page);
-	apply_rows(watch, page);
+	const store_page_t *page = &watch->page;
+
 	g_clear_pointer(&watch->from_key, g_free);
 	if (page->has_more && page->rows->len > 0) {
 		const store_row_t *last = &g_array_index(
@@ -117,11 +143,127 @@
 	watch->restored = false;
 }
 
-/* Applies an answer of the feed. */
-static void apply_changes(store_watch_t *watch, const store_page_t *page)
+/* Ends an answer of the feed, all of whose rows are applied. */
+static void end_changes(store_watch_t *watch)
+{
+	const store_watch_options_t *options = &watch->options;
+
+	watch->version = MAX(watch->version, watch->page.version);
+	if (!watch->relayed)
+		watch->as_of_us = watch->sent_us;
+	else if (options->handler->on_newest)
+		options->handler->on_newest(options->context,
+					    watch->page.newest_config,
+					    watch->page.newest_own);
+}
+
+/* Returns the pause after an answer: that of the table, and no less than the answer took, so
+ * that answers without an end leave half of the time to other work.
+ */
+static int64_t pause_us(const store_watch_t *watch, bool was_synced,
+			int64_t now_us)
+{
+	int64_t least_us = was_synced ? watch->options.pause_us : 0;
+
+	if (watch->relayed)
+		least_us = watch->options.relayed_pause_us;
+	return CLAMP(now_us - watch->received_us, least_us,
+		     MAX(least_us, MAX_WORK_PAUSE_US));
+}
+
+/* Reads from the store what the VM that was asked last does not pass on. */
+static void abandon_reader(store_watch_t *watch)
+{
+	store_call_cancel(&watch->call);
+	watch->options.handler->on_reader_failed(watch->options.context);
+	watch->rechecking = true;
+	read_table(watch);
+}
+
+/* Handles an answer that cannot be decoded: one of another VM is read from the store instead.
+ */
+static void handle_malformed(store_watch_t *watch)
+{
+	store_page_finish(&watch->page);
+	if (watch->relayed)
+		abandon_reader(watch);
+	else
+		handle_failure(watch, STORE_NOT_DONE);
+}
+
+/* Ends an answer, all of whose rows are applied, and schedules the next read. */
+static void end_page(store_watch_t *watch)
+{
+	bool was_synced = watch->synced;
+	int64_t now_us;
+
+	if (was_synced)
+		end_changes(watch);
+	else
+		end_sync_page(watch);
+	watch->applying = false;
+	store_page_finish(&watch->page);
+	now_us = clock_now(&watch->clock);
+	alarm_set(&watch->next_read,
+		  now_us + pause_us(watch, was_synced, now_us));
+	if (!watch->relayed)
+		set_reachable(watch, true);
+}
+
+/* Decodes rows of the answer, as many as one turn of the main loop has. Nothing is applied
+ * before all are decoded, as an answer that is malformed anywhere is of no use. Returns
+ * whether all are decoded.
+ */
+static bool decode_rows(store_watch_t *watch)
+{
+	if (store_page_is_decoded(&watch->page))
+		return true;
+	if (!store_page_decode(&watch->page, TURN_ROWS, TURN_BYTES)) {
+		handle_malformed(watch);
+		return false;
+	}
+	if (!store_page_is_decoded(&watch->page)) {
+		alarm_set(&watch->next_rows, clock_now(&watch->clock));
+		return false;
+	}
+	return true;
+}
+
+/* Begins to apply an answer that is decoded. */
+static void begin_page(store_watch_t *watch)
 {
-	apply_rows(watch, page);
-	watch->version = MAX(watch->version, page->version);
+	watch->applying = true;
+	watch->failures = 0;
+	watch->last_ok_us = watch->received_us;
+	watch->rows_applied = 0;
+	if (!watch->synced)
+		begin_sync(watch);
+}
+
+/* Decodes or applies rows of the answer, and ends it or goes on in the next turn of the main
+ * loop.
+ */
+static void on_next_rows(void *context)
+{
+	store_watch_t *watch = context;
+
+	if (!watch->applying) {
+		if (!decode_rows(watch))
+			return;
+		begin_page(watch);
+	}
+	if (apply_rows(watch))
+		end_page(watch);
+	else
+		alarm_set(&watch->next_rows, clock_now(&watch->clock));
+}
+
+/* Drops an answer whose rows are not all applied. */
+static void drop_page(store_watch_t *watch)
+{
+	watch->applying = false;
+	alarm_set(&watch->next_rows, -1);
+	store_page_finish(&watch->page);
 }
 
 /* Returns whether the store was restored from an older copy since the last
@@ -143,49 +285,38 @@
 	return true;
 }
 
-/* Reads from the store what the VM that was asked last does not pass on. */
-static void abandon_reader(store_watch_t *watch)
-{
-	store_call_cancel(&watch->call);
-	watch->options.handler->on_reader_failed(watch->options.context);
-	watch->rechecking = true;
-	read_table(watch);
-}
-
 /* Applies the changes that another VM has passed on. One whose store has another era
  * has not noticed yet that the store was restored, or knows it before this VM does.
  */
 static void on_relayed(store_watch_t *watch, store_result_t result, str_t body)
 {
-	const store_watch_options_t *options = &watch->options;
-	int64_t now_us = clock_now(&watch->clock);
 	bool ok = result == STORE_OK && watch->call.era == watch->era;
-	store_page_t page = {0};
-
-	if (ok && store_page_read(body, &page)) {
-		watch->failures = 0;
-		watch->last_ok_us = now_us;
-		apply_changes(watch, &page);
-		alarm_set(&watch->next_read,
-			  now_us + options->relayed_pause_us);
-		if (options->handler->on_newest)
-			options->handler->on_newest(options->context,
-						    page.newest_config,
-						    page.newest_own);
-		store_page_finish(&page);
-		return;
-	}
-	store_page_finish(&page);
-	abandon_reader(watch);
+
+	if (ok && store_page_begin(&watch->page, body))
+		on_next_rows(watch);
+	else
+		handle_malformed(watch);
+}
+
+/* Begins a full read in place of the answer that was read after an outage: rows may have
+ * expired and been written again meanwhile, which the feed does not show.
+ */
+static void read_again(store_watch_t *watch)
+{
+	store_page_finish(&watch->page);
+	watch->failures = 0;
+	watch->last_ok_us = watch->received_us;
+	start_over(watch);
+	alarm_set(&watch->next_read, watch->received_us);
+	set_reachable(watch, true);
 }
 
 /* Handles the end of a read, and schedules the next one. */
 static void on_read(void *context, store_result_t result, str_t body)
 {
 	store_watch_t *watch = context;
-	int64_t now_us = clock_now(&watch->clock);
-	store_page_t page;
 
+	watch->received_us = clock_now(&watch->clock);
 	watch->waiting = false;
 	watch->rechecking = false;
 	alarm_set(&watch->overdue, -1);
@@ -206,34 +337,12 @@
 		handle_failure(watch, result);
 		return;
 	}
-	if (!store_page_read(body, &page)) {
-		store_page_finish(&page);
-		handle_failure(watch, STORE_NOT_DONE);
-		return;
-	}
-	watch->failures = 0;
-	watch->last_ok_us = now_us;
-	if (watch->synced && !watch->outage)
-		watch->as_of_us = watch->sent_us;
-	if (watch->synced && watch->outage) {
-		/* Rows may have expired and been written again meanwhile, which
-		 * the feed does not show.
-		 */
-		start_over(watch);
-		alarm_set(&watch->next_read, now_us);
-	} else {
-		bool was_synced = watch->synced;
-
-		if (was_synced)
-			apply_changes(watch, &page);
-		else
-			apply_page(watch, &page);
-		alarm_set(&watch->next_read,
-			  was_synced ? now_us + watch->options.pause_us
-				     : now_us);
-	}
-	store_page_finish(&page);
-	set_reachable(watch, true);
+	if (!store_page_begin(&watch->page, body))
+		handle_malformed(watch);
+	else if (watch->synced && watch->outage)
+		read_again(watch);
+	else
+		on_next_rows(watch);
 }
 
 /* Returns the address of the VM from which the next read has the feed passed on, or
@@ -320,12 +429,13 @@
 }
 
 /* Reads the table from the store itself without a wait, to learn soon what was written
- * until now. Does nothing while such a read is in progress, shortly after it, or while
- * reads fail, which are repeated soon anyway.
+ * until now. Does nothing while such a read is in progress or its answer is applied, shortly
+ * after it, or while reads fail, which are repeated soon anyway.
  */
 void store_watch_read_now(store_watch_t *watch)
 {
-	bool reading = store_call_is_busy(&watch->call) && !watch->waiting;
+	bool reading = (store_call_is_busy(&watch->call) && !watch->waiting) ||
+		       watch->page.rows;
 
 	if (!watch->synced || reading || watch->failures > 0 ||
 	    clock_now(&watch->clock) - watch->sent_us < READ_NOW_US)
@@ -350,6 +460,7 @@
 {
 	alarm_set(&watch->next_read, -1);
 	store_call_cancel(&watch->call);
+	drop_page(watch);
 	start_over(watch);
 	read_table(watch);
 }
@@ -368,6 +479,7 @@
 	store_call_init(&watch->call, pool);
 	alarm_init(&watch->next_read, clock, on_next, watch);
 	alarm_init(&watch->overdue, clock, on_overdue, watch);
+	alarm_init(&watch->next_rows, clock, on_next_rows, watch);
 	alarm_set(&watch->next_read, clock_now(&clock));
 }
 
@@ -377,6 +489,8 @@
 	store_call_finish(&watch->call);
 	alarm_finish(&watch->next_read);
 	alarm_finish(&watch->overdue);
+	alarm_finish(&watch->next_rows);
+	store_page_finish(&watch->page);
 	g_free(watch->from_key);
 	g_string_free(watch->message, TRUE);
 }
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -68,6 +68,11 @@
 	store_call_t call;
 	alarm_t next_read;
 	alarm_t overdue; /* of a read that waits for a change */
+	store_page_t page; /* latest answer; without rows once all are applied */
+	bool applying; /* it is decoded */
+	guint rows_applied;
+	alarm_t next_rows; /* decodes or applies more of them */
+	int64_t received_us; /* when the latest read ended */
 	clock_source_t clock;
 	GString *message; /* the latest request */
 	char *from_key; /* where the next page of a full read starts */
--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -115,7 +115,9 @@
 {
 	GString *body = g_string_new("{\"rows\":[");
 
-	append_rows(store, body, table, after, feed);
+	if (append_rows(store, body, table, after, feed) > 0 &&
+	    store->garbles_last)
+		g_string_append(body, ",{\"key\":}");
 	g_string_append_printf(body,
 			       "],\"hasMore\":false,\"ver\":%" PRId64
 			       ",\"nowMs\":%" PRId64 "}",
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -28,6 +28,7 @@
 	unsigned responses_to_drop; /* writes that get no answer */
 	bool busy; /* every call gets status 503 */
 	bool silent; /* calls get no answer, also not later */
+	bool garbles_last; /* a row that is malformed follows the others */
 	int64_t era; /* stated in each answer; 0: not stated */
 } fake_store_t;
 
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -348,6 +348,83 @@
 	store_page_finish(&page);
 }
 
+/* Guards against an answer whose rows are taken although something in it is malformed, and
+ * against a sound one that is refused because of its spaces, brackets or quotes in texts, or
+ * members that another release adds.
+ */
+static void test_odd_store_pages(void **state)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+	} cases[] = {
+		{"{\"ver\":1,\"rows\":[]}", true},
+		{" { \"rows\" : [ ] , \"ver\" : 1 } ", true},
+		{"{\"x\":{\"rows\":[{]}\"}\"},\"rows\":[],\"ver\":1}", false},
+		{"{\"x\":{\"rows\":\"[{]\"},\"rows\":[],\"ver\":1}", true},
+		{"{\"rows\":[{\"key\":\"]},{\\\"\"}],\"ver\":1}", true},
+		{"{\"rows\":[],\"rows\":[],\"ver\":1}", false},
+		{"{\"rows\":[7 8],\"ver\":1}", false},
+		{"{\"rows\":[{}{}],\"ver\":1}", false},
+		{"{\"rows\":[{},,{}],\"ver\":1}", false},
+		{"{\"rows\":[{},{]],\"ver\":1}", false},
+		{"{\"rows\":[{},{}},\"ver\":1}", false},
+		{"{\"rows\":[{},{\"key\":}],\"ver\":1}", false},
+		{"{\"rows\":[],\"ver\":1}x", false},
+		{"{\"rows\":[],\"ver\":1", false},
+		{"{\"rows\" [],\"ver\":1}", false},
+		{"{\"rows\":[]}", false},
+		{"[]", false},
+		{"", false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		store_page_t page;
+
+		print_message("%s\n", cases[i].text);
+		assert_int_equal(store_page_read(str_from(cases[i].text),
+						 &page),
+				 cases[i].ok);
+		store_page_finish(&page);
+	}
+}
+
+/* Guards against a part of an answer that holds more rows than were asked for, or rows that
+ * are lost between two parts.
+ */
+static void test_store_page_in_parts(void **state)
+{
+	static const char text[] =
+		"{\"rows\":[{\"key\":\"a\"} , {\"key\":\"b\"},{\"key\":\"c\"},"
+		"{\"key\":\"d\"},{\"key\":\"e\"} ],\"ver\":1}";
+	static const struct {
+		size_t max_bytes;
+		unsigned max_rows;
+		unsigned first; /* rows of the first part */
+	} cases[] = {
+		{SIZE_MAX, 1, 1}, {SIZE_MAX, 2, 2}, {SIZE_MAX, 5, 5},
+		{SIZE_MAX, 9, 5}, {1, 9, 1},	    {15, 9, 2},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		store_page_t page;
+		unsigned parts = 0;
+
+		assert_true(store_page_begin(&page, str_from(text)));
+		while (!store_page_is_decoded(&page)) {
+			assert_true(store_page_decode(&page, cases[i].max_rows,
+						      cases[i].max_bytes));
+			if (parts++ == 0)
+				assert_int_equal(page.rows->len,
+						 cases[i].first);
+		}
+		assert_int_equal(page.rows->len, 5);
+		assert_string_equal(
+			g_array_index(page.rows, store_row_t, 4).key, "e");
+		store_page_finish(&page);
+	}
+}
+
 /* Guards against a conditional write that is sent without its condition, and
  * against keys that are not escaped in a query.
  */
@@ -378,6 +455,8 @@
 		cmocka_unit_test(test_heartbeat_rows),
 		cmocka_unit_test(test_config_row),
 		cmocka_unit_test(test_store_page),
+		cmocka_unit_test(test_odd_store_pages),
+		cmocka_unit_test(test_store_page_in_parts),
 		cmocka_unit_test(test_store_requests),
 	};
 
--- a/tests/test_store_watch.c
+++ b/tests/test_store_watch.c
@@ -22,6 +22,7 @@
 	unsigned full_reads;
 	unsigned reads_after_outage; /* full reads after an outage */
 	unsigned times_unreachable; /* times the store became unreachable */
+	unsigned rows_seen; /* by on_row() */
 	const char *expected_key;
 	const char *expected; /* value, or NULL: no such row */
 } fixture_t;
@@ -37,6 +38,7 @@
 {
 	fixture_t *fixture = context;
 
+	fixture->rows_seen++;
 	if (!row->value) {
 		g_hash_table_remove(fixture->rows, row->key);
 		return;
@@ -215,6 +217,128 @@
 	finish(&fixture);
 }
 
+/* Rows of one answer, and most of them in one turn of the main loop: a row of a server takes
+ * some 20 us, with sanitizers ten times as long, and other work waits no more than 20 ms.
+ */
+#define MANY_ROWS 1500
+#define MAX_ROWS_PER_TURN 100
+
+/* Runs single turns of the main loop until so many rows were seen. Returns the most that were
+ * decoded or seen in one turn.
+ */
+static unsigned most_rows_per_turn(fixture_t *fixture, unsigned rows)
+{
+	int64_t until_us = g_get_monotonic_time() + 10 * CLOCK_US_PER_S;
+	unsigned most = 0;
+
+	fixture->rows_seen = 0;
+	while (fixture->rows_seen < rows) {
+		const GArray *page = fixture->watch.page.rows;
+		unsigned seen = fixture->rows_seen;
+		unsigned decoded = page ? page->len : 0;
+
+		assert_true(g_get_monotonic_time() < until_us);
+		g_main_context_iteration(NULL, TRUE);
+		page = fixture->watch.page.rows;
+		most = MAX(most, fixture->rows_seen - seen);
+		if (page && page->len > decoded)
+			most = MAX(most, page->len - decoded);
+	}
+	return most;
+}
+
+static void put_many(fixture_t *fixture, const char *value)
+{
+	for (unsigned i = 0; i < MANY_ROWS; i++) {
+		char *key = g_strdup_printf("k%u", i);
+
+		fake_store_put(&fixture->store, TABLE, key, value);
+		g_free(key);
+	}
+}
+
+/* Guards against an answer of the store whose rows are all decoded or applied in one turn of
+ * the main loop: the requests of callers wait for it, up to a second for the largest ones.
+ */
+static void test_many_rows(void **state)
+{
+	fixture_t fixture;
+	unsigned changed, all;
+
+	init(&fixture);
+	expect(&fixture, "a", "1", 1000);
+	/* The first changed row ends the read that waits. */
+	fixture.store.busy = true;
+	support_run_loop_ms(600);
+	put_many(&fixture, "1");
+	fixture.store.busy = false;
+	changed = most_rows_per_turn(&fixture, MANY_ROWS);
+	expect(&fixture, "k0", "1", 1000);
+	assert_int_equal(fixture.full_reads, 1);
+	store_watch_read_all(&fixture.watch);
+	all = most_rows_per_turn(&fixture, MANY_ROWS);
+	print_message(
+		"most rows in one turn: %u of a feed, %u of a full read\n",
+		changed, all);
+	assert_true(changed <= MAX_ROWS_PER_TURN);
+	assert_true(all <= MAX_ROWS_PER_TURN);
+	assert_int_equal(g_hash_table_size(fixture.rows), MANY_ROWS + 1);
+	finish(&fixture);
+}
+
+static bool was_read_twice(void *context)
+{
+	return ((fixture_t *)context)->full_reads >= 2;
+}
+
+/* Guards against a full read that is asked for while the rows of an answer are applied, and
+ * against a watch that ends then: rows that are applied twice, or after the end.
+ */
+static void test_full_read_between_rows(void **state)
+{
+	fixture_t fixture;
+
+	init(&fixture);
+	expect(&fixture, "a", "1", 1000);
+	put_many(&fixture, "1");
+	store_watch_read_all(&fixture.watch);
+	fixture.rows_seen = 0;
+	while (fixture.rows_seen == 0)
+		g_main_context_iteration(NULL, TRUE);
+	assert_true(fixture.rows_seen < MANY_ROWS);
+	store_watch_read_now(&fixture.watch);
+	store_watch_read_all(&fixture.watch);
+	fixture.rows_seen = 0;
+	assert_true(support_run_loop_until(was_read_twice, &fixture, 10000));
+	assert_int_equal(fixture.full_reads, 2);
+	assert_int_equal(fixture.rows_seen, MANY_ROWS + 1);
+	store_watch_read_all(&fixture.watch);
+	fixture.rows_seen = 0;
+	while (fixture.rows_seen == 0)
+		g_main_context_iteration(NULL, TRUE);
+	finish(&fixture);
+}
+
+/* Guards against rows of an answer that is malformed behind them, which are applied. */
+static void test_malformed_end(void **state)
+{
+	fixture_t fixture;
+
+	init(&fixture);
+	expect(&fixture, "a", "1", 1000);
+	put_many(&fixture, "1");
+	fake_store_put(&fixture.store, TABLE, "k", "1");
+	fixture.store.garbles_last = true;
+	store_watch_read_all(&fixture.watch);
+	fixture.rows_seen = 0;
+	support_run_loop_ms(500);
+	assert_int_equal(fixture.rows_seen, 0);
+	assert_true(fixture.times_unreachable > 0);
+	fixture.store.garbles_last = false;
+	expect(&fixture, "k1499", "1", 10000);
+	finish(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -222,6 +346,9 @@
 		cmocka_unit_test(test_lost_history),
 		cmocka_unit_test(test_outage),
 		cmocka_unit_test(test_full_read_in_pause),
+		cmocka_unit_test(test_many_rows),
+		cmocka_unit_test(test_full_read_between_rows),
+		cmocka_unit_test(test_malformed_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
