--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -389,6 +389,27 @@
 	}
 }
 
+/* Guards against keys of any length, which are kept where only the number of rows has a
+ * limit: the store's protocol allows 200 bytes.
+ */
+static void test_long_keys(void **state)
+{
+	static const size_t lengths[] = {200, 201, 65536};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		char *key = g_strnfill(lengths[i], 'k');
+		char *text = g_strdup_printf(
+			"{\"rows\":[{\"key\":\"%s\"}],\"ver\":1}", key);
+		store_page_t page;
+
+		assert_true(store_page_read(str_from(text), &page));
+		assert_int_equal(page.rows->len, lengths[i] <= 200 ? 1 : 0);
+		store_page_finish(&page);
+		g_free(text);
+		g_free(key);
+	}
+}
+
 /* Guards against a part of an answer that holds more rows than were asked for, or rows that
  * are lost between two parts.
  */
@@ -457,6 +478,7 @@
 		cmocka_unit_test(test_store_page),
 		cmocka_unit_test(test_odd_store_pages),
 		cmocka_unit_test(test_store_page_in_parts),
+		cmocka_unit_test(test_long_keys),
 		cmocka_unit_test(test_store_requests),
 	};
 
