Bound the number of VMs that a VM keeps

What callers see: a VM that grows with each row of a VM that a faulty store sends (34 MB in 6 s, 27 pages of 3,000 rows), without a bound, and sends announcements to all of them.

Cause: each row of a VM becomes a peer and the version of a row, and their number had no limit.

Change: 4,096 peers at most, five times as many as the largest deployments of the target have (750). Known ones change their address as before; one more is left out and logged as too_many_vms, once until a peer is removed. The version of a row is kept for peers only.

Ruled out: to drop old peers in favour of new ones. A flood would put out those that live.

Evidence: test_too_many_peers fails before (8,000 peers of 8,000 rows) and passes now.

Conclusion: with keys of 200 bytes the table takes some 4 MB at most, by the size of its entries. A VM that is left out still reads the store and serves, but hears of no use of engines by the others and they nothing of it.

--- a/src/connection/announce.c
+++ b/src/connection/announce.c
@@ -2,9 +2,13 @@
 
 #include "connection/address.h"
 #include "process/decide/zone_forwarders.h"
+#include "process/log.h"
 
 #define MAX_DATAGRAM_BYTES 8192
 
+/* Most peers, five times as many as the largest deployments have. */
+#define MAX_PEERS 4096
+
 /* Delay of an announcement, so that it holds all changes made meanwhile. */
 #define SEND_DELAY_US (1 * CLOCK_US_PER_MS)
 
@@ -311,8 +315,22 @@
 	g_clear_pointer(&announce->new_until, g_hash_table_unref);
 }
 
-/* Adds a peer, or changes its address. Ignores this VM itself and a malformed
- * address.
+/* Returns whether there is room for a peer. Logs the first one that has none. */
+static bool has_room(announce_t *announce, const char *vm)
+{
+	guint n_peers = g_hash_table_size(announce->peers);
+
+	if (n_peers < MAX_PEERS || g_hash_table_contains(announce->peers, vm))
+		return true;
+	if (!announce->full)
+		log_event(LOG_ERROR, "too_many_vms", LOG_CSTR("peer", vm),
+			  LOG_UINT("peers", n_peers));
+	announce->full = true;
+	return false;
+}
+
+/* Adds a peer, or changes its address. Ignores this VM itself, a malformed address, and one
+ * peer more than there is room for.
  */
 void announce_set_peer(announce_t *announce, const char *vm,
 		       const char *address)
@@ -320,7 +338,7 @@
 	GSocketAddress *parsed;
 	announce_peer_t *peer;
 
-	if (g_str_equal(vm, announce->vm))
+	if (g_str_equal(vm, announce->vm) || !has_room(announce, vm))
 		return;
 	parsed = address_parse(address);
 	if (!parsed)
@@ -349,6 +367,7 @@
 void announce_remove_peer(announce_t *announce, const char *vm)
 {
 	g_hash_table_remove(announce->peers, vm);
+	announce->full = false;
 	occupancy_set_peers(announce->occupancy,
 			    g_hash_table_size(announce->peers));
 }
--- a/src/connection/announce.h
+++ b/src/connection/announce.h
@@ -24,6 +24,7 @@
 	GSocket *socket;
 	GSource *source;
 	GHashTable *peers; /* VM name to announce_peer_t */
+	bool full; /* a peer had no room since one was last removed */
 	GHashTable *new_until; /* name of a VM whose process has just started, to
 				  an int64_t time */
 	alarm_t next_send;
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -94,7 +94,8 @@
 	else
 		announce_remove_peer(&entry->announce, vm);
 	g_free(text);
-	vm_expiry_set_row(&entry->vm_expiry, vm, row_version);
+	if (row_version == 0 || announce_peer_address(&entry->announce, vm))
+		vm_expiry_set_row(&entry->vm_expiry, vm, row_version);
 	entry->vm_count = g_hash_table_size(entry->announce.peers) + 1;
 	store_rows_set_vm_count(&entry->rows, entry->vm_count);
 	server_limits_set_vms(&entry->relay.limits, entry->vm_count,
--- a/tests/test_announce.c
+++ b/tests/test_announce.c
@@ -125,12 +125,42 @@
 	stop(&fixture);
 }
 
+/* Guards against rows of VMs without an end that fill the memory of a VM, each with a peer to
+ * which it sends: five times as many as the largest deployments have (750) are more than
+ * enough. Those that are known stay, and there is room again once one is removed.
+ */
+static void test_too_many_peers(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	announce_t *announce;
+
+	start(&fixture);
+	announce = &fixture.announce[0];
+	for (unsigned i = 0; i < 8000; i++) {
+		char *vm = g_strdup_printf("vm-%u", i + 1);
+
+		announce_set_peer(announce, vm, fixture.addresses[1]);
+		g_free(vm);
+	}
+	assert_true(g_hash_table_size(announce->peers) >= 5 * 750);
+	assert_true(g_hash_table_size(announce->peers) <= 6 * 750);
+	announce_set_peer(announce, "vm-1", fixture.addresses[0]);
+	assert_string_equal(announce_peer_address(announce, "vm-1"),
+			    fixture.addresses[0]);
+	assert_null(announce_peer_address(announce, "vm-8000"));
+	announce_remove_peer(announce, "vm-1");
+	announce_set_peer(announce, "vm-8000", fixture.addresses[1]);
+	assert_non_null(announce_peer_address(announce, "vm-8000"));
+	stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_new_process_at_a_new_address),
 		cmocka_unit_test(test_new_process_at_the_same_address),
 		cmocka_unit_test(test_new_vm_is_heard_before_its_row_is_read),
+		cmocka_unit_test(test_too_many_peers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
