Bound the memory of the reports that stage orders wait for

What callers see: a VM that gives orders to many faulty engines at a time grows by up to 64 KB for each of them, and requests at it end with it if its machine has no more memory.

Cause: each report has a limit, and the first round may change hundreds of engines at a time; all reports together had no limit. The body of the answer to the order itself was kept too, although nobody reads it.

Change: reports of all orders in progress share 4 MB, but for the first 4 KB of each; an order whose report finds no room ends as unanswered. The answer to the order is not kept.

Ruled out: heads of these answers, which count in the pool's budget of heads already; probes and releases, which keep no body.

Conclusion: bounded whatever the number of engines.

--- a/src/process/entry/stage_order_call.c
+++ b/src/process/entry/stage_order_call.c
@@ -22,7 +22,7 @@
 	char *vm; /* name of the VM that gives the order */
 	http_call_t *call; /* in progress; NULL: none */
 	alarm_t deadline; /* of that call */
-	GString *body; /* of the answer, as far as received */
+	kept_buffer_t report; /* of the engine, as far as received */
 	int64_t fencing_token;
 	int64_t valid_until_us; /* the order is not sent later */
 	bool to_prefill; /* the new stage; else decode */
@@ -45,7 +45,7 @@
 	g_queue_remove(order->calls, order);
 	alarm_finish(&order->deadline);
 	server_unref(order->server);
-	g_string_free(order->body, TRUE);
+	kept_buffer_finish(&order->report);
 	g_free(order->vm);
 	g_free(order);
 }
@@ -80,12 +80,17 @@
 		order->on_answer(order->context, order->server, head);
 }
 
-/* Keeps the body of an answer. */
+/* Keeps the engine's report, unless those of other engines leave no room for it. The body of
+ * the answer to the order itself is not needed.
+ */
 static void order_body(void *context, const char *data, size_t len)
 {
 	order_t *order = context;
 
-	g_string_append_len(order->body, data, (gssize)len);
+	if (!order->sending_order &&
+	    !kept_buffer_append(&order->report, (str_t){data, len},
+				MAX_BODY_BYTES))
+		http_call_reject(order->call);
 }
 
 /* Handles the end of a call. The order is sent only if the engine carries out
@@ -102,7 +107,8 @@
 	else if (order->sending_order)
 		finish_order(order, "answered");
 	else if (order->status != 200 ||
-		 !engine_report_read(str_from_gstring(order->body), &report))
+		 !engine_report_read(kept_buffer_bytes(&order->report),
+				     &report))
 		finish_order(order, "no report");
 	else if (report.busy)
 		finish_order(order, "busy");
@@ -129,7 +135,7 @@
 		.context = order,
 	};
 
-	g_string_truncate(order->body, 0);
+	kept_buffer_clear(&order->report);
 	order->call = http_pool_call(order->pool, &options);
 	if (order->call)
 		alarm_set(&order->deadline,
@@ -161,7 +167,7 @@
 	order->pool = request->pool;
 	order->server = server_ref(request->server);
 	order->vm = g_strdup(request->vm);
-	order->body = g_string_new(NULL);
+	kept_buffer_init(&order->report, request->reports);
 	alarm_init(&order->deadline, order->pool->clock, on_deadline, order);
 	order->fencing_token = request->fencing_token;
 	order->valid_until_us = request->valid_until_us;
--- a/src/process/entry/stage_order_call.h
+++ b/src/process/entry/stage_order_call.h
@@ -20,6 +20,7 @@
 	int64_t valid_until_us; /* the order is not sent later */
 	stage_t to_stage;
 	GQueue *calls; /* to which the call belongs while it is in progress */
+	memory_budget_t *reports; /* of all orders in progress; borrowed */
 	stage_order_answer_fn_t on_answer; /* NULL: none */
 	void *context; /* for on_answer; outlives the call */
 } stage_order_request_t;
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -9,6 +9,11 @@
 #include "request/retry.h"
 #include "store_call.h"
 
+/* Most memory for the reports of engines that are given orders, but for small ones: the first
+ * round may give one to hundreds of engines.
+ */
+#define MAX_REPORTS_BYTES ((size_t)4 << 20)
+
 /* Shortest time between the beginnings of two rounds. It is several times
  * HOLD_US, so that the orders of two holders do not overlap.
  */
@@ -72,6 +77,7 @@
 		.valid_until_us = orders->write_sent_us + HOLD_US,
 		.to_stage = orders->to_stage,
 		.calls = &orders->order_calls,
+		.reports = &orders->reports,
 		.on_answer = orders->on_answer,
 		.context = orders->context,
 	};
@@ -541,6 +547,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	orders->round_states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	memory_budget_init(&orders->reports, MAX_REPORTS_BYTES);
 	store_call_init(&orders->call, store_pool);
 }
 
--- a/src/process/entry/stage_orders.h
+++ b/src/process/entry/stage_orders.h
@@ -37,6 +37,7 @@
 	char *store_address;
 	store_call_t call; /* reads or writes the row of a round */
 	GQueue order_calls; /* to engines, in progress */
+	memory_budget_t reports; /* of these engines */
 	char *service; /* of the round being prepared */
 	GPtrArray *chosen; /* of server_t: engines to order, with references */
 	stage_t to_stage; /* that the engines are to change to */
