--- a/tests/test_passed_on_list.c
+++ b/tests/test_passed_on_list.c
@@ -56,7 +56,7 @@
 {
 }
 
-static void on_round(void *context, str_t value)
+static void on_round(void *context, const char *service, str_t value)
 {
 }
 
