--- a/src/process/decide/admission.c
+++ b/src/process/decide/admission.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-#include "process/duration.h"
+#include "process/decide/duration.h"
 
 /* A late request is one that can no longer have the first event of its answer
  * by its target time.
--- a/src/process/duration.c
+++ b/src/process/decide/duration.c
@@ -1,4 +1,4 @@
-#include "process/duration.h"
+#include "process/decide/duration.h"
 
 /* Returns an estimated time in whole microseconds, rounded down and between 0 and
  * DURATION_MAX_ESTIMATE_US. One that is not a number counts as the longest.
--- a/src/process/route.c
+++ b/src/process/route.c
@@ -3,7 +3,7 @@
 #include <math.h>
 
 #include "process/clock.h"
-#include "process/duration.h"
+#include "process/decide/duration.h"
 
 /* For this time, free memory as told by the ledger owner is preferred to that
  * of the engine's report. The report is late and doesn't contain memory
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 
 #include "process/decide/admission.h"
-#include "process/duration.h"
+#include "process/decide/duration.h"
 
 #define MS INT64_C(1000)
 #define NOW (1000 * MS)
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -6,7 +6,7 @@
 #include <cmocka.h>
 
 #include "process/clock.h"
-#include "process/duration.h"
+#include "process/decide/duration.h"
 #include "process/route.h"
 
 #define SEED 20261203u
