Wait for a prompt while all prefill engines are silent

What callers see (serve): a new stream that comes while all prefill engines are silent for 1.3 s, and then go on, ends with 504, "prefill lost twice", may-have-run.

Cause: a prompt is given up after the target for the first token if its engine has answered no load poll for 750 ms. Nobody asks whether another engine would answer it sooner. The prompt goes to the second engine, which is silent too, is given up there after as long, and must not be sent a third time. Streams that decode have had this check since. With many prompts in the silence their failures hid it: each counts, so that the second engine gets no work for up to 3.2 s, longer than the silence.

Change: a prompt is not given up early while no engine of the pool answers load polls. The limit of three targets stays. The check moves from execute_decode to execute.

Ruled out: that the engines were late after the silence. They had not gone on when the prompt was sent to the second one.

--- a/src/request/execute.c
+++ b/src/request/execute.c
@@ -98,6 +98,34 @@
 			  execute_now(request) - request->call_started_us));
 }
 
+/* Returns whether an engine has left a load poll unanswered. */
+static bool is_engine_silent(const backend_entry_t *engine, int64_t now_us)
+{
+	return engine->unanswered_since_us &&
+	       now_us - engine->unanswered_since_us > EXECUTE_POLL_MISSED_US;
+}
+
+/* Returns whether all engines that could take the current call over are silent, the one that
+ * has it too. To give the call up would gain nothing then.
+ */
+bool execute_is_pool_silent(const request_t *request)
+{
+	const GPtrArray *entries = request->router->backends.entries;
+	int64_t now_us = execute_now(request);
+
+	if (!is_engine_silent(request->engine, now_us))
+		return false;
+	for (guint i = 0; i < entries->len; i++) {
+		const backend_entry_t *entry = g_ptr_array_index(entries, i);
+
+		if (entry->present && !entry->leaving &&
+		    g_str_equal(entry->pool, request->engine->pool) &&
+		    !is_engine_silent(entry, now_us))
+			return false;
+	}
+	return true;
+}
+
 /* Reports to the state machine that the back-off is over. */
 static gboolean on_back_off_end(gpointer data)
 {
--- a/src/request/execute.h
+++ b/src/request/execute.h
@@ -6,6 +6,11 @@
 
 #include "request/request.h"
 
+/* An engine that leaves a load poll (sent every 250 ms) unanswered for longer is
+ * probably down, or silent for a while.
+ */
+#define EXECUTE_POLL_MISSED_US (300 * CLOCK_US_PER_MS)
+
 int64_t execute_now(const request_t *request);
 lifecycle_engine_t execute_engine_number(request_t *request,
 					 backend_entry_t *entry);
@@ -18,6 +23,7 @@
 void execute_abort_call(request_t *request);
 void execute_begin_call(request_t *request, backend_entry_t *engine,
 			uint32_t attempt);
+bool execute_is_pool_silent(const request_t *request);
 void execute_count_wasted_prefill(request_t *request);
 void execute_log_call(const request_t *request, const char *call,
 		      engine_status_t status);
--- a/src/request/execute_decode.c
+++ b/src/request/execute_decode.c
@@ -15,13 +15,12 @@
 
 /* Longest wait for a stream's first token. A resumed stream needs no new slot
  * in the engine's batch, so it answers sooner. If the engine has also left a
- * load poll (sent every 250 ms) unanswered for LOAD_POLL_MISSED_US, it is
+ * load poll (sent every 250 ms) unanswered for EXECUTE_POLL_MISSED_US, it is
  * probably down, and the wait is shorter still.
  */
 #define FIRST_TOKEN_TIMEOUT_US (1 * CLOCK_US_PER_S)
 #define RESUMED_TIMEOUT_US (500 * CLOCK_US_PER_MS)
 #define RESUMED_POLL_MISSED_TIMEOUT_US (150 * CLOCK_US_PER_MS)
-#define LOAD_POLL_MISSED_US (300 * CLOCK_US_PER_MS)
 
 /* Of the call itself: its silence timer looks at the other engines too. */
 #define NO_IDLE_LIMIT 0
@@ -65,7 +64,7 @@
 		execute_now(request) - request->engine->load_answered_at_us;
 
 	if (status == ENGINE_TIMED_OUT)
-		return silence_us > LOAD_POLL_MISSED_US;
+		return silence_us > EXECUTE_POLL_MISSED_US;
 	return status == ENGINE_NOT_SENT || status == ENGINE_LOST;
 }
 
@@ -225,8 +224,9 @@
 		return CLAMP(idle_us, STREAM_IDLE_MIN_US, STREAM_IDLE_MAX_US);
 	if (!request->lifecycle.resumed_on_same_engine)
 		return FIRST_TOKEN_TIMEOUT_US;
-	return silence_us > LOAD_POLL_MISSED_US ? RESUMED_POLL_MISSED_TIMEOUT_US
-						: RESUMED_TIMEOUT_US;
+	return silence_us > EXECUTE_POLL_MISSED_US
+		       ? RESUMED_POLL_MISSED_TIMEOUT_US
+		       : RESUMED_TIMEOUT_US;
 }
 
 static gboolean on_silence_timer(gpointer data);
@@ -246,34 +246,6 @@
 			      on_silence_timer, request);
 }
 
-/* Returns whether an engine has left a load poll unanswered. */
-static bool is_engine_silent(const backend_entry_t *engine, int64_t now_us)
-{
-	return engine->unanswered_since_us &&
-	       now_us - engine->unanswered_since_us > LOAD_POLL_MISSED_US;
-}
-
-/* Returns whether all engines that could go on with the stream are silent, the one that
- * runs it too. To give the stream up would gain nothing then, and cost a prefill.
- */
-static bool is_pool_silent(const request_t *request)
-{
-	const GPtrArray *entries = request->router->backends.entries;
-	int64_t now_us = execute_now(request);
-
-	if (!is_engine_silent(request->engine, now_us))
-		return false;
-	for (guint i = 0; i < entries->len; i++) {
-		const backend_entry_t *entry = g_ptr_array_index(entries, i);
-
-		if (entry->present && !entry->leaving &&
-		    g_str_equal(entry->pool, request->engine->pool) &&
-		    !is_engine_silent(entry, now_us))
-			return false;
-	}
-	return true;
-}
-
 /* Cancels the stream if it has been silent for too long and another engine could go on
  * with it; otherwise sets the timer again.
  */
@@ -290,7 +262,7 @@
 		start_silence_timer(request);
 		return G_SOURCE_REMOVE;
 	}
-	if (is_pool_silent(request)) {
+	if (execute_is_pool_silent(request)) {
 		request->timer = g_timeout_add(SILENCE_CHECK_MS,
 					       on_silence_timer, request);
 		return G_SOURCE_REMOVE;
--- a/src/request/execute_prefill.c
+++ b/src/request/execute_prefill.c
@@ -6,7 +6,7 @@
 
 /* A prefill counts as silent after this many first-token targets, or after one
  * target if its engine has answered no load poll (sent every 250 ms) for
- * LOAD_POLLS_MISSED_US.
+ * LOAD_POLLS_MISSED_US and another engine may answer.
  */
 #define PREFILL_SILENT_TARGETS 3
 #define LOAD_POLLS_MISSED_US (750 * CLOCK_US_PER_MS)
@@ -84,7 +84,8 @@
 	return request->engine->present &&
 	       now_us >= request->call_started_us + target_us &&
 	       now_us - request->engine->load_answered_at_us >
-		       LOAD_POLLS_MISSED_US;
+		       LOAD_POLLS_MISSED_US &&
+	       !execute_is_pool_silent(request);
 }
 
 /* Cancels the prefill once it counts as silent. */
--- a/tests/test_all_engines_silent.c
+++ b/tests/test_all_engines_silent.c
@@ -39,6 +39,7 @@
 	const char *name;
 	bool prefills, decodes;
 	unsigned ms;
+	int callers; /* those that come in the silence are the last ones */
 } silence_t;
 
 typedef struct {
@@ -118,7 +119,7 @@
 {
 	unsigned lost = 0;
 
-	for (int i = 0; i < CALLERS; i++) {
+	for (int i = 0; i < silence->callers; i++) {
 		caller_t *caller = &trial->callers[i];
 
 		caller_join(caller);
@@ -153,14 +154,14 @@
 		start_caller(&trial, i);
 	wait_running(&trial, TOKENS_BEFORE);
 	signal_engines(&trial, silence, SIGSTOP);
-	for (int i = RUNNING; i < CALLERS; i++)
+	for (int i = RUNNING; i < silence->callers; i++)
 		start_caller(&trial, i);
 	g_usleep(silence->ms * G_TIME_SPAN_MILLISECOND);
 	signal_engines(&trial, silence, SIGCONT);
 	lost = join_callers(&trial, silence);
 	print_message("%s, %u ms: %u of %d lost\n", silence->name, silence->ms,
-		      lost, CALLERS);
-	for (int i = 0; i < CALLERS; i++)
+		      lost, silence->callers);
+	for (int i = 0; i < silence->callers; i++)
 		caller_finish(&trial.callers[i]);
 	deployment_finish(&trial.deployment);
 	return lost;
@@ -172,12 +173,29 @@
 static void test_all_engines_silent(void **state)
 {
 	static const silence_t silences[] = {
-		{"decode engines", false, true, 1000},
-		{"decode engines", false, true, 1300},
-		{"prefill engines", true, false, 1000},
-		{"prefill engines", true, false, 1300},
-		{"all engines", true, true, 1000},
-		{"all engines", true, true, 1300},
+		{"decode engines", false, true, 1000, CALLERS},
+		{"decode engines", false, true, 1300, CALLERS},
+		{"prefill engines", true, false, 1000, CALLERS},
+		{"prefill engines", true, false, 1300, CALLERS},
+		{"all engines", true, true, 1000, CALLERS},
+		{"all engines", true, true, 1300, CALLERS},
+	};
+	unsigned lost = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(silences); i++)
+		lost += count_lost(&silences[i]);
+	assert_int_equal(lost, 0);
+}
+
+/* Guards against a prompt that is given up at one silent engine, and then at the other, although
+ * none would answer it sooner than the one that has it. A single caller comes in the silence:
+ * failures of others would keep its prompt from the second engine.
+ */
+static void test_one_prompt_in_the_silence(void **state)
+{
+	static const silence_t silences[] = {
+		{"prefill engines", true, false, 1300, RUNNING + 1},
+		{"all engines", true, true, 1300, RUNNING + 1},
 	};
 	unsigned lost = 0;
 
@@ -190,6 +208,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_all_engines_silent),
+		cmocka_unit_test(test_one_prompt_in_the_silence),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
