Let what serve expects of prefill engines become out of date without prompts

What callers see (serve): after one silence of sound prefill engines with prompts in progress, all further prompts are refused ("first-token target cannot be met"), until the process ends.

Cause: a prompt is sent only if it is expected to be computed in time, less a margin for earlier excesses. Each prompt in progress in the silence raises both once. The margin comes to 250 to 285 ms with 16 to 32 prompts. The typical time of the pool, which engines without prompts approach, takes one step of up to 15% for each prompt at any engine: 20 ms become 485 ms for 1,000 tokens with 32 prompts at 8 engines, while their own estimates are at 35 ms. Once both together exceed the target no prompt is sent, and nothing else would correct them.

Change: what is expected, and the margin, count half against a time limit after each 10 s without an answered prompt, as the estimate of an engine already does against that of the pool; the margin stays reduced when prompts go on. The typical time follows the estimates of the engines, not each sample.

Evidence: test_prompts_after_a_silence fails before (the first prompt, 30 s after the silence, is not taken) and passes. Not played with real processes: the fault itself.

--- a/src/process/route.c
+++ b/src/process/route.c
@@ -21,6 +21,11 @@
 #define EXCESS_WEIGHT 0.05
 #define EXCESS_MAX_US (200.0 * (double)CLOCK_US_PER_MS)
 
+/* Time without prompts in which what is expected of engines loses half of its weight against
+ * a time limit.
+ */
+#define EXPECTATION_HALF_LIFE_US (10.0 * (double)CLOCK_US_PER_S)
+
 /* Weight of one request in the mean number of tokens. */
 #define MEAN_TOKENS_WEIGHT 0.05
 
@@ -383,6 +388,24 @@
 	       route_compute_us(route, engine, tokens, now_us);
 }
 
+/* Returns the weight, from 0 to 1, of what is expected by the prompts so far. It becomes out of
+ * date without prompts, and when it allows none, no prompt could correct it.
+ */
+static double expectation_weight(const route_pool_t *route)
+{
+	const estimate_t *typical = &route->typical.prefill;
+	double age_us = fmax((double)(route->now_us - typical->updated_us), 0);
+
+	return typical->samples > 0 ? exp2(-age_us / EXPECTATION_HALF_LIFE_US)
+				    : 1;
+}
+
+/* Returns how much of an expected time counts against a time limit. */
+int64_t route_counted_us(const route_pool_t *route, int64_t expected_us)
+{
+	return (int64_t)((double)expected_us * expectation_weight(route));
+}
+
 /* Returns the margin between the expected end of a prefill and the time by
  * which it has to end: the mean excess over the expected time and twice its
  * mean deviation. Requests of other routers are known late, so without a
@@ -390,9 +413,10 @@
  */
 int64_t route_prefill_margin_us(const route_pool_t *route)
 {
-	return (int64_t)fmax(route->prefill_excess_us +
-				     2 * route->prefill_excess_deviation_us,
-			     0);
+	double margin_us = route->prefill_excess_us +
+			   2 * route->prefill_excess_deviation_us;
+
+	return route_counted_us(route, (int64_t)fmax(margin_us, 0));
 }
 
 /* Returns the latest time at which a prefill can start on a typical idle engine
@@ -401,12 +425,21 @@
 int64_t route_latest_start_us(const route_pool_t *route, int64_t tokens,
 			      int64_t finish_by_us)
 {
-	double us = exp(route->typical.prefill.log_us);
+	double us = exp(route->typical.prefill.log_us) * (double)tokens;
 
-	return finish_by_us - (int64_t)(us * (double)tokens) -
+	return finish_by_us - route_counted_us(route, (int64_t)us) -
 	       route_prefill_margin_us(route);
 }
 
+/* Lets the mean excess over the expected time lose weight for the time without prompts. */
+static void age_margin(route_pool_t *route)
+{
+	double weight = expectation_weight(route);
+
+	route->prefill_excess_us *= weight;
+	route->prefill_excess_deviation_us *= weight;
+}
+
 /*
  * Records the time from sending a prefill to its result. `tokens` are those
  * computed, without cached ones; expected_us is what
@@ -425,6 +458,7 @@
 	int64_t sample = elapsed_us;
 
 	set_now(route, now_us);
+	age_margin(route);
 	if (engine->estimate.prefill.samples > 0 && expected_us > 0)
 		sample = (int64_t)(compute_us * (double)elapsed_us /
 				   (double)expected_us);
@@ -438,7 +472,13 @@
 			 route->prefill_excess_deviation_us);
 	}
 	estimate_add(&engine->estimate.prefill, sample, tokens, now_us);
-	estimate_add(&route->typical.prefill, sample, tokens, now_us);
+	/* Not the sample: prompts that were in progress together at many engines would each
+	 * move it by as much as one prompt may.
+	 */
+	estimate_add(&route->typical.prefill,
+		     (int64_t)(exp(engine->estimate.prefill.log_us) *
+			       (double)tokens),
+		     tokens, now_us);
 }
 
 /* Records the time elapsed_us in which one request got a number of output
--- a/src/process/route.h
+++ b/src/process/route.h
@@ -165,6 +165,7 @@
 int64_t route_expected_prefill_us(const route_pool_t *route,
 				  const route_engine_t *engine, int64_t tokens,
 				  int64_t now_us);
+int64_t route_counted_us(const route_pool_t *route, int64_t expected_us);
 int64_t route_prefill_margin_us(const route_pool_t *route);
 int64_t route_latest_start_us(const route_pool_t *route, int64_t tokens,
 			      int64_t finish_by_us);
--- a/src/process/route_pick.c
+++ b/src/process/route_pick.c
@@ -90,7 +90,7 @@
 			     const route_prefill_t *want, double cached_tokens,
 			     best_t *best)
 {
-	int64_t end;
+	int64_t end, latest;
 
 	if (!engine || !route_is_available(engine) || engine == want->except)
 		return;
@@ -99,7 +99,9 @@
 		    (double)engine->config.max_prefills)
 		return;
 	end = expected_end_us(route, engine, want, cached_tokens);
-	if (end > want->finish_by_us - route_prefill_margin_us(route))
+	latest = want->finish_by_us - route_prefill_margin_us(route);
+	if (route->now_us + route_counted_us(route, end - route->now_us) >
+	    latest)
 		return;
 	if (best->engine && end >= best->expected_end_us)
 		return;
--- a/src/process/ticket.c
+++ b/src/process/ticket.c
@@ -226,7 +226,8 @@
 					  ticket->request.prompt_tokens, now_us)
 		       : 0;
 
-	return ticket_prefill_due(ticket) - prefill_us -
+	return ticket_prefill_due(ticket) -
+	       route_counted_us(route, prefill_us) -
 	       route_prefill_margin_us(route);
 }
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -15,6 +15,13 @@
 	return g_rand_int(context);
 }
 
+/* How long a prompt takes, and a silence of all engines. */
+#define PROMPT_US (20 * CLOCK_US_PER_MS)
+#define SILENCE_US (1300 * CLOCK_US_PER_MS)
+
+/* Time without prompts after which what was known is out of date. */
+#define QUIET_US (30 * CLOCK_US_PER_S)
+
 typedef struct {
 	GRand *rand;
 	prefix_index_t prefix;
@@ -214,6 +221,81 @@
 	teardown(&f);
 }
 
+/* Sends a prompt of 1,000 tokens that has to be computed within `target_us`, unless no engine is
+ * expected to do that. Returns the engine, or NULL.
+ */
+static route_engine_t *send_prompt(fixture_t *f, int64_t target_us,
+				   int64_t now_us, int64_t *expected_us)
+{
+	route_prefill_t want = {
+		.prompt_tokens = 1000,
+		.finish_by_us = now_us + target_us,
+	};
+	route_engine_t *engine = route_pick_prefill(&f->route, &want, now_us);
+
+	if (!engine)
+		return NULL;
+	*expected_us =
+		route_expected_prefill_us(&f->route, engine, 1000, now_us);
+	route_request_begin(&f->route, engine, 1000);
+	return engine;
+}
+
+static void end_prompt(fixture_t *f, route_engine_t *engine,
+		       int64_t expected_us, int64_t elapsed_us, int64_t now_us)
+{
+	route_request_end(&f->route, engine, 1000);
+	route_record_prefill(&f->route, engine, 1000, expected_us, elapsed_us,
+			     now_us);
+}
+
+/* Sends prompts one after the other, each of which must be taken. Returns the time then. */
+static int64_t play_prompts(fixture_t *f, int64_t target_us, int64_t now_us)
+{
+	for (int i = 0; i < 200; i++) {
+		int64_t expected_us = 0;
+		route_engine_t *engine =
+			send_prompt(f, target_us, now_us, &expected_us);
+
+		assert_non_null(engine);
+		now_us += PROMPT_US;
+		end_prompt(f, engine, expected_us, PROMPT_US, now_us);
+	}
+	return now_us;
+}
+
+/* Guards against engines that get no prompt any more because those that were in progress in one
+ * moment of silence made all seem late: only prompts could show that they are not.
+ */
+static void test_prompts_after_a_silence(void **state)
+{
+	static const int64_t targets_us[] = {240 * CLOCK_US_PER_MS,
+					     520 * CLOCK_US_PER_MS};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(targets_us); i++) {
+		int64_t now_us = CLOCK_US_PER_S;
+		int64_t expected_us[32];
+		route_engine_t *engines[32];
+		unsigned n = 0;
+		fixture_t f;
+
+		setup(&f, ROUTE_PREFILL_POOL, ROUTE_LEDGER, 8, 0);
+		now_us = play_prompts(&f, targets_us[i], now_us);
+		while (n < 32 &&
+		       (engines[n] = send_prompt(&f, targets_us[i], now_us,
+						 &expected_us[n])))
+			n++;
+		assert_int_equal(n, 32);
+		now_us += SILENCE_US;
+		while (n-- > 0)
+			end_prompt(&f, engines[n], expected_us[n], SILENCE_US,
+				   now_us);
+		now_us += QUIET_US;
+		(void)play_prompts(&f, targets_us[i], now_us);
+		teardown(&f);
+	}
+}
+
 /* Guards against choosing an engine in another zone while the own zone has
  * memory or a short backlog, and against staying in the own zone when it has
  * not.
@@ -376,6 +458,7 @@
 		cmocka_unit_test(test_cached_prefix_bounded_by_load),
 		cmocka_unit_test(test_prefill_not_started_too_late),
 		cmocka_unit_test(test_margin_follows_prefills),
+		cmocka_unit_test(test_prompts_after_a_silence),
 		cmocka_unit_test(test_zone_preference_spills_over),
 		cmocka_unit_test(test_decode_policies),
 		cmocka_unit_test(test_transfers_are_bounded),
