Refill no stage at whose silent engines another VM has work

What callers saw: nothing so far.

Cause: a VM whose old connections live on while new ones are refused sees the engines of one stage silent and those of the other answer. Since engines count as lost before their entries have gone, it would order engines to another stage, which get no work from any VM meanwhile.

Change: a silent engine at which any VM has streams or prompts does not count as lost. With a crash the work there ends at all VMs; where it hangs, the refill waits for the entry to go, as before.

Ruled out: the marks of a VM that has no connection to a server, which a crash sets as well.

--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -449,8 +449,19 @@
 	return false;
 }
 
+/* Returns whether any VM has work at an engine, as far as is known. */
+static bool has_work(const stage_orders_t *orders, const server_t *server,
+		     int64_t now_us)
+{
+	occupancy_use_t use =
+		occupancy_total(orders->occupancy, server->entry.id, now_us);
+
+	return use.streams > 0 || use.prefill_tokens > 0;
+}
+
 /* Returns whether an engine that is still listed counts as lost. One that was ordered to
- * change its stage may be silent meanwhile.
+ * change its stage may be silent meanwhile, and one at which a VM has work may be silent
+ * for this VM only.
  */
 static bool is_lost(const stage_orders_t *orders, const server_t *server,
 		    int64_t now_us)
@@ -458,6 +469,7 @@
 	return server_is_suspect(server) &&
 	       now_us - server->suspect_since_us > SILENT_US &&
 	       server->changing_until_us <= now_us &&
+	       !has_work(orders, server, now_us) &&
 	       neighbour_answers(orders, server);
 }
 
--- a/tests/test_stage_orders.c
+++ b/tests/test_stage_orders.c
@@ -461,6 +461,36 @@
 	}
 }
 
+/* A VM gets no new connections to engines, while its old ones to their neighbours live on.
+ * Guards against orders by that VM while others have work at the engine that is silent
+ * for it; when their work has ended, the stage is refilled.
+ */
+static void test_no_refill_while_the_engine_has_work(void **state)
+{
+	static const occupancy_use_t uses[] = {{.streams = 1, .kv_tokens = 100},
+					       {.prefill_tokens = 100}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(uses); i++) {
+		occupancy_use_t ended = {
+			.streams = -uses[i].streams,
+			.kv_tokens = -uses[i].kv_tokens,
+			.prefill_tokens = -uses[i].prefill_tokens,
+		};
+		vm_t vm;
+
+		init(&vm);
+		server_mark_suspect(server_set_find(&vm.servers, "engine-7"),
+				    vm_now(&vm));
+		occupancy_add(&vm.occupancy, "engine-7", &uses[i]);
+		assert_false(begins_round_beside_answers(&vm, 3 * REFILL_MS,
+							 ENGINES - 1));
+		occupancy_add(&vm.occupancy, "engine-7", &ended);
+		assert_true(begins_round_beside_answers(&vm, REFILL_MS,
+							ENGINES - 1));
+		finish(&vm);
+	}
+}
+
 /* Guards against orders while another engine of the stage serves. */
 static void test_no_refill_beside_a_sound_engine(void **state)
 {
@@ -526,6 +556,7 @@
 		cmocka_unit_test(test_refill_after_a_crash),
 		cmocka_unit_test(test_no_refill_after_a_short_silence),
 		cmocka_unit_test(test_no_refill_by_a_vm_that_is_cut_off),
+		cmocka_unit_test(test_no_refill_while_the_engine_has_work),
 		cmocka_unit_test(test_no_refill_beside_a_sound_engine),
 		cmocka_unit_test(test_round_leaves_a_sound_engine),
 	};
