Let the slowness of a prefill engine become out of date without prompts

What callers see: after one silence of a sound engine with prompts in progress, the VM sends it prompts only when the other engines queue, for good.

Cause: what is known of an engine's slowness changes only with its answers. An engine that counts as slow gets no prompts, and nothing else corrects the value (found by review).

Change: the slowness holds for 10 s without an answered prompt and then comes halfway back to 1 in each further 10 s. With prompts at shorter intervals nothing changes.

Ruled out: a decay that begins at once.

--- a/src/process/decide/server.c
+++ b/src/process/decide/server.c
@@ -1,5 +1,9 @@
 #include "process/decide/server.h"
 
+#include <math.h>
+
+#include "process/clock.h"
+
 /* Weight of the latest request in the moving average of failures. */
 #define FAILURE_WEIGHT 0.08
 
@@ -31,6 +35,11 @@
 #define PREFILL_WEIGHT 0.2
 #define MAX_SLOWNESS_RATIO 4.0
 
+/* Time without an answered prompt for which the slowness holds. In each such time after that it
+ * comes halfway back to 1: a server that counts as slow may get no prompts that would correct it.
+ */
+#define SLOWNESS_HOLDS_US (10 * CLOCK_US_PER_S)
+
 /* Frees the strings of an entry and empties it. */
 void server_entry_clear(server_entry_t *entry)
 {
@@ -252,11 +261,17 @@
 }
 
 /* Returns how much longer the server's prefills take than those of the service's
- * engines in the mean.
+ * engines in the mean, as far as that is known now.
  */
-double server_prefill_slowness(const server_t *server)
+double server_prefill_slowness(const server_t *server, int64_t now_us)
 {
-	return server->prefill_slowness > 0 ? server->prefill_slowness : 1;
+	int64_t idle_us =
+		now_us - server->prefill_slowness_us - SLOWNESS_HOLDS_US;
+	double periods = (double)MAX(idle_us, 0) / (double)SLOWNESS_HOLDS_US;
+
+	if (server->prefill_slowness <= 0)
+		return 1;
+	return 1 + (server->prefill_slowness - 1) * exp2(-periods);
 }
 
 /* Records that a server has answered a prompt that was sent at `sent_us`, and
@@ -274,7 +289,8 @@
 		return;
 	ratio = (double)(now_us - sent_us) / (double)expected_us;
 	ratio = CLAMP(ratio, 1 / MAX_SLOWNESS_RATIO, MAX_SLOWNESS_RATIO);
-	known = server_prefill_slowness(server);
+	known = server_prefill_slowness(server, now_us);
+	server->prefill_slowness_us = now_us;
 	server->prefill_slowness =
 		known + PREFILL_WEIGHT * (slowness * ratio - known);
 }
--- a/src/process/decide/server.h
+++ b/src/process/decide/server.h
@@ -71,6 +71,7 @@
 	double prefill_slowness; /* moving average of the duration of prefills
 				    against what is expected of the
 				    service's engines; 0: unknown */
+	int64_t prefill_slowness_us; /* when it was last updated */
 	int64_t answered_prompt_sent_us; /* send time of the prompt that was
 					    sent last among those answered */
 	int refs; /* the set and requests in progress */
@@ -120,7 +121,7 @@
 			      int64_t now_us);
 void server_record_prefill(server_t *server, int64_t sent_us, int64_t now_us,
 			   int64_t expected_us, double slowness);
-double server_prefill_slowness(const server_t *server);
+double server_prefill_slowness(const server_t *server, int64_t now_us);
 prefill_answer_t server_prefill_answer(const server_t *server, int64_t sent_us,
 				       int64_t due_us, int64_t now_us);
 
--- a/src/request/stream_engines.c
+++ b/src/request/stream_engines.c
@@ -58,7 +58,7 @@
 {
 	size_t i = engines->view.n_prefills++;
 	workload_prefill_t prefill = workload_prefill(relay_workload(request));
-	double slowness = server_prefill_slowness(server);
+	double slowness = server_prefill_slowness(server, now_us);
 
 	if (prefill.us_per_token <= 0)
 		prefill.us_per_token = UNKNOWN_PREFILL_US_PER_TOKEN;
--- a/src/request/stream_prefill.c
+++ b/src/request/stream_prefill.c
@@ -183,7 +183,7 @@
 
 	stream->prefill_backlog_tokens = backlog_tokens;
 	stream->prefill_expected_us = is_speed_known(stream) ? duration_us : 0;
-	stream->prefill_slowness = server_prefill_slowness(prefill);
+	stream->prefill_slowness = server_prefill_slowness(prefill, now_us);
 	stream->prefill_due_us = overdue_at_us(stream, duration_us, now_us);
 	stream_use_prefill(stream, prefill);
 	counters_add(COUNTER_PREFILLS, 1);
--- a/tests/support_model.c
+++ b/tests/support_model.c
@@ -313,7 +313,7 @@
 	request->decode = engine_index(engines.decode_servers[decision.decode]);
 	request->expected_us = decision.prefill.duration_us;
 	request->slowness = server_prefill_slowness(
-		engines.prefill_servers[decision.prefill.index]);
+		engines.prefill_servers[decision.prefill.index], model->now_us);
 	request->backlog_tokens =
 		engines.prefills[decision.prefill.index].backlog_tokens;
 	start_prefill(model, request);
--- a/tests/test_server_set.c
+++ b/tests/test_server_set.c
@@ -74,8 +74,8 @@
 	for (int i = 0; i < 300; i++)
 		server_record_prefill(&server, NOW, NOW + 400 * MS, 100 * MS,
 				      1);
-	assert_true(server_prefill_slowness(&server) > 3.9);
-	assert_true(server_prefill_slowness(&server) <= 4);
+	assert_true(server_prefill_slowness(&server, NOW + 400 * MS) > 3.9);
+	assert_true(server_prefill_slowness(&server, NOW + 400 * MS) <= 4);
 }
 
 /* Guards against an estimate that does not follow an engine which has become slower, or fast
@@ -85,24 +85,44 @@
 {
 	static const double speeds[] = {3, 1};
 	server_t server = {0};
+	int64_t now_us = NOW;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(speeds); i++) {
+		double known;
+
 		for (int n = 0; n < 40; n++) {
-			double slowness = server_prefill_slowness(&server);
+			double slowness =
+				server_prefill_slowness(&server, now_us);
 			double expected_us = 100.0 * MS * slowness;
-			double took_us = 100.0 * MS * speeds[i];
+			int64_t sent_us = now_us;
 
-			server_record_prefill(&server, NOW,
-					      NOW + (int64_t)took_us,
+			now_us += (int64_t)(100.0 * MS * speeds[i]);
+			server_record_prefill(&server, sent_us, now_us,
 					      (int64_t)expected_us, slowness);
 		}
-		assert_true(server_prefill_slowness(&server) >
-			    speeds[i] * 0.99);
-		assert_true(server_prefill_slowness(&server) <
-			    speeds[i] * 1.01);
+		known = server_prefill_slowness(&server, now_us);
+		print_message("slowness %.3f\n", known);
+		assert_true(known > speeds[i] * 0.99);
+		assert_true(known < speeds[i] * 1.01);
 	}
 }
 
+/* Guards against a sound engine that counts as slow for good, as it was silent once and has got no
+ * prompts since that would show how fast it is.
+ */
+static void test_slowness_without_prompts(void **state)
+{
+	server_t server = {0};
+	int64_t now_us = NOW + 400 * MS;
+
+	for (int i = 0; i < 10; i++)
+		server_record_prefill(&server, NOW, now_us, 100 * MS, 1);
+	assert_true(server_prefill_slowness(&server, now_us) > 3);
+	assert_true(server_prefill_slowness(&server, now_us + 10000 * MS) > 3);
+	assert_true(server_prefill_slowness(&server, now_us + 60000 * MS) <
+		    1.1);
+}
+
 /* Guards against treating a server that restarted under its old ID as the old
  * process: neither its requests nor its failures are those of the new one.
  */
@@ -501,6 +521,7 @@
 		cmocka_unit_test(test_prefill_answer),
 		cmocka_unit_test(test_slowness_of_prompts_sent_together),
 		cmocka_unit_test(test_slowness_follows),
+		cmocka_unit_test(test_slowness_without_prompts),
 		cmocka_unit_test(test_restart_under_old_id),
 		cmocka_unit_test(test_address_reused),
 		cmocka_unit_test(test_address_in_order_of_keys),
