Cancel the probes of servers when a VM ends

What callers saw: nothing, as the process ends at once. A run of test_software_versions in the sanitizer build ended with "heap-use-after-free" in http_pool.c.

Cause: entry_finish() frees the connections, the servers and the state of requests while a probe of a silent server is in progress, whose end or deadline uses them. By the trace the call was made on the connections to servers; the other kinds of calls there are cancelled, or keep them from being freed.

Change: probes in progress are listed, as releases of prefill results are, and cancelled before the connections are freed.

Evidence: test_probe_at_the_end, sanitizer build: ends with heap-use-after-free in log_lost() without the cancellation, passes with it; test_software_versions passes.

--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -470,6 +470,7 @@
 	ingress_finish(&entry->ready);
 	ingress_finish(&entry->metrics);
 	prefill_releases_cancel(&entry->relay);
+	server_probes_cancel(&entry->relay);
 	relay_finish(&entry->relay);
 	occupancy_finish(&entry->occupancy);
 	server_set_finish(&entry->servers);
--- a/src/process/entry/server_probe.c
+++ b/src/process/entry/server_probe.c
@@ -21,13 +21,16 @@
 typedef struct {
 	relay_t *relay;
 	server_t *server; /* holds a reference */
-	http_call_t *call;
+	http_call_t *call; /* NULL: has ended */
 	alarm_t deadline;
 } probe_t;
 
-/* Frees a probe. */
+/* Frees a probe and cancels its call, if that is in progress. */
 static void finish(probe_t *probe)
 {
+	if (probe->call)
+		http_call_cancel(probe->call);
+	g_queue_remove(&probe->relay->probes, probe);
 	alarm_finish(&probe->deadline);
 	server_unref(probe->server);
 	g_free(probe);
@@ -69,7 +72,10 @@
 /* Frees a probe whose call has ended. */
 static void on_end(void *context, call_end_t end)
 {
-	finish(context);
+	probe_t *probe = context;
+
+	probe->call = NULL;
+	finish(probe);
 }
 
 static const call_handler_t handler = {
@@ -81,10 +87,7 @@
 /* Cancels a probe without an answer; the server stays suspect. */
 static void on_deadline(void *context)
 {
-	probe_t *probe = context;
-
-	http_call_cancel(probe->call);
-	finish(probe);
+	finish(context);
 }
 
 /* Appends a request for the health check of a plain service's server, or for
@@ -137,6 +140,7 @@
 	append_request(message, server, table);
 	probe->server = server_ref(server);
 	probe->relay = relay;
+	g_queue_push_tail(&relay->probes, probe);
 	alarm_init(&probe->deadline, relay->clock, on_deadline, probe);
 	alarm_set(&probe->deadline, now_us + PROBE_TIMEOUT_US);
 	probe->call = http_pool_call(relay->pool, &options);
@@ -174,3 +178,10 @@
 			send_probe(relay, server, table, now_us);
 	}
 }
+
+/* Cancels all probes in progress. To be called before the pool of connections ends. */
+void server_probes_cancel(relay_t *relay)
+{
+	while (!g_queue_is_empty(&relay->probes))
+		finish(g_queue_peek_head(&relay->probes));
+}
--- a/src/process/entry/server_probe.h
+++ b/src/process/entry/server_probe.h
@@ -6,5 +6,6 @@
 
 void server_probe_send_due(relay_t *relay, const route_table_t *table,
 			   int64_t now_us);
+void server_probes_cancel(relay_t *relay);
 
 #endif
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -69,6 +69,7 @@
 	g_queue_init(&relay->waiting);
 	g_queue_init(&relay->unresolved);
 	g_queue_init(&relay->releases);
+	g_queue_init(&relay->probes);
 }
 
 /* Frees the shared state; no request may be in progress. */
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -77,6 +77,7 @@
 	memory_budget_t kept; /* of responses; may be part of a larger one */
 	memory_budget_t kept_events; /* of events, a part of `kept` */
 	GQueue releases; /* of prefill results, in progress */
+	GQueue probes; /* of silent servers, in progress */
 } relay_t;
 
 /* Retry-After of a request that a process refuses because it ends (another VM may take it
--- a/tests/test_unanswered_calls.c
+++ b/tests/test_unanswered_calls.c
@@ -1,12 +1,14 @@
-/* Engines that never answer the release of a prefill result, or a stage order. */
+/* Engines that never answer the release of a prefill result, a stage order or a probe. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
 
+#include "process/entry/server_probe.h"
 #include "process/entry/stage_order_call.h"
 #include "request/prefill_release.h"
+#include "rows.h"
 #include "support_address.h"
 #include "support_tcp_stub.h"
 
@@ -93,6 +95,7 @@
 static void finish(fixture_t *fixture)
 {
 	prefill_releases_cancel(&fixture->relay);
+	server_probes_cancel(&fixture->relay);
 	relay_finish(&fixture->relay);
 	occupancy_finish(&fixture->occupancy);
 	server_set_finish(&fixture->servers);
@@ -160,12 +163,36 @@
 	check_order(false);
 }
 
+/* The process ends while a probe is in progress. Guards against a probe that ends after the
+ * connections and the servers were freed, which the sanitizer build shows.
+ */
+static void test_probe_at_the_end(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	route_table_t *table = config_row_read(
+		STR("{\"version\":1,\"routes\":[],\"services\":[{\"name\":"
+		    "\"llm\",\"healthPath\":\"/health\",\"engine\":{\"slots\":"
+		    "4,\"kvTokenCapacity\":1000,\"stride\":1}}]}"));
+
+	assert_non_null(table);
+	start(&fixture);
+	server_mark_suspect(fixture.server, 1);
+	server_probe_send_due(&fixture.relay, table,
+			      clock_now(&fixture.relay.clock));
+	support_run_loop_ms(100);
+	assert_int_equal(fixture.open, 1);
+	finish(&fixture);
+	support_run_loop_ms(ANSWER_MS);
+	route_table_unref(table);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_releases),
 		cmocka_unit_test(test_stage_order),
 		cmocka_unit_test(test_report_before_a_stage_order),
+		cmocka_unit_test(test_probe_at_the_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
