Bound the memory of plain answers that wait for their callers

Cause: an answer counted in the VM's budget while it was read from its server, and no longer once it was written: a copy of it, in a buffer of the connection that has room to spare, counted nowhere. While it was read it counted up to twice its length, and the first answer that found no room was dropped.

Change: - The body of a plain answer is shared with the connection, not copied (two copies less; one call of send() more for an answer over 4 KB), and counts until the kernel has all of it. - Plain answers have 24 of the 32 MB, so that events, heads and bodies of requests keep some. - The memory of an answer whose length is stated is reserved when its head has come. Without room the server is not read until there is some; it counts as heard meanwhile. - A request of a route whose mean answer finds no room is refused with 503 and Retry-After before it is sent. Routes whose answers are up to 4 KB on average never are.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -112,26 +112,51 @@
 		g_string_append(out, "Connection: close\r\n");
 }
 
-/* Answers with a backend server's complete response. Ends the exchange. */
-void exchange_reply(exchange_t *exchange, unsigned status,
-		    const http_headers_t *headers, str_t body)
+/* Appends the head of a complete response. */
+static void append_complete_head(const exchange_t *exchange, GString *out,
+				 unsigned status, const http_headers_t *headers,
+				 size_t body_len)
 {
-	tcp_t *tcp = &exchange->connection->tcp;
-	GString *out = g_string_sized_new(512 + body.len);
 	bool no_body =
 		status == 204 || status == 304 ||
 		g_str_equal(exchange_head(exchange)->method->str, "HEAD");
 
 	append_head(exchange, out, status, headers);
 	if (!no_body)
-		http_append_int(out, "Content-Length", (int64_t)body.len);
+		http_append_int(out, "Content-Length", (int64_t)body_len);
 	g_string_append(out, "\r\n");
+}
+
+/* Answers with a complete response. Ends the exchange. */
+void exchange_reply(exchange_t *exchange, unsigned status,
+		    const http_headers_t *headers, str_t body)
+{
+	tcp_t *tcp = &exchange->connection->tcp;
+	GString *out = g_string_sized_new(512 + body.len);
+
+	append_complete_head(exchange, out, status, headers, body.len);
 	g_string_append_len(out, body.data, (gssize)body.len);
 	tcp_write(tcp, out->str, out->len);
 	g_string_free(out, TRUE);
 	end_exchange(exchange);
 }
 
+/* The same with a body that is not copied if it is large: the connection holds a reference until
+ * the kernel has taken all of it.
+ */
+void exchange_reply_shared(exchange_t *exchange, unsigned status,
+			   const http_headers_t *headers, GBytes *body)
+{
+	GString *out = g_string_sized_new(512);
+
+	append_complete_head(exchange, out, status, headers,
+			     g_bytes_get_size(body));
+	tcp_write_with_body(&exchange->connection->tcp, str_from_gstring(out),
+			    body);
+	g_string_free(out, TRUE);
+	end_exchange(exchange);
+}
+
 /* Answers with a plain text of the router's own. A retry_after_us of 0 leaves
  * Retry-After out. Ends the exchange.
  */
--- a/src/connection/http_head.h
+++ b/src/connection/http_head.h
@@ -33,6 +33,7 @@
 	 * the end of the connection.
 	 */
 	bool body_until_close;
+	int64_t body_bytes; /* of a response, as it is stated; -1: not known */
 } http_head_t;
 
 void http_headers_init(http_headers_t *headers);
--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -178,6 +178,19 @@
 		is_single(message, "x-request-id"));
 }
 
+/* Returns the length of the body of a response as its head states it, or -1. */
+static int64_t stated_body_bytes(const http_message_t *message)
+{
+	const http_parser *parser = &message->parser;
+
+	if (message->no_body || parser->status_code == 204 ||
+	    parser->status_code == 304)
+		return 0;
+	if (parser->flags & F_CHUNKED || parser->content_length > INT64_MAX)
+		return -1;
+	return (int64_t)parser->content_length;
+}
+
 /* Completes the head and passes it to the handler. Returns what http_parser
  * expects: 1 for a message without a body, -1 to stop.
  */
@@ -202,6 +215,7 @@
 				http_method_str(parser->method));
 	else
 		message->head.body_until_close = body_ends_at_eof(message);
+	message->head.body_bytes = stated_body_bytes(message);
 	if (!message->handler->on_head(message->context, &message->head)) {
 		message->refused = true;
 		return -1;
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -86,6 +86,8 @@
 
 void exchange_reply(exchange_t *exchange, unsigned status,
 		    const http_headers_t *headers, str_t body);
+void exchange_reply_shared(exchange_t *exchange, unsigned status,
+			   const http_headers_t *headers, GBytes *body);
 void exchange_reply_text(exchange_t *exchange, unsigned status,
 			 int64_t retry_after_us, const char *text);
 void exchange_start_stream(exchange_t *exchange, unsigned status,
--- a/src/connection/tcp.c
+++ b/src/connection/tcp.c
@@ -11,7 +11,6 @@
 
 #include "process/memory_budget.h"
 
-#define READ_BUFFER_BYTES 16384
 /* Time between keep-alive probes. */
 #define KEEPALIVE_INTERVAL_S 1
 
@@ -197,7 +196,7 @@
 /* Reads once when the socket is readable and reports the data or the end. */
 static void read_ready(tcp_t *tcp)
 {
-	char buffer[READ_BUFFER_BYTES];
+	char buffer[TCP_READ_BYTES];
 	ssize_t n = recv(tcp->fd, buffer, sizeof(buffer), 0);
 
 	if (n > 0)
@@ -219,7 +218,7 @@
 
 	while (open && tcp->reading && bytes > 0) {
 		read_ready(tcp);
-		bytes -= READ_BUFFER_BYTES;
+		bytes -= TCP_READ_BYTES;
 		open = !g_source_is_destroyed(source);
 	}
 	g_source_unref(source);
--- a/src/connection/tcp.h
+++ b/src/connection/tcp.h
@@ -16,6 +16,9 @@
  */
 #define TCP_KEEPALIVE_PROBES 2
 
+/* Most bytes that are read of a connection at a time. */
+#define TCP_READ_BYTES 16384
+
 /* Why a connection ended. */
 typedef enum {
 	TCP_END_NOT_CONNECTED, /* the connection was never established */
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -336,6 +336,7 @@
 	if (waiting)
 		stream_calls_admit(&entry->relay);
 	stream_calls_check_silence(&entry->relay);
+	answer_room_grant(&entry->relay.room, now_us);
 	entry_announce_servers(entry, now_us);
 	entry_announce_limits(entry, now_us);
 	entry_update_quarantine(entry, now_us);
--- a/src/process/memory_budget.c
+++ b/src/process/memory_budget.c
@@ -1,5 +1,10 @@
 #include "process/memory_budget.h"
 
+#include <string.h>
+
+/* What a buffer allocates at first. */
+#define FIRST_BYTES 64
+
 /* Sets up a budget of which nothing is used. */
 void memory_budget_init(memory_budget_t *budget, size_t max_bytes)
 {
@@ -42,31 +47,49 @@
 /* Sets up an empty buffer, which counts nothing. */
 void kept_buffer_init(kept_buffer_t *buffer, memory_budget_t *budget)
 {
-	buffer->budget = budget;
-	buffer->bytes = g_string_new(NULL);
-	buffer->counted_bytes = 0;
+	*buffer = (kept_buffer_t){.budget = budget};
 }
 
 /* Frees a buffer. */
 void kept_buffer_finish(kept_buffer_t *buffer)
 {
-	memory_budget_recount(buffer->budget, &buffer->counted_bytes, 0);
-	g_string_free(buffer->bytes, TRUE);
+	kept_buffer_clear(buffer);
+}
+
+/* Makes a buffer large enough for `len` bytes in all, also beyond the bound of its budget, which
+ * counts them from now on.
+ */
+void kept_buffer_reserve_beyond(kept_buffer_t *buffer, size_t len)
+{
+	if (len <= buffer->allocated_bytes)
+		return;
+	buffer->data = g_realloc(buffer->data, len);
+	memory_budget_recount(buffer->budget, &buffer->allocated_bytes, len);
+}
+
+/* The same if the budget has room for it. Returns false, and changes nothing, if not. */
+bool kept_buffer_reserve(kept_buffer_t *buffer, size_t len)
+{
+	if (len > buffer->allocated_bytes &&
+	    !memory_budget_has_room(buffer->budget,
+				    len - buffer->allocated_bytes))
+		return false;
+	kept_buffer_reserve_beyond(buffer, len);
+	return true;
 }
 
-/* Returns the bytes that a buffer has to allocate anew for `len` more: GString takes the next
- * power of two.
+/* Returns the bytes that a buffer is to have allocated for `len`: the next power of two, so that
+ * a long message is copied a few times only.
  */
-static size_t growth_for(const kept_buffer_t *buffer, size_t len)
+static size_t wanted_bytes(const kept_buffer_t *buffer, size_t len)
 {
-	size_t wanted = buffer->bytes->len + len + 1;
-	size_t allocated = 1;
-
-	if (wanted <= buffer->bytes->allocated_len)
-		return 0;
-	while (allocated < wanted)
-		allocated *= 2;
-	return allocated - buffer->counted_bytes;
+	size_t wanted = FIRST_BYTES;
+
+	if (len <= buffer->allocated_bytes)
+		return buffer->allocated_bytes;
+	while (wanted < len)
+		wanted *= 2;
+	return wanted;
 }
 
 /* Appends bytes. Returns false, and appends nothing, if the message would become longer than
@@ -74,29 +97,64 @@
  */
 bool kept_buffer_append(kept_buffer_t *buffer, str_t bytes, size_t max_len)
 {
-	size_t len = buffer->bytes->len + bytes.len;
+	size_t len = buffer->len + bytes.len;
+	size_t wanted = wanted_bytes(buffer, len);
 
 	if (len > max_len)
 		return false;
-	if (len > MEMORY_SMALL_BYTES &&
-	    !memory_budget_has_room(buffer->budget,
-				    growth_for(buffer, bytes.len)))
+	if (len <= MEMORY_SMALL_BYTES)
+		kept_buffer_reserve_beyond(buffer, wanted);
+	else if (!kept_buffer_reserve(buffer, wanted))
 		return false;
-	g_string_append_len(buffer->bytes, bytes.data, (gssize)bytes.len);
-	memory_budget_recount(buffer->budget, &buffer->counted_bytes,
-			      buffer->bytes->allocated_len);
+	if (bytes.len > 0)
+		memcpy(buffer->data + buffer->len, bytes.data, bytes.len);
+	buffer->len = len;
 	return true;
 }
 
-/* Drops all bytes, and the memory of a large message. */
+/* Drops all bytes and gives their memory back. */
 void kept_buffer_clear(kept_buffer_t *buffer)
 {
-	memory_budget_recount(buffer->budget, &buffer->counted_bytes, 0);
-	memory_empty_buffer(&buffer->bytes);
+	memory_budget_recount(buffer->budget, &buffer->allocated_bytes, 0);
+	g_free(buffer->data);
+	kept_buffer_init(buffer, buffer->budget);
+}
+
+/* Frees bytes that were taken from a buffer, and what they count. */
+static void free_taken(gpointer data)
+{
+	kept_buffer_t *taken = data;
+
+	kept_buffer_finish(taken);
+	g_free(taken);
+}
+
+/* Takes the bytes out of a buffer, which is empty then. They count in the budget, which has to
+ * outlive them, until the last reference to them is dropped. Memory that they do not need is
+ * given back.
+ */
+GBytes *kept_buffer_take(kept_buffer_t *buffer)
+{
+	kept_buffer_t *taken;
+
+	if (buffer->len == 0) {
+		kept_buffer_clear(buffer);
+		return g_bytes_new(NULL, 0);
+	}
+	if (buffer->allocated_bytes > buffer->len) {
+		buffer->data = g_realloc(buffer->data, buffer->len);
+		memory_budget_recount(buffer->budget, &buffer->allocated_bytes,
+				      buffer->len);
+	}
+	taken = g_new(kept_buffer_t, 1);
+	*taken = *buffer;
+	kept_buffer_init(buffer, buffer->budget);
+	return g_bytes_new_with_free_func(taken->data, taken->len, free_taken,
+					  taken);
 }
 
 /* Returns the bytes, borrowed until the buffer is changed. */
 str_t kept_buffer_bytes(const kept_buffer_t *buffer)
 {
-	return str_from_gstring(buffer->bytes);
+	return buffer->len > 0 ? (str_t){buffer->data, buffer->len} : STR("");
 }
--- a/src/process/memory_budget.h
+++ b/src/process/memory_budget.h
@@ -23,8 +23,9 @@
 /* Bytes of one message that are kept until it is complete. */
 typedef struct {
 	memory_budget_t *budget;
-	GString *bytes;
-	size_t counted_bytes; /* in the budget */
+	char *data; /* NULL: nothing is allocated */
+	size_t len;
+	size_t allocated_bytes; /* all count in the budget */
 } kept_buffer_t;
 
 void memory_budget_init(memory_budget_t *budget, size_t max_bytes);
@@ -36,8 +37,11 @@
 
 void kept_buffer_init(kept_buffer_t *buffer, memory_budget_t *budget);
 void kept_buffer_finish(kept_buffer_t *buffer);
+bool kept_buffer_reserve(kept_buffer_t *buffer, size_t len);
+void kept_buffer_reserve_beyond(kept_buffer_t *buffer, size_t len);
 bool kept_buffer_append(kept_buffer_t *buffer, str_t bytes, size_t max_len);
 void kept_buffer_clear(kept_buffer_t *buffer);
+GBytes *kept_buffer_take(kept_buffer_t *buffer);
 str_t kept_buffer_bytes(const kept_buffer_t *buffer);
 
 #endif
--- a/src/request/peer_call.c
+++ b/src/request/peer_call.c
@@ -20,6 +20,7 @@
 	bool signed_by_server; /* the answer comes from a backend server */
 	http_headers_t headers;
 	kept_buffer_t body; /* of an answer that is kept until it is complete */
+	answer_wait_t wait; /* of that answer, for room */
 	bool streaming; /* the caller has the head of a stream */
 	bool may_have_run;
 } peer_call_t;
@@ -48,6 +49,7 @@
 {
 	if (!call->call)
 		return;
+	answer_wait_end(&call->wait);
 	call->call = NULL;
 	count_passed_on(call, current_vm(call), -1);
 }
@@ -135,6 +137,9 @@
 	if (call->streaming)
 		exchange_start_stream(call->request.exchange, head->status,
 				      &call->headers);
+	else
+		relay_claim_room(call->request.relay, &call->wait, call->call,
+				 &call->body, head->body_bytes);
 }
 
 /* Passes a piece of a stream on at once, and takes no more while the caller is behind; keeps
@@ -175,8 +180,8 @@
 	if (call->streaming)
 		exchange_end_stream(exchange);
 	else
-		exchange_reply(exchange, call->status, &call->headers,
-			       kept_buffer_bytes(&call->body));
+		relay_reply(&call->request, call->status, &call->headers,
+			    &call->body);
 	finish(call);
 }
 
@@ -298,7 +303,7 @@
 {
 	peer_call_t *call = context;
 
-	if (call->call)
+	if (call->call && !answer_wait_is_waiting(&call->wait))
 		http_call_set_reading(call->call, true);
 }
 
@@ -325,7 +330,7 @@
 		return false;
 	call = g_new0(peer_call_t, 1);
 	call->request = *request;
-	kept_buffer_init(&call->body, &relay->kept);
+	kept_buffer_init(&call->body, &relay->kept_answers);
 	http_headers_init(&call->headers);
 	alarm_init(&call->deadline, relay->clock, on_deadline, call);
 	if (!send_to_peer(call)) {
--- a/src/request/plain_call.c
+++ b/src/request/plain_call.c
@@ -17,6 +17,11 @@
 /* Retry-After of a request that the servers' limits do not allow now. */
 #define LIMITED_RETRY_AFTER_US (500 * CLOCK_US_PER_MS)
 
+/* Retry-After of a request whose answer would find no room. Callers that read slowly take
+ * seconds.
+ */
+#define NO_ROOM_RETRY_AFTER_US (1 * CLOCK_US_PER_S)
+
 /* Time without the head of a response after which a server may count as silent
  * and a repeatable request is sent to another one.
  */
@@ -107,8 +112,7 @@
 	relay_log_end(request, server, send->status,
 		      send->status / 100 == 2 ? RESULT_OK
 					      : RESULT_SERVER_ERROR);
-	exchange_reply(request->exchange, send->status, &send->headers,
-		       kept_buffer_bytes(&send->body));
+	relay_reply(request, send->status, &send->headers, &send->body);
 	finish(sent->call);
 }
 
@@ -206,12 +210,16 @@
 	server_unref(server);
 }
 
-/* Keeps the head of the server's response. */
+/* Keeps the head of the server's response, and finds room for its body. */
 static void on_head(void *context, const http_head_t *head)
 {
 	plain_send_t *sent = context;
 
-	relay_send_read_head(&sent->send, head);
+	relay_send_t *send = &sent->send;
+
+	relay_send_read_head(send, head);
+	relay_claim_room(send->relay, &send->wait, send->call, &send->body,
+			 head->body_bytes);
 }
 
 /* Keeps the body of the server's response. */
@@ -340,12 +348,28 @@
 	call->tried[request->sends++] = server;
 	sent->call = call;
 	relay_send_init(&sent->send, request->relay);
+	kept_buffer_init(&sent->send.body, &request->relay->kept_answers);
 	/* on_silence() sends a repeatable request to another server as well. */
 	sent->send.waits_for_deadline = true;
 	alarm_init(&sent->silence, request->relay->clock, on_silence, sent);
 	return sent;
 }
 
+/* Ends a call that is sent for the first time, if its answer is not expected to find room. False
+ * when it may be sent.
+ */
+static bool end_if_no_room(plain_call_t *call)
+{
+	const relay_request_t *request = &call->request;
+
+	if (request->sends > 0 ||
+	    !answer_room_expects_none(&request->relay->room,
+				      request->route->name))
+		return false;
+	refuse(call, NO_ROOM_RETRY_AFTER_US, "no memory for the answer");
+	return true;
+}
+
 /* Sends the request to a server that was not tried before. */
 static void send_next(plain_call_t *call)
 {
@@ -357,7 +381,8 @@
 	};
 	plain_send_t *sent;
 
-	if (end_if_quarantined(call, server != NULL) || pass_on_to_peer(call))
+	if (end_if_quarantined(call, server != NULL) || end_if_no_room(call) ||
+	    pass_on_to_peer(call))
 		return;
 	if (!server) {
 		refuse_without_server(call);
@@ -439,7 +464,13 @@
 
 	if (!server)
 		return;
-	heard_us = MAX(server->last_received_us, sent->send.sent_us);
+	if (answer_wait_is_waiting(&sent->send.wait)) {
+		/* It is not read, so that nothing can be heard. */
+		alarm_set(&sent->silence, now_us + LINK_SILENCE_US);
+		return;
+	}
+	heard_us = MAX(server->last_received_us,
+		       MAX(sent->send.sent_us, sent->send.wait.granted_us));
 	if (sent->send.status || heard_us > sent->send.sent_us) {
 		if (!repeatable)
 			return;
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -10,11 +10,13 @@
 
 /* Most bytes that are kept of one response, and the memory for all of them at a VM. The length
  * leaves room for the NUL in a buffer of 8 MB. The smallest VMs have 88 MB. Events have a part of
- * it, so that streams whose engines stop inside events leave room for responses.
+ * it, so that streams whose engines stop inside events leave room for responses; and so have
+ * plain responses, so that those that wait for their callers leave room for all else.
  */
 #define MAX_KEPT_BYTES (((size_t)8 << 20) - 1)
 #define MAX_KEPT_MEMORY_BYTES ((size_t)32 << 20)
 #define MAX_KEPT_EVENTS_BYTES ((size_t)16 << 20)
+#define MAX_KEPT_ANSWERS_BYTES ((size_t)24 << 20)
 
 /* Frees a retry budget. */
 static void free_budget(gpointer data)
@@ -65,6 +67,9 @@
 	memory_budget_init(&relay->kept, MAX_KEPT_MEMORY_BYTES);
 	memory_budget_init(&relay->kept_events, MAX_KEPT_EVENTS_BYTES);
 	relay->kept_events.whole = &relay->kept;
+	memory_budget_init(&relay->kept_answers, MAX_KEPT_ANSWERS_BYTES);
+	relay->kept_answers.whole = &relay->kept;
+	answer_room_init(&relay->room, &relay->kept_answers);
 	g_queue_init(&relay->streams);
 	g_queue_init(&relay->waiting);
 	g_queue_init(&relay->unresolved);
@@ -74,6 +79,7 @@
 /* Frees the shared state; no request may be in progress. */
 void relay_finish(relay_t *relay)
 {
+	answer_room_finish(&relay->room);
 	g_hash_table_unref(relay->retry_budgets);
 	g_hash_table_unref(relay->caller_timeouts);
 	g_hash_table_unref(relay->output_models);
@@ -484,6 +490,22 @@
 			     &send->fields, "request");
 }
 
+/* Reserves memory for a response that is kept until it is complete, once its head has come;
+ * without room it is not read until there is some. One that is too large in any case is left to
+ * relay_keep().
+ */
+void relay_claim_room(relay_t *relay, answer_wait_t *wait, http_call_t *call,
+		      kept_buffer_t *body, int64_t bytes)
+{
+	if (bytes > (int64_t)MAX_KEPT_BYTES ||
+	    answer_room_claim(&relay->room, wait, call, body, bytes))
+		return;
+	log_event(LOG_INFO, "response_waits", LOG_INT("bytes", bytes),
+		  LOG_UINT("waiting", relay->room.waiting.length),
+		  LOG_UINT("answers_bytes", relay->kept_answers.used_bytes),
+		  LOG_UINT("all_bytes", relay->kept.used_bytes));
+}
+
 /* Keeps a piece of a response until it is complete. Returns false if this one, or all that
  * are kept at the time, would take too much memory.
  */
@@ -492,6 +514,20 @@
 	return kept_buffer_append(buffer, bytes, MAX_KEPT_BYTES);
 }
 
+/* Answers with a response that was kept, whose body counts in the memory budget until its caller
+ * has taken it. Ends the exchange.
+ */
+void relay_reply(const relay_request_t *request, unsigned status,
+		 const http_headers_t *headers, kept_buffer_t *body)
+{
+	GBytes *bytes = kept_buffer_take(body);
+
+	answer_room_record(&request->relay->room, request->route->name,
+			   g_bytes_get_size(bytes));
+	exchange_reply_shared(request->exchange, status, headers, bytes);
+	g_bytes_unref(bytes);
+}
+
 /* Keeps a piece of the response's body. Ends the call as malformed when this
  * response, or all that are kept at the time, would take too much memory: a server
  * in trouble may send without an end.
@@ -501,7 +537,7 @@
 	if (!relay_keep(&send->body, (str_t){data, len})) {
 		log_event(LOG_WARN, "response_too_large",
 			  LOG_CSTR("server", send->server->entry.id),
-			  LOG_UINT("bytes", send->body.bytes->len),
+			  LOG_UINT("bytes", send->body.len),
 			  LOG_UINT("all_bytes", send->relay->kept.used_bytes));
 		http_call_reject(send->call);
 	}
@@ -534,6 +570,7 @@
 void relay_send_release(relay_send_t *send)
 {
 	send->call = NULL;
+	answer_wait_end(&send->wait);
 	if (!send->server)
 		return;
 	server_record_end(send->server);
@@ -544,6 +581,7 @@
 /* Cancels a send: the server sees its connection close. */
 void relay_send_cancel(relay_send_t *send)
 {
+	answer_wait_end(&send->wait);
 	if (send->call)
 		http_call_cancel(send->call);
 	relay_send_release(send);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -18,6 +18,7 @@
 #include "process/decide/stream_origins.h"
 #include "process/memory_budget.h"
 #include "process/route_metrics.h"
+#include "request/answer_room.h"
 #include "request/caller_timeout.h"
 #include "request/outcome.h"
 #include "request/retry.h"
@@ -75,6 +76,8 @@
 	uint64_t seed; /* of retry_random() */
 	unsigned active; /* requests in progress */
 	memory_budget_t kept; /* of responses; may be part of a larger one */
+	memory_budget_t kept_answers; /* of plain responses, a part of `kept` */
+	answer_room_t room; /* in that part */
 	memory_budget_t kept_events; /* of events, a part of `kept` */
 	GQueue releases; /* of prefill results, in progress */
 } relay_t;
@@ -104,6 +107,7 @@
 	bool for_peer; /* the caller is another VM */
 	bool is_own; /* the response can be to no earlier request */
 	kept_buffer_t body; /* of a response that is kept until it is complete */
+	answer_wait_t wait; /* of that response, for room */
 } relay_send_t;
 
 /* A caller's request, its route and its time limits. */
@@ -167,6 +171,10 @@
 void relay_log_end(const relay_request_t *request, const server_t *server,
 		   unsigned status, request_result_t result);
 
+void relay_claim_room(relay_t *relay, answer_wait_t *wait, http_call_t *call,
+		      kept_buffer_t *body, int64_t bytes);
+void relay_reply(const relay_request_t *request, unsigned status,
+		 const http_headers_t *headers, kept_buffer_t *body);
 bool relay_keep(kept_buffer_t *buffer, str_t bytes);
 void relay_send_init(relay_send_t *send, relay_t *relay);
 void relay_send_finish(relay_send_t *send);
--- a/src/request/stream_decode.c
+++ b/src/request/stream_decode.c
@@ -386,9 +386,8 @@
 	if (outcome.answer == OUTCOME_PASS_ON && !stream->head_sent) {
 		stream_log_end(stream, stream->send.status, RESULT_SERVER_ERROR,
 			       "engine_error");
-		exchange_reply(stream->request.exchange, stream->send.status,
-			       &stream->send.headers,
-			       kept_buffer_bytes(&stream->send.body));
+		relay_reply(&stream->request, stream->send.status,
+			    &stream->send.headers, &stream->send.body);
 		stream_finish(stream);
 		return;
 	}
--- a/tests/test_memory_budget.c
+++ b/tests/test_memory_budget.c
@@ -17,7 +17,7 @@
 	size_t bytes = 0;
 
 	for (size_t i = 0; i < n; i++)
-		bytes += buffers[i].bytes->allocated_len;
+		bytes += buffers[i].allocated_bytes;
 	return bytes;
 }
 
@@ -84,9 +84,64 @@
 	assert_int_equal(budget.used_bytes, 0);
 }
 
+/* Guards against memory that is reserved beyond the budget, and against a reserved message that
+ * finds no room for its bytes.
+ */
+static void test_reserved(void **state)
+{
+	static char bytes[BUDGET_BYTES / 2];
+	kept_buffer_t first, second;
+	memory_budget_t budget;
+
+	memory_budget_init(&budget, BUDGET_BYTES);
+	kept_buffer_init(&first, &budget);
+	kept_buffer_init(&second, &budget);
+	assert_true(kept_buffer_reserve(&first, sizeof(bytes)));
+	assert_int_equal(budget.used_bytes, sizeof(bytes));
+	assert_false(kept_buffer_reserve(&second, sizeof(bytes) + 1));
+	assert_int_equal(budget.used_bytes, sizeof(bytes));
+	assert_true(kept_buffer_reserve(&second, sizeof(bytes)));
+	assert_true(kept_buffer_append(&first, (str_t){bytes, sizeof(bytes)},
+				       BUDGET_BYTES));
+	assert_false(kept_buffer_append(&first, STR("x"), BUDGET_BYTES));
+	kept_buffer_reserve_beyond(&first, sizeof(bytes) + 1);
+	assert_int_equal(budget.used_bytes, BUDGET_BYTES + 1);
+	kept_buffer_finish(&first);
+	kept_buffer_finish(&second);
+	assert_int_equal(budget.used_bytes, 0);
+}
+
+/* Guards against bytes that count no longer, or count for ever, once they have left their buffer. */
+static void test_taken(void **state)
+{
+	char text[MEMORY_SMALL_BYTES + 1] = {'t'};
+	memory_budget_t budget;
+	kept_buffer_t buffer;
+	GBytes *bytes;
+
+	memory_budget_init(&budget, BUDGET_BYTES);
+	kept_buffer_init(&buffer, &budget);
+	assert_true(kept_buffer_append(&buffer, (str_t){text, sizeof(text)},
+				       BUDGET_BYTES));
+	bytes = kept_buffer_take(&buffer);
+	assert_int_equal(kept_buffer_bytes(&buffer).len, 0);
+	kept_buffer_finish(&buffer);
+	assert_int_equal(g_bytes_get_size(bytes), sizeof(text));
+	assert_int_equal(budget.used_bytes, sizeof(text));
+	assert_memory_equal(g_bytes_get_data(bytes, NULL), text, sizeof(text));
+	g_bytes_unref(bytes);
+	assert_int_equal(budget.used_bytes, 0);
+	bytes = kept_buffer_take(&buffer);
+	assert_int_equal(g_bytes_get_size(bytes), 0);
+	g_bytes_unref(bytes);
+	assert_int_equal(budget.used_bytes, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_reserved),
+		cmocka_unit_test(test_taken),
 		cmocka_unit_test(test_many_messages),
 		cmocka_unit_test(test_small_messages),
 	};
--- a/tests/test_unread_answers.c
+++ b/tests/test_unread_answers.c
@@ -30,15 +30,23 @@
 #define ANSWER_BYTES ((size_t)1 << 20)
 #define LETTERS 26
 
-/* Requests that one caller sends before it reads, and for how long it reads nothing: less than
- * the time after which a caller is given up.
+/* Requests that one caller sends before it reads, and for how long it reads
+ * nothing: less than the time after which a caller is given up.
  */
 #define PIPELINED 200
 #define UNREAD_MS 4000
 
-#define MAX_CALLERS 64
-
-/* What the kernel keeps for a caller that does not read, and what a slow caller reads at a time. */
+/* Callers with one request each, all at once, or one after the other at a gap. So many of them
+ * read nothing.
+ */
+#define CALLERS 50
+#define MORE_CALLERS 120
+#define CALLER_GAP_MS 25
+#define SILENT 20
+#define MAX_CALLERS 128
+
+/* What the kernel keeps for a caller that does not read, and what a slow caller
+ * reads at a time. */
 #define RECEIVE_BUFFER_BYTES 65536
 #define SLOW_READ_BYTES 16384
 #define SLOW_GAP_US (20 * CLOCK_US_PER_MS)
@@ -67,6 +75,7 @@
 	GString *head; /* of the answer that is being read, up to its end */
 	size_t body_left; /* of that answer */
 	unsigned answers; /* that are whole */
+	bool refused; /* with 503 and Retry-After */
 	unsigned wrong; /* bytes of another answer, or another status */
 	bool ended; /* its connection */
 } caller_t;
@@ -88,6 +97,7 @@
 	char *server_address;
 	char *bodies[LETTERS];
 	unsigned large_run; /* requests for large answers that came to the server */
+	bool has_run[MAX_CALLERS]; /* by the number of such a request */
 	caller_t callers[MAX_CALLERS];
 	unsigned n_callers;
 	http_pool_t others;
@@ -99,6 +109,9 @@
 static const char config[] =
 	"{\"version\":1,\"routes\":[{\"name\":\"p\",\"host\":\"h\","
 	"\"pathPrefix\":\"/p/\",\"kind\":\"unsafe\",\"timeoutMs\":15000,"
+	"\"service\":\"app\",\"maxAttempts\":1},"
+	"{\"name\":\"s\",\"host\":\"h\","
+	"\"pathPrefix\":\"/s/\",\"kind\":\"unsafe\",\"timeoutMs\":15000,"
 	"\"service\":\"app\",\"maxAttempts\":1}],"
 	"\"services\":[{\"name\":\"app\",\"healthPath\":\"/health\"}]}";
 
@@ -111,7 +124,8 @@
 
 /* --- the server ---------------------------------------------------------- */
 
-/* Answers "/p/large/N" with many bytes of the letter of N, all else with two bytes. */
+/* Answers "/p/large/N" with many bytes of the letter of N, all else with two
+ * bytes. */
 static void server_on_request(void *context, exchange_t *exchange)
 {
 	static const char prefix[] = "/p/large/";
@@ -125,6 +139,7 @@
 			g_ascii_strtoull(target + strlen(prefix), NULL, 10);
 
 		fixture->large_run++;
+		fixture->has_run[number % MAX_CALLERS] = true;
 		body = (str_t){fixture->bodies[number % LETTERS], ANSWER_BYTES};
 	}
 	http_headers_init(&headers);
@@ -186,7 +201,7 @@
 	other->fixture = fixture;
 	other->sent_us = now_us();
 	g_string_append_printf(message,
-			       "POST /p/small HTTP/1.1\r\nHost: h\r\n"
+			       "POST /s/small HTTP/1.1\r\nHost: h\r\n"
 			       "X-Request-Id: o%u\r\nX-Deadline-Ms: 2000\r\n"
 			       "Content-Length: 2\r\n\r\nhi",
 			       fixture->others_sent++);
@@ -238,6 +253,11 @@
 		g_string_append_c(caller->head, data[used++]);
 		if (!g_str_has_suffix(caller->head->str, "\r\n\r\n"))
 			continue;
+		caller->refused =
+			g_str_has_prefix(caller->head->str, "HTTP/1.1 503 ") &&
+			strstr(caller->head->str, "\r\nRetry-After: ");
+		if (caller->refused)
+			return len;
 		caller->body_left = ANSWER_BYTES;
 		if (!g_str_has_prefix(caller->head->str, "HTTP/1.1 200 ") ||
 		    !strstr(caller->head->str, "Content-Length: 1048576\r\n")) {
@@ -282,7 +302,8 @@
 
 static bool is_finished(const caller_t *caller)
 {
-	return caller->ended || caller->answers == caller->requests;
+	return caller->ended || caller->refused ||
+	       caller->answers == caller->requests;
 }
 
 /* Reads as the caller does. */
@@ -426,7 +447,8 @@
 	fixture->others_served = 0;
 }
 
-/* Starts the VM that callers ask, and if it is to pass their requests on, another one. */
+/* Starts the VM that callers ask, and if it is to pass their requests on,
+ * another one. */
 static void start(fixture_t *fixture, bool over_peer)
 {
 	unsigned n_vms = over_peer ? 2 : 1;
@@ -476,7 +498,8 @@
 	g_free(fixture->server_address);
 }
 
-/* Stops the small requests, and checks them and the memory that the VMs have used. */
+/* Stops the small requests, and checks them and the memory that the VMs have
+ * used. */
 static void check_vms(fixture_t *fixture, const vm_memory_t *quiet)
 {
 	alarm_set(&fixture->next_other, -1);
@@ -505,9 +528,9 @@
 		quiet[i] = vm_process_peak(&fixture->vms[i]);
 }
 
-/* Guards against a caller that sends many requests on one connection, reads no answer, and gets
- * all of them into the VM's memory; and against answers that are lost, or begun in another
- * order, once it reads.
+/* Guards against a caller that sends many requests on one connection, reads no
+ * answer, and gets all of them into the VM's memory; and against answers that
+ * are lost, or begun in another order, once it reads.
  */
 static void test_pipelined(void **state)
 {
@@ -533,10 +556,78 @@
 	g_free(fixture);
 }
 
+/* Plays callers with one large answer each, of whom some read nothing and all others slowly.
+ * Returns how many of these were refused before their requests were sent to the server;
+ * all others have to get their whole answers.
+ */
+static unsigned play_callers(unsigned n, unsigned gap_ms, bool over_peer)
+{
+	fixture_t *fixture = g_new(fixture_t, 1);
+	vm_memory_t quiet[2] = {{0}};
+	unsigned whole = 0;
+	unsigned refused = 0;
+	unsigned wrong = 0;
+
+	start(fixture, over_peer);
+	note_quiet(fixture, quiet);
+	for (unsigned i = 0; i < n; i++) {
+		caller_start(fixture, 1,
+			     i * SILENT / n != (i + 1) * SILENT / n
+				     ? READS_NOTHING
+				     : READS_SLOWLY);
+		if (gap_ms)
+			support_run_loop_ms(gap_ms);
+	}
+	(void)support_run_loop_until(readers_have_finished, fixture, ALL_MS);
+	for (unsigned i = 0; i < n; i++) {
+		const caller_t *caller = &fixture->callers[i];
+
+		whole += caller->answers;
+		refused += caller->refused ? 1 : 0;
+		wrong += caller->wrong +
+			 (caller->refused && fixture->has_run[i] ? 1 : 0);
+	}
+	print_message("of %u slow callers %u have their whole answers, %u are "
+		      "refused\n",
+		      n - SILENT, whole, refused);
+	check_vms(fixture, quiet);
+	assert_int_equal(whole + refused, n - SILENT);
+	assert_int_equal(wrong, 0);
+	finish(fixture);
+	g_free(fixture);
+	return refused;
+}
+
+/* Guards against answers that wait for many callers and together fill the VM, and against slow
+ * callers whose requests have run and whose answers find no memory.
+ */
+static void test_many_callers(void **state)
+{
+	assert_int_equal(play_callers(CALLERS, 0, false), 0);
+}
+
+/* The same with requests that the VM passes on. */
+static void test_passed_on(void **state)
+{
+	assert_int_equal(play_callers(CALLERS, 0, true), 0);
+}
+
+/* Guards against requests that are sent although answers that wait for their callers leave no
+ * room for theirs, and against refused requests that run.
+ */
+static void test_callers_in_turn(void **state)
+{
+	assert_true(play_callers(MORE_CALLERS, CALLER_GAP_MS, false) <
+		    MORE_CALLERS - SILENT);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_pipelined),
+		cmocka_unit_test(test_many_callers),
+		cmocka_unit_test(test_passed_on),
+		cmocka_unit_test(test_callers_in_turn),
 	};
 
 	/* The address sanitizer's store of freed memory would count as the VM's. */
