--- a/tests/test_occupancy.c
+++ b/tests/test_occupancy.c
@@ -503,9 +503,9 @@
 	workload_observe_request(occupancy_own_workload(&b.occupancy, "llm"),
 				 NOW, 3000, 700);
 	for (int i = 0; i < 3; i++)
-		workload_observe_prefill(occupancy_own_workload(&b.occupancy,
-								"slow"),
-					 NOW, 100000, 0, 3600 * 1000 * MS);
+		workload_observe_prefill(
+			occupancy_own_workload(&b.occupancy, "slow"), NOW,
+			100000, 0, INT64_C(3600) * 1000 * MS);
 	assert_true(announce_to(&b, &a, 1, NOW));
 	assert_int_equal(streams(&a, "s1", NOW), 4);
 	assert_float_equal(workload_prompt_tokens(occupancy_workload(
