--- a/review/kit-2/config_feed.c
+++ b/review/kit-2/config_feed.c
@@ -113,8 +113,8 @@
 	store.loses_answer = loses_answer;
 	for (unsigned i = 0; i < SERVERS; i++)
 		server_start(&servers[i], &store,
-			     i % 2 ? "space-api-new" : "space-api-old", i, 6,
-			     run);
+			     i % 2 ? "space-api-new" : "space-api-old", "", i,
+			     6, run);
 	put_config(3, "space-api-old");
 	for (unsigned i = 0; i < VMS; i++) {
 		char name[32];
--- a/review/kit-2/head.c
+++ b/review/kit-2/head.c
@@ -129,7 +129,7 @@
 	srand((unsigned)now_ms());
 	store_start(&store);
 	for (unsigned i = 0; i < SERVERS; i++)
-		server_start(&servers[i], &store, "space-api", i, 6, run);
+		server_start(&servers[i], &store, "space-api", "", i, 6, run);
 	store_put(&store, "op", "config",
 		  "{\"version\":3,\"routes\":[{\"name\":\"dock-lookup\","
 		  "\"host\":\"skladnik.example\",\"pathPrefix\":\"/dock/\","
--- a/review/kit-2/many_deadly.c
+++ b/review/kit-2/many_deadly.c
@@ -164,7 +164,7 @@
 	standin_start(argv[1]);
 	store_start(&store);
 	for (unsigned i = 0; i < SERVERS; i++)
-		server_start(&servers[i], &store, "space-api", i, 6, run);
+		server_start(&servers[i], &store, "space-api", "", i, 6, run);
 	store_put(&store, "op", "config",
 		  "{\"version\":3,\"routes\":[{\"name\":\"bay-lookup\","
 		  "\"host\":\"skladnik.example\",\"pathPrefix\":\"/bay/\","
--- a/review/kit-2/standin.c
+++ b/review/kit-2/standin.c
@@ -491,6 +491,56 @@
 	pthread_mutex_unlock(&store->lock);
 }
 
+/* Returns whether a row was written by the entry processes. */
+static bool is_own_row(const row_t *row)
+{
+	return strcmp(row->table, "op") != 0 &&
+	       strcmp(row->table, "servers") != 0;
+}
+
+/* Keeps a copy of the rows, for store_restore(). */
+void store_copy(store_t *store)
+{
+	pthread_mutex_lock(&store->lock);
+	store->n_copied = store->n_rows;
+	for (size_t i = 0; i < store->n_rows; i++) {
+		store->copied[i] = store->rows[i];
+		if (store->rows[i].value)
+			store->copied[i].value = strdup(store->rows[i].value);
+	}
+	pthread_mutex_unlock(&store->lock);
+}
+
+/* Restores the store from the copy: what the entry processes have written since is gone, and
+ * what the operator and the servers have written is written again.
+ */
+void store_restore(store_t *store)
+{
+	pthread_mutex_lock(&store->lock);
+	store->era++;
+	store->version++;
+	for (size_t i = 0; i < store->n_rows; i++) {
+		row_t *row = &store->rows[i];
+
+		if (!is_own_row(row)) {
+			row->version = ++store->version;
+			continue;
+		}
+		free(row->value);
+		row->value = NULL;
+		for (size_t k = 0; k < store->n_copied; k++) {
+			const row_t *copy = &store->copied[k];
+
+			if (strcmp(copy->table, row->table) != 0 ||
+			    strcmp(copy->key, row->key) != 0)
+				continue;
+			row->value = copy->value ? strdup(copy->value) : NULL;
+			row->version = copy->version;
+		}
+	}
+	pthread_mutex_unlock(&store->lock);
+}
+
 /* Returns whether a table has a row whose key begins so. */
 bool store_has(store_t *store, const char *table, const char *prefix)
 {
@@ -596,14 +646,15 @@
 }
 
 /* Answers a call to the store. */
-static bool store_reply(stream_t *stream, int status, const char *body)
+static bool store_reply(const store_t *store, stream_t *stream, int status,
+			const char *body)
 {
 	char head[256];
 
 	snprintf(head, sizeof(head),
 		 "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n"
-		 "Store-Era: 1\r\nContent-Length: %zu\r\n\r\n",
-		 status, strlen(body));
+		 "Store-Era: %u\r\nContent-Length: %zu\r\n\r\n",
+		 status, store->era, strlen(body));
 	return stream_send(stream, head, strlen(head)) &&
 	       stream_send(stream, body, strlen(body));
 }
@@ -644,7 +695,7 @@
 		return false;
 	}
 	sleep_ms(4);
-	if (!store_reply(stream, 200, text)) {
+	if (!store_reply(store, stream, 200, text)) {
 		free(text);
 		return false;
 	}
@@ -772,7 +823,7 @@
 		 "{\"rows\":[],\"ver\":%lld,\"nowMs\":%lld}",
 		 (long long)store->version, (long long)now_ms());
 	pthread_mutex_unlock(&store->lock);
-	return store_reply(stream, holds ? 200 : 412, text);
+	return store_reply(store, stream, holds ? 200 : 412, text);
 }
 
 /* Answers a full read. */
@@ -788,7 +839,7 @@
 	pthread_mutex_lock(&store->lock);
 	(void)format_rows(store, table, from, 0, &text);
 	pthread_mutex_unlock(&store->lock);
-	ok = store_reply(stream, 200, text);
+	ok = store_reply(store, stream, 200, text);
 	free(text);
 	return ok;
 }
@@ -821,7 +872,7 @@
 						  request.body ? request.body
 							       : "");
 		else
-			open = store_reply(&stream, 404, "{}");
+			open = store_reply(store, &stream, 404, "{}");
 		message_free(&request);
 	}
 	close(stream.fd);
@@ -889,6 +940,7 @@
 	accepted_t *listener = malloc(sizeof(*listener));
 
 	memset(store, 0, sizeof(*store));
+	store->era = 1;
 	pthread_mutex_init(&store->lock, NULL);
 	pthread_cond_init(&store->changed, NULL);
 	*listener = (accepted_t){store, listen_at(store->address)};
@@ -933,6 +985,33 @@
 	return stream_send(stream, head, strlen(head));
 }
 
+/* Answers a call of the system's own interface. */
+static bool answer_json(stream_t *stream, int status, const char *body)
+{
+	char head[256];
+
+	snprintf(head, sizeof(head),
+		 "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n"
+		 "Content-Length: %zu\r\n\r\n%s",
+		 status, strlen(body), body);
+	return stream_send(stream, head, strlen(head));
+}
+
+/* Answers with the report of an engine. */
+static bool report(server_t *server, stream_t *stream)
+{
+	char body[512];
+
+	snprintf(
+		body, sizeof(body),
+		"{\"stage\":\"%s\",\"models\":[{\"name\":\"m\",\"version\":1,"
+		"\"adapters\":[]}],\"busy\":false,\"sequence\":0,\"waiting\":0,"
+		"\"running\":%u,\"kvUsed\":0,\"kvTotal\":100125,"
+		"\"kvHandles\":0,\"born\":%lld}",
+		server->stage, server->running, (long long)server->born_ms);
+	return answer_json(stream, 200, body);
+}
+
 /* Answers one request. */
 static bool serve_request(server_t *server, stream_t *stream,
 			  const message_t *request)
@@ -951,6 +1030,12 @@
 			 server->id, server->running, server->slots);
 		return stream_send(stream, head, strlen(head));
 	}
+	if (strncmp(request->head, "GET /gooseberryspur/report ", 27) == 0)
+		return report(server, stream);
+	if (strncmp(request->head, "POST /gooseberryspur/order ", 27) == 0)
+		return answer_json(stream, 409, "{}");
+	if (strncmp(request->head, "DELETE /gooseberryspur/", 23) == 0)
+		return answer_json(stream, 200, "{}");
 	if (!message_field(request, "x-request-id", expected, sizeof(expected)))
 		return server_refuse(server, stream, request, 400);
 	pthread_mutex_lock(&server->lock);
@@ -1029,12 +1114,15 @@
 {
 	char value[512];
 
-	snprintf(value, sizeof(value),
-		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"hall-a\","
-		 "\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
-		 "\"coldRemainingMs\":0,\"born\":%lld,\"sequence\":%lld}",
-		 server->service, server->address, server->slots,
-		 (long long)server->born_ms, (long long)++server->sequence);
+	snprintf(
+		value, sizeof(value),
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"hall-a\",%s%s%s"
+		"\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
+		"\"coldRemainingMs\":0,\"born\":%lld,\"sequence\":%lld}",
+		server->service, server->address,
+		*server->stage ? "\"stage\":\"" : "", server->stage,
+		*server->stage ? "\"," : "", server->slots,
+		(long long)server->born_ms, (long long)++server->sequence);
 	store_put(server->store, "servers", server->id, value);
 }
 
@@ -1078,11 +1166,13 @@
 
 /* Starts a server of a service. */
 void server_start(server_t *server, store_t *store, const char *service,
-		  unsigned number, unsigned slots, server_fn_t answer)
+		  const char *stage, unsigned number, unsigned slots,
+		  server_fn_t answer)
 {
 	memset(server, 0, sizeof(*server));
 	server->store = store;
 	snprintf(server->service, sizeof(server->service), "%s", service);
+	snprintf(server->stage, sizeof(server->stage), "%s", stage);
 	server->number = number;
 	server->slots = slots;
 	server->answer = answer;
--- a/review/kit-2/standin.h
+++ b/review/kit-2/standin.h
@@ -56,6 +56,9 @@
 	 * and delivers nothing further. NULL: none is lost.
 	 */
 	bool (*loses_answer)(const char *table);
+	unsigned era;
+	row_t copied[MAX_ROWS]; /* see store_copy() */
+	size_t n_copied;
 } store_t;
 
 typedef struct server server_t;
@@ -64,11 +67,12 @@
 typedef bool (*server_fn_t)(server_t *server, stream_t *stream,
 			    const message_t *request);
 
-/* A server of a plain service. */
+/* A server of a plain service, or an engine. */
 struct server {
 	store_t *store;
 	char id[NAME_BYTES];
 	char service[NAME_BYTES];
+	char stage[16]; /* of an engine; empty: a plain service */
 	char address[ADDRESS_BYTES];
 	unsigned number;
 	unsigned lifetime;
@@ -118,10 +122,13 @@
 void store_start(store_t *store);
 void store_put(store_t *store, const char *table, const char *key,
 	       const char *value);
+void store_copy(store_t *store);
+void store_restore(store_t *store);
 bool store_has(store_t *store, const char *table, const char *prefix);
 
 void server_start(server_t *server, store_t *store, const char *service,
-		  unsigned number, unsigned slots, server_fn_t answer);
+		  const char *stage, unsigned number, unsigned slots,
+		  server_fn_t answer);
 void server_crash(server_t *server);
 void server_restart(server_t *server);
 bool server_reply(server_t *server, stream_t *stream, const message_t *request,
