--- a/review/kit-2/era_drill.c
+++ b/review/kit-2/era_drill.c
@@ -18,10 +18,19 @@
 #define LOSS_AT_MS 9000
 #define RUN_MS 30000
 
-#define DOWN_MS 1000
+#define DOWN_MS 500
+
+/* A caller gives a stream up after this time without an event: four times the target, which is
+ * longer than two seconds and eight pauses. It does not see that a VM has lost power.
+ */
+#define GAP_MS 3600
 #define STABLE_WINDOW_MS 3000
 #define BUDGET_MS 14000
 
+/* How often a caller takes a stream up again, and how long it waits for a connection. */
+#define RETRIES 3
+#define CONNECT_MS 1000
+
 /* What a caller has of its stream. */
 typedef struct {
 	char first_id[32]; /* of the attempt that brought the first event */
@@ -39,7 +48,7 @@
 static store_t store;
 static server_t servers[PREFILLS + DECODES];
 static vm_t vms[VMS];
-static int64_t begun_ms, restarted_ms;
+static int64_t begun_ms, loss_ms, restarted_ms;
 static unsigned begun, refused_new, taken_up, went_on, joined_wrong, sequence;
 static unsigned early_taken_up, early_went_on;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -149,10 +158,32 @@
 	}
 }
 
+/* Opens a connection; tries for as long as a caller waits for one. */
+static int connect_in_time(const char *address)
+{
+	int64_t until_ms = now_ms() + CONNECT_MS;
+	int fd;
+
+	while ((fd = connect_to(address)) < 0 && now_ms() < until_ms)
+		sleep_ms(20);
+	return fd;
+}
+
+/* Returns how long a caller waits before it comes again: as it was told, but no more than a
+ * third of the time that it has left.
+ */
+static int64_t wait_ms(const progress_t *progress, int64_t until_ms)
+{
+	int64_t told_ms = (int64_t)(progress->retry_after_s * 1000);
+	int64_t most_ms = (until_ms - now_ms()) / 3;
+
+	return told_ms < most_ms ? told_ms : most_ms;
+}
+
 /* Sends one attempt of a stream to a VM. */
 static void attempt(const vm_t *vm, progress_t *progress, int64_t left_ms)
 {
-	stream_t stream = {.fd = connect_to(vm->callers)};
+	stream_t stream = {.fd = connect_in_time(vm->callers)};
 	char request[1024], id[32], resume[128] = "";
 
 	pthread_mutex_lock(&lock);
@@ -216,26 +247,46 @@
 	pthread_mutex_unlock(&lock);
 }
 
+/* Waits out the silence of a VM that has lost power. Its kernel would send nothing; here it
+ * closes the connection, which the caller is not to see.
+ */
+static void wait_for_gap(unsigned caller)
+{
+	int64_t until_ms = loss_ms + GAP_MS + (int64_t)caller * 10;
+
+	if (now_ms() < until_ms)
+		sleep_ms(until_ms - now_ms());
+}
+
 /* A caller: has one stream after the other, and takes one up again that breaks off. */
 static void *call_on(void *data)
 {
-	unsigned turn = (unsigned)(uintptr_t)data;
+	unsigned caller = (unsigned)(uintptr_t)data;
+	unsigned turn = caller;
 
 	sleep_ms(turn * 120);
 	while (now_ms() - begun_ms < RUN_MS) {
 		progress_t progress = {.last = 0};
 		int64_t until_ms = now_ms() + BUDGET_MS;
 
-		while (!progress.whole && now_ms() < until_ms - 500 &&
+		unsigned tries = 0;
+
+		while (!progress.whole && tries++ <= RETRIES &&
+		       now_ms() < until_ms - 500 &&
 		       now_ms() - begun_ms < RUN_MS) {
 			const vm_t *vm = &vms[turn++ % VMS];
 			int before = progress.last;
 
 			attempt(vm, &progress, until_ms - now_ms());
 			note_attempt(&progress, before, vm->name);
+			if (!progress.whole && loss_ms != 0 &&
+			    progress.sent_ms < loss_ms) {
+				wait_for_gap(caller);
+				tries = 0;
+				continue;
+			}
 			if (!progress.whole)
-				sleep_ms((int64_t)(progress.retry_after_s *
-						   1000));
+				sleep_ms(wait_ms(&progress, until_ms));
 		}
 		count(&progress);
 	}
@@ -245,6 +296,7 @@
 /* Lets all VMs lose power, and the store come back from its copy meanwhile. */
 static void lose_all(void)
 {
+	loss_ms = now_ms();
 	for (unsigned i = 0; i < VMS; i++)
 		vm_kill(&vms[i]);
 	if (standin_trouble()) {
@@ -310,11 +362,10 @@
 	     "yet: %u taken up, %u go on; events out of order: %u",
 	     taken_up, went_on, begun, refused_new, early_taken_up,
 	     early_went_on, joined_wrong);
-	if (begun < 12 || taken_up + early_went_on < 12)
+	if (begun < 12 || taken_up < 12)
 		standin_finish(2, "too few streams");
-	if (taken_up >= 12 &&
-	    (double)went_on / taken_up <
-		    0.5 * begun / (double)(begun + refused_new))
+	if ((double)went_on / taken_up <
+	    0.5 * begun / (double)(begun + refused_new))
 		standin_finish(1, "LOST: streams are not taken up again");
 	standin_finish(0, "streams were taken up again");
 }
