Tell a read that the store holds from one that it loses

Two events say it: store_read_held, an answer with rows that came only when the wait was over, and store_read_overdue, a read that was not answered at all.

The waiting reads of the server list are overdue at 20.98 s; at 21.22 s the store drops its history and refuses the reads that wait. Four VMs fail to read op in full, try again 60 ms later and follow each version. The other four read it in full at once, send the next read within the same milliseconds, and the store answers that only after 15.01 s, with all that was written since (store_read_held after=32 version=56).

Conclusion: what a VM knows may be as old as the longest wait of one read.

--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -1,5 +1,7 @@
 #include "process/entry/store_watch.h"
 
+#include "process/log.h"
+
 /* How long a read may take beside its wait for a change. */
 #define READ_TIMEOUT_US (1500 * CLOCK_US_PER_MS)
 
@@ -311,11 +313,29 @@
 	set_reachable(watch, true);
 }
 
+/* Logs an answer with rows that came only at the end of a read's wait, which the first row
+ * should have ended: the store did not watch the table for this read.
+ */
+static void log_held(const store_watch_t *watch)
+{
+	if (watch->received_us < watch->wait_until_us ||
+	    store_page_is_decoded(&watch->page))
+		return;
+	log_event(LOG_WARN, "store_read_held",
+		  LOG_CSTR("table", watch->options.table),
+		  LOG_INT("waited_ms", (watch->received_us - watch->sent_us) /
+					       CLOCK_US_PER_MS),
+		  LOG_INT("after", watch->version),
+		  LOG_INT("version", watch->page.version));
+}
+
 /* Handles the end of a read, and schedules the next one. */
 static void on_read(void *context, store_result_t result, str_t body)
 {
 	store_watch_t *watch = context;
 
+	bool waited = watch->waiting;
+
 	watch->received_us = clock_now(&watch->clock);
 	watch->waiting = false;
 	watch->rechecking = false;
@@ -337,9 +357,13 @@
 		handle_failure(watch, result);
 		return;
 	}
-	if (!store_page_begin(&watch->page, body))
+	if (!store_page_begin(&watch->page, body)) {
 		handle_malformed(watch);
-	else if (watch->synced && watch->outage)
+		return;
+	}
+	if (waited)
+		log_held(watch);
+	if (watch->synced && watch->outage)
 		read_again(watch);
 	else
 		on_next_rows(watch);
@@ -388,6 +412,7 @@
 	watch->reads += watch->relayed ? 0 : 1;
 	watch->relayed_reads += watch->relayed ? 1 : 0;
 	watch->sent_us = now_us;
+	watch->wait_until_us = now_us + wait_us;
 	alarm_set(&watch->overdue,
 		  watch->waiting ? now_us + wait_us + OVERDUE_US : -1);
 	store_call_send(&watch->call, address, watch->message, deadline_us,
@@ -402,10 +427,17 @@
 {
 	store_watch_t *watch = context;
 
-	if (watch->relayed)
+	if (watch->relayed) {
 		abandon_reader(watch);
-	else
-		watch->options.handler->on_silence(watch->options.context);
+		return;
+	}
+	log_event(LOG_WARN, "store_read_overdue",
+		  LOG_CSTR("table", watch->options.table),
+		  LOG_INT("waited_ms",
+			  (clock_now(&watch->clock) - watch->sent_us) /
+				  CLOCK_US_PER_MS),
+		  LOG_INT("after", watch->version));
+	watch->options.handler->on_silence(watch->options.context);
 }
 
 /* Sends the read that was scheduled. */
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -81,6 +81,7 @@
 	int64_t sync_sent_us; /* when its read was sent */
 	int64_t era; /* of the store; 0: unknown */
 	int64_t sent_us; /* when the latest read was sent */
+	int64_t wait_until_us; /* until when it waits for a change */
 	int64_t last_ok_us; /* when a read last succeeded */
 	int64_t as_of_us; /* what was written before is known: when the latest
 			     read from the store itself that succeeded was
