Bound the age of what a VM knows of the store's tables

Cause: a read of the configuration, or of this project's own table, waited for 15 s, and a VM took its knowledge for current all the while. In fleets of more than eight VMs the comparison with another VM's newest rows did not help where that VM had lost its own read.

Change: VMs that read the server list themselves let these reads wait 1 s and 2 s. Others wait 15 s only while the VM that passes the list on names its newest rows together with the age of what it has read; when that is over 2.5 s (3.5 s for the own table), or the VM begins to read the list itself, a longer wait is replaced. A VM that waits for changes of the list hears at once of a newer row of the configuration. The pause between reads follows answers with changes only. Rows that another VM has read are compared with the version up to which this one knows the table, not with its newest row: after a full read the latter is below a row that was removed, and the read was sent again with each answer of the other VM.

Ruled out: that the VM has the answer and does not apply it (the rows come late, after the version that was known). Waits of 1 s at all VMs would cost a large fleet more than it may lose.

Conclusion: the silence of a read that waits says nothing; its wait is the bound on what a VM may miss, unless another VM vouches for it.

--- a/src/process/entry/entry_status.c
+++ b/src/process/entry/entry_status.c
@@ -1,5 +1,6 @@
 #include "process/entry/entry_status.h"
 
+#include "names.h"
 #include "process/counters.h"
 #include "process/log.h"
 #include "process/route_metrics.h"
@@ -112,6 +113,52 @@
 	g_hash_table_unref(counts);
 }
 
+/* Appends a metric with a value for each table that is followed. */
+static void print_tables(GString *out, const char *name, const char *type,
+			 const char *help, const double values[static 3])
+{
+	static const char *const tables[] = {TABLE_CONFIG, TABLE_SERVERS,
+					     TABLE_ROUTER};
+
+	g_string_append_printf(out, "# HELP %s %s\n# TYPE %s %s\n", name, help,
+			       name, type);
+	for (size_t i = 0; i < G_N_ELEMENTS(tables); i++)
+		g_string_append_printf(out, "%s{table=\"%s\"} %.3f\n", name,
+				       tables[i], values[i]);
+}
+
+/* Appends metrics of the reads of the store's tables: what is known may be as old as the
+ * latest answer, unless another VM confirms it.
+ */
+static void print_store_reads(const entry_t *entry, GString *out)
+{
+	const store_watch_t *watches[] = {&entry->rows.config,
+					  &entry->rows.server_list,
+					  &entry->rows.own_table};
+	int64_t now_us = clock_now(&entry->clock);
+	double silence_s[3], confirmed[3], held[3], overdue[3];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(watches); i++) {
+		const store_watch_t *watch = watches[i];
+
+		silence_s[i] =
+			(double)(now_us - watch->last_ok_us) / CLOCK_US_PER_S;
+		confirmed[i] = watch->unconfirmed.at_us >= 0;
+		held[i] = (double)watch->held;
+		overdue[i] = (double)watch->overdue_reads;
+	}
+	print_tables(out, "gooseberryspur_store_silence_seconds", "gauge",
+		     "Time since a read of the table was last answered.",
+		     silence_s);
+	print_tables(out, "gooseberryspur_store_confirmed", "gauge",
+		     "Whether another VM confirms what was read.", confirmed);
+	print_tables(out, "gooseberryspur_store_reads_held_total", "counter",
+		     "Reads whose rows came only at the end of their wait.",
+		     held);
+	print_tables(out, "gooseberryspur_store_reads_overdue_total", "counter",
+		     "Reads that were not answered after their wait.", overdue);
+}
+
 /* Answers with all metrics, in the text format of Prometheus. Those that other
  * modules count are copied into the counters first.
  */
@@ -146,6 +193,7 @@
 	counters_print(text);
 	route_metrics_print(text);
 	print_servers(entry, text);
+	print_store_reads(entry, text);
 	http_headers_init(&headers);
 	http_headers_add(&headers, STR("Content-Type"),
 			 STR("text/plain; version=0.0.4"));
--- a/src/process/entry/list_relay.c
+++ b/src/process/entry/list_relay.c
@@ -25,6 +25,8 @@
 typedef struct {
 	exchange_t *exchange;
 	int64_t after; /* version up to which the other VM knows the list */
+	int64_t known_config; /* the same of the configuration's table; 0: it
+				 does not ask for that */
 	int64_t until_us;
 } list_wait_t;
 
@@ -139,6 +141,12 @@
 	alarm_set(&relay->wake, clock_now(&relay->clock));
 }
 
+/* Tells the VMs that wait that the configuration's table has a newer row. */
+void list_relay_config_changed(list_relay_t *relay)
+{
+	alarm_set(&relay->wake, clock_now(&relay->clock));
+}
+
 /* Returns until when this VM may pass on what it knows; 0: it may not. */
 static int64_t current_until_us(const list_relay_t *relay)
 {
@@ -150,12 +158,15 @@
 	return list->last_ok_us + MAX_AGE_US;
 }
 
-/* Returns whether there are changes after a version. */
-static bool has_changes(const list_relay_t *relay, int64_t after)
+/* Returns whether there are changes that another VM lacks. */
+static bool has_changes(const list_relay_t *relay, const list_wait_t *wait)
 {
 	const GList *newest = relay->changes.tail;
 
-	return newest && ((store_row_t *)newest->data)->version > after;
+	if (wait->known_config > 0 &&
+	    relay->config->newest_row > wait->known_config)
+		return true;
+	return newest && ((store_row_t *)newest->data)->version > wait->after;
 }
 
 /* Answers with the changes after a version. */
@@ -167,6 +178,8 @@
 		.era = relay->list->era,
 		.newest_config = relay->config->newest_row,
 		.newest_own = relay->own_table->newest_row,
+		.config_age_us = store_watch_age_us(relay->config),
+		.own_age_us = store_watch_age_us(relay->own_table),
 	};
 	GString *body = g_string_new(NULL);
 	http_headers_t headers;
@@ -211,7 +224,7 @@
 		GList *next = link->next;
 		int64_t due_us = MIN(wait->until_us, current_us);
 
-		if (now_us < due_us && !has_changes(relay, wait->after)) {
+		if (now_us < due_us && !has_changes(relay, wait)) {
 			next_us = next_us < 0 ? due_us : MIN(next_us, due_us);
 		} else {
 			g_queue_delete_link(&relay->waiting, link);
@@ -262,6 +275,7 @@
 	wait = g_new0(list_wait_t, 1);
 	wait->exchange = exchange;
 	wait->after = request.after;
+	wait->known_config = request.known_config;
 	wait->until_us = now_us + MIN(request.wait_us, MAX_WAIT_US);
 	g_queue_push_tail(&relay->waiting, wait);
 	check_waiting(relay);
--- a/src/process/entry/list_relay.h
+++ b/src/process/entry/list_relay.h
@@ -33,6 +33,7 @@
 void list_relay_begin_sync(list_relay_t *relay);
 void list_relay_end_sync(list_relay_t *relay, int64_t version);
 void list_relay_put(list_relay_t *relay, const store_row_t *row);
+void list_relay_config_changed(list_relay_t *relay);
 bool list_relay_is_request(const exchange_t *exchange);
 void list_relay_request(list_relay_t *relay, exchange_t *exchange);
 bool list_relay_is_asked(const list_relay_t *relay);
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -6,8 +6,16 @@
 #include "process/entry/stage_orders.h"
 #include "rows.h"
 
-/* Longest time for which the store holds a read until something changes. */
-#define FEED_WAIT_US (15 * CLOCK_US_PER_S)
+/* Longest time for which a read of the configuration, or of this project's own table, waits
+ * until something changes. The store may lose it, or hold its answer back until then: a new
+ * configuration has to be in force within two seconds, and what VMs write for each other
+ * within three.
+ */
+#define CONFIG_WAIT_US (1 * CLOCK_US_PER_S)
+#define OWN_WAIT_US (2 * CLOCK_US_PER_S)
+
+/* The same while a VM that reads these tables so often tells which rows it has read. */
+#define CONFIRMED_WAIT_US (15 * CLOCK_US_PER_S)
 
 /* The same for the server list. A read of it that is overdue shows that the store
  * is silent, for all tables.
@@ -122,6 +130,7 @@
 	}
 	if (table->version > rows->version) {
 		rows->version = table->version;
+		list_relay_config_changed(&rows->list_relay);
 		rows->handler->on_config(rows->context, table);
 	}
 	route_table_unref(table);
@@ -413,20 +422,31 @@
 	store_watch_retry(&rows->own_table);
 }
 
-/* Sets the pause after the next read: a VM that others have asked for the list lately
- * reads it more often.
+/* Returns the VM that passes the server list on, as store_watch_handler_t says, and sets the
+ * pause after the next read: a VM that others have asked for the list lately reads it more
+ * often. A VM that reads the list itself has nobody who tells it of the other tables, and one
+ * that does not is told at once of a row that it neither knows nor has heard of.
  */
 static const char *choose_reader(void *context, bool store_fails)
 {
 	store_rows_t *rows = context;
+	const char *reader = NULL;
 
 	rows->server_list.options.pause_us =
 		list_relay_is_asked(&rows->list_relay) ? READER_PAUSE_US
 						       : rows->list_pause_us;
-	return rows->handler->choose_list_reader
-		       ? rows->handler->choose_list_reader(rows->context,
-							   store_fails)
-		       : NULL;
+	rows->server_list.known_config =
+		rows->config.synced
+			? MAX(rows->config.version, rows->newest_config)
+			: 0;
+	if (rows->handler->choose_list_reader)
+		reader = rows->handler->choose_list_reader(rows->context,
+							   store_fails);
+	if (!reader) {
+		store_watch_end_confirmation(&rows->config);
+		store_watch_end_confirmation(&rows->own_table);
+	}
+	return reader;
 }
 
 static void on_reader_failed(void *context)
@@ -442,11 +462,11 @@
 static void recheck_if_behind(store_rows_t *rows, store_watch_t *watch,
 			      int64_t newest)
 {
-	if (newest <= watch->newest_row || !watch->waiting)
+	if (newest <= watch->version || !watch->waiting)
 		return;
 	log_event(LOG_WARN, "store_read_hangs",
 		  LOG_CSTR("table", watch->options.table),
-		  LOG_INT("newest_read", watch->newest_row),
+		  LOG_INT("known_version", watch->version),
 		  LOG_INT("newest_of_others", newest));
 	http_pool_close_idle(rows->pool, rows->address);
 	store_watch_recheck(watch);
@@ -463,16 +483,19 @@
 
 /* Notes which rows another VM has read in the other tables. This VM's reads of them
  * wait for many seconds, and it does not read the server list from the store, so that
- * nothing else shows that the store's answers are lost on the way to it.
+ * nothing else shows that the store's answers are lost on the way to it. The word of a VM
+ * whose own reads hang does not count.
  */
-static void on_newest(void *context, int64_t config, int64_t own)
+static void on_newest(void *context, const store_page_t *answer)
 {
 	store_rows_t *rows = context;
 
-	rows->newest_config = config;
-	rows->newest_own = own;
-	if ((config > rows->config.newest_row ||
-	     own > rows->own_table.newest_row) &&
+	rows->newest_config = answer->newest_config;
+	rows->newest_own = answer->newest_own;
+	store_watch_confirm(&rows->config, answer->config_age_us);
+	store_watch_confirm(&rows->own_table, answer->own_age_us);
+	if ((rows->newest_config > rows->config.version ||
+	     rows->newest_own > rows->own_table.version) &&
 	    rows->behind_check.at_us < 0)
 		alarm_set(&rows->behind_check,
 			  clock_now(&rows->clock) + BEHIND_US);
@@ -625,7 +648,8 @@
 /* Starts to follow one table. */
 static void follow(store_rows_t *rows, store_watch_t *watch, const char *table,
 		   const store_watch_handler_t *handler, int64_t pause_us,
-		   int64_t wait_us, const store_watch_t *probe)
+		   int64_t wait_us, int64_t confirmed_wait_us,
+		   const store_watch_t *probe)
 {
 	store_watch_options_t options = {
 		.table = table,
@@ -633,6 +657,7 @@
 		.pause_us = pause_us,
 		.relayed_pause_us = RELAYED_PAUSE_US,
 		.wait_us = wait_us,
+		.confirmed_wait_us = confirmed_wait_us,
 		.probe = probe,
 		.handler = handler,
 		.context = rows,
@@ -673,11 +698,11 @@
 	alarm_init(&rows->register_retry, clock, register_vm, rows);
 	store_call_init(&rows->register_call, pool);
 	follow(rows, &rows->config, TABLE_CONFIG, &config_handler, 0,
-	       FEED_WAIT_US, &rows->server_list);
+	       CONFIG_WAIT_US, CONFIRMED_WAIT_US, &rows->server_list);
 	follow(rows, &rows->server_list, TABLE_SERVERS, &servers_handler,
-	       SERVERS_PAUSE_US, SERVERS_WAIT_US, NULL);
+	       SERVERS_PAUSE_US, SERVERS_WAIT_US, 0, NULL);
 	follow(rows, &rows->own_table, TABLE_ROUTER, &own_handler, 0,
-	       FEED_WAIT_US, &rows->config);
+	       OWN_WAIT_US, CONFIRMED_WAIT_US, &rows->config);
 }
 
 /* Stops following. The servers stay in their set. */
--- a/src/process/entry/store_watch.c
+++ b/src/process/entry/store_watch.c
@@ -19,6 +19,11 @@
 /* The same while the reads of another watch show whether the store is back. */
 #define PROBED_RETRY_US (2 * CLOCK_US_PER_S)
 
+/* How much older than the wait of a read what another VM has read may become until this VM
+ * reads the table itself. The other VM tells of it at least once in that time.
+ */
+#define CONFIRMED_SLACK_US (1500 * CLOCK_US_PER_MS)
+
 /* Shortest time between reads that are sent at once. */
 #define READ_NOW_US (100 * CLOCK_US_PER_MS)
 
@@ -154,18 +159,17 @@
 	if (!watch->relayed)
 		watch->as_of_us = watch->sent_us;
 	else if (options->handler->on_newest)
-		options->handler->on_newest(options->context,
-					    watch->page.newest_config,
-					    watch->page.newest_own);
+		options->handler->on_newest(options->context, &watch->page);
 }
 
-/* Returns the pause after an answer: that of the table, and no less than the answer took, so
- * that answers without an end leave half of the time to other work.
+/* Returns the pause after an answer: that of the table if there were changes, and no less
+ * than the answer took, so that answers without an end leave half of the time to other work.
  */
 static int64_t pause_us(const store_watch_t *watch, bool was_synced,
 			int64_t now_us)
 {
-	int64_t least_us = was_synced ? watch->options.pause_us : 0;
+	bool has_changed = was_synced && watch->rows_applied > 0;
+	int64_t least_us = has_changed ? watch->options.pause_us : 0;
 
 	if (watch->relayed)
 		least_us = watch->options.relayed_pause_us;
@@ -316,11 +320,12 @@
 /* Logs an answer with rows that came only at the end of a read's wait, which the first row
  * should have ended: the store did not watch the table for this read.
  */
-static void log_held(const store_watch_t *watch)
+static void log_held(store_watch_t *watch)
 {
 	if (watch->received_us < watch->wait_until_us ||
 	    store_page_is_decoded(&watch->page))
 		return;
+	watch->held++;
 	log_event(LOG_WARN, "store_read_held",
 		  LOG_CSTR("table", watch->options.table),
 		  LOG_INT("waited_ms", (watch->received_us - watch->sent_us) /
@@ -333,7 +338,6 @@
 static void on_read(void *context, store_result_t result, str_t body)
 {
 	store_watch_t *watch = context;
-
 	bool waited = watch->waiting;
 
 	watch->received_us = clock_now(&watch->clock);
@@ -383,6 +387,31 @@
 					       watch->failures > 0);
 }
 
+/* Returns how long the next read may wait for a change. When the store may be
+ * unreachable it does not, so that its answer shows soon whether the store is back.
+ */
+static int64_t choose_wait_us(const store_watch_t *watch, const char *reader)
+{
+	if (watch->rechecking || (watch->failures > 0 && !reader))
+		return 0;
+	return watch->unconfirmed.at_us >= 0 ? watch->options.confirmed_wait_us
+					     : watch->options.wait_us;
+}
+
+/* Appends the request to the VM that passes the feed on. */
+static void append_relayed_read(store_watch_t *watch, const char *address,
+				int64_t wait_us)
+{
+	store_feed_request_t request = {
+		.after = watch->version,
+		.wait_us = wait_us,
+		.known_config = watch->known_config,
+	};
+
+	store_append_relayed_feed(watch->message, address, watch->options.table,
+				  &request);
+}
+
 /* Sends the next read: of the feed, or of a page of a full read. */
 static void read_table(store_watch_t *watch)
 {
@@ -391,17 +420,15 @@
 	const char *address = reader ? reader : options->address;
 	int64_t now_us = clock_now(&watch->clock);
 	int64_t deadline_us = now_us + READ_TIMEOUT_US;
-	/* When the store may be unreachable, the read does not wait for a
-	 * change, so that its answer shows soon whether the store is back.
-	 */
-	int64_t wait_us = (watch->failures && !reader) || watch->rechecking
-				  ? 0
-				  : options->wait_us;
+	int64_t wait_us = choose_wait_us(watch, reader);
 
 	watch->relayed = reader != NULL;
 	watch->waiting = watch->synced && wait_us > 0;
 	g_string_truncate(watch->message, 0);
-	if (watch->synced) {
+	if (watch->relayed) {
+		append_relayed_read(watch, address, wait_us);
+		deadline_us += wait_us;
+	} else if (watch->synced) {
 		store_append_feed(watch->message, address, options->table,
 				  watch->version, wait_us);
 		deadline_us += wait_us;
@@ -431,6 +458,7 @@
 		abandon_reader(watch);
 		return;
 	}
+	watch->overdue_reads++;
 	log_event(LOG_WARN, "store_read_overdue",
 		  LOG_CSTR("table", watch->options.table),
 		  LOG_INT("waited_ms",
@@ -460,6 +488,55 @@
 	read_table(watch);
 }
 
+/* Replaces a read that waits longer than one does without the word of other VMs. */
+static void on_unconfirmed(void *context)
+{
+	store_watch_t *watch = context;
+	int64_t now_us = clock_now(&watch->clock);
+
+	if (!watch->waiting ||
+	    watch->wait_until_us <= now_us + watch->options.wait_us)
+		return;
+	log_event(LOG_INFO, "store_read_replaced",
+		  LOG_CSTR("table", watch->options.table),
+		  LOG_INT("waited_ms",
+			  (now_us - watch->sent_us) / CLOCK_US_PER_MS));
+	store_watch_recheck(watch);
+}
+
+/* Notes that another VM has named the newest row that it has read, and the age of its read:
+ * while that is young enough, this VM's own reads may wait longer. -1: unknown.
+ */
+void store_watch_confirm(store_watch_t *watch, int64_t age_us)
+{
+	int64_t now_us = clock_now(&watch->clock);
+	int64_t until_us =
+		now_us + watch->options.wait_us + CONFIRMED_SLACK_US - age_us;
+
+	if (age_us >= 0 && until_us > now_us)
+		alarm_set(&watch->unconfirmed,
+			  MAX(watch->unconfirmed.at_us, until_us));
+}
+
+/* No longer relies on the word of other VMs. */
+void store_watch_end_confirmation(store_watch_t *watch)
+{
+	if (watch->unconfirmed.at_us < 0)
+		return;
+	alarm_set(&watch->unconfirmed, -1);
+	on_unconfirmed(watch);
+}
+
+/* Returns the time since the store has answered a read of the table by this VM; -1 if it has
+ * not been read in full since the store was last lost.
+ */
+int64_t store_watch_age_us(const store_watch_t *watch)
+{
+	if (!watch->synced || !watch->reachable || watch->outage)
+		return -1;
+	return clock_now(&watch->clock) - watch->last_ok_us;
+}
+
 /* Reads the table from the store itself without a wait, to learn soon what was written
  * until now. Does nothing while such a read is in progress or its answer is applied, shortly
  * after it, or while reads fail, which are repeated soon anyway.
@@ -511,6 +588,7 @@
 	store_call_init(&watch->call, pool);
 	alarm_init(&watch->next_read, clock, on_next, watch);
 	alarm_init(&watch->overdue, clock, on_overdue, watch);
+	alarm_init(&watch->unconfirmed, clock, on_unconfirmed, watch);
 	alarm_init(&watch->next_rows, clock, on_next_rows, watch);
 	alarm_set(&watch->next_read, clock_now(&clock));
 }
@@ -521,6 +599,7 @@
 	store_call_finish(&watch->call);
 	alarm_finish(&watch->next_read);
 	alarm_finish(&watch->overdue);
+	alarm_finish(&watch->unconfirmed);
 	alarm_finish(&watch->next_rows);
 	store_page_finish(&watch->page);
 	g_free(watch->from_key);
--- a/src/process/entry/store_watch.h
+++ b/src/process/entry/store_watch.h
@@ -40,10 +40,10 @@
 	 * choose_reader is.
 	 */
 	void (*on_reader_failed)(void *context);
-	/* Another VM has read rows up to these versions in the tables of the
-	 * configuration and of this project. May be NULL.
+	/* The answer of another VM tells what it has read of the tables of the
+	 * configuration and of this project; it is borrowed. May be NULL.
 	 */
-	void (*on_newest)(void *context, int64_t config, int64_t own);
+	void (*on_newest)(void *context, const store_page_t *answer);
 } store_watch_handler_t;
 
 typedef struct store_watch store_watch_t;
@@ -53,7 +53,14 @@
 	const char *address; /* of the store; borrowed */
 	int64_t pause_us; /* between reads of the feed */
 	int64_t relayed_pause_us; /* the same while another VM passes it on */
-	int64_t wait_us; /* longest wait of one read for a change */
+	/* Longest wait of one read for a change. The store may lose the read, or
+	 * hold its answer back until then: what is known may be as old as that.
+	 */
+	int64_t wait_us;
+	/* The same while another VM confirms that this one lacks no row; 0: none
+	 * ever does.
+	 */
+	int64_t confirmed_wait_us;
 	/* Another watch of the same store, or NULL. While its reads fail, this
 	 * watch reads less often; its user calls store_watch_retry() when they
 	 * succeed again.
@@ -68,6 +75,7 @@
 	store_call_t call;
 	alarm_t next_read;
 	alarm_t overdue; /* of a read that waits for a change */
+	alarm_t unconfirmed; /* until then other VMs have confirmed what is known */
 	store_page_t page; /* latest answer; without rows once all are applied */
 	bool applying; /* it is decoded */
 	guint rows_applied;
@@ -93,6 +101,11 @@
 	bool waiting; /* the read in progress may wait for a change */
 	bool relayed; /* the latest read is or was answered by another VM */
 	int64_t newest_row; /* version of the newest row that was read */
+	int64_t known_config; /* version up to which this VM knows of rows of the
+				 configuration's table, for the VM that passes
+				 the feed on; 0: unknown */
+	uint64_t held; /* reads whose answer the store has held back */
+	uint64_t overdue_reads; /* reads that were not answered after their wait */
 	bool rechecking; /* it replaces one that waited */
 	bool outage; /* since the last full read */
 	bool restored; /* the store was, since the last full read */
@@ -105,6 +118,9 @@
 void store_watch_finish(store_watch_t *watch);
 void store_watch_recheck(store_watch_t *watch);
 void store_watch_read_now(store_watch_t *watch);
+void store_watch_confirm(store_watch_t *watch, int64_t age_us);
+void store_watch_end_confirmation(store_watch_t *watch);
+int64_t store_watch_age_us(const store_watch_t *watch);
 void store_watch_retry(store_watch_t *watch);
 void store_watch_read_all(store_watch_t *watch);
 
--- a/tests/support_store.c
+++ b/tests/support_store.c
@@ -15,6 +15,7 @@
 	exchange_t *exchange;
 	char *table;
 	int64_t after;
+	bool held; /* it hears of no change */
 	alarm_t deadline;
 } feed_t;
 
@@ -145,7 +146,7 @@
 	g_free(feed);
 }
 
-/* Answers a feed and removes it. The answer of a silent store is lost. */
+/* Answers a feed and removes it. The answer may be lost. */
 static void end_feed(feed_t *feed)
 {
 	exchange_t *exchange = feed->exchange;
@@ -154,7 +155,7 @@
 	int64_t after = feed->after;
 
 	free_feed(feed);
-	if (store->silent)
+	if (store->silent || g_strcmp0(store->lost_feeds, table) == 0)
 		exchange_set_context(exchange, NULL);
 	else
 		reply_rows(store, exchange, table, after, true);
@@ -175,7 +176,7 @@
 		feed_t *feed = link->data;
 
 		link = link->next;
-		if (has_changes(feed))
+		if (!feed->held && has_changes(feed))
 			end_feed(feed);
 	}
 }
@@ -225,6 +226,7 @@
 	feed->exchange = exchange;
 	feed->table = query_value(target, "table");
 	feed->after = g_ascii_strtoll(after, NULL, 10);
+	feed->held = store->holds_feeds;
 	alarm_init(&feed->deadline, clock, on_feed_deadline, feed);
 	g_queue_push_tail(&store->waiting, feed);
 	exchange_set_context(exchange, feed);
@@ -233,7 +235,7 @@
 		free_feed(feed);
 		exchange_set_context(exchange, NULL);
 		reply(store, exchange, 410, "{}");
-	} else if (has_changes(feed)) {
+	} else if (!feed->held && has_changes(feed)) {
 		end_feed(feed);
 	} else {
 		alarm_set(&feed->deadline,
@@ -416,6 +418,15 @@
 	store->history_start_version = ++store->version;
 }
 
+/* Has the feeds that wait hear of no change until their deadlines, as after a store dropped
+ * its watches.
+ */
+void fake_store_hold_feeds(fake_store_t *store)
+{
+	for (GList *link = store->waiting.head; link; link = link->next)
+		((feed_t *)link->data)->held = true;
+}
+
 /* Restores the store from a copy that it had at a version: what was written
  * since is gone, and its versions are given out again.
  */
--- a/tests/support_store.h
+++ b/tests/support_store.h
@@ -28,6 +28,8 @@
 	unsigned responses_to_drop; /* writes that get no answer */
 	bool busy; /* every call gets status 503 */
 	bool silent; /* calls get no answer, also not later */
+	bool holds_feeds; /* feeds that begin now hear of no change */
+	const char *lost_feeds; /* table whose feeds' answers are lost, or NULL */
 	bool garbles_last; /* a row that is malformed follows the others */
 	int64_t era; /* stated in each answer; 0: not stated */
 } fake_store_t;
@@ -41,6 +43,7 @@
 char *fake_store_text(fake_store_t *store, const char *table, const char *key);
 void fake_store_remove(fake_store_t *store, const char *table, const char *key);
 void fake_store_forget_history(fake_store_t *store);
+void fake_store_hold_feeds(fake_store_t *store);
 void fake_store_restore(fake_store_t *store, int64_t version);
 
 #endif
--- a/tests/test_list_relay.c
+++ b/tests/test_list_relay.c
@@ -345,6 +345,89 @@
 	stop(&fixture);
 }
 
+/* Guards against a configuration that comes late because the reads of all VMs that wait for it
+ * were held back by the store, as after it dropped its history: also no reader hears of it.
+ */
+static void test_config_while_reads_are_held(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture);
+	fake_store_hold_feeds(&fixture.store);
+	put_config(&fixture, 2);
+	assert_true(
+		support_run_loop_until(all_have_config, &fixture, CONFIG_MS));
+	stop(&fixture);
+}
+
+/* Guards against the same when the store's answers to all of them are lost. */
+static void test_config_in_lost_answers(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture);
+	fixture.store.lost_feeds = TABLE_CONFIG;
+	put_config(&fixture, 2);
+	fixture.store.lost_feeds = NULL;
+	assert_true(
+		support_run_loop_until(all_have_config, &fixture, CONFIG_MS));
+	stop(&fixture);
+}
+
+/* Guards against VMs that relied on the readers for what they lack, and go on waiting when
+ * these end and they read the list themselves.
+ */
+static void test_config_after_readers_end(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+
+	start(&fixture);
+	support_run_loop_ms(1500); /* until the others rely on the readers */
+	fake_store_hold_feeds(&fixture.store);
+	for (unsigned i = 0; i < VMS; i++) {
+		if (!is_relayed(&fixture, i))
+			stop_vm(&fixture, i);
+	}
+	put_config(&fixture, 2);
+	assert_true(
+		support_run_loop_until(all_have_config, &fixture, CONFIG_MS));
+	stop(&fixture);
+}
+
+/* Returns how many reads of the configuration and of the VMs' own table were sent by the VMs
+ * that have the server list passed on.
+ */
+static uint64_t count_other_reads(const fixture_t *fixture)
+{
+	uint64_t reads = 0;
+
+	for (unsigned i = 0; i < VMS; i++) {
+		const store_rows_t *rows = &fixture->vms[i].entry.rows;
+
+		if (is_relayed(fixture, i))
+			reads += rows->config.reads + rows->own_table.reads;
+	}
+	return reads;
+}
+
+/* Guards against reads of all VMs at short intervals, which the store of a large fleet could
+ * not answer: only those of the readers may be. The others' wait for 15 s.
+ */
+static void test_others_read_seldom(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	uint64_t before;
+
+	start(&fixture);
+	support_run_loop_ms(3500); /* until the others rely on the readers */
+	before = count_other_reads(&fixture);
+	support_run_loop_ms(6000);
+	/* Each of the two reads of each VM ends once in 15 s. */
+	assert_true(count_other_reads(&fixture) - before <=
+		    (uint64_t)2 * (VMS - 8));
+	stop(&fixture);
+}
+
 /* Guards against servers that come back from an older copy of the store. */
 static void test_store_is_restored(void **state)
 {
@@ -369,6 +452,10 @@
 		cmocka_unit_test(test_others_lose_the_store),
 		cmocka_unit_test(test_store_refuses_most_vms),
 		cmocka_unit_test(test_config_behind_silent_connections),
+		cmocka_unit_test(test_config_while_reads_are_held),
+		cmocka_unit_test(test_config_in_lost_answers),
+		cmocka_unit_test(test_config_after_readers_end),
+		cmocka_unit_test(test_others_read_seldom),
 		cmocka_unit_test(test_store_is_restored),
 	};
 
