Test that a full read after a removal is not repeated

The second fault that mends, found while the comparison with other VMs' rows was read: a full read does not bring the row that was removed last, so that a VM which has read a table in full compared a lower version with the reader's newest row, and sent the read again after answers of the reader until another row was written.

--- a/tests/test_list_relay.c
+++ b/tests/test_list_relay.c
@@ -428,6 +428,31 @@
 	stop(&fixture);
 }
 
+/* Guards against VMs that read a table again and again after a full read: it does not bring the
+ * row that was removed last, which the readers name as the newest.
+ */
+static void test_full_read_after_removal(void **state)
+{
+	static fixture_t fixture; /* outlives a failure */
+	uint64_t before;
+
+	start(&fixture);
+	fake_store_put(&fixture.store, TABLE_ROUTER, "later-build", "1");
+	fake_store_remove(&fixture.store, TABLE_ROUTER, "later-build");
+	support_run_loop_ms(3500); /* until the others rely on the readers */
+	for (unsigned i = 0; i < VMS; i++) {
+		if (is_relayed(&fixture, i))
+			store_watch_read_all(
+				&fixture.vms[i].entry.rows.own_table);
+	}
+	before = count_other_reads(&fixture);
+	support_run_loop_ms(6000);
+	/* Each sends the first read after the full one. */
+	assert_true(count_other_reads(&fixture) - before <=
+		    (uint64_t)3 * (VMS - 8));
+	stop(&fixture);
+}
+
 /* Guards against servers that come back from an older copy of the store. */
 static void test_store_is_restored(void **state)
 {
@@ -456,6 +481,7 @@
 		cmocka_unit_test(test_config_in_lost_answers),
 		cmocka_unit_test(test_config_after_readers_end),
 		cmocka_unit_test(test_others_read_seldom),
+		cmocka_unit_test(test_full_read_after_removal),
 		cmocka_unit_test(test_store_is_restored),
 	};
 
