Send no body in responses to HEAD

Cause: the VM's own responses, and those to requests that are rejected while they are read, did not look at the method; only answers that are passed on did. Streams would have sent their chunks to a HEAD as well.

Change: a response to HEAD ends with its head, whichever function gives it, with the fields that it would have with a body. The method is stored with the request's target, so that a request rejected in its head has one too.

Ruled out: bytes of the server; the record names them, "the connection to the backend server ended".

Conclusion: framing depends on the method in every response.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -112,17 +112,20 @@
 		g_string_append(out, "Connection: close\r\n");
 }
 
+/* Returns whether a response with a status has a body. */
+static bool has_body(const exchange_t *exchange, unsigned status)
+{
+	return status != 204 && status != 304 &&
+	       !ingress_connection_is_head(exchange->connection);
+}
+
 /* Appends the head of a complete response. */
 static void append_complete_head(const exchange_t *exchange, GString *out,
 				 unsigned status, const http_headers_t *headers,
 				 size_t body_len)
 {
-	bool no_body =
-		status == 204 || status == 304 ||
-		g_str_equal(exchange_head(exchange)->method->str, "HEAD");
-
 	append_head(exchange, out, status, headers);
-	if (!no_body)
+	if (has_body(exchange, status))
 		http_append_int(out, "Content-Length", (int64_t)body_len);
 	g_string_append(out, "\r\n");
 }
@@ -135,7 +138,8 @@
 	GString *out = g_string_sized_new(512 + body.len);
 
 	append_complete_head(exchange, out, status, headers, body.len);
-	g_string_append_len(out, body.data, (gssize)body.len);
+	if (has_body(exchange, status))
+		g_string_append_len(out, body.data, (gssize)body.len);
 	tcp_write(tcp, out->str, out->len);
 	g_string_free(out, TRUE);
 	end_exchange(exchange);
@@ -151,8 +155,11 @@
 
 	append_complete_head(exchange, out, status, headers,
 			     g_bytes_get_size(body));
-	tcp_write_with_body(&exchange->connection->tcp, str_from_gstring(out),
-			    body);
+	if (has_body(exchange, status))
+		tcp_write_with_body(&exchange->connection->tcp,
+				    str_from_gstring(out), body);
+	else
+		tcp_write(&exchange->connection->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
 	end_exchange(exchange);
 }
@@ -166,7 +173,8 @@
 	GString *out = g_string_new(NULL);
 
 	ingress_append_text_response(out, status, retry_after_us, text,
-				     !closes_connection(exchange));
+				     !closes_connection(exchange),
+				     has_body(exchange, status));
 	tcp_write(&exchange->connection->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
 	end_exchange(exchange);
@@ -195,13 +203,13 @@
 }
 
 /* Sends a piece of a stream's body as one chunk. An empty piece is left out, as
- * an empty chunk would end the body.
+ * an empty chunk would end the body, and all of the body of a response to HEAD.
  */
 void exchange_write(exchange_t *exchange, const char *data, size_t len)
 {
 	GString *out;
 
-	if (len == 0)
+	if (len == 0 || ingress_connection_is_head(exchange->connection))
 		return;
 	out = g_string_sized_new(len + 16);
 	if (exchange->connection->takes_chunks)
@@ -225,7 +233,8 @@
 /* Ends a stream whose body is complete. Ends the exchange. */
 void exchange_end_stream(exchange_t *exchange)
 {
-	if (exchange->connection->takes_chunks)
+	if (exchange->connection->takes_chunks &&
+	    !ingress_connection_is_head(exchange->connection))
 		tcp_write(&exchange->connection->tcp, "0\r\n\r\n", 5);
 	end_exchange(exchange);
 }
--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -82,11 +82,12 @@
 	return 0;
 }
 
-/* Appends a piece of the request target. */
+/* Appends a piece of the request target. The method is known by now. */
 static int on_url(http_parser *parser, const char *at, size_t len)
 {
 	http_message_t *message = parser->data;
 
+	g_string_assign(message->head.method, http_method_str(parser->method));
 	if (!count_head_bytes(message, len))
 		return 1;
 	g_string_append_len(message->head.target, at, (gssize)len);
@@ -210,10 +211,7 @@
 	message->head.takes_chunks =
 		parser->http_major > 1 ||
 		(parser->http_major == 1 && parser->http_minor >= 1);
-	if (message->is_request)
-		g_string_assign(message->head.method,
-				http_method_str(parser->method));
-	else
+	if (!message->is_request)
 		message->head.body_until_close = body_ends_at_eof(message);
 	message->head.body_bytes = stated_body_bytes(message);
 	if (!message->handler->on_head(message->context, &message->head)) {
--- a/src/connection/ingress_read.c
+++ b/src/connection/ingress_read.c
@@ -3,12 +3,20 @@
 /* Retry-After of a request whose body found no room. Bodies that come slowly take seconds. */
 #define BODY_ROOM_RETRY_US (1 * CLOCK_US_PER_S)
 
+/* Returns whether the request that is read or answered is a HEAD, whose response has no
+ * body; its fields are those of the response with one.
+ */
+bool ingress_connection_is_head(const ingress_connection_t *connection)
+{
+	return g_str_equal(connection->message.head.method->str, "HEAD");
+}
+
 /* Appends a response with a plain text, which the router gives by itself. A
  * retry_after_us of 0 leaves Retry-After out.
  */
 void ingress_append_text_response(GString *out, unsigned status,
 				  int64_t retry_after_us, const char *text,
-				  bool keep_alive)
+				  bool keep_alive, bool has_body)
 {
 	g_string_append_printf(out, "HTTP/1.1 %u %s\r\n", status,
 			       http_reason(status));
@@ -20,8 +28,10 @@
 		g_string_append(out, "Connection: close\r\n");
 	g_string_append_printf(out,
 			       "Content-Type: text/plain\r\n"
-			       "Content-Length: %zu\r\n\r\n%s\n",
-			       strlen(text) + 1, text);
+			       "Content-Length: %zu\r\n\r\n",
+			       strlen(text) + 1);
+	if (has_body)
+		g_string_append_printf(out, "%s\n", text);
 }
 
 /* Answers a request that cannot be read to its end, and closes. With a status 503, it has found
@@ -37,7 +47,7 @@
 	ingress_append_text_response(
 		out, status, has_no_room ? BODY_ROOM_RETRY_US : 0,
 		has_no_room ? INGRESS_NO_ROOM_REASON : http_reason(status),
-		false);
+		false, !ingress_connection_is_head(connection));
 	tcp_write(&connection->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
 	if (has_no_room && ingress->handler->on_no_room)
--- a/tests/test_ingress.c
+++ b/tests/test_ingress.c
@@ -336,6 +336,77 @@
 	finish(&server);
 }
 
+/* Returns whether the caller has received heads of responses alone, as many as given. */
+static bool has_heads_only(const server_t *server, unsigned n)
+{
+	return count(server, "HTTP/1.1 ") == n &&
+	       count(server, "\r\n\r\n") == n &&
+	       g_str_has_suffix(server->received->str, "\r\n\r\n");
+}
+
+/* Guards against a body in a response to HEAD: its bytes stand on the connection with no
+ * request waiting, or pass for the start of the next response. All ways to answer are tried,
+ * one after the other on one connection.
+ */
+static void test_no_body_to_head(void **state)
+{
+	static const char request[] = "HEAD /1 HTTP/1.1\r\n\r\n";
+	http_headers_t headers;
+	GBytes *body = g_bytes_new_static("body", 4);
+	server_t server;
+
+	init(&server);
+	http_headers_init(&headers);
+	for (unsigned n = 1; n <= 4; n++) {
+		send_text(&server, request);
+		receive_for(&server, 30);
+		assert_non_null(server.exchange);
+		if (n == 1)
+			exchange_reply_text(server.exchange, 503, 1000, "full");
+		else if (n == 2)
+			exchange_reply(server.exchange, 200, &headers,
+				       STR("body"));
+		else if (n == 3)
+			exchange_reply_shared(server.exchange, 200, &headers,
+					      body);
+		else
+			exchange_start_stream(server.exchange, 200, &headers);
+		if (n == 4) {
+			exchange_write(server.exchange, "body", 4);
+			exchange_end_stream(server.exchange);
+		}
+		server.exchange = NULL;
+		receive_for(&server, 30);
+		assert_true(has_heads_only(&server, n));
+	}
+	http_headers_finish(&headers);
+	g_bytes_unref(body);
+	finish(&server);
+}
+
+/* Guards against the same in a response to a HEAD that is rejected while it is read. */
+static void test_no_body_to_rejected_head(void **state)
+{
+	static const char *const requests[] = {
+		"HEAD / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n",
+		"HEAD / HTTP/1.1\r\nContent-Length: 1\r\n"
+		"Content-Length: 2\r\n\r\n",
+		"HEAD / HTTP/1.1\r\nbad field\r\n\r\n",
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(requests); i++) {
+		server_t server;
+
+		init(&server);
+		send_text(&server, requests[i]);
+		receive_for(&server, 30);
+		assert_int_equal(server.requests, 0);
+		assert_true(has_heads_only(&server, 1));
+		assert_int_equal(count(&server, "HTTP/1.1 4"), 1);
+		finish(&server);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -348,6 +419,8 @@
 		cmocka_unit_test(test_cut_stream),
 		cmocka_unit_test(test_unread_request_at_the_end),
 		cmocka_unit_test(test_half_a_request_at_the_end),
+		cmocka_unit_test(test_no_body_to_head),
+		cmocka_unit_test(test_no_body_to_rejected_head),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
