Store the losses under a rule when it begins

Cause: a rule is stored once its servers are gone from the list, some 3 s after the last crash. Until then the VMs alone knew of it.

Change: the losses on which a rule rests are written when it begins, with server and time, by a VM that has seen one of them and reaches all services. A VM that starts later adds them to its evidence, where servers that it hears from refute them and servers that are gone confirm them.

Ruled out: that the rule was stored and not applied; the store has no row at the time of the kill. Not chosen: the rule's own row at once, as it holds at VMs that start later whether the servers are gone or not (test_rule_is_stored).

Conclusion: evidence is stored as evidence, at the moment from which a rule needs it.

--- a/src/process/decide/quarantine.c
+++ b/src/process/decide/quarantine.c
@@ -21,10 +21,8 @@
 #define ANNOUNCE_US INT64_C(60000000)
 #define WITHDRAWN_UNTIL_US INT64_C(5000000)
 
-/* Losses of different servers that are kept of a rule in force when others need the room: more
- * than any rule has to rest on.
- */
-#define LOSSES_KEPT_OF_RULE 8
+/* Stands for the process of the VM that has seen a loss which was read from the store. */
+#define STORED_LOSS_VM UINT64_MAX
 
 /* A loss that this VM has seen or that a peer has announced. */
 typedef struct {
@@ -111,11 +109,11 @@
 static void mark_latest(const quarantine_t *quarantine,
 			const quarantine_rule_t *rule, bool *marked)
 {
-	uint64_t servers[LOSSES_KEPT_OF_RULE];
+	uint64_t servers[QUARANTINE_LOSSES_OF_RULE];
 	unsigned n = 0;
 
 	for (guint i = quarantine->losses->len;
-	     i-- > 0 && n < LOSSES_KEPT_OF_RULE;) {
+	     i-- > 0 && n < QUARANTINE_LOSSES_OF_RULE;) {
 		const entry_t *entry = get_entry(quarantine, i);
 		bool known = false;
 
@@ -285,6 +283,19 @@
 	}
 }
 
+/* Adds a loss that another VM has seen. */
+static void add_loss_of(quarantine_t *quarantine, uint64_t vm,
+			const quarantine_loss_t *loss)
+{
+	entry_t entry = {.loss = *loss, .vm = vm};
+
+	entry.server =
+		quarantine->find_server(quarantine->context, loss->server);
+	if (entry.server)
+		(void)server_ref(entry.server);
+	add_entry(quarantine, &entry);
+}
+
 /* Applies the losses that a peer announces. `vm` identifies the peer's process and
  * is not 0; the losses of an earlier process are kept.
  */
@@ -294,15 +305,52 @@
 {
 	drop_withdrawn(quarantine, vm, losses, n_losses, now_us);
 	for (size_t i = 0; i < n_losses; i++) {
-		entry_t entry = {.loss = losses[i], .vm = vm};
+		if (!is_known(quarantine, vm, &losses[i]))
+			add_loss_of(quarantine, vm, &losses[i]);
+	}
+}
 
-		if (is_known(quarantine, vm, &losses[i]))
-			continue;
-		entry.server = quarantine->find_server(quarantine->context,
-						       losses[i].server);
-		if (entry.server)
-			(void)server_ref(entry.server);
-		add_entry(quarantine, &entry);
+/* Returns whether a loss of the same server with all keys of another loss is known. */
+static bool is_covered(const quarantine_t *quarantine,
+		       const quarantine_loss_t *loss)
+{
+	quarantine_rule_t rule = {.n_keys = loss->n_keys};
+
+	memcpy(rule.keys, loss->keys, sizeof(rule.keys));
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		const quarantine_loss_t *known =
+			&get_entry(quarantine, i)->loss;
+
+		if (known->server == loss->server && has_all_keys(known, &rule))
+			return true;
+	}
+	return false;
+}
+
+/* Adds a loss that VMs which have ended had stored, unless it is known. It counts like one
+ * that a peer announces.
+ */
+void quarantine_add_stored_loss(quarantine_t *quarantine,
+				const quarantine_loss_t *loss)
+{
+	if (!is_covered(quarantine, loss))
+		add_loss_of(quarantine, STORED_LOSS_VM, loss);
+}
+
+/* Replaces `losses`, of quarantine_loss_t, by the latest losses of different servers under a
+ * rule, QUARANTINE_LOSSES_OF_RULE at most.
+ */
+void quarantine_list_under(const quarantine_t *quarantine,
+			   const quarantine_rule_t *rule, GArray *losses)
+{
+	bool marked[QUARANTINE_LOSSES_MAX] = {false};
+
+	mark_latest(quarantine, rule, marked);
+	g_array_set_size(losses, 0);
+	for (guint i = 0; i < quarantine->losses->len; i++) {
+		if (marked[i])
+			g_array_append_val(losses,
+					   get_entry(quarantine, i)->loss);
 	}
 }
 
--- a/src/process/decide/quarantine.h
+++ b/src/process/decide/quarantine.h
@@ -44,6 +44,11 @@
 #define QUARANTINE_LOSSES_ANNOUNCED 16
 #define QUARANTINE_SOUND_ANNOUNCED 32
 
+/* Most losses, of different servers, that are kept of a rule in force when others need the
+ * room, and that are listed of a rule: more than any rule has to rest on.
+ */
+#define QUARANTINE_LOSSES_OF_RULE 8
+
 /* A server that was lost while it began a request. */
 typedef struct {
 	uint64_t server; /* identifies its process */
@@ -96,6 +101,10 @@
 void quarantine_apply_peer(quarantine_t *quarantine, uint64_t vm,
 			   const quarantine_loss_t *losses, size_t n_losses,
 			   int64_t now_us);
+void quarantine_add_stored_loss(quarantine_t *quarantine,
+				const quarantine_loss_t *loss);
+void quarantine_list_under(const quarantine_t *quarantine,
+			   const quarantine_rule_t *rule, GArray *losses);
 bool quarantine_put_stored(quarantine_t *quarantine,
 			   const quarantine_rule_t *rule);
 void quarantine_remove_stored(quarantine_t *quarantine,
--- a/src/process/entry/entry.c
+++ b/src/process/entry/entry.c
@@ -437,6 +437,8 @@
 			 entry->announce.incarnation);
 	quarantine_rows_init(&entry->quarantine_rows, clock, &entry->store_pool,
 			     &entry->relay.quarantine, entry->settings.vm);
+	loss_rows_init(&entry->loss_rows, clock, &entry->store_pool,
+		       &entry->relay.quarantine, entry->settings.vm);
 	entry->unreached =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	entry->logged_rules =
@@ -494,6 +496,7 @@
 		stage_orders_finish(&entry->orders);
 		vm_expiry_finish(&entry->vm_expiry);
 		quarantine_rows_finish(&entry->quarantine_rows);
+		loss_rows_finish(&entry->loss_rows);
 		software_row_finish(&entry->software_row);
 		origin_rows_finish(&entry->origin_rows);
 		g_array_unref(entry->logged_rules);
--- a/src/process/entry/entry.h
+++ b/src/process/entry/entry.h
@@ -10,6 +10,7 @@
 #include "process/decide/drain.h"
 #include "process/decide/list_readers.h"
 #include "process/entry/entry_settings.h"
+#include "process/entry/loss_rows.h"
 #include "process/entry/origin_rows.h"
 #include "process/entry/quarantine_rows.h"
 #include "process/entry/software_row.h"
@@ -50,6 +51,7 @@
 	stage_orders_t orders;
 	vm_expiry_t vm_expiry;
 	quarantine_rows_t quarantine_rows;
+	loss_rows_t loss_rows;
 	software_row_t software_row;
 	origin_rows_t origin_rows;
 	int64_t origins_era; /* of the store, when streams were last written */
--- a/src/process/entry/entry_quarantine.c
+++ b/src/process/entry/entry_quarantine.c
@@ -115,6 +115,8 @@
 	quarantine_t *quarantine = &entry->relay.quarantine;
 	bool overflowed = quarantine->overflowed;
 
+	if (entry->rows.server_list.synced)
+		loss_rows_apply(&entry->loss_rows);
 	if (quarantine_has_evidence(quarantine))
 		quarantine->vm_rank = occupancy_rank(
 			&entry->occupancy, entry->settings.vm, now_us);
@@ -127,4 +129,6 @@
 	set_announced(entry, now_us);
 	quarantine_rows_check(&entry->quarantine_rows,
 			      entry->settings.store_address, now_us);
+	loss_rows_check(&entry->loss_rows, entry->settings.store_address,
+			g_hash_table_size(entry->unreached) == 0, now_us);
 }
--- a/src/process/entry/entry_updates.c
+++ b/src/process/entry/entry_updates.c
@@ -121,6 +121,15 @@
 	quarantine_rows_put(&entry->quarantine_rows, key, value, row_version);
 }
 
+/* Applies a row on losses of servers, or its removal. */
+static void on_losses_row(void *context, const char *key, str_t value,
+			  int64_t row_version)
+{
+	entry_t *entry = context;
+
+	loss_rows_put(&entry->loss_rows, key, value, row_version);
+}
+
 /* Applies the record of the servers' versions of their software. */
 static void on_software_row(void *context, str_t value, int64_t row_version)
 {
@@ -136,6 +145,7 @@
 
 	software_row_begin_sync(&entry->software_row);
 	quarantine_rows_begin_sync(&entry->quarantine_rows);
+	loss_rows_begin_sync(&entry->loss_rows);
 }
 
 const store_rows_handler_t entry_rows_handler = {
@@ -146,6 +156,7 @@
 	.on_vm = on_vm,
 	.on_round = on_round,
 	.on_crash_row = on_crash_row,
+	.on_losses_row = on_losses_row,
 	.on_software_row = on_software_row,
 	.on_own_sync = on_own_sync,
 	.choose_list_reader = entry_choose_list_reader,
--- a/src/process/entry/quarantine_rows.c
+++ b/src/process/entry/quarantine_rows.c
@@ -60,19 +60,20 @@
 	g_hash_table_unref(rows->rows);
 }
 
-/* Returns the key of a rule's row; freed with g_free(). */
-static char *format_key(const quarantine_rule_t *rule)
+/* Returns the key of a row for a rule: a prefix and the rule's keys; freed with g_free(). */
+char *quarantine_rows_format_key(const char *prefix,
+				 const quarantine_rule_t *rule)
 {
-	GString *key = g_string_new(STORE_CRASH_PREFIX);
+	GString *key = g_string_new(prefix);
 
 	request_keys_append(key, rule->keys, rule->n_keys, '-');
 	return g_string_free(key, FALSE);
 }
 
-/* Reads the keys of a rule from the key of its row. */
-static bool read_key(const char *key, quarantine_rule_t *rule)
+/* Reads the keys of a rule from the key of its row, behind its prefix. */
+bool quarantine_rows_read_keys(const char *text, quarantine_rule_t *rule)
 {
-	const char *at = key + strlen(STORE_CRASH_PREFIX);
+	const char *at = text;
 
 	for (;;) {
 		char *end;
@@ -89,15 +90,28 @@
 	}
 }
 
-/* Returns the milliseconds of the time of day at which a rule's last loss was.
- * The clocks of VMs may differ by seconds, which is little against the time for
- * which a rule holds.
+/* Returns the time of day in ms of a time on the VM's clock. The clocks of VMs may differ by
+ * seconds, which is little against the time for which a rule holds.
  */
-static int64_t lost_at_ms(const quarantine_rule_t *rule, int64_t now_us)
+int64_t quarantine_rows_wall_ms(int64_t time_us, int64_t now_us)
 {
 	clock_source_t wall = clock_realtime();
 
-	return (clock_now(&wall) - (now_us - rule->lost_us)) / CLOCK_US_PER_MS;
+	return (clock_now(&wall) - (now_us - time_us)) / CLOCK_US_PER_MS;
+}
+
+/* Sets the time on the VM's clock, no later than now, of a time of day in ms. Returns false if
+ * there is none.
+ */
+bool quarantine_rows_time_us(int64_t wall_ms, int64_t now_us, int64_t *time_us)
+{
+	clock_source_t wall = clock_realtime();
+
+	if (wall_ms < 0 || wall_ms > INT64_MAX / CLOCK_US_PER_MS)
+		return false;
+	*time_us =
+		now_us - MAX(clock_now(&wall) - wall_ms * CLOCK_US_PER_MS, 0);
+	return true;
 }
 
 /* Returns the value of a rule's row, freed with g_free(): the time of the last loss, the
@@ -109,15 +123,14 @@
 	int64_t span_us = rule->first_us ? rule->lost_us - rule->first_us : 0;
 
 	return g_strdup_printf("%" PRId64 " %u %" PRId64 " %u",
-			       lost_at_ms(rule, now_us), rule->servers,
-			       span_us / CLOCK_US_PER_MS,
+			       quarantine_rows_wall_ms(rule->lost_us, now_us),
+			       rule->servers, span_us / CLOCK_US_PER_MS,
 			       rule->once_sound ? 1 : 0);
 }
 
 /* Reads the value of a rule's row. */
 static bool read_value(str_t value, int64_t now_us, quarantine_rule_t *rule)
 {
-	clock_source_t wall = clock_realtime();
 	char *text = str_dup(value);
 	int64_t lost_ms;
 	int64_t span_ms = 0;
@@ -126,10 +139,8 @@
 		       &rule->servers, &span_ms, &once_sound);
 
 	g_free(text);
-	if (n < 2 || lost_ms < 0 || lost_ms > INT64_MAX / CLOCK_US_PER_MS)
+	if (n < 2 || !quarantine_rows_time_us(lost_ms, now_us, &rule->lost_us))
 		return false;
-	rule->lost_us =
-		now_us - MAX(clock_now(&wall) - lost_ms * CLOCK_US_PER_MS, 0);
 	span_ms = CLAMP(span_ms, 0, QUARANTINE_US / CLOCK_US_PER_MS);
 	rule->first_us = rule->lost_us - span_ms * CLOCK_US_PER_MS;
 	rule->once_sound = once_sound != 0;
@@ -155,7 +166,7 @@
 {
 	quarantine_rule_t rule = {0};
 
-	if (!read_key(key, &rule))
+	if (!quarantine_rows_read_keys(key + strlen(STORE_CRASH_PREFIX), &rule))
 		return;
 	quarantine_remove_stored(rows->quarantine, &rule);
 	g_hash_table_remove(rows->rows, key);
@@ -183,7 +194,8 @@
 		remove_row(rows, key);
 		return;
 	}
-	if (!read_key(key, &row.rule) ||
+	if (!quarantine_rows_read_keys(key + strlen(STORE_CRASH_PREFIX),
+				       &row.rule) ||
 	    !read_value(value, now_us, &row.rule)) {
 		log_event(LOG_WARN, "crash_row_unreadable",
 			  LOG_CSTR("key", key));
@@ -228,7 +240,8 @@
 	for (guint i = 0; i < rules->len; i++) {
 		const quarantine_rule_t *rule =
 			&g_array_index(rules, quarantine_rule_t, i);
-		char *key = format_key(rule);
+		char *key =
+			quarantine_rows_format_key(STORE_CRASH_PREFIX, rule);
 		const row_t *row = g_hash_table_lookup(rows->rows, key);
 		bool missing = is_missing(rows, rule, row, now_us);
 
--- a/src/process/entry/quarantine_rows.h
+++ b/src/process/entry/quarantine_rows.h
@@ -18,6 +18,11 @@
 	bool has_left_rows; /* there are more than are used; logged */
 } quarantine_rows_t;
 
+char *quarantine_rows_format_key(const char *prefix,
+				 const quarantine_rule_t *rule);
+bool quarantine_rows_read_keys(const char *text, quarantine_rule_t *rule);
+int64_t quarantine_rows_wall_ms(int64_t time_us, int64_t now_us);
+bool quarantine_rows_time_us(int64_t wall_ms, int64_t now_us, int64_t *time_us);
 void quarantine_rows_init(quarantine_rows_t *rows, clock_source_t clock,
 			  http_pool_t *pool, quarantine_t *quarantine,
 			  const char *vm);
--- a/src/process/entry/store_rows.c
+++ b/src/process/entry/store_rows.c
@@ -567,6 +567,17 @@
 				    row->value ? row->version : 0);
 }
 
+/* Applies a row on losses of servers. */
+static void losses_row(store_rows_t *rows, const store_row_t *row)
+{
+	str_t value = {NULL, 0};
+
+	if (row->value)
+		value = str_from_gstring(row->value);
+	rows->handler->on_losses_row(rows->context, row->key, value,
+				     row->value ? row->version : 0);
+}
+
 /* Applies the record of the servers' versions of their software. */
 static void software_record(store_rows_t *rows, const store_row_t *row)
 {
@@ -579,7 +590,7 @@
 }
 
 /* Applies a row of this project's table: an entry VM, a round of orders, requests
- * that crash servers or the servers' versions. Rows that a later build writes are
+ * that crash servers, losses of servers or the servers' versions. Rows that a later build writes are
  * ignored.
  */
 static void own_row(void *context, const store_row_t *row)
@@ -590,6 +601,8 @@
 		vm_row(rows, row);
 	else if (g_str_has_prefix(row->key, STORE_CRASH_PREFIX))
 		crash_row(rows, row);
+	else if (g_str_has_prefix(row->key, STORE_LOSSES_PREFIX))
+		losses_row(rows, row);
 	else if (g_str_equal(row->key, STORE_SOFTWARE_KEY))
 		software_record(rows, row);
 	else if (row->value && row->value->len &&
--- a/src/process/entry/store_rows.h
+++ b/src/process/entry/store_rows.h
@@ -17,6 +17,9 @@
 /* Prefix of the keys of rows that hold requests which crash servers. */
 #define STORE_CRASH_PREFIX "crash/"
 
+/* The same of rows that hold losses on which a rule may rest. */
+#define STORE_LOSSES_PREFIX "losses/"
+
 /* Key of the row that holds the versions of the servers' software. */
 #define STORE_SOFTWARE_KEY "software"
 
@@ -42,6 +45,9 @@
 	 */
 	void (*on_crash_row)(void *context, const char *key, str_t value,
 			     int64_t row_version);
+	/* The same of a row on losses of servers. */
+	void (*on_losses_row)(void *context, const char *key, str_t value,
+			      int64_t row_version);
 	/* The record of the servers' versions was read or has changed. When it
 	 * was removed, `value` is empty and `row_version` 0.
 	 */
--- a/tests/support_store_reader.c
+++ b/tests/support_store_reader.c
@@ -52,6 +52,7 @@
 	.on_vm = on_vm,
 	.on_round = on_round,
 	.on_crash_row = on_crash_row,
+	.on_losses_row = on_crash_row,
 	.on_departure = on_departure,
 	.on_return = on_departure,
 	.on_software_row = on_software_row,
