--- a/src/process/entry/loss_rows.c
+++ b/src/process/entry/loss_rows.c
@@ -2,13 +2,11 @@
 
 #include <inttypes.h>
 
-#include "names.h"
 #include "process/decide/quarantine_rules.h"
 #include "process/entry/quarantine_rows.h"
 #include "process/entry/store_rows.h"
 #include "process/log.h"
 #include "request/request_keys.h"
-#include "store_call.h"
 
 /* Pause after a write that failed. */
 #define RETRY_US (1 * CLOCK_US_PER_S)
@@ -205,7 +203,6 @@
 			 const char *key, int64_t row_version,
 			 const char *store_address, int64_t now_us)
 {
-	GString *message = g_string_new(NULL);
 	GString *value = g_string_new(NULL);
 
 	quarantine_list_under(rows->quarantine, rule, rows->losses);
@@ -218,12 +215,10 @@
 							       now_us),
 				       loss->server);
 	}
-	store_append_put_if(message, store_address, TABLE_ROUTER, key,
-			    str_from_gstring(value), row_version);
-	store_call_send(&rows->call, store_address, message,
-			now_us + CALL_TIMEOUT_US, on_done, rows);
+	store_call_put_own(&rows->call, store_address, key,
+			   str_from_gstring(value), row_version,
+			   now_us + CALL_TIMEOUT_US, on_done, rows);
 	g_string_free(value, TRUE);
-	g_string_free(message, TRUE);
 }
 
 /* Writes the losses under one rule that the store lacks. True if there was one. */
@@ -259,17 +254,13 @@
 	g_hash_table_iter_init(&iter, rows->rows);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const row_t *row = value;
-		GString *message;
 
 		if (!row->version ||
 		    now_us < row->lost_us + KEPT_US + rows->removal_delay_us)
 			continue;
-		message = g_string_new(NULL);
-		store_append_remove_if(message, store_address, TABLE_ROUTER,
-				       key, row->version);
-		store_call_send(&rows->call, store_address, message,
-				now_us + CALL_TIMEOUT_US, on_done, rows);
-		g_string_free(message, TRUE);
+		store_call_remove_own(&rows->call, store_address, key,
+				      row->version, now_us + CALL_TIMEOUT_US,
+				      on_done, rows);
 		return;
 	}
 }
--- a/src/process/entry/quarantine_rows.c
+++ b/src/process/entry/quarantine_rows.c
@@ -2,11 +2,9 @@
 
 #include <inttypes.h>
 
-#include "names.h"
 #include "process/entry/store_rows.h"
 #include "process/log.h"
 #include "request/request_keys.h"
-#include "store_call.h"
 
 /* Pauses between checks, and after a write that failed. */
 #define CHECK_US (100 * CLOCK_US_PER_MS)
@@ -246,16 +244,13 @@
 		bool missing = is_missing(rows, rule, row, now_us);
 
 		if (missing) {
-			GString *message = g_string_new(NULL);
 			char *value = format_value(rule, now_us);
 
-			store_append_put_if(message, store_address,
-					    TABLE_ROUTER, key, str_from(value),
-					    row ? row->version : 0);
-			store_call_send(&rows->call, store_address, message,
-					now_us + CALL_TIMEOUT_US, on_done,
-					rows);
-			g_string_free(message, TRUE);
+			store_call_put_own(&rows->call, store_address, key,
+					   str_from(value),
+					   row ? row->version : 0,
+					   now_us + CALL_TIMEOUT_US, on_done,
+					   rows);
 			g_free(value);
 		}
 		g_free(key);
@@ -292,16 +287,12 @@
 	g_hash_table_iter_init(&iter, rows->rows);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		const row_t *row = value;
-		GString *message;
 
 		if (!is_removable(rows, row, now_us))
 			continue;
-		message = g_string_new(NULL);
-		store_append_remove_if(message, store_address, TABLE_ROUTER,
-				       key, row->version);
-		store_call_send(&rows->call, store_address, message,
-				now_us + CALL_TIMEOUT_US, on_done, rows);
-		g_string_free(message, TRUE);
+		store_call_remove_own(&rows->call, store_address, key,
+				      row->version, now_us + CALL_TIMEOUT_US,
+				      on_done, rows);
 		return;
 	}
 }
--- a/src/process/entry/software_row.c
+++ b/src/process/entry/software_row.c
@@ -1,9 +1,7 @@
 #include "process/entry/software_row.h"
 
-#include "names.h"
 #include "process/entry/store_rows.h"
 #include "process/log.h"
-#include "store_call.h"
 
 /* Pauses between checks, and after a write. */
 #define CHECK_US (50 * CLOCK_US_PER_MS)
@@ -114,17 +112,13 @@
 static void write_record(software_row_t *row, const software_record_t *record,
 			 const char *store_address, int64_t now_us)
 {
-	GString *message = g_string_new(NULL);
 	GString *value = g_string_new(NULL);
 
 	software_record_format(record, value);
-	store_append_put_if(message, store_address, TABLE_ROUTER,
-			    STORE_SOFTWARE_KEY, str_from_gstring(value),
-			    row->row_version);
-	store_call_send(&row->call, store_address, message,
-			now_us + CALL_TIMEOUT_US, on_done, row);
+	store_call_put_own(&row->call, store_address, STORE_SOFTWARE_KEY,
+			   str_from_gstring(value), row->row_version,
+			   now_us + CALL_TIMEOUT_US, on_done, row);
 	g_string_free(value, TRUE);
-	g_string_free(message, TRUE);
 }
 
 /* Writes the record if it has been wrong for as long as the VMs before this one had
--- a/src/process/entry/stage_orders.c
+++ b/src/process/entry/stage_orders.c
@@ -314,19 +314,16 @@
 static void write_row(stage_orders_t *orders, int64_t row_version,
 		      int64_t now_ms)
 {
-	GString *message = g_string_new(NULL);
 	GString *value = format_round(orders, now_ms);
 	char *key = round_key(orders);
 
-	store_append_put_if(message, orders->store_address, TABLE_ROUTER, key,
-			    str_from_gstring(value), row_version);
 	orders->write_sent_us = clock_now(&orders->clock);
-	store_call_send(&orders->call, orders->store_address, message,
-			orders->write_sent_us + CALL_TIMEOUT_US, on_written,
-			orders);
+	store_call_put_own(&orders->call, orders->store_address, key,
+			   str_from_gstring(value), row_version,
+			   orders->write_sent_us + CALL_TIMEOUT_US, on_written,
+			   orders);
 	g_free(key);
 	g_string_free(value, TRUE);
-	g_string_free(message, TRUE);
 }
 
 /* Returns the row with a key, or NULL when it is not there. */
--- a/src/process/entry/store.c
+++ b/src/process/entry/store.c
@@ -1,5 +1,6 @@
 #include "process/entry/store.h"
 
+#include "names.h"
 #include "store_call.h"
 
 /* Largest body of an answer. The store puts 1 MB of rows into one. */
@@ -115,6 +116,36 @@
 	alarm_set(&call->deadline, deadline_us);
 }
 
+/* Writes a row of this project's own table if it has the given version; 0 means that it does not
+ * exist. Otherwise as store_call_send().
+ */
+void store_call_put_own(store_call_t *call, const char *address,
+			const char *key, str_t value, int64_t row_version,
+			int64_t deadline_us, store_done_fn_t done,
+			void *context)
+{
+	GString *message = g_string_new(NULL);
+
+	store_append_put_if(message, address, TABLE_ROUTER, key, value,
+			    row_version);
+	store_call_send(call, address, message, deadline_us, done, context);
+	g_string_free(message, TRUE);
+}
+
+/* Removes such a row if it has the given version. */
+void store_call_remove_own(store_call_t *call, const char *address,
+			   const char *key, int64_t row_version,
+			   int64_t deadline_us, store_done_fn_t done,
+			   void *context)
+{
+	GString *message = g_string_new(NULL);
+
+	store_append_remove_if(message, address, TABLE_ROUTER, key,
+			       row_version);
+	store_call_send(call, address, message, deadline_us, done, context);
+	g_string_free(message, TRUE);
+}
+
 /* Cancels a call in progress, if any; `done` is not called. */
 void store_call_cancel(store_call_t *call)
 {
--- a/src/process/entry/store.h
+++ b/src/process/entry/store.h
@@ -39,6 +39,14 @@
 void store_call_send(store_call_t *call, const char *address,
 		     const GString *message, int64_t deadline_us,
 		     store_done_fn_t done, void *context);
+void store_call_put_own(store_call_t *call, const char *address,
+			const char *key, str_t value, int64_t row_version,
+			int64_t deadline_us, store_done_fn_t done,
+			void *context);
+void store_call_remove_own(store_call_t *call, const char *address,
+			   const char *key, int64_t row_version,
+			   int64_t deadline_us, store_done_fn_t done,
+			   void *context);
 void store_call_cancel(store_call_t *call);
 bool store_call_is_busy(const store_call_t *call);
 
--- a/src/process/entry/vm_expiry.c
+++ b/src/process/entry/vm_expiry.c
@@ -1,10 +1,8 @@
 #include "process/entry/vm_expiry.h"
 
-#include "names.h"
 #include "process/entry/store_rows.h"
 #include "process/log.h"
 #include "request/retry.h"
-#include "store_call.h"
 
 /* Mean interval between the checks of all VMs together: each VM checks the less
  * often, the more VMs there are.
@@ -69,7 +67,6 @@
 	unsigned vm_count = g_hash_table_size(expiry->row_versions) + 1;
 	const char *vm;
 	const int64_t *version;
-	GString *message;
 	char *key;
 
 	if (now_us < expiry->next_check_us || store_call_is_busy(&expiry->call))
@@ -85,11 +82,7 @@
 	log_event(LOG_INFO, "vm_lapsed", LOG_CSTR("peer", vm),
 		  LOG_INT("row_version", *version));
 	key = g_strconcat(STORE_VM_PREFIX, vm, NULL);
-	message = g_string_new(NULL);
-	store_append_remove_if(message, store_address, TABLE_ROUTER, key,
-			       *version);
-	store_call_send(&expiry->call, store_address, message,
-			now_us + CALL_TIMEOUT_US, on_removed, expiry);
-	g_string_free(message, TRUE);
+	store_call_remove_own(&expiry->call, store_address, key, *version,
+			      now_us + CALL_TIMEOUT_US, on_removed, expiry);
 	g_free(key);
 }
