Test what VMs tell each other of the configuration's age

A request for the server list from a build that names no known configuration, and an answer that states no age, or none that can be one, mean that nothing is known.

--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -464,6 +464,86 @@
 	g_string_free(out, TRUE);
 }
 
+/* Returns the target of a request's first line, freed with g_free(). */
+static char *request_target(const GString *message)
+{
+	char **words = g_strsplit(message->str, " ", 3);
+	char *target = g_strdup(words[1]);
+
+	g_strfreev(words);
+	return target;
+}
+
+/* Guards against a read of the server list that another VM asks for and that is misread, also by
+ * or from a build that knows nothing of the other tables.
+ */
+static void test_relayed_feed(void **state)
+{
+	const store_feed_request_t sent = {
+		.after = 7, .wait_us = 1000000, .known_config = 41};
+	GString *message = g_string_new(NULL);
+	store_feed_request_t request;
+	http_head_t head;
+	char *target;
+
+	http_head_init(&head);
+	g_string_assign(head.method, "GET");
+	store_append_relayed_feed(message, "10.0.0.1:80", "servers", &sent);
+	target = request_target(message);
+	g_string_assign(head.target, target);
+	assert_true(store_feed_request_read(&head, &request));
+	assert_int_equal(request.after, sent.after);
+	assert_int_equal(request.wait_us, sent.wait_us);
+	assert_int_equal(request.known_config, sent.known_config);
+	g_free(target);
+	g_string_truncate(message, 0);
+	store_append_feed(message, "10.0.0.1:80", "servers", 7, 1000000);
+	target = request_target(message);
+	g_string_assign(head.target, target);
+	assert_true(store_feed_request_read(&head, &request));
+	assert_int_equal(request.known_config, 0);
+	g_free(target);
+	g_string_free(message, TRUE);
+	http_head_finish(&head);
+}
+
+/* Guards against the age of what another VM has read that is taken for known although the answer
+ * does not state it, or states no age.
+ */
+static void test_relayed_ages(void **state)
+{
+	static const struct {
+		const char *members;
+		int64_t config_age_us, own_age_us;
+	} cases[] = {
+		{"", -1, -1},
+		{",\"configAgeMs\":0,\"ownAgeMs\":1500", 0, 1500000},
+		{",\"configAgeMs\":-1,\"ownAgeMs\":\"5\"", -1, -1},
+		{",\"configAgeMs\":9223372036854775807", -1, -1},
+	};
+	store_feed_answer_t answer = {
+		.version = 9, .config_age_us = 250000, .own_age_us = -1};
+	GString *body = g_string_new(NULL);
+	store_page_t page;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_string_printf(body, "{\"rows\":[],\"ver\":9%s}",
+				cases[i].members);
+		assert_true(store_page_read(str_from_gstring(body), &page));
+		assert_int_equal(page.config_age_us, cases[i].config_age_us);
+		assert_int_equal(page.own_age_us, cases[i].own_age_us);
+		store_page_finish(&page);
+	}
+	g_string_truncate(body, 0);
+	store_feed_begin(body);
+	store_feed_end(body, &answer);
+	assert_true(store_page_read(str_from_gstring(body), &page));
+	assert_int_equal(page.config_age_us, 250000);
+	assert_int_equal(page.own_age_us, -1);
+	store_page_finish(&page);
+	g_string_free(body, TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -480,6 +560,8 @@
 		cmocka_unit_test(test_store_page_in_parts),
 		cmocka_unit_test(test_long_keys),
 		cmocka_unit_test(test_store_requests),
+		cmocka_unit_test(test_relayed_feed),
+		cmocka_unit_test(test_relayed_ages),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
