Soak: do not wait for the disk when settings are written

In each the VMs' logs show 8 to 40 s in which the soak's own process, which holds the store, all servers and all callers, did nothing.

Change: support_file_write() writes and renames without that wait; a reader still finds the old or the new text. The VMs of tests share it.

Ruled out: that the processors were too busy (the process used none), and the VMs (they went on). The product writes no file.

--- a/tests/soak_entry.c
+++ b/tests/soak_entry.c
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 
 #include "support_address.h"
+#include "support_file.h"
 #include "support_metrics.h"
 
 #define METRICS_REQUEST                                               \
@@ -26,8 +27,7 @@
 		entry->ready_address, entry->metrics_address,
 		entry->peer_address, proxy_address(entry->store_proxy));
 
-	g_assert_true(
-		g_file_set_contents(entry->settings_path, text, -1, NULL));
+	g_assert_true(support_file_write(entry->settings_path, text));
 	g_free(text);
 }
 
--- a/tests/support_entry.c
+++ b/tests/support_entry.c
@@ -9,6 +9,7 @@
 
 #include "names.h"
 #include "support_address.h"
+#include "support_file.h"
 
 /* Writes the settings of a VM with addresses of its own, in the zone "z". */
 static void write_settings(const support_entry_t *vm, const char *name,
@@ -29,7 +30,7 @@
 			       name, addresses[0], addresses[1], addresses[2],
 			       addresses[3], store_address,
 			       first_start ? "true" : "false");
-	assert_true(g_file_set_contents(vm->path, text, -1, NULL));
+	assert_true(support_file_write(vm->path, text));
 	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
 		g_free(addresses[i]);
 	g_free(text);
--- a/tests/support_vm_process.c
+++ b/tests/support_vm_process.c
@@ -11,6 +11,7 @@
 
 #include "sanitizer_heap.h"
 #include "support_address.h"
+#include "support_file.h"
 
 #define END_MS 6000
 
@@ -30,7 +31,7 @@
 				     vm->metrics_address, vm->peer_address,
 				     store_address, shutdown_limit_s);
 
-	assert_true(g_file_set_contents(vm->settings_path, text, -1, NULL));
+	assert_true(support_file_write(vm->settings_path, text));
 	g_free(text);
 	g_free(ready);
 }
