--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PACKAGES = libsoup-3.0-dev libtirpc-dev rpcsvc-proto libargtable2-dev \
 	libcmocka-dev libjson-glib-dev libtomlplusplus-dev libxxhash-dev libhttp-parser-dev \
 	pkg-config ninja-build curl
+CHECK_PACKAGES = clang-format clang-tidy
 SOURCES = $(shell git ls-files 'src/*.c' 'src/*.h' 'src/*.cc' 'tests/*.c' \
 	'tests/*.h' 'platform/*.c' 'platform/*.h' | grep -v -E '/peer(_xdr)?\.[ch]$$')
 
@@ -12,7 +13,7 @@
 	2>/dev/null | paste -sd '|')
 CTEST = ctest --output-on-failure -j 4 $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
-.PHONY: all packages build test demo format format-check lint sanitize \
+.PHONY: all packages check-packages build test demo format format-check lint sanitize \
 	soak-seeds check-upgrade
 
 all: build
@@ -20,6 +21,10 @@
 packages:
 	tools/install-packages $(PACKAGES)
 
+# The formatter and the linter, which building does not need.
+check-packages:
+	tools/install-packages $(CHECK_PACKAGES)
+
 build: packages
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	cmake --build $(BUILD) -j $(JOBS)
@@ -43,13 +48,13 @@
 check-upgrade: build
 	tools/check-upgrade $(abspath $(BUILD))
 
-format:
+format: check-packages
 	clang-format -i $(SOURCES)
 
-format-check:
+format-check: check-packages
 	clang-format --dry-run -Werror $(SOURCES)
 
-lint: build
+lint: build check-packages
 	printf '%s\n' $(filter %.c,$(SOURCES)) | \
 		xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
 
