--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -1,6 +1,7 @@
 #include "connection/http_pool.h"
 
 #include "connection/address.h"
+#include "connection/carried_ids.h"
 #include "connection/http_message.h"
 #include "connection/tcp.h"
 #include "process/alarm.h"
@@ -60,6 +61,8 @@
 	size_t body_bytes; /* of the response, so far */
 	size_t skipped_bytes; /* of responses to other requests */
 	unsigned interim_responses;
+	carried_ids_t carried; /* by the connection, the ID of the call too */
+	http_call_trace_t trace;
 	bool skip_response; /* the one being read belongs to another request */
 	bool reused; /* the connection has carried another call before */
 	bool carried_without_id; /* the connection has carried a call without ID */
@@ -95,6 +98,7 @@
 	close_connection(call);
 	alarm_finish(&call->connect_alarm);
 	http_message_finish(&call->message);
+	carried_ids_finish(&call->carried);
 	g_string_free(call->id, TRUE);
 	g_free(call);
 }
@@ -523,7 +527,8 @@
 			  clock_now(&host->pool->clock) +
 				  host->pool->connect_timeout_us);
 	host->connections++;
-	host->pool->connections_opened++;
+	call->trace.connection = ++host->pool->connections_opened;
+	carried_ids_init(&call->carried);
 	call->id = g_string_new(NULL);
 	call->handler = handler;
 	http_message_init(&call->message, false, &message_handler, call);
@@ -531,6 +536,17 @@
 	return call;
 }
 
+/* Notes that a connection carries a call with this ID, which may be empty. */
+static void note_carried(http_call_t *call, str_t id)
+{
+	call->trace.earlier_calls += call->reused;
+	call->trace.had_id = id.len > 0 &&
+			     carried_ids_contains(&call->carried, id);
+	call->carried_without_id |= id.len == 0;
+	if (id.len > 0 && !carried_ids_is_full(&call->carried))
+		carried_ids_add(&call->carried, id);
+}
+
 /* Sends a request. Returns NULL if no connection can be begun; the handler is
  * not called then. It is never called before this function returns. The call
  * belongs to the pool.
@@ -552,7 +568,7 @@
 		return NULL;
 	call->handler = options->handler;
 	call->context = options->context;
-	call->carried_without_id |= options->id.len == 0;
+	note_carried(call, options->id);
 	call->id_header = options->id_header;
 	g_string_truncate(call->id, 0);
 	if (options->id.len)
@@ -608,6 +624,12 @@
 	return call->identified || !call->reused;
 }
 
+/* Returns what the connection of a call has carried. */
+http_call_trace_t http_call_trace(const http_call_t *call)
+{
+	return call->trace;
+}
+
 /* Returns whether the connection is established, so that bytes of the request
  * may have been sent.
  */
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -37,6 +37,13 @@
  */
 typedef struct http_call http_call_t;
 
+/* What the connection of a call has carried, for log lines. */
+typedef struct {
+	uint64_t connection; /* its number, counted from the start of the pool */
+	unsigned earlier_calls; /* that it has carried before this one */
+	bool had_id; /* one of them had the ID of this call */
+} http_call_trace_t;
+
 /* The connections of one user, by address. */
 typedef struct {
 	clock_source_t clock;
@@ -90,6 +97,7 @@
 void http_call_reject(http_call_t *call);
 void http_call_set_reading(http_call_t *call, bool reading);
 bool http_call_is_own_response(const http_call_t *call);
+http_call_trace_t http_call_trace(const http_call_t *call);
 bool http_call_is_connected(const http_call_t *call);
 void http_pool_close_idle(http_pool_t *pool, const char *address);
 unsigned http_pool_connections(const http_pool_t *pool, const char *address);
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -432,11 +432,13 @@
 	send->is_own = false;
 	send->for_peer = request->from_peer;
 	memset(&send->fields, 0, sizeof(send->fields));
+	memset(&send->trace, 0, sizeof(send->trace));
 	kept_buffer_clear(&send->body);
 	http_headers_clear(&send->headers);
 	send->sent_us = clock_now(&send->relay->clock);
 	append_forwarded_head(message, head,
 			      exchange_body(request->exchange).len, fields);
+	send->request_id = request->fields.id;
 	send->call = http_pool_call(send->relay->pool, &options);
 	g_string_free(message, TRUE);
 	if (!send->call)
@@ -476,6 +478,7 @@
 
 	send->status = head->status;
 	send->is_own = http_call_is_own_response(send->call);
+	send->trace = http_call_trace(send->call);
 	send->body_until_close = head->body_until_close;
 	answer_headers_copy(&send->headers, &head->headers,
 			    send->for_peer ? send->server->entry.id : NULL);
@@ -613,6 +616,24 @@
 		server_record_result(send->server, failed);
 }
 
+/* Logs a server's statement that it has not run a request, with what the connection has carried
+ * before: a copy of an earlier answer can come only on one that has carried another call.
+ */
+static void log_refusal(const relay_send_t *send)
+{
+	log_event(send->is_own ? LOG_INFO : LOG_WARN,
+		  send->is_own ? "server_refused" : "refusal_without_id",
+		  LOG_STR("request", send->request_id),
+		  LOG_CSTR("server", send->server->entry.id),
+		  LOG_UINT("status", send->status),
+		  LOG_UINT("connection", send->trace.connection),
+		  LOG_UINT("earlier_calls", send->trace.earlier_calls),
+		  LOG_INT("had_id", send->trace.had_id),
+		  LOG_INT("after_ms",
+			  (clock_now(&send->relay->clock) - send->sent_us) /
+				  CLOCK_US_PER_MS));
+}
+
 /* Returns what a send that has ended or timed out means for the request, and
  * records success or failure for the server. A server that answers 421 is not
  * the one that the platform lists for its address.
@@ -630,10 +651,8 @@
 	};
 	outcome_t outcome = outcome_classify(&input, repeatable);
 
-	if (send->server && input.not_run && !input.is_own)
-		log_event(LOG_WARN, "refusal_without_id",
-			  LOG_CSTR("server", send->server->entry.id),
-			  LOG_UINT("status", send->status));
+	if (send->server && input.not_run && !timed_out)
+		log_refusal(send);
 	if (send->server) {
 		record_result(send, end, timed_out, outcome.failed);
 		if (send->status == 421 && send->is_own)
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -95,6 +95,7 @@
 typedef struct {
 	relay_t *relay;
 	server_t *server; /* owns a reference; NULL: none in progress */
+	str_t request_id; /* of the request, which outlives the send */
 	http_call_t *call; /* NULL when it has ended */
 	int64_t sent_us;
 	int64_t read_again_us; /* when it was read again last; 0: never */
@@ -107,6 +108,7 @@
 				    would help nobody; set by the owner */
 	bool for_peer; /* the caller is another VM */
 	bool is_own; /* the response can be to no earlier request */
+	http_call_trace_t trace; /* of the connection, once a head has come */
 	kept_buffer_t body; /* of a response that is kept until it is complete */
 	answer_wait_t wait; /* of that response, for room */
 } relay_send_t;
