--- a/tests/test_broken_answers.c
+++ b/tests/test_broken_answers.c
@@ -10,6 +10,7 @@
 
 #include "names.h"
 #include "support_address.h"
+#include "support_answer.h"
 #include "support_entry.h"
 #include "support_tcp_stub.h"
 
@@ -39,10 +40,7 @@
 	tcp_stub_t decode;
 	http_pool_t callers;
 	unsigned requests; /* so far */
-	GString *body; /* of the answer to the caller */
-	unsigned status;
-	bool ended;
-	call_end_t end;
+	answer_t answer; /* to the caller */
 } fixture_t;
 
 static void prefill_on_request(void *context, exchange_t *exchange)
@@ -65,30 +63,6 @@
 	.on_gone = prefill_on_gone,
 };
 
-static void call_on_head(void *context, const http_head_t *head)
-{
-	((fixture_t *)context)->status = head->status;
-}
-
-static void call_on_body(void *context, const char *data, size_t len)
-{
-	g_string_append_len(((fixture_t *)context)->body, data, (gssize)len);
-}
-
-static void call_on_end(void *context, call_end_t end)
-{
-	fixture_t *fixture = context;
-
-	fixture->ended = true;
-	fixture->end = end;
-}
-
-static const call_handler_t call_handler = {
-	.on_head = call_on_head,
-	.on_body = call_on_body,
-	.on_end = call_on_end,
-};
-
 static bool is_ready(void *context)
 {
 	const entry_t *vm = &((fixture_t *)context)->vm.entry;
@@ -96,11 +70,6 @@
 	return vm->table && server_set_count_usable(&vm->servers) == 3;
 }
 
-static bool has_ended(void *context)
-{
-	return ((fixture_t *)context)->ended;
-}
-
 static void list_server(fixture_t *fixture, const char *id, const char *fields,
 			const char *address)
 {
@@ -131,7 +100,7 @@
 		"\"slots\":12,\"kvTokenCapacity\":100000,\"stride\":1}}]}";
 
 	memset(fixture, 0, sizeof(*fixture));
-	fixture->body = g_string_new(NULL);
+	answer_init(&fixture->answer);
 	fixture->store_address = unused_address();
 	fake_store_start(&fixture->store, fixture->store_address);
 	fake_store_put(&fixture->store, TABLE_CONFIG, KEY_CONFIG, config);
@@ -191,7 +160,7 @@
 	tcp_stub_stop(&fixture->decode);
 	ingress_finish(&fixture->prefill);
 	fake_store_stop(&fixture->store);
-	g_string_free(fixture->body, TRUE);
+	answer_finish(&fixture->answer);
 	g_free(fixture->prefill_address);
 	g_free(fixture->store_address);
 }
@@ -203,8 +172,8 @@
 	http_call_options_t options = {
 		.address = support_entry_address(&fixture->vm),
 		.message = message,
-		.handler = &call_handler,
-		.context = fixture,
+		.handler = &answer_handler,
+		.context = &fixture->answer,
 	};
 
 	trust_servers(fixture);
@@ -215,18 +184,18 @@
 			"Content-Length: 0\r\n\r\n",
 			path, fixture->requests, fixture->requests);
 	fixture->requests++;
-	fixture->ended = false;
-	fixture->status = 0;
-	g_string_truncate(fixture->body, 0);
+	answer_clear(&fixture->answer);
 	assert_non_null(http_pool_call(&fixture->callers, &options));
-	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
+	assert_true(support_run_loop_until(answer_has_ended, &fixture->answer,
+					   WAIT_MS));
 	g_string_free(message, TRUE);
 }
 
 /* Returns whether the caller took the answer for a whole success. */
 static bool looks_whole(const fixture_t *fixture)
 {
-	return fixture->end == CALL_ANSWERED && fixture->status == 200;
+	return fixture->answer.end == CALL_ANSWERED &&
+	       fixture->answer.status == 200;
 }
 
 /* Breaks an answer at each byte, and checks that it is whole only at its end. A reset
@@ -248,7 +217,8 @@
 		if (stub->requests == before)
 			fail_msg("cut after %zu of %zu bytes: not sent, "
 				 "status %u, body %s",
-				 cut, len, fixture->status, fixture->body->str);
+				 cut, len, fixture->answer.status,
+				 fixture->answer.body->str);
 		if (cut == len && then == TCP_STUB_RESET)
 			continue;
 		if (looks_whole(fixture) != (cut == len))
@@ -256,8 +226,9 @@
 				 "end %d, body %s",
 				 cut, len,
 				 then == TCP_STUB_RESET ? "reset" : "close",
-				 fixture->status, (int)fixture->end,
-				 fixture->body->str);
+				 fixture->answer.status,
+				 (int)fixture->answer.end,
+				 fixture->answer.body->str);
 	}
 }
 
@@ -328,11 +299,12 @@
 
 		set_answer(stub, &answer);
 		send_request(fixture, path);
-		if (fixture->status / 100 == 2)
+		if (fixture->answer.status / 100 == 2)
 			fail_msg("cut after %zu bytes: status %u, end %d, "
 				 "body %s",
-				 cut, fixture->status, (int)fixture->end,
-				 fixture->body->str);
+				 cut, fixture->answer.status,
+				 (int)fixture->answer.end,
+				 fixture->answer.body->str);
 	}
 }
 
--- a/tests/test_resumed_streams.c
+++ b/tests/test_resumed_streams.c
@@ -10,6 +10,7 @@
 
 #include "names.h"
 #include "support_address.h"
+#include "support_answer.h"
 #include "support_entry.h"
 #include "support_link.h"
 #include "support_tcp_stub.h"
@@ -51,10 +52,7 @@
 	unsigned requests; /* so far */
 	unsigned first, next; /* engines of a stream that is resumed */
 	int64_t broken_us;
-	GString *body; /* of the answer to the caller */
-	unsigned status;
-	bool ended;
-	call_end_t end;
+	answer_t answer; /* to the caller */
 } fixture_t;
 
 static int64_t now_us(void)
@@ -84,30 +82,6 @@
 	.on_gone = prefill_on_gone,
 };
 
-static void call_on_head(void *context, const http_head_t *head)
-{
-	((fixture_t *)context)->status = head->status;
-}
-
-static void call_on_body(void *context, const char *data, size_t len)
-{
-	g_string_append_len(((fixture_t *)context)->body, data, (gssize)len);
-}
-
-static void call_on_end(void *context, call_end_t end)
-{
-	fixture_t *fixture = context;
-
-	fixture->ended = true;
-	fixture->end = end;
-}
-
-static const call_handler_t call_handler = {
-	.on_head = call_on_head,
-	.on_body = call_on_body,
-	.on_end = call_on_end,
-};
-
 static bool is_ready(void *context)
 {
 	const fixture_t *fixture = context;
@@ -117,14 +91,9 @@
 	       server_set_count_usable(&vm->servers) == fixture->n_engines + 1;
 }
 
-static bool has_ended(void *context)
-{
-	return ((fixture_t *)context)->ended;
-}
-
 static bool has_begun(void *context)
 {
-	return ((fixture_t *)context)->body->len > 0;
+	return ((fixture_t *)context)->answer.body->len > 0;
 }
 
 static void list_engine(fixture_t *fixture, unsigned i)
@@ -158,7 +127,7 @@
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->n_engines = n_engines;
-	fixture->body = g_string_new(NULL);
+	answer_init(&fixture->answer);
 	fixture->store_address = unused_address();
 	fake_store_start(&fixture->store, fixture->store_address);
 	fake_store_put(&fixture->store, TABLE_CONFIG, KEY_CONFIG, config);
@@ -212,7 +181,7 @@
 		tcp_stub_stop(&fixture->engines[i]);
 	ingress_finish(&fixture->prefill);
 	fake_store_stop(&fixture->store);
-	g_string_free(fixture->body, TRUE);
+	answer_finish(&fixture->answer);
 	g_free(fixture->prefill_address);
 	g_free(fixture->store_address);
 }
@@ -239,8 +208,8 @@
 	http_call_options_t options = {
 		.address = support_entry_address(&fixture->vm),
 		.message = message,
-		.handler = &call_handler,
-		.context = fixture,
+		.handler = &answer_handler,
+		.context = &fixture->answer,
 	};
 
 	trust_servers(fixture);
@@ -251,9 +220,7 @@
 			"%sContent-Length: 0\r\n\r\n",
 			fixture->requests, fixture->requests, fields);
 	fixture->requests++;
-	fixture->ended = false;
-	fixture->status = 0;
-	g_string_truncate(fixture->body, 0);
+	answer_clear(&fixture->answer);
 	assert_non_null(http_pool_call(&fixture->callers, &options));
 	g_string_free(message, TRUE);
 }
@@ -273,7 +240,8 @@
 	first = has_request(&fixture->engines[0]) ? 0 : 1;
 	set_answer(&fixture->engines[1 - first], answer);
 	tcp_stub_close_connections(&fixture->engines[first]);
-	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
+	assert_true(support_run_loop_until(answer_has_ended, &fixture->answer,
+					   WAIT_MS));
 	assert_true(has_request(&fixture->engines[1 - first]));
 }
 
@@ -332,10 +300,11 @@
 	start(&fixture);
 	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
 		break_off(&fixture, &answers[i]);
-		if (fixture.end == CALL_ANSWERED ||
-		    strcmp(fixture.body->str, FIRST) != 0)
+		if (fixture.answer.end == CALL_ANSWERED ||
+		    strcmp(fixture.answer.body->str, FIRST) != 0)
 			fail_msg("answer %zu: end %d, body %s", i,
-				 (int)fixture.end, fixture.body->str);
+				 (int)fixture.answer.end,
+				 fixture.answer.body->str);
 	}
 	stop(&fixture);
 }
@@ -361,10 +330,11 @@
 	start(&fixture);
 	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
 		break_off(&fixture, &answers[i]);
-		if (fixture.end != CALL_ANSWERED ||
-		    strcmp(fixture.body->str, FIRST SECOND) != 0)
+		if (fixture.answer.end != CALL_ANSWERED ||
+		    strcmp(fixture.answer.body->str, FIRST SECOND) != 0)
 			fail_msg("answer %zu: end %d, body %s", i,
-				 (int)fixture.end, fixture.body->str);
+				 (int)fixture.answer.end,
+				 fixture.answer.body->str);
 	}
 	stop(&fixture);
 }
@@ -450,11 +420,12 @@
 	break_first(&fixture, first);
 	assert_true(support_run_loop_until(has_next, &fixture, WAIT_MS));
 	set_listener_up(&fixture, MAX_ENGINES - first - fixture.next, true);
-	assert_true(support_run_loop_until(has_ended, &fixture, WAIT_MS));
-	print_message("end %d after %d ms\n", (int)fixture.end,
+	assert_true(support_run_loop_until(answer_has_ended, &fixture.answer,
+					   WAIT_MS));
+	print_message("end %d after %d ms\n", (int)fixture.answer.end,
 		      ended_ms(&fixture));
-	assert_int_equal(fixture.end, CALL_ANSWERED);
-	assert_string_equal(fixture.body->str, FIRST SECOND);
+	assert_int_equal(fixture.answer.end, CALL_ANSWERED);
+	assert_string_equal(fixture.answer.body->str, FIRST SECOND);
 	assert_true(ended_ms(&fixture) < NEXT_ENGINE_MS);
 	stop(&fixture);
 }
@@ -472,11 +443,12 @@
 			set_listener_up(&fixture, i, false);
 	}
 	break_first(&fixture, first);
-	assert_true(support_run_loop_until(has_ended, &fixture, WAIT_MS));
-	print_message("end %d after %d ms\n", (int)fixture.end,
+	assert_true(support_run_loop_until(answer_has_ended, &fixture.answer,
+					   WAIT_MS));
+	print_message("end %d after %d ms\n", (int)fixture.answer.end,
 		      ended_ms(&fixture));
-	assert_int_not_equal(fixture.end, CALL_ANSWERED);
-	assert_string_equal(fixture.body->str, FIRST);
+	assert_int_not_equal(fixture.answer.end, CALL_ANSWERED);
+	assert_string_equal(fixture.answer.body->str, FIRST);
 	assert_true(ended_ms(&fixture) < ALL_ENGINES_MS);
 	stop(&fixture);
 }
@@ -500,12 +472,13 @@
 			set_answer(&fixture->engines[i], &refusal);
 	}
 	break_first(fixture, first);
-	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
+	assert_true(support_run_loop_until(answer_has_ended, &fixture->answer,
+					   WAIT_MS));
 	for (unsigned i = 0; i < MAX_ENGINES; i++) {
 		if (i != first && has_request(&fixture->engines[i]))
 			asked++;
 	}
-	assert_int_not_equal(fixture->end, CALL_ANSWERED);
+	assert_int_not_equal(fixture->answer.end, CALL_ANSWERED);
 	stop(fixture);
 	return asked;
 }
@@ -527,7 +500,8 @@
 	for (unsigned i = 0; i < ENGINES; i++)
 		set_answer(&fixture->engines[i], answer);
 	send_request(fixture, "Last-Event-Id: 1\r\nResumes: r0\r\n");
-	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
+	assert_true(support_run_loop_until(answer_has_ended, &fixture->answer,
+					   WAIT_MS));
 }
 
 /* Guards against the rest of a stream that looks complete although its engine ended right
@@ -546,16 +520,16 @@
 	ask_for_rest(&fixture, &empty);
 	for (unsigned i = 0; i < ENGINES; i++)
 		assert_true(has_request(&fixture.engines[i]));
-	assert_int_equal(fixture.end, CALL_ANSWERED);
-	assert_string_equal(fixture.body->str, "");
+	assert_int_equal(fixture.answer.end, CALL_ANSWERED);
+	assert_string_equal(fixture.answer.body->str, "");
 	ask_for_rest(&fixture, &rest);
-	assert_int_equal(fixture.end, CALL_ANSWERED);
-	assert_string_equal(fixture.body->str, SECOND);
+	assert_int_equal(fixture.answer.end, CALL_ANSWERED);
+	assert_string_equal(fixture.answer.body->str, SECOND);
 	/* Only one engine is left, so that nothing tells. */
 	fake_store_remove(&fixture.store, TABLE_SERVERS, "i-1");
 	support_run_loop_ms(1500);
 	ask_for_rest(&fixture, &empty);
-	assert_int_not_equal(fixture.end, CALL_ANSWERED);
+	assert_int_not_equal(fixture.answer.end, CALL_ANSWERED);
 	stop(&fixture);
 }
 
--- a/tests/test_silent_links.c
+++ b/tests/test_silent_links.c
@@ -11,6 +11,7 @@
 #include "connection/http_pool.h"
 #include "names.h"
 #include "support_address.h"
+#include "support_answer.h"
 #include "support_entry.h"
 #include "support_link.h"
 #include "support_store.h"
@@ -46,10 +47,7 @@
 	alarm_t next;
 	int64_t last_event_us;
 	unsigned plain_requests; /* that came to the plain server */
-	GString *body; /* of the answer to the caller */
-	unsigned status;
-	bool ended;
-	call_end_t end;
+	answer_t answer; /* to the caller */
 } fixture_t;
 
 static int64_t now_us(void)
@@ -203,35 +201,6 @@
 
 /* --- the caller ---------------------------------------------------------- */
 
-static void call_on_head(void *context, const http_head_t *head)
-{
-	((fixture_t *)context)->status = head->status;
-}
-
-static void call_on_body(void *context, const char *data, size_t len)
-{
-	g_string_append_len(((fixture_t *)context)->body, data, (gssize)len);
-}
-
-static void call_on_end(void *context, call_end_t end)
-{
-	fixture_t *fixture = context;
-
-	fixture->ended = true;
-	fixture->end = end;
-}
-
-static const call_handler_t call_handler = {
-	.on_head = call_on_head,
-	.on_body = call_on_body,
-	.on_end = call_on_end,
-};
-
-static bool has_ended(void *context)
-{
-	return ((fixture_t *)context)->ended;
-}
-
 /* Sends a request over a new connection. Returns its call, or NULL. */
 static http_call_t *begin_asking(fixture_t *fixture, const char *method,
 				 const char *path)
@@ -242,13 +211,11 @@
 		.address = fixture->vm.callers_address,
 		.message = message,
 		.new_connection = true,
-		.handler = &call_handler,
-		.context = fixture,
+		.handler = &answer_handler,
+		.context = &fixture->answer,
 	};
 
-	fixture->ended = false;
-	fixture->status = 0;
-	g_string_truncate(fixture->body, 0);
+	answer_clear(&fixture->answer);
 	g_string_printf(message,
 			"%s %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n"
 			"X-Deadline-Ms: 14000\r\nX-Token-Count: 1000,200\r\n"
@@ -263,8 +230,9 @@
 static void ask(fixture_t *fixture, const char *method, const char *path)
 {
 	if (!begin_asking(fixture, method, path))
-		fixture->ended = true;
-	assert_true(support_run_loop_until(has_ended, fixture, WAIT_MS));
+		fixture->answer.ended = true;
+	assert_true(support_run_loop_until(answer_has_ended, &fixture->answer,
+					   WAIT_MS));
 }
 
 static bool is_served(void *context)
@@ -272,10 +240,10 @@
 	fixture_t *fixture = context;
 
 	ask(fixture, "POST", "/l/x");
-	if (fixture->status != 200)
+	if (fixture->answer.status != 200)
 		return false;
 	ask(fixture, "GET", "/s/x");
-	return fixture->status == 200;
+	return fixture->answer.status == 200;
 }
 
 /* Waits until the VM uses all servers again after a silence. */
@@ -286,7 +254,7 @@
 		set_all_links_up(fixture, true);
 	for (unsigned i = 0; i < 50 && !is_served(fixture); i++)
 		support_run_loop_ms(100);
-	assert_int_equal(fixture->status, 200);
+	assert_int_equal(fixture->answer.status, 200);
 }
 
 /* --- fixture ------------------------------------------------------------- */
@@ -318,7 +286,7 @@
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->link_up = true;
-	fixture->body = g_string_new(NULL);
+	answer_init(&fixture->answer);
 	alarm_init(&fixture->next, clock_boottime(), on_next, fixture);
 	fixture->store_address = unused_address();
 	fake_store_start(&fixture->store, fixture->store_address);
@@ -350,7 +318,7 @@
 	ingress_finish(&fixture->decode);
 	ingress_finish(&fixture->plain);
 	fake_store_stop(&fixture->store);
-	g_string_free(fixture->body, TRUE);
+	answer_finish(&fixture->answer);
 	for (size_t i = 0; i < G_N_ELEMENTS(fixture->addresses); i++)
 		g_free(fixture->addresses[i]);
 	g_free(fixture->store_address);
@@ -398,9 +366,11 @@
 		fixture->silence = (silence_t){quiet_times_ms[i], SILENT_MS};
 		ask(fixture, method, path);
 		print_message("%s, quiet for %u ms before: %u, %s\n", path,
-			      quiet_times_ms[i], fixture->status,
-			      fixture->end == CALL_ANSWERED ? "whole" : "cut");
-		if (fixture->status != 200 || fixture->end != CALL_ANSWERED)
+			      quiet_times_ms[i], fixture->answer.status,
+			      fixture->answer.end == CALL_ANSWERED ? "whole"
+								   : "cut");
+		if (fixture->answer.status != 200 ||
+		    fixture->answer.end != CALL_ANSWERED)
 			lost++;
 	}
 	return lost;
@@ -437,7 +407,7 @@
 	await_served(fixture);
 	fixture->silence = (silence_t){quiet_ms, DEAD_MS};
 	ask(fixture, "POST", path);
-	assert_int_not_equal(fixture->end, CALL_ANSWERED);
+	assert_int_not_equal(fixture->answer.end, CALL_ANSWERED);
 	return (int)((now_us() - fixture->last_event_us) / CLOCK_US_PER_MS);
 }
 
--- a/tests/test_unframed_streams.c
+++ b/tests/test_unframed_streams.c
@@ -9,6 +9,7 @@
 
 #include "names.h"
 #include "support_address.h"
+#include "support_answer.h"
 #include "support_entry.h"
 #include "support_store.h"
 #include "support_tcp_stub.h"
@@ -26,10 +27,7 @@
 	char *prefill_address;
 	tcp_stub_t decode;
 	http_pool_t callers;
-	GString *body; /* of the answer to the caller */
-	unsigned status;
-	bool ended;
-	call_end_t end;
+	answer_t answer; /* to the caller */
 } fixture_t;
 
 static void prefill_on_request(void *context, exchange_t *exchange)
@@ -52,34 +50,6 @@
 	.on_gone = prefill_on_gone,
 };
 
-static void call_on_head(void *context, const http_head_t *head)
-{
-	fixture_t *fixture = context;
-
-	fixture->status = head->status;
-}
-
-static void call_on_body(void *context, const char *data, size_t len)
-{
-	fixture_t *fixture = context;
-
-	g_string_append_len(fixture->body, data, (gssize)len);
-}
-
-static void call_on_end(void *context, call_end_t end)
-{
-	fixture_t *fixture = context;
-
-	fixture->ended = true;
-	fixture->end = end;
-}
-
-static const call_handler_t call_handler = {
-	.on_head = call_on_head,
-	.on_body = call_on_body,
-	.on_end = call_on_end,
-};
-
 static bool is_ready(void *context)
 {
 	const fixture_t *fixture = context;
@@ -88,13 +58,6 @@
 	return vm->table && server_set_count_usable(&vm->servers) == 2;
 }
 
-static bool has_ended(void *context)
-{
-	const fixture_t *fixture = context;
-
-	return fixture->ended;
-}
-
 /* Starts a VM, a prefill engine and a decode engine that answers with these
  * bytes and closes the connection. Streams may be resumed if `resumable`, but no
  * other engine is there.
@@ -114,7 +77,7 @@
 	char *entry;
 
 	memset(fixture, 0, sizeof(*fixture));
-	fixture->body = g_string_new(NULL);
+	answer_init(&fixture->answer);
 	fixture->store_address = unused_address();
 	fake_store_start(&fixture->store, fixture->store_address);
 	fake_store_put(&fixture->store, TABLE_CONFIG, KEY_CONFIG, config);
@@ -145,7 +108,7 @@
 	fake_store_stop(&fixture->store);
 	g_free(fixture->prefill_address);
 	g_free(fixture->store_address);
-	g_string_free(fixture->body, TRUE);
+	answer_finish(&fixture->answer);
 }
 
 /* Sends a request and waits for the end of the answer to it. */
@@ -158,12 +121,13 @@
 	http_call_options_t options = {
 		.address = support_entry_address(&fixture->vm),
 		.message = message,
-		.handler = &call_handler,
-		.context = fixture,
+		.handler = &answer_handler,
+		.context = &fixture->answer,
 	};
 
 	assert_non_null(http_pool_call(&fixture->callers, &options));
-	assert_true(support_run_loop_until(has_ended, fixture, 5000));
+	assert_true(support_run_loop_until(answer_has_ended, &fixture->answer,
+					   5000));
 	g_string_free(message, TRUE);
 }
 
@@ -179,9 +143,9 @@
 
 	start(&fixture, &answer, false);
 	send_request(&fixture);
-	assert_int_equal(fixture.end, CALL_ANSWERED);
-	assert_int_equal(fixture.status, 200);
-	assert_string_equal(fixture.body->str,
+	assert_int_equal(fixture.answer.end, CALL_ANSWERED);
+	assert_int_equal(fixture.answer.status, 200);
+	assert_string_equal(fixture.answer.body->str,
 			    "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 	stop(&fixture);
 }
@@ -203,8 +167,9 @@
 
 		start(&fixture, &answers[i / 2], i % 2);
 		send_request(&fixture);
-		assert_int_equal(fixture.end, CALL_LOST);
-		assert_string_equal(fixture.body->str, "id: 1\ndata: a\n\n");
+		assert_int_equal(fixture.answer.end, CALL_LOST);
+		assert_string_equal(fixture.answer.body->str,
+				    "id: 1\ndata: a\n\n");
 		stop(&fixture);
 	}
 }
@@ -217,8 +182,8 @@
 
 	start(&fixture, &answer, false);
 	send_request(&fixture);
-	assert_int_equal(fixture.end, CALL_LOST);
-	assert_string_equal(fixture.body->str, "");
+	assert_int_equal(fixture.answer.end, CALL_LOST);
+	assert_string_equal(fixture.answer.body->str, "");
 	stop(&fixture);
 }
 
