--- a/tests/test_http_pool.c
+++ b/tests/test_http_pool.c
@@ -25,6 +25,7 @@
 	call_end_t end;
 	unsigned ended; /* calls of on_end */
 	unsigned status;
+	bool is_own; /* http_call_is_own_response() said so of the last head */
 	GString *body;
 } caller_t;
 
@@ -33,6 +34,7 @@
 	caller_t *caller = context;
 
 	caller->status = head->status;
+	caller->is_own = http_call_is_own_response(caller->call);
 }
 
 static void on_body(void *context, const char *data, size_t len)
@@ -342,6 +344,52 @@
 	tcp_stub_stop(&peer);
 }
 
+/* Guards against a server that runs out of connections because one ID comes again and again:
+ * calls in turn use no more connections at a time than those before have opened.
+ */
+static void test_connections_for_an_id_that_comes_again(void **state)
+{
+	static const tcp_stub_answer_t answer = {WHOLE, TCP_STUB_KEEP_OPEN};
+	caller_t caller;
+	tcp_stub_t peer;
+
+	init(&caller);
+	tcp_stub_start(&peer, &answer, 1);
+	for (unsigned i = 0; i < 100; i++) {
+		call_and_wait(&caller, peer.address, "POST");
+		assert_int_equal(caller.end, CALL_ANSWERED);
+		assert_int_equal(
+			http_pool_connections(&caller.pool, peer.address), 1);
+	}
+	support_run_loop_ms(20);
+	assert_int_equal(peer.accepted - peer.closed, 1);
+	finish(&caller);
+	tcp_stub_stop(&peer);
+}
+
+/* Guards against an answer with an empty ID that passes for the answer to a call without one,
+ * although it may be a copy of the answer to an earlier call without one.
+ */
+static void test_empty_id_of_an_answer(void **state)
+{
+	static const tcp_stub_answer_t answer = {
+		HEAD_TO("") "Content-Length: 0\r\n\r\n", TCP_STUB_KEEP_OPEN};
+	caller_t caller;
+	tcp_stub_t peer;
+
+	init(&caller);
+	tcp_stub_start(&peer, &answer, 1);
+	caller.id = "";
+	for (unsigned i = 0; i < 2; i++) {
+		call_and_wait(&caller, peer.address, "POST");
+		assert_int_equal(caller.end, CALL_ANSWERED);
+		assert_int_equal(peer.accepted, 1);
+		assert_int_equal(caller.is_own, i == 0);
+	}
+	finish(&caller);
+	tcp_stub_stop(&peer);
+}
+
 /* Guards against calls that are lost because they are sent on an idle connection that
  * the server has closed and whose end was not read yet.
  */
@@ -508,6 +556,8 @@
 		cmocka_unit_test(test_idle_connections),
 		cmocka_unit_test(test_ids_that_come_again),
 		cmocka_unit_test(test_most_ids_of_a_connection),
+		cmocka_unit_test(test_connections_for_an_id_that_comes_again),
+		cmocka_unit_test(test_empty_id_of_an_answer),
 		cmocka_unit_test(test_closed_while_idle),
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_cancel),
