Close an idle connection that may not carry a call when another is opened for it

A caller that sends one ID again and again opened a connection for each call. A server takes a limited number from all callers and resets those beyond, so that one caller could take the room of all others.

Cause: a connection that has carried the ID is passed over and stays open.

Now, where none may carry the call, the one of them that was used longest ago is closed before the new one is opened, so that their number does not grow with calls in turn.

test_http_pool: two connections after the second call before, one after each of 100 now.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -479,12 +479,13 @@
  * likely to close that one soon. Closes those that were idle for too long, and
  * those on which the server has sent something since or which it has closed:
  * the bytes would pass for the answer to the next call. Returns NULL if none is
- * left.
+ * left; then one that may not carry the call is closed, so that the connection that is opened
+ * instead takes its place: a server has room for a limited number.
  */
 static http_call_t *take_idle_connection(http_host_t *host, str_t id,
 					 int64_t now_us)
 {
-	http_call_t *call;
+	http_call_t *call, *passed_over = NULL;
 	GList *link;
 
 	while ((call = g_queue_peek_tail(&host->idle)) &&
@@ -494,14 +495,18 @@
 	while (link) {
 		call = link->data;
 		link = link->next;
-		if (!may_carry(call, id))
+		if (!may_carry(call, id)) {
+			passed_over = call;
 			continue;
+		}
 		if (!tcp_is_readable(&call->tcp)) {
 			g_queue_remove(&host->idle, call);
 			return call;
 		}
 		free_call(call);
 	}
+	if (passed_over)
+		free_call(passed_over);
 	return NULL;
 }
 
