Take no empty ID of an answer for that of a call without one (REFUSED)

An answer whose X-Request-Id is empty passed for the answer to a call without an ID, on a connection that had carried such a call before. The copy of a refusal was believed, and a caller was told with 503 that its request has not run while a server ran it.

Cause: the empty ID of the answer equals the empty ID of the call.

Now only a call with an ID can be identified by it. test_http_pool: the second answer on a connection counted as the call's own, and does not now.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -364,7 +364,8 @@
 	if (head->status / 100 == 1)
 		return true;
 	call->skip_response = is_for_other_request(call, head);
-	call->identified = !call->skip_response && has_id(call, head);
+	call->identified = !call->skip_response && call->id->len > 0 &&
+			   has_id(call, head);
 	call->rejected = !call->skip_response && lacks_id(call);
 	call->answers_have_ids |= has_id(call, head);
 	if (!call->skip_response)
