Send a request without an ID over a new connection

A request without an ID that a server refused was not sent again as safely as before, where one that came back to a server used a new connection: a refusal on a connection that has carried calls is not believed, as it may be a copy.

Cause: nothing tells whose answer one to such a request is on a connection in use.

Now a request that lacks the ID which others have uses a new connection, in the place of an idle one. The VM's own calls, which never have an ID, go on using connections.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -459,18 +459,19 @@
 	return host;
 }
 
-/* Returns whether a connection may carry a call with this ID, which may be empty. It carries no
- * ID twice: nothing would tell a copy of the earlier answer from the answer. Where servers
- * repeat IDs, a call with one does not follow a call without, until the server is known to
- * repeat them, for the same reason.
+/* Returns whether a connection that has carried calls may carry this one. It carries no ID
+ * twice: nothing would tell a copy of the earlier answer from the answer. For the same reason a
+ * request that lacks the ID which others have uses a new connection, and where servers repeat
+ * IDs, a call with one does not follow a call without, until the server is known to repeat them.
  */
-static bool may_carry(const http_call_t *connection, str_t id)
+static bool may_carry(const http_call_t *connection,
+		      const http_call_options_t *options)
 {
 	const http_host_t *host = connection->host;
 
-	if (id.len == 0)
-		return true;
-	if (carried_ids_contains(&connection->carried, id))
+	if (options->id.len == 0)
+		return !options->id_header;
+	if (carried_ids_contains(&connection->carried, options->id))
 		return false;
 	return !host->pool->id_header || !connection->carried_without_id ||
 	       host->repeats_ids;
@@ -483,7 +484,8 @@
  * left; then one that may not carry the call is closed, so that the connection that is opened
  * instead takes its place: a server has room for a limited number.
  */
-static http_call_t *take_idle_connection(http_host_t *host, str_t id,
+static http_call_t *take_idle_connection(http_host_t *host,
+					 const http_call_options_t *options,
 					 int64_t now_us)
 {
 	http_call_t *call, *passed_over = NULL;
@@ -496,7 +498,7 @@
 	while (link) {
 		call = link->data;
 		link = link->next;
-		if (!may_carry(call, id)) {
+		if (!may_carry(call, options)) {
 			passed_over = call;
 			continue;
 		}
@@ -569,7 +571,7 @@
 	http_call_t *call = NULL;
 
 	if (!options->new_connection)
-		call = take_idle_connection(host, options->id,
+		call = take_idle_connection(host, options,
 					    clock_now(&pool->clock));
 	if (call)
 		call->reused = true;
--- a/src/connection/http_pool.h
+++ b/src/connection/http_pool.h
@@ -82,7 +82,10 @@
 	 * with another ID is skipped. NULL: the request has no ID.
 	 */
 	const char *id_header;
-	str_t id; /* of this request; copied */
+	/* Of this request; copied. If it is empty although there is such a field, the request uses
+	 * a new connection.
+	 */
+	str_t id;
 	const call_handler_t *handler;
 	void *context;
 } http_call_options_t;
