Keep a VM's refusal when no further VM can be asked

A caller got an answer with the status 0 and no body, which is none in the protocol: the VM that its request was passed on to had refused it, and no connection could be begun to the next VM (no socket, no route, a malformed address).

Cause: the status and body of the refusal were dropped before the connection was begun, and the refusal was passed on when that failed. They are dropped now once the request has been sent again.

test_peer_refusals, new case: status 0 in place of 503 before, 503 with its body now.

--- a/src/request/peer_call.c
+++ b/src/request/peer_call.c
@@ -296,12 +296,12 @@
 	options.body = exchange_shared_body(request->exchange);
 	if (runs_once(call))
 		options.keep_until_us = request->deadline_us;
-	call->status = 0;
-	kept_buffer_clear(&call->body);
 	call->call = http_pool_call(relay->peer_pool, &options);
 	g_string_free(message, TRUE);
 	if (!call->call)
 		return false;
+	call->status = 0;
+	kept_buffer_clear(&call->body);
 	count_passed_on(call, current_vm(call), 1);
 	counters_add(COUNTER_REQUESTS_PASSED_ON, 1);
 	if (relay_is_sampled(request) || call->tries.n > 1)
--- a/tests/test_peer_refusals.c
+++ b/tests/test_peer_refusals.c
@@ -281,10 +281,27 @@
 	assert_int_equal(wrong, 0);
 }
 
+/* Guards against an answer without a status when no connection can be begun to a second VM, after
+ * the first one has refused.
+ */
+static void test_second_vm_without_address(void **state)
+{
+	static const tcp_stub_answer_t refusal = {
+		"HTTP/1.1 503 No\r\n" TEXT FIELDS, TCP_STUB_KEEP_OPEN};
+
+	start(1);
+	fixture.peer.answers = &refusal;
+	await_passed_on("/u/x");
+	assert_int_equal(ask("/u/x"), 503);
+	assert_string_equal(fixture.answer.body->str, "no");
+	stop();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_of_another_vm),
+		cmocka_unit_test(test_second_vm_without_address),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
