Leave the white space after the value of a header field out of it

Cause: the space counted as part of the ID. The server, which repeats the ID without it, was taken to answer another request, and its answer was skipped.

Now the value ends before such white space, as HTTP has it, in requests and responses.

--- a/src/connection/http_message.c
+++ b/src/connection/http_message.c
@@ -53,13 +53,26 @@
 	return true;
 }
 
+/* Returns the value of the field that was read without the white space after it, which is not
+ * part of it. The parser has skipped that before it.
+ */
+static str_t read_value(const http_message_t *message)
+{
+	str_t value = str_from_gstring(message->field_value);
+
+	while (value.len > 0 && (value.data[value.len - 1] == ' ' ||
+				 value.data[value.len - 1] == '\t'))
+		value.len--;
+	return value;
+}
+
 /* Adds the header field that was read to the head, if there is one. Returns false if it is
  * not valid.
  */
 static bool add_field(http_message_t *message)
 {
 	str_t name = str_from_gstring(message->field_name);
-	str_t value = str_from_gstring(message->field_value);
+	str_t value = read_value(message);
 
 	if (message->in_value) {
 		if (!http_is_valid_field(name, value))
