Log a refusal as believed only when it has come whole

server_refused was also logged for a refusal whose connection ended in its body, which counts as a request that may have run.

--- a/src/connection/carried_ids.h
+++ b/src/connection/carried_ids.h
@@ -13,7 +13,7 @@
 /* Most IDs that one connection carries: it is closed then, as none may be forgotten before. */
 #define CARRIED_IDS_MAX 256
 
-/* The IDs as hashes of 32 bits: two may be taken for the same, but never the same for two. */
+/* The IDs as hashes of 32 bits: there are false positives, but no false negatives. */
 typedef struct {
 	GArray *hashes; /* of uint32_t */
 } carried_ids_t;
--- a/src/request/relay.c
+++ b/src/request/relay.c
@@ -635,7 +635,7 @@
 	};
 	outcome_t outcome = outcome_classify(&input, repeatable);
 
-	if (send->server && input.not_run && !timed_out)
+	if (send->server && input.not_run && end == CALL_ANSWERED && !timed_out)
 		log_refusal(send);
 	if (send->server) {
 		record_result(send, end, timed_out, outcome.failed);
