Send prefills, imports and decodes on connections of their own

An engine of `serve` that writes an earlier answer once more on a kept connection made callers get "not run" for requests whose prefill runs, kept memory at decode engines (the router does not cancel an import that was refused), and gave callers the tokens of others.

Cause: engines repeat no IDs, so on a connection that has carried another call nothing tells whose answer one is. Each of these three calls now opens a connection, as calls to plain services that are not repeatable do: what arrives there can only be to it. True refusals keep their meaning, which they would lose if those on kept connections counted as "may have run".

Cancellations still fail.

--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -353,10 +353,10 @@
 }
 
 /*
- * Sends a call. It may reuse a connection, because a call that changes anything
- * carries the ID of its attempt and may arrive twice without harm. Takes over
- * the reference to the body. Frees the call and returns NULL if the address is
- * malformed.
+ * Sends a call. Engines repeat no IDs, and may write an answer once more on its
+ * connection. A call whose answer decides about a request therefore has a
+ * connection of its own; the others may reuse one. Takes over the reference to
+ * the body. Frees the call and returns NULL if the address is malformed.
  */
 static engine_call_t *send_call(client_t *client, engine_call_t *call,
 				client_request_t *request)
@@ -386,6 +386,7 @@
 		.address = address,
 		.path = path,
 		.body = end_body(builder),
+		.new_connection = true,
 		.deadline_us = deadline_us,
 		.on_done = on_result_response,
 	};
@@ -449,6 +450,7 @@
 		.method = "POST",
 		.address = address,
 		.path = "/v1/decode",
+		.new_connection = true,
 		.deadline_us = deadline_us,
 		.idle_limit_us = idle_limit_us,
 		.on_data = on_stream_data,
