Let tests share the servers that write answers once more

The stand-in servers, the VMs and the callers of test_repeated_refusals move to support_copying_server and support_copying_site, for further cases.

--- /dev/null
+++ b/tests/support_copying_server.c
@@ -0,0 +1,506 @@
+#include "support_copying_server.h"
+
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "process/clock.h"
+
+#define MAX_REQUESTS COPYING_MAX_REQUESTS
+
+/* Stands for a call without an ID where the number of a request is kept. */
+#define NO_REQUEST MAX_REQUESTS
+
+/* Time between the bytes of a copy that comes byte by byte. */
+#define BYTE_PAUSE_US 100
+
+/* In the process of the servers. */
+static copying_shared_t *shared;
+
+/* A connection to a server, which has a thread of its own. */
+typedef struct {
+	unsigned server;
+	int fd;
+	GString *received;
+	char *copied; /* answer that is written once more; NULL: none so far */
+	unsigned copied_request; /* whose answer it is, or NO_REQUEST */
+} connection_t;
+
+/* A request that was read. */
+typedef struct {
+	char *head;
+	unsigned number;
+	bool has_id;
+} server_request_t;
+
+typedef struct {
+	unsigned server;
+	int fd;
+} listener_t;
+
+static void send_text(const connection_t *connection, const char *text)
+{
+	(void)!send(connection->fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+static void send_byte_by_byte(const connection_t *connection, const char *text)
+{
+	for (; *text; text++) {
+		(void)!send(connection->fd, text, 1, MSG_NOSIGNAL);
+		g_usleep(BYTE_PAUSE_US);
+	}
+}
+
+/* Returns the value of a header field, or NULL. The caller frees it. */
+static char *field_of(const char *head, const char *name)
+{
+	char *key = g_strdup_printf("\r\n%s:", name);
+	char *lower = g_ascii_strdown(head, -1);
+	const char *at = strstr(lower, key);
+	const char *end = at ? strstr(at + strlen(key), "\r\n") : NULL;
+	char *value = end ? g_strndup(at + strlen(key),
+				      (gsize)(end - at) - strlen(key))
+			  : NULL;
+
+	g_free(lower);
+	g_free(key);
+	return value ? g_strstrip(value) : NULL;
+}
+
+static bool has_field(const server_request_t *request, const char *name)
+{
+	char *value = field_of(request->head, name);
+	bool has = value != NULL;
+
+	g_free(value);
+	return has;
+}
+
+/* Writes a copy once the connection has been idle, if the case asks for that. */
+static void await_bytes(const connection_t *connection)
+{
+	struct pollfd poll_fd = {.fd = connection->fd, .events = POLLIN};
+
+	if (shared->play.copy_time != COPY_WHEN_IDLE || !connection->copied)
+		return;
+	if (poll(&poll_fd, 1, COPYING_IDLE_MS) != 0)
+		return;
+	g_atomic_int_inc(&shared->copies);
+	send_text(connection, connection->copied);
+}
+
+/* Reads one request with its body. False at the end of the connection. */
+static bool read_request(connection_t *connection, server_request_t *request)
+{
+	GString *received = connection->received;
+	char *end, *length, *id;
+	gsize size;
+	char buffer[4096];
+
+	for (;;) {
+		end = strstr(received->str, "\r\n\r\n");
+		if (end) {
+			request->head =
+				g_strndup(received->str,
+					  (gsize)(end + 4 - received->str));
+			length = field_of(request->head, "content-length");
+			size = strlen(request->head) +
+			       (length ? strtoul(length, NULL, 10) : 0);
+			g_free(length);
+			if (received->len >= size)
+				break;
+			g_free(request->head);
+		}
+		await_bytes(connection);
+		ssize_t n = recv(connection->fd, buffer, sizeof(buffer), 0);
+
+		if (n <= 0)
+			return false;
+		g_string_append_len(received, buffer, n);
+	}
+	g_string_erase(received, 0, (gssize)size);
+	id = field_of(request->head, "x-request-id");
+	request->has_id = id != NULL;
+	request->number =
+		id ? (unsigned)strtoul(id + 1, NULL, 10) % MAX_REQUESTS
+		   : NO_REQUEST;
+	g_free(id);
+	return true;
+}
+
+/* Returns the field with the ID of a request. */
+static char *id_field(const server_request_t *request)
+{
+	return request->has_id ? g_strdup_printf("X-Request-Id: r%u\r\n",
+						 request->number)
+			       : g_strdup("");
+}
+
+static bool is_head(const server_request_t *request)
+{
+	return g_str_has_prefix(request->head, "HEAD ");
+}
+
+/* Returns an answer to a request. */
+static char *make_answer(const server_request_t *request, const char *status,
+			 const char *fields, const char *body)
+{
+	char *id = id_field(request);
+	char *text = g_strdup_printf("HTTP/1.1 %s\r\n%s%s"
+				     "Keep-Alive: timeout=9\r\n"
+				     "Content-Length: %zu\r\n\r\n%s",
+				     status, id, fields, strlen(body),
+				     is_head(request) ? "" : body);
+
+	g_free(id);
+	return text;
+}
+
+/* Returns a statement that a request or a call has not run. */
+static char *make_refusal(const server_request_t *request, unsigned status,
+			  bool states_not_run)
+{
+	static const char *const endings[] = {
+		[REFUSAL_WITH_BODY] = "Content-Length: 2\r\n\r\nno",
+		[REFUSAL_IN_CHUNKS] =
+			"Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		[REFUSAL_WITHOUT_BODY] = "Content-Length: 0\r\n\r\n",
+		[REFUSAL_THAT_CLOSES] =
+			"Connection: close\r\nContent-Length: 2\r\n\r\nno",
+	};
+	char *id = id_field(request);
+	char *text = g_strdup_printf(
+		"HTTP/1.1 %u No\r\n%s%sKeep-Alive: timeout=9\r\n%s", status,
+		states_not_run ? "X-Not-Executed: 1\r\n" : "", id,
+		is_head(request) ? "Content-Length: 2\r\n\r\n"
+				 : endings[shared->play.form]);
+
+	g_free(id);
+	return text;
+}
+
+/* Notes an answer that later answers on the connection follow a copy of. Takes the text. */
+static void keep_for_copies(connection_t *connection,
+			    const server_request_t *request, char *text)
+{
+	g_free(connection->copied);
+	connection->copied = text;
+	connection->copied_request = request->number;
+}
+
+/* Counts a copy that comes before the answer to a request. */
+static void count_copy(const connection_t *connection,
+		       const server_request_t *request)
+{
+	bool is_own = request->has_id &&
+		      request->number == connection->copied_request;
+	bool is_of_call = request->has_id &&
+			  connection->copied_request == NO_REQUEST;
+
+	g_atomic_int_inc(&shared->copies);
+	g_atomic_int_add(&shared->own_copies, is_own);
+	g_atomic_int_add(&shared->copies_of_calls, is_of_call);
+}
+
+/* Writes the copy of the connection, if there is one and the case asks for it before the
+ * answer.
+ */
+static void write_copy(const connection_t *connection,
+		       const server_request_t *request)
+{
+	copy_time_t copy_time = shared->play.copy_time;
+
+	if (!connection->copied)
+		return;
+	if (copy_time == COPY_AT_ONCE)
+		send_text(connection, connection->copied);
+	else if (copy_time == COPY_BYTE_BY_BYTE)
+		send_byte_by_byte(connection, connection->copied);
+	else
+		return;
+	count_copy(connection, request);
+}
+
+/* Writes an answer, in one write with the copy of the connection if the case asks for that. */
+static void write_answer(const connection_t *connection,
+			 const server_request_t *request, const char *text)
+{
+	char *both;
+
+	if (shared->play.copy_time != COPY_WITH_ANSWER || !connection->copied) {
+		send_text(connection, text);
+		return;
+	}
+	count_copy(connection, request);
+	both = g_strconcat(connection->copied, text, NULL);
+	send_text(connection, both);
+	g_free(both);
+}
+
+/* Writes the answer to a request that runs, or whose prompt was read. Takes the text. */
+static void answer(connection_t *connection, const server_request_t *request,
+		   char *text)
+{
+	write_answer(connection, request, text);
+	if (shared->play.copies == COPIES_OF_ANSWERS)
+		keep_for_copies(connection, request, text);
+	else
+		g_free(text);
+}
+
+static void refuse(connection_t *connection, const server_request_t *request)
+{
+	char *text = make_refusal(request, shared->play.status, true);
+
+	send_text(connection, text);
+	if (shared->play.copies == COPIES_OF_CALLS)
+		g_free(text);
+	else
+		keep_for_copies(connection, request, text);
+}
+
+static unsigned work_ms(const server_request_t *request)
+{
+	const refusal_case_t *play = &shared->play;
+
+	if (request->number == COPYING_FIRST_REQUEST && play->first_work_ms > 0)
+		return play->first_work_ms;
+	if (request->number >= COPYING_FIRST_REQUEST && play->work_ms > 0)
+		return play->work_ms;
+	return COPYING_WORK_MS;
+}
+
+static void answer_stream(connection_t *connection,
+			  const server_request_t *request)
+{
+	bool is_rest = has_field(request, "last-event-id");
+	char *events = g_strdup_printf("%sid: 2\ndata: r%u\n\n",
+				       is_rest ? "" : "id: 1\ndata: a\n\n",
+				       request->number);
+
+	answer(connection, request,
+	       make_answer(request, "200 OK",
+			   "X-Response-Signature: s\r\n"
+			   "Content-Type: text/event-stream\r\n",
+			   events));
+	g_free(events);
+}
+
+/* Runs a request, or reads its prompt. The copy comes first. */
+static void run(connection_t *connection, const server_request_t *request)
+{
+	bool is_prefill = has_field(request, "x-serving-stage");
+	char *body = g_strdup_printf("whole r%u", request->number);
+
+	if (!is_prefill)
+		g_atomic_int_inc(&shared->runs[request->number]);
+	write_copy(connection, request);
+	g_usleep((is_prefill ? COPYING_PREFILL_MS : work_ms(request)) *
+		 CLOCK_US_PER_MS);
+	if (is_prefill)
+		answer(connection, request,
+		       make_answer(
+			       request, "200 OK", "",
+			       "{\"kvHandle\":\"h\",\"tokens\":10,\"version\":1}"));
+	else if (connection->server >= PLAIN)
+		answer(connection, request,
+		       make_answer(request, "200 OK",
+				   "X-Response-Signature: s\r\n", body));
+	else
+		answer_stream(connection, request);
+	g_free(body);
+}
+
+static void count_call(const server_request_t *request)
+{
+	if (strstr(request->head, "/order"))
+		g_atomic_int_inc(&shared->orders);
+	else if (strstr(request->head, "/kv-handle/"))
+		g_atomic_int_inc(&shared->releases);
+	else if (g_atomic_int_get(&shared->in_case))
+		g_atomic_int_inc(&shared->checks);
+}
+
+/* Returns whether a call without an ID is answered with the status of the case. A report is
+ * not if orders are to follow it.
+ */
+static bool fails_call(const server_request_t *request)
+{
+	bool is_report = strstr(request->head, "/report") != NULL;
+	bool orders_follow = shared->play.call_status == 409 ||
+			     shared->play.call_status == 412 ||
+			     shared->play.call_status == 421;
+
+	return shared->play.call_status && g_atomic_int_get(&shared->in_case) &&
+	       !(is_report && orders_follow);
+}
+
+static void take_call(connection_t *connection, const server_request_t *request)
+{
+	char *text;
+
+	count_call(request);
+	write_copy(connection, request);
+	if (fails_call(request))
+		text = make_refusal(request, shared->play.call_status,
+				    shared->play.calls_not_run);
+	else
+		text = make_answer(request, "200 OK", "X-Instance-Id: i\r\n",
+				   "{\"busy\":false,\"sequence\":0}");
+	write_answer(connection, request, text);
+	if (shared->play.copies != COPIES_OF_REFUSALS &&
+	    g_atomic_int_get(&shared->in_case))
+		keep_for_copies(connection, request, text);
+	else
+		g_free(text);
+}
+
+static void take_request(connection_t *connection,
+			 const server_request_t *request)
+{
+	unsigned server = connection->server;
+	gint arrived;
+
+	if (!request->has_id || strstr(request->head, "/report") ||
+	    strstr(request->head, "/kv-handle/")) {
+		take_call(connection, request);
+		return;
+	}
+	arrived =
+		g_atomic_int_add(&shared->arrivals[server][request->number], 1);
+	if (request->number >= COPYING_FIRST_REQUEST &&
+	    arrived < (gint)shared->play.refusals[server])
+		refuse(connection, request);
+	else
+		run(connection, request);
+}
+
+static gpointer serve_connection(gpointer data)
+{
+	connection_t *connection = data;
+	server_request_t request;
+	int on = 1;
+
+	(void)setsockopt(connection->fd, IPPROTO_TCP, TCP_NODELAY, &on,
+			 sizeof(on));
+	connection->received = g_string_new(NULL);
+	while (read_request(connection, &request)) {
+		take_request(connection, &request);
+		g_free(request.head);
+	}
+	close(connection->fd);
+	g_string_free(connection->received, TRUE);
+	g_free(connection->copied);
+	g_free(connection);
+	return NULL;
+}
+
+static gpointer accept_connections(gpointer data)
+{
+	const listener_t *listener = data;
+
+	for (;;) {
+		int fd = accept(listener->fd, NULL, NULL);
+		connection_t *connection;
+
+		if (fd < 0)
+			_exit(1);
+		connection = g_new0(connection_t, 1);
+		connection->server = listener->server;
+		connection->fd = fd;
+		g_thread_unref(g_thread_new("connection", serve_connection,
+					    connection));
+	}
+	return NULL;
+}
+
+/* Listens on a free port, whose address goes to the shared memory. Returns the socket. */
+static int listen_on_free_port(char address[32])
+{
+	struct sockaddr_in any = {.sin_family = AF_INET};
+	socklen_t size = sizeof(any);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_true(fd >= 0);
+	assert_int_equal(bind(fd, (struct sockaddr *)&any, size), 0);
+	assert_int_equal(listen(fd, 64), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&any, &size), 0);
+	g_snprintf(address, 32, "127.0.0.1:%u", ntohs(any.sin_port));
+	return fd;
+}
+
+/* Starts the process of the servers on sockets that listen already. */
+static void start_process(copying_servers_t *servers)
+{
+	static listener_t listeners[SERVERS];
+
+	for (unsigned i = 0; i < SERVERS; i++)
+		listeners[i] = (listener_t){
+			.server = i,
+			.fd = servers->listeners[i],
+		};
+	servers->pid = fork();
+	assert_true(servers->pid >= 0);
+	if (servers->pid > 0)
+		return;
+	(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+	shared = servers->shared;
+	for (unsigned i = 0; i < SERVERS; i++)
+		g_thread_unref(g_thread_new("listener", accept_connections,
+					    &listeners[i]));
+	for (;;)
+		pause();
+}
+
+static void end_process(const copying_servers_t *servers)
+{
+	(void)kill(servers->pid, SIGKILL);
+	(void)waitpid(servers->pid, NULL, 0);
+}
+
+/* Starts the servers of a case. */
+void copying_servers_start(copying_servers_t *servers,
+			   const refusal_case_t *play)
+{
+	servers->shared = mmap(NULL, sizeof(*servers->shared),
+			       PROT_READ | PROT_WRITE,
+			       MAP_SHARED | MAP_ANONYMOUS, -1, 0);
+	assert_ptr_not_equal(servers->shared, MAP_FAILED);
+	servers->shared->play = *play;
+	for (unsigned i = 0; i < SERVERS; i++)
+		servers->listeners[i] =
+			listen_on_free_port(servers->shared->addresses[i]);
+	start_process(servers);
+}
+
+/* Ends the servers, and starts others at their addresses. */
+void copying_servers_replace(copying_servers_t *servers)
+{
+	end_process(servers);
+	start_process(servers);
+}
+
+/* Ends the servers and frees the memory that is shared with them. */
+void copying_servers_stop(copying_servers_t *servers)
+{
+	end_process(servers);
+	for (unsigned i = 0; i < SERVERS; i++)
+		close(servers->listeners[i]);
+	(void)munmap(servers->shared, sizeof(*servers->shared));
+}
--- /dev/null
+++ b/tests/support_copying_site.c
@@ -0,0 +1,348 @@
+#include "support_copying_site.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "names.h"
+#include "process/entry/store_rows.h"
+#include "support_address.h"
+#include "support_tcp_stub.h"
+
+#define SHUTDOWN_LIMIT_S 5
+#define WAIT_MS 10000
+#define ENTRY_CHANGE_MS 200
+
+static void put_config(copying_site_t *site)
+{
+	static const char config[] =
+		"{\"version\":1,\"routes\":["
+		"{\"name\":\"u\",\"host\":\"h\",\"pathPrefix\":\"/u/\","
+		"\"kind\":\"unsafe\",\"timeoutMs\":3000,"
+		"\"targetLatencyMs\":300,\"service\":\"app\","
+		"\"maxAttempts\":1},"
+		"{\"name\":\"s\",\"host\":\"h\",\"pathPrefix\":\"/s/\","
+		"\"kind\":\"safe\",\"timeoutMs\":3000,"
+		"\"targetLatencyMs\":300,\"service\":\"app\","
+		"\"maxAttempts\":2},"
+		"{\"name\":\"l\",\"host\":\"h\",\"pathPrefix\":\"/l/\","
+		"\"kind\":\"streaming\",\"timeoutMs\":6000,"
+		"\"targetLatencyMs\":900,\"service\":\"llm\","
+		"\"maxAttempts\":1},"
+		"{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/r/\","
+		"\"kind\":\"streaming\",\"timeoutMs\":6000,"
+		"\"resumable\":true,"
+		"\"targetLatencyMs\":900,\"service\":\"llm\","
+		"\"maxAttempts\":1},"
+		"{\"name\":\"m\",\"host\":\"h\",\"pathPrefix\":\"/m/\","
+		"\"kind\":\"streaming\",\"timeoutMs\":6000,"
+		"\"targetLatencyMs\":900,\"service\":\"llm\","
+		"\"maxAttempts\":4}],\"services\":["
+		"{\"name\":\"app\",\"healthPath\":\"/health\"},"
+		"{\"name\":\"llm\",\"healthPath\":\"/health\",\"engine\":{"
+		"\"slots\":12,\"kvTokenCapacity\":100000,\"stride\":1}}]}";
+
+	for (unsigned i = 0; i < COPYING_VMS; i++)
+		fake_store_put(&site->stores[i], TABLE_CONFIG, KEY_CONFIG,
+			       config);
+}
+
+/* Returns the field of a server's entry that names its stage. */
+static const char *stage_field(const copying_site_t *site, unsigned server)
+{
+	bool is_prefill = server == PREFILL;
+
+	if (server >= PLAIN)
+		return "";
+	if (site->stages == STAGES_SWAPPED)
+		is_prefill = server == DECODE;
+	if (is_prefill || site->stages == STAGES_ALL_PREFILL)
+		return ",\"stage\":\"prefill\"";
+	return ",\"stage\":\"decode\"";
+}
+
+static bool is_listed(const copying_site_t *site, unsigned server)
+{
+	const refusal_case_t *play = &site->servers.shared->play;
+
+	return !(server == DECODE_2 && play->one_decode) &&
+	       !(server == PLAIN_2 && !play->two_plain);
+}
+
+static void put_servers(copying_site_t *site)
+{
+	for (unsigned i = 0; i < SERVERS; i++) {
+		char *id = g_strdup_printf("i-%u-%u", i, site->entries);
+
+		for (unsigned j = 0; j < COPYING_VMS && is_listed(site, i);
+		     j++) {
+			char *text = g_strdup_printf(
+				"{\"service\":\"%s\",\"address\":\"%s\","
+				"\"zone\":\"z\",\"slots\":12,"
+				"\"state\":\"ready\",\"sequence\":1,"
+				"\"born\":1000%s}",
+				i >= PLAIN ? "app" : "llm",
+				j == 0 ? site->servers.shared->addresses[i]
+				       : site->unreachable[i],
+				stage_field(site, i));
+
+			fake_store_put(&site->stores[j], TABLE_SERVERS, id,
+				       text);
+			g_free(text);
+		}
+		g_free(id);
+	}
+}
+
+static void remove_servers(copying_site_t *site)
+{
+	for (unsigned i = 0; i < SERVERS; i++) {
+		char *id = g_strdup_printf("i-%u-%u", i, site->entries);
+
+		for (unsigned j = 0; j < COPYING_VMS; j++) {
+			if (fake_store_row_version(&site->stores[j],
+						   TABLE_SERVERS, id))
+				fake_store_remove(&site->stores[j],
+						  TABLE_SERVERS, id);
+		}
+		g_free(id);
+	}
+}
+
+/* Lets VMs with different stores know each other. */
+static void introduce_vms(copying_site_t *site)
+{
+	for (unsigned i = 0; i < COPYING_VMS; i++) {
+		char *key = g_strdup_printf(STORE_VM_PREFIX "vm-%u", i);
+
+		fake_store_put(&site->stores[COPYING_VMS - 1 - i], TABLE_ROUTER,
+			       key, site->vms[i].peer_address);
+		g_free(key);
+	}
+}
+
+/* Starts the servers, the stores and the VMs of a case. */
+void copying_site_start(copying_site_t *site, const refusal_case_t *play)
+{
+	memset(site, 0, sizeof(*site));
+	copying_servers_start(&site->servers, play);
+	for (unsigned i = 0; i < SERVERS; i++)
+		site->unreachable[i] = unused_address();
+	for (unsigned i = 0; i < COPYING_VMS; i++) {
+		site->store_addresses[i] = unused_address();
+		fake_store_start(&site->stores[i], site->store_addresses[i]);
+	}
+	put_config(site);
+	put_servers(site);
+	for (unsigned i = 0; i < COPYING_VMS; i++) {
+		char *name = g_strdup_printf("vm-%u", i);
+
+		vm_process_start(&site->vms[i], name, site->store_addresses[i],
+				 SHUTDOWN_LIMIT_S);
+		g_free(name);
+	}
+	introduce_vms(site);
+	http_pool_init(&site->callers, clock_boottime(), 0, 0);
+}
+
+/* Ends the processes of a case and frees its memory. */
+void copying_site_stop(copying_site_t *site)
+{
+	http_pool_finish(&site->callers);
+	for (unsigned i = 0; i < COPYING_VMS; i++) {
+		vm_process_finish(&site->vms[i]);
+		fake_store_stop(&site->stores[i]);
+		g_free(site->store_addresses[i]);
+	}
+	copying_servers_stop(&site->servers);
+	for (unsigned i = 0; i < SERVERS; i++)
+		g_free(site->unreachable[i]);
+}
+
+/* Replaces the entries of the servers, whose processes and connections stay. */
+void copying_site_change_entries(copying_site_t *site)
+{
+	remove_servers(site);
+	site->entries++;
+	put_servers(site);
+	support_run_loop_ms(ENTRY_CHANGE_MS);
+}
+
+/* Lists the engines with other stages. */
+void copying_site_list_stages(copying_site_t *site, listed_stages_t stages)
+{
+	site->stages = stages;
+	put_servers(site);
+	support_run_loop_ms(ENTRY_CHANGE_MS);
+}
+
+static void on_head(void *context, const http_head_t *head)
+{
+	((attempt_t *)context)->status = head->status;
+}
+
+static void on_body(void *context, const char *data, size_t len)
+{
+	g_string_append_len(((attempt_t *)context)->body, data, (gssize)len);
+}
+
+static void on_end(void *context, call_end_t end)
+{
+	attempt_t *attempt = context;
+
+	attempt->ended = true;
+	attempt->call = NULL;
+}
+
+static const call_handler_t handler = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static bool has_ended(void *context)
+{
+	return ((attempt_t *)context)->ended;
+}
+
+/* Sends a request to a VM over a new connection, with further header fields or "". */
+void attempt_begin(attempt_t *attempt, copying_site_t *site, unsigned vm,
+		   unsigned number, const char *fields)
+{
+	const char *line = site->servers.shared->play.line;
+	GString *message = g_string_new(NULL);
+	http_call_options_t options = {
+		.address = site->vms[vm].callers_address,
+		.message = message,
+		.new_connection = true,
+		.is_head = g_str_has_prefix(line, "HEAD "),
+		.handler = &handler,
+		.context = attempt,
+	};
+
+	*attempt = (attempt_t){
+		.number = number,
+		.is_head = options.is_head,
+		.body = g_string_new(NULL),
+	};
+	g_string_printf(message,
+			"%s HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 6000\r\n"
+			"X-Model-Name: m\r\nX-Token-Count: 1000,200\r\n"
+			"X-Request-Id: r%u\r\n%sContent-Length: 4\r\n\r\nbody",
+			line, number, fields);
+	attempt->call = http_pool_call(&site->callers, &options);
+	assert_non_null(attempt->call);
+	g_string_free(message, TRUE);
+}
+
+/* Waits for the answer to an attempt. Returns its status; 0: none. */
+unsigned attempt_end(attempt_t *attempt)
+{
+	assert_true(support_run_loop_until(has_ended, attempt, WAIT_MS));
+	return attempt->status;
+}
+
+/* Frees an attempt that has ended. Returns whether it got the answer to another request. */
+static bool finish_attempt(attempt_t *attempt)
+{
+	char *own = g_strdup_printf("r%u", attempt->number);
+	bool foreign = attempt->status == 200 && !attempt->is_head &&
+		       !strstr(attempt->body->str, own);
+
+	g_free(own);
+	g_string_free(attempt->body, TRUE);
+	return foreign;
+}
+
+/* Counts the answer to an attempt that has ended, and frees it. */
+void attempt_count(attempt_t *attempt, counts_t *counts)
+{
+	unsigned status = attempt->status;
+	bool foreign = finish_attempt(attempt);
+
+	counts->refused += says_not_run(status);
+	counts->foreign += foreign;
+	counts->served += status == 200 && !foreign;
+	counts->other += status != 200 && !says_not_run(status);
+}
+
+/* Sends a request to a VM and counts its answer, unless `counts` is NULL. Returns the status;
+ * 0: none.
+ */
+unsigned copying_site_ask(copying_site_t *site, unsigned vm, unsigned number,
+			  const char *fields, counts_t *counts)
+{
+	static attempt_t attempt; /* outlives a failure */
+	counts_t uncounted = {0};
+
+	attempt_begin(&attempt, site, vm, number, fields);
+	(void)attempt_end(&attempt);
+	attempt_count(&attempt, counts ? counts : &uncounted);
+	return attempt.status;
+}
+
+/* Waits until a VM serves requests. The case begins then. */
+void copying_site_await_served(copying_site_t *site, unsigned vm)
+{
+	while (copying_site_ask(site, vm, site->next_number++, "", NULL) !=
+	       200) {
+		assert_true(site->next_number < COPYING_FIRST_REQUEST);
+		support_run_loop_ms(100);
+	}
+	g_atomic_int_set(&site->servers.shared->in_case, 1);
+}
+
+/* Returns whether a status tells a caller that its request has not run. */
+bool says_not_run(unsigned status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/* Counts a request all of whose attempts have ended, `refused` of them with a statement that it
+ * has not run.
+ */
+void copying_site_count(const copying_site_t *site, unsigned number,
+			unsigned attempts, unsigned refused, counts_t *counts)
+{
+	unsigned ran =
+		(unsigned)g_atomic_int_get(&site->servers.shared->runs[number]);
+
+	counts->refused_ran += ran > attempts - refused;
+}
+
+/* Sends one request, again while it is refused and attempts are left. */
+void copying_site_play_request(copying_site_t *site, unsigned number,
+			       counts_t *counts)
+{
+	const refusal_case_t *play = &site->servers.shared->play;
+	unsigned attempts = 0, refused = 0, status = 503;
+
+	while (says_not_run(status) && attempts < play->attempts) {
+		if (attempts > 0 && play->entry_changes)
+			copying_site_change_entries(site);
+		status = copying_site_ask(site, play->vms[MIN(attempts, 1)],
+					  number, "", counts);
+		attempts++;
+		refused += says_not_run(status);
+	}
+	support_run_loop_ms(COPYING_WORK_MS);
+	copying_site_count(site, number, attempts, refused, counts);
+}
+
+/* Prints how the requests of a case ended. */
+void copying_site_print(const copying_site_t *site, const counts_t *counts)
+{
+	const copying_shared_t *shared = site->servers.shared;
+
+	print_message(
+		"%s: %u refused, %u served, %u other, %u foreign, %u ran "
+		"though refused; %d copies, %d of the request under way, %d of "
+		"calls before its answer; %d checks, %d orders, %d releases\n",
+		shared->play.name, counts->refused, counts->served,
+		counts->other, counts->foreign, counts->refused_ran,
+		shared->copies, shared->own_copies, shared->copies_of_calls,
+		shared->checks, shared->orders, shared->releases);
+}
