Test copies of answers to calls, and IDs that come to a server again (fails)

Real processes; the servers write answers once more before later answers on their connection. Cases: failed health checks, reports, orders and releases before the answers to requests, and the other way round; prefill and decode of one request at one engine; callers with one ID side by side; streams taken up again; refusals in chunks, without a body, that close, to HEAD; copies in the segment of the answer, byte by byte and on idle connections; other processes and entries at an address.

--- a/tests/support_copying_server.c
+++ b/tests/support_copying_server.c
@@ -44,7 +44,7 @@
 /* A request that was read. */
 typedef struct {
 	char *head;
-	unsigned number;
+	unsigned number; /* NO_REQUEST: a call of a VM */
 	bool has_id;
 } server_request_t;
 
@@ -108,7 +108,7 @@
 static bool read_request(connection_t *connection, server_request_t *request)
 {
 	GString *received = connection->received;
-	char *end, *length, *id;
+	char *end, *length, *id, *number;
 	gsize size;
 	char buffer[4096];
 
@@ -135,10 +135,12 @@
 	}
 	g_string_erase(received, 0, (gssize)size);
 	id = field_of(request->head, "x-request-id");
+	number = field_of(request->head, COPYING_NUMBER_FIELD);
 	request->has_id = id != NULL;
 	request->number =
-		id ? (unsigned)strtoul(id + 1, NULL, 10) % MAX_REQUESTS
-		   : NO_REQUEST;
+		number ? (unsigned)strtoul(number, NULL, 10) % MAX_REQUESTS
+		       : NO_REQUEST;
+	g_free(number);
 	g_free(id);
 	return true;
 }
@@ -352,19 +354,21 @@
 
 static void take_call(connection_t *connection, const server_request_t *request)
 {
+	bool fails = fails_call(request);
 	char *text;
 
 	count_call(request);
 	write_copy(connection, request);
-	if (fails_call(request))
+	if (fails)
 		text = make_refusal(request, shared->play.call_status,
 				    shared->play.calls_not_run);
 	else
 		text = make_answer(request, "200 OK", "X-Instance-Id: i\r\n",
 				   "{\"busy\":false,\"sequence\":0}");
 	write_answer(connection, request, text);
-	if (shared->play.copies != COPIES_OF_REFUSALS &&
-	    g_atomic_int_get(&shared->in_case))
+	if (g_atomic_int_get(&shared->in_case) &&
+	    (shared->play.copies == COPIES_OF_ANSWERS ||
+	     (shared->play.copies == COPIES_OF_CALLS && fails)))
 		keep_for_copies(connection, request, text);
 	else
 		g_free(text);
@@ -376,8 +380,7 @@
 	unsigned server = connection->server;
 	gint arrived;
 
-	if (!request->has_id || strstr(request->head, "/report") ||
-	    strstr(request->head, "/kv-handle/")) {
+	if (request->number == NO_REQUEST) {
 		take_call(connection, request);
 		return;
 	}
--- a/tests/support_copying_server.h
+++ b/tests/support_copying_server.h
@@ -15,6 +15,9 @@
 #define COPYING_PREFILL_MS 20
 #define COPYING_WORK_MS 60
 
+/* Field with the number of a request, which tells it from a call of a VM; in lower case. */
+#define COPYING_NUMBER_FIELD "x-request-number"
+
 /* Silence of a caller after which a copy comes, where it comes on idle connections. */
 #define COPYING_IDLE_MS 1000
 
@@ -32,7 +35,7 @@
 typedef enum {
 	COPIES_OF_REFUSALS,
 	COPIES_OF_ANSWERS, /* of all requests, and of all calls without an ID */
-	COPIES_OF_CALLS, /* without an ID, from the begin of the case */
+	COPIES_OF_CALLS, /* without an ID, that fail */
 } copies_t;
 
 /* When a copy is written. */
@@ -54,6 +57,7 @@
 	bool one_decode; /* the second decode engine is not listed */
 	bool entry_changes; /* between the attempts the server gets another entry */
 	bool two_plain; /* the second plain server is listed */
+	bool lacks_ids; /* the requests have no ID */
 	refusal_form_t form;
 	copies_t copies;
 	copy_time_t copy_time;
--- a/tests/support_copying_site.c
+++ b/tests/support_copying_site.c
@@ -171,12 +171,73 @@
 	support_run_loop_ms(ENTRY_CHANGE_MS);
 }
 
-/* Lists the engines with other stages. */
+/* An entry that a VM is to read. */
+typedef struct {
+	const vm_process_t *vm;
+	char *text; /* of the line that it logs then */
+	unsigned lines; /* before the entry was put */
+} awaited_entry_t;
+
+static bool is_read(void *context)
+{
+	const awaited_entry_t *entry = context;
+
+	return vm_process_count_logged(entry->vm, entry->text) > entry->lines;
+}
+
+static awaited_entry_t await_later(const copying_site_t *site, unsigned server,
+				   const char *change)
+{
+	awaited_entry_t entry = {
+		.vm = &site->vms[0],
+		.text = g_strdup_printf("server=i-%u-%u change=%s ", server,
+					site->entries, change),
+	};
+
+	entry.lines = vm_process_count_logged(entry.vm, entry.text);
+	return entry;
+}
+
+static void await_entry(awaited_entry_t *entry)
+{
+	assert_true(support_run_loop_until(is_read, entry, WAIT_MS));
+	g_free(entry->text);
+}
+
+/* Replaces the entries of the servers, and waits until the first VM has read that of a server. */
+void copying_site_replace_entries(copying_site_t *site, unsigned server)
+{
+	awaited_entry_t entry;
+
+	remove_servers(site);
+	site->entries++;
+	entry = await_later(site, server, "added");
+	put_servers(site);
+	await_entry(&entry);
+}
+
+/* Lists the engines with other stages, and waits until the first VM has read them. */
 void copying_site_list_stages(copying_site_t *site, listed_stages_t stages)
 {
+	awaited_entry_t changed[DECODE + 1];
+	bool changes[DECODE + 1];
+
+	for (unsigned i = PREFILL; i <= DECODE; i++) {
+		const char *before = stage_field(site, i);
+		listed_stages_t stages_before = site->stages;
+
+		site->stages = stages;
+		changes[i] = !g_str_equal(before, stage_field(site, i));
+		site->stages = stages_before;
+		if (changes[i])
+			changed[i] = await_later(site, i, "stage");
+	}
 	site->stages = stages;
 	put_servers(site);
-	support_run_loop_ms(ENTRY_CHANGE_MS);
+	for (unsigned i = PREFILL; i <= DECODE; i++) {
+		if (changes[i])
+			await_entry(&changed[i]);
+	}
 }
 
 static void on_head(void *context, const http_head_t *head)
@@ -213,6 +274,9 @@
 		   unsigned number, const char *fields)
 {
 	const char *line = site->servers.shared->play.line;
+	char *id = site->servers.shared->play.lacks_ids
+			   ? g_strdup("")
+			   : g_strdup_printf("X-Request-Id: r%u\r\n", number);
 	GString *message = g_string_new(NULL);
 	http_call_options_t options = {
 		.address = site->vms[vm].callers_address,
@@ -231,8 +295,10 @@
 	g_string_printf(message,
 			"%s HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 6000\r\n"
 			"X-Model-Name: m\r\nX-Token-Count: 1000,200\r\n"
-			"X-Request-Id: r%u\r\n%sContent-Length: 4\r\n\r\nbody",
-			line, number, fields);
+			"%s" COPYING_NUMBER_FIELD
+			": %u\r\n%sContent-Length: 4\r\n\r\nbody",
+			line, id, number, fields);
+	g_free(id);
 	attempt->call = http_pool_call(&site->callers, &options);
 	assert_non_null(attempt->call);
 	g_string_free(message, TRUE);
