Let cases with copies not depend on which connections a VM keeps

Since a connection that may not carry an ID is closed, the copies that some cases wait for came no more. Requests with other IDs now come to the connection of an answer before the request comes again, so that copies are written; the assertions are as before, and the cases with requests without IDs and with HEAD ask for all to be served.

--- a/tests/support_copying_server.h
+++ b/tests/support_copying_server.h
@@ -35,6 +35,7 @@
 typedef enum {
 	COPIES_OF_REFUSALS,
 	COPIES_OF_ANSWERS, /* of all requests, and of all calls without an ID */
+	COPIES_TO_REQUESTS, /* of all answers to requests */
 	COPIES_OF_CALLS, /* without an ID, that fail */
 } copies_t;
 
