Let HEAD and other methods not share a connection

Callers got 502 for requests that ran: a server wrote its refusal of a HEAD request once more before the answer to a POST request on the same connection. An answer to HEAD has a length but no body, so that the copy was read with a part of the answer as its body, and the rest was malformed.

A connection carries only HEAD requests or none, so that the end of a copy is known. test_copies_of_head_before_other_answers: 0 of 2 POST requests served before, 2 of 2 after; test_copies_of_answers passes, 24 of 24; test_http_pool, test_refusal_copies and test_repeated_refusals pass.

--- a/src/connection/http_pool.c
+++ b/src/connection/http_pool.c
@@ -69,7 +69,7 @@
 	bool answers_have_ids; /* an answer on the connection had one */
 	bool identified; /* the response being read has the ID of the call */
 	bool rejected; /* ends as malformed when the parser returns */
-	bool is_head; /* the method is HEAD */
+	bool is_head; /* the method of all its calls is HEAD; else of none */
 	bool parsing; /* the parser runs, so the call must not be freed */
 	bool cancelled; /* while the parser was running; freed after it */
 };
@@ -463,12 +463,16 @@
  * twice: nothing would tell a copy of the earlier answer from the answer. For the same reason a
  * request that lacks the ID which others have uses a new connection, and where servers repeat
  * IDs, a call with one does not follow a call without, until the server is known to repeat them.
+ * HEAD and other methods do not share a connection: where a copy of an answer ends depends on the
+ * method of the request that it answers.
  */
 static bool may_carry(const http_call_t *connection,
 		      const http_call_options_t *options)
 {
 	const http_host_t *host = connection->host;
 
+	if (connection->is_head != options->is_head)
+		return false;
 	if (options->id.len == 0)
 		return !options->id_header;
 	if (carried_ids_contains(&connection->carried, options->id))
