Soak: servers that write copies of refusals, callers that keep the ID (REFUSED)

No stand-in of the soak wrote the copy of a refusal with the ID of its request, so that no run could show that such a copy is taken for the answer to a later attempt.

A refusal with the ID of the request under way goes first. It ends with the calm. Callers send 70 % of the refused requests again with the same ID, up to three attempts. REFUSED counts by ID: a request that was refused at each attempt must not run, before or after; 429, 408 and 421 count as 503 does. It now holds for a resumable stream that runs later as well. What ran after a refusal without another attempt was reported as TWICE and is REFUSED now. MIXED: the ID in an answer's head is that of its request.

--- a/tests/soak_caller.c
+++ b/tests/soak_caller.c
@@ -9,6 +9,10 @@
 /* Requests for the rest of one stream. */
 #define MAX_TRIES 3
 
+/* Attempts with one ID, and the share of refused requests that is sent again. */
+#define MAX_ATTEMPTS 3
+#define REPEATS_PERCENT 70
+
 /* The answer must have come by then, whatever is disturbed. */
 #define ANSWER_US (4500 * CLOCK_US_PER_MS)
 
@@ -19,6 +23,7 @@
 	http_call_t *call; /* NULL: none in progress */
 	soak_kind_t kind;
 	char *request;
+	char *refused_request; /* is to be sent again; NULL: none */
 	char *first_request; /* began the stream of which the rest is to be
 				asked for; NULL: none */
 	const char *program; /* of the VM that began the stream */
@@ -32,19 +37,37 @@
 	alarm_t alarm;
 };
 
-/* "Not run" must be true then and later. */
+/* Returns whether a status promises that the request has not run. */
+static bool says_not_run(unsigned status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/* "Not run" must be true then and later. A run that begins later is found by the server. An
+ * attempt comes after a refused one only, so that none of the earlier ones may have run.
+ */
 static void check_not_run(soak_caller_t *caller)
 {
 	soak_run_t *run = soak_world_run(caller->world, caller->request);
 
+	run->refused++;
 	if (run->runs > 0 && caller->kind != SOAK_SAFE)
 		soak_world_violate(caller->world,
 				   "REFUSED: %s got %u and ran at %s",
 				   caller->request, caller->status,
 				   run->server);
-	/* A run that begins later is found as a second one. */
-	if (caller->kind != SOAK_SAFE)
-		run->runs++;
+}
+
+/* Draws whether a refused request is sent again with its ID. */
+static void plan_repeat(soak_caller_t *caller)
+{
+	const soak_run_t *run = soak_world_run(caller->world, caller->request);
+
+	if (caller->first_request || run->sent >= MAX_ATTEMPTS ||
+	    g_rand_int_range(caller->world->copies_rand, 0, 100) >=
+		    REPEATS_PERCENT)
+		return;
+	caller->refused_request = g_strdup(caller->request);
 }
 
 static void check_stream(soak_caller_t *caller)
@@ -160,6 +183,17 @@
 			(unsigned)caller->body->len);
 }
 
+/* An answer that names a request names the one that was sent. */
+static void check_id(const soak_caller_t *caller, const http_head_t *head)
+{
+	str_t id = http_headers_get(&head->headers, "x-request-id");
+
+	if (id.len > 0 && !str_equal(id, str_from(caller->request)))
+		soak_world_violate(caller->world,
+				   "MIXED: %s got the answer to %.*s",
+				   caller->request, (int)id.len, id.data);
+}
+
 static void on_head(void *context, const http_head_t *head)
 {
 	soak_caller_t *caller = context;
@@ -168,6 +202,7 @@
 	caller->has_signature =
 		http_headers_get(&head->headers, "x-response-signature").len >
 		0;
+	check_id(caller, head);
 }
 
 static void on_body(void *context, const char *data, size_t len)
@@ -189,9 +224,10 @@
 		check_success(caller);
 		count_resumed(caller);
 		g_clear_pointer(&caller->first_request, g_free);
-	} else if (caller->status == 503) {
+	} else if (says_not_run(caller->status)) {
 		caller->counts->refused++;
 		check_not_run(caller);
+		plan_repeat(caller);
 		if (caller->tries >= MAX_TRIES)
 			g_clear_pointer(&caller->first_request, g_free);
 	} else {
@@ -240,6 +276,7 @@
 		http_call_cancel(caller->call);
 	alarm_finish(&caller->alarm);
 	g_free(caller->request);
+	g_free(caller->refused_request);
 	g_free(caller->first_request);
 	g_string_free(caller->body, TRUE);
 	g_free(caller);
@@ -257,7 +294,13 @@
 	return !caller->call && caller->first_request;
 }
 
-/* Sends a request. `fields` are further header fields. */
+/* Tells whether the last request was refused and is to be sent again. */
+bool soak_caller_wants_repeat(const soak_caller_t *caller)
+{
+	return !caller->call && caller->refused_request;
+}
+
+/* Sends `caller->request`. `fields` are further header fields. */
 static void send_message(soak_caller_t *caller, const char *address,
 			 const char *fields, int64_t leave_at_us)
 {
@@ -273,7 +316,7 @@
 		.context = caller,
 	};
 
-	caller->request = g_strdup_printf("r%u", ++caller->world->next_id);
+	soak_world_run(caller->world, caller->request)->sent++;
 	caller->status = 0;
 	caller->has_signature = false;
 	caller->leaves = leave_at_us != 0;
@@ -299,6 +342,22 @@
 		  leave_at_us ? leave_at_us : clock_now(&clock) + ANSWER_US);
 }
 
+static char *new_request(const soak_caller_t *caller)
+{
+	return g_strdup_printf("r%u", ++caller->world->next_id);
+}
+
+/* Sends a VM, which runs a program, the refused request again, with the same ID. */
+void soak_caller_repeat(soak_caller_t *caller, const char *address,
+			const char *program)
+{
+	caller->counts->repeated++;
+	caller->request = g_steal_pointer(&caller->refused_request);
+	caller->program = program;
+	g_string_truncate(caller->body, 0);
+	send_message(caller, address, "", 0);
+}
+
 /* Asks a VM, which runs a program, for the rest of the stream that broke off. */
 void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address,
 			      const char *program)
@@ -308,6 +367,7 @@
 				       caller->first_request);
 
 	caller->tries++;
+	caller->request = new_request(caller);
 	caller->changed_program |= !g_str_equal(program, caller->program);
 	send_message(caller, address, fields, 0);
 	g_free(fields);
@@ -326,5 +386,6 @@
 	caller->tries = 0;
 	g_clear_pointer(&caller->first_request, g_free);
 	g_string_truncate(caller->body, 0);
+	caller->request = new_request(caller);
 	send_message(caller, address, "", leave_at_us);
 }
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -20,6 +20,7 @@
 	unsigned served;
 	unsigned refused;
 	unsigned failed; /* other answers */
+	unsigned repeated; /* refused requests that were sent again */
 	unsigned broken; /* no whole answer */
 	unsigned resumed; /* streams that went on after they had broken off */
 	unsigned resumed_at_other_build; /* of these, at a VM of another one */
@@ -32,6 +33,9 @@
 void soak_caller_free(soak_caller_t *caller);
 bool soak_caller_is_busy(const soak_caller_t *caller);
 bool soak_caller_wants_rest(const soak_caller_t *caller);
+bool soak_caller_wants_repeat(const soak_caller_t *caller);
+void soak_caller_repeat(soak_caller_t *caller, const char *address,
+			const char *program);
 void soak_caller_ask_for_rest(soak_caller_t *caller, const char *address,
 			      const char *program);
 void soak_caller_send(soak_caller_t *caller, const char *address,
--- a/tests/soak_server.c
+++ b/tests/soak_server.c
@@ -16,6 +16,12 @@
 #define CHANGE_US (1000 * CLOCK_US_PER_MS)
 #define SLOTS 12
 
+/* A faulty server refuses this share of the requests, and writes copies of earlier answers before
+ * this share of its answers.
+ */
+#define REFUSES_PERCENT 15
+#define COPIES_PERCENT 40
+
 /* Attempts to listen at an address that is in use, and pause between two of them. */
 #define LISTEN_TRIES 200
 #define LISTEN_PAUSE_US (10 * CLOCK_US_PER_MS)
@@ -55,6 +61,7 @@
 	world->handles =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world->violations = g_ptr_array_new_with_free_func(g_free);
+	world->copies_rand = g_rand_new_with_seed((guint32)~seed);
 }
 
 /* Frees what the servers share. */
@@ -63,6 +70,7 @@
 	g_hash_table_unref(world->runs);
 	g_hash_table_unref(world->handles);
 	g_ptr_array_unref(world->violations);
+	g_rand_free(world->copies_rand);
 }
 
 /* Next random number of the seed, below a bound. */
@@ -211,12 +219,15 @@
 		http_headers_add(&headers, STR("Server-Leaving"), STR("1"));
 	http_headers_add(&headers, STR("X-Not-Executed"), STR("1"));
 	http_headers_add(&headers, STR("X-Instance-Id"), str_from(server->id));
+	http_headers_add(&headers, STR("Keep-Alive"), STR("timeout=5"));
 	exchange_reply(exchange, status, &headers, STR(""));
 	http_headers_finish(&headers);
 }
 
-/* A request that may run once must not run again. */
-static void count_run(work_t *work, bool repeatable)
+/* A request that may run once must not run again, and none runs whose attempts were all
+ * refused.
+ */
+static void count_run(work_t *work, bool idempotent)
 {
 	soak_server_t *server = work->server;
 	soak_run_t *run = soak_world_run(server->world, work->request);
@@ -225,10 +236,15 @@
 	run->runs++;
 	run->running++;
 	run->last_run_us = now_us();
-	if (!repeatable && run->runs > 1)
+	if (!idempotent && !work->resumable && run->runs > 1)
 		soak_world_violate(server->world,
 				   "TWICE: %s ran at %s and at %s",
 				   work->request, run->server, server->id);
+	if (!idempotent && run->refused > 0 && run->refused == run->sent)
+		soak_world_violate(
+			server->world,
+			"REFUSED: %s was refused %u times, and ran later at %s",
+			work->request, run->refused, server->id);
 	g_free(run->server);
 	run->server = g_strdup(server->id);
 	if (server->leaves_by_us && now_us() > server->leaves_by_us)
@@ -255,7 +271,7 @@
 	const http_head_t *head = exchange_head(exchange);
 	bool resumable =
 		g_str_has_prefix(head->target->str, SOAK_RESUMABLE_PATH);
-	bool repeatable = resumable || g_str_equal(head->method->str, "GET");
+	bool idempotent = g_str_equal(head->method->str, "GET");
 	int64_t last_event = 0;
 	work_t *work = g_new0(work_t, 1);
 	int64_t us = server->stage == SOAK_PLAIN     ? PLAIN_US
@@ -275,7 +291,7 @@
 	exchange_set_context(exchange, work);
 	alarm_init(&work->next, clock_boottime(), on_next, work);
 	if (!prefill)
-		count_run(work, repeatable);
+		count_run(work, idempotent);
 	alarm_set(&work->next, now_us() + us);
 }
 
@@ -344,12 +360,21 @@
 	g_free(text);
 }
 
+/* Draws whether a faulty server refuses a request as if it were full. */
+static bool refuses_any(const soak_server_t *server)
+{
+	return server->refuses_percent > 0 &&
+	       g_rand_int_range(server->world->copies_rand, 0, 100) <
+		       (int)server->refuses_percent;
+}
+
 static void take_request(soak_server_t *server, exchange_t *exchange)
 {
 	const http_headers_t *headers = &exchange_head(exchange)->headers;
 	bool prefill = http_headers_get(headers, "x-serving-stage").len > 0;
 	str_t source = http_headers_get(headers, "x-kv-source");
-	bool full = server->in_work >= SLOTS || server->change.at_us >= 0;
+	bool full = server->in_work >= SLOTS || server->change.at_us >= 0 ||
+		    refuses_any(server);
 
 	if (prefill != (server->stage == SOAK_PREFILL))
 		refuse(server, exchange, 421);
@@ -476,6 +501,16 @@
 	enter_list(server, true);
 }
 
+/* Makes a server faulty, or ends that: it refuses some requests, and writes copies of earlier
+ * answers of its connections.
+ */
+void soak_server_set_copies(soak_server_t *server, bool copies)
+{
+	server->refuses_percent = copies ? REFUSES_PERCENT : 0;
+	proxy_set_copies(server->proxy, server->world->copies_rand,
+			 copies ? COPIES_PERCENT : 0);
+}
+
 /* Frees a server. */
 void soak_server_stop(soak_server_t *server)
 {
--- a/tests/soak_server.h
+++ b/tests/soak_server.h
@@ -23,6 +23,8 @@
 
 /* What became of one request, over all servers. */
 typedef struct {
+	unsigned sent; /* attempts of the caller, all with the same ID */
+	unsigned refused; /* attempts that were answered as not run */
 	unsigned runs;
 	unsigned running;
 	unsigned finished;
@@ -37,6 +39,8 @@
 	GHashTable *handles; /* "address/handle" to its end, int64_t * */
 	GPtrArray *violations; /* text */
 	uint64_t seed;
+	GRand *copies_rand; /* for copies, refusals and repeats; of its own, so that it
+			       changes no other draws */
 	unsigned next_id;
 	bool lossless; /* no fault may end a request without a whole answer */
 } soak_world_t;
@@ -55,6 +59,7 @@
 	unsigned orders;
 	unsigned beats;
 	unsigned in_work;
+	unsigned refuses_percent; /* of the requests, whatever its load */
 	bool up;
 	GQueue works; /* of work_t */
 	alarm_t beat;
@@ -74,6 +79,7 @@
 void soak_server_crash(soak_server_t *server, bool listed);
 void soak_server_restart(soak_server_t *server);
 void soak_server_leave(soak_server_t *server, int64_t by_us);
+void soak_server_set_copies(soak_server_t *server, bool copies);
 void soak_server_stop(soak_server_t *server);
 
 #endif
--- a/tests/support_proxy.c
+++ b/tests/support_proxy.c
@@ -11,9 +11,20 @@
 #include "connection/address.h"
 #include "connection/tcp.h"
 #include "process/alarm.h"
+#include "support_copies.h"
 
 #define DELAY_US (150 * CLOCK_US_PER_MS)
 
+/* A copy is written at most this long after its request, or after an answer. */
+#define MAX_COPY_DELAY_MS 20
+#define MAX_IDLE_COPY_DELAY_MS 150
+
+/* Share of the answers after which a copy is written, and of the requests before whose answer one
+ * is, where the connection has carried a refusal with the same ID.
+ */
+#define IDLE_COPIES_PERCENT 10
+#define OWN_COPIES_PERCENT 80
+
 typedef struct link link_t;
 
 /* One direction's end of a link. */
@@ -32,6 +43,8 @@
 	end_t caller;
 	end_t server;
 	alarm_t alarm;
+	copies_t copies; /* of the server's answers */
+	alarm_t copy; /* when one is written */
 	bool lost; /* silent for good, although new links work */
 };
 
@@ -41,6 +54,9 @@
 	GSource *source;
 	int fd;
 	proxy_mode_t mode;
+	GRand *copies_rand; /* borrowed; NULL: no copies, bytes of any protocol */
+	unsigned copies_percent; /* of the requests; 0: none are written */
+	proxy_copies_t copies; /* written so far */
 	GPtrArray *links; /* of link_t */
 };
 
@@ -53,6 +69,8 @@
 	tcp_finish_reset(&link->caller.tcp);
 	tcp_finish_reset(&link->server.tcp);
 	alarm_finish(&link->alarm);
+	alarm_finish(&link->copy);
+	copies_finish(&link->copies);
 	g_string_free(link->caller.held, TRUE);
 	g_string_free(link->server.held, TRUE);
 	g_free(link);
@@ -80,12 +98,69 @@
 	g_string_truncate(to->held, 0);
 }
 
+/* Sets when a copy of an earlier answer is written, in a share of the cases. */
+static void plan_copy(link_t *link, unsigned percent, int max_delay_ms)
+{
+	GRand *rand = link->proxy->copies_rand;
+	int64_t delay_us;
+
+	alarm_set(&link->copy, -1);
+	if (link->proxy->copies_percent == 0 ||
+	    g_rand_int_range(rand, 0, 100) >= (int)percent)
+		return;
+	delay_us = g_rand_int_range(rand, 0, max_delay_ms) * CLOCK_US_PER_MS;
+	alarm_set(&link->copy, clock_now(&link->copy.clock) + delay_us);
+}
+
+/* Writes a copy, unless an answer is on its way. */
+static void on_copy(void *context)
+{
+	link_t *link = context;
+	end_t *to = &link->caller;
+	char *copy;
+
+	if (link->proxy->mode != PROXY_PASS || is_held(to) ||
+	    to->held->len > 0 || link->proxy->copies_percent == 0)
+		return;
+	copy = copies_draw(&link->copies, link->proxy->copies_rand);
+	if (!copy)
+		return;
+	link->proxy->copies.all++;
+	if (copies_has_open_id(&link->copies, copy))
+		link->proxy->copies.of_open++;
+	g_string_append(to->held, copy);
+	g_free(copy);
+	deliver(to);
+}
+
+static void note_request(link_t *link, const char *data, size_t len)
+{
+	if (!link->proxy->copies_rand ||
+	    !copies_note_request(&link->copies, data, len))
+		return;
+	if (copies_has_own_refusal(&link->copies))
+		plan_copy(link, OWN_COPIES_PERCENT, MAX_COPY_DELAY_MS);
+	else
+		plan_copy(link, link->proxy->copies_percent, MAX_COPY_DELAY_MS);
+}
+
+static void note_answer(link_t *link, const char *data, size_t len)
+{
+	if (link->proxy->copies_rand &&
+	    copies_note_answer(&link->copies, data, len))
+		plan_copy(link, IDLE_COPIES_PERCENT, MAX_IDLE_COPY_DELAY_MS);
+}
+
 static void on_data(void *context, const char *data, size_t len)
 {
 	end_t *from = context;
 	link_t *link = from->link;
 	end_t *to = from->is_server ? &link->caller : &link->server;
 
+	if (from->is_server)
+		note_answer(link, data, len);
+	else
+		note_request(link, data, len);
 	g_string_append_len(to->held, data, (gssize)len);
 	if (link->proxy->mode != PROXY_DELAY) {
 		deliver(to);
@@ -141,6 +216,8 @@
 	link->server.held = g_string_new(NULL);
 	link->server.is_server = true;
 	alarm_init(&link->alarm, clock_boottime(), on_alarm, link);
+	copies_init(&link->copies);
+	alarm_init(&link->copy, clock_boottime(), on_copy, link);
 	g_ptr_array_add(proxy->links, link);
 	tcp_adopt(&link->caller.tcp, fd, &options, &handler, &link->caller);
 	if (!tcp_connect(&link->server.tcp, proxy->target, &options, &handler,
@@ -243,6 +320,22 @@
 		g_ptr_array_set_size(proxy->links, 0);
 }
 
+/* Lets the server write copies of earlier answers of a connection, before a share of its answers
+ * and after some of them, or ends that (0). `rand` is borrowed. The first call comes before the
+ * first connection.
+ */
+void proxy_set_copies(proxy_t *proxy, GRand *rand, unsigned percent)
+{
+	proxy->copies_rand = rand;
+	proxy->copies_percent = percent;
+}
+
+/* Returns how many copies were written. */
+proxy_copies_t proxy_copies(const proxy_t *proxy)
+{
+	return proxy->copies;
+}
+
 /* Name of a mode, for the report. */
 const char *proxy_mode_text(proxy_mode_t mode)
 {
--- a/tests/support_proxy.h
+++ b/tests/support_proxy.h
@@ -17,6 +17,12 @@
 	PROXY_HOLD, /* bytes and closes wait, and go on when this ends */
 } proxy_mode_t;
 
+/* Copies of answers that were written. */
+typedef struct {
+	unsigned all;
+	unsigned of_open; /* with the ID of the request under way */
+} proxy_copies_t;
+
 typedef struct proxy proxy_t;
 
 proxy_t *proxy_new(const char *target);
@@ -24,6 +30,8 @@
 const char *proxy_address(const proxy_t *proxy);
 proxy_mode_t proxy_mode(const proxy_t *proxy);
 void proxy_set_mode(proxy_t *proxy, proxy_mode_t mode);
+void proxy_set_copies(proxy_t *proxy, GRand *rand, unsigned percent);
+proxy_copies_t proxy_copies(const proxy_t *proxy);
 const char *proxy_mode_text(proxy_mode_t mode);
 
 #endif
--- a/tests/tool_soak.c
+++ b/tests/tool_soak.c
@@ -17,6 +17,13 @@
 #define MAX_SERVERS 300
 #define MAX_CALLERS 2000
 
+/* Seeds with servers that write copies of answers, and the share of the servers in these. */
+#define COPIES_SEEDS_PERCENT 75
+#define COPIES_SERVERS_PERCENT 50
+
+/* Refused requests that are sent again go to another VM in this share. */
+#define REPEATS_ELSEWHERE_PERCENT 30
+
 #define START_US (1500 * CLOCK_US_PER_MS)
 #define CALM_US (3500 * CLOCK_US_PER_MS)
 #define STEP_US (20 * CLOCK_US_PER_MS)
@@ -96,6 +103,7 @@
 	int64_t silence_from_us; /* the last one, or the next */
 	int64_t silence_until_us;
 	unsigned idle_timeout_ms; /* of callers, in the configuration */
+	bool copies; /* some servers write copies of their answers */
 	bool quiet; /* no faults but the silences */
 	bool silent;
 	const char *other_program; /* of another build, from which VMs are
@@ -177,6 +185,46 @@
 	soak->faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
 }
 
+/* Draws which servers write copies of earlier answers, in a share of the seeds. */
+static void begin_copies(soak_t *soak)
+{
+	GRand *rand = soak->world.copies_rand;
+	unsigned copiers = 0;
+
+	soak->copies = g_rand_int_range(rand, 0, 100) < COPIES_SEEDS_PERCENT;
+	for (unsigned i = 0; i < soak->n_servers && soak->copies; i++) {
+		bool copies = g_rand_int_range(rand, 0, 100) <
+			      COPIES_SERVERS_PERCENT;
+
+		soak_server_set_copies(&soak->servers[i], copies);
+		copiers += copies;
+	}
+	printf("%u of %u servers write copies of answers\n", copiers,
+	       soak->n_servers);
+}
+
+static void end_copies(soak_t *soak)
+{
+	soak->copies = false;
+	for (unsigned i = 0; i < soak->n_servers; i++)
+		soak_server_set_copies(&soak->servers[i], false);
+}
+
+static void print_copies(const soak_t *soak)
+{
+	proxy_copies_t sum = {0};
+
+	for (unsigned i = 0; i < soak->n_servers; i++) {
+		proxy_copies_t copies = proxy_copies(soak->servers[i].proxy);
+
+		sum.all += copies.all;
+		sum.of_open += copies.of_open;
+	}
+	printf("%u refused requests sent again, %u copies of answers, %u with "
+	       "the ID of the request under way\n",
+	       soak->counts.repeated, sum.all, sum.of_open);
+}
+
 /* --- faults ------------------------------------------------------------ */
 
 static proxy_mode_t random_mode(soak_t *soak)
@@ -442,6 +490,17 @@
 	return &soak->entries[caller % MAX(soak->n_entries, 1)];
 }
 
+/* Sends a refused request again, to the same VM or to the next one. */
+static void repeat_request(soak_t *soak, unsigned caller)
+{
+	bool elsewhere = g_rand_int_range(soak->world.copies_rand, 0, 100) <
+			 REPEATS_ELSEWHERE_PERCENT;
+	soak_entry_t *entry = route_caller(soak, caller + elsewhere);
+
+	soak_caller_repeat(soak->callers[caller], entry->callers_address,
+			   entry->program);
+}
+
 static void send_requests(soak_t *soak)
 {
 	for (unsigned i = 0; i < soak->n_callers; i++) {
@@ -449,6 +508,10 @@
 		soak_kind_t kind;
 		soak_entry_t *entry;
 
+		if (soak_caller_wants_repeat(soak->callers[i])) {
+			repeat_request(soak, i);
+			continue;
+		}
 		if (soak_caller_is_busy(soak->callers[i]) ||
 		    soak_random(&soak->world, 4) != 0)
 			continue;
@@ -502,6 +565,8 @@
 	bool calm = now >= soak->calm_from_us;
 
 	end_due_faults(soak, calm);
+	if (calm && soak->copies)
+		end_copies(soak);
 	restart_entries(soak);
 	if (calm && soak->faults_end_us == 0)
 		soak->faults_end_us = now;
@@ -577,7 +642,7 @@
 }
 
 static int run(uint64_t seed, unsigned seconds, unsigned entries,
-	       unsigned servers, unsigned callers, bool quiet,
+	       unsigned servers, unsigned callers, bool quiet, bool copies,
 	       const char *other_program)
 {
 	static soak_t soak;
@@ -587,6 +652,8 @@
 	init(&soak, seed, entries, servers, callers, other_program);
 	soak.quiet = quiet;
 	soak.world.lossless = quiet;
+	if (copies && !quiet)
+		begin_copies(&soak);
 	soak.start_us = now_us() + START_US;
 	run_until(soak.start_us);
 	soak.next_fault_us = soak.start_us;
@@ -608,6 +675,7 @@
 		soak_entry_check_metrics(&soak.entries[i], &soak.world);
 	g_source_remove(step);
 	violations = soak.world.violations->len;
+	print_copies(&soak);
 	printf("seed %llu: %u sent, %u served, %u refused, %u failed, "
 	       "%u broken, %u streams resumed, %u at another build; "
 	       "%u violations; logs in %s\n",
@@ -632,11 +700,13 @@
 	struct arg_int *callers = arg_int0(NULL, "callers", "N", "callers");
 	struct arg_lit *quiet =
 		arg_lit0(NULL, "quiet", "no faults but silences");
+	struct arg_lit *no_copies = arg_lit0(
+		NULL, "no-copies", "no server writes copies of answers");
 	struct arg_str *other = arg_str0(NULL, "other-build", "PROGRAM",
 					 "start VMs from this as well");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {seed,	  seconds, entries, servers,
-			 callers, quiet,   other,   end};
+	void *table[] = {seed,	seconds,   entries, servers, callers,
+			 quiet, no_copies, other,   end};
 	int code = 2;
 
 	seed->ival[0] = 1;
@@ -657,6 +727,7 @@
 			   (unsigned)entries->ival[0],
 			   (unsigned)servers->ival[0],
 			   (unsigned)callers->ival[0], quiet->count > 0,
+			   no_copies->count == 0,
 			   other->count ? other->sval[0] : NULL);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
