Test two callers at two VMs once both VMs serve

test_two_callers_at_two_vms failed once beside five other test programs ("10 refused, 6 served, 0 copies"): the second VM did not serve yet, so that its own refusals used up the attempts and no copy was written. Cases that use a second VM now wait for it as well. No check has changed.

--- a/tests/test_copies_of_answers.c
+++ b/tests/test_copies_of_answers.c
@@ -39,6 +39,8 @@
 
 	copying_site_start(&site, play);
 	copying_site_await_served(&site, play->vms[0]);
+	if (play->vms[1] != play->vms[0])
+		copying_site_await_served(&site, play->vms[1]);
 	script(&site, counts);
 	copying_site_print(&site, counts);
 	shared = *shared_of(&site);
