--- a/tests/test_engine_copies.c
+++ b/tests/test_engine_copies.c
@@ -436,7 +436,8 @@
 static http_answer_t call(const setup_t *setup, const char *path,
 			  const char *body, const char *limit_ms)
 {
-	const char *const headers[] = {"Authorization", "Bearer " TOKEN,
+	static const char bearer[] = "Bearer " TOKEN;
+	const char *const headers[] = {"Authorization", bearer,
 				       "X-Request-Timeout-Ms", limit_ms, NULL};
 
 	return http_call("POST", setup->deployment.callers_address[0], path,
