--- a/tests/support_copying_server.h
+++ b/tests/support_copying_server.h
@@ -37,7 +37,7 @@
 	COPIES_OF_ANSWERS, /* of all requests, and of all calls without an ID */
 	COPIES_TO_REQUESTS, /* of all answers to requests */
 	COPIES_OF_CALLS, /* without an ID, that fail */
-} copies_t;
+} copied_answers_t;
 
 /* When a copy is written. */
 typedef enum {
@@ -60,7 +60,7 @@
 	bool two_plain; /* the second plain server is listed */
 	bool lacks_ids; /* the requests have no ID */
 	refusal_form_t form;
-	copies_t copies;
+	copied_answers_t copies;
 	copy_time_t copy_time;
 	unsigned call_status; /* of calls without an ID in the case; 0: 200 */
 	bool calls_not_run; /* these answers state that the call has not run */
