--- a/review/kit-3/site.c
+++ b/review/kit-3/site.c
@@ -405,7 +405,8 @@
 		engine->service, engine->listed, engine->software, engine->slots,
 		++engine->beats, engine->born_ms, stage);
 
-	fake_store_put(&engine->site->store, "servers", engine->id, text);
+	if (!engine->site->store_away)
+		fake_store_put(&engine->site->store, "servers", engine->id, text);
 	alarm_set(&engine->beat, site_now_us(engine->site) + BEAT_US);
 	g_free(text);
 	g_free(stage);
--- a/review/kit-3/site.h
+++ b/review/kit-3/site.h
@@ -98,6 +98,7 @@
 	clock_source_t clock;
 	fake_store_t store;
 	char *store_address;
+	bool store_away; /* the store takes nothing */
 	GPtrArray *engines; /* of engine_t */
 	GPtrArray *vms; /* of vm_t */
 	GPtrArray *callers; /* of caller_t */
