--- a/review/kit-3/site.c
+++ b/review/kit-3/site.c
@@ -596,6 +596,7 @@
 			       "X-Request-Id: %s\r\nContent-Length: %zu\r\n\r\n%s",
 			       caller->id, strlen(body), body);
 	g_ptr_array_add(site->callers, caller);
+	site_note(site, "sent %s to %s", caller->id, vm->callers);
 	caller->call = http_pool_call(&site->pool, &options);
 	if (!caller->call)
 		caller->ended = true;
