--- a/review/kit-3/site.c
+++ b/review/kit-3/site.c
@@ -11,6 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "connection/ingress_connection.h"
 #include "names.h"
 #include "support_address.h"
 
@@ -22,6 +23,9 @@
 #define RECONFIGURE_US (6 * CLOCK_US_PER_S)
 #define CHANGE_CHECK_US (50 * CLOCK_US_PER_MS)
 
+/* A VM that got an event of another stream so long before or after reaches the engine. */
+#define HEARD_US (100 * CLOCK_US_PER_MS)
+
 /* Requests that wait at an engine at most, and interval at which one that waits tries to begin. */
 #define QUEUE 2
 #define QUEUE_CHECK_US (20 * CLOCK_US_PER_MS)
@@ -78,6 +82,18 @@
 	g_free(work);
 }
 
+/* Returns whether a VM got an event from an engine shortly before or after a time: it reaches it. */
+bool engine_is_heard(const engine_t *engine, int64_t at_us)
+{
+	for (guint i = 0; i < engine->heard->len; i++) {
+		int64_t heard_us = g_array_index(engine->heard, int64_t, i);
+
+		if (ABS(heard_us - at_us) <= HEARD_US)
+			return true;
+	}
+	return false;
+}
+
 /* Counts the requests that wait at an engine. */
 unsigned engine_waiting(const engine_t *engine)
 {
@@ -166,6 +182,8 @@
 	event = g_strdup_printf("id: %u\ndata: %s %s\n\n", work->events,
 				engine->software, work->request);
 	exchange_write(work->exchange, event, strlen(event));
+	engine->heard_us = site_now_us(engine->site);
+	g_array_append_val(engine->heard, engine->heard_us);
 	g_free(event);
 }
 
@@ -228,14 +246,16 @@
 	g_free(request);
 }
 
-/* Closes the connection of a request in the middle of its answer. The engine works on. */
+/* Resets the connection of a request, so that its answer is lost. The engine runs it on. */
 void work_cut(work_t *work)
 {
 	exchange_t *exchange = work->exchange;
 
+	tcp_set_reset_at_end(&exchange->connection->tcp, true);
+
 	work->exchange = NULL;
 	work->cut = true;
-	site_note(work->engine->site, "cut %s at %s after event %u, works on",
+	site_note(work->engine->site, "reset %s at %s after event %u, runs on",
 		  work->request, work->engine->id, work->events);
 	exchange_abort(exchange);
 }
@@ -491,6 +511,7 @@
 					       : engine->address);
 	engine->id = g_strdup_printf("i-%u", ++site->next_id);
 	g_queue_init(&engine->works);
+	engine->heard = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	alarm_init(&engine->beat, site->clock, on_beat, engine);
 	alarm_init(&engine->change, site->clock, on_change, engine);
 	g_ptr_array_add(site->engines, engine);
--- a/review/kit-3/site.h
+++ b/review/kit-3/site.h
@@ -61,6 +61,8 @@
 	alarm_t change; /* of the stage, while one is in progress */
 	bool to_prefill;
 	int64_t idle_us; /* since when it has no request during a change; 0: it has some */
+	GArray *heard; /* of int64_t: when it sent an event on an open connection */
+	int64_t heard_us;
 	GQueue works; /* of work_t */
 };
 
@@ -127,6 +129,7 @@
 void engine_crash(engine_t *engine);
 void engine_start(engine_t *engine, const char *software);
 unsigned engine_running(const engine_t *engine);
+bool engine_is_heard(const engine_t *engine, int64_t at_us);
 unsigned engine_waiting(const engine_t *engine);
 void work_cut(work_t *work);
 
